Refuse a request that states both Content-Length and Transfer-Encoding

Symptom: servers got requests that had stood inside the body of another; from 7 s on clients were refused.

With every head that has a transfer coding, an Expect, an old version or a repeated field logged, the heads in question all looked alike: a POST with both Content-Length and Transfer-Encoding: chunked, and a body that starts with the last chunk and goes on with a whole request under an id of its own.

Cause. server.py, _Client._begin looked at Content-Length only to bound the body. h11 lets the transfer coding win, so the message ended at its "0" chunk, was answered, and the rest of what the length covered was read as the next request on that connection and sent to a server.

The refusals needed no mend of their own: the inner requests had loaded the servers.

Change: a request with both is answered 400 and its connection closed.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -197,7 +197,11 @@
 
     def _begin(self, request: h11.Request) -> None:
         self._request, self._body = request, bytearray()
-        length = header(list(request.headers), b"content-length")
+        headers = list(request.headers)
+        length = header(headers, b"content-length")
+        # Two framings: h11 would believe the chunks, and read what the length counts in as further requests.
+        if length is not None and header(headers, b"transfer-encoding") is not None:
+            raise Rejected(400, "both Content-Length and Transfer-Encoding")
         if length is not None and int(length) > BODY_LIMIT:
             raise Rejected(413, "body too large")
         if self.http.they_are_waiting_for_100_continue:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -30,6 +30,8 @@
     "keyed without key": (post(KEYED, drop=("Idempotency-Key",)), 400),
     "unsafe with key": (post(UNSAFE, Idempotency_Key="5c0f"), 400),
     "wrong method": (post().replace(b"POST", b"PUT"), 400),
+    "a request inside a body of two lengths": (
+        post(body=b"0\r\n\r\n" + post(), Transfer_Encoding="chunked"), 400),
     "body too large": (post(body=b"x" * 65_537), 413),
     "body far too large": (post(body=b"x" * 8_000_000), 413),  # still being sent when it is answered
     "chunks too large": (CHUNKED + b"11170\r\n" + b"x" * 70_000 + b"\r\n0\r\n\r\n", 413),
