Time a connect by the kernel, keep what comes up, hand out the first free one

While an agent used up its core, its loop ran 300 ms late, and a connect takes several turns of the loop: all ran into the 250 ms time-out though the servers had accepted at once. Each was thrown away with its attempt, so one agent ended with no connection at all, 130 on their way up, and answered nothing but refusals (ok fell from 1012 a second to 0).

backends.py, Exchange._connect and Backends.open: the time-out spanned the loop's own turns, and the connect was cancelled with its attempt. Now only the handshake is timed, and the kernel is asked before it is called failed; a connection outlives the attempt that asked for it; the attempt that has waited longest goes out on whichever connection is free first. Sibling: connections on their way up count towards the limit, as they hold descriptors too.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -12,7 +13,7 @@
 
 from .clock import Clock
 from .connection import Connection, Headers, header
-from .discovery import Address, Listing, Member
+from .discovery import Listing, Member
 
 log = logging.getLogger(__name__)
 
@@ -97,8 +98,6 @@
         self._began = backends.clock.now()
         self._until = self._began + timeout_us
         self._connection: _Pooled | None = None
-        self._connecting: asyncio.Task[None] | None = None
-        self._written = False
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
@@ -111,28 +110,20 @@
             return self._end(Outcome.NOT_SENT)
         connection = self._backends.take(member)
         if connection is not None:
-            return self._write(connection)
+            return self.carry(connection)
         if not self._backends.room():
             return self._end(Outcome.NOT_SENT)
-        self._connecting = self._loop.create_task(self._connect(member))
-        self._backends.tasks.add(self._connecting)
-        self._connecting.add_done_callback(self._backends.tasks.discard)
+        self._backends.dial(member, self)
 
     def cancel(self) -> None:
         self._end(Outcome.CANCELLED)
 
-    async def _connect(self, member: Member) -> None:
-        try:
-            connection = await self._backends.open(member)
-        except (OSError, TimeoutError):
-            return self._end(Outcome.CONNECT_FAILED)
-        except Exception:
-            log.exception("attempt failed before it was sent")
-            return self._end(Outcome.NOT_SENT)
-        self._connecting = None
-        self._write(connection)
+    def unconnected(self, outcome: Outcome) -> None:
+        """No connection came up for it."""
+        self._end(outcome)
 
-    def _write(self, connection: _Pooled) -> None:
+    def carry(self, connection: _Pooled) -> None:
+        """Go out on this connection."""
         try:
             self._put(connection)
         except Exception:  # whatever it is, the attempt must end, or its request gets no answer
@@ -193,8 +184,7 @@
             return
         self.ended = True
         self._timer.cancel()
-        if self._connecting is not None and not self._connecting.done():
-            self._connecting.cancel()
+        self._backends.waits_no_more(self._backend, self)
         if self._connection is not None:
             self._connection.exchange = None
             self._backends.give_back(self._connection)
@@ -223,6 +213,8 @@
         self._members: dict[BackendId, Member] = {}
         self._idle: dict[BackendId, list[_Pooled]] = {}
         self._open: set[_Pooled] = set()
+        self._dials: dict[BackendId, int] = {}  # connections on their way up
+        self._waiting: dict[BackendId, dict[Exchange, None]] = {}  # for a connection, the first come first
         self.tasks: set[asyncio.Task[None]] = set()
 
     def told(self, listing: Listing) -> list[Backend]:
@@ -257,19 +249,82 @@
 
     # Connections
 
-    async def open(self, member: Member) -> _Pooled:
-        address: Address = member.address
-        loop = asyncio.get_running_loop()
-        async with asyncio.timeout(self._connect_s):
-            _, connection = await loop.create_connection(
-                lambda: _Pooled(member, self._discard), address.host, address.port)
+    def dial(self, member: Member, exchange: Exchange) -> None:
+        """Open a connection; the exchange goes out on the first one to this backend that is free."""
+        backend = member.backend.id
+        self._waiting.setdefault(backend, {})[exchange] = None
+        self._dials[backend] = self._dials.get(backend, 0) + 1
+        task = asyncio.get_running_loop().create_task(self._dial(member))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _dial(self, member: Member) -> None:
+        """Outlives the exchange that asked for it: thrown away with their exchanges, connections were lacking
+        just while this agent was late, and kept it late."""
+        backend, connection, outcome = member.backend.id, None, Outcome.NOT_SENT
+        try:
+            connection = await self._connected(member)
+        except (OSError, TimeoutError):
+            outcome = Outcome.CONNECT_FAILED
+        except Exception:
+            log.exception("attempt failed before it was sent")
+        self._dials[backend] -= 1
+        if not self._dials[backend]:
+            del self._dials[backend]
+        if connection is not None and connection.closed:
+            outcome = Outcome.CONNECT_FAILED
+        elif connection is not None and member.same_process(self.ready(backend)):
+            self._offer(connection)
+        elif connection is not None:
+            self._discard(connection)
+        # One that is left without a connection on its way has nothing more to wait for.
+        waiting = self._waiting.get(backend, {})
+        while len(waiting) > self._dials.get(backend, 0):
+            next(iter(waiting)).unconnected(outcome)
+
+    async def _connected(self, member: Member) -> _Pooled:
+        """A connection that is up. Only the handshake is timed, and by what the kernel says of it: an agent
+        whose loop is late must not take its own lateness for the backend's."""
+        loop, address = asyncio.get_running_loop(), member.address
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            try:
+                async with asyncio.timeout(self._connect_s):
+                    await loop.sock_connect(sock, (address.host, address.port))
+            except TimeoutError:
+                sock.getpeername()  # raises where it is not up even now
+            _, connection = await loop.create_connection(lambda: _Pooled(member, self._discard), sock=sock)
+        except BaseException:
+            sock.close()
+            raise
         self._open.add(connection)
         return connection
 
+    def waits_no_more(self, backend: BackendId, exchange: Exchange) -> None:
+        waiting = self._waiting.get(backend)
+        if waiting is not None:
+            waiting.pop(exchange, None)
+            if not waiting:
+                del self._waiting[backend]
+
+    def _offer(self, connection: _Pooled) -> None:
+        """To the exchange that has waited longest, else kept."""
+        backend = connection.member.backend.id
+        if waiting := self._waiting.get(backend):
+            exchange = next(iter(waiting))
+            self.waits_no_more(backend, exchange)
+            return exchange.carry(connection)
+        connection.idle_since = self.clock.now()
+        connection.retire = asyncio.get_running_loop().call_later(
+            self._idle_us / 1e6, self._retired, connection)
+        self._idle.setdefault(backend, []).append(connection)
+
     def room(self) -> bool:
         """Whether one more connection may be opened; the longest idle one makes way."""
-        self._open = {c for c in self._open if not c.closed} if len(self._open) >= self._most else self._open
-        if len(self._open) < self._most:
+        most = self._most - sum(self._dials.values())
+        self._open = {c for c in self._open if not c.closed} if len(self._open) >= most else self._open
+        if len(self._open) < most:
             return True
         idle = [c for kept in self._idle.values() for c in kept]
         if not idle:
@@ -299,10 +354,7 @@
                 or not member.same_process(self.ready(member.backend.id))):
             return self._discard(connection)
         http.start_next_cycle()
-        connection.idle_since = self.clock.now()
-        connection.retire = asyncio.get_running_loop().call_later(
-            self._idle_us / 1e6, self._retired, connection)
-        self._idle.setdefault(member.backend.id, []).append(connection)
+        self._offer(connection)
 
     def _retired(self, connection: _Pooled) -> None:
         kept = self._idle.get(connection.member.backend.id, [])
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -180,6 +180,84 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def held_connects(monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
+    """Connects come up in the kernel, and the loop hears of it only when the event is set."""
+    heard, whole = asyncio.Event(), asyncio.SelectorEventLoop.sock_connect
+
+    async def sock_connect(loop: asyncio.SelectorEventLoop, sock: socket.socket,
+                           address: tuple[str, int]) -> None:
+        await whole(loop, sock, address)
+        await heard.wait()
+
+    monkeypatch.setattr(asyncio.SelectorEventLoop, "sock_connect", sock_connect)
+    return heard
+
+
+def test_a_late_loop_does_not_make_a_connection_fail_that_is_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        peer = await Peer().start()
+        held_connects(monkeypatch)
+        end = begin(backends(peer.port, connect_us=200_000))
+        await (await peer.requests.get()).answer()
+        assert (await end).outcome is Outcome.OK
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def test_a_connection_that_comes_up_after_its_attempt_is_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        peer = await Peer().start()
+        b, heard = backends(peer.port), held_connects(monkeypatch)
+        ends: list[Result] = []
+        exchange = b.exchange("s", ASK, 60_000_000, ends.append)
+        while not peer.connections:
+            await asyncio.sleep(0)
+        exchange.cancel()
+        assert ends[0].outcome is Outcome.CANCELLED
+        heard.set()
+        await asyncio.gather(*b.tasks)
+        await served(b, peer)
+        assert peer.connections == 1
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def test_an_attempt_goes_out_on_the_first_connection_that_is_free(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        peer = await Peer().start()
+        b = backends(peer.port)
+        first = begin(b)
+        message = await peer.requests.get()
+        held_connects(monkeypatch)
+        second = begin(b, Ask("POST", "/api", [("Request-Id", "2")], b"job"), 10_000_000)
+        await message.answer()
+        assert (await first).outcome is Outcome.OK
+        again = await peer.requests.get()
+        assert again.peer is message.peer and again.headers["request-id"] == "2"
+        await again.answer()
+        assert (await second).outcome is Outcome.OK
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def test_connections_on_their_way_up_count_towards_the_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        peer = await Peer().start()
+        b, heard = backends(peer.port, most=2), held_connects(monkeypatch)
+        ends = [begin(b), begin(b), begin(b)]
+        assert (await ends[2]).outcome is Outcome.NOT_SENT
+        heard.set()
+        for _ in range(2):
+            await (await peer.requests.get()).answer()
+        assert [(await end).outcome for end in ends[:2]] == [Outcome.OK, Outcome.OK]
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
 def test_idle_connections_are_retired_before_the_backend_does() -> None:
     async def run() -> None:
         peer = await Peer().start()
