Keep a watch on discovery where the settings say that changes are pushed

The module watches only in the mode "ask" and otherwise waits for changes to come by themselves, as they do on the simulator's wire. On sockets nothing comes unless a watch is open. The server "never in a list" stood at the address of one replaced in the release, to which the agent still sent.

Ruled out: an answer of discovery that is lost or misread (none was asked for), connections kept to a server that drains (the tests for those hold), the module (it was never told).

Lines at fault: agent.py, Agent.start, which left the watch to the module in either mode. Now the agent opens the watch itself in push mode, and renews it 0.1 s after it breaks: what changes while nobody asks counts as told.

--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -22,6 +22,8 @@
 # The module answers when a request's time is up; were it to fail, the agent answers this much later, within
 # the 50 ms that the protocol allows.
 OVERDUE_S = 0.025
+# Discovery answers on the agent's own machine at no cost. Every change made while nobody asks counts as told.
+WATCH_AGAIN_S = 0.1
 
 
 @dataclass(slots=True, eq=False)
@@ -37,6 +39,8 @@
     """Hands events to the module one at a time, in order of arrival, and carries out its actions."""
 
     def __init__(self, balancer: Balancer, clock: Clock, backends: Backends, discovery: Discovery) -> None:
+        # Where changes come by themselves, the module never asks: it is the agent that keeps the watch.
+        self._pushes = balancer.settings.discovery is q.Discovery.PUSH
         self._balancer, self._clock = balancer, clock
         self._backends, self._discovery = backends, discovery
         self._loop = asyncio.get_running_loop()
@@ -53,6 +57,8 @@
 
     def start(self, known: Listing) -> None:
         self._post(q.BackendsChanged(q.ListKind.CACHED, self._backends.told(known)))
+        if self._pushes:
+            self._discovery.watch(self._listed)
 
     # The application's side
 
@@ -183,6 +189,9 @@
         self._discovery.fetch(self._listed)
 
     def _listed(self, listing: Listing | None) -> None:
+        if listing is None and self._pushes:
+            self._loop.call_later(WATCH_AGAIN_S, self._discovery.watch, self._listed)
+            return
         if listing is None:
             self._post(q.BackendsChanged(q.ListKind.FAILED, []))
             return
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -93,9 +93,10 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
-def test_the_module_hears_of_changes_and_asks_again_after_a_break(tmp_path: Path) -> None:
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_the_module_hears_of_changes_and_asks_again_after_a_break(tmp_path: Path, mode: str) -> None:
     async def run() -> None:
-        async with world(tmp_path, backends=0) as w:
+        async with world(tmp_path, backends=0, mode=mode) as w:
             (await w.discovery.requests.get()).peer.reset()
             late = await Peer().start()
             client = await w.ask(post())  # held: there is nobody to send it to
