Forget servers that are gone, and look again at a cold one when an echo is in

Forgetting them sent the order test down another path, where it found an older fault: a server that restarts while its echo is awaited was sent to as if it were warm, for the cold budget was asked before the wait only.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -2,7 +2,7 @@
 
 A request meets the parts in this order: membership (who is there), admission (is it worth a try), health and
 cold-start budget (who may be sampled), load table and band choice (the Quantile process of Los and Sauerwald:
-two uniform samples, compared by band), attempt plan (time-out, retry, hedge). docs/design.md tells why.
+two uniform samples, compared by band), attempt plan (time-out, retry, hedge).
 """
 from __future__ import annotations
 
@@ -409,10 +409,11 @@
             if b.started_at != old.started_at:
                 old.reset(now)  # a new process under the same id
             old.adopt(b)
-        if e.kind is not ListKind.DELTA:
-            for server in self.servers.values():
-                if server.id not in named:
-                    server.state = State.GONE
+        for s in list(self.servers.values()):
+            if s.state is State.GONE or (e.kind is not ListKind.DELTA and s.id not in named):
+                s.state = State.GONE  # for requests that hold it still
+                del self.servers[s.id]  # each release brings new ids: kept, they would fill the memory
+                self.tags.pop(crc32(_name(s.id).encode()), None)
         self.ready = [x for x in self.servers.values() if x.state is State.READY]
         self.picks_left = 0
         if self.settings.discovery is Discovery.ASK and not self.watching:
@@ -525,7 +526,9 @@
         # A sample that answers goes before one that does not; if none does, the table decides.
         silent = r.silent if len(r.silent) < len(set(pair)) else []
         r.pair, r.silent = None, []
-        fit = [s for s in pair if self._may_go(r, s) and s not in silent and self._hopeful(r, s, limit, left)]
+        fit = [s for s in pair if s not in silent and self._may_go(r, s)
+               and self.cold.admits(s, self.now, r.luck, self.asks)  # it may have restarted since
+               and self._hopeful(r, s, limit, left)]
         if fit and self._left(r) > 0:
             return self._send(r, *self._lighter(r, (fit[0], fit[-1])))
         if r.pairs < ASK_PAIRS:
@@ -580,9 +583,7 @@
             fit = [s for s in pool if self._admits(r, s)]
             fit = [s for s in fit if s not in r.tried] or fit
             fit = [s for s in fit if self._hopeful(r, s, limit, left)]
-        if not fit:
-            return None
-        return fit[int(random() * len(fit))], fit[int(random() * len(fit))]
+        return (fit[int(random() * len(fit))], fit[int(random() * len(fit))]) if fit else None
 
     def _index(self) -> None:
         """Look at all entries: their mean and cutoffs, which then serve for some picks in a large fleet."""
@@ -633,8 +634,7 @@
 
     def _lighter(self, r: Request, pair: tuple[Server, Server]) -> tuple[Server, float]:
         """The sample in the lower band, and what it will hold with this request."""
-        one, other = pair
-        s = one if lower_band(self.rng, self.table.cuts, self._rank(one), self._rank(other)) else other
+        s = pair[0] if lower_band(self.rng, self.table.cuts, *map(self._rank, pair)) else pair[1]
         return s, s.own(self.now) + self.table.others(s, self.now) + r.size
 
     # Attempt plan
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,7 +7,7 @@
 
 from brasshead.logic import NOTE, RETRY_BURST, RETRY_SHARE, Request, Server
 from brasshead.interface import (
-    Backend, Outcome, Prices, Probe, ProbeEnded, Refuse, RequestArrived, RequestClass, Send, State,
+    Backend, ListKind, Outcome, Prices, Probe, ProbeEnded, Refuse, RequestArrived, RequestClass, Send, State,
     PeerMessage, Tell,
 )
 
@@ -307,3 +307,16 @@
         d.event(PeerMessage(1, NOTE.pack(next(iter(d.balancer.tags)), 6, 0)))
         actions = d.event(RequestArrived(900, 0, 4 * SECOND, is_retry=retry))
         assert bool(only(actions, Send)) is not retry
+
+
+def test_servers_that_are_gone_are_forgotten() -> None:
+    # Each release replaces every server under a new id: on a long day the tables only grew.
+    d = Drive(servers=4, report_fields=("inflight",), can_tell=True, siblings=5)
+    send = only(d.request()[1], Send)[0]
+    for day in range(50):
+        d.list(*[Backend(b.id, State.GONE) for b in d.backends])
+        d.backends = [Backend(f"s{day}-{i}") for i in range(4)]
+        d.list(*d.backends, kind=ListKind.FULL if day % 2 else ListKind.DELTA)
+    assert len(d.balancer.servers) == len(d.balancer.tags) == 4
+    d.end(send, Outcome.OK)  # what was out when its server went still ends in order
+    assert not d.balancer.requests and only(d.request()[1], Send)
