Take no answer that nobody asked for, nor one that states two lengths

Bytes that came on an idle connection were parsed while nobody asked, so a stray answer could pass for that of the next request; such a connection is now closed. An answer with both Content-Length and Transfer-Encoding was read by the chunks alone; which body was meant cannot be told, so the attempt has failed and may have run.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -68,6 +68,12 @@
         self.idle_since = 0
         self.retire: asyncio.TimerHandle | None = None
 
+    def data_received(self, data: bytes) -> None:
+        # What comes while nothing is asked would be read as the answer to the next request.
+        if self.exchange is None:
+            return self._discard(self)
+        super().data_received(data)
+
     def on_event(self, event: h11.Event) -> None:
         if self.exchange is not None:
             self.exchange.on_event(event)
@@ -152,6 +158,9 @@
     def on_event(self, event: h11.Event) -> None:
         if isinstance(event, h11.Response):
             self._status, self._headers = event.status_code, list(event.headers)
+            # Two lengths: which of them the backend meant, and so what its answer is, cannot be told.
+            if all(header(self._headers, h) is not None for h in (b"content-length", b"transfer-encoding")):
+                self._end(Outcome.ERROR)
         elif isinstance(event, h11.Data):
             self._body += event.data
             if len(self._body) > ANSWER_BYTES:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -49,6 +49,10 @@
     m.peer.close()
 
 
+async def two_lengths(m: Message) -> None:
+    await m.peer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+
+
 async def nonsense(m: Message) -> None:
     await m.peer.write(b"what?\r\n\r\n")
 
@@ -62,7 +66,7 @@
     (answers(400), Outcome.ERROR), (answers(500, Not_Started="1"), Outcome.ERROR),
     (answers(503, Not_Started="0"), Outcome.ERROR), (answers(503, Not_Started="1"), Outcome.REJECTED),
     (answers(504, Not_Started="1"), Outcome.REJECTED), (cut_short, Outcome.RESET), (reset, Outcome.RESET),
-    (close, Outcome.RESET), (nonsense, Outcome.RESET),
+    (close, Outcome.RESET), (nonsense, Outcome.RESET), (two_lengths, Outcome.ERROR),
 ])
 def test_outcomes_after_the_last_byte(then: Callable[[Message], Awaitable[None]], outcome: Outcome) -> None:
     async def run() -> None:
@@ -162,6 +166,20 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_an_answer_that_nobody_asked_for_is_nobodys() -> None:
+    async def run() -> None:
+        peer = await Peer().start()
+        b = backends(peer.port)
+        message = await served(b, peer)
+        await message.answer(200, b"stray")
+        await message.peer.ended()
+        await served(b, peer)
+        assert peer.connections == 2
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
 @pytest.mark.parametrize("warm", [False, True])
 def test_a_fault_while_an_attempt_is_written_ends_it(monkeypatch: pytest.MonkeyPatch, warm: bool) -> None:
     def send(self: Connection, *events: object) -> None:
