Move to the new discovery on SIGHUP; end a stop before SIGKILL can come

SIGHUP had no handler, so the agent died of it. Now it reads the file again and asks the new address at once, for the whole list first, while requests go on; a file that cannot be read changes nothing. The environment still names the old address, so only the file is asked.

A stop lasted 0.6 s beyond the longest deadline, however long that is; SIGKILL comes 0.7 s past it, or past 3 s where it is longer. With a deadline of 30 s all that was open would have been killed unanswered.

--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -1,4 +1,7 @@
-"""Starts the agent: ``python -m lilacsill``, configured by RELAY_CONFIG. Stops in order on SIGTERM."""
+"""Starts the agent: ``python -m lilacsill``, configured by RELAY_CONFIG.
+
+Stops in order on SIGTERM; on SIGHUP takes up the address of discovery that the file then names.
+"""
 from __future__ import annotations
 
 import asyncio
@@ -8,19 +11,22 @@
 import sys
 from typing import Any
 
+from brasshead.interface import Settings
 from brasshead.logic import Balancer
 
 from .agent import Agent
 from .backends import Backends
 from .clock import Clock
-from .config import Config, ConfigError, load
+from .config import Config, ConfigError, load, reload_discovery
 from .discovery import Discovery
 from .server import DrainTimes, Server
 
 log = logging.getLogger("lilacsill")
 
-# After SIGTERM new connections come for 0.2 to 0.4 s, and SIGKILL comes 0.7 s past the longest deadline.
+# After SIGTERM new connections come for 0.2 to 0.4 s, and SIGKILL comes 0.7 s past the longest deadline, but
+# no later than if that were 3 s.
 IDLE_S, SERVE_S, FINISH_S = 0.1, 0.5, 0.6
+LONGEST_S = 3.0
 DESCRIPTORS_APART = 64  # for discovery, listener, logs and the event loop
 
 
@@ -34,6 +40,12 @@
     return agent, Server(settings, agent, most)
 
 
+def drain_times(settings: Settings) -> DrainTimes:
+    """All is answered before SIGKILL can come."""
+    longest_s = max(c.deadline_us for c in settings.classes) / 1e6
+    return DrainTimes(IDLE_S, SERVE_S, min(LONGEST_S, longest_s) + FINISH_S)
+
+
 async def serve(config: Config, clock: Clock) -> int:
     """Run until SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
@@ -42,6 +54,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     agent, server = assemble(config, clock)
+    loop.add_signal_handler(signal.SIGHUP, _reload, agent)
     agent.start(config.known)
     try:
         port = await server.listen(config.listen)
@@ -50,12 +63,22 @@
         return 1
     log.info("%s listens on %s:%d", config.name, config.listen.host, port)
     await stop.wait()
-    longest_s = max(c.deadline_us for c in config.settings.classes) / 1e6
-    await server.drain(DrainTimes(IDLE_S, SERVE_S, longest_s + FINISH_S))
+    await server.drain(drain_times(config.settings))
     log.info("%s stops", config.name)
     return 0
 
 
+def _reload(agent: Agent) -> None:
+    """What is wrong with the new file must not end an agent that serves."""
+    try:
+        address = reload_discovery(os.environ)
+    except ConfigError as e:
+        log.error("kept the address of discovery: %s", e)
+        return
+    log.info("discovery is at %s:%d", address.host, address.port)
+    agent.move(address)
+
+
 def _unhandled(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     """What no one caught is logged and ends neither the process nor other requests."""
     log.error("unhandled: %s", context.get("message"), exc_info=context.get("exception"))
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -14,7 +14,7 @@
 from .backends import Ask, Backends, Exchange, Result
 from .clock import Clock
 from .connection import Headers
-from .discovery import Discovery, Listing
+from .discovery import Address, Discovery, Listing
 from .server import Call
 
 log = logging.getLogger(__name__)
@@ -60,6 +60,9 @@
         if self._pushes:
             self._discovery.watch(self._listed)
 
+    def move(self, discovery: Address) -> None:
+        self._discovery.move(discovery)
+
     # The application's side
 
     def take(self, call: Call) -> None:
--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -2,10 +2,10 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from brasshead.interface import Settings
 from brasshead.settings import SettingsError, settings_from
@@ -13,6 +13,8 @@
 from .clock import Clock
 from .discovery import Address, Listing, ListingParser, parse_address
 
+T = TypeVar("T")
+
 
 class ConfigError(Exception):
     """The configuration is missing or wrong; the text says what, in one line."""
@@ -34,18 +36,23 @@
 
 def load(env: Mapping[str, str], clock: Clock) -> Config:
     """Read the file that RELAY_CONFIG names."""
+    return _read(env, lambda doc: _config(doc, env, clock))
+
+
+def reload_discovery(env: Mapping[str, str]) -> Address:
+    """Where the file puts discovery now. The environment still has the address of the start."""
+    return _read(env, lambda doc: parse_address(doc["discovery"]))
+
+
+def _read(env: Mapping[str, str], meaning: Callable[[Any], T]) -> T:
     path = env.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG is not set")
     try:
-        doc = json.loads(Path(path).read_text())
-    except (OSError, ValueError) as e:
-        raise ConfigError(f"RELAY_CONFIG: {e}") from None
-    try:
-        return _config(doc, env, clock)
+        return meaning(json.loads(Path(path).read_text()))
     except KeyError as e:
         raise ConfigError(f"RELAY_CONFIG: {e} is missing") from None
-    except (TypeError, AttributeError, ValueError, OverflowError, SettingsError) as e:
+    except (OSError, TypeError, AttributeError, ValueError, OverflowError, SettingsError) as e:
         raise ConfigError(f"RELAY_CONFIG: {e}") from None
 
 
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -135,15 +135,29 @@
 
     def __init__(self, address: Address, parser: ListingParser, revision: int, connect_s: float) -> None:
         self._address, self._parser, self._connect_s = address, parser, connect_s
-        self._revision = revision
+        self._revision: int | None = revision  # None: the whole list is wanted first
         self._watching: asyncio.Task[None] | None = None
+        self._told: Callable[[Listing | None], None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
 
     def watch(self, told: Callable[[Listing | None], None]) -> None:
         """Report every change from now on; None, once, when the watch has broken."""
+        self._told = told
         if self._watching is None or self._watching.done():
             self._watching = asyncio.get_running_loop().create_task(self._watch(told))
 
+    def move(self, address: Address) -> None:
+        """Ask there from now on, without a break for whoever watches.
+
+        The whole list comes first: that the revisions of the one go on at the other is promised nowhere.
+        """
+        self._address, self._revision = address, None
+        if self._watching is not None:
+            self._watching.cancel()
+            self._watching = None
+        if self._told is not None:
+            self.watch(self._told)
+
     def fetch(self, told: Callable[[Listing | None], None]) -> None:
         """Report the whole list once, or None."""
         task = asyncio.get_running_loop().create_task(self._fetch(told))
@@ -155,8 +169,9 @@
         try:
             while True:
                 call = await self._connected(call)
-                target = f"{PATH}?index={self._revision}&wait={WAIT_MS}"
-                listing = await self._ask(call, target, WAIT_MS / 1000 + ANSWER_S)
+                whole = self._revision is None
+                target = PATH if whole else f"{PATH}?index={self._revision}&wait={WAIT_MS}"
+                listing = await self._ask(call, target, ANSWER_S if whole else WAIT_MS / 1000 + ANSWER_S)
                 self._revision = listing.revision
                 if listing.members or listing.complete:
                     told(listing)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -11,6 +11,9 @@
 import pytest
 from tests.loopback import KEYED, UNSAFE, Conversation, Message, Peer, config_doc, member, post, world
 
+from brasshead.interface import RequestClass, Settings
+from lilacsill.__main__ import drain_times
+
 CHUNKED = post(drop=("Content-Length",), body=b"", Transfer_Encoding="chunked")
 BAD = {
     "not HTTP": (b"hello\r\n\r\n", 400),
@@ -182,6 +185,43 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_a_stop_ends_before_it_is_killed() -> None:
+    for deadline_s in (0.5, 30.0):
+        cls = RequestClass("order", 100_000, int(deadline_s * 1e6))
+        assert drain_times(Settings(classes=(cls,))).end_s < min(deadline_s, 3.0) + 0.7
+
+
+def test_sighup_moves_to_the_new_discovery(tmp_path: Path) -> None:
+    async def run() -> None:
+        old, new, backend, later = [await Peer().start() for _ in range(4)]
+        doc = config_doc(old.port, [member("s", backend.port)])
+        process, port = await start(tmp_path, doc)
+        watch = await old.requests.get()
+        (tmp_path / "config.json").write_text("{")  # one that cannot be read changes nothing
+        process.send_signal(signal.SIGHUP)
+        assert process.stderr is not None
+        assert b"kept the address" in await process.stderr.readline()
+        (tmp_path / "config.json").write_text(json.dumps(doc | {"discovery": f"127.0.0.1:{new.port}"}))
+        process.send_signal(signal.SIGHUP)
+        whole = await new.requests.get()
+        assert whole.first == "GET /catalog/members HTTP/1.1"
+        listing = {"revision": 3, "complete": True, "members": [member("t", later.port)]}
+        await whole.answer(200, json.dumps(listing).encode())
+        assert "index=3&" in (await new.requests.get()).first
+        await watch.peer.ended()
+        client = Conversation(*await asyncio.open_connection("127.0.0.1", port))
+        await client.write(post())
+        await (await later.requests.get()).answer()
+        assert (await client.read()).status == 200
+        client.close()
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+        for peer in (old, new, backend, later):
+            await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
 @pytest.mark.parametrize("text", [None, "", "{", "[]", "7", '{"settings":{}}'])
 def test_a_bad_configuration_is_one_line_and_status_2(tmp_path: Path, text: str | None) -> None:
     path = tmp_path / "config.json"
