Let go of peers that never finish a request; refuse heads that h11 reads leniently

Silent and stalled peers held a descriptor for good. From connecting, or from a request's first byte, a request now has 2.5 s to be whole; then the peer gets 408, or a close if it has said nothing.

Behind a chunked body nothing more is read, as h11 is lenient about where its trailer ends.

--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -35,6 +35,9 @@
 
     # What a role adds
 
+    def check_head(self) -> None:
+        """A look at what h11 is to read next; raises h11.RemoteProtocolError."""
+
     def on_event(self, event: h11.Event) -> None:
         """One event of the peer's message."""
 
@@ -78,6 +81,7 @@
     def _read_on(self) -> None:
         """Hand on what has been received, as far as h11 lets it."""
         while not self.deaf:
+            self.check_head()
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 return
@@ -92,11 +96,6 @@
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLHUP)
         return not poll.poll(0)
 
-    def close(self) -> None:
-        """Close when all is written."""
-        if self.transport is not None:
-            self.transport.close()
-
     def drop(self) -> None:
         """Close at once, in the eyes of the peer too: the transport itself closes only a turn later, when the
         next attempt of the same request may be out already."""
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import logging
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -24,6 +25,9 @@
 TIMEOUT_LIMIT_MS = 24 * 3600 * 1000
 LINGER_S = 1.0  # after an answer given in the middle of a request
 POLL_S = 0.01  # while the last requests end
+UNREAD_S = 2.5  # from connecting, or from a request's first byte, until the request is whole: 3 s are allowed
+HEAD_END = re.compile(rb"\n\r?\n")
+AMBIGUOUS = re.compile(rb"(?<!\r)\n|\n[ \t]")
 FORWARDED = (b"request-id", b"idempotency-key", b"request-class", b"tenant", b"content-type")
 
 
@@ -143,22 +147,64 @@
         self._server = server
         self._request: h11.Request | None = None
         self._body = bytearray()
+        self._chunked = False
         self._call: Call | None = None
+        self._unread: asyncio.TimerHandle | None = None  # set while a request is waited for
+
+    @property
+    def empty(self) -> bool:
+        """Nothing of a request has been read."""
+        return self._call is None and self.http.their_state is h11.IDLE and not self.http.trailing_data[0]
 
     @property
     def idle(self) -> bool:
-        """Nothing of a request has come, as far as the kernel knows."""
-        return (self._call is None and self.http.their_state is h11.IDLE and not self.http.trailing_data[0]
-                and not self.deaf and self.quiet())
+        """Nothing of a request has come, as far as the kernel knows, and no answer is on its way."""
+        return self.empty and self.written and not self.deaf and self.quiet()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self._server.came(self)
+        self._await_whole()
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
+        self._read_whole()
         self._server.connections.discard(self)
 
+    def _await_whole(self) -> None:
+        """A peer that says nothing, or stops in the middle, must not hold a descriptor for good."""
+        if self._unread is None:
+            self._unread = asyncio.get_running_loop().call_later(UNREAD_S, self._too_slow)
+
+    def _read_whole(self) -> None:
+        if self._unread is not None:
+            self._unread.cancel()
+            self._unread = None
+
+    def _too_slow(self) -> None:
+        self._unread = None
+        if self.deaf or self._call is not None:
+            return
+        if self.empty:
+            self.drop()
+        else:
+            self._respond(408, [], b"request not whole in time\n")
+
+    def check_head(self) -> None:
+        """Refuse what h11 lets pass and others read in another way: a bare line feed as the end of a line,
+        and a folded line. Either can hide the length of a body, and so turn it into requests."""
+        if self.http.their_state is not h11.IDLE:
+            return
+        data = self.http.trailing_data[0]
+        end = HEAD_END.search(data)
+        if end is not None and AMBIGUOUS.search(data, 0, end.end()):
+            raise h11.RemoteProtocolError("bare line feed or folded line in the head")
+
+    def _feed(self, data: bytes | None) -> None:
+        super()._feed(data)
+        if self._call is None and not self.deaf and not self.empty:
+            self._await_whole()
+
     def data_received(self, data: bytes) -> None:
         super().data_received(data)
         # What a client sends ahead is kept unread in memory: without a bound one client could fill it.
@@ -199,8 +245,9 @@
         self._request, self._body = request, bytearray()
         headers = list(request.headers)
         length = header(headers, b"content-length")
+        self._chunked = header(headers, b"transfer-encoding") is not None
         # Two framings: h11 would believe the chunks, and read what the length counts in as further requests.
-        if length is not None and header(headers, b"transfer-encoding") is not None:
+        if length is not None and self._chunked:
             raise Rejected(400, "both Content-Length and Transfer-Encoding")
         if length is not None and int(length) > BODY_LIMIT:
             raise Rejected(413, "body too large")
@@ -209,6 +256,7 @@
 
     def _complete(self) -> None:
         assert self._request is not None
+        self._read_whole()
         path = self._request.target.partition(b"?")[0].decode("latin-1")
         if path == HEALTH:
             return self._respond(503 if self._server.draining else 200, [], b"")
@@ -226,7 +274,8 @@
         if self.closed or self.transport is None or self.transport.is_closing():
             return
         fields = [*headers, ("Content-Length", str(len(body)))]
-        whole = self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        # Behind chunks nothing more is read: h11 is lenient about where their trailer ends.
+        whole = self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED) and not self._chunked
         if self._server.draining or not whole:
             fields.append(("Connection", "close"))
         head = self._request is not None and self._request.method == b"HEAD"
@@ -274,7 +323,7 @@
         if len(self.connections) >= self._most:
             idle = next((c for c in self.connections if c.idle), None)
             if idle is not None:
-                idle.close()
+                idle.drop()
         self.connections.add(client)
 
     async def drain(self, times: DrainTimes) -> None:
@@ -300,5 +349,6 @@
             self._listener.close()
 
     def _close_idle(self) -> None:
+        # At once in the kernel: between a look and a close that waits for the loop a request can come.
         for client in [c for c in self.connections if c.idle]:
-            client.close()
+            client.drop()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -35,6 +35,10 @@
     "wrong method": (post().replace(b"POST", b"PUT"), 400),
     "a request inside a body of two lengths": (
         post(body=b"0\r\n\r\n" + post(), Transfer_Encoding="chunked"), 400),
+    "a request behind a folded length": (
+        post(drop=("Content-Length",), body=b"", X=f"a\r\n Content-Length: {len(post())}") + post(), 400),
+    "a bare line feed in the head": (post(X="a\nContent-Length: 3"), 400),
+    "a head of bare line feeds": (post().replace(b"\r\n", b"\n"), 400),
     "body too large": (post(body=b"x" * 65_537), 413),
     "body far too large": (post(body=b"x" * 8_000_000), 413),  # still being sent when it is answered
     "chunks too large": (CHUNKED + b"11170\r\n" + b"x" * 70_000 + b"\r\n0\r\n\r\n", 413),
@@ -59,6 +63,60 @@
     asyncio.run(run())
 
 
+def test_what_follows_chunks_is_no_request(tmp_path: Path) -> None:
+    # A trailer that ends in a bare line feed: read strictly, all the rest belongs to it.
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.ask(CHUNKED + b"3\r\njob\r\n0\r\n\n" + post(body=b"inner"))
+            got = await w.request()
+            assert got.body == b"job"
+            await got.answer()
+            answer = await client.read()
+            assert answer.status == 200 and answer.headers["connection"] == "close"
+            await client.ended()
+            assert w.nothing_sent() and w.agent._taken == 1
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("sent, status", [
+    (b"", None), (b"POST /api", 408), (post()[:-1], 408), (CHUNKED + b"3\r\njo", 408),
+])
+def test_who_does_not_finish_a_request_is_let_go(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: bytes, status: int | None) -> None:
+    monkeypatch.setattr("lilacsill.server.UNREAD_S", 0.05)
+
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            served = await w.ask(post())  # whole, and so not cut off however long its answer takes
+            got = await w.request()
+            for slow in (await w.ask(sent), served):
+                if slow is served:
+                    await got.answer()
+                    assert (await served.read()).status == 200
+                    if not sent:
+                        continue  # a connection that has served may stay, and say nothing
+                    await served.write(sent)
+                if status is not None:
+                    assert (await slow.read()).status == status
+                await slow.ended()
+            assert w.nothing_sent()
+
+    asyncio.run(run())
+
+
+def test_an_idle_connection_is_closed_in_the_kernel_at_once(tmp_path: Path) -> None:
+    # A close that waited for the loop reset requests that came in between.
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert (await client.read()).status == 200
+            w.server._close_idle()
+            assert client.told_of_close()
+
+    asyncio.run(run())
+
+
 def test_health_answers_while_serving(tmp_path: Path) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
