--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -66,6 +66,7 @@
         self.member, self._discard = member, discard
         self.exchange: Exchange | None = None
         self.idle_since = 0
+        self._at_end = False
         self.retire: asyncio.TimerHandle | None = None
 
     def data_received(self, data: bytes) -> None:
@@ -78,8 +79,15 @@
         if self.exchange is not None:
             self.exchange.on_event(event)
 
+    def eof_received(self) -> None:
+        self._at_end = True
+        super().eof_received()
+
     def on_broken(self, error: Exception) -> None:
-        self.on_end()
+        if self._at_end or self.exchange is None:
+            self.on_end()  # nothing is wrong with what came, but that it is not whole
+        else:
+            self.exchange.on_broken()
         self.drop()
 
     def on_end(self) -> None:
@@ -168,6 +176,11 @@
         elif isinstance(event, h11.EndOfMessage):
             self._end(self._answered())
 
+    def on_broken(self) -> None:
+        """An answer that cannot be read is a failed attempt. The process behind it lives: it is no reset, for
+        which the module would leave the server out at once."""
+        self._end(Outcome.ERROR if self._sent() else Outcome.CONNECT_FAILED)
+
     def on_end(self) -> None:
         self._end(self._lost())
 
