Rest the listener at the connection limit instead of running out of descriptors

The listener accepted on until EMFILE; asyncio then logs a traceback and plans a new start for each of the 512 places of the backlog, a collapse of its own. Now the listener takes at most 32 in a turn, and beyond its limit (idle connections make way first) it rests until one ends or falls idle; the kernel holds who waits.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -4,6 +4,7 @@
 import asyncio
 import logging
 import re
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -23,6 +24,9 @@
 BODY_LIMIT = 64 * 1024
 AHEAD_LIMIT = 128 * 1024  # of what comes while a request is in hand
 TIMEOUT_LIMIT_MS = 24 * 3600 * 1000
+BACKLOG = 512
+EXTRA = 32  # connections beyond the limit while none is idle; half of the descriptors set apart
+ACCEPTS = 32  # in one turn of the loop
 LINGER_S = 1.0  # after an answer given in the middle of a request
 POLL_S = 0.01  # while the last requests end
 UNREAD_S = 2.5  # from connecting, or from a request's first byte, until the request is whole: 3 s are allowed
@@ -163,13 +167,14 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self._server.came(self)
+        self._server.connections.add(self)
         self._await_whole()
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         self._read_whole()
         self._server.connections.discard(self)
+        self._server.freed()
 
     def _await_whole(self) -> None:
         """A peer that says nothing, or stops in the middle, must not hold a descriptor for good."""
@@ -284,6 +289,7 @@
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
             self._request = None
+            self._server.freed()
             self.transport.resume_reading()  # no effect where it was not paused
             if self.http.trailing_data[0]:
                 asyncio.get_running_loop().call_soon(self.resume_reading)
@@ -309,22 +315,52 @@
         self.checker = Checker(settings.classes, settings.tenants)
         self.connections: set[_Client] = set()
         self.draining = False  # answers ask the client to close
-        self._listener: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._accepting = False
+        self._coming: set[asyncio.Task[object]] = set()  # accepted, and not yet among the connections
 
     async def listen(self, address: Address) -> int:
         """Returns the port, for an address whose port is 0."""
+        self._listener = socket.create_server((address.host, address.port), backlog=BACKLOG)
+        self._listener.setblocking(False)
+        self.freed()
+        return int(self._listener.getsockname()[1])
+
+    def freed(self) -> None:
+        """A connection has ended or fallen idle: one more may come."""
+        if not self._accepting and self._listener is not None:
+            self._accepting = True
+            asyncio.get_running_loop().add_reader(self._listener, self._accept)
+
+    def _accept(self) -> None:
+        """Take some that wait. Beyond the limit the kernel holds them: accepting on without descriptors fails
+        for each one that waits, again and again."""
+        assert self._listener is not None
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            lambda: _Client(self), address.host, address.port, backlog=512)
-        return int(self._listener.sockets[0].getsockname()[1])
-
-    def came(self, client: _Client) -> None:
-        """One more connection. Beyond the limit an idle one makes way, or accepting would fail for all."""
-        if len(self.connections) >= self._most:
-            idle = next((c for c in self.connections if c.idle), None)
-            if idle is not None:
-                idle.drop()
-        self.connections.add(client)
+        for _ in range(ACCEPTS):
+            if not self._room():
+                self._accepting = False
+                loop.remove_reader(self._listener)
+                return
+            try:
+                sock, _address = self._listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            sock.setblocking(False)
+            task: asyncio.Task[object] = loop.create_task(
+                loop.connect_accepted_socket(lambda: _Client(self), sock))
+            self._coming.add(task)
+            task.add_done_callback(self._coming.discard)
+
+    def _room(self) -> bool:
+        """Whether one more may come. At the limit an idle one makes way."""
+        if len(self.connections) + len(self._coming) < self._most:
+            return True
+        idle = next((c for c in self.connections if c.idle), None)
+        if idle is not None:
+            idle.drop()
+            return True
+        return len(self.connections) + len(self._coming) < self._most + EXTRA
 
     async def drain(self, times: DrainTimes) -> None:
         """Take leave of the clients: nothing that was taken is lost."""
@@ -346,7 +382,9 @@
 
     def stop(self) -> None:
         if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener)
             self._listener.close()
+            self._listener = None
 
     def _close_idle(self) -> None:
         # At once in the kernel: between a look and a close that waits for the loop a request can come.
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -171,6 +171,30 @@
     asyncio.run(run())
 
 
+def test_beyond_the_limit_others_wait_in_the_kernel(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Accepting on until descriptors ran out failed for all who waited, time after time.
+    monkeypatch.setattr("lilacsill.server.EXTRA", 0)
+
+    async def run() -> None:
+        async with world(tmp_path, most=66) as w:  # one client connection
+            first = await w.ask(post(body=b"1"))
+            got = await w.request()
+            second = await w.ask(post(body=b"2"))
+            await w.ask(b"")
+            await asyncio.sleep(0)
+            while w.server._accepting:
+                await asyncio.sleep(0)
+            assert len(w.server.connections) == 1 and w.nothing_sent()
+            await got.answer()
+            assert (await first.read()).status == 200
+            await first.ended()  # idle now, it makes way
+            await (await w.request()).answer()
+            assert (await second.read()).status == 200
+
+    asyncio.run(run())
+
+
 async def start(folder: Path, doc: object) -> tuple[asyncio.subprocess.Process, int]:
     """The agent as a process of its own; returns when it listens."""
     path = folder / "config.json"
