--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -82,29 +82,54 @@
 @pytest.mark.parametrize("sent, status", [
     (b"", None), (b"POST /api", 408), (post()[:-1], 408), (CHUNKED + b"3\r\njo", 408),
 ])
-def test_who_does_not_finish_a_request_is_let_go(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: bytes, status: int | None) -> None:
-    monkeypatch.setattr("lilacsill.server.UNREAD_S", 0.05)
-
+def test_who_does_not_finish_a_request_is_let_go(tmp_path: Path, sent: bytes, status: int | None) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
-            served = await w.ask(post())  # whole, and so not cut off however long its answer takes
+            served = await w.ask(post())
             got = await w.request()
-            for slow in (await w.ask(sent), served):
-                if slow is served:
-                    await got.answer()
-                    assert (await served.read()).status == 200
-                    if not sent:
-                        continue  # a connection that has served may stay, and say nothing
-                    await served.write(sent)
-                if status is not None:
-                    assert (await slow.read()).status == status
-                await slow.ended()
+            (first,) = w.server.connections
+            assert first._unread is None  # whole, and so not cut off however long its answer takes
+            slow = await w.ask(sent)
+            while len(w.server.connections) < 2:
+                await asyncio.sleep(0)
+            (second,) = w.server.connections - {first}
+            while sent and second.empty:
+                await asyncio.sleep(0)
+            assert second._unread is not None
+            second._too_slow()  # as its timer does
+            if status is not None:
+                assert (await slow.read()).status == status
+            await slow.ended()
+            await got.answer()
+            assert (await served.read()).status == 200
+            assert first._unread is None  # one that has served may stay, and say nothing
+            await served.write(sent)
+            if status is not None:
+                while first.empty:
+                    await asyncio.sleep(0)
+                assert first._unread is not None
+                first._too_slow()
+                assert (await served.read()).status == status
+                await served.ended()
             assert w.nothing_sent()
 
     asyncio.run(run())
 
 
+def test_a_peer_is_let_go_within_the_time_allowed(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            silent = await w.client()
+            while not w.server.connections:
+                await asyncio.sleep(0)
+            (connection,) = w.server.connections
+            assert connection._unread is not None
+            assert connection._unread.when() < asyncio.get_running_loop().time() + 3.0
+            await silent.ended()
+
+    asyncio.run(run())
+
+
 def test_an_idle_connection_is_closed_in_the_kernel_at_once(tmp_path: Path) -> None:
     # A close that waited for the loop reset requests that came in between.
     async def run() -> None:
