Give many cold servers their part: one luck a pair, fit measured on warm servers

Counted over the 40 agents, 36 cold servers together take under 10 attempts a second while 24 warm ones hold 14 requests each and time out a third; of all attempts at cold ones hardly one fails.

Ruled out by reasons logged at each refusal: health (0 to 1 of 60 servers excluded), connects (none fails), lists (all told in time). What keeps the cold out is the budget (36 of 36), at a thousandth of the part it means to give.

Lines at fault, logic.py: Balancer._two told ColdBudget.drew of all draws, so that a cold server that was not admitted counted as one found unfit, and the budget shrank by its own refusals; ColdBudget.admits compared one luck a request with all servers, so that a request that draws sixteen had one chance at cold ones; the share of requests served, which a retry storm drives to 0.1, counted the same refusals again. Now fit is measured on warm servers, luck is drawn for each pair, and what counts is the share of attempts that are answered.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -53,10 +53,10 @@
     __slots__ = ("id", "zone", "cell", "hint", "state", "started_at", "open", "residue", "residue_at",
                  "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at",
                  "failing", "streak", "out_until", "out_us", "allowance", "asked_at", "askers",
-                 "pace", "service", "news_at")
+                 "pace", "service", "news_at", "luck")
 
-    def __init__(self, b: Backend, now: int) -> None:
-        self.id = b.id
+    def __init__(self, b: Backend, now: int, luck: float) -> None:
+        self.id, self.luck = b.id, luck
         self.open: dict[tuple[int, int], int] = {}  # own attempts out, oldest first: when each was sent
         self.asked_at = 0  # when the probe now out was sent; 0: none is
         self.askers: list[Request] = []  # requests that wait for its echo
@@ -274,14 +274,14 @@
     """Keeps all balancers together from pushing over a server that has just started.
 
     Of each balancer's requests only the share that the server is warm may see it at all, drawn at random for
-    each request: in the sum over all balancers it gets its part of the traffic, however that is split.
+    each request and server: in the sum over all balancers it gets its part of the traffic, however that is split.
     """
 
     def __init__(self, settings: Settings) -> None:
         self.start, self.warm_up = settings.start_fraction, settings.warm_up_us
         self.scale = min(1.0, settings.fall_multiple / COLD_MARGIN)
-        self.served = 1.0  # share of the latest requests that were served
-        self.fit = 1.0  # share of the latest draws that fitted
+        self.answered = 1.0  # share of the latest attempts that were answered
+        self.fit = 1.0  # share of the latest draws of warm servers that fitted
 
     def warmth(self, s: Server, now: int) -> float:
         """Share of its capacity a server surely has: the slowest ramp the settings allow."""
@@ -294,16 +294,21 @@
         if not s.started_at:
             return True
         warmth = self.warmth(s, now)
-        # Its part of what is served, not of what is asked for, and no more because few others fit: retries of
-        # an overloaded fleet pushed one over. Not needed where it is asked first what it holds.
-        part = self.scale if known else self.scale * self.served * self.fit
-        return warmth >= 1.0 or luck < warmth * part
+        # Its part of what warm servers take and answer, not of what is asked for, nor more because few of them
+        # fit: retries of an overloaded fleet pushed one over. Measured on warm servers alone: where most are
+        # cold, each that was not admitted made the rest look less fit, until none was. Not needed where it is
+        # asked first what it holds.
+        part = self.scale if known else self.scale * self.answered * self.fit
+        # One luck for all servers would send a request to one of them at most, however many it draws.
+        return warmth >= 1.0 or (luck + s.luck) % 1.0 < warmth * part
 
-    def drew(self, fit: float) -> None:
-        self.fit += GAIN * (fit - self.fit)
+    def drew(self, fit: int, draws: int) -> None:
+        if draws:
+            self.fit += GAIN * (fit / draws - self.fit)
 
-    def ended(self, served: bool) -> None:
-        self.served += GAIN * (served - self.served)
+    def ended(self, outcome: Outcome) -> None:
+        if outcome not in NEVER_RAN and outcome is not Outcome.CANCELLED:
+            self.answered += GAIN * ((outcome is Outcome.OK) - self.answered)
 
 
 class TenantShares:
@@ -404,7 +409,7 @@
             named.add(b.id)
             old = self.servers.get(b.id)
             if old is None:
-                self.servers[b.id] = self.tags[crc32(_name(b.id).encode())] = Server(b, now)
+                self.servers[b.id] = self.tags[crc32(_name(b.id).encode())] = Server(b, now, self.rng.random())
                 continue
             if b.started_at != old.started_at:
                 old.reset(now)  # a new process under the same id
@@ -570,13 +575,16 @@
         self._index()
         limit, left = self._limit(r), r.aim_at - self.now
         fit: list[Server] = []
-        draws = 0
+        draws = warm = warm_fit = 0
         while draws < max(2, min(DRAWS, n // 2)) and len(fit) < 2:  # uniform over those that fit
             s = pool[int(random() * n)]
             draws += 1
-            if s not in r.tried and self._admits(r, s) and self._hopeful(r, s, limit, left):
+            fits = s not in r.tried and self._admits(r, s) and self._hopeful(r, s, limit, left)
+            if fits:
                 fit.append(s)
-        self.cold.drew(len(fit) / draws)
+            if self.cold.warmth(s, self.now) >= 1.0:
+                warm, warm_fit = warm + 1, warm_fit + fits
+        self.cold.drew(warm_fit, warm)
         if len(fit) == 2:
             return fit[0], fit[1]
         if n <= DRAWS:
@@ -673,6 +681,7 @@
         s, sent, load = r.out.pop(e.attempt)
         s.open.pop((r.id, e.attempt), None)
         self.table.ended(now, s, e, load)
+        self.cold.ended(e.outcome)
         if self.tells and e.outcome is Outcome.OK and len(e.report) > self.table.column:
             self._tell(s, e.report[self.table.column] - 1)
         # A time-out tells against a server only if it has answered nothing since: else it is late, not ill.
@@ -683,7 +692,6 @@
             r.may_have_run = [m for m in r.may_have_run if m[0] != e.attempt]
         if e.finished and not r.done:
             r.done = True
-            self.cold.ended(served=True)
             self._cancel(r)
         if r.done:
             if not r.out:
@@ -712,7 +720,6 @@
     def _finish(self, r: Request) -> None:
         """Give the one final answer."""
         r.done = True
-        self.cold.ended(served=False)
         if r.may_refuse():
             advice = int(2 * self.table.typical) if self.settings.retry_after else 0
             self.actions.append(Refuse(r.id, min(advice, self.settings.max_retry_after_us)))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -320,3 +320,33 @@
     assert len(d.balancer.servers) == len(d.balancer.tags) == 4
     d.end(send, Outcome.OK)  # what was out when its server went still ends in order
     assert not d.balancer.requests and only(d.request()[1], Send)
+
+
+def test_many_cold_servers_do_not_shut_each_other_out() -> None:
+    # join+vast: six in ten were cold, and each draw of one that was not admitted counted as a server found
+    # unfit: the cold part fell to a thousandth, and 36 servers stood idle while 24 jammed.
+    d, sent = Drive(servers=4, seed=3, start_fraction=0.5, warm_up_us=1000 * SECOND, fall_multiple=4.0), 0
+    d.list(*(Backend(f"new{i}", started_at=d.now) for i in range(12)))
+    for _ in range(2000):
+        for s in only(d.request()[1], Send):
+            sent += str(s.backend).startswith("new")
+            d.end(s, Outcome.OK)
+        d.wait(MS)
+    assert 1000 <= sent <= 1400  # twelve at half strength beside four: six tenths of 2000
+
+
+def test_in_a_jam_cold_servers_still_get_their_part() -> None:
+    # join+vast: with one luck for all cold servers a request drew sixteen servers but one chance at most.
+    d, cold = Drive(servers=20, seed=3, start_fraction=0.5, warm_up_us=1000 * SECOND, fall_multiple=4.0,
+                    report_fields=("inflight",)), 0
+    d.serve(50)
+    d.list(*(Backend(f"new{i}", started_at=d.now) for i in range(20)))
+    warm = [s for s in d.balancer.servers.values() if not s.started_at]
+    for _ in range(2000):
+        for s in warm[1:]:
+            s.residue, s.residue_at, s.others, s.heard_at = 40.0, d.now, 40.0, d.now
+        for send in only(d.request()[1], Send):
+            cold += str(send.backend).startswith("new")
+            d.end(send, Outcome.OK, report=(1.0,))
+        d.wait(MS)
+    assert d.balancer.cold.fit < 0.2 and cold >= 150  # of 20, each gets half of what the one light server gets
