--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -274,7 +274,7 @@
     """Keeps all balancers together from pushing over a server that has just started.
 
     Of each balancer's requests only the share that the server is warm may see it at all, drawn at random for
-    each request and server: in the sum over all balancers it gets its part of the traffic, however that is split.
+    each request and server: over all balancers it gets its part of the traffic, however that is split.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -294,10 +294,10 @@
         if not s.started_at:
             return True
         warmth = self.warmth(s, now)
-        # Its part of what warm servers take and answer, not of what is asked for, nor more because few of them
-        # fit: retries of an overloaded fleet pushed one over. Measured on warm servers alone: where most are
-        # cold, each that was not admitted made the rest look less fit, until none was. Not needed where it is
-        # asked first what it holds.
+        # Its part of what warm servers take and answer, not of what is asked for, nor more because few of
+        # them fit: retries of an overloaded fleet pushed one over. Measured on warm servers alone: where most
+        # are cold, each that was not admitted made the rest look less fit, until none was. Not needed where
+        # it is asked first what it holds.
         part = self.scale if known else self.scale * self.answered * self.fit
         # One luck for all servers would send a request to one of them at most, however many it draws.
         return warmth >= 1.0 or (luck + s.luck) % 1.0 < warmth * part
@@ -409,7 +409,8 @@
             named.add(b.id)
             old = self.servers.get(b.id)
             if old is None:
-                self.servers[b.id] = self.tags[crc32(_name(b.id).encode())] = Server(b, now, self.rng.random())
+                server = Server(b, now, self.rng.random())
+                self.servers[b.id] = self.tags[crc32(_name(b.id).encode())] = server
                 continue
             if b.started_at != old.started_at:
                 old.reset(now)  # a new process under the same id
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -349,4 +349,4 @@
             cold += str(send.backend).startswith("new")
             d.end(send, Outcome.OK, report=(1.0,))
         d.wait(MS)
-    assert d.balancer.cold.fit < 0.2 and cold >= 150  # of 20, each gets half of what the one light server gets
+    assert d.balancer.cold.fit < 0.2 and cold >= 150  # each half of what the light one gets
