Ask discovery in turn and back off by the number of siblings

Every call timed over the fleet: 6 of 40 succeed at the start, 326 of 344 fail after. Single calls show what one costs: some 0.13 s for changes, 0.37 s for the whole list, nothing where a watch goes on; they are served in turn. A call that has waited 2 s fails and is still worked off: after 20 calls at once, one made 3 s later waits 1.9 s. So forty at once are five seconds of work, each failed call adds to it, and repeats after 0.2 to 2 s keep it overbooked for good. Ruled out: the length of the wait (a short call costs as much), slots held by open watches, lost answers.

Lines at fault, logic.py: Balancer._backends asked in the instant of its start, and again after WATCH_FIRST_US to WATCH_MAX_US whatever the number of siblings. Now siblings take turns by their number, and the wait after a failure starts at a whole round of turns; both stay within the time after which not asking counts as having been told.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -45,6 +45,7 @@
 ASK_PAIRS = 4  # pairs asked for one request before it is given up as hopeless
 HOLD_US = 20 * MS  # a held request is looked at this often
 WATCH_FIRST_US, WATCH_MAX_US = 200 * MS, 2 * SECOND  # wait after a failed list call, doubled each time
+TURN_US = 150 * MS  # between the list calls of balancers that start together: one discovery serves them all
 
 
 class Server:
@@ -347,7 +348,12 @@
         self.actions: list[Action] = []
         self.servers: dict[BackendId, Server] = {}
         self.ready: list[Server] = []
-        self.watching, self.watch_wait = False, WATCH_FIRST_US
+        # Where discovery must be asked, all balancers together must leave it time to answer: calls that have
+        # waited too long fail and still cost it their turn. Nobody may stay untold for ask_within_us.
+        self.turn_us = min(TURN_US, settings.ask_within_us // (2 * settings.siblings))
+        self.watch_first = max(WATCH_FIRST_US, settings.siblings * self.turn_us)
+        self.watch_max = max(WATCH_MAX_US, min(2 * self.watch_first, settings.ask_within_us))
+        self.watching, self.watch_wait = False, self.watch_first
         self.table = LoadTable(settings)
         self.health = Health(self.rng, self._log)
         self.cold = ColdBudget(settings)
@@ -400,10 +406,10 @@
         if e.kind is ListKind.FAILED:
             self.watching = False
             self._later(now + int(self.watch_wait * (0.5 + self.rng.random())), self._watch, None)
-            self.watch_wait = min(2 * self.watch_wait, WATCH_MAX_US)
+            self.watch_wait = min(2 * self.watch_wait, self.watch_max)
             return
         if e.kind is not ListKind.CACHED:
-            self.watch_wait = WATCH_FIRST_US
+            self.watch_wait = self.watch_first
         named = set()
         for b in e.backends:
             named.add(b.id)
@@ -423,7 +429,7 @@
         self.ready = [x for x in self.servers.values() if x.state is State.READY]
         self.picks_left = 0
         if self.settings.discovery is Discovery.ASK and not self.watching:
-            self._watch(None)
+            self._later(now + self.settings.me * self.turn_us, self._watch, None)
 
     def _watch(self, _: None) -> None:
         if not self.watching:
