Renew a broken pushed watch with backoff and jitter

agent.py renewed it after a fixed 0.1 s, every agent alike and for as long as discovery is down or answers nonsense. Now the wait starts at 0.05 to 0.1 s, doubles to 0.2 to 0.4 s and starts anew with the next list: within the second that the drain rule leaves, since what changes while nobody asks counts as told.

--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import logging
+import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -22,8 +23,9 @@
 # The module answers when a request's time is up; were it to fail, the agent answers this much later, within
 # the 50 ms that the protocol allows.
 OVERDUE_S = 0.025
-# Discovery answers on the agent's own machine at no cost. Every change made while nobody asks counts as told.
-WATCH_AGAIN_S = 0.1
+# Where changes are pushed, every change made while nobody asks counts as told: the wait after a broken watch
+# is doubled and drawn at random, but stays well within the second that the drain rule leaves.
+WATCH_AGAIN_S, WATCH_AGAIN_MOST_S = 0.1, 0.4
 
 
 @dataclass(slots=True, eq=False)
@@ -49,6 +51,7 @@
         self._events: deque[q.Event] = deque()
         self._handling = False
         self._taken = 0
+        self._watch_again_s = WATCH_AGAIN_S
         self._carriers: dict[type, Callable[[Any], None]] = {
             q.Send: self._send, q.Refuse: self._refuse, q.Fail: self._fail, q.Cancel: self._cancel,
             q.SetTimer: self._set_timer, q.Probe: self._probe, q.Watch: self._watch, q.Fetch: self._fetch,
@@ -193,8 +196,11 @@
 
     def _listed(self, listing: Listing | None) -> None:
         if listing is None and self._pushes:
-            self._loop.call_later(WATCH_AGAIN_S, self._discovery.watch, self._listed)
+            wait_s = self._watch_again_s * (0.5 + random.random() / 2)
+            self._watch_again_s = min(2 * self._watch_again_s, WATCH_AGAIN_MOST_S)
+            self._loop.call_later(wait_s, self._discovery.watch, self._listed)
             return
+        self._watch_again_s = WATCH_AGAIN_S
         if listing is None:
             self._post(q.BackendsChanged(q.ListKind.FAILED, []))
             return
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -107,3 +107,24 @@
             await late.stop()
 
     asyncio.run(run())
+
+
+def test_a_pushed_watch_that_keeps_breaking_is_renewed_with_backoff_and_jitter(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    waits: list[float] = []
+
+    class Loop:
+        def call_later(self, wait_s: float, *_: Any) -> None:
+            waits.append(wait_s)
+
+    async def run() -> None:
+        async with world(tmp_path, backends=0, mode="push") as w:
+            monkeypatch.setattr(w.agent, "_loop", Loop())
+            for draw in (0.0, 1.0):
+                monkeypatch.setattr("random.random", lambda draw=draw: draw)
+                for _ in range(5):
+                    w.agent._listed(None)
+                w.agent._listed(Listing(42, False, ()))
+
+    asyncio.run(run())
+    assert waits == pytest.approx([0.05, 0.1, 0.2, 0.2, 0.2, 0.1, 0.2, 0.4, 0.4, 0.4])
