--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -95,13 +95,12 @@
         self.gives_way = self.done = False
         self.luck = luck  # one for its whole life: a held request must not draw until a cold server takes it
         self.size = size  # its work as a multiple of the mean, where a hint tells it
-        self.sends = 0
+        self.sends = self.pairs = 0
         self.out: dict[int, tuple[Server, int, float]] = {}  # attempt: server, sent at, table load then
         self.may_have_run: list[tuple[int, Server, int]] = []  # attempts not proven never to have run
         self.tried: list[Server] = []
         self.pair: tuple[Server, Server] | None = None  # samples that have been asked for their load
         self.silent: list[Server] = []  # those of them that have not answered yet
-        self.pairs = 0
 
     def may_refuse(self) -> bool:
         """A refusal says that trying again is harmless."""
@@ -397,6 +396,12 @@
         handler(event)
         return self.actions
 
+    def avoided(self, now: int) -> int:
+        """How many of the listed servers are left out now, for the list says so or for their health."""
+        typical = self.table.typical
+        return sum(s.state is not State.READY or not self.health.admits(s, now, typical)
+                   for s in self.servers.values())
+
     def _log(self, text: str) -> None:
         self.actions.append(Log(text))
 
@@ -701,11 +706,9 @@
         if e.outcome in NEVER_RAN:
             r.may_have_run = [m for m in r.may_have_run if m[0] != e.attempt]
         if e.finished and not r.done:
-            r.done = True
-            self._cancel(r)
-        if r.done:
-            if not r.out:
-                del self.requests[r.id]
+            self._drop(r)
+        elif r.done and not r.out:
+            del self.requests[r.id]
         elif not r.out:
             # Full servers turn attempts away in no time: unpaid repeats of those made twenty attempts of each
             # request. A failed connect loads no server and waits out its own time-out.
@@ -724,12 +727,10 @@
     def _gone(self, e: ClientGone) -> None:
         r = self.requests.get(e.request)
         if r is not None and not r.done:
-            r.done = True
             self._drop(r)
 
     def _finish(self, r: Request) -> None:
         """Give the one final answer."""
-        r.done = True
         if r.may_refuse():
             advice = int(2 * self.table.typical) if self.settings.retry_after else 0
             self.actions.append(Refuse(r.id, min(advice, self.settings.max_retry_after_us)))
@@ -738,6 +739,7 @@
         self._drop(r)
 
     def _drop(self, r: Request) -> None:
+        r.done = True
         self._cancel(r)
         if not r.out:
             self.requests.pop(r.id, None)
--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -18,32 +18,36 @@
 from .backends import Backends
 from .clock import Clock
 from .config import Config, ConfigError, load, reload_discovery
+from .control import Door
 from .discovery import Discovery
+from .figures import Figures
+from .operators import Operators
 from .server import DrainTimes, Server
 
 log = logging.getLogger("lilacsill")
 
 # After SIGTERM new connections come for 0.2 to 0.4 s, and SIGKILL comes 0.7 s past the longest deadline, but
 # no later than if that were 3 s.
-IDLE_S, SERVE_S, FINISH_S = 0.1, 0.5, 0.6
+CLOSE_S, IDLE_S, SERVE_S, FINISH_S = 0.0, 0.1, 0.5, 0.6
 LONGEST_S = 3.0
 DESCRIPTORS_APART = 64  # for discovery, listener, logs and the event loop
 
 
-def assemble(config: Config, clock: Clock) -> tuple[Agent, Server]:
+def assemble(config: Config, clock: Clock, figures: Figures) -> tuple[Agent, Server]:
     """The parts, wired; nothing has started yet."""
     settings, most = config.settings, max(1, (config.sockets - DESCRIPTORS_APART) // 2)
-    backends = Backends(clock, settings.report_fields, config.connect_timeout_us, config.conn_idle_us, most)
+    backends = Backends(clock, settings.report_fields, config.connect_timeout_us, config.conn_idle_us, most,
+                        figures.written)
     discovery = Discovery(config.discovery, config.parser, config.known.revision,
                           config.connect_timeout_us / 1e6)
-    agent = Agent(Balancer(settings, config.seed), clock, backends, discovery)
+    agent = Agent(Balancer(settings, config.seed), clock, backends, discovery, figures)
     return agent, Server(settings, agent, most)
 
 
 def drain_times(settings: Settings) -> DrainTimes:
     """All is answered before SIGKILL can come."""
     longest_s = max(c.deadline_us for c in settings.classes) / 1e6
-    return DrainTimes(IDLE_S, SERVE_S, min(LONGEST_S, longest_s) + FINISH_S)
+    return DrainTimes(CLOSE_S, IDLE_S, SERVE_S, min(LONGEST_S, longest_s) + FINISH_S)
 
 
 async def serve(config: Config, clock: Clock) -> int:
@@ -53,28 +57,40 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    agent, server = assemble(config, clock)
-    loop.add_signal_handler(signal.SIGHUP, _reload, agent)
+    figures = Figures([c.name for c in config.settings.classes])
+    agent, server = assemble(config, clock, figures)
+    operators = Operators(agent, server, figures)
+    door = Door(operators)
+    loop.add_signal_handler(signal.SIGHUP, _reload, agent, figures)
     agent.start(config.known)
     try:
         port = await server.listen(config.listen)
+        if config.control is not None:
+            control_port = await door.listen(config.control)
+            log.info("%s takes calls on %s:%d", config.name, config.control.host, control_port)
     except OSError as e:
         print(f"lilacsill: cannot listen: {e}", file=sys.stderr)
         return 1
     log.info("%s listens on %s:%d", config.name, config.listen.host, port)
     await stop.wait()
+    operators.stopping = True
+    await server.drain(drain_times(config.settings))
+    door.close()
+    operators.stopping = True
     await server.drain(drain_times(config.settings))
     log.info("%s stops", config.name)
     return 0
 
 
-def _reload(agent: Agent) -> None:
+def _reload(agent: Agent, figures: Figures) -> None:
     """What is wrong with the new file must not end an agent that serves."""
     try:
         address = reload_discovery(os.environ)
     except ConfigError as e:
         log.error("kept the address of discovery: %s", e)
+        figures.reloaded(ok=False)
         return
+    figures.reloaded(ok=True)
     log.info("discovery is at %s:%d", address.host, address.port)
     agent.move(address)
 
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -13,9 +13,11 @@
 from brasshead.logic import Balancer
 
 from .backends import Ask, Backends, Exchange, Result
+from .bans import Roster
 from .clock import Clock
 from .connection import Headers
 from .discovery import Address, Discovery, Listing
+from .figures import Figures, Levels
 from .server import Call
 
 log = logging.getLogger(__name__)
@@ -23,6 +25,7 @@
 # The module answers when a request's time is up; were it to fail, the agent answers this much later, within
 # the 50 ms that the protocol allows.
 OVERDUE_S = 0.025
+GONE = 499  # counts as the status of a request whose client has left
 # Where changes are pushed, every change made while nobody asks counts as told: the wait after a broken watch
 # is doubled and drawn at random, but stays well within the second that the drain rule leaves.
 WATCH_AGAIN_S, WATCH_AGAIN_MOST_S = 0.1, 0.4
@@ -40,11 +43,13 @@
 class Agent:
     """Hands events to the module one at a time, in order of arrival, and carries out its actions."""
 
-    def __init__(self, balancer: Balancer, clock: Clock, backends: Backends, discovery: Discovery) -> None:
+    def __init__(self, balancer: Balancer, clock: Clock, backends: Backends, discovery: Discovery,
+                 figures: Figures) -> None:
         # Where changes come by themselves, the module never asks: it is the agent that keeps the watch.
         self._pushes = balancer.settings.discovery is q.Discovery.PUSH
         self._balancer, self._clock = balancer, clock
         self._backends, self._discovery = backends, discovery
+        self._figures, self._roster = figures, Roster()
         self._loop = asyncio.get_running_loop()
         self._held: dict[int, Held] = {}
         self._out: dict[tuple[int, int], Exchange] = {}  # attempts without an end
@@ -59,13 +64,25 @@
         }
 
     def start(self, known: Listing) -> None:
-        self._post(q.BackendsChanged(q.ListKind.CACHED, self._backends.told(known)))
+        self._tell(q.ListKind.CACHED, self._roster.told(known))
         if self._pushes:
             self._discovery.watch(self._listed)
 
     def move(self, discovery: Address) -> None:
         self._discovery.move(discovery)
 
+    # The operators' side
+
+    def levels(self) -> Levels:
+        return Levels(len(self._held), len(self._roster), self._balancer.avoided(self._clock.now()))
+
+    def detach(self, backend: str) -> None:
+        """Send nothing new to a backend, whatever discovery says. LookupError if it never was listed."""
+        self._tell(q.ListKind.DELTA, self._roster.detach(backend))
+
+    def attach(self, backend: str) -> None:
+        self._tell(q.ListKind.DELTA, self._roster.attach(backend))
+
     # The application's side
 
     def take(self, call: Call) -> None:
@@ -78,7 +95,7 @@
             call.is_retry))
 
     def leave(self, call: Call) -> None:
-        if self._over(call.number) is not None:
+        if self._over(call.number, GONE) is not None:
             self._post(q.ClientGone(call.number))
 
     def give_up_all(self) -> None:
@@ -96,14 +113,18 @@
             self._post(q.ClientGone(number))
 
     def _answer(self, number: int, status: int, headers: Headers, body: bytes) -> None:
-        held = self._over(number)
+        held = self._over(number, status)
         if held is not None:
             held.call.respond(held.call, status, headers, body)
 
-    def _over(self, number: int) -> Held | None:
+    def turned_away(self, request_class: int, status: int) -> None:
+        self._figures.ended(request_class, status)
+
+    def _over(self, number: int, status: int) -> Held | None:
         """Nothing more goes out for this request: what is still out is closed before its answer is given."""
         held = self._held.pop(number, None)
         if held is not None:
+            self._figures.ended(held.call.request_class, status)
             held.overdue.cancel()
             for attempt in range(held.attempts):
                 if (number, attempt) in self._out:
@@ -205,6 +226,9 @@
             self._post(q.BackendsChanged(q.ListKind.FAILED, []))
             return
         kind = q.ListKind.FULL if listing.complete else q.ListKind.DELTA
+        self._tell(kind, self._roster.told(listing))
+
+    def _tell(self, kind: q.ListKind, listing: Listing) -> None:
         self._post(q.BackendsChanged(kind, self._backends.told(listing)))
 
     def _log(self, a: q.Log) -> None:
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -79,6 +79,11 @@
         if self.exchange is not None:
             self.exchange.on_event(event)
 
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        if self.exchange is not None:
+            self.exchange.on_written()
+
     def eof_received(self) -> None:
         self._at_end = True
         super().eof_received()
@@ -160,6 +165,13 @@
         if ask.body:
             events.append(h11.Data(data=ask.body))
         connection.send(*events, h11.EndOfMessage())
+        if connection.written:
+            self.on_written()
+
+    def on_written(self) -> None:
+        """The kernel has taken the last byte."""
+        if self._ask.told_timeout:
+            self._backends.written()
 
     # What comes back
 
@@ -227,8 +239,9 @@
     """The backends of the list, and the idle connections to them."""
 
     def __init__(self, clock: Clock, report_fields: tuple[str, ...], connect_timeout_us: int,
-                 conn_idle_us: int, most: int) -> None:
+                 conn_idle_us: int, most: int, written: Callable[[], None]) -> None:
         self.clock, self.report_fields = clock, report_fields
+        self.written = written  # to be told of each request, not probe, of which the last byte has gone out
         self._connect_s = connect_timeout_us / 1e6
         self._idle_us = int(conn_idle_us * IDLE_SHARE)
         self._most = most  # connections at once, so that descriptors are left for clients
--- /dev/null
+++ b/lilacsill/bans.py
@@ -0,0 +1,71 @@
+"""The list of backends as discovery has it, and the bans that operators lay over it."""
+from __future__ import annotations
+
+from dataclasses import replace
+
+from brasshead.interface import State
+
+from .discovery import Listing, Member
+
+KEPT = 10_000  # ids no longer listed; each release brings new ones, and memory must not grow with them
+
+
+class Roster:
+    """The one owner of the list: whoever decides hears of it as given out here."""
+
+    def __init__(self) -> None:
+        self._members: dict[str, Member] = {}  # discovery's present word
+        self._revision = 0
+        self._listed: dict[str, None] = {}  # every id that ever was, the latest last
+        self._banned: set[str] = set()
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def told(self, listing: Listing) -> Listing:
+        """Take in what discovery says; return what it comes to under the bans."""
+        if listing.complete:
+            self._members.clear()
+        self._revision = listing.revision
+        for member in listing.members:
+            name = _name(member)
+            self._listed.pop(name, None)
+            self._listed[name] = None
+            if member.backend.state is State.GONE:
+                self._members.pop(name, None)
+            else:
+                self._members[name] = member
+        past = [name for name in self._listed if name not in self._members]
+        for name in past[:max(0, len(past) - KEPT)]:
+            del self._listed[name]
+        return replace(listing, members=tuple(self._overlaid(m) for m in listing.members))
+
+    def detach(self, name: str) -> Listing:
+        """A backend is to get nothing new: the change to tell. LookupError if it never was listed."""
+        self._check(name)
+        self._banned.add(name)
+        return self._change(name)
+
+    def attach(self, name: str) -> Listing:
+        """The ban is over: what discovery says of it now holds, its latest start included."""
+        self._check(name)
+        self._banned.discard(name)
+        return self._change(name)
+
+    def _check(self, name: str) -> None:
+        if name not in self._listed:
+            raise LookupError(name)
+
+    def _change(self, name: str) -> Listing:
+        member = self._members.get(name)
+        return Listing(self._revision, False, (self._overlaid(member),) if member is not None else ())
+
+    def _overlaid(self, member: Member) -> Member:
+        backend = member.backend
+        if _name(member) not in self._banned or backend.state is State.GONE:
+            return member
+        return replace(member, backend=replace(backend, state=State.DRAINING))
+
+
+def _name(member: Member) -> str:
+    return str(member.backend.id)
--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -32,6 +32,7 @@
     settings: Settings
     connect_timeout_us: int
     conn_idle_us: int
+    control: Address | None  # where operators call; None: nowhere
 
 
 def load(env: Mapping[str, str], clock: Clock) -> Config:
@@ -59,6 +60,7 @@
 def _config(doc: dict[str, Any], env: Mapping[str, str], clock: Clock) -> Config:
     facts = doc["settings"]
     allowed = facts["allowed"]
+    control = env.get("RELAY_CONTROL") or doc.get("control")
     parser = ListingParser(clock, tuple(facts.get("localities") or ()), tuple(facts.get("skus") or ()))
     return Config(
         name=str(doc.get("name") or env.get("RELAY_NAME") or ""),
@@ -72,4 +74,5 @@
         settings=replace(settings_from(facts), can_tell=False),
         connect_timeout_us=int(allowed["connectTimeoutUs"]),
         conn_idle_us=int(allowed["connIdleUs"]),
+        control=parse_address(control) if control else None,
     )
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -54,10 +54,17 @@
 
 
 @dataclass(slots=True, frozen=True)
-class DrainTimes:
-    """The stages of a stop, in seconds from its start."""
+class EmptyTimes:
+    """How clients are sent away, in seconds from the start. Health says no at once."""
+
+    close_s: float  # from then on each answer asks its client to close
+    idle_s: float  # from then on idle connections are closed
+
+
+@dataclass(slots=True, frozen=True)
+class DrainTimes(EmptyTimes):
+    """The stages of a stop."""
 
-    idle_s: float  # then idle connections are closed
     serve_s: float  # until then new connections are served
     end_s: float  # then all is over
 
@@ -73,6 +80,9 @@
     def give_up_all(self) -> None:
         """Answer at once whatever is held."""
 
+    def turned_away(self, request_class: int, status: int) -> None:
+        """A request that cannot be taken has got its answer."""
+
 
 class Rejected(Exception):
     """A request that cannot be taken; it never reaches the module."""
@@ -108,6 +118,11 @@
             _work_hint(header(headers, b"work-hint")), header(headers, b"client-retry") == "1", respond,
         )
 
+    def class_of(self, request: h11.Request) -> int | None:
+        """The class that a request names, whatever else is wrong with it."""
+        found = self._classes.get(header(list(request.headers), b"request-class") or "")
+        return None if found is None else found[0]
+
     def _class(self, headers: list[tuple[bytes, bytes]]) -> tuple[int, Effect]:
         found = self._classes.get(header(headers, b"request-class") or "")
         if found is None:
@@ -193,7 +208,7 @@
         if self.empty:
             self.drop()
         else:
-            self._respond(408, [], b"request not whole in time\n")
+            self._turn_away(408, "request not whole in time")
 
     def check_head(self) -> None:
         """Refuse what h11 lets pass and others read in another way: a bare line feed as the end of a line,
@@ -228,7 +243,7 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._complete()
         except Rejected as e:
-            self._respond(e.status, [], f"{e}\n".encode())
+            self._turn_away(e.status, str(e))
 
     def on_broken(self, error: Exception) -> None:
         """Malformed HTTP is the client's fault, anything else ours; either is answered."""
@@ -239,7 +254,9 @@
         if self.transport is None or self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.drop()
             return
-        self._respond(status, [], b"malformed request\n" if status == 400 else b"internal error\n")
+        if call is not None:  # taken, and counted where it was let go
+            return self._respond(status, [], b"internal error\n")
+        self._turn_away(status, "malformed request" if status == 400 else "internal error")
 
     def on_end(self) -> None:
         call, self._call = self._call, None
@@ -270,6 +287,12 @@
         self._call = self._server.checker.check(self._request, bytes(self._body), self._answer)
         self._server.taker.take(self._call)
 
+    def _turn_away(self, status: int, why: str) -> None:
+        index = self._server.checker.class_of(self._request) if self._request is not None else None
+        if index is not None:
+            self._server.taker.turned_away(index, status)
+        self._respond(status, [], f"{why}\n".encode())
+
     def _answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None:
         if self._call is call:
             self._call = None
@@ -281,7 +304,7 @@
         fields = [*headers, ("Content-Length", str(len(body)))]
         # Behind chunks nothing more is read: h11 is lenient about where their trailer ends.
         whole = self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED) and not self._chunked
-        if self._server.draining or not whole:
+        if self._server.closing or not whole:
             fields.append(("Connection", "close"))
         head = self._request is not None and self._request.method == b"HEAD"
         data = [] if head or not body else [h11.Data(data=body)]
@@ -314,7 +337,9 @@
         self._most = most  # connections at once, so that descriptors are left for backends
         self.checker = Checker(settings.classes, settings.tenants)
         self.connections: set[_Client] = set()
-        self.draining = False  # answers ask the client to close
+        self.draining = False  # health says no
+        self.closing = False  # answers ask the client to close
+        self._emptying: asyncio.Task[None] | None = None
         self._listener: socket.socket | None = None
         self._accepting = False
         self._coming: set[asyncio.Task[object]] = set()  # accepted, and not yet among the connections
@@ -362,17 +387,40 @@
             return True
         return len(self.connections) + len(self._coming) < self._most + EXTRA
 
+    @property
+    def listening(self) -> bool:
+        return self._listener is not None
+
+    def empty(self, times: EmptyTimes) -> None:
+        """Send the clients away until refill, losing nothing that was taken. A repeat changes nothing."""
+        if self._emptying is None:
+            self.draining, self.closing = True, times.close_s <= 0
+            self._emptying = asyncio.get_running_loop().create_task(self._empty(times))
+
+    async def _empty(self, times: EmptyTimes) -> None:
+        await asyncio.sleep(times.close_s)
+        self.closing = True
+        await asyncio.sleep(times.idle_s - times.close_s)
+        while True:
+            # A request that crosses this close is sent again on a new connection.
+            self._close_idle()
+            await asyncio.sleep(POLL_S)
+
+    def refill(self) -> None:
+        """Take clients again, also half way through an emptying."""
+        if self._emptying is not None:
+            self._emptying.cancel()
+            self._emptying = None
+        self.draining = self.closing = False
+
     async def drain(self, times: DrainTimes) -> None:
-        """Take leave of the clients: nothing that was taken is lost."""
+        """Take leave of the clients for good."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        self.draining = True
-        await asyncio.sleep(times.idle_s)
-        # A request that crosses this close is sent again on a new connection; these still come.
-        self._close_idle()
-        await asyncio.sleep(times.serve_s - times.idle_s)
+        self.refill()  # were it being emptied: a stop is quicker
+        self.empty(times)
+        await asyncio.sleep(times.serve_s)
         while self.connections and loop.time() < began + times.end_s:
-            self._close_idle()
             await asyncio.sleep(POLL_S)
         self.taker.give_up_all()
         while any(not c.written for c in self.connections) and loop.time() < began + times.end_s + POLL_S:
@@ -381,6 +429,8 @@
         self.stop()
 
     def stop(self) -> None:
+        if self._emptying is not None:
+            self._emptying.cancel()
         if self._listener is not None:
             asyncio.get_running_loop().remove_reader(self._listener)
             self._listener.close()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -14,7 +14,10 @@
 from lilacsill.agent import Agent
 from lilacsill.clock import Clock
 from lilacsill.config import Config, load
+from lilacsill.control import Door
 from lilacsill.discovery import Address
+from lilacsill.figures import Figures
+from lilacsill.operators import Operators
 from lilacsill.server import Server
 
 KEYED, UNSAFE = "registro-servicio", "vale-almacen"
@@ -167,6 +170,8 @@
     port: int
     discovery: Peer
     backends: list[Peer]
+    door: Door
+    door_port: int
     clients: list[Conversation] = field(default_factory=list)
 
     async def client(self) -> Conversation:
@@ -174,6 +179,15 @@
         self.clients.append(client)
         return client
 
+    async def call(self, line: str) -> str:
+        """What the door answers, to its end."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.door_port)
+        writer.write(line.encode() + b"\n")
+        try:
+            return (await reader.read()).decode()
+        finally:
+            writer.close()
+
     async def ask(self, request: bytes) -> Conversation:
         client = await self.client()
         await client.write(request)
@@ -211,10 +225,14 @@
     config = load_config(folder, doc, clock)
     if most is not None:
         config = replace(config, sockets=most)
-    agent, server = assemble(config, clock)
+    figures = Figures([c.name for c in config.settings.classes])
+    agent, server = assemble(config, clock, figures)
+    operators = Operators(agent, server, figures)
+    door = Door(operators)
     agent.start(config.known)
     port = await server.listen(Address("127.0.0.1", 0))
-    w = World(agent, server, port, discovery, peers)
+    door_port = await door.listen(Address("127.0.0.1", 0))
+    w = World(agent, server, port, discovery, peers, door, door_port)
     try:
         async with asyncio.timeout(60):  # a hang fails the test; nothing is timed by this
             yield w
@@ -222,5 +240,6 @@
         for client in w.clients:
             client.close()
         server.stop()
+        door.close()
         for peer in [discovery, *peers]:
             await peer.stop()
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -25,7 +25,7 @@
 
 
 def backends(port: int, idle_us: int = 60_000_000, connect_us: int = 10_000_000, most: int = 9) -> Backends:
-    made = Backends(CLOCK, FIELDS, connect_us, idle_us, most)
+    made = Backends(CLOCK, FIELDS, connect_us, idle_us, most, lambda: None)
     made.told(listing(port))
     return made
 
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,259 @@
+"""The door, the figures, bans and emptying, on real sockets."""
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+from tests.loopback import KEYED, UNSAFE, Conversation, World, member, post, world
+
+from brasshead.interface import Backend, State
+from lilacsill import control
+from lilacsill.bans import KEPT, Roster
+from lilacsill.discovery import Address, Listing, Member
+from lilacsill.server import EmptyTimes
+
+HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+async def figures(w: World) -> dict[str, float]:
+    lines = (await w.call("INFO")).splitlines()
+    assert lines[-1] == "END"
+    parts = [line.partition(":") for line in lines[:-1]]
+    return {name: float(value.partition("|")[0]) for name, _, value in parts}
+
+
+async def raw_call(w: World, data: bytes, end: bool = False) -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", w.door_port)
+    writer.write(data)
+    if end:
+        writer.write_eof()
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize("line", ["PING", "LAMEDUCK", "REJOIN", "DETACH s0", "ATTACH s0", "ATTACH s0\r"])
+def test_a_call_that_holds_gets_a_yes(tmp_path: Path, line: str) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            assert await w.call(line) == "OK\n"
+            assert await w.call(line) == "OK\n"  # said again, it still holds
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("data, end", [
+    (b"\n", False), (b"  \n", False), (b"STOP\n", False), (b"ping\n", False), (b"PING now\n", False),
+    (b"DETACH\n", False), (b"DETACH a b\n", False), (b"DETACH nobody\n", False), (b"ATTACH nobody\n", False),
+    (b"\xff\xfe\n", False), (b"DETACH \xff\n", False), (b"x" * 600 + b"\n", False), (b"x" * 5000, False),
+    (b"PING", True), (b"", True),
+])
+def test_a_bad_call_gets_a_plain_no(tmp_path: Path, data: bytes, end: bool) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            answer = await raw_call(w, data, end)
+            assert answer.startswith(b"ERR ") and answer.count(b"\n") == 1, answer
+            assert await w.call("PING") == "OK\n"
+
+    asyncio.run(run())
+
+
+def test_a_call_may_come_in_pieces_and_only_its_first_line_counts(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            reader, writer = await asyncio.open_connection("127.0.0.1", w.door_port)
+            for piece in (b"PI", b"NG\nLAME", b"DUCK\n"):
+                writer.write(piece)
+                await writer.drain()
+            assert await reader.read() == b"OK\n"
+            assert not w.server.draining
+            writer.close()
+
+    asyncio.run(run())
+
+
+def test_callers_that_say_nothing_make_way_and_are_let_go(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            silent = []
+            for _ in range(control.MOST + 1):
+                silent.append(Conversation(*await asyncio.open_connection("127.0.0.1", w.door_port)))
+                await silent[-1].write(b"INF")
+            await silent[0].ended()
+            assert len(w.door.callers) == control.MOST
+            assert await w.call("PING") == "OK\n"
+            monkeypatch.setattr(control, "SILENT_S", 0.0)
+            late = Conversation(*await asyncio.open_connection("127.0.0.1", w.door_port))
+            assert (await late.reader.read()).startswith(b"ERR ")
+            for conversation in [*silent, late]:
+                conversation.close()
+
+    asyncio.run(run())
+
+
+def test_each_request_is_counted_once_where_it_ends(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=2) as w:
+            served = await w.ask(post(KEYED))
+            got = await w.request()
+            assert (await figures(w))["agent.pending"] == 1
+            await got.answer()
+            assert (await served.read()).status == 200
+            failed = await w.ask(post(UNSAFE))
+            await (await w.request()).answer(500)
+            assert (await failed.read()).status == 502
+            refused = asyncio.create_task((await w.ask(post(UNSAFE))).read())
+            turned_away = 0
+            while not refused.done():
+                sent = asyncio.create_task(w.request())
+                await asyncio.wait([refused, sent], return_when=asyncio.FIRST_COMPLETED)
+                if sent.done():
+                    turned_away += 1
+                    await sent.result().answer(503, Not_Started="1")
+                else:
+                    sent.cancel()
+            assert refused.result().status == 503
+            malformed = await w.ask(post(KEYED, drop=("Request-Id",)))
+            assert (await malformed.read()).status == 400
+            left = await w.ask(post(UNSAFE))
+            await w.request()
+            left.close()
+            while (counts := await figures(w))["agent.pending"]:
+                pass
+            counts.pop("agent.members_unavailable")  # the module's choice
+            assert counts == {
+                f"agent.completed.{KEYED}": 1, f"agent.completed.{UNSAFE}": 0,
+                f"agent.rejected.{KEYED}": 0, f"agent.rejected.{UNSAFE}": 1,
+                f"agent.failed.{KEYED}": 1, f"agent.failed.{UNSAFE}": 2,
+                "agent.upstream_requests": 3 + turned_away, "agent.pending": 0, "agent.members": 2,
+                "agent.config_reloads": 0, "agent.config_reload_errors": 0,
+            }
+
+    asyncio.run(run())
+
+
+def test_the_form_of_the_figures(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            text = await w.call("INFO")
+            assert f"agent.completed.{KEYED}:0|c\n" in text and "agent.pending:0|g\n" in text
+            assert text.endswith("|g\nEND\n")
+
+    asyncio.run(run())
+
+
+async def tell(w: World, *members: dict[str, object]) -> None:
+    """Let discovery answer the watch that is open, and wait until the agent asks again."""
+    listing = {"revision": 50, "complete": False, "members": members}
+    await (await w.discovery.requests.get()).answer(200, json.dumps(listing).encode())
+    w.discovery.requests.put_nowait(await w.discovery.requests.get())
+
+
+def test_a_server_taken_out_gets_nothing_until_it_is_put_back(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=2, mode="push") as w:
+            out, stays = w.backends
+            assert await w.call("DETACH s0") == "OK\n"
+            # Discovery goes on to name it, restarted meanwhile.
+            await tell(w, member("s0", out.port, up=1))
+            for _ in range(12):
+                client = await w.ask(post())
+                await (await stays.requests.get()).answer()
+                assert (await client.read()).status == 200
+            assert out.connections == 0
+            counts = await figures(w)
+            assert (counts["agent.members"], counts["agent.members_unavailable"]) == (2, 1)
+            assert await w.call("ATTACH s0") == "OK\n"
+            assert await w.call("DETACH s1") == "OK\n"
+            client = await w.ask(post())
+            await (await out.requests.get()).answer()
+            assert (await client.read()).status == 200
+
+    asyncio.run(run())
+
+
+def listing(*members: tuple[str, State, int], complete: bool = False) -> Listing:
+    return Listing(1, complete, tuple(
+        Member(Backend(name, state, started_at=up), Address("127.0.0.1", 1)) for name, state, up in members))
+
+
+def states(told: Listing) -> list[tuple[object, State, int]]:
+    return [(m.backend.id, m.backend.state, m.backend.started_at) for m in told.members]
+
+
+def test_the_list_holds_bans_over_whatever_discovery_says() -> None:
+    roster = Roster()
+    roster.told(listing(("a", State.READY, 0), ("b", State.READY, 0), complete=True))
+    assert states(roster.detach("a")) == [("a", State.DRAINING, 0)]
+    # Restarted, listed anew in full, gone and back: it stays out, and its start is told.
+    assert states(roster.told(listing(("a", State.READY, 9)))) == [("a", State.DRAINING, 9)]
+    assert states(roster.told(listing(("a", State.READY, 9), complete=True))) == [("a", State.DRAINING, 9)]
+    assert states(roster.told(listing(("a", State.GONE, 9)))) == [("a", State.GONE, 9)]
+    assert len(roster) == 0 and states(roster.attach("a")) == []
+    roster.detach("a")
+    assert states(roster.told(listing(("a", State.READY, 12)))) == [("a", State.DRAINING, 12)]
+    assert states(roster.attach("a")) == [("a", State.READY, 12)]
+    with pytest.raises(LookupError):
+        roster.detach("c")
+
+
+def test_what_was_ever_listed_is_kept_up_to_a_bound() -> None:
+    roster = Roster()
+    for i in range(KEPT + 10):
+        roster.told(listing((f"s{i}", State.GONE, 0), ("stays", State.READY, 0)))
+    assert len(roster._listed) == KEPT + 1
+    roster.detach("stays")
+
+
+def test_an_emptied_agent_sends_its_clients_away_and_loses_nothing(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            idle, busy = await w.ask(HEALTH), await w.ask(post())
+            assert (await idle.read()).status == 200
+            got = await w.request()
+            w.server.empty(EmptyTimes(close_s=0.0, idle_s=0.0))
+            await idle.ended()
+            new = await w.ask(HEALTH)
+            assert (await new.read()).status == 503
+            await new.ended()
+            await got.answer()
+            answer = await busy.read()
+            assert answer.status == 200 and answer.headers["connection"] == "close"
+            await busy.ended()
+            assert not w.server.connections and w.server.listening
+
+    asyncio.run(run())
+
+
+def test_clients_may_use_open_connections_for_a_while(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.ask(HEALTH)
+            assert (await client.read()).status == 200
+            w.server.empty(EmptyTimes(close_s=3600.0, idle_s=3600.0))
+            await client.write(HEALTH)
+            answer = await client.read()
+            assert answer.status == 503 and "connection" not in answer.headers
+
+    asyncio.run(run())
+
+
+def test_an_agent_half_way_through_a_drain_takes_clients_again(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.ask(post())
+            got = await w.request()
+            assert await w.call("LAMEDUCK") == "OK\n"
+            assert w.server.draining
+            assert await w.call("REJOIN") == "OK\n"
+            await got.answer()
+            answer = await client.read()
+            assert answer.status == 200 and "connection" not in answer.headers
+            await client.write(HEALTH)
+            assert (await client.read()).status == 200
+
+    asyncio.run(run())
