--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -398,8 +398,7 @@
 
     def avoided(self, now: int) -> int:
         """How many of the listed servers are left out now, for the list says so or for their health."""
-        typical = self.table.typical
-        return sum(s.state is not State.READY or not self.health.admits(s, now, typical)
+        return sum(s.state is not State.READY or not self.health.admits(s, now, self.table.typical)
                    for s in self.servers.values())
 
     def _log(self, text: str) -> None:
