--- /dev/null
+++ b/brasshead/memory.py
@@ -0,0 +1,44 @@
+"""What a balancer has learned, to be handed to the one that takes its place on the same clock."""
+from __future__ import annotations
+
+from typing import Any
+
+from .logic import Balancer
+
+# Not what is out, nor what the list says: the one ends where it began, the other is told anew.
+SERVER = ("luck", "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at", "failing",
+          "streak", "out_until", "out_us", "allowance", "residue", "residue_at", "service", "news_at")
+TABLE = ("mean", "mean_hint", "mean_service", "news_at", "cost", "pace", "typical")
+COLD = ("answered", "fit")
+
+
+def take(balancer: Balancer) -> dict[str, Any]:
+    """A copy in JSON's terms; ids must be text."""
+    return {
+        "servers": {str(s.id): [getattr(s, name) for name in SERVER] for s in balancer.servers.values()},
+        "table": [getattr(balancer.table, name) for name in TABLE],
+        "cold": [getattr(balancer.cold, name) for name in COLD],
+        "part": balancer.shares.part,
+        "budget": balancer.budget,
+    }
+
+
+def give(balancer: Balancer, memory: dict[str, Any]) -> None:
+    """Put it into a balancer that has its list; what it says of servers not in it is dropped. ValueError."""
+    try:
+        servers = {name: _numbers(values, SERVER) for name, values in memory["servers"].items()}
+        table, cold = _numbers(memory["table"], TABLE), _numbers(memory["cold"], COLD)
+        part, budget = float(memory["part"]), float(memory["budget"])
+    except (KeyError, TypeError, AttributeError, ValueError) as e:
+        raise ValueError(f"what was learned cannot be read: {type(e).__name__} {e}") from None
+    known = [(s, servers[str(s.id)]) for s in balancer.servers.values() if str(s.id) in servers]
+    for owner, values in [*known, (balancer.table, table), (balancer.cold, cold)]:
+        for name, value in values.items():
+            setattr(owner, name, value)
+    balancer.shares.part, balancer.budget = part, budget
+
+
+def _numbers(values: list[Any], names: tuple[str, ...]) -> dict[str, float]:
+    if len(values) != len(names) or not all(isinstance(v, int | float) for v in values):
+        raise ValueError(f"expected {len(names)} numbers")
+    return dict(zip(names, values, strict=True))
--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -9,6 +9,7 @@
 import os
 import signal
 import sys
+from functools import partial
 from typing import Any
 
 from brasshead.interface import Settings
@@ -21,6 +22,7 @@
 from .control import Door
 from .discovery import Discovery
 from .figures import Figures
+from .handover import Succession, inherit, path_for
 from .operators import Operators
 from .server import DrainTimes, Server
 
@@ -33,13 +35,19 @@
 DESCRIPTORS_APART = 64  # for discovery, listener, logs and the event loop
 
 
+def most_connections(sockets: int, processes: int) -> int:
+    """On either side of one process, where so many share the descriptors."""
+    return max(1, (sockets // processes - DESCRIPTORS_APART) // 2)
+
+
 def assemble(config: Config, clock: Clock, figures: Figures) -> tuple[Agent, Server]:
     """The parts, wired; nothing has started yet."""
-    settings, most = config.settings, max(1, (config.sockets - DESCRIPTORS_APART) // 2)
+    settings, most = config.settings, most_connections(config.sockets, 1)
     backends = Backends(clock, settings.report_fields, config.connect_timeout_us, config.conn_idle_us, most,
                         figures.written)
-    discovery = Discovery(config.discovery, config.parser, config.known.revision,
-                          config.connect_timeout_us / 1e6)
+    # Who is asked whether it can serve must have heard discovery itself: then the whole list comes first.
+    revision = config.known.revision if config.control is None else None
+    discovery = Discovery(config.discovery, config.parser, revision, config.connect_timeout_us / 1e6)
     agent = Agent(Balancer(settings, config.seed), clock, backends, discovery, figures)
     return agent, Server(settings, agent, most)
 
@@ -59,25 +67,38 @@
         loop.add_signal_handler(number, stop.set)
     figures = Figures([c.name for c in config.settings.classes])
     agent, server = assemble(config, clock, figures)
-    operators = Operators(agent, server, figures)
+    operators = Operators(agent, server, figures, partial(most_connections, config.sockets))
     door = Door(operators)
     loop.add_signal_handler(signal.SIGHUP, _reload, agent, figures)
-    agent.start(config.known)
+    succession = heritage = None
     try:
-        port = await server.listen(config.listen)
         if config.control is not None:
             control_port = await door.listen(config.control)
             log.info("%s takes calls on %s:%d", config.name, config.control.host, control_port)
+            path = path_for(config.listen)
+            succession = operators.succession = Succession(path, operators)
+            heritage = inherit(path)
+        if heritage is not None and succession is not None:
+            agent.resume(heritage.state, config.known)
+            operators.resume(heritage.state)
+            await succession.follow(heritage)
+            port = server.take_over(heritage.listener)
+        else:
+            agent.start(config.known)
+            port = await server.listen(config.listen, shared=config.control is not None)
     except OSError as e:
         print(f"lilacsill: cannot listen: {e}", file=sys.stderr)
         return 1
+    if succession is not None:
+        succession.open()
     log.info("%s listens on %s:%d", config.name, config.listen.host, port)
     await stop.wait()
     operators.stopping = True
-    await server.drain(drain_times(config.settings))
+    succeeded = succession is not None and succession.succeeded
+    if succession is not None:
+        succession.close()
+    await server.drain(drain_times(config.settings), succeeded)
     door.close()
-    operators.stopping = True
-    await server.drain(drain_times(config.settings))
     log.info("%s stops", config.name)
     return 0
 
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from brasshead import interface as q
+from brasshead import memory
 from brasshead.logic import Balancer
 
 from .backends import Ask, Backends, Exchange, Result
@@ -57,6 +58,7 @@
         self._handling = False
         self._taken = 0
         self._watch_again_s = WATCH_AGAIN_S
+        self.fresh = False  # discovery has been heard
         self._carriers: dict[type, Callable[[Any], None]] = {
             q.Send: self._send, q.Refuse: self._refuse, q.Fail: self._fail, q.Cancel: self._cancel,
             q.SetTimer: self._set_timer, q.Probe: self._probe, q.Watch: self._watch, q.Fetch: self._fetch,
@@ -64,10 +66,32 @@
         }
 
     def start(self, known: Listing) -> None:
-        self._tell(q.ListKind.CACHED, self._roster.told(known))
+        self._begin(self._roster.told(known))
+
+    def resume(self, state: dict[str, Any], known: Listing) -> None:
+        """Go on from what another process hands over, or start where its list cannot be read."""
+        try:
+            roster = state["roster"]
+            listing = self._roster.resume(roster, self._discovery.parser.parse(roster["list"]))
+        except (ValueError, KeyError, TypeError, AttributeError) as e:
+            log.warning("starts without the list that was handed over: %s", e)
+            return self.start(known)
+        self._begin(listing)
+        try:
+            memory.give(self._balancer, state["memory"])
+        except (ValueError, KeyError) as e:
+            log.warning("starts without what was learned: %s", e)
+
+    def _begin(self, listing: Listing) -> None:
+        self._tell(q.ListKind.CACHED, listing)
         if self._pushes:
             self._discovery.watch(self._listed)
 
+    def state(self) -> dict[str, Any]:
+        """What another process goes on from."""
+        return {"roster": self._roster.state(self._discovery.parser.form),
+                "memory": memory.take(self._balancer)}
+
     def move(self, discovery: Address) -> None:
         self._discovery.move(discovery)
 
@@ -76,13 +100,17 @@
     def levels(self) -> Levels:
         return Levels(len(self._held), len(self._roster), self._balancer.avoided(self._clock.now()))
 
-    def detach(self, backend: str) -> None:
+    def detach(self, backend: str, vouched: bool = False) -> None:
         """Send nothing new to a backend, whatever discovery says. LookupError if it never was listed."""
-        self._tell(q.ListKind.DELTA, self._roster.detach(backend))
+        self._tell(q.ListKind.DELTA, self._roster.detach(backend, vouched))
 
     def attach(self, backend: str) -> None:
         self._tell(q.ListKind.DELTA, self._roster.attach(backend))
 
+    def limit(self, most: int) -> None:
+        """Keep to so many connections to backends."""
+        self._backends.limit(most)
+
     # The application's side
 
     def take(self, call: Call) -> None:
@@ -222,6 +250,7 @@
             self._loop.call_later(wait_s, self._discovery.watch, self._listed)
             return
         self._watch_again_s = WATCH_AGAIN_S
+        self.fresh = self.fresh or listing is not None
         if listing is None:
             self._post(q.BackendsChanged(q.ListKind.FAILED, []))
             return
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -355,6 +355,10 @@
             self._idle_us / 1e6, self._retired, connection)
         self._idle.setdefault(backend, []).append(connection)
 
+    def limit(self, most: int) -> None:
+        """So many connections at once from now on; those in use beyond it end in their own time."""
+        self._most = most
+
     def room(self) -> bool:
         """Whether one more connection may be opened; the longest idle one makes way."""
         most = self._most - sum(self._dials.values())
--- a/lilacsill/bans.py
+++ b/lilacsill/bans.py
@@ -1,7 +1,9 @@
 """The list of backends as discovery has it, and the bans that operators lay over it."""
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
 from brasshead.interface import State
 
@@ -40,8 +42,25 @@
             del self._listed[name]
         return replace(listing, members=tuple(self._overlaid(m) for m in listing.members))
 
-    def detach(self, name: str) -> Listing:
-        """A backend is to get nothing new: the change to tell. LookupError if it never was listed."""
+    def state(self, form: Callable[[Member], dict[str, Any]]) -> dict[str, Any]:
+        """All of it in JSON's terms, for another process; the list in discovery's form, without the bans."""
+        return {
+            "list": {"revision": self._revision, "complete": True,
+                     "members": [form(m) for m in self._members.values()]},
+            "listed": list(self._listed), "banned": sorted(self._banned),
+        }
+
+    def resume(self, state: dict[str, Any], listing: Listing) -> Listing:
+        """Go on from another's state, whose list has been read; return what it comes to."""
+        self._listed.update(dict.fromkeys(str(name) for name in state["listed"]))
+        self._banned.update(str(name) for name in state["banned"])
+        return self.told(listing)
+
+    def detach(self, name: str, vouched: bool = False) -> Listing:
+        """A backend is to get nothing new: the change to tell. LookupError if it never was listed, unless
+        another process vouches for it."""
+        if vouched:
+            self._listed.setdefault(name)
         self._check(name)
         self._banned.add(name)
         return self._change(name)
--- a/lilacsill/clock.py
+++ b/lilacsill/clock.py
@@ -18,3 +18,7 @@
     def from_unix_ms(self, ms: int) -> int:
         """The same value always gives the same time; 0 (long ago) stays 0, and nothing else becomes 0."""
         return (ms * 1000 + self._offset or 1) if ms else 0
+
+    def to_unix_ms(self, us: int) -> int:
+        """The value that from_unix_ms makes this time of, here or in another process."""
+        return (us - self._offset) // 1000 if us else 0
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -72,6 +72,17 @@
         except (KeyError, TypeError, AttributeError, OverflowError) as e:
             raise ValueError(f"list of backends: {type(e).__name__} {e}") from None
 
+    def form(self, member: Member) -> dict[str, Any]:
+        """A member as discovery would name it."""
+        b = member.backend
+        phase = next(name for name, state in STATES.items() if state is b.state)
+        return {
+            "id": str(b.id), "host_port": f"{member.address.host}:{member.address.port}", "phase": phase,
+            "locality": next((name for name, i in self._zones.items() if i == b.zone), None),
+            "flavor": next((name for name, i in self._kinds.items() if i == b.kind), None),
+            "cell": b.cell, "size": b.capacity_hint, "up_since_ms": self._clock.to_unix_ms(b.started_at),
+        }
+
     def _member(self, m: Any) -> Member:
         backend = Backend(
             str(m["id"]), STATES[m["phase"]], self._zones.get(m.get("locality"), 0), int(m.get("cell") or 0),
@@ -133,9 +144,10 @@
 class Discovery:
     """Asks discovery. A watch goes on by itself from call to call until a call fails."""
 
-    def __init__(self, address: Address, parser: ListingParser, revision: int, connect_s: float) -> None:
-        self._address, self._parser, self._connect_s = address, parser, connect_s
-        self._revision: int | None = revision  # None: the whole list is wanted first
+    def __init__(self, address: Address, parser: ListingParser, revision: int | None,
+                 connect_s: float) -> None:
+        self._address, self.parser, self._connect_s = address, parser, connect_s
+        self._revision = revision  # None: the whole list is wanted first
         self._watching: asyncio.Task[None] | None = None
         self._told: Callable[[Listing | None], None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
@@ -210,7 +222,7 @@
     async def _ask(self, call: _Call, target: str, limit_s: float) -> Listing:
         # Bounded: a machine that is cut off says nothing, and the watch would wait for ever.
         async with asyncio.timeout(limit_s):
-            return self._parser.parse(json.loads(await call.get(target)))
+            return self.parser.parse(json.loads(await call.get(target)))
 
 
 def _failed(e: Exception) -> None:
--- a/lilacsill/operators.py
+++ b/lilacsill/operators.py
@@ -1,11 +1,16 @@
-"""What operators ask at the door, carried out by those who own it."""
+"""What operators ask at the door, carried out by those who own it, in each process that is this agent."""
 from __future__ import annotations
 
 import logging
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
 
 from .agent import Agent
 from .control import Refused
 from .figures import Figures
+from .handover import Act, Succession, Unconfirmed
 from .server import EmptyTimes, Server
 
 log = logging.getLogger(__name__)
@@ -13,42 +18,92 @@
 # The front has seen the no and stopped within 0.3 s. The last idle connection is to be gone well before 2 s:
 # what comes on it from then on must be answered by 4 s.
 EMPTY = EmptyTimes(close_s=0.5, idle_s=1.0)
+FRESH_S = 3.0  # while discovery says nothing, the list as last known must do after so long
 
 
 class Operators:
     """Says yes only once the act is in force."""
 
-    def __init__(self, agent: Agent, server: Server, figures: Figures) -> None:
+    def __init__(self, agent: Agent, server: Server, figures: Figures, most: Callable[[int], int]) -> None:
         self._agent, self._server, self._figures = agent, server, figures
+        self._most = most  # connections on either side, by the number of processes that share the limits
+        self._began = time.monotonic()
         self.stopping = False
+        self.succession: Succession | None = None  # None: no other process can take over
+
+    # What callers at the door ask for
 
     def ping(self) -> None:
-        if not self._server.listening:
+        if self._server.listener is None:
             raise Refused("not serving")
+        if not self._agent.fresh and time.monotonic() < self._began + FRESH_S:
+            raise Refused("no word from discovery yet")
 
     def info(self) -> str:
         return self._figures.text(self._agent.levels())
 
     async def detach(self, backend: str) -> None:
-        try:
-            self._agent.detach(backend)
-        except LookupError:
-            raise Refused("no such server was ever listed") from None
-        log.info("server %s taken out by hand", backend)
+        await self._everywhere({"act": "detach", "backend": backend})
 
     async def attach(self, backend: str) -> None:
-        try:
-            self._agent.attach(backend)
-        except LookupError:
-            raise Refused("no such server was ever listed") from None
-        log.info("server %s put back by hand", backend)
+        await self._everywhere({"act": "attach", "backend": backend})
 
     async def lameduck(self) -> None:
-        self._server.empty(EMPTY)
-        log.info("clients are sent away")
+        await self._everywhere({"act": "lameduck"})
 
     async def rejoin(self) -> None:
         if self.stopping:
             raise Refused("this process is stopping")
-        self._server.refill()
-        log.info("clients are taken again")
+        await self._everywhere({"act": "rejoin"})
+
+    async def _everywhere(self, act: Act) -> None:
+        try:
+            self._carry_out(act, vouched=False)
+        except LookupError:
+            raise Refused("no such server was ever listed") from None
+        if self.succession is not None:
+            try:
+                await self.succession.tell(act)
+            except Unconfirmed:
+                raise Refused("in force here, but not confirmed by the process beside this one") from None
+
+    def _carry_out(self, act: Act, vouched: bool) -> None:
+        match act["act"]:
+            case "detach":
+                self._agent.detach(act["backend"], vouched)
+            case "attach":
+                self._agent.attach(act["backend"])
+            case "lameduck":
+                if not self.stopping:
+                    self._server.empty(EMPTY)
+            case "rejoin":
+                if not self.stopping:
+                    self._server.refill()
+        log.info("by hand: %s", " ".join(act.values()))
+
+    # What the process before or after this one is handed and tells
+
+    def listener(self) -> socket.socket:
+        if self._server.listener is None:
+            raise ValueError("not listening")
+        return self._server.listener
+
+    def state(self) -> dict[str, Any]:
+        return {**self._agent.state(), "empty": self._server.draining}
+
+    def resume(self, state: dict[str, Any]) -> None:
+        """An agent that was being emptied goes on so: only operators end that."""
+        if state.get("empty"):
+            self._server.empty(EMPTY)
+
+    def apply(self, act: Act) -> None:
+        """What was asked at the door of the other process."""
+        try:
+            self._carry_out(act, vouched=True)
+        except LookupError as e:
+            log.warning("by the other process: no such server: %s", e)
+
+    def beside(self, processes: int) -> None:
+        most = self._most(processes)
+        self._server.limit(most)
+        self._agent.limit(most)
