Pass large bodies on as they come, and judge slow clients by their progress

A begin stops the hold. Ruled out: the module's cancels (it names every attempt but the begun one), the stall limit (5 s, the first break came at 2.3 s), the end of the lingering (still cut after it waited until all was written). - slow clients cut off within 0.9 s of a body ('began 1.25 last 0.02 ... received 344' of 500), and large bodies whose last 5 bytes came later than 0.4 s after the rest: bodies are judged on their mean, after 2.9 s.

--- a/brasshead/drill.py
+++ b/brasshead/drill.py
@@ -22,7 +22,7 @@
 SPAWN = struct.Struct(">HQII")
 DISCOVERY = struct.Struct(">HQBB")
 REQUEST = struct.Struct(">HQIIQHBI")
-STREAM = struct.Struct(">HQH")
+STREAM = struct.Struct(">HQH6sI")
 ENDED = struct.Struct(">HQBHI6sHB4f")
 CLIENT_GONE = struct.Struct(">HQ")
 PROBED = struct.Struct(">H6sHIB4f")
@@ -165,8 +165,8 @@
 
 
 def _stream(frame: bytes, at: int) -> q.Event:
-    _, request, attempt = STREAM.unpack_from(frame, at)
-    return q.StreamStarted(request, attempt)
+    _, request, attempt, _backend, took = STREAM.unpack_from(frame, at)
+    return q.StreamStarted(request, attempt, took)
 
 
 def _client_gone(frame: bytes, at: int) -> q.Event:
--- a/brasshead/interface.py
+++ b/brasshead/interface.py
@@ -212,6 +212,7 @@
     key: int = 0  # equal keys mean related requests; 0: none
     cost_us: int = 0  # rough work on a standard core; 0: unknown
     is_retry: bool = False
+    streamed: bool = False  # its body is passed on as it comes; its time starts when all of it has come
 
 
 @dataclass(slots=True)
@@ -220,6 +221,8 @@
 
     request: int
     attempt: int
+    latency_us: int  # until it began
+    report: tuple[float, ...] = ()  # as with AttemptEnded
 
 
 @dataclass(slots=True)
@@ -233,6 +236,7 @@
     latency_us: int
     finished: bool
     report: tuple[float, ...] = ()  # by Settings.report_fields; () if none came along
+    spent: bool = False  # the request's body was passed on and cannot be sent again
 
 
 @dataclass(slots=True)
--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -55,11 +55,12 @@
     __slots__ = ("id", "zone", "cell", "hint", "state", "started_at", "open", "residue", "residue_at",
                  "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at",
                  "failing", "streak", "out_until", "out_us", "allowance", "asked_at", "askers",
-                 "pace", "service", "news_at", "luck")
+                 "pace", "service", "news_at", "luck", "streams")
 
     def __init__(self, b: Backend, now: int, luck: float) -> None:
         self.id, self.luck = b.id, luck
         self.open: dict[tuple[int, int], int] = {}  # own attempts out, oldest first: when each was sent
+        self.streams: dict[tuple[int, int], int] = {}  # and those whose body, or whose answer, is under way
         self.asked_at = 0  # when the probe now out was sent; 0: none is
         self.askers: list[Request] = []  # requests that wait for its echo
         self.adopt(b)
@@ -69,10 +70,13 @@
         self.zone, self.cell, self.state = b.zone, b.cell, b.state
         self.hint, self.started_at = max(b.capacity_hint, 1e-6), b.started_at
 
+    def held(self) -> int:
+        return len(self.open) + len(self.streams)
+
     def own(self, now: int) -> float:
         """Own attempts out, and what is left of the weight of those that ended badly."""
         faded = self.residue and self.residue * RESIDUE_US / (RESIDUE_US + now - self.residue_at)
-        return len(self.open) + faded
+        return self.held() + faded
 
     def reset(self, now: int) -> None:
         """Forget what was learned of an earlier process."""
@@ -87,7 +91,7 @@
     """A request this balancer has taken, until its answer is given and its attempts have ended."""
 
     __slots__ = ("id", "cls", "deadline", "aim_at", "gives_way", "sends", "out", "may_have_run",
-                 "tried", "done", "luck", "size", "pair", "silent", "pairs")
+                 "tried", "done", "luck", "size", "pair", "silent", "pairs", "streamed", "begun")
 
     def __init__(self, e: RequestArrived, cls: RequestClass, now: int, luck: float, size: float) -> None:
         self.id, self.cls, self.deadline = e.request, cls, now + e.patience_us
@@ -96,6 +100,7 @@
         self.luck = luck  # one for its whole life: a held request must not draw until a cold server takes it
         self.size = size  # its work as a multiple of the mean, where a hint tells it
         self.sends = self.pairs = 0
+        self.streamed, self.begun = e.streamed, -1  # its body is passed on; the attempt whose answer is
         self.out: dict[int, tuple[Server, int, float]] = {}  # attempt: server, sent at, table load then
         self.may_have_run: list[tuple[int, Server, int]] = []  # attempts not proven never to have run
         self.tried: list[Server] = []
@@ -139,12 +144,10 @@
         self.service_column = fields.index("latency_ms") if "latency_ms" in fields else -1
         self.hinted = settings.capacity_hints
         self.cuts: list[float] = []
-        self.mean, self.mean_hint = 0.0, 1.0  # of the table: loads heard of, capacity hints
-        self.mean_service = 0.0  # and reported service times
+        self.mean = self.mean_service = 0.0  # of the table: loads heard of, reported service times
+        self.mean_hint, self.cost = 1.0, 0.0  # capacity hints; cost of a request by its hints
         self.news_at = 0  # when the median server was last heard of
-        self.cost = 0.0  # mean cost of a request by its hints
-        self.pace = 0.0  # fleet: time per unit of load
-        self.typical = 0.0  # fleet: latency of answers
+        self.pace = self.typical = 0.0  # fleet: time per unit of load, latency of answers
 
     def look(self, servers: list[Server], now: int) -> None:
         """What the entries come to in the mean."""
@@ -157,10 +160,7 @@
             self.mean_hint = sum(s.hint for s in servers) / len(servers)
 
     def others(self, s: Server, now: int) -> float:
-        """What all others hold at a server: as reported, an old report fading to the mean of the table.
-
-        A server not heard from enters at that mean.
-        """
+        """What all others hold at a server: as reported, but with age, or unheard, the mean of the table."""
         if not s.heard_at:
             return self.mean
         age = max(FRESH_US, now - s.heard_at)
@@ -175,7 +175,7 @@
 
     def holds(self, now: int, s: Server, held: float) -> None:
         """Take in what a probe or a peer tells: it stands for itself and is not smoothed."""
-        s.others, s.heard_at, s.news_at = held - len(s.open), now, now
+        s.others, s.heard_at, s.news_at = held - s.held(), now, now
 
     def works(self, s: Server, service_ms: float) -> None:
         """Learn from a reported service time, waiting left out, how fast a server works."""
@@ -199,7 +199,7 @@
         s.ended_at = now
         if self.column >= 0 and len(e.report) > self.column:
             # The report holds our own attempts too: what remains after them is the others' share.
-            others = e.report[self.column] - len(s.open) - 1
+            others = e.report[self.column] - s.held() - 1
             gain = 1.0 if not s.heard_at else max(GAIN, min(1.0, (now - s.heard_at) / FRESH_US))
             s.others += gain * (others - s.others)
             s.heard_at = s.news_at = now
@@ -220,7 +220,7 @@
             self.pace += gain * (e.latency_us / load_at_send - self.pace)
         else:
             # Balls stay: a server that ends attempts at once must not look light for it.
-            s.residue, s.residue_at = s.own(now) - len(s.open) + 1.0, now
+            s.residue, s.residue_at = s.own(now) - s.held() + 1.0, now
 
 
 class Health:
@@ -281,8 +281,7 @@
     def __init__(self, settings: Settings) -> None:
         self.start, self.warm_up = settings.start_fraction, settings.warm_up_us
         self.scale = min(1.0, settings.fall_multiple / COLD_MARGIN)
-        self.answered = 1.0  # share of the latest attempts that were answered
-        self.fit = 1.0  # share of the latest draws of warm servers that fitted
+        self.answered = self.fit = 1.0  # shares: of attempts answered, of draws of warm servers that fitted
 
     def warmth(self, s: Server, now: int) -> float:
         """Share of its capacity a server surely has: the slowest ramp the settings allow."""
@@ -292,13 +291,10 @@
         return self.start + (1.0 - self.start) * max(0, age) / self.warm_up
 
     def admits(self, s: Server, now: int, luck: float, known: bool) -> bool:
-        if not s.started_at:
-            return True
         warmth = self.warmth(s, now)
-        # Its part of what warm servers take and answer, not of what is asked for, nor more because few of
-        # them fit: retries of an overloaded fleet pushed one over. Measured on warm servers alone: where most
-        # are cold, each that was not admitted made the rest look less fit, until none was. Not needed where
-        # it is asked first what it holds.
+        # Its part of what warm servers take and answer, not of what is asked for: retries of an overloaded
+        # fleet pushed one over. Measured on warm servers alone: where most are cold, each that was not
+        # admitted made the rest look less fit. Not needed where it is asked first what it holds.
         part = self.scale if known else self.scale * self.answered * self.fit
         # One luck for all servers would send a request to one of them at most, however many it draws.
         return warmth >= 1.0 or (luck + s.luck) % 1.0 < warmth * part
@@ -420,9 +416,8 @@
             named.add(b.id)
             old = self.servers.get(b.id)
             if old is None:
-                server = Server(b, now, self.rng.random())
-                self.servers[b.id] = self.tags[crc32(_name(b.id).encode())] = server
-                continue
+                old = self.servers[b.id] = Server(b, now, self.rng.random())
+                self.tags[crc32(_name(b.id).encode())] = old
             if b.started_at != old.started_at:
                 old.reset(now)  # a new process under the same id
             old.adopt(b)
@@ -628,8 +623,8 @@
 
     def _hopeful(self, r: Request, s: Server, limit: float, left: int) -> bool:
         """Whether a server may be sampled, by its predicted time and what it holds of ours."""
-        # Heavy requests that not even an idle server could answer in time took a third of the fleet. While
-        # most servers hold nothing they displace little, and hints are rough: then they may try.
+        # Heavy requests that no server could answer in time took a third of the fleet. While most are idle
+        # they displace little, and hints are rough: then they may try.
         workable = r.size <= 1.0 or r.size * s.pace * min(1.0, self.table.mean) <= left
         if self.now - s.heard_at <= self.known_us:
             # Known, not guessed: no pass here, but one that holds nothing is fit.
@@ -638,8 +633,7 @@
             late = 0.0 if r.gives_way else r.cls.late_worth * (r.deadline - r.aim_at)
             return workable if held < 1.0 else (held + r.size) * s.pace <= limit + HEADROOM * late
         # A quiet balancer knows too little to refuse by a guess: a server that holds next to nothing of ours
-        # may be tried. The pass is shared over the balancers, or they keep a jam up; failed attempts count as
-        # held, or a full server that turns all away at once would be tried for ever.
+        # may be tried. Shared over the balancers, or they keep a jam up; failed attempts count as held.
         own = s.own(self.now)
         if own < min(1.0, self.idle):
             return workable
@@ -665,7 +659,7 @@
         r.out[attempt] = (s, now, load)
         r.may_have_run.append((attempt, s, now))
         r.tried.append(s)
-        s.open[(r.id, attempt)] = now
+        (s.streams if r.streamed else s.open)[(r.id, attempt)] = now
         self.actions.append(Send(r.id, s.id, max(1, r.deadline - now - self.margin)))
         if r.cls.effect is not Effect.UNSAFE and self.table.typical and self.settings.second_copies:
             at = now + int(3 * self.table.typical)
@@ -675,7 +669,7 @@
     def _overdue(self, what: tuple[Request, int]) -> None:
         """An attempt takes unusually long: try elsewhere while the aim can still be made."""
         r, attempt = what
-        if r.done or attempt not in r.out or len(r.out) > 1:
+        if r.done or r.streamed or attempt not in r.out or len(r.out) > 1:
             return
         if self.budget < 1.0 or self.cold.fit < HEDGE_FIT:
             return
@@ -694,14 +688,16 @@
             return
         s, sent, load = r.out.pop(e.attempt)
         s.open.pop((r.id, e.attempt), None)
-        self.table.ended(now, s, e, load)
+        s.streams.pop((r.id, e.attempt), None)
+        if e.attempt != r.begun:
+            self.table.ended(now, s, e, load)
         self.cold.ended(e.outcome)
         if self.tells and e.outcome is Outcome.OK and len(e.report) > self.table.column:
             self._tell(s, e.report[self.table.column] - 1)
         # A time-out tells against a server only if it has answered nothing since: else it is late, not ill.
         if e.outcome is not Outcome.TIMEOUT or s.answered_at <= sent:
             self.health.ended(s, now, e.outcome)
-        self.shares.learn(len(s.open) + 1, max(0.0, s.others))
+        self.shares.learn(s.held() + 1, max(0.0, s.others))
         if e.outcome in NEVER_RAN:
             r.may_have_run = [m for m in r.may_have_run if m[0] != e.attempt]
         if e.finished and not r.done:
@@ -709,19 +705,23 @@
         elif r.done and not r.out:
             del self.requests[r.id]
         elif not r.out:
-            # Full servers turn attempts away in no time: unpaid repeats of those made twenty attempts of each
-            # request. A failed connect loads no server and waits out its own time-out.
-            if e.outcome is not Outcome.CONNECT_FAILED:
-                if self.budget < 1.0:
-                    return self._finish(r)
-                self.budget -= 1.0
+            # Unpaid, full servers got twenty attempts of each request; a failed connect loads none.
+            paid = e.outcome is not Outcome.CONNECT_FAILED
+            if e.spent or (paid and self.budget < 1.0):
+                return self._finish(r)
+            self.budget -= paid
             self._advance(r)
 
     def _streaming(self, e: StreamStarted) -> None:
         r = self.requests.get(e.request)
         if r is not None and e.attempt in r.out:
-            r.done = True
+            r.done, r.begun = True, e.attempt
             self._cancel(r, but=e.attempt)
+            s, _, load = r.out[e.attempt]
+            s.open.pop((r.id, e.attempt), None)
+            self.table.ended(self.now, s, AttemptEnded(
+                r.id, e.attempt, s.id, Outcome.OK, e.latency_us, False, e.report), load)
+            s.streams[(r.id, e.attempt)] = self.now
 
     def _gone(self, e: ClientGone) -> None:
         r = self.requests.get(e.request)
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 from brasshead import interface as q
@@ -26,7 +27,8 @@
 # The module answers when a request's time is up; were it to fail, the agent answers this much later, within
 # the 50 ms that the protocol allows.
 OVERDUE_S = 0.025
-GONE = 499  # counts as the status of a request whose client has left
+GONE, BROKEN = 499, 502  # count as the status of a request whose client has left, whose answer broke off
+HOLD_SHARE = 0.05  # of the shortest aim: so long may an answer be held that is not known to be small
 # Where changes are pushed, every change made while nobody asks counts as told: the wait after a broken watch
 # is doubled and drawn at random, but stays well within the second that the drain rule leaves.
 WATCH_AGAIN_S, WATCH_AGAIN_MOST_S = 0.1, 0.4
@@ -37,8 +39,26 @@
     """A request without its final answer."""
 
     call: Call
-    overdue: asyncio.TimerHandle
+    overdue: asyncio.TimerHandle | None = None
     attempts: int = 0
+    begun: Exchange | None = None  # the attempt whose answer is being passed on
+
+
+class _Reader:
+    """What comes of one attempt's answer before it is whole."""
+
+    def __init__(self, agent: Agent, number: int, attempt: int) -> None:
+        self._agent, self._number, self._attempt = agent, number, attempt
+
+    def begin(self, exchange: Exchange, content_type: str | None, length: int | None) -> None:
+        self._agent.answer_begins(self._number, self._attempt, exchange, content_type, length)
+
+    def more(self, exchange: Exchange, data: bytes) -> None:
+        self._agent.answer_goes_on(self._number, exchange, data)
+
+
+def _kind(content_type: str | None) -> Headers:
+    return [("Content-Type", content_type)] if content_type else []
 
 
 class Agent:
@@ -59,6 +79,7 @@
         self._taken = 0
         self._watch_again_s = WATCH_AGAIN_S
         self.fresh = False  # discovery has been heard
+        self._hold_us = int(HOLD_SHARE * min(c.aim_us for c in balancer.settings.classes))
         self._carriers: dict[type, Callable[[Any], None]] = {
             q.Send: self._send, q.Refuse: self._refuse, q.Fail: self._fail, q.Cancel: self._cancel,
             q.SetTimer: self._set_timer, q.Probe: self._probe, q.Watch: self._watch, q.Fetch: self._fetch,
@@ -116,19 +137,31 @@
     def take(self, call: Call) -> None:
         self._taken += 1
         call.number = self._taken
-        overdue = self._loop.call_later(call.patience_us / 1e6 + OVERDUE_S, self._overdue, call.number)
-        self._held[call.number] = Held(call, overdue)
+        held = self._held[call.number] = Held(call)
+        body = call.body
+        if isinstance(body, bytes):
+            self._time(held)
+        else:
+            body.on_whole = partial(self._time, held)
         self._post(q.RequestArrived(
             call.number, call.request_class, call.patience_us, call.tenant, call.key, call.cost_us,
-            call.is_retry))
+            call.is_retry, streamed=not isinstance(body, bytes)))
+
+    def _time(self, held: Held) -> None:
+        """From its last byte on a request has the time that its client gives it."""
+        call = held.call
+        if call.number in self._held and held.begun is None:
+            held.overdue = self._loop.call_later(
+                call.patience_us / 1e6 + OVERDUE_S, self._overdue, call.number)
 
     def leave(self, call: Call) -> None:
         if self._over(call.number, GONE) is not None:
             self._post(q.ClientGone(call.number))
 
     def give_up_all(self) -> None:
-        for number in list(self._held):
-            self._give_up(number)
+        for number, held in list(self._held.items()):
+            if held.begun is None:
+                self._give_up(number)
 
     def _overdue(self, number: int) -> None:
         log.error("request %d: no answer from the module in time", number)
@@ -142,8 +175,10 @@
 
     def _answer(self, number: int, status: int, headers: Headers, body: bytes) -> None:
         held = self._over(number, status)
-        if held is not None:
-            held.call.respond(held.call, status, headers, body)
+        if held is not None and held.begun is not None:
+            held.call.client.finish(held.call, False)
+        elif held is not None:
+            held.call.client.answer(held.call, status, headers, body)
 
     def turned_away(self, request_class: int, status: int) -> None:
         self._figures.ended(request_class, status)
@@ -153,7 +188,8 @@
         held = self._held.pop(number, None)
         if held is not None:
             self._figures.ended(held.call.request_class, status)
-            held.overdue.cancel()
+            if held.overdue is not None:
+                held.overdue.cancel()
             for attempt in range(held.attempts):
                 if (number, attempt) in self._out:
                     self._out[number, attempt].cancel()
@@ -198,7 +234,8 @@
         number, attempt = a.request, held.attempts
         held.attempts += 1
         call = held.call
-        ask = Ask(call.method, call.target, call.headers, call.body, told_timeout=True)
+        reader = _Reader(self, number, attempt)
+        ask = Ask(call.method, call.target, call.headers, call.body, reader, self._hold_us)
 
         def done(result: Result) -> None:
             self._out.pop((number, attempt), None)
@@ -209,12 +246,33 @@
             self._out[number, attempt] = exchange
 
     def _attempt_ended(self, number: int, attempt: int, backend: q.BackendId, result: Result) -> None:
-        if result.outcome is q.Outcome.OK:
-            kind = [("Content-Type", result.content_type)] if result.content_type else []
-            self._answer(number, 200, kind, result.body)
+        served, held = result.outcome is q.Outcome.OK, self._held.get(number)
+        if result.begun and held is not None:
+            self._over(number, 200 if served else BROKEN)
+            held.call.client.finish(held.call, served)
+        elif served:
+            self._answer(number, 200, _kind(result.content_type), result.body)
+        spent = held is not None and not isinstance(held.call.body, bytes) and held.call.body.spent
         self._post(q.AttemptEnded(
             number, attempt, backend, result.outcome, result.latency_us, number not in self._held,
-            result.report))
+            result.report, spent))
+
+    def answer_begins(self, number: int, attempt: int, exchange: Exchange, content_type: str | None,
+                      length: int | None) -> None:
+        """A large answer comes; the first of a request's is the one."""
+        held = self._held.get(number)
+        if held is None or held.begun is not None:
+            return exchange.cancel()
+        held.begun = exchange
+        if held.overdue is not None:
+            held.overdue.cancel()
+        held.call.client.begin(held.call, _kind(content_type), length, exchange)
+        self._post(q.StreamStarted(number, attempt, exchange.latency_us, exchange.report()))
+
+    def answer_goes_on(self, number: int, exchange: Exchange, data: bytes) -> None:
+        held = self._held.get(number)
+        if held is not None and held.begun is exchange:
+            held.call.client.more(held.call, data)
 
     def _refuse(self, a: q.Refuse) -> None:
         advice = [("Retry-After", f"{a.retry_after_us / 1e6:.6f}")] if a.retry_after_us else []
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 import h11
 
@@ -20,7 +21,8 @@
 HOST = "origin.svc"
 PROBE_US = 50_000  # a load told later than this is of no use to the requests that asked for it
 IDLE_SHARE = 0.7  # of the time after which a backend closes an idle connection; then it is retired here
-ANSWER_BYTES = 64 * 1024
+ANSWER_BYTES = 64 * 1024  # an answer up to this is taken whole, a larger one passed on as it comes
+STALL_S = 5.0  # a backend that takes or gives nothing for so long, while it could, has stopped
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,6 +34,37 @@
     report: tuple[float, ...] = ()
     body: bytes = b""
     content_type: str | None = None
+    begun: bool = False  # its answer was passed on as it came; the time is that to its begin
+
+
+class Body(Protocol):
+    """A large request body on its way from a client."""
+
+    length: int | None  # None: told by its chunks
+    whole: bool  # its last byte has come
+
+    def held(self) -> bytes:
+        """All that has come, as long as none of it has been passed on and dropped."""
+
+    def flow(self, exchange: Exchange) -> None:
+        """Pass on what comes from now on: to exchange.more, and to exchange.all_sent at the end."""
+
+    def stop(self, exchange: Exchange) -> None:
+        """The exchange takes no more; another may."""
+
+    def halt(self) -> None:
+        """Read nothing more from the client until go_on."""
+
+    def go_on(self) -> None: ...
+
+
+class Reader(Protocol):
+    """Who gets a large answer as it comes."""
+
+    def begin(self, exchange: Exchange, content_type: str | None, length: int | None) -> None:
+        """length None: told by its end. Cancels the exchange if the answer is wanted no more."""
+
+    def more(self, exchange: Exchange, data: bytes) -> None: ...
 
 
 @dataclass(slots=True, frozen=True)
@@ -41,8 +74,9 @@
     method: str
     target: str
     headers: Headers
-    body: bytes = b""
-    told_timeout: bool = False  # the backend is told how long its answer is waited for
+    body: bytes | Body = b""
+    reader: Reader | None = None  # None: a probe
+    hold_us: int = 0  # an answer of unknown length is passed on if it is not whole after so long
 
 
 def parse_report(text: str | None, fields: tuple[str, ...]) -> tuple[float, ...]:
@@ -79,6 +113,10 @@
         if self.exchange is not None:
             self.exchange.on_event(event)
 
+    def on_read(self) -> None:
+        if self.exchange is not None:
+            self.exchange.on_read()
+
     def resume_writing(self) -> None:
         super().resume_writing()
         if self.exchange is not None:
@@ -114,14 +152,20 @@
                  done: Callable[[Result], None]) -> None:
         self._backends, self._backend, self._ask, self._done = backends, backend, ask, done
         self._loop = asyncio.get_running_loop()
+        self._timeout_us = timeout_us
         self._began = backends.clock.now()
-        self._until = self._began + timeout_us
         self._connection: _Pooled | None = None
+        self._sending = False  # a large body is on its way out
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
+        self._length: int | None = None
         self._body = bytearray()
+        self._begun_us = -1  # when the answer began to be passed on, from the start; -1: not yet
+        self._paused = False  # its reader is slower
+        self._moved = 0.0  # when anything last came or went, by the loop's clock
         self.ended = False
         self._timer = self._loop.call_later(timeout_us / 1e6, self._timed_out)
+        self._holding: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         member = self._backends.ready(self._backend)
@@ -155,22 +199,81 @@
             connection.drop()
             return self._end(Outcome.NOT_SENT)
         self._connection, connection.exchange = connection, self
-        ask, headers = self._ask, [("Host", HOST), *self._ask.headers]
-        if ask.told_timeout:
-            left_ms = max(1, (self._until - self._backends.clock.now()) // 1000)
-            headers.append(("Request-Timeout-Ms", str(left_ms)))
-        if ask.body or ask.method == "POST":
-            headers.append(("Content-Length", str(len(ask.body))))
+        ask, body, headers = self._ask, self._ask.body, [("Host", HOST), *self._ask.headers]
+        large = not isinstance(body, bytes)
+        if ask.reader is not None:
+            # The time of a body that is still on its way starts with its last byte.
+            spent_us = 0 if large else self._backends.clock.now() - self._began
+            headers.append(("Request-Timeout-Ms", str(max(1, (self._timeout_us - spent_us) // 1000))))
+        start = body if isinstance(body, bytes) else body.held()
+        length = len(start) if isinstance(body, bytes) else body.length
+        if length is None:
+            headers.append(("Transfer-Encoding", "chunked"))
+        elif length or ask.method == "POST":
+            headers.append(("Content-Length", str(length)))
         events: list[h11.Event] = [h11.Request(method=ask.method, target=ask.target, headers=headers)]
-        if ask.body:
-            events.append(h11.Data(data=ask.body))
-        connection.send(*events, h11.EndOfMessage())
+        if start:
+            events.append(h11.Data(data=start))
+        if isinstance(body, bytes) or body.whole:
+            connection.send(*events, h11.EndOfMessage())
+            if connection.written:
+                self.on_written()
+            return
+        self._sending = True
+        self._timer.cancel()
+        self._watch_progress()
+        connection.send(*events)
         if connection.written:
+            body.flow(self)
+
+    # A large body
+
+    def more(self, data: bytes) -> None:
+        """The next piece of the body."""
+        if self.ended or self._connection is None:
+            return
+        assert not isinstance(self._ask.body, bytes)
+        self._moved = self._loop.time()
+        self._connection.send(h11.Data(data=data))
+        if not self._connection.written:
+            self._ask.body.halt()
+
+    def all_sent(self) -> None:
+        """The body is whole: now its time runs."""
+        if self.ended or self._connection is None:
+            return
+        self._sending = False
+        self._timer.cancel()
+        self._timer = self._loop.call_later(self._timeout_us / 1e6, self._timed_out)
+        self._began = self._backends.clock.now()
+        self._connection.send(h11.EndOfMessage())
+        if self._connection.written:
             self.on_written()
 
+    def _watch_progress(self) -> None:
+        """A body or an answer under way has no other limit than that it goes on."""
+        self._moved = self._loop.time()
+        self._timer.cancel()
+        self._timer = self._loop.call_later(STALL_S, self._check_progress)
+
+    def _check_progress(self) -> None:
+        # A client that is slower than the backend is its own connection's to watch.
+        waits_for_client = self._paused or (self._sending and self._sent())
+        if waits_for_client:
+            return self._watch_progress()
+        left_s = self._moved + STALL_S - self._loop.time()
+        if left_s > 0:
+            self._timer = self._loop.call_later(left_s, self._check_progress)
+        else:
+            self._timed_out()
+
     def on_written(self) -> None:
-        """The kernel has taken the last byte."""
-        if self._ask.told_timeout:
+        """The kernel has taken all there is so far."""
+        if self._sending:
+            assert not isinstance(self._ask.body, bytes)
+            self._moved = self._loop.time()
+            self._ask.body.flow(self)
+        elif self._ask.reader is not None:
             self._backends.written()
 
     # What comes back
@@ -180,60 +283,121 @@
             self._status, self._headers = event.status_code, list(event.headers)
             # Two lengths: which of them the backend meant, and so what its answer is, cannot be told.
             if all(header(self._headers, h) is not None for h in (b"content-length", b"transfer-encoding")):
-                self._end(Outcome.ERROR)
+                return self._end(Outcome.ERROR)
+            length = header(self._headers, b"content-length")
+            self._length = int(length) if length is not None else None
+            if self._length is not None and self._length > ANSWER_BYTES:
+                self._too_large_to_hold()
         elif isinstance(event, h11.Data):
             self._body += event.data
-            if len(self._body) > ANSWER_BYTES:
-                self._end(Outcome.ERROR)
         elif isinstance(event, h11.EndOfMessage):
+            self.on_read()
             self._end(self._answered())
 
+    def on_read(self) -> None:
+        if self.ended:
+            return
+        if self._begun_us < 0 and len(self._body) > ANSWER_BYTES:
+            self._too_large_to_hold()
+        elif self._begun_us < 0 and self._body and self._length is None and self._holding is None:
+            self._holding = self._loop.call_later(self._ask.hold_us / 1e6, self._held_long)
+        if self._begun_us >= 0 and self._body and not self.ended:
+            data, self._body = bytes(self._body), bytearray()
+            self._moved = self._loop.time()
+            assert self._ask.reader is not None
+            self._ask.reader.more(self, data)
+
+    def _held_long(self) -> None:
+        """Whether an answer will be large is not known, but its client has waited for it long enough."""
+        self._too_large_to_hold()
+        self.on_read()
+
+    def _too_large_to_hold(self) -> None:
+        """Only an answer that counts is passed on; of any other the status says enough."""
+        if self._holding is not None:
+            self._holding.cancel()
+        reader = self._ask.reader
+        if self._status != 200 or self._sending or reader is None:
+            return self._end(self._answered())
+        self._begun_us = self._backends.clock.now() - self._began
+        self._watch_progress()
+        reader.begin(self, header(self._headers, b"content-type"), self._length)
+
+    def pause(self) -> None:
+        """Whoever reads the answer is slower than the backend."""
+        if self._connection is not None and not self._paused:
+            self._paused = True
+            self._connection.pause()
+
+    def resume(self) -> None:
+        if self._connection is not None and self._paused:
+            self._paused = False
+            self._moved = self._loop.time()
+            self._connection.resume()
+
+    @property
+    def latency_us(self) -> int:
+        """Until the answer began to be passed on, or else until now."""
+        return self._begun_us if self._begun_us >= 0 else self._backends.clock.now() - self._began
+
+    def report(self) -> tuple[float, ...]:
+        fields = self._backends.report_fields
+        told = parse_report(header(self._headers, b"server-load"), fields)
+        if not told and self._ask.target == "/_load":
+            told = parse_report(self._body.decode("latin-1"), fields)
+        return told
+
     def on_broken(self) -> None:
         """An answer that cannot be read is a failed attempt. The process behind it lives: it is no reset, for
         which the module would leave the server out at once."""
-        self._end(Outcome.ERROR if self._sent() else Outcome.CONNECT_FAILED)
+        self._end(Outcome.ERROR if self._whole_sent() else Outcome.CONNECT_FAILED)
 
     def on_end(self) -> None:
         self._end(self._lost())
 
     def _answered(self) -> Outcome:
         if self._status == 200:
-            return Outcome.OK
+            # Served before it was asked in full, or a probe's answer without end, is no answer.
+            whole = not self._sending and len(self._body) <= ANSWER_BYTES
+            return Outcome.OK if whole else Outcome.ERROR
         if self._status in (503, 504) and header(self._headers, b"not-started") == "1":
             return Outcome.REJECTED
         return Outcome.ERROR
 
     def _lost(self) -> Outcome:
         """What a break means: before the last byte was written, the backend surely did not begin."""
-        return Outcome.RESET if self._sent() else Outcome.CONNECT_FAILED
+        return Outcome.RESET if self._whole_sent() else Outcome.CONNECT_FAILED
 
     def _sent(self) -> bool:
+        """Whether the kernel has taken all of the request there is so far."""
         return self._connection is not None and self._connection.written
 
+    def _whole_sent(self) -> bool:
+        return self._sent() and not self._sending
+
     def _timed_out(self) -> None:
-        self._end(Outcome.TIMEOUT if self._sent() else Outcome.CONNECT_FAILED)
+        self._end(Outcome.TIMEOUT if self._whole_sent() else Outcome.CONNECT_FAILED)
 
     def _end(self, outcome: Outcome) -> None:
         if self.ended:
             return
         self.ended = True
         self._timer.cancel()
+        if self._holding is not None:
+            self._holding.cancel()
         self._backends.waits_no_more(self._backend, self)
+        if self._sending:
+            assert not isinstance(self._ask.body, bytes)
+            self._ask.body.stop(self)
         if self._connection is not None:
+            self.resume()
             self._connection.exchange = None
             self._backends.give_back(self._connection)
         self._done(Result(
-            outcome, self._backends.clock.now() - self._began, self._report(), bytes(self._body),
-            header(self._headers, b"content-type"),
+            outcome, self.latency_us, self.report(), bytes(self._body),
+            header(self._headers, b"content-type"), self._begun_us >= 0,
         ))
 
-    def _report(self) -> tuple[float, ...]:
-        fields = self._backends.report_fields
-        told = parse_report(header(self._headers, b"server-load"), fields)
-        if not told and self._ask.target == "/_load":
-            told = parse_report(self._body.decode("latin-1"), fields)
-        return told
-
 
 class Backends:
     """The backends of the list, and the idle connections to them."""
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -13,6 +13,9 @@
 log = logging.getLogger(__name__)
 
 HEADER_LIMIT = 32 * 1024  # bytes of request or status line and headers
+READ_BYTES = 64 * 1024  # at once: what a connection holds while the other side is slower is a few of these
+# One for all: what is read is handed on before the loop turns to the next connection.
+_read_buffer = bytearray(READ_BYTES)
 
 Headers = list[tuple[str, str]]
 RawHeaders = Sequence[tuple[bytes, bytes]]
@@ -23,7 +26,7 @@
     return next((value.decode("latin-1") for key, value in headers if key == name), None)
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """Feeds bytes to h11 and hands its events on; knows whether all that was sent has been written."""
 
     def __init__(self, role: type[h11.CLIENT] | type[h11.SERVER] = h11.CLIENT) -> None:
@@ -41,6 +44,9 @@
     def on_event(self, event: h11.Event) -> None:
         """One event of the peer's message."""
 
+    def on_read(self) -> None:
+        """All that has come so far has been handed on."""
+
     def on_broken(self, error: Exception) -> None:
         """The peer sent what is not HTTP, or handling it raised."""
 
@@ -54,6 +60,12 @@
         self.transport = transport
         transport.set_write_buffer_limits(high=0)  # resume_writing then means: all is written
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(memoryview(_read_buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         self._feed(data)
 
@@ -84,7 +96,7 @@
             self.check_head()
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                return
+                return self.on_read()
             assert not isinstance(event, type)
             self.on_event(event)
 
@@ -96,6 +108,15 @@
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLHUP)
         return not poll.poll(0)
 
+    def pause(self) -> None:
+        """Read nothing more from the peer until resume."""
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        if self.transport is not None:
+            self.transport.resume_reading()
+
     def drop(self) -> None:
         """Close at once, in the eyes of the peer too: the transport itself closes only a turn later, when the
         next attempt of the same request may be out already."""
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -5,6 +5,7 @@
 import logging
 import re
 import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -21,15 +22,22 @@
 log = logging.getLogger(__name__)
 
 API, HEALTH = "/api", "/_health"
-BODY_LIMIT = 64 * 1024
+WHOLE_BYTES = 64 * 1024  # a body up to this is taken whole, a larger one passed on as it comes
+BODY_LIMIT = 32 * 1024 * 1024
 AHEAD_LIMIT = 128 * 1024  # of what comes while a request is in hand
 TIMEOUT_LIMIT_MS = 24 * 3600 * 1000
 BACKLOG = 512
 EXTRA = 32  # connections beyond the limit while none is idle; half of the descriptors set apart
 ACCEPTS = 32  # in one turn of the loop
-LINGER_S = 1.0  # after an answer given in the middle of a request
+LINGER_S, LINGER_MOST_S = 1.0, 30.0  # after an answer in the middle of a request: in silence, in all
+STREAMS_S = 60.0  # how long large answers may go on after a stop; whoever ordered it may end it before
+STUCK_S = 60.0  # a client that takes nothing of its answer for so long has stopped
 POLL_S = 0.01  # while the last requests end
-UNREAD_S = 2.5  # from connecting, or from a request's first byte, until the request is whole: 3 s are allowed
+# From connecting, or from a request's first byte. Whoever stops is owed an error within 3 s, while an honest
+# client may take 2 s for a head, and 64 kB a second are its body's mean: single pieces come as they may.
+HEAD_S, DECIDED_S = 2.5, 2.9
+STOPPED_S, SILENT_S = 0.4, 5.0  # of silence in a body: once DECIDED_S are over, and of who went on past that
+BODY_RATE, BODY_START_S = 32_000, 0.5  # bytes a second at least, counted from so long after the head
 HEAD_END = re.compile(rb"\n\r?\n")
 AMBIGUOUS = re.compile(rb"(?<!\r)\n|\n[ \t]")
 FORWARDED = (b"request-id", b"idempotency-key", b"request-class", b"tenant", b"content-type")
@@ -42,17 +50,93 @@
     method: str
     target: str
     headers: Headers  # those that go on to a backend
-    body: bytes
+    body: bytes | Upload
     request_class: int
     tenant: int
     patience_us: int
     key: int
     cost_us: int
     is_retry: bool
-    respond: Callable[[Call, int, Headers, bytes], None]
+    client: Answerer
     number: int = 0  # given by whoever takes it
 
 
+class Answerer(Protocol):
+    """Where a call came from, and its one answer goes to: whole, or begun, passed on and finished."""
+
+    def answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None: ...
+
+    def begin(self, call: Call, headers: Headers, length: int | None, source: Source) -> None:
+        """A served answer that comes in pieces; length None: told by its end."""
+
+    def more(self, call: Call, data: bytes) -> None: ...
+
+    def finish(self, call: Call, whole: bool) -> None:
+        """One that is not whole is broken off, so that the client can tell."""
+
+
+class Source(Protocol):
+    """Where the pieces of an answer come from."""
+
+    def pause(self) -> None: ...
+
+    def resume(self) -> None: ...
+
+
+class Sink(Protocol):
+    """Where the pieces of a body go."""
+
+    def more(self, data: bytes) -> None: ...
+
+    def all_sent(self) -> None: ...
+
+
+class Upload:
+    """A large body on its way: its start is held until the rest is passed on."""
+
+    def __init__(self, length: int | None, connection: Connection) -> None:
+        self.length = length
+        self.whole = False
+        self.spent = False  # a part has been passed on and is no longer held
+        self.on_whole: Callable[[], None] = lambda: None
+        self._connection = connection
+        self._held = bytearray()
+        self._sink: Sink | None = None
+
+    def held(self) -> bytes:
+        return bytes(self._held)
+
+    def flow(self, sink: Sink) -> None:
+        self._sink = sink
+        self.go_on()
+
+    def stop(self, sink: Sink) -> None:
+        if self._sink is sink:
+            self._sink = None
+            self.halt()
+
+    def halt(self) -> None:
+        self._connection.pause()
+
+    def go_on(self) -> None:
+        self._connection.resume()
+
+    def come(self, data: bytearray) -> None:
+        """The next piece has been read."""
+        if self._sink is None:
+            self._held += data
+        elif data:
+            self.spent, self._held = True, bytearray()
+            self._sink.more(bytes(data))
+
+    def end(self) -> None:
+        """The last piece has been read."""
+        self.whole = True
+        self.on_whole()
+        if self._sink is not None:
+            self._sink.all_sent()
+
+
 @dataclass(slots=True, frozen=True)
 class EmptyTimes:
     """How clients are sent away, in seconds from the start. Health says no at once."""
@@ -99,8 +183,7 @@
         self._classes = {c.name: (i, c.effect) for i, c in enumerate(classes)}
         self._tenants = {t.name: i for i, t in enumerate(tenants)}
 
-    def check(self, request: h11.Request, body: bytes,
-              respond: Callable[[Call, int, Headers, bytes], None]) -> Call:
+    def check(self, request: h11.Request, body: bytes | Upload, client: Answerer) -> Call:
         headers = list(request.headers)
         index, effect = self._class(headers)
         method = request.method.decode("ascii")
@@ -111,11 +194,11 @@
         # Without its key no backend could tell a repeat from a new request.
         if (effect is Effect.KEYED) != bool(header(headers, b"idempotency-key")):
             raise Rejected(400, "Idempotency-Key does not fit the class")
-        target = request.target.decode("ascii")
+        target = origin_form(request.target)
         return Call(
             method, target, [(k.decode("ascii"), v.decode("latin-1")) for k, v in headers if k in FORWARDED],
             body, index, self._tenant(headers), self._patience_us(headers), _key(target),
-            _work_hint(header(headers, b"work-hint")), header(headers, b"client-retry") == "1", respond,
+            _work_hint(header(headers, b"work-hint")), header(headers, b"client-retry") == "1", client,
         )
 
     def class_of(self, request: h11.Request) -> int | None:
@@ -147,6 +230,15 @@
         return ms * 1000
 
 
+def origin_form(target: bytes) -> str:
+    """Path and query; a client may name the whole URL."""
+    text = target.decode("ascii")
+    if text[:7].lower() != "http://":
+        return text
+    _, slash, rest = text[7:].partition("/")
+    return slash + rest
+
+
 def _key(target: str) -> int:
     """Equal objects give equal keys; 0 is none."""
     obj = parse_qs(urlsplit(target).query).get("obj")
@@ -164,11 +256,18 @@
     def __init__(self, server: Server) -> None:
         super().__init__(h11.SERVER)
         self._server = server
+        self._loop = asyncio.get_running_loop()
         self._request: h11.Request | None = None
-        self._body = bytearray()
+        self._piece = bytearray()  # of the body, read and not handed on
+        self._received = 0  # of the body
         self._chunked = False
+        self._blank = b""  # the first half of an empty line
         self._call: Call | None = None
+        self._upload: Upload | None = None  # the body, where it is large
+        self._source: Source | None = None  # of an answer that is passed on as it comes
         self._unread: asyncio.TimerHandle | None = None  # set while a request is waited for
+        self._began = self._body_began = self._last = 0.0  # the request, its body, its latest piece
+        self._stuck: asyncio.TimerHandle | None = None  # set while the client takes nothing
 
     @property
     def empty(self) -> bool:
@@ -180,6 +279,11 @@
         """Nothing of a request has come, as far as the kernel knows, and no answer is on its way."""
         return self.empty and self.written and not self.deaf and self.quiet()
 
+    @property
+    def busy(self) -> bool:
+        """A large answer is on its way, or the last bytes of any."""
+        return self._source is not None or not self.written
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self._server.connections.add(self)
@@ -188,27 +292,63 @@
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         self._read_whole()
+        if self._stuck is not None:
+            self._stuck.cancel()
         self._server.connections.discard(self)
         self._server.freed()
 
+    # Time: a peer that says nothing, or stops in the middle, must not hold a descriptor for good
+
     def _await_whole(self) -> None:
-        """A peer that says nothing, or stops in the middle, must not hold a descriptor for good."""
         if self._unread is None:
-            self._unread = asyncio.get_running_loop().call_later(UNREAD_S, self._too_slow)
+            self._began = self._last = self._loop.time()
+            self._unread = self._loop.call_later(HEAD_S, self._look)
 
     def _read_whole(self) -> None:
         if self._unread is not None:
             self._unread.cancel()
             self._unread = None
 
+    def _look(self) -> None:
+        """Whether the request still comes along."""
+        assert self._unread is not None
+        left_s = self._due() - self._loop.time()
+        if left_s <= 0:
+            self._too_slow()
+        else:
+            self._unread = self._loop.call_later(left_s, self._look)
+
+    def _due(self) -> float:
+        """When the request must have come further."""
+        if self._request is None:
+            return self._began + HEAD_S
+        decided = self._began + DECIDED_S
+        silent = self._last + (SILENT_S if self._last + STOPPED_S > decided else STOPPED_S)
+        return max(decided, min(silent, self._body_began + BODY_START_S + self._received / BODY_RATE))
+
+    def pause(self) -> None:
+        """The client need not send anything while the agent does not read."""
+        self._read_whole()
+        super().pause()
+
+    def resume(self) -> None:
+        super().resume()
+        if self._upload is not None and not self._upload.whole and self._unread is None and not self.deaf:
+            now = self._loop.time()
+            self._body_began += now - self._last
+            self._last = now
+            self._unread = self._loop.call_later(DECIDED_S, self._look)
+
     def _too_slow(self) -> None:
-        self._unread = None
-        if self.deaf or self._call is not None:
+        self._read_whole()
+        if self.deaf or (self._call is not None and self._upload is None):
             return
         if self.empty:
             self.drop()
         else:
-            self._turn_away(408, "request not whole in time")
+            self._break_off(408, "request not whole in time")
+
+    # What comes
 
     def check_head(self) -> None:
         """Refuse what h11 lets pass and others read in another way: a bare line feed as the end of a line,
@@ -226,45 +366,76 @@
             self._await_whole()
 
     def data_received(self, data: bytes) -> None:
+        self._last = self._loop.time()
+        if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
+            data = self._blank + data  # empty lines before a request are to be passed over
+            while data.startswith(b"\r\n"):
+                data = data[2:]
+            self._blank = data if data == b"\r" else b""
+            if self._blank or not data:
+                return
         super().data_received(data)
         # What a client sends ahead is kept unread in memory: without a bound one client could fill it.
-        ahead = len(self.http.trailing_data[0]) if self._call is not None else 0
-        if ahead > AHEAD_LIMIT and self.transport is not None:
-            self.transport.pause_reading()
+        if self._call is not None and len(self.http.trailing_data[0]) > AHEAD_LIMIT:
+            super().pause()
 
     def on_event(self, event: h11.Event) -> None:
         try:
             if isinstance(event, h11.Request):
                 self._begin(event)
             elif isinstance(event, h11.Data):
-                self._body += event.data
-                if len(self._body) > BODY_LIMIT:
+                self._piece += event.data
+                self._received += len(event.data)
+                if self._received > BODY_LIMIT:
                     raise Rejected(413, "body too large")
             elif isinstance(event, h11.EndOfMessage):
                 self._complete()
         except Rejected as e:
-            self._turn_away(e.status, str(e))
+            self._break_off(e.status, str(e))
+
+    def on_read(self) -> None:
+        """What has come of a large body goes on; how large it is may show only now."""
+        if self._request is None or self.deaf or (self._call is not None and self._upload is None):
+            return
+        try:
+            if self._upload is not None:
+                data, self._piece = self._piece, bytearray()
+                self._upload.come(data)
+            elif len(self._piece) > WHOLE_BYTES:
+                length = header(list(self._request.headers), b"content-length")
+                self._take_large(int(length) if length is not None else None)
+        except Rejected as e:
+            self._break_off(e.status, str(e))
+
+    def _take_large(self, length: int | None) -> None:
+        assert self._request is not None
+        upload = Upload(length, self)
+        call = self._server.checker.check(self._request, upload, self)
+        data, self._piece = self._piece, bytearray()
+        upload.come(data)
+        self._call, self._upload = call, upload
+        self.pause()
+        self._server.taker.take(call)
 
     def on_broken(self, error: Exception) -> None:
         """Malformed HTTP is the client's fault, anything else ours; either is answered."""
-        call, self._call = self._call, None
-        if call is not None:
-            self._server.taker.leave(call)
-        status = 400 if isinstance(error, h11.RemoteProtocolError) else 500
-        if self.transport is None or self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            self.drop()
-            return
-        if call is not None:  # taken, and counted where it was let go
-            return self._respond(status, [], b"internal error\n")
-        self._turn_away(status, "malformed request" if status == 400 else "internal error")
+        malformed = isinstance(error, h11.RemoteProtocolError)
+        self._break_off(400 if malformed else 500, "malformed request" if malformed else "internal error")
 
     def on_end(self) -> None:
+        self._leave()
+
+    def _leave(self) -> bool:
+        """The call is no longer this client's; whether there was one, which is counted by whoever took it."""
         call, self._call = self._call, None
+        self._upload = self._source = None
         if call is not None:
             self._server.taker.leave(call)
+        return call is not None
 
     def _begin(self, request: h11.Request) -> None:
-        self._request, self._body = request, bytearray()
+        self._request, self._piece, self._received = request, bytearray(), 0
+        self._body_began = self._loop.time()
         headers = list(request.headers)
         length = header(headers, b"content-length")
         self._chunked = header(headers, b"transfer-encoding") is not None
@@ -279,44 +450,113 @@
     def _complete(self) -> None:
         assert self._request is not None
         self._read_whole()
-        path = self._request.target.partition(b"?")[0].decode("latin-1")
+        if self._upload is not None:
+            self.on_read()
+            if self._upload is not None:
+                self._upload.end()
+            return
+        path = origin_form(self._request.target).partition("?")[0]
         if path == HEALTH:
             return self._respond(503 if self._server.draining else 200, [], b"")
         if path != API:
             raise Rejected(404, "no such path")
-        self._call = self._server.checker.check(self._request, bytes(self._body), self._answer)
+        self._call = self._server.checker.check(self._request, bytes(self._piece), self)
+        self._piece = bytearray()
         self._server.taker.take(self._call)
 
-    def _turn_away(self, status: int, why: str) -> None:
+    # What goes back
+
+    def _break_off(self, status: int, why: str) -> None:
+        """The error for a request that is not taken, or not to its end; each is counted once."""
+        taken = self._leave()
+        if self.transport is None or self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self.drop()
+            return
         index = self._server.checker.class_of(self._request) if self._request is not None else None
-        if index is not None:
+        if index is not None and not taken:
             self._server.taker.turned_away(index, status)
         self._respond(status, [], f"{why}\n".encode())
 
-    def _answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None:
+    def answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None:
         if self._call is call:
-            self._call = None
+            self._call = self._upload = None
             self._respond(status, headers, body)
 
-    def _respond(self, status: int, headers: Headers, body: bytes) -> None:
-        if self.closed or self.transport is None or self.transport.is_closing():
+    def begin(self, call: Call, headers: Headers, length: int | None, source: Source) -> None:
+        if self._call is not call or not self._writable():
+            return
+        self._source = source
+        framing = [] if length is None else [("Content-Length", str(length))]
+        self.send(h11.Response(status_code=200, headers=[*headers, *framing, *self._last_words()]))
+        self._hold_source()
+
+    def more(self, call: Call, data: bytes) -> None:
+        if self._call is call and self._writable():
+            self.send(h11.Data(data=data))
+            self._hold_source()
+
+    def finish(self, call: Call, whole: bool) -> None:
+        if self._call is not call:
             return
-        fields = [*headers, ("Content-Length", str(len(body)))]
+        self._call = self._upload = self._source = None
+        if not whole:
+            self._reset()
+        elif self._writable():
+            self.send(h11.EndOfMessage())
+            self._answered()
+
+    def _hold_source(self) -> None:
+        if not self.written and self._source is not None:
+            self._source.pause()
+            if self._stuck is None:
+                self._stuck = self._loop.call_later(STUCK_S, self._reset)
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        if self._stuck is not None:
+            self._stuck.cancel()
+            self._stuck = None
+        if self._source is not None:
+            self._source.resume()
+
+    def _reset(self) -> None:
+        """Close so that nobody can take what has come for whole, however its end is told."""
+        if self.transport is not None and not self.transport.is_closing():
+            linger = struct.pack("ii", 1, 0)
+            self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.deaf = self.closed = True
+            self.transport.abort()
+
+    def _writable(self) -> bool:
+        return not (self.closed or self.transport is None or self.transport.is_closing())
+
+    def _read_in_full(self) -> bool:
         # Behind chunks nothing more is read: h11 is lenient about where their trailer ends.
-        whole = self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED) and not self._chunked
-        if self._server.closing or not whole:
-            fields.append(("Connection", "close"))
+        return self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED) and not self._chunked
+
+    def _last_words(self) -> Headers:
+        return [("Connection", "close")] if self._server.closing or not self._read_in_full() else []
+
+    def _respond(self, status: int, headers: Headers, body: bytes) -> None:
+        if not self._writable():
+            return
+        fields = [*headers, ("Content-Length", str(len(body))), *self._last_words()]
         head = self._request is not None and self._request.method == b"HEAD"
         data = [] if head or not body else [h11.Data(data=body)]
         self.send(h11.Response(status_code=status, headers=fields), *data, h11.EndOfMessage())
+        self._answered()
+
+    def _answered(self) -> None:
+        """Go on to the next request, or part."""
+        assert self.transport is not None
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
             self._request = None
             self._server.freed()
-            self.transport.resume_reading()  # no effect where it was not paused
+            super().resume()  # no effect where it was not paused
             if self.http.trailing_data[0]:
-                asyncio.get_running_loop().call_soon(self.resume_reading)
-        elif whole:
+                self._loop.call_soon(self.resume_reading)
+        elif self._read_in_full():
             self.transport.close()
         else:
             self._linger()
@@ -325,8 +565,20 @@
         """Read and drop the rest: closing on unread bytes would reset the answer away."""
         assert self.transport is not None
         self.deaf = True
+        self._read_whole()
+        self._last = self._loop.time()
+        super().resume()
         self.transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER_S, self.transport.abort)
+        self._loop.call_later(LINGER_S, self._lingered, self._last + LINGER_MOST_S)
+
+    def _lingered(self, until: float) -> None:
+        """Part from a client that has stopped sending, or never will."""
+        assert self.transport is not None
+        now = self._loop.time()
+        if self.written and now >= min(until, self._last + LINGER_S):
+            self.transport.abort()
+        elif not self.transport.is_closing():
+            self._loop.call_later(LINGER_S, self._lingered, until)
 
 
 class Server:
@@ -428,11 +680,12 @@
             self._close_listener()
         else:
             await asyncio.sleep(times.serve_s)
-        while self.connections and loop.time() < began + times.end_s:
+        while (self.connections or self._coming) and loop.time() < began + times.end_s:
             await asyncio.sleep(POLL_S)
         self.taker.give_up_all()
-        while any(not c.written for c in self.connections) and loop.time() < began + times.end_s + POLL_S:
-            await asyncio.sleep(POLL_S / 10)
+        # What has begun is not cut off here: if it must be, that is for whoever ordered the stop.
+        while any(c.busy for c in self.connections) and loop.time() < began + STREAMS_S:
+            await asyncio.sleep(POLL_S)
         # Open to the end: closing it resets what has come in and is not accepted yet.
         self.stop()
 
