Let cold servers that tell they hold less than their part have it

Evidence: what the module sees, logged each half second: 'fit 0.14 ... 667:5/2.1 919:9/1.4 71e:3/0.0/w0.56 05b:1/0.0/w0.54 a96:0/0.0/w0.55 328:0/3.0/w0.52 089:0/0.0/w0.48' - two warm servers full, seven cold ones at about half of their strength nearly idle. The cold part is a product with fit, the share of draws of warm servers that fitted: two full ones drove it to 0.05, and with it the part of all that were idle. Lines at fault: ColdBudget.admits. A cold server that has told within a second that it holds less than its warmth's share of the mean now gets its part without that factor, as one that is asked first already did.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -290,11 +290,12 @@
             return 1.0
         return self.start + (1.0 - self.start) * max(0, age) / self.warm_up
 
-    def admits(self, s: Server, now: int, luck: float, known: bool) -> bool:
+    def admits(self, s: Server, now: int, luck: float, asked: bool, mean: float) -> bool:
         warmth = self.warmth(s, now)
         # Its part of what warm servers take and answer, not of what is asked for: retries of an overloaded
-        # fleet pushed one over. Measured on warm servers alone: where most are cold, each that was not
-        # admitted made the rest look less fit. Not needed where it is asked first what it holds.
+        # fleet pushed one over. Not needed where it is asked first what it holds, or has just told that this
+        # is less than its part: few warm servers that were full kept all the cold ones idle.
+        known = asked or (now - s.heard_at < FRESH_US and s.own(now) + max(0.0, s.others) < warmth * mean)
         part = self.scale if known else self.scale * self.answered * self.fit
         # One luck for all servers would send a request to one of them at most, however many it draws.
         return warmth >= 1.0 or (luck + s.luck) % 1.0 < warmth * part
@@ -539,7 +540,7 @@
         silent = r.silent if len(r.silent) < len(set(pair)) else []
         r.pair, r.silent = None, []
         fit = [s for s in pair if s not in silent and self._may_go(r, s)
-               and self.cold.admits(s, self.now, r.luck, self.asks)  # it may have restarted since
+               and self.cold.admits(s, self.now, r.luck, self.asks, self.table.mean)  # it may be anew
                and self._hopeful(r, s, limit, left)]
         if fit and self._left(r) > 0:
             return self._send(r, *self._lighter(r, (fit[0], fit[-1])))
@@ -568,12 +569,11 @@
             s.zone == first.zone if r.cls.group is Group.ZONE else s.cell == first.cell)
 
     def _admits(self, r: Request, s: Server) -> bool:
-        # Where peers tell every answer, a server of which nothing is heard hangs: balancers that each found
-        # out by themselves lost a tenth of all requests. Some still try it; of cold ones less is heard.
+        # Where peers tell every answer, a server of which nothing is heard hangs. Some requests still try it.
         silence = (self.now - s.news_at) * r.luck * self.cold.warmth(s, self.now) if self.tells else 0
         if silence > 2 * max(FRESH_US, self.now - self.table.news_at):
             return False
-        return (self.cold.admits(s, self.now, r.luck, self.asks)
+        return (self.cold.admits(s, self.now, r.luck, self.asks, self.table.mean)
                 and self.health.admits(s, self.now, self.table.typical))
 
     def _two(self, r: Request, pool: list[Server]) -> tuple[Server, Server] | None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -362,3 +362,21 @@
         d.request()
         copies[fit] = len(only(d.wait(200 * MS), Send))
     assert copies == {1.0: 1, 0.5: 0}
+
+
+def test_few_full_servers_do_not_keep_cold_ones_idle() -> None:
+    # upgrade+hand: two warm servers were full, so that hardly a draw of them fitted; seven cold ones, at up
+    # to half of their strength, held one request or none while over half of all requests were refused.
+    d, cold = Drive(servers=2, seed=3, start_fraction=0.5, warm_up_us=1000 * SECOND, fall_multiple=2.5,
+                    report_fields=("inflight",)), 0
+    d.serve(50)
+    d.list(*(Backend(f"new{i}", started_at=d.now) for i in range(4)))
+    for _ in range(400):
+        for s in d.balancer.servers.values():
+            s.residue, s.residue_at = (0.0 if s.started_at else 40.0), d.now
+            s.others, s.heard_at = (0.0 if s.started_at else 40.0), d.now
+        for send in only(d.request()[1], Send):
+            cold += str(send.backend).startswith("new")
+            d.end(send, Outcome.OK, report=(1.0 if str(send.backend).startswith("new") else 40.0,))
+        d.wait(MS)
+    assert d.balancer.cold.fit < 0.2 and cold >= 200
