--- a/lilacsill/operators.py
+++ b/lilacsill/operators.py
@@ -104,7 +104,6 @@
             log.warning("by the other process: no such server: %s", e)
 
     def beside(self, processes: int) -> None:
-        # The clients' connections are the agent's and move over one by one; only the backends' double.
-        succeeded = self.succession is not None and self.succession.succeeded
-        self._server.limit(self._most(processes if succeeded else 1), succeeded)
-        self._agent.limit(self._most(processes))
+        most = self._most(processes)
+        self._server.limit(most)
+        self._agent.limit(most)
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -594,7 +594,6 @@
         self._emptying: asyncio.Task[None] | None = None
         self.listener: socket.socket | None = None
         self._accepting = False
-        self._shared = False
         self._coming: set[asyncio.Task[object]] = set()  # accepted, and not yet among the connections
 
     async def listen(self, address: Address, shared: bool = False) -> int:
@@ -609,11 +608,9 @@
         self.freed()
         return int(listener.getsockname()[1])
 
-    def limit(self, most: int, shared: bool) -> None:
-        """So many connections at once from now on; those beyond it end in their own time. What is not accepted
-        here because of it is left, where the listener is shared, to the other process."""
-        self._most, self._shared = most, shared
-        self.freed()
+    def limit(self, most: int) -> None:
+        """So many connections at once from now on; those in use beyond it end in their own time."""
+        self._most = most
 
     def freed(self) -> None:
         """A connection has ended or fallen idle: one more may come."""
@@ -645,8 +642,6 @@
         """Whether one more may come. At the limit an idle one makes way."""
         if len(self.connections) + len(self._coming) < self._most:
             return True
-        if self._shared:
-            return False
         idle = next((c for c in self.connections if c.idle), None)
         if idle is not None:
             idle.drop()
