--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -50,15 +50,15 @@
     def __init__(self, agent: Agent, number: int, attempt: int) -> None:
         self._agent, self._number, self._attempt = agent, number, attempt
 
-    def begin(self, exchange: Exchange, content_type: str | None, length: int | None) -> None:
+    def begin(self, exchange: Exchange, content_type: bytes | None, length: int | None) -> None:
         self._agent.answer_begins(self._number, self._attempt, exchange, content_type, length)
 
     def more(self, exchange: Exchange, data: bytes) -> None:
         self._agent.answer_goes_on(self._number, exchange, data)
 
 
-def _kind(content_type: str | None) -> Headers:
-    return [("Content-Type", content_type)] if content_type else []
+def _kind(content_type: bytes | None) -> Headers:
+    return [(b"Content-Type", content_type)] if content_type else []
 
 
 class Agent:
@@ -257,7 +257,7 @@
             number, attempt, backend, result.outcome, result.latency_us, number not in self._held,
             result.report, spent))
 
-    def answer_begins(self, number: int, attempt: int, exchange: Exchange, content_type: str | None,
+    def answer_begins(self, number: int, attempt: int, exchange: Exchange, content_type: bytes | None,
                       length: int | None) -> None:
         """A large answer comes; the first of a request's is the one."""
         held = self._held.get(number)
@@ -275,7 +275,7 @@
             held.call.client.more(held.call, data)
 
     def _refuse(self, a: q.Refuse) -> None:
-        advice = [("Retry-After", f"{a.retry_after_us / 1e6:.6f}")] if a.retry_after_us else []
+        advice = [(b"Retry-After", b"%.6f" % (a.retry_after_us / 1e6))] if a.retry_after_us else []
         self._answer(a.request, 503, advice, b"refused\n")
 
     def _fail(self, a: q.Fail) -> None:
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -13,12 +13,12 @@
 from brasshead.interface import Backend, BackendId, Outcome, State
 
 from .clock import Clock
-from .connection import Connection, Headers, header
+from .connection import Connection, Fields, Headers, fields_of, header
 from .discovery import Listing, Member
 
 log = logging.getLogger(__name__)
 
-HOST = "origin.svc"
+HOST = b"origin.svc"
 PROBE_US = 50_000  # a load told later than this is of no use to the requests that asked for it
 IDLE_SHARE = 0.7  # of the time after which a backend closes an idle connection; then it is retired here
 ANSWER_BYTES = 64 * 1024  # an answer up to this is taken whole, a larger one passed on as it comes
@@ -33,7 +33,7 @@
     latency_us: int
     report: tuple[float, ...] = ()
     body: bytes = b""
-    content_type: str | None = None
+    content_type: bytes | None = None
     begun: bool = False  # its answer was passed on as it came; the time is that to its begin
 
 
@@ -61,7 +61,7 @@
 class Reader(Protocol):
     """Who gets a large answer as it comes."""
 
-    def begin(self, exchange: Exchange, content_type: str | None, length: int | None) -> None:
+    def begin(self, exchange: Exchange, content_type: bytes | None, length: int | None) -> None:
         """length None: told by its end. Cancels the exchange if the answer is wanted no more."""
 
     def more(self, exchange: Exchange, data: bytes) -> None: ...
@@ -157,7 +157,7 @@
         self._connection: _Pooled | None = None
         self._sending = False  # a large body is on its way out
         self._status = 0
-        self._headers: list[tuple[bytes, bytes]] = []
+        self._headers: Fields = {}
         self._length: int | None = None
         self._body = bytearray()
         self._begun_us = -1  # when the answer began to be passed on, from the start; -1: not yet
@@ -199,18 +199,18 @@
             connection.drop()
             return self._end(Outcome.NOT_SENT)
         self._connection, connection.exchange = connection, self
-        ask, body, headers = self._ask, self._ask.body, [("Host", HOST), *self._ask.headers]
+        ask, body, headers = self._ask, self._ask.body, [(b"Host", HOST), *self._ask.headers]
         large = not isinstance(body, bytes)
         if ask.reader is not None:
             # The time of a body that is still on its way starts with its last byte.
             spent_us = 0 if large else self._backends.clock.now() - self._began
-            headers.append(("Request-Timeout-Ms", str(max(1, (self._timeout_us - spent_us) // 1000))))
+            headers.append((b"Request-Timeout-Ms", b"%d" % max(1, (self._timeout_us - spent_us) // 1000)))
         start = body if isinstance(body, bytes) else body.held()
         length = len(start) if isinstance(body, bytes) else body.length
         if length is None:
-            headers.append(("Transfer-Encoding", "chunked"))
+            headers.append((b"Transfer-Encoding", b"chunked"))
         elif length or ask.method == "POST":
-            headers.append(("Content-Length", str(length)))
+            headers.append((b"Content-Length", b"%d" % length))
         events: list[h11.Event] = [h11.Request(method=ask.method, target=ask.target, headers=headers)]
         if start:
             events.append(h11.Data(data=start))
@@ -279,18 +279,21 @@
     # What comes back
 
     def on_event(self, event: h11.Event) -> None:
-        if isinstance(event, h11.Response):
-            self._status, self._headers = event.status_code, list(event.headers)
+        kind = type(event)
+        if kind is h11.Response:
+            assert isinstance(event, h11.Response)
+            self._status, self._headers = event.status_code, fields_of(event.headers)
             # Two lengths: which of them the backend meant, and so what its answer is, cannot be told.
-            if all(header(self._headers, h) is not None for h in (b"content-length", b"transfer-encoding")):
+            if b"content-length" in self._headers and b"transfer-encoding" in self._headers:
                 return self._end(Outcome.ERROR)
             length = header(self._headers, b"content-length")
             self._length = int(length) if length is not None else None
             if self._length is not None and self._length > ANSWER_BYTES:
                 self._too_large_to_hold()
-        elif isinstance(event, h11.Data):
+        elif kind is h11.Data:
+            assert isinstance(event, h11.Data)
             self._body += event.data
-        elif isinstance(event, h11.EndOfMessage):
+        elif kind is h11.EndOfMessage:
             self.on_read()
             self._end(self._answered())
 
@@ -321,7 +324,7 @@
             return self._end(self._answered())
         self._begun_us = self._backends.clock.now() - self._began
         self._watch_progress()
-        reader.begin(self, header(self._headers, b"content-type"), self._length)
+        reader.begin(self, self._headers.get(b"content-type"), self._length)
 
     def pause(self) -> None:
         """Whoever reads the answer is slower than the backend."""
@@ -395,7 +398,7 @@
             self._backends.give_back(self._connection)
         self._done(Result(
             outcome, self.latency_us, self.report(), bytes(self._body),
-            header(self._headers, b"content-type"), self._begun_us >= 0,
+            self._headers.get(b"content-type"), self._begun_us >= 0,
         ))
 
 
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -5,7 +5,7 @@
 import logging
 import select
 import socket
-from collections.abc import Sequence
+from collections.abc import Iterable
 from contextlib import suppress
 
 import h11
@@ -17,13 +17,18 @@
 # One for all: what is read is handed on before the loop turns to the next connection.
 _read_buffer = bytearray(READ_BYTES)
 
-Headers = list[tuple[str, str]]
-RawHeaders = Sequence[tuple[bytes, bytes]]
+Headers = list[tuple[bytes, bytes]]
+Fields = dict[bytes, bytes]
 
 
-def header(headers: RawHeaders, name: bytes) -> str | None:
-    """The first header of that name (in lower case), as text."""
-    return next((value.decode("latin-1") for key, value in headers if key == name), None)
+def fields_of(headers: Iterable[tuple[bytes, bytes]]) -> Fields:
+    """Headers by their names in lower case; of several of one name the first."""
+    return dict(reversed(list(headers)))
+
+
+def header(fields: Fields, name: bytes) -> str | None:
+    value = fields.get(name)
+    return None if value is None else value.decode("latin-1")
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -95,10 +100,13 @@
         while not self.deaf:
             self.check_head()
             event = self.http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            # Not isinstance: h11's events are abstract classes, for which it costs more than all else here.
+            if event is h11.NEED_DATA or event is h11.PAUSED or type(event) is h11.ConnectionClosed:
                 return self.on_read()
             assert not isinstance(event, type)
             self.on_event(event)
+            if type(event) is h11.EndOfMessage:
+                return  # what comes behind it is for the next message, which its role begins
 
     def quiet(self) -> bool:
         """Whether the kernel has nothing to read for it, not even the peer's close."""
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -37,8 +37,8 @@
 
     def same_process(self, other: Member | None) -> bool:
         """Whether a connection to the one leads to the other."""
-        return (other is not None and self.address == other.address
-                and self.backend.started_at == other.backend.started_at)
+        return other is self or (other is not None and self.address == other.address
+                                 and self.backend.started_at == other.backend.started_at)
 
 
 @dataclass(slots=True, frozen=True)
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -9,14 +9,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import unquote_plus
 from zlib import crc32
 
 import h11
 
 from brasshead.interface import Effect, RequestClass, Settings, Tenant
 
-from .connection import Connection, Headers, header
+from .connection import Connection, Fields, Headers, fields_of, header
 from .discovery import Address
 
 log = logging.getLogger(__name__)
@@ -40,6 +40,7 @@
 BODY_RATE, BODY_START_S = 32_000, 0.5  # bytes a second at least, counted from so long after the head
 HEAD_END = re.compile(rb"\n\r?\n")
 AMBIGUOUS = re.compile(rb"(?<!\r)\n|\n[ \t]")
+OBJECT = re.compile(r"[?&]obj=([^&#]+)")
 FORWARDED = (b"request-id", b"idempotency-key", b"request-class", b"tenant", b"content-type")
 
 
@@ -183,45 +184,44 @@
         self._classes = {c.name: (i, c.effect) for i, c in enumerate(classes)}
         self._tenants = {t.name: i for i, t in enumerate(tenants)}
 
-    def check(self, request: h11.Request, body: bytes | Upload, client: Answerer) -> Call:
-        headers = list(request.headers)
-        index, effect = self._class(headers)
+    def check(self, request: h11.Request, fields: Fields, body: bytes | Upload, client: Answerer) -> Call:
+        index, effect = self._class(fields)
         method = request.method.decode("ascii")
         if method != ("GET" if effect is Effect.SAFE else "POST"):
             raise Rejected(400, "method does not fit the class")
-        if not header(headers, b"request-id"):
+        if not fields.get(b"request-id"):
             raise Rejected(400, "Request-Id is missing")
         # Without its key no backend could tell a repeat from a new request.
-        if (effect is Effect.KEYED) != bool(header(headers, b"idempotency-key")):
+        if (effect is Effect.KEYED) != bool(fields.get(b"idempotency-key")):
             raise Rejected(400, "Idempotency-Key does not fit the class")
         target = origin_form(request.target)
         return Call(
-            method, target, [(k.decode("ascii"), v.decode("latin-1")) for k, v in headers if k in FORWARDED],
-            body, index, self._tenant(headers), self._patience_us(headers), _key(target),
-            _work_hint(header(headers, b"work-hint")), header(headers, b"client-retry") == "1", client,
+            method, target, [(k, fields[k]) for k in FORWARDED if k in fields],
+            body, index, self._tenant(fields), self._patience_us(fields), _key(target),
+            _work_hint(header(fields, b"work-hint")), fields.get(b"client-retry") == b"1", client,
         )
 
-    def class_of(self, request: h11.Request) -> int | None:
+    def class_of(self, fields: Fields) -> int | None:
         """The class that a request names, whatever else is wrong with it."""
-        found = self._classes.get(header(list(request.headers), b"request-class") or "")
+        found = self._classes.get(header(fields, b"request-class") or "")
         return None if found is None else found[0]
 
-    def _class(self, headers: list[tuple[bytes, bytes]]) -> tuple[int, Effect]:
-        found = self._classes.get(header(headers, b"request-class") or "")
+    def _class(self, fields: Fields) -> tuple[int, Effect]:
+        found = self._classes.get(header(fields, b"request-class") or "")
         if found is None:
             raise Rejected(400, "unknown Request-Class")
         return found
 
-    def _tenant(self, headers: list[tuple[bytes, bytes]]) -> int:
+    def _tenant(self, fields: Fields) -> int:
         if not self._tenants:
             return 0
-        index = self._tenants.get(header(headers, b"tenant") or "")
+        index = self._tenants.get(header(fields, b"tenant") or "")
         if index is None:
             raise Rejected(400, "unknown Tenant")
         return index
 
-    def _patience_us(self, headers: list[tuple[bytes, bytes]]) -> int:
-        text = header(headers, b"request-timeout-ms") or ""
+    def _patience_us(self, fields: Fields) -> int:
+        text = header(fields, b"request-timeout-ms") or ""
         if not (text.isascii() and text.isdigit() and len(text) < 10):
             raise Rejected(400, "bad Request-Timeout-Ms")
         ms = int(text)
@@ -241,8 +241,8 @@
 
 def _key(target: str) -> int:
     """Equal objects give equal keys; 0 is none."""
-    obj = parse_qs(urlsplit(target).query).get("obj")
-    return (crc32(obj[0].encode()) or 1) if obj else 0
+    obj = OBJECT.search(target)
+    return (crc32(unquote_plus(obj[1]).encode()) or 1) if obj else 0
 
 
 def _work_hint(text: str | None) -> int:
@@ -258,6 +258,7 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._request: h11.Request | None = None
+        self._fields: Fields = {}  # its headers
         self._piece = bytearray()  # of the body, read and not handed on
         self._received = 0  # of the body
         self._chunked = False
@@ -381,14 +382,17 @@
 
     def on_event(self, event: h11.Event) -> None:
         try:
-            if isinstance(event, h11.Request):
+            kind = type(event)
+            if kind is h11.Request:
+                assert isinstance(event, h11.Request)
                 self._begin(event)
-            elif isinstance(event, h11.Data):
+            elif kind is h11.Data:
+                assert isinstance(event, h11.Data)
                 self._piece += event.data
                 self._received += len(event.data)
                 if self._received > BODY_LIMIT:
                     raise Rejected(413, "body too large")
-            elif isinstance(event, h11.EndOfMessage):
+            elif kind is h11.EndOfMessage:
                 self._complete()
         except Rejected as e:
             self._break_off(e.status, str(e))
@@ -402,7 +406,7 @@
                 data, self._piece = self._piece, bytearray()
                 self._upload.come(data)
             elif len(self._piece) > WHOLE_BYTES:
-                length = header(list(self._request.headers), b"content-length")
+                length = header(self._fields, b"content-length")
                 self._take_large(int(length) if length is not None else None)
         except Rejected as e:
             self._break_off(e.status, str(e))
@@ -410,7 +414,7 @@
     def _take_large(self, length: int | None) -> None:
         assert self._request is not None
         upload = Upload(length, self)
-        call = self._server.checker.check(self._request, upload, self)
+        call = self._server.checker.check(self._request, self._fields, upload, self)
         data, self._piece = self._piece, bytearray()
         upload.come(data)
         self._call, self._upload = call, upload
@@ -436,9 +440,9 @@
     def _begin(self, request: h11.Request) -> None:
         self._request, self._piece, self._received = request, bytearray(), 0
         self._body_began = self._loop.time()
-        headers = list(request.headers)
-        length = header(headers, b"content-length")
-        self._chunked = header(headers, b"transfer-encoding") is not None
+        self._fields = fields_of(request.headers)
+        length = header(self._fields, b"content-length")
+        self._chunked = b"transfer-encoding" in self._fields
         # Two framings: h11 would believe the chunks, and read what the length counts in as further requests.
         if length is not None and self._chunked:
             raise Rejected(400, "both Content-Length and Transfer-Encoding")
@@ -460,7 +464,7 @@
             return self._respond(503 if self._server.draining else 200, [], b"")
         if path != API:
             raise Rejected(404, "no such path")
-        self._call = self._server.checker.check(self._request, bytes(self._piece), self)
+        self._call = self._server.checker.check(self._request, self._fields, bytes(self._piece), self)
         self._piece = bytearray()
         self._server.taker.take(self._call)
 
@@ -472,7 +476,7 @@
         if self.transport is None or self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.drop()
             return
-        index = self._server.checker.class_of(self._request) if self._request is not None else None
+        index = self._server.checker.class_of(self._fields) if self._request is not None else None
         if index is not None and not taken:
             self._server.taker.turned_away(index, status)
         self._respond(status, [], f"{why}\n".encode())
@@ -486,7 +490,7 @@
         if self._call is not call or not self._writable():
             return
         self._source = source
-        framing = [] if length is None else [("Content-Length", str(length))]
+        framing = [] if length is None else [(b"Content-Length", b"%d" % length)]
         self.send(h11.Response(status_code=200, headers=[*headers, *framing, *self._last_words()]))
         self._hold_source()
 
@@ -535,12 +539,12 @@
         return self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED) and not self._chunked
 
     def _last_words(self) -> Headers:
-        return [("Connection", "close")] if self._server.closing or not self._read_in_full() else []
+        return [(b"Connection", b"close")] if self._server.closing or not self._read_in_full() else []
 
     def _respond(self, status: int, headers: Headers, body: bytes) -> None:
         if not self._writable():
             return
-        fields = [*headers, ("Content-Length", str(len(body))), *self._last_words()]
+        fields = [*headers, (b"Content-Length", b"%d" % len(body)), *self._last_words()]
         head = self._request is not None and self._request.method == b"HEAD"
         data = [] if head or not body else [h11.Data(data=body)]
         self.send(h11.Response(status_code=status, headers=fields), *data, h11.EndOfMessage())
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -15,7 +15,7 @@
 from lilacsill.discovery import Listing, ListingParser
 
 FIELDS = ("inflight", "queue", "util")
-ASK = Ask("POST", "/api", [("Request-Id", "1")], b"job")
+ASK = Ask("POST", "/api", [(b"Request-Id", b"1")], b"job")
 CLOCK = Clock()
 
 
@@ -122,7 +122,7 @@
         server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1024)
         port = server.sockets[0].getsockname()[1]
         # More than all buffers between the two can hold.
-        big = Ask("POST", "/api", [("Request-Id", "1")], b"x" * 64 * 1024 * 1024)
+        big = Ask("POST", "/api", [(b"Request-Id", b"1")], b"x" * 64 * 1024 * 1024)
         assert (await begin(backends(port), big)).outcome is Outcome.CONNECT_FAILED
         server.close()
 
@@ -256,7 +256,7 @@
         first = begin(b)
         message = await peer.requests.get()
         held_connects(monkeypatch)
-        second = begin(b, Ask("POST", "/api", [("Request-Id", "2")], b"job"), 10_000_000)
+        second = begin(b, Ask("POST", "/api", [(b"Request-Id", b"2")], b"job"), 10_000_000)
         await message.answer()
         assert (await first).outcome is Outcome.OK
         again = await peer.requests.get()
