--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -77,7 +77,7 @@
             log.info("%s takes calls on %s:%d", config.name, config.control.host, control_port)
             path = path_for(config.listen)
             succession = operators.succession = Succession(path, operators)
-            heritage = inherit(path)
+            heritage = await asyncio.to_thread(inherit, path)  # the door answers meanwhile
         if heritage is not None and succession is not None:
             agent.resume(heritage.state, config.known)
             operators.resume(heritage.state)
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -119,7 +119,8 @@
     # The operators' side
 
     def levels(self) -> Levels:
-        return Levels(len(self._held), len(self._roster), self._balancer.avoided(self._clock.now()))
+        taken = sum(isinstance(h.call.body, bytes) or h.call.body.whole for h in self._held.values())
+        return Levels(taken, len(self._roster), self._balancer.avoided(self._clock.now()))
 
     def detach(self, backend: str, vouched: bool = False) -> None:
         """Send nothing new to a backend, whatever discovery says. LookupError if it never was listed."""
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -225,6 +225,7 @@
             request = upload(framing)
             client = await w.ask(request[:-500_000])
             await half_seen.wait()  # before all of it was written
+            assert (await figures(w))["agent.pending"] == 0  # taken once its last byte has come
             await client.write(request[-500_000:])
             head, body = await got.get()
             assert body == LARGE and head["request-id"] == "9b1f" and head["idempotency-key"] == "5c0f"
