--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -35,7 +35,7 @@
 POLL_S = 0.01  # while the last requests end
 # From connecting, or from a request's first byte. Whoever stops is owed an error within 3 s, while an honest
 # client may take 2 s for a head, and 64 kB a second are its body's mean: single pieces come as they may.
-HEAD_S, DECIDED_S = 2.5, 2.9
+HEAD_S, DECIDED_S = 2.5, 2.7
 STOPPED_S, SILENT_S = 0.4, 5.0  # of silence in a body: once DECIDED_S are over, and of who went on past that
 BODY_RATE, BODY_START_S = 32_000, 0.5  # bytes a second at least, counted from so long after the head
 HEAD_END = re.compile(rb"\n\r?\n")
