Leave clients their connections while two processes run

Cause: while two processes ran each kept to half of the client connections (64 of 160), the old one closing an idle one for each that came, the new one letting the rest wait until the old had ended. Clients' connections are the agent's as a whole and do not double; only those to backends are halved now, and the process that goes closes on nobody for want of room. Ruled out: descriptors (226 of 384), the listener's queue (512), the end of the old process (it waits for connections accepted and not yet set up).

--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -37,7 +37,7 @@
 
 def most_connections(sockets: int, processes: int) -> int:
     """On either side of one process, where so many share the descriptors."""
-    return max(1, (sockets // processes - DESCRIPTORS_APART) // 2)
+    return max(1, (sockets - DESCRIPTORS_APART) // (2 * processes))
 
 
 def assemble(config: Config, clock: Clock, figures: Figures) -> tuple[Agent, Server]:
--- a/lilacsill/operators.py
+++ b/lilacsill/operators.py
@@ -104,6 +104,8 @@
             log.warning("by the other process: no such server: %s", e)
 
     def beside(self, processes: int) -> None:
-        most = self._most(processes)
-        self._server.limit(most)
-        self._agent.limit(most)
+        # The clients are the agent's and move over one by one; it is the connections to backends that double.
+        # One process is not to close on clients for want of room, nor the other to keep them waiting.
+        succeeded = self.succession is not None and self.succession.succeeded
+        self._server.limit(self._most(1), shared=succeeded)
+        self._agent.limit(self._most(processes))
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -598,6 +598,7 @@
         self._emptying: asyncio.Task[None] | None = None
         self.listener: socket.socket | None = None
         self._accepting = False
+        self._shared = False
         self._coming: set[asyncio.Task[object]] = set()  # accepted, and not yet among the connections
 
     async def listen(self, address: Address, shared: bool = False) -> int:
@@ -612,9 +613,11 @@
         self.freed()
         return int(listener.getsockname()[1])
 
-    def limit(self, most: int) -> None:
-        """So many connections at once from now on; those in use beyond it end in their own time."""
-        self._most = most
+    def limit(self, most: int, shared: bool) -> None:
+        """So many connections at once from now on; those beyond it end in their own time. Where the listener
+        is shared, what is not accepted here because of it is left to the other process."""
+        self._most, self._shared = most, shared
+        self.freed()
 
     def freed(self) -> None:
         """A connection has ended or fallen idle: one more may come."""
@@ -646,6 +649,8 @@
         """Whether one more may come. At the limit an idle one makes way."""
         if len(self.connections) + len(self._coming) < self._most:
             return True
+        if self._shared:
+            return False
         idle = next((c for c in self.connections if c.idle), None)
         if idle is not None:
             idle.drop()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -218,6 +218,23 @@
     asyncio.run(run())
 
 
+def test_beyond_the_limit_a_shared_listener_is_left_to_the_other_process(tmp_path: Path) -> None:
+    # Idle connections that made way came back, each at the cost of another request.
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            first = await w.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert (await first.read()).status == 200
+            w.server.limit(1, shared=True)
+            second = await w.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+            while w.server._accepting:
+                await asyncio.sleep(0)
+            assert len(w.server.connections) == 1 and not first.told_of_close()
+            w.server.limit(2, shared=False)
+            assert (await second.read()).status == 200
+
+    asyncio.run(run())
+
+
 async def ask_until_taken(port: int, backend: Peer, request: bytes) -> tuple[Conversation, Message]:
     """As clients do: one whose connection was closed before the request was read sends it on a new one."""
     while True:
