--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -75,7 +75,8 @@
         if config.control is not None:
             control_port = await door.listen(config.control)
             log.info("%s takes calls on %s:%d", config.name, config.control.host, control_port)
-            path = path_for(config.listen)
+        path = path_for(config.listen) if config.control is not None else None
+        if path is not None:
             succession = operators.succession = Succession(path, operators)
             heritage = await asyncio.to_thread(inherit, path)  # the door answers meanwhile
         if heritage is not None and succession is not None:
--- a/lilacsill/handover.py
+++ b/lilacsill/handover.py
@@ -53,9 +53,13 @@
     early: bytes  # what has come on the link already
 
 
-def path_for(listen: Address) -> Path:
-    """Where the process that serves clients at this address is to be found."""
-    return Path(tempfile.gettempdir()) / f"lilacsill-{listen.host}-{listen.port}.sock"
+def path_for(listen: Address) -> Path | None:
+    """Where the process that serves clients at this address is to be found; None: nowhere."""
+    try:
+        return Path(tempfile.gettempdir()) / f"lilacsill-{listen.host}-{listen.port}.sock"
+    except OSError as e:
+        log.warning("no other process can take over: %s", e)
+        return None
 
 
 @contextlib.contextmanager
@@ -79,11 +83,12 @@
 
 def inherit(path: Path) -> Heritage | None:
     """Ask the process that serves for what it has. None, with a line in the log, where that cannot be had."""
-    if not path.exists():
-        return None
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     fds: list[int] = []
     try:
+        if not path.exists():
+            sock.close()
+            return None
         state, early = _ask(sock, path, fds)
         listener = socket.socket(fileno=fds.pop())
         return Heritage(listener, state, sock, early)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -152,8 +152,6 @@
             second, _ = await s.run()
             second.kill()
             await second.wait()
-            path = handover.path_for(Address("127.0.0.1", s.port))
-            path = tmp_path / path.name
             assert first.stderr is not None
             while b"has ended" not in (line := await first.stderr.readline()):
                 assert line
@@ -227,6 +225,16 @@
         sock.close()
 
 
+def test_without_a_place_to_keep_anything_it_starts_all_the_same(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    def none() -> str:
+        raise FileNotFoundError("no usable temporary directory")
+
+    monkeypatch.setattr("tempfile.gettempdir", none)
+    assert handover.path_for(Address("127.0.0.1", 1)) is None
+    assert "no other process can take over" in caplog.text
+
+
 def test_the_first_start_says_nothing(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
     assert handover.inherit(tmp_path / "x.sock") is None
     assert not caplog.text
