--- /dev/null
+++ b/fleetsim/__main__.py
@@ -0,0 +1,4 @@
+"""python -m fleetsim"""
+from .cli import main
+
+main()
--- /dev/null
+++ b/fleetsim/ours.py
@@ -0,0 +1,142 @@
+"""The project's own decisions in the emulator: whole, and with single parts switched off.
+
+Nothing of them is copied: a part is switched off by a subclass or by a setting, all else is the real code.
+"""
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+from typing import Any
+
+import brasshead.interface as q
+from brasshead import logic
+from brasshead.logic import Balancer, ColdBudget, Health, LoadTable, Request, Server
+
+
+class _NoHealth(Health):
+    def admits(self, s: Server, now: int, typical: float) -> bool:
+        return True
+
+
+class _NoCold(ColdBudget):
+    def admits(self, s: Server, now: int, luck: float, asked: bool, mean: float) -> bool:
+        return True
+
+
+class _OnePace(LoadTable):
+    def pace_of(self, s: Server, now: int, warmth: float) -> float:
+        return self.pace or 1.0
+
+
+class WithoutAdmission(Balancer):
+    """Nothing is refused for its predicted time."""
+
+    def _hopeful(self, r: Request, s: Server, limit: float, left: int) -> bool:
+        return True
+
+
+class WithoutGiveWay(Balancer):
+    """Clients' retries are treated as first tries."""
+
+    def _advance(self, r: Request) -> None:
+        r.gives_way = False
+        super()._advance(r)
+
+
+class WithoutBearable(Balancer):
+    """Each class is held to its own aim, not to the shortest of those worth as much."""
+
+    def __init__(self, settings: q.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.bearable = {c.name: c.aim_us for c in settings.classes}
+
+
+class WithoutHealth(Balancer):
+    """No server is left out of sampling for what it did."""
+
+    def __init__(self, settings: q.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.health = _NoHealth(self.rng, self._log)
+
+
+class WithoutCold(Balancer):
+    """Servers that have just started get their full part; the rule on them may break."""
+
+    def __init__(self, settings: q.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.cold = _NoCold(settings)
+
+
+class WithoutPace(Balancer):
+    """All servers are taken to be equally fast."""
+
+    def __init__(self, settings: q.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.table = _OnePace(settings)
+
+
+class WithoutAsking(Balancer):
+    """Samples are not asked for their load."""
+
+    def __init__(self, settings: q.Settings, seed: int) -> None:
+        super().__init__(replace(settings, can_probe=False), seed)
+
+
+class WithoutPeers(Balancer):
+    """No datagrams are sent."""
+
+    def __init__(self, settings: q.Settings, seed: int) -> None:
+        super().__init__(replace(settings, can_tell=False), seed)
+
+
+class WithoutCopies(Balancer):
+    """No second copy goes out while the first runs."""
+
+    def __init__(self, settings: q.Settings, seed: int) -> None:
+        super().__init__(replace(settings, second_copies=False), seed)
+
+
+PARTS: dict[str, type[Balancer]] = {
+    "admission": WithoutAdmission, "giveway": WithoutGiveWay, "bearable": WithoutBearable,
+    "health": WithoutHealth, "cold": WithoutCold, "pace": WithoutPace, "asking": WithoutAsking,
+    "peers": WithoutPeers, "copies": WithoutCopies,
+}
+
+
+class SettingError(Exception):
+    """A constant of the decisions cannot be set so; the text is one line."""
+
+
+def constants() -> dict[str, float]:
+    """The numbers at the head of brasshead/logic.py, by name."""
+    return {name: value for name, value in vars(logic).items()
+            if name.isupper() and isinstance(value, int | float) and not isinstance(value, bool)}
+
+
+def parse_settings(texts: list[str]) -> dict[str, float]:
+    """NAME=NUMBER, each name a constant of the decisions. Raises SettingError."""
+    known, result = constants(), {}
+    for text in texts:
+        name, _, value = text.partition("=")
+        if name not in known:
+            raise SettingError(f"--set {text}: no constant {name}; known are {', '.join(sorted(known))}")
+        try:
+            result[name] = int(value) if isinstance(known[name], int) else float(value)
+        except ValueError:
+            raise SettingError(f"--set {text}: {value!r} is no number of that kind; "
+                               f"it stands at {known[name]}") from None
+    return result
+
+
+@contextmanager
+def constants_set(changes: dict[str, float]) -> Iterator[None]:
+    """The decisions with other constants, for the length of a run in this process."""
+    old: dict[str, Any] = {name: getattr(logic, name) for name in changes}
+    try:
+        for name, value in changes.items():
+            setattr(logic, name, value)
+        yield
+    finally:
+        for name, value in old.items():
+            setattr(logic, name, value)
--- /dev/null
+++ b/fleetsim/trace.py
@@ -0,0 +1,169 @@
+"""A record of one run: what an agent saw, what was true, and why it decided as it did.
+
+One JSON object a line. The first is a header; then `arrived`, `decided`, `ended` (an attempt), `concluded` (a
+try) and `log`, in the order of the run's clock (us from its start). Only runs that ask for it are recorded.
+"""
+from __future__ import annotations
+
+from pathlib import Path
+from typing import IO, TYPE_CHECKING, Any
+
+import msgspec
+
+import brasshead.interface as q
+from brasshead import logic
+from brasshead.logic import Balancer, Request, Server
+
+if TYPE_CHECKING:
+    from .agents import Host
+    from .requests import Attempt, Try
+    from .world import World
+
+VERSION = 1
+
+
+class Trace:
+    """Writes the record to a file as the run goes; nothing of it is kept in memory."""
+
+    def __init__(self, path: Path, about: dict[str, Any]) -> None:
+        self.path = path
+        self._file: IO[bytes] = path.open("wb")
+        self._encoder = msgspec.json.Encoder()
+        self._about = about
+        self.world: World | None = None
+
+    def watch(self, world: World) -> None:
+        self.world = world
+        self._write({"fleetsim_trace": VERSION, **self._about, "classes": [c.name for c in world.s.cls],
+                     "aims_ms": [c.aim_ms for c in world.s.cls],
+                     "agents": len(world.day.agents), "servers": len(world.day.servers)})
+
+    def follow(self, balancer: Balancer, agent: int) -> None:
+        """Have a balancer of class Tracing say what it does."""
+        assert isinstance(balancer, Tracing)
+        balancer.trace, balancer.agent = self, agent
+
+    def close(self) -> None:
+        self._file.close()
+
+    def _write(self, what: dict[str, Any]) -> None:
+        self._file.write(self._encoder.encode(what))
+        self._file.write(b"\n")
+
+    def note(self, event: str, agent: int, request: int, **what: Any) -> None:
+        assert self.world is not None
+        self._write({"t": self.world.engine.now - self.world.start, "event": event, "agent": agent,
+                     "request": request, **what})
+
+    def arrived(self, host: Host, t: Try) -> None:
+        self.note("arrived", host.index, t.id, cls=t.first.cls, try_=t.first.tries, key=t.first.key,
+                  work_ms=t.first.work / 1000, patience_ms=(t.until - host.world.engine.now) / 1000)
+
+    def attempt_ended(self, host: Host, attempt: Attempt, outcome: str, took: int) -> None:
+        self.note("ended", host.index, attempt.try_.id, cls=attempt.try_.first.cls, attempt=attempt.number,
+                  server=attempt.server.id, outcome=outcome, took_ms=took / 1000,
+                  asked_ms=attempt.asked / 1000)
+
+    def concluded(self, host: Host, t: Try, how: str) -> None:
+        self.note("concluded", host.index, t.id, cls=t.first.cls, how=how,
+                  since_first_ms=(host.world.engine.now - t.first.at) / 1000)
+
+    def logged(self, host: Host, text: str) -> None:
+        self.note("log", host.index, 0, text=text)
+
+    def truth(self, name: str, zone: int) -> dict[str, Any]:
+        """A server as it is now: what it holds, and about how long one more mean request would take there."""
+        assert self.world is not None
+        world, server = self.world, self.world.servers[name]
+        if not server.up or server.fallen or server.silent or world.links.cut(zone, server.zone):
+            return {"true_held": server.held, "true_ms": None}
+        # Shared by all in work once there are more of them than cores.
+        alone = world.day.mean_work * server.cores / max(1e-9, server.capacity())
+        return {"true_held": server.held,
+                "true_ms": round(alone * max(1.0, (server.held + 1) / server.cores) / 1000, 1)}
+
+
+class Tracing(Balancer):
+    """The real decisions, which also say what they looked at. Each override calls what it stands for."""
+
+    trace: Trace
+    agent: int
+
+    def handle(self, now: int, event: q.Event) -> list[q.Action]:
+        self.looked: dict[str, dict[str, Any]] = {}  # what one decision is made of
+        return super().handle(now, event)
+
+    def _advance(self, r: Request) -> None:
+        self.looked = {}
+        self.acted = ""
+        super()._advance(r)
+        if not self.acted:
+            self._say(r, "hold" if r.pair is None else "ask")
+
+    def _say(self, r: Request, act: str, **what: Any) -> None:
+        self.acted = act
+        self.trace.note("decided", self.agent, r.id, act=act, cls=self.settings.classes.index(r.cls),
+                        retry=r.gives_way, left_ms=(r.aim_at - self.now) / 1000, ready=len(self.ready),
+                        looked=list(self.looked.values()), **what)
+
+    def _look(self, r: Request, s: Server) -> dict[str, Any]:
+        seen = self.looked.get(str(s.id))
+        if seen is None:
+            others = self.table.others(s, self.now)
+            own = s.own(self.now)
+            seen = self.looked[str(s.id)] = {
+                "server": str(s.id), "own": round(own, 2), "others": round(others, 2),
+                "pace_ms": round(s.pace / 1000, 2), "warmth": round(self.cold.warmth(s, self.now), 3),
+                "age_ms": (self.now - s.heard_at) // 1000 if s.heard_at else None,
+                "predicted_ms": round((own + others + r.size) * s.pace / 1000, 1),
+                "verdict": "tried" if s in r.tried else "fit",
+                **self.trace.truth(str(s.id), self.settings.zone)}
+        return seen
+
+    def _admits(self, r: Request, s: Server) -> bool:
+        admitted = super()._admits(r, s)
+        seen = self._look(r, s)
+        if not admitted:
+            cold = self.cold.admits(s, self.now, r.luck, self.asks, self.table.mean)
+            well = self.health.admits(s, self.now, self.table.typical)
+            seen["verdict"] = "ill" if not well else "cold" if not cold else "unheard"
+        return admitted
+
+    def _hopeful(self, r: Request, s: Server, limit: float, left: int) -> bool:
+        hopeful = super()._hopeful(r, s, limit, left)
+        seen = self._look(r, s)
+        seen["limit_ms"] = round(limit / 1000, 1) if limit != float("inf") else None
+        if not hopeful:
+            seen["verdict"] = "full"
+        return hopeful
+
+    def _rank(self, s: Server) -> float:
+        rank = super()._rank(s)
+        if hasattr(self, "ranks"):
+            self.ranks.append(rank)
+        return rank
+
+    def _lighter(self, r: Request, pair: tuple[Server, Server]) -> tuple[Server, float]:
+        self.ranks: list[float] = []
+        chosen = super()._lighter(r, pair)
+        for s, rank in zip(pair, self.ranks, strict=True):
+            seen = self._look(r, s)
+            seen["rank_ms"] = round(rank / 1000, 1)
+            seen["band"] = sum(rank >= cut for cut in self.table.cuts)
+        del self.ranks
+        return chosen
+
+    def _send(self, r: Request, s: Server, load: float) -> None:
+        number = r.sends
+        super()._send(r, s, load)
+        self._say(r, "send", server=str(s.id), attempt=number, predicted_ms=round(load * s.pace / 1000, 1),
+                  **self.trace.truth(str(s.id), self.settings.zone))
+
+    def _finish(self, r: Request) -> None:
+        best = min((t["true_ms"] for s in self.ready
+                    if (t := self.trace.truth(str(s.id), self.settings.zone))["true_ms"] is not None),
+                   default=None)
+        self._say(r, "refuse" if r.may_refuse() else "fail", best_true_ms=best, sends=r.sends,
+                  pace_ms=round(self.table.pace / 1000, 2), typical_ms=round(self.table.typical / 1000, 1),
+                  budget=round(self.budget, 2), headroom=logic.HEADROOM)
+        super()._finish(r)
