--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -34,8 +34,10 @@
 RETRY_SHARE, RETRY_BURST = 0.15, 10.0  # repeats that may load the servers, as a share of first tries
 HEDGE_FIT = 0.9  # second copies only while this share of draws fits: else they displace first tries
 IDLE = 8.0  # attempts that all balancers together may hold at a server whatever is predicted
-HEADROOM = 0.45  # predicted time to an answer, as a share of the time to the aim: the rest is for the spread
+HEADROOM = 1.4  # predicted time to an answer at which a request is refused, as a share of that to the aim
 GIVE_WAY = 0.2  # the same for a client's retry and for requests beyond their tenant's share
+SOFTER = 0.25  # servers within this share of that are sampled first: a choice among the full ones comes last
+TRUST = 0.25  # of what a report tells beyond the mean, while nothing is known of how long such a thing lasts
 DRAWS = 16  # samples drawn until two fit the request; no more servers than this are looked at one by one
 REINDEX = 4  # the cutoffs of n servers serve n / 4 picks: the cost of a pick must not grow with n
 COLD_MARGIN = 4.0  # from this fall multiple on a cold server gets its full part: two samples can double it
@@ -55,7 +57,7 @@
     __slots__ = ("id", "zone", "cell", "hint", "state", "started_at", "open", "residue", "residue_at",
                  "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at",
                  "failing", "streak", "out_until", "out_us", "allowance", "asked_at", "askers",
-                 "pace", "service", "news_at", "luck", "streams")
+                 "pace", "service", "news_at", "luck", "streams", "reported", "beyond")
 
     def __init__(self, b: Backend, now: int, luck: float) -> None:
         self.id, self.luck = b.id, luck
@@ -82,6 +84,7 @@
         """Forget what was learned of an earlier process."""
         self.news_at = now  # when it was last heard of in any way
         self.pace = 1.0  # as of the last look at the table
+        self.reported, self.beyond = -1.0, 0.0  # its last report, and what that told beyond the mean
         self.residue = self.others = self.service = self.latency = self.load = self.failing = 0.0
         self.residue_at = self.heard_at = self.answered_at = self.ended_at = self.samples = self.streak = 0
         self.out_until = self.out_us = self.allowance = 0  # allowance 0: no limit
@@ -90,11 +93,12 @@
 class Request:
     """A request this balancer has taken, until its answer is given and its attempts have ended."""
 
-    __slots__ = ("id", "cls", "deadline", "aim_at", "gives_way", "sends", "out", "may_have_run",
+    __slots__ = ("id", "cls", "number", "deadline", "aim_at", "gives_way", "sends", "out", "may_have_run",
                  "tried", "done", "luck", "size", "pair", "silent", "pairs", "streamed", "begun")
 
     def __init__(self, e: RequestArrived, cls: RequestClass, now: int, luck: float, size: float) -> None:
-        self.id, self.cls, self.deadline = e.request, cls, now + e.patience_us
+        self.id, self.cls, self.number = e.request, cls, e.request_class
+        self.deadline = now + e.patience_us
         self.aim_at = min(now + cls.aim_us + int(cls.aim_stretch * e.cost_us), self.deadline)
         self.gives_way = self.done = False
         self.luck = luck  # one for its whole life: a held request must not draw until a cold server takes it
@@ -144,15 +148,19 @@
         self.service_column = fields.index("latency_ms") if "latency_ms" in fields else -1
         self.hinted = settings.capacity_hints
         self.cuts: list[float] = []
-        self.mean = self.mean_service = 0.0  # of the table: loads heard of, reported service times
+        self.mean = self.mean_others = self.mean_service = 0.0  # of the table: loads heard of, service times
+        self.trust, self.kept, self.spread = TRUST, 0.0, 0.0  # of reports; moments of successive ones
         self.mean_hint, self.cost = 1.0, 0.0  # capacity hints; cost of a request by its hints
         self.news_at = 0  # when the median server was last heard of
         self.pace = self.typical = 0.0  # fleet: time per unit of load, latency of answers
 
     def look(self, servers: list[Server], now: int) -> None:
         """What the entries come to in the mean."""
-        heard = [s.own(now) + max(0.0, s.others) for s in servers if s.heard_at]
-        self.mean = sum(heard) / len(heard) if heard else 0.0
+        heard = [s for s in servers if s.heard_at]
+        if heard:
+            self.mean_others = sum(max(0.0, s.others) for s in heard) / len(heard)
+            self.mean = self.mean_others + sum(s.own(now) for s in heard) / len(heard)
+        self.trust = max(0.0, min(1.0, (self.kept + TRUST) / (self.spread + 1.0)))
         self.news_at = sorted(s.news_at for s in servers)[len(servers) // 2] if servers else 0
         known = [s.service for s in servers if s.service]
         self.mean_service = sum(known) / len(known) if known else 0.0
@@ -160,11 +168,24 @@
             self.mean_hint = sum(s.hint for s in servers) / len(servers)
 
     def others(self, s: Server, now: int) -> float:
-        """What all others hold at a server: as reported, but with age, or unheard, the mean of the table."""
+        """What all others hold at a server: near the mean, as far as reports of what lies beyond it last."""
         if not s.heard_at:
             return self.mean
         age = max(FRESH_US, now - s.heard_at)
-        return self.mean + (max(0.0, s.others) - self.mean) * FRESH_US / age
+        return self.mean_others + self.trust * (max(0.0, s.others) - self.mean_others) * FRESH_US / age
+
+    def reports(self, s: Server, held: float, others: float) -> None:
+        """Learn from two reports in a row how much of the one is left at the time of the next.
+
+        A report is late and lives for some requests' time; all who believed it met at the servers it called
+        light. What persists, as at a slow server, shows as correlation, and is believed for that part.
+        """
+        if held != s.reported:
+            beyond = others - self.mean_others
+            if s.reported >= 0:
+                self.kept += GAIN / 4 * (s.beyond * beyond - self.kept)
+                self.spread += GAIN / 4 * (s.beyond * s.beyond - self.spread)
+            s.reported, s.beyond = held, beyond
 
     def size_of(self, cost_us: int) -> float:
         """The work of a request as a multiple of the mean request's; 1 where nothing tells it."""
@@ -200,6 +221,7 @@
         if self.column >= 0 and len(e.report) > self.column:
             # The report holds our own attempts too: what remains after them is the others' share.
             others = e.report[self.column] - s.held() - 1
+            self.reports(s, e.report[self.column], others)
             gain = 1.0 if not s.heard_at else max(GAIN, min(1.0, (now - s.heard_at) / FRESH_US))
             s.others += gain * (others - s.others)
             s.heard_at = s.news_at = now
@@ -223,6 +245,41 @@
             s.residue, s.residue_at = s.own(now) - s.held() + 1.0, now
 
 
+class Needs:
+    """How much work each class asks for, as a multiple of the mean request's, by the time of its answers.
+
+    Held to the mean request's time, the short classes were refused first, though they are worth the most for
+    their work, while the one that can wait longest filled the servers.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.classes = settings.classes
+        self.of = [1.0] * len(self.classes)
+        self.took, self.expected = [0.0] * len(self.classes), [0.0] * len(self.classes)
+        self.bearable = [0.0] * len(self.classes)
+        self.look(0.0)
+
+    def learn(self, number: int, took: int, expected: float) -> None:
+        """An answer came; expected is what the mean request would have taken in its place."""
+        self.took[number] += took - GAIN / 4 * self.took[number]
+        self.expected[number] += expected - GAIN / 4 * self.expected[number]
+
+    def look(self, typical: float) -> None:
+        """What each class needs, and the mean request's time up to which it may crowd a server."""
+        if typical:
+            mean, prior = (sum(self.took) or 1.0) / (sum(self.expected) or 1.0), PRIOR * typical
+            self.of = [(took + prior) / (mean * expected + prior)
+                       for took, expected in zip(self.took, self.expected, strict=True)]
+        by_work = [c.worth / need for c, need in zip(self.classes, self.of, strict=True)]
+        most = max(by_work) or 1.0
+        # Where not all can be served, work goes where it is worth most: no class crowds the servers beyond
+        # what those worth more for their work can bear, and the less it is worth, the less it may.
+        self.bearable = [
+            max(mine / most, 1e-9) * min(c.aim_us / need for c, need, worth in zip(
+                self.classes, self.of, by_work, strict=True) if worth >= mine)
+            for mine in by_work]
+
+
 class Health:
     """Which servers are left out of sampling, on strong evidence only, and how they come back."""
 
@@ -355,8 +412,7 @@
         self.health = Health(self.rng, self._log)
         self.cold = ColdBudget(settings)
         self.shares = TenantShares(settings)
-        self.bearable = {c.name: min(d.aim_us for d in settings.classes if d.worth >= c.worth)
-                         for c in settings.classes}
+        self.needs = Needs(settings)
         self.idle = IDLE / settings.siblings
         # Asking both samples of each request must be cheap, and there must be something to learn by it.
         self.asks = (settings.can_probe and self.table.column >= 0
@@ -541,7 +597,7 @@
         r.pair, r.silent = None, []
         fit = [s for s in pair if s not in silent and self._may_go(r, s)
                and self.cold.admits(s, self.now, r.luck, self.asks, self.table.mean)  # it may be anew
-               and self._hopeful(r, s, limit, left)]
+               and self._hopeful(r, s, limit, left, True)]
         if fit and self._left(r) > 0:
             return self._send(r, *self._lighter(r, (fit[0], fit[-1])))
         if r.pairs < ASK_PAIRS:
@@ -578,26 +634,32 @@
 
     def _two(self, r: Request, pool: list[Server]) -> tuple[Server, Server] | None:
         """Two uniform samples with replacement among the servers that are fit for this request."""
-        random, n = self.rng.random, len(pool)
         self._index()
-        limit, left = self._limit(r), r.aim_at - self.now
+        limit = self._limit(r)
+        return self._two_within(r, pool, SOFTER * limit, False) or self._two_within(r, pool, limit, True)
+
+    def _two_within(self, r: Request, pool: list[Server], limit: float, last: bool
+                    ) -> tuple[Server, Server] | None:
+        """Two such samples where the request's answer is predicted within a time."""
+        random, n, left = self.rng.random, len(pool), r.aim_at - self.now
         fit: list[Server] = []
         draws = warm = warm_fit = 0
         while draws < max(2, min(DRAWS, n // 2)) and len(fit) < 2:  # uniform over those that fit
             s = pool[int(random() * n)]
             draws += 1
-            fits = s not in r.tried and self._admits(r, s) and self._hopeful(r, s, limit, left)
+            fits = s not in r.tried and self._admits(r, s) and self._hopeful(r, s, limit, left, last)
             if fits:
                 fit.append(s)
             if self.cold.warmth(s, self.now) >= 1.0:
                 warm, warm_fit = warm + 1, warm_fit + fits
-        self.cold.drew(warm_fit, warm)
+        if last or len(fit) == 2:
+            self.cold.drew(warm_fit, warm)
         if len(fit) == 2:
             return fit[0], fit[1]
         if n <= DRAWS:
             fit = [s for s in pool if self._admits(r, s)]
             fit = [s for s in fit if s not in r.tried] or fit
-            fit = [s for s in fit if self._hopeful(r, s, limit, left)]
+            fit = [s for s in fit if self._hopeful(r, s, limit, left, last)]
         return (fit[int(random() * len(fit))], fit[int(random() * len(fit))]) if fit else None
 
     def _index(self) -> None:
@@ -611,34 +673,40 @@
         self.table.look(self.ready, now)
         for s in self.ready:
             s.pace = self.table.pace_of(s, now, self.cold.warmth(s, now))
+        self.needs.look(self.table.typical)
         self.table.cuts = cutoffs([self._rank(s) for s in self.ready]) if n else []
 
     def _limit(self, r: Request) -> float:
-        """The longest predicted time to an answer with which a server may still be sampled."""
+        """The longest predicted time of the mean request's answer with which a server may be sampled."""
         if not self.table.pace:
             return float("inf")
-        # A class that can wait longer must not crowd the servers beyond what one worth as much can bear.
         share = GIVE_WAY if r.gives_way else HEADROOM
-        return min(r.aim_at - self.now, self.bearable[r.cls.name]) * share
+        return share * min((r.aim_at - self.now) / self.needs.of[r.number], self.needs.bearable[r.number])
 
-    def _hopeful(self, r: Request, s: Server, limit: float, left: int) -> bool:
-        """Whether a server may be sampled, by its predicted time and what it holds of ours."""
+    def _hopeful(self, r: Request, s: Server, limit: float, left: int, last: bool) -> bool:
+        """Whether a server may be sampled, by its predicted time and what it holds of ours.
+
+        last: the limit is the one at which a request is refused, and what is only guessed may be tried.
+        """
         # Heavy requests that no server could answer in time took a third of the fleet. While most are idle
         # they displace little, and hints are rough: then they may try.
         workable = r.size <= 1.0 or r.size * s.pace * min(1.0, self.table.mean) <= left
+        own = s.own(self.now)
+        held = own + self.table.others(s, self.now)
+        predicted = (held + r.size) * s.pace
+        if not last:
+            return workable and (held < 1.0 or predicted <= limit)
+        need = self.needs.of[r.number]
         if self.now - s.heard_at <= self.known_us:
             # Known, not guessed: no pass here, but one that holds nothing is fit.
-            held = s.own(self.now) + self.table.others(s, self.now)
             # Nor is it refused for what comes after the aim but keeps part of its worth.
-            late = 0.0 if r.gives_way else r.cls.late_worth * (r.deadline - r.aim_at)
-            return workable if held < 1.0 else (held + r.size) * s.pace <= limit + HEADROOM * late
+            late = 0.0 if r.gives_way else HEADROOM * r.cls.late_worth * (r.deadline - r.aim_at) / need
+            return workable if held < 1.0 else predicted <= limit + late
         # A quiet balancer knows too little to refuse by a guess: a server that holds next to nothing of ours
         # may be tried. Shared over the balancers, or they keep a jam up; failed attempts count as held.
-        own = s.own(self.now)
         if own < min(1.0, self.idle):
             return workable
-        predicted = (own + self.table.others(s, self.now) + r.size) * s.pace
-        return predicted <= limit or (own < self.idle and predicted <= left)
+        return predicted <= limit or (own < self.idle and predicted * need <= left)
 
     def _rank(self, s: Server) -> float:
         """What the bands are made of."""
@@ -690,6 +758,8 @@
         s.open.pop((r.id, e.attempt), None)
         s.streams.pop((r.id, e.attempt), None)
         if e.attempt != r.begun:
+            if e.outcome is Outcome.OK and s.samples:
+                self.needs.learn(r.number, e.latency_us, load * s.pace)
             self.table.ended(now, s, e, load)
         self.cold.ended(e.outcome)
         if self.tells and e.outcome is Outcome.OK and len(e.report) > self.table.column:
