--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -93,7 +93,7 @@
 
 
 def test_a_class_is_held_to_its_own_time_and_not_to_the_mean_one() -> None:
-    # big-6: of orders with 60 ms of work among views with 150 a fifth was refused, predicted three times over.
+    # big-6: of orders with 60 ms of work among views with 150 a fifth was refused, predicted far too long.
     short, long = RequestClass("short", 500 * MS, 2 * SECOND), RequestClass("long", 500 * MS, 2 * SECOND)
     d = Drive(short, servers=1, siblings=14, others=(long,))
     for _ in range(200):
