Send second copies only as far as they win

Why: work is heavy-tailed, and what takes three typical times is mostly much work at a sound server. Its copy does the work again and loses to the first. At size the loads hardly know of each other, so nothing held it back: the fit of draws is measured on guesses there.

Change: copies are paid for from an account of their own. It gets one back for each that wins the race, and 0.003 a first try so as to find out; where servers fall silent copies win and go on, where work is heavy they end.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -33,6 +33,7 @@
 TRIALS = 8  # readmission: at most this many attempts out at once before all limits fall
 RETRY_SHARE, RETRY_BURST = 0.15, 10.0  # repeats that may load the servers, as a share of first tries
 HEDGE_FIT = 0.9  # second copies only while this share of draws fits: else they displace first tries
+HEDGE_SHARE, HEDGE_BURST = 0.003, 1.0  # and as many as win: this share of first tries finds out whether
 IDLE = 8.0  # attempts that all balancers together may hold at a server whatever is predicted
 HEADROOM = 1.4  # predicted time to an answer at which a request is refused, as a share of that to the aim
 GIVE_WAY = 0.2  # the same for a client's retry and for requests beyond their tenant's share
@@ -94,7 +95,8 @@
     """A request this balancer has taken, until its answer is given and its attempts have ended."""
 
     __slots__ = ("id", "cls", "number", "deadline", "aim_at", "gives_way", "sends", "out", "may_have_run",
-                 "tried", "done", "luck", "size", "pair", "silent", "pairs", "streamed", "begun")
+                 "tried", "done", "luck", "size", "pair", "silent", "pairs", "streamed", "begun",
+                 "copy")
 
     def __init__(self, e: RequestArrived, cls: RequestClass, now: int, luck: float, size: float) -> None:
         self.id, self.cls, self.number = e.request, cls, e.request_class
@@ -104,6 +106,7 @@
         self.luck = luck  # one for its whole life: a held request must not draw until a cold server takes it
         self.size = size  # its work as a multiple of the mean, where a hint tells it
         self.sends = self.pairs = 0
+        self.copy = -1  # the attempt that was sent while another was out
         self.streamed, self.begun = e.streamed, -1  # its body is passed on; the attempt whose answer is
         self.out: dict[int, tuple[Server, int, float]] = {}  # attempt: server, sent at, table load then
         self.may_have_run: list[tuple[int, Server, int]] = []  # attempts not proven never to have run
@@ -427,7 +430,7 @@
         self.tags: dict[int, Server] = {}
         self.picks_left = 0  # picks that the cutoffs still serve
         self.requests: dict[int, Request] = {}
-        self.budget = RETRY_BURST
+        self.budget, self.copies = RETRY_BURST, HEDGE_BURST
         self.due: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self.due_count = 0
         self.armed = 0  # the earliest timer that is set; 0: none
@@ -502,6 +505,7 @@
         r = Request(e, self.settings.classes[e.request_class], now, self.rng.random(), size)
         self.requests[e.request] = r
         self.budget = min(RETRY_BURST, self.budget + RETRY_SHARE)
+        self.copies = min(HEDGE_BURST, self.copies + HEDGE_SHARE)
         # A retry has lost part of its time to the aim unseen: served before first tries it came late.
         r.gives_way = self.shares.over(e.tenant, now) or e.is_retry
         self._advance(r)
@@ -739,7 +743,7 @@
         r, attempt = what
         if r.done or r.streamed or attempt not in r.out or len(r.out) > 1:
             return
-        if self.budget < 1.0 or self.cold.fit < HEDGE_FIT:
+        if min(self.budget, self.copies) < 1.0 or self.cold.fit < HEDGE_FIT:
             return
         pool = self._pool(r)
         pair = self._two(r, pool) if pool and r.sends < self.settings.max_attempts else None
@@ -747,7 +751,8 @@
             return
         server, load = self._lighter(r, pair)
         if server is not r.out[attempt][0]:
-            self.budget -= 1.0
+            # Most that takes long is much work, not a slow server: its copy does the work again, and loses.
+            self.budget, self.copies, r.copy = self.budget - 1.0, self.copies - 1.0, r.sends
             self._send(r, server, load)
 
     def _ended(self, e: AttemptEnded) -> None:
@@ -768,6 +773,8 @@
         if e.outcome is not Outcome.TIMEOUT or s.answered_at <= sent:
             self.health.ended(s, now, e.outcome)
         self.shares.learn(s.held() + 1, max(0.0, s.others))
+        if e.outcome is Outcome.OK and e.attempt == r.copy and not r.done:
+            self.copies = min(HEDGE_BURST, self.copies + 1.0)
         if e.outcome in NEVER_RAN:
             r.may_have_run = [m for m in r.may_have_run if m[0] != e.attempt]
         if e.finished and not r.done:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -424,6 +424,29 @@
     assert copies == {1.0: 1, 0.5: 0}
 
 
+def test_copies_that_lose_are_given_up_and_those_that_win_go_on() -> None:
+    # calm+mass: what took long was heavy work, each copy did it again, and the fleet was busier for it.
+    def copies(wins: bool) -> int:
+        d, sent = Drive(servers=8), 0
+        d.serve(60)
+        for _ in range(20):
+            first = only(d.request()[1], Send)[0]
+            second = only(d.wait(200 * MS), Send)
+            sent += len(second)
+            if second and wins:
+                d.end(second[0], Outcome.OK, attempt=1)
+                d.end(first, Outcome.CANCELLED, attempt=0)
+            else:
+                d.end(first, Outcome.OK, 200 * MS, attempt=0)
+                for lost in second:
+                    d.end(lost, Outcome.CANCELLED, attempt=1)
+            d.serve(5)  # the next request meets healthy servers
+        return sent
+
+    assert copies(wins=True) >= 15
+    assert copies(wins=False) <= 2
+
+
 def test_few_full_servers_do_not_keep_cold_ones_idle() -> None:
     # upgrade+hand: two warm servers were full, so that hardly a draw of them fitted; seven cold ones, at up
     # to half of their strength, held one request or none while over half of all requests were refused.
