Hand over what classes need and reports are worth; a baseline that hashes by key

Cause: a process that takes over learned the needs of classes and the worth of reports anew, with old limits meanwhile.

--- a/brasshead/memory.py
+++ b/brasshead/memory.py
@@ -10,6 +10,7 @@
           "streak", "out_until", "out_us", "allowance", "residue", "residue_at", "service", "news_at")
 TABLE = ("mean", "mean_hint", "mean_service", "news_at", "cost", "pace", "typical")
 COLD = ("answered", "fit")
+REPORTS = ("kept", "spread", "mean_others")  # these and the needs lack where an earlier version wrote
 
 
 def take(balancer: Balancer) -> dict[str, Any]:
@@ -18,6 +19,8 @@
         "servers": {str(s.id): [getattr(s, name) for name in SERVER] for s in balancer.servers.values()},
         "table": [getattr(balancer.table, name) for name in TABLE],
         "cold": [getattr(balancer.cold, name) for name in COLD],
+        "reports": [getattr(balancer.table, name) for name in REPORTS],
+        "needs": [*balancer.needs.took, *balancer.needs.expected],
         "part": balancer.shares.part,
         "budget": balancer.budget,
     }
@@ -29,13 +32,18 @@
         servers = {name: _numbers(values, SERVER) for name, values in memory["servers"].items()}
         table, cold = _numbers(memory["table"], TABLE), _numbers(memory["cold"], COLD)
         part, budget = float(memory["part"]), float(memory["budget"])
+        reports = _numbers(memory["reports"], REPORTS) if "reports" in memory else {}
+        needs = [float(x) for x in memory.get("needs", ())]
     except (KeyError, TypeError, AttributeError, ValueError) as e:
         raise ValueError(f"what was learned cannot be read: {type(e).__name__} {e}") from None
     known = [(s, servers[str(s.id)]) for s in balancer.servers.values() if str(s.id) in servers]
-    for owner, values in [*known, (balancer.table, table), (balancer.cold, cold)]:
+    for owner, values in [*known, (balancer.table, {**table, **reports}), (balancer.cold, cold)]:
         for name, value in values.items():
             setattr(owner, name, value)
     balancer.shares.part, balancer.budget = part, budget
+    classes = len(balancer.needs.took)
+    if len(needs) == 2 * classes:  # else the classes are others now
+        balancer.needs.took, balancer.needs.expected = needs[:classes], needs[classes:]
 
 
 def _numbers(values: list[Any], names: tuple[str, ...]) -> dict[str, float]:
--- a/fleetsim/policies.py
+++ b/fleetsim/policies.py
@@ -10,12 +10,14 @@
 from collections.abc import Callable
 from random import Random
 from typing import Any
+from zlib import crc32
 
 import brasshead.interface as q
 from brasshead.interface import Effect, Group, Outcome
 
 RETRY_SHARE, RETRY_BURST = 0.1, 10.0
 EWMA_US = 10_000_000  # decay of Peak EWMA
+BOUND = 1.5  # of BoundedHash
 HOLD_US = 50_000  # a request is looked at again this soon while no server is listed
 
 
@@ -55,8 +57,8 @@
             handler(event)
         return self.actions
 
-    def pick(self, among: list[q.Backend]) -> q.Backend:
-        """The server to send to."""
+    def pick(self, among: list[q.Backend], key: int) -> q.Backend:
+        """The server to send a request with this key to; 0 is none."""
         raise NotImplementedError
 
     def learn(self, server: q.Backend, outcome: Outcome, latency_us: int) -> None:
@@ -91,7 +93,7 @@
                 return
             self._finish(r)
             return
-        b = self.pick(fresh or among)
+        b = self.pick(fresh or among, r.event.key)
         r.out[r.sends] = (b, self.now)
         r.may_have_run.append((r.sends, b, self.now))
         r.tried.add(b.id)
@@ -147,7 +149,7 @@
 class UniformRandom(Baseline):
     """Each server with the same chance."""
 
-    def pick(self, among: list[q.Backend]) -> q.Backend:
+    def pick(self, among: list[q.Backend], key: int) -> q.Backend:
         return among[int(self.rng.random() * len(among))]
 
 
@@ -158,7 +160,7 @@
         super().__init__(settings, seed)
         self.turn = int(self.rng.random() * 1_000_000)
 
-    def pick(self, among: list[q.Backend]) -> q.Backend:
+    def pick(self, among: list[q.Backend], key: int) -> q.Backend:
         self.turn += 1
         return among[self.turn % len(among)]
 
@@ -170,7 +172,7 @@
     def weigh(self, b: q.Backend) -> float:
         return self.own.get(b.id, 0)
 
-    def pick(self, among: list[q.Backend]) -> q.Backend:
+    def pick(self, among: list[q.Backend], key: int) -> q.Backend:
         n = len(among)
         i = int(self.rng.random() * n)
         j = int(self.rng.random() * (n - 1)) if n > 1 else i
@@ -198,6 +200,21 @@
         self.cost[server.id] = (took if took > cost else cost * keep + took * (1 - keep), self.now)
 
 
+class BoundedHash(Baseline):
+    """A key goes to the server that ranks highest for it and holds at most BOUND times its part of the own.
+
+    Rendezvous hashing (Thaler and Ravishankar 1998) with bounded loads (Mirrokni et al. 2018).
+
+    Not our mechanism: it shows what servers' memory of keys is worth on a day.
+    """
+
+    def pick(self, among: list[q.Backend], key: int) -> q.Backend:
+        mark = key or int(self.rng.random() * 2 ** 32)
+        most = BOUND * (1 + sum(self.own.get(b.id, 0) for b in among)) / len(among)
+        ranked = sorted(among, key=lambda b: crc32(f"{mark} {b.id}".encode()))
+        return next((b for b in ranked if self.own.get(b.id, 0) + 1 <= max(1.0, most)), ranked[0])
+
+
 class LeastLoaded(Baseline):
     """Sees the true state of every server at once: no agent can, so it is a ceiling and not a rival."""
 
@@ -205,6 +222,6 @@
         super().__init__(settings, seed)
         self.load = load
 
-    def pick(self, among: list[q.Backend]) -> q.Backend:
+    def pick(self, among: list[q.Backend], key: int) -> q.Backend:
         # Two agents that act in the same tick must not meet at the same one of several that are equal.
         return min(among, key=lambda b: (self.load(b.id), self.rng.random()))
--- a/fleetsim/registry.py
+++ b/fleetsim/registry.py
@@ -6,12 +6,12 @@
 
 from .agents import Policy
 from .ours import PARTS
-from .policies import LeastLoaded, PeakEwma, RoundRobin, TwoChoices, UniformRandom
+from .policies import BoundedHash, LeastLoaded, PeakEwma, RoundRobin, TwoChoices, UniformRandom
 from .trace import Tracing
 from .world import MakePolicy, World
 
 BASELINES = {"random": UniformRandom, "round-robin": RoundRobin, "two-choices": TwoChoices,
-             "peak-ewma": PeakEwma}
+             "peak-ewma": PeakEwma, "bounded-hash": BoundedHash}
 NAMES = ("ours", *(f"ours-{part}" for part in PARTS), *BASELINES, "least-loaded")
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -283,10 +283,13 @@
     kept = json.loads(json.dumps(memory.take(old.balancer)))
     memory.give(new.balancer, kept)
     assert new.balancer.table.typical == old.balancer.table.typical > 0
+    assert new.balancer.needs.expected == old.balancer.needs.expected > [0.0]
+    memory.give(Drive(servers=3).balancer, {k: v for k, v in kept.items() if k not in ("needs", "reports")})
     for name, server in new.balancer.servers.items():
         assert server.latency == old.balancer.servers[name].latency
     unreadable: list[Any] = [
-        {}, [], {**kept, "table": []}, {**kept, "servers": {"s0": ["x"] * len(memory.SERVER)}}]
+        {}, [], {**kept, "table": []}, {**kept, "needs": ["x"]}, {**kept, "reports": [1.0]},
+        {**kept, "servers": {"s0": ["x"] * len(memory.SERVER)}}]
     for broken in unreadable:
         with pytest.raises(ValueError, match="cannot be read"):
             memory.give(new.balancer, broken)
