--- a/fleetsim/agents.py
+++ b/fleetsim/agents.py
@@ -235,7 +235,6 @@
         if outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
             report = server.load_report()
         if outcome is Outcome.OK and t.open:
-            attempt.answers = True
             t.open = False
             if world.trace is not None:
                 world.trace.concluded(self, t, "served")
--- a/fleetsim/cli.py
+++ b/fleetsim/cli.py
@@ -123,8 +123,9 @@
         rows: list[dict[str, Any]] = []
         with progress_bar() as bar:
             task = bar.add_task("runs", total=len(todo))
-            for row in sweep.run(todo, output, jobs, lambda row, old: bar.update(task, advance=1)):
+            for row in sweep.run(todo, output, jobs):
                 rows.append(row)
+                bar.update(task, advance=1)
         show(comparing.table(rows, base))
         broken = next((row for row in rows if row["broken"]), None)
         if broken is not None:
@@ -165,10 +166,10 @@
         tables = why.summary(file, from_s, to_s)
         out.print("Tries given up. `feasible`: a listed server would have answered a mean request in time.")
         show([["class", "of", "because", "tries", "share", "feasible", "e.g. request"],
-              *map(list, tables["given_up"])])
+              *tables["given_up"]])
         out.print("\nPredicted time to an answer over the true one, of answers that came.")
         show([["class", "answers", "a tenth under", "median", "a tenth over"],
-              *map(list, tables["prediction"])])
+              *tables["prediction"]])
 
 
 @app.command()
--- a/fleetsim/requests.py
+++ b/fleetsim/requests.py
@@ -63,7 +63,7 @@
     """One sending of a try to one server; what the server works on."""
 
     __slots__ = ("try_", "number", "server", "sent_at", "work", "key", "mark", "place", "ended", "informed",
-                 "answers", "asked")
+                 "asked")
 
     def __init__(self, try_: Try, number: int, server: Server, now: int, work: float, key: int) -> None:
         self.try_, self.number, self.server, self.sent_at = try_, number, server, now
@@ -71,7 +71,6 @@
         self.mark, self.place = 0.0, NOWHERE
         self.ended = False  # its outcome is on the way or given
         self.informed = False  # the agent knew that the server had just started
-        self.answers = False  # it served the request's answer
         self.asked = work  # before caches
 
     def served(self, server: Server, error: bool) -> None:
--- a/fleetsim/sweep.py
+++ b/fleetsim/sweep.py
@@ -3,7 +3,7 @@
 
 import hashlib
 import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import IO, Any
@@ -77,9 +77,8 @@
             "scenario_digest": scenario_digest(plan.scenario), "decisions": decisions_digest(), **row}
 
 
-def run(todo: list[Plan], path: Path | None, jobs: int,
-        on_row: Callable[[dict[str, Any], bool], None]) -> Iterator[dict[str, Any]]:
-    """Play what the file does not hold yet; yield every row, old ones first. on_row(row, old) is told each.
+def run(todo: list[Plan], path: Path | None, jobs: int) -> Iterator[dict[str, Any]]:
+    """Play what the file does not hold yet; yield every row, old ones first.
 
     Rows go to the file as they come, each whole; a sweep cut off goes on by the same call. Raises SweepError.
     """
@@ -90,7 +89,6 @@
     keys = {p: p.key(digests[p.scenario], decisions) for p in todo}
     for p in todo:
         if keys[p] in done:
-            on_row(done[keys[p]], True)
             yield done[keys[p]]
     left = [p for p in todo if keys[p] not in done]
     if not left:
@@ -102,7 +100,6 @@
             if file is not None:
                 file.write(msgspec.json.encode(row) + b"\n")
                 file.flush()
-            on_row(row, False)
             yield row
     except TerminatedWorkerError:
         where = f"finished rows are in {path}, the same command goes on" if path else "name a file with -o"
@@ -147,7 +144,7 @@
                              f"program writes {VERSION}; name another file")
         rows.append(row)
     if rest and mend:
-        if not rows and len(rest) > 0 and not rest.startswith(b'{"fleetsim_sweep"'):
+        if not rows and not rest.startswith(b'{"fleetsim_sweep"'):
             raise SweepError(f"{path}: line 1: is no row of a sweep; name another file")
         with path.open("r+b") as file:
             file.truncate(len(text) - len(rest))
--- a/fleetsim/world.py
+++ b/fleetsim/world.py
@@ -67,8 +67,7 @@
     def _class(self, c: Any) -> q.RequestClass:
         return q.RequestClass(
             c.name, int(c.aim_ms * 1000), int(c.deadline_ms * 1000),
-            {"safe": q.Effect.SAFE, "keyed": q.Effect.KEYED, "unsafe": q.Effect.UNSAFE}[c.effect],
-            q.Group(c.group), int(c.window_ms * 1000), c.worth, c.late_worth)
+            q.Effect(c.effect), q.Group(c.group), int(c.window_ms * 1000), c.worth, c.late_worth)
 
     def settings(self, index: int) -> q.Settings:
         """What an agent is told at its start."""
