Ask the world once whether a server answers, and make all histograms in one place

The policy that sees the truth and the trace had the same four conditions each; compare had the histogram's bounds again as numbers, which must be those of the rows that it adds up.

--- a/fleetsim/account.py
+++ b/fleetsim/account.py
@@ -13,6 +13,11 @@
 HIGHEST_US = 3_600_000_000  # the histograms hold 1 us to an hour, to three digits
 
 
+def histogram() -> HdrHistogram:
+    """An empty one; all of them can be added up."""
+    return HdrHistogram(1, HIGHEST_US, 3)
+
+
 class Account:
     """Books every request at the second of its first try; the first `warm_s` count for nothing."""
 
@@ -104,13 +109,13 @@
         for c, share in zip(s.cls, classes, strict=True):
             row[f"served_{c.name}"] = round(share, 6)
         row |= {f"attempts_{o}": n for o, n in sorted(self.outcomes.items())}
-        everything = HdrHistogram(1, HIGHEST_US, 3)
+        everything = histogram()
         for c, taken in zip(s.cls, self.latencies, strict=True):
-            histogram = HdrHistogram(1, HIGHEST_US, 3)
+            mine = histogram()
             for value, count in sorted(Counter(taken).items()):
-                histogram.record_value(value, count)
-            everything.add(histogram)
-            row[f"latency_{c.name}"] = histogram.encode().decode()
+                mine.record_value(value, count)
+            everything.add(mine)
+            row[f"latency_{c.name}"] = mine.encode().decode()
         for percentile in (50, 99, 99.9):
             row[f"p{percentile}_ms"] = everything.get_value_at_percentile(percentile) / 1000
         return row
--- a/fleetsim/compare.py
+++ b/fleetsim/compare.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 import numpy as np
-from hdrh.histogram import HdrHistogram
+
+from .account import histogram
 
 RESAMPLES = 10_000
 CONFIDENCE = 0.95
@@ -64,7 +65,7 @@
             mean, low, high = paired([mine[s][figure] for s in common], [theirs[s][figure] for s in common])
             against, interval = f"{mean:+.3f}", f"{low:+.3f} to {high:+.3f}"
         all_of = list(mine.values())
-        latency = HdrHistogram(1, 3_600_000_000, 3)
+        latency = histogram()
         for row in all_of:
             for column, value in row.items():
                 if column.startswith("latency_"):
--- a/fleetsim/registry.py
+++ b/fleetsim/registry.py
@@ -44,7 +44,7 @@
 def _least_loaded(world: World, settings: q.Settings, seed: int) -> Policy:
     def load(id: q.BackendId) -> float:
         server = world.servers[str(id)]
-        if not server.up or server.fallen or server.silent or world.links.cut(settings.zone, server.zone):
+        if not world.answers(server, settings.zone):
             return float("inf")
         return (server.held + 1) / max(1e-9, server.capacity())
     return LeastLoaded(settings, seed, load)
--- a/fleetsim/trace.py
+++ b/fleetsim/trace.py
@@ -75,7 +75,7 @@
         """A server as it is now: what it holds, and about how long one more mean request would take there."""
         assert self.world is not None
         world, server = self.world, self.world.servers[name]
-        if not server.up or server.fallen or server.silent or world.links.cut(zone, server.zone):
+        if not world.answers(server, zone):
             return {"true_held": server.held, "true_ms": None}
         # Shared by all in work once there are more of them than cores.
         alone = world.day.mean_work * server.cores / max(1e-9, server.capacity())
--- a/fleetsim/world.py
+++ b/fleetsim/world.py
@@ -124,6 +124,11 @@
         self.servers[name] = server
         return server
 
+    def answers(self, server: Server, zone: int) -> bool:
+        """Whether an agent of this zone can have an answer from it now."""
+        up = server.up and not server.fallen and not server.silent
+        return up and not self.links.cut(zone, server.zone)
+
     def add_server(self, plan: ServerPlan) -> None:
         """A new machine comes, cold."""
         server = self._new_server(plan)
