--- a/fleetsim/sweep.py
+++ b/fleetsim/sweep.py
@@ -15,6 +15,7 @@
 from brasshead import logic
 
 from . import ours, registry, sources
+from .scenario import Span
 from .world import World
 
 VERSION = 1
@@ -61,20 +62,20 @@
     return hashlib.blake2s(Path(str(logic.__file__)).read_bytes(), digest_size=4).hexdigest()
 
 
-def scenario_digest(name: str) -> str:
-    """Tells two texts of a scenario apart, whatever file its base comes from."""
-    span = sources.read(name)
-    return hashlib.blake2s(msgspec.json.encode([span.low, span.high]), digest_size=4).hexdigest()
+def scenario_digest(span: Span) -> str:
+    """Tells two texts of a scenario apart, whatever file its base comes from, and two drawn days."""
+    return hashlib.blake2s(msgspec.json.encode(span), digest_size=4).hexdigest()
 
 
 def play(plan: Plan) -> dict[str, Any]:
     """One run; its row."""
+    span = sources.read(plan.scenario)
     with ours.constants_set(ours.parse_settings(list(plan.settings))):
-        world = World(sources.read(plan.scenario), plan.seed, registry.policy(plan.policy))
+        world = World(span, plan.seed, registry.policy(plan.policy))
         row = world.run()
     return {"fleetsim_sweep": VERSION, "scenario": plan.scenario, "policy": plan.policy,
             "settings": " ".join(plan.settings), "seed": plan.seed,
-            "scenario_digest": scenario_digest(plan.scenario), "decisions": decisions_digest(), **row}
+            "scenario_digest": scenario_digest(span), "decisions": decisions_digest(), **row}
 
 
 def run(todo: list[Plan], path: Path | None, jobs: int) -> Iterator[dict[str, Any]]:
@@ -82,7 +83,7 @@
 
     Rows go to the file as they come, each whole; a sweep cut off goes on by the same call. Raises SweepError.
     """
-    digests = {name: scenario_digest(name) for name in {p.scenario for p in todo}}
+    digests = {name: scenario_digest(sources.read(name)) for name in {p.scenario for p in todo}}
     decisions = decisions_digest()
     kept = read(path, mend=True) if path is not None and path.exists() else []
     done = {row_key(row): row for row in kept}
