--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -26,6 +26,20 @@
     return [a for a in d.log if isinstance(a, Refuse | Fail) and a.request == request]
 
 
+@pytest.mark.parametrize("patience_ms", [50, 80, 100])
+def test_a_request_with_little_time_ends_where_all_servers_have_just_failed(patience_ms: int) -> None:
+    d = Drive(servers=4, siblings=60, can_probe=False)
+    d.serve(10, took_us=100 * MS)
+    for _ in range(4):
+        for s in only(d.request()[1], Send):
+            d.end(s, Outcome.CONNECT_FAILED, 90 * MS)
+    d.wait(2 * SECOND)
+    request, _ = d.request(patience_us=patience_ms * MS)
+    d.wait(2 * SECOND)
+    sent = [a for a in d.log if isinstance(a, Send) and a.request == request]
+    assert len(finals(d, request)) == 1 or sent
+
+
 @pytest.mark.parametrize("cls", [SAFE, UNSAFE, keyed(Group.CELL)])
 @pytest.mark.parametrize("outcome", [*RAN, *UNSEEN])
 def test_one_final_answer_when_every_attempt_fails(cls: RequestClass, outcome: Outcome) -> None:
