Build the rig: agents as processes, faults between them, one history, checkers

Need: what follows (list service, membership, recovery, shared state) is to be proved by several real processes with faults between them; the tests start one agent and the emulator has neither sockets nor processes. Change: faultlab/, a tool beside fleetsim.

--- /dev/null
+++ b/faultlab/__init__.py
@@ -0,0 +1,1 @@
+"""A rig, a tool: copies of the agent as processes, faults between them, checkers of what happened."""
--- /dev/null
+++ b/faultlab/checkers/case.py
@@ -0,0 +1,196 @@
+"""A history, arranged for those who judge it."""
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from fleetsim.scenario import Class
+
+from .. import history as h
+from ..scenario import LabScenario
+
+END_OF_TIME = 2 ** 62
+GONE = ("DRAINING", "DELETED")
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    """A rule that broke: which, when by the run's clock in us, at whom, and what was seen."""
+
+    rule: str
+    t: int
+    who: str
+    what: str
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """While something was wrong that an agent cannot help; kind as in the scenario."""
+
+    begin: int
+    end: int
+    kind: str
+    number: int
+    detail: dict[str, object] = field(default_factory=dict)
+
+    def meets(self, begin: int, end: int) -> bool:
+        return self.begin <= end and begin <= self.end
+
+
+@dataclass(slots=True)
+class Life:
+    """One process of an agent, or of a server."""
+
+    who: str
+    number: int
+    begun: int
+    unix_ms: int
+    ready: int = END_OF_TIME
+    ended: int = END_OF_TIME
+    status: int = 0
+    asked: bool = False
+    stop: int = END_OF_TIME  # SIGTERM
+    kill_us: int = 0
+
+
+@dataclass(slots=True)
+class Exchange:
+    """A client's request and what became of it."""
+
+    asked: h.Asked
+    end: h.Answered | h.Unanswered | None = None
+    resent: int = 0
+
+    @property
+    def rid(self) -> str:
+        return self.asked.rid
+
+    @property
+    def over(self) -> int:
+        """When the agent's answer is too late to be one (STANDING: half a second beyond its time)."""
+        return self.asked.t + self.asked.patience_us + LOST_US
+
+
+LOST_US = 500_000
+PATHS = ("link", "reset", "half_open")
+
+
+class Case:
+    """One run: its scenario, and its events by what is asked of them."""
+
+    def __init__(self, scenario: LabScenario, servers: dict[str, tuple[str, int]], begin: int,
+                 events: Sequence[h.AnyEvent]) -> None:
+        self.scenario, self.places, self.begin, self.events = scenario, servers, begin, events
+        self.end = max((e.t for e in events), default=begin)
+        self.lives: dict[str, list[Life]] = defaultdict(list)
+        self.exchanges: dict[str, Exchange] = {}
+        self.got: dict[str, list[h.Got]] = defaultdict(list)
+        self.turned: dict[tuple[str, str, int], int] = {}
+        self.gave: dict[str, list[h.Gave]] = defaultdict(list)
+        self.told: dict[str, list[h.Told]] = defaultdict(list)
+        self.door: dict[str, list[h.Door]] = defaultdict(list)
+        self.windows: list[tuple[Window, frozenset[str], frozenset[str], str]] = []
+        self._sort()
+
+    def _sort(self) -> None:
+        began: dict[tuple[int, str, tuple[str, ...], tuple[str, ...]], h.Fault] = {}
+        for e in self.events:
+            match e:
+                case h.Begun():
+                    self.lives[e.who].append(Life(e.who, e.life, e.t, e.unix_ms))
+                case h.Ready() | h.Ended() | h.Stop():
+                    self._life(e)
+                case h.Asked():
+                    known = self.exchanges.get(e.rid)
+                    if known is None:
+                        self.exchanges[e.rid] = Exchange(e)
+                    else:
+                        known.asked = e  # sent once more
+                case h.Resent():
+                    if e.rid in self.exchanges:
+                        self.exchanges[e.rid].resent = e.t
+                case h.Answered() | h.Unanswered():
+                    if e.rid in self.exchanges:
+                        self.exchanges[e.rid].end = e
+                case h.Got():
+                    self.got[e.rid].append(e)
+                case h.Turned():
+                    self.turned[e.rid, e.who, e.life] = e.t
+                case h.Gave():
+                    self.gave[e.rid].append(e)
+                case h.Told():
+                    if e.whole:
+                        self.told[e.agent].append(e)
+                case h.Door():
+                    self.door[e.who].append(e)
+                case h.Fault():
+                    key = (e.number, e.kind, tuple(e.agents), tuple(e.servers))
+                    if e.on:
+                        began[key] = e
+                    elif key in began:
+                        self._window(began.pop(key), e.t)
+        for fault in began.values():
+            self._window(fault, END_OF_TIME)
+
+    def _life(self, e: h.Ready | h.Ended | h.Stop) -> None:
+        life = next((one for one in self.lives[e.who] if one.number == e.life), None)
+        if life is None:
+            return
+        if isinstance(e, h.Ready):
+            life.ready = e.t
+        elif isinstance(e, h.Stop):
+            life.stop, life.kill_us = e.t, e.kill_us
+        else:
+            life.ended, life.status, life.asked = e.t, e.status, e.asked
+
+    def _window(self, fault: h.Fault, end: int) -> None:
+        window = Window(fault.t, end, fault.kind, fault.number, dict(fault.detail))
+        self.windows.append((window, frozenset(fault.agents), frozenset(fault.servers), fault.path))
+
+    # What is asked
+
+    def cls(self, exchange: Exchange) -> Class:
+        return self.scenario.cls[exchange.asked.cls]
+
+    def faults(self, agent: str, kinds: Iterable[str], path: str = "", server: str = "") -> list[Window]:
+        """Windows of these kinds that struck this agent, on that path, towards that server."""
+        wanted = frozenset(kinds)
+        return [w for w, agents, servers, on in self.windows
+                if w.kind in wanted and agent in agents and (not path or on == path)
+                and (not server or not servers or server in servers)]
+
+    def windows_of(self, agent: str) -> list[Window]:
+        """All that struck the agent or its paths."""
+        return [w for w, agents, _, _ in self.windows if agent in agents]
+
+    def frozen(self, agent: str) -> list[Window]:
+        """While a process of the agent stood still, or had been killed and was not ready again."""
+        found = [w for w in self.faults(agent, ("pause",)) if w.detail.get("of", "agents") == "agents"]
+        found += [w for w in self.faults(agent, ("upgrade",)) if w.detail.get("strike", "none") != "none"]
+        lives = self.lives[agent]
+        for life in lives:
+            if life.status < 0 and life.ended < END_OF_TIME:
+                later = [o.ready for o in lives if o.begun >= life.begun and o is not life]
+                up = any(o.ready <= life.ended < o.ended for o in lives if o is not life)
+                end = life.ended if up else min((r for r in later if r >= life.ended), default=END_OF_TIME)
+                found.append(Window(life.ended - 50_000, end, "killed", -1))
+        return found
+
+    def hindered(self, agent: str, begin: int, end: int) -> bool:
+        """Whether the agent, or the way from its clients to it, was struck meanwhile."""
+        windows = self.frozen(agent) + self.faults(agent, PATHS, "clients")
+        return any(w.meets(begin, end) for w in windows)
+
+    def corrupted(self, agent: str, begin: int, end: int) -> bool:
+        """Whether a byte may have been changed on the way, to servers or clients."""
+        return any(w.detail.get("corrupt") and w.meets(begin, end) for w in self.faults(agent, ("link",)))
+
+    def may_have_run(self, attempt: h.Got) -> bool:
+        return (attempt.rid, attempt.who, attempt.life) not in self.turned
+
+    def lives_at(self, agent: str, t: int) -> list[Life]:
+        return [life for life in self.lives[agent] if life.begun <= t < life.ended]
+
+    def seconds(self, t: int) -> float:
+        return (t - self.begin) / 1e6
--- /dev/null
+++ b/faultlab/faults_schema.py
@@ -0,0 +1,141 @@
+"""The faults of a scenario beyond fleetsim's troubles: one struct for each kind, told apart by `what`.
+
+`at_s` and `len_s` are seconds of the run's clock. `agents` and `servers` are shares; which ones are struck
+follows from scenario and seed. A share of 0 strikes none, any other at least one.
+"""
+from __future__ import annotations
+
+from typing import Annotated, ClassVar, Literal
+
+from msgspec import Meta, Struct
+
+from fleetsim.units import Count, NonNegative, Share
+
+Path = Literal["clients", "servers", "discovery", "peers"]
+Direction = Literal["both", "to", "from"]  # to: as requests go; from: as answers do
+
+
+class Fault(Struct, forbid_unknown_fields=True, kw_only=True, tag_field="what"):
+    at_s: NonNegative
+    len_s: NonNegative = 0.0
+    agents: Share = 1.0
+    needs_peers: ClassVar[bool] = False
+
+
+class Link(Fault, kw_only=True, tag="link"):
+    """What passes between two parts is late, scarce, spoilt or does not pass."""
+
+    path: Path = "servers"
+    direction: Direction = "both"
+    servers: Share = 1.0
+    cut: bool = False  # nothing passes and nothing is said; new connections never come up
+    delay_ms: NonNegative = 0.0
+    spread_ms: NonNegative = 0.0  # mean of an exponential beyond the delay
+    loss: Share = 0.0  # of the pieces; over TCP such a piece comes a retransmission later
+    bytes_per_s: NonNegative = 0.0  # 0: no limit
+    corrupt: Share = 0.0  # of the pieces have a byte changed
+    duplicate: Share = 0.0  # of the datagrams come twice
+    reorder: Share = 0.0  # of the datagrams come after the next one
+
+
+class Reset(Fault, kw_only=True, tag="reset"):
+    """Connections are reset: all open ones now, or each as its next message passes."""
+
+    path: Path = "servers"
+    servers: Share = 1.0
+    when: Literal["now", "before", "after"] = "now"  # before, after: the next piece sent by the agent
+
+
+class HalfOpen(Fault, kw_only=True, tag="half_open"):
+    """One side of each open connection has gone, and the other never hears of it."""
+
+    path: Path = "servers"
+    servers: Share = 1.0
+
+
+class Pause(Fault, kw_only=True, tag="pause"):
+    """SIGSTOP, and SIGCONT when the time is up."""
+
+    of: Literal["agents", "servers", "discovery"] = "agents"
+    servers: Share = 1.0
+
+
+class Kill(Fault, kw_only=True, tag="kill"):
+    """The process ends, and is started again when the time is up."""
+
+    of: Literal["agents", "servers", "discovery"] = "agents"
+    servers: Share = 1.0
+    signal: Literal["KILL", "TERM"] = "KILL"
+    keep: bool = False  # what it kept in $TMPDIR is there again
+
+
+class Descriptors(Fault, kw_only=True, tag="descriptors"):
+    """The agent can open no more descriptors than it has, and a few."""
+
+    spare: Annotated[int, Meta(ge=0)] = 0
+
+
+class Busy(Fault, kw_only=True, tag="busy"):
+    """Another program takes a share of the one core that the agent runs on."""
+
+    share: Share = 0.5
+
+
+class UnixTime(Fault, kw_only=True, tag="unix_time"):
+    """The wall clock of the agents' machines jumps; their monotonic clocks run on."""
+
+    jump_s: float = 3600.0
+
+
+class Disk(Fault, kw_only=True, tag="disk"):
+    """What the agent keeps in $TMPDIR is spoilt, or cannot be written."""
+
+    how: Literal["full", "read_only", "byte", "cut", "older"] = "byte"
+
+
+class Lists(Fault, kw_only=True, tag="lists"):
+    """Discovery says nothing, half of it, late, or what it said some revisions ago."""
+
+    how: Literal["silent", "partial", "late", "older"] = "silent"
+    late_s: NonNegative = 2.0
+    back: Count = 2  # revisions
+
+
+class Reload(Fault, kw_only=True, tag="reload"):
+    """SIGHUP after the file has been given the other address of discovery, or has been spoilt."""
+
+    lacks: Share = 0.0  # of the servers are missing from the list there
+    spoilt: bool = False
+
+
+class Upgrade(Fault, kw_only=True, tag="upgrade"):
+    """A second process is started beside the agent's; `len_s` is how long one that is struck stays so."""
+
+    strike: Literal["none", "pause_old", "kill_old", "cut_off", "kill_new", "pause_new"] = "none"
+    after_ms: NonNegative = 100.0  # from the start of the new process to the strike
+    detach_first: Annotated[int, Meta(ge=0)] = 0  # servers taken out at the door before
+
+
+class LameDuck(Fault, kw_only=True, tag="lame_duck"):
+    """LAMEDUCK at the door, REJOIN when the time is up. A front that is deaf sends clients all the same."""
+
+    deaf_front: bool = False
+
+
+class Detach(Fault, kw_only=True, tag="detach"):
+    """Servers are taken out at the door, restarted, and put back when the time is up."""
+
+    servers: Share = 0.1
+    restart: bool = True
+
+
+class Spoilt(Fault, kw_only=True, tag="spoilt"):
+    """Some servers answer with what is no answer."""
+
+    servers: Share = 0.2
+    how: Literal["cut_off", "garbage", "two_lengths", "endless"] = "cut_off"
+    part: Share = 0.3  # of their answers
+
+
+AnyFault = (Link | Reset | HalfOpen | Pause | Kill | Descriptors | Busy | UnixTime | Disk | Lists | Reload
+            | Upgrade | LameDuck | Detach | Spoilt)
--- /dev/null
+++ b/faultlab/scenario.py
@@ -0,0 +1,77 @@
+"""Scenarios of the rig: the emulator's, with faults, at a size that real processes carry."""
+from __future__ import annotations
+
+from pathlib import Path
+from typing import cast
+
+import msgspec
+
+from fleetsim import draw, scenario
+from fleetsim import troubles_schema as emulated
+from fleetsim.scenario import ScenarioError
+
+from .faults_schema import AnyFault
+
+PACKAGE = "faultlab"
+MOST_AGENTS, MOST_SERVERS = 20, 30
+# What the rig plays of the emulator's troubles; the others are faults here: a split is a link that is cut.
+PLAYED = (emulated.Neighbour, emulated.Burst, emulated.HeavyTail, emulated.SharedSlow, emulated.BadServers,
+          emulated.Replacement, emulated.ZoneLost)
+
+
+class LabScenario(scenario.Scenario, frozen=True):
+    fault: list[AnyFault] = msgspec.field(default_factory=list)
+
+
+def load(name: str) -> scenario.Span:
+    """A shipped scenario by its name, a TOML file, or the run.json of a run. Raises ScenarioError."""
+    if name.endswith(".json"):
+        return _of_run(name)
+    span = scenario.load(name, LabScenario, PACKAGE)
+    _check(name, span)
+    return span
+
+
+def _of_run(name: str) -> scenario.Span:
+    class Recorded(msgspec.Struct):
+        scenario: LabScenario
+
+    try:
+        found = msgspec.json.decode(Path(name).read_bytes(), type=Recorded).scenario
+    except OSError as e:
+        raise ScenarioError(f"{name}: cannot be read ({e.strerror}); give a file that exists") from None
+    except msgspec.DecodeError as e:
+        raise ScenarioError(f"{name}: is no run.json: {e}; play the run again") from None
+    return scenario.Span(found, found)
+
+
+def _check(name: str, span: scenario.Span) -> None:
+    """What the rig cannot play is said before anything starts."""
+    high = cast(LabScenario, span.high)
+    for what, n, most in (("agents", high.fleet.agents, MOST_AGENTS),
+                          ("servers", high.fleet.servers, MOST_SERVERS)):
+        if n > most:
+            raise ScenarioError(f"{name}: fleet.{what}: {n} is more than the rig carries; write {most}")
+    for i, trouble in enumerate(high.trouble):
+        if not isinstance(trouble, PLAYED):
+            kind = type(trouble).__struct_config__.tag
+            raise ScenarioError(f"{name}: trouble[{i}].what: the rig does not play `{kind}`; write a fault")
+    for i, fault in enumerate(high.fault):
+        if fault.at_s + fault.len_s > high.run.length_s:
+            raise ScenarioError(f"{name}: fault[{i}]: ends after the run; lower at_s or len_s, or raise "
+                                f"run.length_s from {high.run.length_s:g}")
+
+
+def settle(span: scenario.Span, seed: int, length_s: float | None = None) -> tuple[draw.Day, LabScenario]:
+    """The day of this seed, cut to a length where one is given; faults beyond it are left out."""
+    if length_s is not None:
+        span = scenario.Span(_cut(span.low, length_s), _cut(span.high, length_s))
+    day = draw.draw(span, seed)
+    return day, cast(LabScenario, day.scenario)
+
+
+def _cut(s: scenario.Scenario, length_s: float) -> scenario.Scenario:
+    assert isinstance(s, LabScenario)
+    kept = [f for f in s.fault if f.at_s + f.len_s <= length_s]
+    run = msgspec.structs.replace(s.run, length_s=length_s)
+    return msgspec.structs.replace(s, run=run, fault=kept)
--- a/fleetsim/scenario.py
+++ b/fleetsim/scenario.py
@@ -231,20 +231,28 @@
         return self.low.about
 
 
-def shipped() -> list[str]:
-    """Names of the scenarios in the package, without their base."""
-    folder = resources.files("fleetsim") / "scenarios"
+def shipped(package: str = "fleetsim") -> list[str]:
+    """Names of the scenarios in a package, without their base."""
+    folder = resources.files(package) / "scenarios"
     names = (entry.name for entry in folder.iterdir())
     return sorted(n.removesuffix(".toml") for n in names if n.endswith(".toml") and not n.startswith("_"))
 
 
-def load(name: str) -> Span:
+def load(name: str, schema: type[Scenario] = Scenario, package: str = "fleetsim") -> Span:
     """Read a shipped scenario by its name, or a file by its path. Raises ScenarioError."""
-    path = path_of(name)
-    tables = _merged(path, ())
+    path = path_of(name, package)
+    return _span(_merged(path, ()), path, schema)
+
+
+def assemble(tables: dict[str, Any], base: Path, schema: type[Scenario]) -> Span:
+    """A scenario out of tables laid over those of a file. Raises ScenarioError."""
+    return _span(_laid_over(_merged(base, ()), tables), base, schema)
+
+
+def _span(tables: dict[str, Any], path: Path, schema: type[Scenario]) -> Span:
     # Both ends of all ranges are checked as scenarios of their own: msgspec 0.23 crashes the interpreter on a
     # tuple of numbers that have bounds.
-    low, high = (convert(_end(tables, i), path) for i in (0, 1))
+    low, high = (convert(_end(tables, i), path, schema) for i in (0, 1))
     for place, a, b in _ranges(low, high, ""):
         if a > b:
             raise ScenarioError(f"{path}: {place}: range [{a:g}, {b:g}] is upside down; write [{b:g}, {a:g}]")
@@ -254,21 +262,22 @@
     return Span(low, high)
 
 
-def convert(tables: dict[str, Any], path: Path) -> Scenario:
+def convert(tables: dict[str, Any], path: Path, schema: type[Scenario] = Scenario) -> Scenario:
     """A scenario without ranges out of its tables. Raises ScenarioError."""
     try:
-        return msgspec.convert(tables, Scenario)
+        return msgspec.convert(tables, schema)
     except msgspec.ValidationError as e:
         raise ScenarioError(f"{path}: {_explain(str(e))}") from None
 
 
-def path_of(name: str) -> Path:
+def path_of(name: str, package: str = "fleetsim") -> Path:
     path = Path(name)
     if path.suffix in (".toml", ".json") or path.exists():
         return path
-    if name not in shipped():
-        raise ScenarioError(f"{name}: no such scenario; give a file or one of: {', '.join(shipped())}")
-    return Path(str(resources.files("fleetsim") / "scenarios" / f"{name}.toml"))
+    if name not in shipped(package):
+        names = ", ".join(shipped(package))
+        raise ScenarioError(f"{name}: no such scenario; give a file or one of: {names}")
+    return Path(str(resources.files(package) / "scenarios" / f"{name}.toml"))
 
 
 def _merged(path: Path, above: tuple[Path, ...]) -> dict[str, Any]:
--- a/fleetsim/servers.py
+++ b/fleetsim/servers.py
@@ -9,10 +9,10 @@
 
 import math
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from heapq import heappop, heappush
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
-from .engine import Engine
 from .streams import Stream
 
 if TYPE_CHECKING:
@@ -22,6 +22,16 @@
 FALL_SLACK = 8.0  # mean requests of work that a cold server stands beyond its budget, for chance
 
 
+class Timeline(Protocol):
+    """The clock that a server lives by: the emulator's engine, or one that follows the real time."""
+
+    @property
+    def now(self) -> int:
+        """us"""
+
+    def at(self, time: int, call: Callable[..., None], *args: Any) -> None: ...
+
+
 class Job(Protocol):
     """What a server works on: an attempt, or a deep probe."""
 
@@ -42,7 +52,7 @@
 class Server:
     """One process on one machine; a new process under the same id is the same object, started again."""
 
-    def __init__(self, id: str, plan: ServerPlan, day: Scenario, engine: Engine, stream: Stream,
+    def __init__(self, id: str, plan: ServerPlan, day: Scenario, engine: Timeline, stream: Stream,
                  mean_work: float) -> None:
         self.id, self.plan, self.kind, self.zone, self.cell = id, plan, plan.kind, plan.zone, plan.cell
         self.engine, self.stream, self.day = engine, stream, day
