--- a/faultlab/agents.py
+++ b/faultlab/agents.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from . import agent_config, door
-from .children import Child, Failed, start, tethered
-from .history import Begun, Door, Open, Ready, Stop, Usage, now_us
+from .children import Child, Failed, tethered
+from .history import Begun, Door, Logged, Open, Ready, Stop, Usage, now_us
 from .parts import relay
 from .parts.discovery import FIRST_REVISION, member_json
 from .parts.skewed_agent import SKEW_FILE
@@ -87,7 +87,7 @@
                 "RELAY_CONTROL": rig.block.door(i, life), "TMPDIR": str(self.kept(i)),
                 SKEW_FILE: str(self.skew_file(i))}
         words = rig.folder / "logs" / f"{name}.log"
-        child = await start(name, life, tethered(self._command), words, env, rig.order.tree)
+        child = await rig.starter.start(name, life, tethered(self._command), words, env, rig.order.tree)
         rig.children.append(child)
         rig.write(Begun(t=now_us(), who=name, life=life, pid=child.pid))
         self.up[i].append(child)
@@ -156,6 +156,7 @@
             for child in list(up):
                 await self.call(i, "INFO", child)
                 self._count(child, "end")
+            self._read_log(i)
         self._look_at_processors()
         for pid, ticks in self._cpu.items():
             name = next(c.name for c in self._rig.children if c.pid == pid)
@@ -167,6 +168,13 @@
             count = len(os.listdir(f"/proc/{child.pid}/fd"))
             self._rig.write(Open(t=now_us(), who=child.name, life=child.life, count=count, when=when))
 
+    def _read_log(self, i: int) -> None:
+        """A traceback is a fault of the agent's, whatever came of it."""
+        lines = (self._rig.folder / "logs" / f"a{i}.log").read_text(errors="replace").splitlines()
+        starts = [n for n, line in enumerate(lines) if line.startswith("Traceback")]
+        first = next((line for n in starts[:1] for line in lines[n + 1:] if not line.startswith(" ")), "")
+        self._rig.write(Logged(t=now_us(), who=f"a{i}", tracebacks=len(starts), first=first))
+
     def _look_at_processors(self) -> None:
         for up in self.up:
             for child in up:
--- a/faultlab/checkers/processes.py
+++ b/faultlab/checkers/processes.py
@@ -20,6 +20,7 @@
             for life in lives:
                 found += _end(case, who, life)
             found += _descriptors(case, who)
+            found += _log(case, who)
             found += _door(case, who)
             found += _counts(case, who)
             found += _health(case, who)
@@ -55,6 +56,11 @@
             for e in counts if e.when == "end" and e.count > min(before) + SPARE_DESCRIPTORS]
 
 
+def _log(case: Case, agent: str) -> list[Breach]:
+    return [Breach("traceback", e.t, agent, f"{e.tracebacks} tracebacks in its log, the first: {e.first}")
+            for e in case.events if isinstance(e, h.Logged) and e.who == agent and e.tracebacks]
+
+
 def _door(case: Case, agent: str) -> list[Breach]:
     """Answered within a second while the process is there and can be reached."""
     found = []
--- a/faultlab/history.py
+++ b/faultlab/history.py
@@ -191,6 +191,13 @@
     when: str  # ready, end
 
 
+class Logged(Event, kw_only=True, tag="logged"):
+    """Tracebacks that an agent's processes left in their log, and the first one's last line."""
+
+    tracebacks: int
+    first: str
+
+
 class Late(Event, kw_only=True, tag="late"):
     """A part of the rig had its processor this much too late."""
 
@@ -204,7 +211,7 @@
 
 
 AnyEvent = (Begun | Ready | Ended | Stop | Fault | Asked | Answered | Unanswered | Resent | Got | Turned
-            | Gave | Left | Fell | Listed | Called | Told | Door | Health | Open | Late | Usage)
+            | Gave | Left | Fell | Listed | Called | Told | Door | Health | Open | Logged | Late | Usage)
 
 
 class HistoryError(Exception):
--- a/faultlab/parts/clients.py
+++ b/faultlab/parts/clients.py
@@ -113,8 +113,8 @@
             self._end(Reply(self._status, self._headers, bytes(self._body)))
 
     def on_broken(self, error: Exception) -> None:
-        self.closed = True
-        self._end(Reply(0, {}, b"", "cut"))
+        self.closed = True  # an end before an answer is no HTTP either
+        self._end(Reply(0, {}, b"", "cut" if self._begun else "closed"))
 
     def on_end(self) -> None:
         self.closed = True
--- a/tests/test_faultlab_checkers.py
+++ b/tests/test_faultlab_checkers.py
@@ -266,6 +266,8 @@
         story.listed(2 * S, 42, ("s0", "DRAINING", 0))
         if cut:
             story.fault(S, 9 * S, "link", "discovery", cut=True)
+            story.told(3 * S, 42, [("s0", "DRAINING", 0)])  # written into the cut: it may not have come
+            story.served(8 * S, server="s0")
         assert story.end(60 * S).rules() == broken
 
 
@@ -340,6 +342,13 @@
         assert story.end(60 * S).rules() == broken
 
 
+def test_a_traceback_in_the_log_is_a_breach_whatever_came_of_it() -> None:
+    for count, broken in ((0, set()), (1, {"traceback"})):
+        story = Story()
+        story.add(h.Logged, 50 * S, "a0", tracebacks=count, first="KeyError: 1" if count else "")
+        assert story.end(60 * S).rules() == broken
+
+
 @pytest.mark.parametrize(("call", "answer", "took", "broken"), [
     ("PING", "OK\n", 900_000, set()), ("PING", "OK\n", 1_100_000, {"door"}),
     ("PING", "", 1_500_000, {"door"}),
