Accept again after a pause where no descriptor is to be had

Cause: _accept caught what a client may do to a connection, not what the process lacks; the reader stays, and fires again at once. Ruled out: the limit on connections, which leaves descriptors over as long as the limit is the one told.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -29,6 +29,7 @@
 BACKLOG = 512
 EXTRA = 32  # connections beyond the limit while none is idle; half of the descriptors set apart
 ACCEPTS = 32  # in one turn of the loop
+STARVED_S = 0.1  # without descriptors, until the next try
 LINGER_S, LINGER_MOST_S = 1.0, 30.0  # after an answer in the middle of a request: in silence, in all
 STREAMS_S = 60.0  # how long large answers may go on after a stop; whoever ordered it may end it before
 STUCK_S = 60.0  # a client that takes nothing of its answer for so long has stopped
@@ -599,6 +600,7 @@
         self.listener: socket.socket | None = None
         self._accepting = False
         self._shared = False
+        self._starved = False  # the last try to accept found no descriptor
         self._coming: set[asyncio.Task[object]] = set()  # accepted, and not yet among the connections
 
     async def listen(self, address: Address, shared: bool = False) -> int:
@@ -639,12 +641,27 @@
                 sock, _address = self.listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
+            except OSError as e:
+                return self._starve(e)
+            self._starved = False
             sock.setblocking(False)
             task: asyncio.Task[object] = loop.create_task(
                 loop.connect_accepted_socket(lambda: _Client(self), sock))
             self._coming.add(task)
             task.add_done_callback(self._coming.discard)
 
+    def _starve(self, error: OSError) -> None:
+        """Nothing to accept with. The kernel goes on saying that one waits: asked again at once, that would
+        take all the time there is.
+        """
+        assert self.listener is not None
+        if not self._starved:
+            log.warning("cannot accept for now: %s", error.strerror)
+        self._starved, self._accepting = True, False
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self.listener)
+        loop.call_later(STARVED_S, self.freed)
+
     def _room(self) -> bool:
         """Whether one more may come. At the limit an idle one makes way."""
         if len(self.connections) + len(self._coming) < self._most:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -2,9 +2,11 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import signal
+import socket
 import sys
 from pathlib import Path
 
@@ -218,6 +220,41 @@
     asyncio.run(run())
 
 
+def test_without_descriptors_accepting_waits_and_says_so_once(
+        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    # Asked again at once, the kernel had the loop in a traceback each turn.
+    class Starved:
+        """A listener for which no descriptor is left."""
+
+        def __init__(self, listener: socket.socket) -> None:
+            self.listener, self.tries = listener, 0
+
+        def fileno(self) -> int:
+            return self.listener.fileno()
+
+        def accept(self) -> tuple[socket.socket, object]:
+            self.tries += 1
+            raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            assert w.server.listener is not None
+            real = w.server.listener
+            starved = Starved(real)
+            w.server.listener = starved  # type: ignore[assignment]
+            client = await w.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+            while starved.tries < 2:
+                tries = starved.tries
+                await asyncio.sleep(0)
+                assert starved.tries == tries or not w.server._accepting  # each try is followed by a pause
+            w.server.listener = real
+            assert (await client.read()).status == 200
+
+    asyncio.run(run())
+    assert [r.message for r in caplog.records if "accept" in r.message] == [
+        "cannot accept for now: Too many open files"]
+
+
 def test_beyond_the_limit_a_shared_listener_is_left_to_the_other_process(tmp_path: Path) -> None:
     # Idle connections that made way came back, each at the cost of another request.
     async def run() -> None:
