Tell a connection that this process could not open from one that failed

Cause: _dial called every OSError a failed connect; EMFILE, ENFILE and EADDRNOTAVAIL are the agent's own lack. Change: these end as not sent, as where the count of connections leaves no room.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import socket
 from collections.abc import Callable
@@ -18,6 +19,8 @@
 
 log = logging.getLogger(__name__)
 
+# What this process lacks for a connection: descriptors, ports. No word on the backend.
+LACKING = (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL)
 HOST = b"origin.svc"
 PROBE_US = 50_000  # a load told later than this is of no use to the requests that asked for it
 IDLE_SHARE = 0.7  # of the time after which a backend closes an idle connection; then it is retired here
@@ -466,8 +469,8 @@
         backend, connection, outcome = member.backend.id, None, Outcome.NOT_SENT
         try:
             connection = await self._connected(member)
-        except (OSError, TimeoutError):
-            outcome = Outcome.CONNECT_FAILED
+        except (OSError, TimeoutError) as e:
+            outcome = Outcome.NOT_SENT if e.errno in LACKING else Outcome.CONNECT_FAILED
         except Exception:
             log.exception("attempt failed before it was sent")
         self._dials[backend] -= 1
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -36,6 +37,22 @@
     return end
 
 
+@pytest.mark.parametrize("lacking", [errno.EMFILE, errno.EADDRNOTAVAIL])
+def test_what_this_process_lacks_for_a_connection_is_not_the_backends_fault(
+        lacking: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Without descriptors an agent left out one server after the other as ill.
+    def none(*_: object) -> socket.socket:
+        raise OSError(lacking, "none left")
+
+    async def run() -> None:
+        peer = await Peer().start()
+        monkeypatch.setattr("lilacsill.backends.socket.socket", none)
+        assert (await begin(backends(peer.port))).outcome is Outcome.NOT_SENT
+        await peer.stop()
+
+    asyncio.run(run())
+
+
 async def cut_short(m: Message) -> None:
     await m.peer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
     m.peer.close()
