Leave a new connection time for its first request while clients are sent away

Cause: _close_idle, 100 times a second, counts a connection as idle that was accepted since its last look and whose first request the client is writing. Ruled out: the close of used connections, whose requests are sent again. Change: a connection without a first request is idle after 0.5 s. A silent connection is still gone well before the 4 s after LAMEDUCK.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -29,6 +29,7 @@
 BACKLOG = 512
 EXTRA = 32  # connections beyond the limit while none is idle; half of the descriptors set apart
 ACCEPTS = 32  # in one turn of the loop
+FIRST_S = 0.5  # a new connection has so long for its first request before it counts as idle
 STARVED_S = 0.1  # without descriptors, until the next try
 LINGER_S, LINGER_MOST_S = 1.0, 30.0  # after an answer in the middle of a request: in silence, in all
 STREAMS_S = 60.0  # how long large answers may go on after a stop; whoever ordered it may end it before
@@ -281,6 +282,11 @@
         """Nothing of a request has come, as far as the kernel knows, and no answer is on its way."""
         return self.empty and self.written and not self.deaf and self.quiet()
 
+    @property
+    def fresh(self) -> bool:
+        """Just accepted: whoever connects has something to ask, and its first request is on the way."""
+        return self.empty and self._unread is not None and self._loop.time() < self._began + FIRST_S
+
     @property
     def busy(self) -> bool:
         """A large answer is on its way, or the last bytes of any."""
@@ -728,5 +734,5 @@
 
     def _close_idle(self) -> None:
         # At once in the kernel: between a look and a close that waits for the loop a request can come.
-        for client in [c for c in self.connections if c.idle]:
+        for client in [c for c in self.connections if c.idle and not c.fresh]:
             client.drop()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -15,6 +15,7 @@
 
 from brasshead.interface import RequestClass, Settings
 from lilacsill.__main__ import drain_times
+from lilacsill.server import EmptyTimes
 
 CHUNKED = post(drop=("Content-Length",), body=b"", Transfer_Encoding="chunked")
 BAD = {
@@ -142,6 +143,26 @@
     asyncio.run(run())
 
 
+def test_a_new_connection_has_time_for_its_first_request_while_clients_are_sent_away(tmp_path: Path) -> None:
+    # Accepted between a look and the next, it was closed as idle before its request came.
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            w.server.empty(EmptyTimes(0.0, 0.0))
+            client = await w.client()
+            while not w.server.connections:
+                await asyncio.sleep(0)
+            w.server._close_idle()
+            assert not client.told_of_close()
+            await client.write(post())
+            await (await w.request()).answer()
+            assert (await client.read()).status == 200
+            await client.ended()
+            silent = await w.client()
+            await silent.ended()  # one that asks nothing is idle in the end
+
+    asyncio.run(run())
+
+
 def test_health_answers_while_serving(tmp_path: Path) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
