Plant eight faults in copies of the agent, each with the scenario that finds it

Need: a rig is trusted once it finds what is known to be wrong. Change: python -m faultlab plants; each place is checked by a test.

--- a/faultlab/cli.py
+++ b/faultlab/cli.py
@@ -15,7 +15,7 @@
 from fleetsim.cli import show
 from fleetsim.scenario import ScenarioError, shipped
 
-from . import drawn, history, loadtest, play, report, shrinking, soaking, verdict
+from . import drawn, history, loadtest, plants, play, report, shrinking, soaking, verdict
 from .addresses import NoRoom
 from .children import Failed
 from .disk import DiskFault
@@ -26,7 +26,8 @@
 out, err = Console(width=None), Console(stderr=True)
 
 ERRORS = (ScenarioError, NoRoom, Failed, history.HistoryError, play.Occupied, DiskFault,
-          report.ReportError, soaking.SoakError, shrinking.ShrinkError, loadtest.LoadError)
+          report.ReportError, soaking.SoakError, shrinking.ShrinkError, loadtest.LoadError,
+          plants.PlantError)
 Seed = Annotated[int, typer.Option(min=0, help="Draws the day and its faults.")]
 Tree = Annotated[Path, typer.Option(help="The checkout whose agent is run, by its deploy/balancer.toml.")]
 Folder = Annotated[Path, typer.Argument(metavar="DIR", help="What `run -o` wrote.")]
@@ -167,6 +168,22 @@
         say(f"python -m faultlab run {best} --seed {shrinking.seed_of(folder)}")
 
 
+@app.command("plants")
+def plants_(names: Annotated[list[str] | None, typer.Argument(metavar="[PLANT]...")] = None,
+            tree: Tree = Path(".")) -> None:
+    """Plant faults in a copy of the agent, one at a time, and see that each is found.
+
+    Example: python -m faultlab plants repeat ban
+    """
+    with plain_errors():
+        missed = 0
+        for found in plants.search(plants.named(names or []), tree):
+            missed += found.seed is None
+            at = f"{found.plant.scenario}, seed {found.seed}" if found.seed else found.plant.scenario
+            say(f"{found.plant.name:<13} {found.plant.about}: {at}: {found.said}")
+    raise typer.Exit(play.BROKE if missed else play.HELD)
+
+
 @app.command("report")
 def report_(folder: Folder,
             output: Annotated[Path | None, typer.Option("-o", help="The file; report.html in DIR otherwise.")
--- /dev/null
+++ b/faultlab/plants.py
@@ -0,0 +1,118 @@
+"""Faults planted in a copy of the agent, to see that the rig finds them: each with the scenario that does."""
+from __future__ import annotations
+
+import shutil
+import tempfile
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from . import play
+from .scenario import load
+
+SEEDS = 5  # within so many each is to be found
+AGAIN = 2  # a run in which the rig was late is played so often again
+LEFT_OUT = ("journal", "logs", "found", ".*", "__pycache__")
+
+
+class PlantError(Exception):
+    """A plant does not fit the tree; the text is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Plant:
+    """In one file, `old` becomes `new`; `rule` is the one that breaks in `scenario`."""
+
+    name: str
+    about: str
+    file: str
+    old: str
+    new: str
+    scenario: str
+    rule: str
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """How a plant was met: the seed that showed it, or none, and the first breach."""
+
+    plant: Plant
+    seed: int | None
+    said: str
+
+
+PLANTS = (
+    Plant("repeat", "an attempt repeated that may not be", "brasshead/logic.py",
+          "        if r.cls.effect is Effect.UNSAFE or self.now >=", "        if self.now >=",
+          "resets", "effect"),
+    Plant("drain", "a drain ignored", "lilacsill/discovery.py",
+          '"DRAINING": State.DRAINING', '"DRAINING": State.READY', "pause-one", "drain"),
+    Plant("cut-answer", "an answer cut off and passed on as whole", "lilacsill/backends.py",
+          "    def on_end(self) -> None:\n        self._end(self._lost())",
+          "    def on_end(self) -> None:\n"
+          "        self._end(Outcome.OK if self._status == 200 else self._lost())",
+          "spoilt", "integrity"),
+    Plant("wake-up", "a wake-up lost: a watch that broke is not begun again", "lilacsill/agent.py",
+          "            self._loop.call_later(wait_s, self._discovery.watch, self._listed)\n", "",
+          "discovery-wrong", "stale"),
+    Plant("descriptor", "a descriptor leaked with each connection that is given up", "lilacsill/backends.py",
+          "        self._open.discard(connection)\n        connection.drop()",
+          "        self._open.discard(connection)\n        if connection.transport is not None:\n"
+          '            connection.transport.get_extra_info("socket").dup().detach()\n'
+          "        connection.drop()",
+          "steady", "descriptors"),
+    Plant("stale-list", "a stale list kept: a whole list takes nothing out", "lilacsill/bans.py",
+          "        if listing.complete:\n            self._members.clear()\n", "",
+          "discovery-disagrees", "stale"),
+    Plant("wrong-answer", "an answer given to another request", "lilacsill/agent.py",
+          "            self._answer(number, 200, _kind(result.content_type), result.body)",
+          "            self._before, body = result.body, getattr(self, '_before', result.body)\n"
+          "            self._answer(number, 200, _kind(result.content_type), body)", "steady", "integrity"),
+    Plant("ban", "a ban dropped over an upgrade", "lilacsill/bans.py",
+          '"banned": sorted(self._banned)', '"banned": []', "upgrade", "drain"),
+)
+
+
+def named(names: list[str]) -> list[Plant]:
+    """Raises PlantError."""
+    known = {plant.name: plant for plant in PLANTS}
+    for name in names:
+        if name not in known:
+            raise PlantError(f"{name}: no such plant; one of {', '.join(known)}")
+    return [known[name] for name in names] or list(PLANTS)
+
+
+def plant_in(tree: Path, plant: Plant, to: Path) -> None:
+    """A copy of the tree with the fault in it. Raises PlantError if its place is not there just once."""
+    shutil.copytree(tree, to, ignore=shutil.ignore_patterns(*LEFT_OUT))
+    (to / ".venv").symlink_to((tree / ".venv").absolute())
+    path = to / plant.file
+    text = path.read_text(encoding="utf-8")
+    if text.count(plant.old) != 1:
+        raise PlantError(f"{plant.file}: the place of plant {plant.name} is there {text.count(plant.old)} "
+                         "times; mend it in faultlab/plants.py")
+    path.write_text(text.replace(plant.old, plant.new), encoding="utf-8")
+
+
+def search(plants: list[Plant], tree: Path) -> Iterator[Found]:
+    """Each plant's scenario with seeds from 1 on, until its rule breaks."""
+    for plant in plants:
+        folder = Path(tempfile.mkdtemp(prefix="faultlab-plant-"))
+        try:
+            plant_in(tree, plant, folder / "tree")
+            yield _search_one(plant, folder)
+        finally:
+            shutil.rmtree(folder, ignore_errors=True)
+
+
+def _search_one(plant: Plant, folder: Path) -> Found:
+    for seed in range(1, SEEDS + 1):
+        for _ in range(1 + AGAIN):
+            shutil.rmtree(folder / "run", ignore_errors=True)
+            played = play.play(plant.scenario, load(plant.scenario), seed, folder / "run", folder / "tree")
+            if played.verdict.counts:
+                break
+        first = next((b for b in played.verdict.breaches if b.rule == plant.rule), None)
+        if played.verdict.counts and first is not None:
+            return Found(plant, seed, f"{first.who}: {first.what}")
+    return Found(plant, None, "not found")
--- a/tests/test_faultlab_rig.py
+++ b/tests/test_faultlab_rig.py
@@ -16,7 +16,7 @@
 from hypothesis import strategies as st
 from typer.testing import CliRunner
 
-from faultlab import addresses, disk, drawn, history, play, schedule, shrinking, soaking, verdict
+from faultlab import addresses, disk, drawn, history, plants, play, schedule, shrinking, soaking, verdict
 from faultlab.children import Failed, tethered
 from faultlab.cli import app
 from faultlab.scenario import load, settle
@@ -107,6 +107,19 @@
     return folder
 
 
+def test_each_plant_has_its_place_and_its_scenario(tmp_path: Path) -> None:
+    for plant in plants.PLANTS:
+        text = (ROOT / plant.file).read_text()
+        assert text.count(plant.old) == 1, plant.name
+        compile(text.replace(plant.old, plant.new), plant.file, "exec")
+        assert plant.scenario in shipped("faultlab")
+    assert "one of repeat" in wrong("plants", "weeds")
+    (tmp_path / "tree" / "lilacsill").mkdir(parents=True)
+    (tmp_path / "tree" / "lilacsill" / "bans.py").write_text("")
+    with pytest.raises(plants.PlantError, match="is there 0 times; mend it"):
+        plants.plant_in(tmp_path / "tree", plants.PLANTS[-1], tmp_path / "copy")
+
+
 # Addresses, disks, processes
 
 def test_two_rigs_hold_blocks_of_their_own_and_go_round_a_taken_port(monkeypatch: pytest.MonkeyPatch) -> None:
