Ask discovery at several addresses where the file names them, and see a list that went back

Need: with one address an agent is deaf as long as that service is; a list service that is restored, or another one at the same address, gives changes that do not belong to the list the agent has. Change: `discovery` may be a list (off while it is one address: the calls are then as before). A failed or silent address is left for another with full jitter, one call a second at most. An answer of a lower revision, or of another identity where the service gives one, is logged, and unless it is whole the whole list is asked for. INFO tells list_age_ms.

--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -108,14 +108,14 @@
 def _reload(agent: Agent, figures: Figures) -> None:
     """What is wrong with the new file must not end an agent that serves."""
     try:
-        address = reload_discovery(os.environ)
+        addresses = reload_discovery(os.environ)
     except ConfigError as e:
         log.error("kept the address of discovery: %s", e)
         figures.reloaded(ok=False)
         return
     figures.reloaded(ok=True)
-    log.info("discovery is at %s:%d", address.host, address.port)
-    agent.move(address)
+    log.info("discovery is at %s", ", ".join(f"{a.host}:{a.port}" for a in addresses))
+    agent.move(addresses)
 
 
 def _unhandled(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -113,14 +113,16 @@
         return {"roster": self._roster.state(self._discovery.parser.form),
                 "memory": memory.take(self._balancer)}
 
-    def move(self, discovery: Address) -> None:
+    def move(self, discovery: tuple[Address, ...]) -> None:
         self._discovery.move(discovery)
 
     # The operators' side
 
     def levels(self) -> Levels:
         taken = sum(isinstance(h.call.body, bytes) or h.call.body.whole for h in self._held.values())
-        return Levels(taken, len(self._roster), self._balancer.avoided(self._clock.now()))
+        heard = self._discovery.heard_at
+        age_ms = -1 if heard is None else int((self._loop.time() - heard) * 1000)
+        return Levels(taken, len(self._roster), self._balancer.avoided(self._clock.now()), age_ms)
 
     def detach(self, backend: str, vouched: bool = False) -> None:
         """Send nothing new to a backend, whatever discovery says. LookupError if it never was listed."""
--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -11,7 +11,7 @@
 from brasshead.settings import SettingsError, settings_from
 
 from .clock import Clock
-from .discovery import Address, Listing, ListingParser, parse_address
+from .discovery import Address, Listing, ListingParser, parse_address, parse_addresses
 
 T = TypeVar("T")
 
@@ -24,7 +24,7 @@
 class Config:
     name: str
     listen: Address
-    discovery: Address
+    discovery: tuple[Address, ...]  # one, or several that give the same list
     seed: int
     sockets: int  # file descriptors this process may hold
     known: Listing
@@ -40,9 +40,9 @@
     return _read(env, lambda doc: _config(doc, env, clock))
 
 
-def reload_discovery(env: Mapping[str, str]) -> Address:
+def reload_discovery(env: Mapping[str, str]) -> tuple[Address, ...]:
     """Where the file puts discovery now. The environment still has the address of the start."""
-    return _read(env, lambda doc: parse_address(doc["discovery"]))
+    return _read(env, lambda doc: parse_addresses(doc["discovery"]))
 
 
 def _read(env: Mapping[str, str], meaning: Callable[[Any], T]) -> T:
@@ -57,6 +57,12 @@
         raise ConfigError(f"RELAY_CONFIG: {e}") from None
 
 
+def _discovery(env: Mapping[str, str], doc: dict[str, Any]) -> str | list[str]:
+    """Several addresses stand in the file alone: the environment has room for the platform's one."""
+    named: str | list[str] = doc["discovery"]
+    return named if isinstance(named, list) else env.get("RELAY_DISCOVERY") or named
+
+
 def _config(doc: dict[str, Any], env: Mapping[str, str], clock: Clock) -> Config:
     facts = doc["settings"]
     allowed = facts["allowed"]
@@ -65,7 +71,7 @@
     return Config(
         name=str(doc.get("name") or env.get("RELAY_NAME") or ""),
         listen=parse_address(env.get("RELAY_LISTEN") or doc["listen"]),
-        discovery=parse_address(env.get("RELAY_DISCOVERY") or doc["discovery"]),
+        discovery=parse_addresses(_discovery(env, doc)),
         seed=int(doc["seed"], 16),
         sockets=int((doc.get("limits") or {}).get("sockets") or 1024),
         known=parser.parse(doc["known"]),
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -4,9 +4,11 @@
 import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import quote
 
 import h11
 
@@ -21,6 +23,9 @@
 WAIT_MS = 20_000  # long: each call costs discovery, which all agents share
 ANSWER_S = 2.0  # what discovery has to tell counts as told this long after the wait is over
 ANSWER_BYTES = 4 * 1024 * 1024  # of an answer
+# Where there are several addresses: a call a second at most, and full jitter (Brooker 2015), so that agents
+# that were left together do not come back together.
+CALL_EVERY_S, ELSEWHERE_FIRST_S, ELSEWHERE_MOST_S = 1.0, 0.5, 8.0
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 
 
@@ -48,6 +53,16 @@
     revision: int
     complete: bool
     members: tuple[Member, ...]
+    identity: str | None = None  # of the list, where the service gives it one
+
+
+def parse_addresses(value: str | list[str]) -> tuple[Address, ...]:
+    """One address, or several that give the same list; text may have them between commas."""
+    texts = value.split(",") if isinstance(value, str) else value
+    found = tuple(parse_address(text.strip()) for text in texts)
+    if not found:
+        raise ValueError("no address of discovery")
+    return found
 
 
 def parse_address(text: str) -> Address:
@@ -68,7 +83,9 @@
     def parse(self, doc: Any) -> Listing:
         try:
             members = tuple(self._member(m) for m in doc["members"])
-            return Listing(int(doc["revision"]), bool(doc["complete"]), members)
+            identity = doc.get("list")
+            return Listing(int(doc["revision"]), bool(doc["complete"]), members,
+                           identity if isinstance(identity, str) else None)
         except (KeyError, TypeError, AttributeError, OverflowError) as e:
             raise ValueError(f"list of backends: {type(e).__name__} {e}") from None
 
@@ -142,12 +159,18 @@
 
 
 class Discovery:
-    """Asks discovery. A watch goes on by itself from call to call until a call fails."""
+    """Asks discovery. A watch goes on by itself from call to call until a call fails; where there are several
+    addresses it goes on at another."""
 
-    def __init__(self, address: Address, parser: ListingParser, revision: int | None,
+    def __init__(self, addresses: tuple[Address, ...], parser: ListingParser, revision: int | None,
                  connect_s: float) -> None:
-        self._address, self.parser, self._connect_s = address, parser, connect_s
+        self._addresses, self.parser, self._connect_s = addresses, parser, connect_s
+        self._at = 0  # the address in use
         self._revision = revision  # None: the whole list is wanted first
+        self._identity: str | None = None
+        self._failed = 0  # calls in a row
+        self._called = -CALL_EVERY_S  # when the latest call began, by the loop's clock
+        self.heard_at: float | None = None  # when anything was heard last, by the same
         self._watching: asyncio.Task[None] | None = None
         self._told: Callable[[Listing | None], None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
@@ -158,12 +181,13 @@
         if self._watching is None or self._watching.done():
             self._watching = asyncio.get_running_loop().create_task(self._watch(told))
 
-    def move(self, address: Address) -> None:
+    def move(self, addresses: tuple[Address, ...]) -> None:
         """Ask there from now on, without a break for whoever watches.
 
         The whole list comes first: that the revisions of the one go on at the other is promised nowhere.
         """
-        self._address, self._revision = address, None
+        self._addresses, self._at = addresses, 0
+        self._revision = self._identity = None
         if self._watching is not None:
             self._watching.cancel()
             self._watching = None
@@ -180,21 +204,62 @@
         call: _Call | None = None
         try:
             while True:
-                call = await self._connected(call)
-                whole = self._revision is None
-                target = PATH if whole else f"{PATH}?index={self._revision}&wait={WAIT_MS}"
-                listing = await self._ask(call, target, ANSWER_S if whole else WAIT_MS / 1000 + ANSWER_S)
-                self._revision = listing.revision
-                if listing.members or listing.complete:
+                try:
+                    call = await self._connected(call)
+                    listing = await self._next(call)
+                except Exception as e:
+                    _failed(e)
+                    if len(self._addresses) == 1:
+                        break
+                    if call is not None:
+                        call.drop()
+                        call = None
+                    await self._elsewhere()
+                    continue
+                self._failed = 0
+                if self._follows(listing) and (listing.members or listing.complete):
                     told(listing)
-        except Exception as e:
-            _failed(e)
         finally:
             if call is not None:
                 call.drop()
         self._watching = None  # before the report: the answer to it may be the next watch
         told(None)
 
+    async def _next(self, call: _Call) -> Listing:
+        """The next answer to the watch."""
+        if self._revision is None:
+            return await self._ask(call, PATH, ANSWER_S)
+        target = f"{PATH}?index={self._revision}&wait={WAIT_MS}"
+        if self._identity is not None:
+            target += f"&list={quote(self._identity)}"
+        return await self._ask(call, target, WAIT_MS / 1000 + ANSWER_S)
+
+    def _follows(self, listing: Listing) -> bool:
+        """Whether it goes on from what was heard before.
+
+        Changes to a list that went back, or to another, are not laid over this one: all of it is asked for.
+        """
+        back = self._revision is not None and listing.revision < self._revision
+        other = self._identity is not None and listing.identity != self._identity
+        if back or other:
+            log.warning("the list %s: revision %s after %s", "is another one" if other else "went back",
+                        listing.revision, self._revision)
+        wanted = (back or other) and not listing.complete
+        self._revision, self._identity = None if wanted else listing.revision, listing.identity
+        return not wanted
+
+    async def _elsewhere(self) -> None:
+        """Leave this address for another, after a while of chance that grows with each failure."""
+        loop = asyncio.get_running_loop()
+        self._failed += 1
+        self._at = (self._at + random.randrange(1, len(self._addresses))) % len(self._addresses)
+        if self._identity is None:
+            self._revision = None  # whether the other counts as this one did is not known
+        most = min(ELSEWHERE_MOST_S, ELSEWHERE_FIRST_S * 2 ** min(self._failed, 10))
+        address = self._addresses[self._at]
+        log.info("discovery is asked at %s:%d next", address.host, address.port)
+        await asyncio.sleep(max(random.random() * most, self._called + CALL_EVERY_S - loop.time()))
+
     async def _fetch(self, told: Callable[[Listing | None], None]) -> None:
         call: _Call | None = None
         listing: Listing | None = None
@@ -215,14 +280,17 @@
                 return call
             call.drop()
         loop = asyncio.get_running_loop()
+        address, self._called = self._addresses[self._at], loop.time()
         async with asyncio.timeout(self._connect_s):
-            _, call = await loop.create_connection(_Call, self._address.host, self._address.port)
+            _, call = await loop.create_connection(_Call, address.host, address.port)
         return call
 
     async def _ask(self, call: _Call, target: str, limit_s: float) -> Listing:
         # Bounded: a machine that is cut off says nothing, and the watch would wait for ever.
         async with asyncio.timeout(limit_s):
-            return self.parser.parse(json.loads(await call.get(target)))
+            listing = self.parser.parse(json.loads(await call.get(target)))
+        self.heard_at = asyncio.get_running_loop().time()
+        return listing
 
 
 def _failed(e: Exception) -> None:
--- a/lilacsill/figures.py
+++ b/lilacsill/figures.py
@@ -15,6 +15,7 @@
     pending: int  # requests taken and not ended
     members: int  # backends in the list
     members_unavailable: int  # those of them that get nothing now
+    list_age_ms: int  # since discovery was last heard; -1: not yet
 
 
 class Figures:
@@ -52,5 +53,6 @@
             f"{PREFIX}.pending:{levels.pending}|g",
             f"{PREFIX}.members:{levels.members}|g",
             f"{PREFIX}.members_unavailable:{levels.members_unavailable}|g",
+            f"{PREFIX}.list_age_ms:{levels.list_age_ms}|g",
         ]
         return "".join(f"{line}\n" for line in lines)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,7 @@
 from tests.loopback import Peer, member, post, world
 
 from lilacsill.clock import Clock
-from lilacsill.discovery import Address, Discovery, Listing, ListingParser
+from lilacsill.discovery import Address, Discovery, Listing, ListingParser, parse_addresses
 
 
 def body(revision: int, members: list[dict[str, Any]], complete: bool = False) -> bytes:
@@ -18,7 +18,7 @@
 
 
 def asks(peer: Peer) -> Discovery:
-    return Discovery(Address("127.0.0.1", peer.port), ListingParser(Clock(), ("a",), ("m",)), 41, 9.0)
+    return Discovery((Address("127.0.0.1", peer.port),), ListingParser(Clock(), ("a",), ("m",)), 41, 9.0)
 
 
 def test_the_same_start_is_always_the_same_time() -> None:
@@ -93,6 +93,67 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_a_failed_address_is_left_for_another_at_most_once_a_second(monkeypatch: pytest.MonkeyPatch) -> None:
+    waits: list[float] = []
+
+    async def sleep(seconds: float) -> None:
+        waits.append(seconds)
+    monkeypatch.setattr("lilacsill.discovery.asyncio.sleep", sleep)
+
+    async def run() -> None:
+        told = asyncio.Queue[Listing | None]()
+        first, second = await Peer().start(), await Peer().start()
+        addresses = tuple(Address("127.0.0.1", peer.port) for peer in (first, second))
+        discovery = Discovery(addresses, ListingParser(Clock(), ("a",), ("m",)), 41, 9.0)
+        discovery.watch(told.put_nowait)
+        for peer in (first, second, first):
+            await (await peer.requests.get()).answer(503)
+        call = await second.requests.get()
+        assert call.first == "GET /catalog/members HTTP/1.1"  # whether it counts alike is not known
+        await call.answer(200, body(7, [GOOD], complete=True))
+        listing = await told.get()
+        assert listing is not None and listing.complete and discovery.heard_at is not None
+        assert len(waits) == 3 and all(0.9 < wait <= 8.0 for wait in waits) and told.empty()
+        assert discovery._watching is not None
+        discovery._watching.cancel()
+        await first.stop()
+        await second.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+@pytest.mark.parametrize(("revision", "identity"), [(40, "x"), (43, "y"), (43, None)])
+def test_changes_to_a_list_that_went_back_or_is_another_are_asked_for_as_a_whole(
+        revision: int, identity: str | None, caplog: pytest.LogCaptureFixture) -> None:
+    async def run() -> None:
+        peer, told = await Peer().start(), asyncio.Queue[Listing | None]()
+        discovery = asks(peer)
+        discovery.watch(told.put_nowait)
+        first = json.loads(body(42, [GOOD], complete=True)) | {"list": "x"}
+        await (await peer.requests.get()).answer(200, json.dumps(first).encode())
+        assert await told.get() is not None
+        call = await peer.requests.get()
+        assert "index=42&" in call.first and call.first.split()[1].endswith("&list=x")
+        changed = json.loads(body(revision, [GOOD | {"id": "t"}])) | ({"list": identity} if identity else {})
+        await call.answer(200, json.dumps(changed).encode())
+        call = await peer.requests.get()
+        assert call.first == "GET /catalog/members HTTP/1.1" and told.empty()
+        await call.answer(503)
+        assert await told.get() is None
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+    assert any("the list" in r.message for r in caplog.records)
+
+
+def test_several_addresses_stand_in_the_file_alone() -> None:
+    both = (Address("a", 1), Address("b", 2))
+    assert parse_addresses("a:1, b:2") == parse_addresses(["a:1", "b:2"]) == both
+    for wrong in ("", "a", [], ["a:1", "b"]):
+        with pytest.raises(ValueError):
+            parse_addresses(wrong)
+
+
 @pytest.mark.parametrize("mode", ["ask", "push"])
 def test_the_module_hears_of_changes_and_asks_again_after_a_break(tmp_path: Path, mode: str) -> None:
     async def run() -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -146,6 +146,7 @@
             while (counts := await figures(w))["agent.pending"]:
                 pass
             counts.pop("agent.members_unavailable")  # the module's choice
+            assert counts.pop("agent.list_age_ms") == -1  # discovery has said nothing
             assert counts == {
                 f"agent.completed.{KEYED}": 1, f"agent.completed.{UNSAFE}": 0,
                 f"agent.rejected.{KEYED}": 0, f"agent.rejected.{UNSAFE}": 1,
