--- a/faultlab/parts/clients.py
+++ b/faultlab/parts/clients.py
@@ -14,7 +14,7 @@
 from ..addresses import split
 from ..history import Answered, Asked, Health, Resent, Unanswered, digest, now_us
 from .part import Book, Plan, Writes, read_plan, run
-from .server import request_id
+from .wire import request_id
 
 GRACE_S = 0.7  # a client waits so long beyond its time: who answers then is late, who never does has lost it
 IDLE_S = 3.0  # a connection idle for longer is closed
