--- a/catalog/caller.py
+++ b/catalog/caller.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 import http.client
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from urllib.parse import quote
 
 import msgspec
@@ -21,8 +21,8 @@
     return f"{PATH}/{quote(member, safe='')}"
 
 
-def call(at: str, method: str, path: str, doc: dict[str, object] | None = None,
-         timeout_s: float = TIMEOUT_S) -> str:
+def call(at: str, method: str, path: str, doc: object = None, timeout_s: float = TIMEOUT_S,
+         headers: Mapping[str, str] | None = None) -> str:
     """The body of a 200. Raises CallError."""
     try:
         address = parse_address(at)
@@ -30,7 +30,8 @@
         raise CallError(f"--at {at}: is no address; write HOST:PORT") from None
     connection = http.client.HTTPConnection(address.host, address.port, timeout=timeout_s)
     try:
-        connection.request(method, path, msgspec.json.encode(doc) if doc is not None else None)
+        body_out = msgspec.json.encode(doc) if doc is not None else None
+        connection.request(method, path, body_out, dict(headers or {}))
         answer = connection.getresponse()
         body = answer.read().decode()
     except (OSError, http.client.HTTPException) as e:
--- a/faultlab/checkers/case.py
+++ b/faultlab/checkers/case.py
@@ -114,6 +114,8 @@
                     if e.rid in self.exchanges:
                         self.exchanges[e.rid].end = e
                 case h.Got():
+                    if not e.agent and e.rid in self.exchanges:  # it came without a relay
+                        e.agent = self.exchanges[e.rid].asked.agent
                     self.got[e.rid].append(e)
                 case h.Turned():
                     self.turned[e.rid, e.who, e.life] = e.t
--- a/faultlab/cli.py
+++ b/faultlab/cli.py
@@ -19,7 +19,7 @@
 from .addresses import NoRoom
 from .children import Failed
 from .disk import DiskFault
-from .scenario import PACKAGE, load
+from .scenario import PACKAGE, calmed, load
 
 app = typer.Typer(no_args_is_help=True, pretty_exceptions_enable=False, rich_markup_mode=None,
                   help="Copies of the agent as processes on loopback, faults between them, and checkers.")
@@ -88,13 +88,15 @@
         for_: Annotated[float | None, typer.Option("--for", min=1, help="Seconds of clients; faults beyond "
                                                    "them are left out.")] = None,
         output: Annotated[Path | None, typer.Option("-o", help="Keep history and logs here.")] = None,
+        calm: Annotated[bool, typer.Option("--calm", help="Leave all faults out: the same day, to compare."
+                                           )] = False,
         tree: Tree = Path(".")) -> None:
     """Play one scenario and judge it. Without -o what it wrote is kept only where a rule broke.
 
     Example: python -m faultlab run pause-one --seed 3 -o logs/pause
     """
     with plain_errors():
-        span = drawn.named(name)
+        span = calmed(drawn.named(name)) if calm else drawn.named(name)
         for line in play.schedule_lines(span, seed, for_, Path(), tree):
             say(line)
         with progress_bar() as bar:
--- a/faultlab/faultacts.py
+++ b/faultlab/faultacts.py
@@ -7,6 +7,7 @@
 import resource
 import signal
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -95,13 +96,13 @@
             elif act.what == "drain":
                 if j in rig.servers:  # another fault may have it down
                     await rig.servers[j].order(server.Set(draining=True))
-                rig.later(told.add_s, lambda j=j: rig.list_server(j, "DRAINING"))  # type: ignore[misc]
+                rig.later(told.add_s, partial(rig.list_server, j, "DRAINING"))
             elif act.what == "stop":
                 await rig.stop_server(j)
-                rig.later(told.notice_s, lambda j=j: self._gone(j))  # type: ignore[misc]
+                rig.later(told.notice_s, partial(self._gone, j))
             else:
                 await rig.start_server(j, cold=True)
-                rig.later(told.add_s, lambda j=j: rig.list_server(j, "SERVING"))  # type: ignore[misc]
+                rig.later(told.add_s, partial(rig.list_server, j, "SERVING"))
 
     async def _gone(self, j: int) -> None:
         if j not in self._rig.servers:  # it may have come back before anyone noticed
@@ -141,7 +142,14 @@
             return [child for i in act.agents for child in rig.agents.up[i]]
         if of == "servers":
             return [rig.servers[j].child for j in act.servers if j in rig.servers]
-        return [rig.discoveries[0].child]
+        return [self._discovery()]
+
+    def _discovery(self) -> Child:
+        rig = self._rig
+        if rig.list_service is None:
+            return rig.discoveries[0].child
+        assert rig.list_service.child is not None
+        return rig.list_service.child
 
     async def _pause(self, act: Act, fault: faults.Pause) -> None:
         for child in self._struck(act, fault.of):
@@ -161,15 +169,15 @@
             for j in act.servers:
                 if not act.on:
                     await rig.start_server(j, cold=True)
-                    rig.later(rig.s.discovery.add_s, lambda j=j: rig.list_server(j, "SERVING"))  # type: ignore[misc]
+                    rig.later(rig.s.discovery.add_s, partial(rig.list_server, j, "SERVING"))
                 else:
                     await rig.stop_server(j)
-                    rig.later(rig.s.discovery.silent_notice_s, lambda j=j: self._gone(j))  # type: ignore[misc]
+                    rig.later(rig.s.discovery.silent_notice_s, partial(self._gone, j))
         elif act.on:
-            rig.discoveries[0].child.kill()
+            self._discovery().kill()
             await self._discovery_up(act, False)
         else:
-            await rig.start_discovery(0)
+            await (rig.start_discovery(0) if rig.list_service is None else rig.list_service.start())
             await self._discovery_up(act, True)
 
     async def _discovery_up(self, act: Act, up: bool) -> None:
@@ -275,7 +283,7 @@
             await asyncio.sleep(fault.len_s / 10)
             for j in act.servers:
                 await rig.start_server(j, cold=True)
-                rig.later(rig.s.discovery.add_s, lambda j=j: rig.list_server(j, "SERVING"))  # type: ignore[misc]
+                rig.later(rig.s.discovery.add_s, partial(rig.list_server, j, "SERVING"))
         if not act.on:
             for j in act.servers:
                 await asyncio.gather(*(rig.agents.call(i, f"ATTACH s{j}") for i in act.agents))
--- a/faultlab/history.py
+++ b/faultlab/history.py
@@ -168,6 +168,13 @@
     whole: bool = True
 
 
+class Kept(Event, kw_only=True, tag="kept"):
+    """The whole list of the list service at the end: id and phase."""
+
+    revision: int
+    members: list[tuple[str, str]]
+
+
 class Door(Event, kw_only=True, tag="door"):
     """A call at an agent's door; `asked` is when it was sent; an answer that never came is empty."""
 
@@ -211,7 +218,8 @@
 
 
 AnyEvent = (Begun | Ready | Ended | Stop | Fault | Asked | Answered | Unanswered | Resent | Got | Turned
-            | Gave | Left | Fell | Listed | Called | Told | Door | Health | Open | Logged | Late | Usage)
+            | Gave | Left | Fell | Listed | Called | Told | Kept | Door | Health | Open | Logged | Late
+            | Usage)
 
 
 class HistoryError(Exception):
--- a/faultlab/rig.py
+++ b/faultlab/rig.py
@@ -25,6 +25,7 @@
 from .children import HOME, Child, Failed, PartChild, Starter, part_command
 from .faultacts import FaultActs
 from .history import Begun, Ended, Event, Late, Ready, Writer, now_us
+from .listservice import ListService
 from .parts import datagrams, discovery, relay, server
 from .parts.clients import Arrival, Begin, ClientsPart
 from .parts.server import unix_ms
@@ -95,6 +96,7 @@
         self.block: Block
         self.children: list[Child] = []
         self.discoveries: list[PartChild] = []
+        self.list_service: ListService | None = None
         self.relays: list[PartChild] = []
         self.datagrams: PartChild | None = None
         self.clients: list[PartChild] = []
@@ -197,6 +199,8 @@
         if self.entries[j].phase == "DELETED" and phase == "DRAINING":
             return
         entry = self.entries[j] = msgspec.structs.replace(self.entries[j], phase=phase)
+        if self.list_service is not None:
+            return await self.list_service.set(j, phase)
         await asyncio.gather(*(
             d.order(discovery.Change([entry]))
             for k, d in enumerate(self.discoveries) if k == 0 or j not in self.lacking))
@@ -258,7 +262,13 @@
         first = range(len(self.day.servers))
         await asyncio.gather(*(self.start_server(j, cold=False) for j in first))
         self.faults.choose_lacking()
-        await self.start_discovery(0)
+        if self.s.list_service:
+            self.list_service = ListService(self)
+            await self.list_service.start()
+            await self.list_service.put_all()
+            self.spawn(self.list_service.renew_all())
+        else:
+            await self.start_discovery(0)
         if any(act.what == "reload" for act in self.acts):
             await self.start_discovery(1)
         if self.s.allow.peers:
@@ -281,6 +291,8 @@
         longest = max(c.deadline_ms for c in self.s.cls) / 1000
         await asyncio.sleep(max(0.0, (begin + length - now_us()) / 1e6) + longest + 1.0)
         await self.faults.settled()
+        if self.list_service is not None:
+            await self.list_service.note_what_is_kept()
         await self.agents.finish()
         self._ending = True
 
--- a/faultlab/scenario.py
+++ b/faultlab/scenario.py
@@ -10,7 +10,7 @@
 from fleetsim import troubles_schema as emulated
 from fleetsim.scenario import ScenarioError
 
-from .faults_schema import AnyFault
+from .faults_schema import AnyFault, Lists, Reload
 
 PACKAGE = "faultlab"
 MOST_AGENTS, MOST_SERVERS = 20, 30
@@ -20,6 +20,7 @@
 
 
 class LabScenario(scenario.Scenario, frozen=True):
+    list_service: bool = False  # the project's own serves the list; agents then reach servers without relays
     fault: list[AnyFault] = msgspec.field(default_factory=list)
 
 
@@ -56,6 +57,10 @@
         if not isinstance(trouble, PLAYED):
             kind = type(trouble).__struct_config__.tag
             raise ScenarioError(f"{name}: trouble[{i}].what: the rig does not play `{kind}`; write a fault")
+    if high.list_service and any(getattr(f, "path", "") == "servers" or isinstance(f, Lists | Reload)
+                                 for f in high.fault):
+        raise ScenarioError(f"{name}: list_service: goes with no fault on the path to servers, nor of the "
+                            "stand-in's lists; take those out")
     for i, fault in enumerate(high.fault):
         if fault.at_s + fault.len_s > high.run.length_s:
             raise ScenarioError(f"{name}: fault[{i}]: ends after the run; lower at_s or len_s, or raise "
@@ -75,3 +80,10 @@
     kept = [f for f in s.fault if f.at_s + f.len_s <= length_s]
     run = msgspec.structs.replace(s.run, length_s=length_s)
     return msgspec.structs.replace(s, run=run, fault=kept)
+
+
+def calmed(span: scenario.Span) -> scenario.Span:
+    """The same days without their faults; what is drawn for them does not follow from these."""
+    low, high = (msgspec.structs.replace(s, fault=[]) for s in (cast(LabScenario, span.low),
+                                                                cast(LabScenario, span.high)))
+    return scenario.Span(low, high)
