Measure the list service, and count what readers have not taken among those alone that are behind

Need: what a yes costs until the last of 1,000 watchers is told. Seen: python -m catalog bench: 153 ms at the median beside 13 ms for the same bytes on bare connections (ratio 11.8). Cause: each answer summed what all connections have not taken, a million looks a change. Ruled out: encoding (once a change) and h11, 20 us an answer by the profile. Change: the sum goes over connections that are behind. The rig itself goes before other processes too, as its parts do; agents do not.

--- a/catalog/cli.py
+++ b/catalog/cli.py
@@ -168,5 +168,17 @@
             typer.echo(line)
 
 
+@app.command()
+def bench() -> None:
+    """What it costs beside the least that could be, on this machine; about a minute.
+
+    Example: python -m catalog bench
+    """
+    from . import bench as measuring  # its histograms are the tools' and not the service's
+
+    with plain_errors():
+        measuring.run(typer.echo)
+
+
 def main() -> None:
     app()
--- a/catalog/server.py
+++ b/catalog/server.py
@@ -87,6 +87,7 @@
     def __init__(self, service: Service) -> None:
         self.service = service
         self.conns: set[_Conn] = set()
+        self.behind: set[_Conn] = set()  # those that have not taken all of their answer
         self.tasks: set[asyncio.Task[None]] = set()
         self._listener: asyncio.Server | None = None
 
@@ -106,7 +107,7 @@
             conn.drop()
 
     def unread(self) -> int:
-        return sum(conn.unread() for conn in self.conns)
+        return sum(conn.unread() for conn in self.behind)
 
 
 class _Conn(Connection):
@@ -135,8 +136,13 @@
         super().connection_lost(exc)
         self._forget()
 
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        self._server.behind.discard(self)
+
     def _forget(self) -> None:
         self._server.conns.discard(self)
+        self._server.behind.discard(self)
         self._service.unwatch(self.look)
         if self._timer is not None:
             self._timer.cancel()
@@ -281,6 +287,8 @@
                 f"Content-Length: {len(body)}\r\n{again}{ending}\r\n")
         self.transport.write(head.encode() + body)
         self.written = self.transport.get_write_buffer_size() == 0
+        if not self.written:
+            self._server.behind.add(self)
         self._answering = False
         if not keep:
             self.transport.close()
--- a/faultlab/rig.py
+++ b/faultlab/rig.py
@@ -28,6 +28,7 @@
 from .listservice import ListService
 from .parts import datagrams, discovery, relay, server
 from .parts.clients import Arrival, Begin, ClientsPart
+from .parts.part import NICE
 from .parts.server import unix_ms
 from .scenario import LabScenario, settle
 
@@ -231,6 +232,9 @@
     async def run(self) -> None:
         """Play it. Whatever ends it, nothing that it started is left."""
         self._trouble = asyncio.get_running_loop().create_future()
+        before = os.getpriority(os.PRIO_PROCESS, 0)
+        with contextlib.suppress(PermissionError):
+            os.setpriority(os.PRIO_PROCESS, 0, NICE)
         for sub in ("logs", "agents"):
             (self.folder / sub).mkdir(parents=True, exist_ok=True)
         self._writer = Writer(self.folder / "history.jsonl")
@@ -252,6 +256,7 @@
             if held is not None:
                 held.close()
             self._writer.close()
+            os.setpriority(os.PRIO_PROCESS, 0, before)
 
     async def _play(self) -> None:
         agents = range(len(self.day.agents))
