Rig: what was written into a struck path counts once the agent goes on from it

Cause: the checker left out all that was written while a reset or a cut was in force, also a server that was listed again, and judged by the list before. Change: an answer counts from the agent's first call that names its revision.

--- a/faultlab/checkers/case.py
+++ b/faultlab/checkers/case.py
@@ -89,6 +89,7 @@
         self.turned: dict[tuple[str, str, int], int] = {}
         self.gave: dict[str, list[h.Gave]] = defaultdict(list)
         self.told: dict[str, list[h.Told]] = defaultdict(list)
+        self.called: dict[str, list[h.Called]] = defaultdict(list)
         self.door: dict[str, list[h.Door]] = defaultdict(list)
         self.windows: list[tuple[Window, frozenset[str], frozenset[str], str]] = []
         self._sort()
@@ -124,6 +125,8 @@
                 case h.Told():
                     if e.whole:
                         self.told[e.agent].append(e)
+                case h.Called():
+                    self.called[e.agent].append(e)
                 case h.Door():
                     self.door[e.who].append(e)
                 case h.Fault():
--- a/faultlab/checkers/lists.py
+++ b/faultlab/checkers/lists.py
@@ -47,10 +47,7 @@
     starts = [life.begun for life in case.lives[agent]
               if not any(o.begun < life.begun < o.ended for o in case.lives[agent])]
     steps: list[tuple[int, h.Told | None]] = [(t, None) for t in starts]
-    # What was written while the way was struck may not have arrived; if so, it is told again.
-    struck = case.faults(agent, PATHS, "discovery")
-    steps += [(told.t, told) for told in case.told[agent]
-              if not any(w.meets(told.t, told.t) for w in struck)]
+    steps += [(heard, told) for told in case.told[agent] for heard in _heard(case, agent, told)]
     steps += [(told.t, told) for told in _counting_as_told(case, agent)]
     state: dict[str, tuple[str, int]] = {}
     sure = False
@@ -65,6 +62,16 @@
     return view
 
 
+def _heard(case: Case, agent: str, told: h.Told) -> list[int]:
+    """When an answer was with the agent: as it was written, or, where the way was struck then, by the first
+    call that goes on from it. Where there is no such call the agent is told again.
+    """
+    if not any(w.meets(told.t, told.t) for w in case.faults(agent, PATHS, "discovery")):
+        return [told.t]
+    return [call.t for call in case.called[agent] if call.t >= told.t and call.who == told.who
+            and call.index is not None and call.index >= told.revision][:1]
+
+
 def _unheard(case: Case, agent: str) -> list[Window]:
     """While it could not hear discovery."""
     return case.faults(agent, PATHS, "discovery") + case.frozen(agent) + case.faults(agent, ("descriptors",))
--- a/tests/test_faultlab_checkers.py
+++ b/tests/test_faultlab_checkers.py
@@ -271,6 +271,17 @@
         assert story.end(60 * S).rules() == broken
 
 
+def test_what_was_written_into_a_struck_path_counts_once_the_agent_goes_on_from_it() -> None:
+    for goes_on, broken in ((True, {"drain"}), (False, set())):
+        story = Story()
+        story.listed(2 * S, 42, ("s0", "DRAINING", 0))
+        story.fault(S, 9 * S, "link", "discovery", delay_ms=1.0)
+        story.told(2 * S + 5, 42, [("s0", "DRAINING", 0)])
+        story.add(h.Called, 3 * S, "d0", agent="a0", index=42 if goes_on else 41, wait_ms=20_000)
+        story.served(5 * S, server="s0")
+        assert story.end(60 * S).rules() == broken
+
+
 def test_a_ban_holds_until_it_is_lifted() -> None:
     for lifted, broken in ((False, {"drain"}), (True, set())):
         story = Story()
