Let the first pass take what holds next to nothing wherever the later limit does

Cause: it left out of the first pass all servers whose load is a guess, also those that the later limit takes; the draws then went among fuller ones. Change: the first pass takes a server that holds under one request where the later limit does, no more and no less.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -698,12 +698,14 @@
         own = s.own(self.now)
         held = own + self.table.others(s, self.now)
         predicted = (held + r.size) * s.pace
-        known = self.now - s.heard_at <= self.known_us
         if not last:
-            # Nothing that the later limit refuses: such a pair was drawn again and again, without end.
-            return workable and (predicted <= limit or (known and held < 1.0))
+            if predicted <= limit or held >= 1.0:
+                return workable and predicted <= limit
+            # It holds next to nothing: then the later limit decides already here. A pair that passed here and
+            # not there was drawn again and again, without end.
+            limit /= SOFTER
         need = self.needs.of[r.number]
-        if known:
+        if self.now - s.heard_at <= self.known_us:
             # Known, not guessed: no pass here, but one that holds nothing is fit.
             # Nor is it refused for what comes after the aim but keeps part of its worth.
             late = 0.0 if r.gives_way else HEADROOM * r.cls.late_worth * (r.deadline - r.aim_at) / need
