Rig: a run ends when its requests have, and a wrong answer is named as one

Change: clients say when all that they began has ended. A body that another request was due is called another answer and not a spoilt one.

--- a/faultlab/checkers/answers.py
+++ b/faultlab/checkers/answers.py
@@ -74,7 +74,9 @@
     if end.status == 200 and not corrupted:
         made = [g for g in case.gave[x.rid] if g.status == 200]
         if not any(g.whole and g.digest == end.digest for g in made):
-            why = "its server spoilt the answer" if made else "no server answered it"
+            why = "no server answered it"
+            if made:
+                why = "another answer" if any(g.whole for g in made) else "its server spoilt the answer"
             found.append(Breach("integrity", end.t, agent,
                                 f"request {x.rid}: served with what no server made for it ({why})"))
     if 400 <= end.status < 500 and end.status != 429 and not corrupted and not _excused(case, x):
--- a/faultlab/parts/clients.py
+++ b/faultlab/parts/clients.py
@@ -20,6 +20,7 @@
 IDLE_S = 3.0  # a connection idle for longer is closed
 CONNECT_S = 1.0
 HEALTH_S = 0.1
+SETTLE_S = 0.05
 REFUSED = (429, 503)
 
 
@@ -51,6 +52,10 @@
     deaf: bool
 
 
+class Settle(msgspec.Struct, tag_field="order", tag="settle"):
+    """Done once every request that was begun has come to its end."""
+
+
 @dataclass(slots=True)
 class First:
     """What a client wants; all its tries count as one."""
@@ -149,10 +154,14 @@
     async def start(self) -> None:
         self._loop = asyncio.get_running_loop()
 
-    async def order(self, order: Begin | Front) -> None:
+    async def order(self, order: Begin | Front | Settle) -> None:
         if isinstance(order, Front):
             self.deaf = order.deaf
             return
+        if isinstance(order, Settle):
+            while self.open:
+                await asyncio.sleep(SETTLE_S)
+            return
         self._begin_us = order.start_us
         self._coming = iter(self.plan.arrivals)
         self._next()
@@ -307,4 +316,4 @@
 
 
 if __name__ == "__main__":
-    main(ClientsPart, Load, Begin | Front)
+    main(ClientsPart, Load, Begin | Front | Settle)
--- a/faultlab/rig.py
+++ b/faultlab/rig.py
@@ -27,7 +27,7 @@
 from .history import Begun, Ended, Event, Ready, Writer, now_us
 from .listservice import ListService
 from .parts import datagrams, discovery, relay, server
-from .parts.clients import Arrival, Begin, ClientsPart
+from .parts.clients import Arrival, Begin, ClientsPart, Settle
 from .parts.part import NICE, punctual
 from .parts.server import unix_ms
 from .scenario import LabScenario, settle
@@ -292,8 +292,8 @@
         for act in self.acts:
             await asyncio.sleep(max(0.0, (begin + act.at_us - now_us()) / 1e6))
             await self.faults.carry_out(act)
-        longest = max(c.deadline_ms for c in self.s.cls) / 1000
-        await asyncio.sleep(max(0.0, (begin + length - now_us()) / 1e6) + longest + 1.0)
+        await asyncio.sleep(max(0.0, (begin + length - now_us()) / 1e6))
+        await asyncio.gather(*(c.order(Settle()) for c in self.clients))
         await self.faults.settled()
         if self.list_service is not None:
             await self.list_service.note_what_is_kept()
