--- a/faultlab/agents.py
+++ b/faultlab/agents.py
@@ -17,6 +17,7 @@
 from .children import Child, Failed, tethered
 from .history import Begun, Door, Logged, Open, Ready, Stop, Usage, now_us
 from .parts import relay
+from .parts.clients import IDLE_S
 from .parts.discovery import FIRST_REVISION, member_json
 from .parts.skewed_agent import SKEW_FILE
 
@@ -153,7 +154,7 @@
 
     async def finish(self) -> None:
         """After the last request: idle connections have had their time, what is still held is counted."""
-        await asyncio.sleep(self._rig.s.connections.idle_s + 1.0)
+        await asyncio.sleep(max(self._rig.s.connections.idle_s, IDLE_S) + 1.0)
         for i, up in enumerate(self.up):
             for child in list(up):
                 await self.call(i, "INFO", child)
