--- a/faultlab/loadtest.py
+++ b/faultlab/loadtest.py
@@ -60,7 +60,7 @@
                     self.times.record_value(min(HIGHEST_US, max(LOWEST_US, event.t - asked.due)))
             case Unanswered():
                 known = self._asked.pop(event.rid, None)
-                self.ends[known.first if known is not None else event.rid] = event.how
+                self.ends[known.first if known is not None else event.rid.partition(".")[0]] = event.how
 
     def lines(self) -> list[str]:
         counted = Counter(self.ends.values())
