--- a/faultlab/checkers/processes.py
+++ b/faultlab/checkers/processes.py
@@ -8,6 +8,7 @@
 
 CALLER_US = 1_000_000  # a caller at the door waits so long
 OVERSTAYED_US = 50_000
+BAD_CONFIGURATION = 2  # the agent's exit status
 SPARE_DESCRIPTORS = 8  # calls under way, discovery, and the loop's own
 EMPTIED_US, REJOINED_US = 4_000_000, 2_000_000  # DAYS, Sending clients away
 COUNT_SLACK, COUNT_SHARE = 3, 0.01  # DAYS, What the agent reports
@@ -30,6 +31,8 @@
 def _end(case: Case, agent: str, life: Life) -> list[Breach]:
     if life.ended > case.end:
         return []
+    if not life.asked and _met_a_spoilt_file(case, agent, life):
+        return []
     if not life.asked:
         what = f"process {life.number} ended by itself, status {life.status}"
         return [Breach("crash", life.ended, agent, what)]
@@ -46,6 +49,12 @@
     return []
 
 
+def _met_a_spoilt_file(case: Case, agent: str, life: Life) -> bool:
+    """It has refused to start from a file that nobody can read, as it should."""
+    return life.status == BAD_CONFIGURATION and any(
+        w.detail.get("spoilt") and w.meets(life.begun, life.begun) for w in case.faults(agent, ("reload",)))
+
+
 def _descriptors(case: Case, agent: str) -> list[Breach]:
     counts = [e for e in case.events if isinstance(e, h.Open) and e.who == agent]
     before = [e.count for e in counts if e.when == "ready"]
--- a/tests/test_faultlab_checkers.py
+++ b/tests/test_faultlab_checkers.py
@@ -338,6 +338,15 @@
     assert story.end(60 * S).rules() == broken
 
 
+def test_a_start_from_a_spoilt_file_is_refused_and_one_from_a_good_file_is_not() -> None:
+    for spoilt, broken in ((True, set()), (False, {"crash"})):
+        story = Story()
+        story.fault(S, 9 * S, "reload", spoilt=spoilt)
+        story.add(h.Begun, 2 * S, "a0", life=1, pid=4)
+        story.add(h.Ended, 3 * S, "a0", life=1, status=2, asked=False)
+        assert story.end(60 * S).rules() == broken
+
+
 def test_a_process_ends_in_time_and_in_order_after_sigterm() -> None:
     for after, status, broken in ((3 * S, 0, set()), (3 * S, 1, {"crash"}), (3_700_000, -9, {"crash"})):
         story = Story()
