--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -95,8 +95,8 @@
     """A request this balancer has taken, until its answer is given and its attempts have ended."""
 
     __slots__ = ("id", "cls", "number", "deadline", "aim_at", "gives_way", "sends", "out", "may_have_run",
-                 "tried", "done", "luck", "size", "pair", "silent", "pairs", "streamed", "begun",
-                 "copy")
+                 "tried", "done", "luck", "size", "pair", "silent", "pairs", "redrawn", "streamed",
+                 "begun", "copy")
 
     def __init__(self, e: RequestArrived, cls: RequestClass, now: int, luck: float, size: float) -> None:
         self.id, self.cls, self.number = e.request, cls, e.request_class
@@ -105,7 +105,7 @@
         self.gives_way = self.done = False
         self.luck = luck  # one for its whole life: a held request must not draw until a cold server takes it
         self.size = size  # its work as a multiple of the mean, where a hint tells it
-        self.sends = self.pairs = 0
+        self.sends = self.pairs = self.redrawn = 0
         self.copy = -1  # the attempt that was sent while another was out
         self.streamed, self.begun = e.streamed, -1  # its body is passed on; the attempt whose answer is
         self.out: dict[int, tuple[Server, int, float]] = {}  # attempt: server, sent at, table load then
@@ -544,6 +544,7 @@
         r.pair = pair
         r.silent = [s for s in dict.fromkeys(pair) if now - s.heard_at > bound] if self.asks else []
         if not r.silent:
+            r.redrawn += 1
             return self._settle(r)
         for s in r.silent:
             if not s.asked_at or now - s.asked_at > bound:
@@ -604,7 +605,8 @@
                and self._hopeful(r, s, limit, left, True)]
         if fit and self._left(r) > 0:
             return self._send(r, *self._lighter(r, (fit[0], fit[-1])))
-        if r.pairs < ASK_PAIRS:
+        # What passes at the softer limit may fail at the later one: drawn on without a bound, it never ended.
+        if r.pairs < ASK_PAIRS and r.redrawn < DRAWS:
             return self._advance(r)
         self._finish(r)
 
@@ -699,11 +701,7 @@
         held = own + self.table.others(s, self.now)
         predicted = (held + r.size) * s.pace
         if not last:
-            if predicted <= limit or held >= 1.0:
-                return workable and predicted <= limit
-            # It holds next to nothing: then the later limit decides already here. A pair that passed here and
-            # not there was drawn again and again, without end.
-            limit /= SOFTER
+            return workable and (held < 1.0 or predicted <= limit)
         need = self.needs.of[r.number]
         if self.now - s.heard_at <= self.known_us:
             # Known, not guessed: no pass here, but one that holds nothing is fit.
