--- a/catalog/server.py
+++ b/catalog/server.py
@@ -13,7 +13,7 @@
 from lilacsill.connection import Connection, Fields, fields_of, header
 from lilacsill.discovery import PATH, Address
 
-from .core import Answer, Delete, Member, Name, Phase, Put, SetPhase, Start, Write
+from .core import Answer, Delete, Name, Phase, Put, SetPhase, Start, Write
 from .service import AGAIN_S, Service
 from .store import Command
 
@@ -313,8 +313,3 @@
     if not (text.isascii() and text.isdigit() and len(text) < 17):
         raise _Wrong(400, f"{name}: is no whole number")
     return int(text)
-
-
-def member_of(doc: dict[str, object]) -> Member:
-    """A member out of JSON's terms. Raises msgspec.ValidationError."""
-    return msgspec.convert(doc, Member)
--- a/faultlab/rig.py
+++ b/faultlab/rig.py
@@ -4,7 +4,6 @@
 import asyncio
 import contextlib
 import gc
-import logging
 import os
 import signal
 import socket
@@ -32,8 +31,6 @@
 from .parts.server import unix_ms
 from .scenario import LabScenario, settle
 
-log = logging.getLogger(__name__)
-
 LEAD_S = 0.3  # from the last readiness to the first request
 END_S = 5.0  # a part that has not ended by then is killed
 # A part uses a fleet's random numbers, not linear algebra: the threads that numpy starts for that cost more.
