Take a whole list that lost most of the backends in steps, where the file says so

A discovery that is ill names a part of the fleet as if it were all; taken as said, that part gets everything.

--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 from functools import partial
+from random import Random
 from typing import Any
 
 from brasshead.interface import Settings
@@ -24,6 +25,7 @@
 from .discovery import Discovery
 from .figures import Figures
 from .handover import Succession, inherit, path_for
+from .losses import Losses
 from .operators import Operators
 from .server import DrainTimes, Server
 
@@ -49,7 +51,8 @@
     # Who is asked whether it can serve must have heard discovery itself: then the whole list comes first.
     revision = config.known.revision if config.control is None else None
     discovery = Discovery(config.discovery, config.parser, revision, config.connect_timeout_us / 1e6)
-    agent = Agent(Balancer(settings, config.seed), clock, backends, discovery, figures)
+    losses = Losses(Random(config.seed)) if config.hold_missing else None
+    agent = Agent(Balancer(settings, config.seed), clock, backends, discovery, figures, losses)
     return agent, Server(settings, agent, most)
 
 
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -18,8 +18,9 @@
 from .bans import Roster
 from .clock import Clock
 from .connection import Headers
-from .discovery import Address, Discovery, Listing
+from .discovery import Address, Discovery, Listing, Member
 from .figures import Figures, Levels
+from .losses import STEP_S, Losses
 from .server import Call
 
 log = logging.getLogger(__name__)
@@ -65,12 +66,14 @@
     """Hands events to the module one at a time, in order of arrival, and carries out its actions."""
 
     def __init__(self, balancer: Balancer, clock: Clock, backends: Backends, discovery: Discovery,
-                 figures: Figures) -> None:
+                 figures: Figures, losses: Losses | None = None) -> None:
         # Where changes come by themselves, the module never asks: it is the agent that keeps the watch.
         self._pushes = balancer.settings.discovery is q.Discovery.PUSH
         self._balancer, self._clock = balancer, clock
         self._backends, self._discovery = backends, discovery
         self._figures, self._roster = figures, Roster()
+        self._losses = losses  # None: whatever is missing from a whole list is gone at once
+        self._letting_go = False  # a step is due
         self._loop = asyncio.get_running_loop()
         self._held: dict[int, Held] = {}
         self._out: dict[tuple[int, int], Exchange] = {}  # attempts without an end
@@ -79,6 +82,7 @@
         self._taken = 0
         self._watch_again_s = WATCH_AGAIN_S
         self.fresh = False  # discovery has been heard
+        self._heard = False  # the list is what discovery said, to this process or the one before it
         self._hold_us = int(HOLD_SHARE * min(c.aim_us for c in balancer.settings.classes))
         self._carriers: dict[type, Callable[[Any], None]] = {
             q.Send: self._send, q.Refuse: self._refuse, q.Fail: self._fail, q.Cancel: self._cancel,
@@ -94,6 +98,7 @@
         try:
             roster = state["roster"]
             listing = self._roster.resume(roster, self._discovery.parser.parse(roster["list"]))
+            self._heard = True
         except (ValueError, KeyError, TypeError, AttributeError) as e:
             log.warning("starts without the list that was handed over: %s", e)
             return self.start(known)
@@ -122,7 +127,8 @@
         taken = sum(isinstance(h.call.body, bytes) or h.call.body.whole for h in self._held.values())
         heard = self._discovery.heard_at
         age_ms = -1 if heard is None else int((self._loop.time() - heard) * 1000)
-        return Levels(taken, len(self._roster), self._balancer.avoided(self._clock.now()), age_ms)
+        unlisted = None if self._losses is None else len(self._losses)
+        return Levels(taken, len(self._roster), self._balancer.avoided(self._clock.now()), age_ms, unlisted)
 
     def detach(self, backend: str, vouched: bool = False) -> None:
         """Send nothing new to a backend, whatever discovery says. LookupError if it never was listed."""
@@ -256,6 +262,8 @@
         elif served:
             self._answer(number, 200, _kind(result.content_type), result.body)
         spent = held is not None and not isinstance(held.call.body, bytes) and held.call.body.spent
+        if self._losses is not None:
+            self._missing_answered(str(backend), result)
         self._post(q.AttemptEnded(
             number, attempt, backend, result.outcome, result.latency_us, number not in self._held,
             result.report, spent))
@@ -315,8 +323,52 @@
         if listing is None:
             self._post(q.BackendsChanged(q.ListKind.FAILED, []))
             return
+        if self._losses is not None:
+            listing = self._with_missing(self._losses, listing)
         kind = q.ListKind.FULL if listing.complete else q.ListKind.DELTA
         self._tell(kind, self._roster.told(listing))
+        if self._losses is not None:
+            self._hold(self._losses)
+
+    # Backends that a whole list lacks
+
+    def _with_missing(self, losses: Losses, listing: Listing) -> Listing:
+        # What the agent was started with is not discovery's word: only what that said can be missed.
+        before, held = self._roster.members() if self._heard else {}, len(losses)
+        self._heard = True
+        listing = losses.take(before, listing)
+        if len(losses) > held:
+            log.warning("the list lost %d of %d backends at once: they are let go in steps while they answer",
+                        len(losses) - held, len(before))
+        return listing
+
+    def _hold(self, losses: Losses) -> None:
+        """Ask those that are missing, where that is allowed, and let some go when the next step is due."""
+        if not len(losses) or self._letting_go:
+            return
+        self._letting_go = True
+        if self._balancer.settings.can_probe:
+            for name in losses.to_ask():
+                self._backends.probe(name, partial(self._missing_answered, name))
+        self._loop.call_later(STEP_S, self._step)
+
+    def _step(self) -> None:
+        assert self._losses is not None
+        self._letting_go = False
+        self._let_go(self._losses.step())
+        self._hold(self._losses)
+
+    def _missing_answered(self, name: str, result: Result) -> None:
+        assert self._losses is not None
+        gone = self._losses.ended(name, result.outcome)
+        if gone:  # in a turn of its own: an attempt is just ending at that backend
+            self._loop.call_soon(self._let_go, gone)
+
+    def _let_go(self, members: list[Member]) -> None:
+        if members:
+            log.warning("backends that the list lacks are let go: %s",
+                        ", ".join(str(m.backend.id) for m in members))
+            self._tell(q.ListKind.DELTA, self._roster.told(self._roster.change(members)))
 
     def _tell(self, kind: q.ListKind, listing: Listing) -> None:
         self._post(q.BackendsChanged(kind, self._backends.told(listing)))
--- a/lilacsill/bans.py
+++ b/lilacsill/bans.py
@@ -42,6 +42,14 @@
             del self._listed[name]
         return replace(listing, members=tuple(self._overlaid(m) for m in listing.members))
 
+    def members(self) -> dict[str, Member]:
+        """Discovery's present word on each, by id, without the bans."""
+        return dict(self._members)
+
+    def change(self, members: list[Member]) -> Listing:
+        """A change that discovery did not tell, to be taken in like one that it did."""
+        return Listing(self._revision, False, tuple(members))
+
     def state(self, form: Callable[[Member], dict[str, Any]]) -> dict[str, Any]:
         """All of it in JSON's terms, for another process; the list in discovery's form, without the bans."""
         return {
--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -33,6 +33,7 @@
     connect_timeout_us: int
     conn_idle_us: int
     control: Address | None  # where operators call; None: nowhere
+    hold_missing: bool  # a whole list that lost most of the backends at once is taken in steps
 
 
 def load(env: Mapping[str, str], clock: Clock) -> Config:
@@ -63,6 +64,13 @@
     return named if isinstance(named, list) else env.get("RELAY_DISCOVERY") or named
 
 
+def _flag(doc: dict[str, Any], key: str) -> bool:
+    value = doc.get(key, False)
+    if not isinstance(value, bool):
+        raise ValueError(f"{key}: {value!r} is neither true nor false")
+    return value
+
+
 def _config(doc: dict[str, Any], env: Mapping[str, str], clock: Clock) -> Config:
     facts = doc["settings"]
     allowed = facts["allowed"]
@@ -81,4 +89,5 @@
         connect_timeout_us=int(allowed["connectTimeoutUs"]),
         conn_idle_us=int(allowed["connIdleUs"]),
         control=parse_address(control) if control else None,
+        hold_missing=_flag(doc, "hold_missing"),
     )
--- a/lilacsill/figures.py
+++ b/lilacsill/figures.py
@@ -16,6 +16,7 @@
     members: int  # backends in the list
     members_unavailable: int  # those of them that get nothing now
     list_age_ms: int  # since discovery was last heard; -1: not yet
+    members_unlisted: int | None = None  # backends kept though a whole list lacks them; None: none ever are
 
 
 class Figures:
@@ -55,4 +56,6 @@
             f"{PREFIX}.members_unavailable:{levels.members_unavailable}|g",
             f"{PREFIX}.list_age_ms:{levels.list_age_ms}|g",
         ]
+        if levels.members_unlisted is not None:
+            lines.append(f"{PREFIX}.members_unlisted:{levels.members_unlisted}|g")
         return "".join(f"{line}\n" for line in lines)
