Rig: a checker for second copies, two scenarios for it, and a plant that it finds

Nothing looked at two attempts of a request out at once where they are not allowed, nor at more attempts than max_attempts. The checker reads Got, Gave, Turned and Left; where the way to the first server was struck it is silent.

--- a/faultlab/checkers/case.py
+++ b/faultlab/checkers/case.py
@@ -88,6 +88,7 @@
         self.got: dict[str, list[h.Got]] = defaultdict(list)
         self.turned: dict[tuple[str, str, int], int] = {}
         self.gave: dict[str, list[h.Gave]] = defaultdict(list)
+        self.left: dict[str, list[h.Left]] = defaultdict(list)
         self.told: dict[str, list[h.Told]] = defaultdict(list)
         self.called: dict[str, list[h.Called]] = defaultdict(list)
         self.door: dict[str, list[h.Door]] = defaultdict(list)
@@ -122,6 +123,8 @@
                     self.turned[e.rid, e.who, e.life] = e.t
                 case h.Gave():
                     self.gave[e.rid].append(e)
+                case h.Left():
+                    self.left[e.rid].append(e)
                 case h.Told():
                     if e.whole:
                         self.told[e.agent].append(e)
--- a/faultlab/checkers/effects.py
+++ b/faultlab/checkers/effects.py
@@ -18,7 +18,7 @@
     c = case.cls(x)
     attempts = sorted(case.got[x.rid], key=lambda got: got.began)
     ran = [a for a in attempts if case.may_have_run(a)]
-    if c.effect == "safe" or not ran or _sent_again_by_client(case, x):
+    if c.effect == "safe" or not ran or sent_again_by_client(case, x):
         return
     first = ran[0]
     for later in attempts:
@@ -45,7 +45,7 @@
     return zone if group == "zone" else cell
 
 
-def _sent_again_by_client(case: Case, x: Exchange) -> bool:
+def sent_again_by_client(case: Case, x: Exchange) -> bool:
     """A client cannot tell an agent that was killed from one that closed a connection unread."""
     if not x.resent:
         return False
--- a/faultlab/plants.py
+++ b/faultlab/plants.py
@@ -70,6 +70,9 @@
           "            self._answer(number, 200, _kind(result.content_type), body)", "steady", "integrity"),
     Plant("ban", "a ban dropped over an upgrade", "lilacsill/bans.py",
           '"banned": sorted(self._banned)', '"banned": []', "upgrade", "drain"),
+    Plant("copy", "a second copy sent where none may be", "brasshead/logic.py",
+          "and self.table.typical and self.settings.second_copies:", "and self.table.typical:",
+          "one-copy", "copies"),
 )
 
 
--- a/tests/test_faultlab_checkers.py
+++ b/tests/test_faultlab_checkers.py
@@ -11,7 +11,7 @@
 
 from faultlab import history as h
 from faultlab import verdict
-from faultlab.checkers import answers, effects, lists, processes
+from faultlab.checkers import answers, copies, effects, lists, processes
 from faultlab.checkers.case import Breach, Case
 from faultlab.scenario import LabScenario, load
 from fleetsim.scenario import Rules
@@ -35,7 +35,8 @@
 class Story:
     """A history under way: one agent that is up and well informed, until something is said."""
 
-    def __init__(self) -> None:
+    def __init__(self, day: LabScenario = DAY) -> None:
+        self.day = day
         self.events: list[h.AnyEvent] = []
         self.rids = 0
         self.add(h.Begun, 0, "d0", life=0, pid=1)
@@ -95,12 +96,12 @@
         return self
 
     def case(self) -> Case:
-        return Case(DAY, PLACES, 0, sorted(self.events, key=lambda e: e.t))
+        return Case(self.day, PLACES, 0, sorted(self.events, key=lambda e: e.t))
 
     def rules(self) -> set[str]:
         case = self.case()
         found: list[Breach] = []
-        for checker in (answers.check, effects.check, lists.check, processes.check):
+        for checker in (answers.check, effects.check, copies.check, lists.check, processes.check):
             found += checker(case)
         return {b.rule for b in found}
 
@@ -225,6 +226,40 @@
         assert story.end(60 * S).rules() == broken
 
 
+@pytest.mark.parametrize(("allowed", "after", "end", "broken"), [
+    (False, 60_000, "gave", set()), (False, 60_000, "left", set()), (False, 60_000, "turned", set()),
+    (False, 60_000, "", {"copies"}), (True, 60_000, "", set()), (False, 40_000, "late", set()),
+    (False, 40_000, "too late", {"copies"})])
+def test_a_second_copy_goes_out_only_where_it_may(
+        allowed: bool, after: int, end: str, broken: set[str]) -> None:
+    allow = msgspec.structs.replace(DAY.allow, second_copies=allowed)
+    story = Story(msgspec.structs.replace(DAY, allow=allow))
+    rid = story.asked(S)
+    story.got(S + 10, rid)
+    if end == "gave":
+        story.gave(S + 20, rid)
+    elif end == "turned":
+        story.add(h.Turned, S + 20, "s0", rid=rid, life=0)
+    elif end:
+        t = S + {"left": 20, "late": after + 50_000, "too late": after + 50_001}[end]
+        story.add(h.Left, t, "s0", rid=rid, life=0)
+    story.got(S + after, rid, "s1")
+    story.gave(S + after + 10, rid, "s1")
+    story.answered(S + after + 20, rid)
+    assert story.end(60 * S).rules() == broken
+
+
+def test_a_request_has_no_more_attempts_than_it_may_have() -> None:
+    for more, broken in ((0, set()), (1, {"copies"})):
+        story = Story()
+        rid = story.asked(S)
+        for n in range(DAY.allow.max_attempts + more):
+            story.got(S + 10 + 10 * n, rid)
+            story.gave(S + 15 + 10 * n, rid)
+        story.answered(S + 500, rid)
+        assert story.end(60 * S).rules() == broken
+
+
 def test_a_client_that_sends_again_to_a_killed_agents_successor_is_not_the_agents_repeat() -> None:
     for killed, broken in ((True, set()), (False, {"effect"})):
         story = Story()
