--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -27,6 +27,7 @@
 from .handover import Succession, inherit, path_for
 from .losses import Losses
 from .operators import Operators
+from .peers import Peers
 from .server import DrainTimes, Server
 
 log = logging.getLogger("lilacsill")
@@ -71,6 +72,8 @@
         loop.add_signal_handler(number, stop.set)
     figures = Figures([c.name for c in config.settings.classes])
     agent, server = assemble(config, clock, figures)
+    if config.peers is not None:
+        agent.peers = Peers(config.peers, clock, Random(config.seed + 1).random)
     operators = Operators(agent, server, figures, partial(most_connections, config.sockets))
     door = Door(operators)
     loop.add_signal_handler(signal.SIGHUP, _reload, agent, figures)
@@ -96,12 +99,16 @@
         return 1
     if succession is not None:
         succession.open()
+    if agent.peers is not None:
+        agent.peers.start()
     log.info("%s listens on %s:%d", config.name, config.listen.host, port)
     await stop.wait()
     operators.stopping = True
     succeeded = succession is not None and succession.succeeded
     if succession is not None:
         succession.close()
+    if agent.peers is not None:
+        agent.peers.stop(leave=not succeeded)
     await server.drain(drain_times(config.settings), succeeded)
     door.close()
     log.info("%s stops", config.name)
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -21,6 +21,7 @@
 from .discovery import Address, Discovery, Listing, Member
 from .figures import Figures, Levels
 from .losses import STEP_S, Losses
+from .peers import Peers
 from .server import Call
 
 log = logging.getLogger(__name__)
@@ -74,6 +75,7 @@
         self._figures, self._roster = figures, Roster()
         self._losses = losses  # None: whatever is missing from a whole list is gone at once
         self._letting_go = False  # a step is due
+        self.peers: Peers | None = None  # None: the other agents are not spoken to
         self._loop = asyncio.get_running_loop()
         self._held: dict[int, Held] = {}
         self._out: dict[tuple[int, int], Exchange] = {}  # attempts without an end
@@ -128,7 +130,8 @@
         heard = self._discovery.heard_at
         age_ms = -1 if heard is None else int((self._loop.time() - heard) * 1000)
         unlisted = None if self._losses is None else len(self._losses)
-        return Levels(taken, len(self._roster), self._balancer.avoided(self._clock.now()), age_ms, unlisted)
+        return Levels(taken, len(self._roster), self._balancer.avoided(self._clock.now()), age_ms, unlisted,
+                      None if self.peers is None else self.peers.levels())
 
     def detach(self, backend: str, vouched: bool = False) -> None:
         """Send nothing new to a backend, whatever discovery says. LookupError if it never was listed."""
@@ -145,6 +148,8 @@
 
     def take(self, call: Call) -> None:
         self._taken += 1
+        if self.peers is not None:
+            self.peers.request()
         call.number = self._taken
         held = self._held[call.number] = Held(call)
         body = call.body
--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -9,9 +9,11 @@
 
 from brasshead.interface import Settings
 from brasshead.settings import SettingsError, settings_from
+from membership.wire import KEY_MOST
 
 from .clock import Clock
 from .discovery import Address, Listing, ListingParser, parse_address, parse_addresses
+from .peers import PeersConfig
 
 T = TypeVar("T")
 
@@ -34,6 +36,7 @@
     conn_idle_us: int
     control: Address | None  # where operators call; None: nowhere
     hold_missing: bool  # a whole list that lost most of the backends at once is taken in steps
+    peers: PeersConfig | None  # the other agents; None: they are not spoken to
 
 
 def load(env: Mapping[str, str], clock: Clock) -> Config:
@@ -71,6 +74,25 @@
     return value
 
 
+def _peers(doc: dict[str, Any], facts: dict[str, Any]) -> PeersConfig:
+    """The platform says where the agents are, `membership` which fleet they are, and the key they tell by."""
+    about, siblings = doc["membership"], int(facts["siblings"])
+    if not isinstance(about, dict) or set(about) - {"fleet", "key"}:
+        raise ValueError("membership: is an object with fleet, and key where there is one")
+    fleet, key = about.get("fleet"), about.get("key", "")
+    if not isinstance(fleet, str) or not fleet:
+        raise ValueError("membership.fleet: name the fleet, the same for all its agents")
+    if not isinstance(key, str) or len(key.encode()) > KEY_MOST:
+        raise ValueError(f"membership.key: is no text of {KEY_MOST} bytes at most")
+    if not facts["allowed"].get("peers"):
+        raise ValueError("membership: the settings do not allow peers; take it out")
+    peers = tuple(parse_address(text) for text in doc["peers"])
+    if len(peers) != siblings:
+        raise ValueError(f"peers: {len(peers)} addresses for {siblings} agents")
+    return PeersConfig(parse_address(doc["peer_listen"]), peers, int(facts.get("me", 0)), fleet, key.encode(),
+                       float(facts.get("prices", {}).get("peer", 0.0)))
+
+
 def _config(doc: dict[str, Any], env: Mapping[str, str], clock: Clock) -> Config:
     facts = doc["settings"]
     allowed = facts["allowed"]
@@ -84,10 +106,11 @@
         sockets=int((doc.get("limits") or {}).get("sockets") or 1024),
         known=parser.parse(doc["known"]),
         parser=parser,
-        # The agent has no channel to its peers, so the module must not count on one.
+        # The channel to peers tells who is there and no loads, so the module must not count on it.
         settings=replace(settings_from(facts), can_tell=False),
         connect_timeout_us=int(allowed["connectTimeoutUs"]),
         conn_idle_us=int(allowed["connIdleUs"]),
         control=parse_address(control) if control else None,
         hold_missing=_flag(doc, "hold_missing"),
+        peers=_peers(doc, facts) if "membership" in doc else None,
     )
--- a/lilacsill/figures.py
+++ b/lilacsill/figures.py
@@ -1,7 +1,7 @@
 """What the agent counts, and the text in which operators read it."""
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 PREFIX = "agent"
@@ -17,6 +17,7 @@
     members_unavailable: int  # those of them that get nothing now
     list_age_ms: int  # since discovery was last heard; -1: not yet
     members_unlisted: int | None = None  # backends kept though a whole list lacks them; None: none ever are
+    peers: Mapping[str, tuple[int, str]] | None = None  # of the channel to other agents, each `c` or `g`
 
 
 class Figures:
@@ -58,4 +59,6 @@
         ]
         if levels.members_unlisted is not None:
             lines.append(f"{PREFIX}.members_unlisted:{levels.members_unlisted}|g")
+        for name, (value, kind) in (levels.peers or {}).items():
+            lines.append(f"{PREFIX}.{name}:{value}|{kind}")
         return "".join(f"{line}\n" for line in lines)
