--- a/fleetsim/__main__.py
+++ b/fleetsim/__main__.py
@@ -1,4 +1,8 @@
 """python -m fleetsim"""
-from .cli import main
+from . import cli_members  # noqa: F401  (its commands are registered by the import)
+from .cli import app
 
-main()
+__all__ = ["app"]
+
+if __name__ == "__main__":
+    app()
--- a/fleetsim/cli.py
+++ b/fleetsim/cli.py
@@ -180,7 +180,3 @@
     """
     with plain_errors():
         show(costing.table(repeats))
-
-
-def main() -> None:
-    app()
--- a/membership/core.py
+++ b/membership/core.py
@@ -18,6 +18,7 @@
 from dataclasses import dataclass
 from heapq import heappop, heappush
 from math import ceil, log, log10
+from zlib import crc32
 
 from .messages import Action, Changed, Fact, Kind, Living, Message, Send
 from .record import NEVER, Claims, Record, Status
@@ -25,11 +26,12 @@
 MS = 1000
 HELPERS = 3  # asked to probe a silent member (SWIM, k)
 HEALTH_MOST = 8  # local health multiplies time-outs by 1 to 9 (Lifeguard, S)
-SUSPECT_LOW, SUSPECT_TIMES = 4.0, 6.0  # alpha and beta of Lifeguard's suspicion time
 CONFIRM = 3  # accusers that make it the shortest (Lifeguard, K)
 TOLD_TIMES = 3.0  # each news is told TOLD_TIMES x log10(n + 1) times (SWIM, lambda)
 RETRY_DEAD = 4  # one probe in so many goes to one that is dead
+WARN_OFTEN, WARN_SELDOM = 4, 4  # a suspect is told each period, and after so many times each so many periods
 FACTS = 17  # in one message: what 256 bytes hold
+DIFFERS_PERIODS = 2  # so long old news fills messages after another's digest was not this one's
 SEQ = 2 ** 32
 MOST = 2 ** 32 - 1  # an incarnation
 
@@ -38,6 +40,8 @@
 class Timing:
     period_us: int = 500 * MS  # from one probe to the next
     answer_us: int = 150 * MS  # until a probe that is not answered is tried through others
+    suspect_periods: float = 4.0  # the shortest suspicion, for ten members (Lifeguard, alpha)
+    suspect_times: float = 6.0  # the longest, as a multiple of it (Lifeguard, beta)
 
     def __post_init__(self) -> None:
         if not 0 < 2 * self.answer_us < self.period_us:
@@ -50,12 +54,13 @@
 class Peer:
     """What this member knows of another."""
 
-    __slots__ = ("record", "claims", "accusers", "began", "until", "told", "heard_at")
+    __slots__ = ("record", "claims", "accusers", "began", "until", "warned", "warn_at", "told", "heard_at")
 
     def __init__(self) -> None:
         self.record, self.claims = NEVER, Claims()
         self.accusers: set[int] = set()  # of the suspicion under way, CONFIRM at most
         self.began = self.until = 0  # of the suspicion; 0: none
+        self.warned = self.warn_at = 0  # how often it was told of it, and when next
         self.told = -1  # how often its record has been told; -1: it is no news
         self.heard_at = 0  # when it last spoke itself; 0: never
 
@@ -68,7 +73,7 @@
     seq: int
     began: int
     asked: bool = False  # others have been asked to try it
-    nacks: int = 0  # that are still owed
+    vouched: bool = False  # one of them has said that it is there itself
 
 
 @dataclass(slots=True)
@@ -105,6 +110,7 @@
         self._probe: Probe | None = None
         self._errands: dict[int, Errand] = {}
         self._suspected: dict[int, None] = {}
+        self._up = 0  # others that are held for alive
         self._mine, self._accused_by = Claims(), set[int]()  # what others say of this one
         self._acknowledged = False  # someone has taken this process for what it is
         self._round: list[int] = []  # still to be probed in this round
@@ -112,6 +118,9 @@
         self._since_dead = 0
         self._news: list[tuple[int, int, int]] = []  # a heap: times told, order, member
         self._order = 0
+        self._digest = _digest(me, Record(start, 0, Status.ALIVE))  # of all that is held, this one included
+        self._differs_until = 0  # someone held otherwise a short while ago: messages are filled up
+        self._fill_at = 0
         self._next = 0  # when the next period begins
         self._actions: list[Action] = []
 
@@ -137,7 +146,8 @@
         for errand in self._errands.values():
             at = min(at, errand.nack_at)
         for member in self._suspected:
-            at = min(at, self.peers[member].until)
+            peer = self.peers[member]
+            at = min(at, peer.until, peer.warn_at)
         return at
 
     # Events
@@ -161,6 +171,8 @@
         for member in [m for m in self._suspected if self.peers[m].until <= now]:
             record = self.peers[member].record
             self._adopt(member, record._replace(status=Status.DEAD))
+        for member in [m for m in self._suspected if self.peers[m].warn_at <= now]:
+            self._warn(member)
         probe = self._probe
         if probe is not None and not probe.asked and now >= probe.began + self._scaled(self.timing.answer_us):
             self._ask_others(probe)
@@ -181,6 +193,8 @@
             if m.kind is Kind.PING:
                 self._say(m.sender, Kind.ACK, m.seq)
             return self._actions
+        if m.digest != self._digest:
+            self._differs_until = now + DIFFERS_PERIODS * self.timing.period_us
         for fact in m.facts:
             if fact.member == self.me:
                 self._defend(m.sender, fact.record)
@@ -224,7 +238,7 @@
         elif m.kind is Kind.ACK:
             self._acked(m)
         elif m.kind is Kind.NACK and self._probe is not None and self._probe.seq == m.seq:
-            self._probe.nacks = max(0, self._probe.nacks - 1)
+            self._probe.vouched = True
 
     def _acked(self, m: Message) -> None:
         errand = self._errands.pop(m.seq, None)
@@ -244,7 +258,7 @@
 
     def _say(self, to: int, kind: Kind, seq: int, about: int = 0) -> None:
         self._actions.append(Send(to, Message(
-            kind, self.me, self.start, self.incarnation, seq, about, self._facts(to))))
+            kind, self.me, self.start, self.incarnation, seq, about, self._digest, self._facts(to))))
 
     def _facts(self, to: int) -> tuple[Fact, ...]:
         """What the other must hear of itself first, then the news told least often."""
@@ -267,8 +281,21 @@
                 peer.told = -1
         for entry in again:
             heappush(self._news, entry)
+        if self._now < self._differs_until:
+            self._fill(to, facts)
         return tuple(facts)
 
+    def _fill(self, to: int, facts: list[Fact]) -> None:
+        """Old news in turn, for who missed it: what is told a few times only may be lost each time."""
+        named = {to, *(fact.member for fact in facts)}
+        for _ in range(min(self.size, 4 * FACTS)):
+            if len(facts) >= FACTS:
+                return
+            self._fill_at = (self._fill_at + 1) % self.size
+            peer = self.peers.get(self._fill_at)
+            if peer is not None and peer.record != NEVER and self._fill_at not in named:
+                facts.append(Fact(self._fill_at, peer.record))
+
     # What others say
 
     def _take(self, teller: int, fact: Fact) -> None:
@@ -291,7 +318,7 @@
             if self._acknowledged or sure.start >= 2 ** 48 - 1:
                 self.superseded = self.silent = True
                 return
-            self.start, self.incarnation = sure.start + 1, 0
+            self._rename(sure.start + 1, 0)
             self._mine.clear()
         elif r.start == self.start and r.status is not Status.ALIVE:
             # Nobody else can know an incarnation that this one never named: one that says so lies.
@@ -300,8 +327,13 @@
             elif sure.start == self.start and self.incarnation < sure.incarnation < MOST:
                 self._refute(teller, sure.incarnation + 1)
 
+    def _rename(self, start: int, incarnation: int) -> None:
+        before = Record(self.start, self.incarnation, Status.ALIVE)
+        self.start, self.incarnation = start, incarnation
+        self._digest ^= _digest(self.me, before) ^ _digest(self.me, Record(start, incarnation, Status.ALIVE))
+
     def _refute(self, teller: int, incarnation: int) -> None:
-        self.incarnation = incarnation
+        self._rename(self.start, incarnation)
         self.refuted += 1
         self._accused_by.add(teller)
         if len(self._accused_by) >= 2:  # one alone may be lying: its word is not to slow this one down
@@ -312,6 +344,8 @@
         """From now on this is what is known of it, and it is news."""
         peer = self.peers[member]
         before, peer.record = peer.record, record
+        self._up += (record.status is Status.ALIVE) - (before != NEVER and before.status is Status.ALIVE)
+        self._digest ^= (_digest(member, before) if before != NEVER else 0) ^ _digest(member, record)
         if record.status is Status.SUSPECT:
             self._suspected[member] = None
             peer.accusers, peer.began = set(), self._now
@@ -319,6 +353,7 @@
                 if kept is not None and kept[0].same_life(record) and kept[0].status is not Status.ALIVE:
                     peer.accusers.add(kept[1])
             peer.until = self._now + self._suspicion_us(len(peer.accusers))
+            peer.warned, peer.warn_at = 0, self._now
         elif member in self._suspected:
             del self._suspected[member]
         peer.told = 0
@@ -336,9 +371,23 @@
 
     def _suspicion_us(self, accusers: int) -> int:
         """Lifeguard, 4.2: from the longest, with nobody else's word, down to the shortest."""
-        low = SUSPECT_LOW * max(1.0, log10(self.size)) * self.timing.period_us
-        share = log(accusers + 1) / log(CONFIRM + 1)
-        return int(low * (SUSPECT_TIMES - (SUSPECT_TIMES - 1.0) * share))
+        t = self.timing
+        low = t.suspect_periods * max(1.0, log10(self.size)) * t.period_us
+        most = min(CONFIRM, self._up)  # who is left could not be confirmed by more
+        share = min(1.0, log(accusers + 1) / log(most + 1)) if most else 1.0
+        return int(low * (t.suspect_times - (t.suspect_times - 1.0) * share))
+
+    def _warn(self, member: int) -> None:
+        """Tell a suspect that it is one.
+
+        Lifeguard does so when it happens to probe it. In a fleet of a hundred that came too late: where a
+        tenth of the datagrams is lost each member was buried 20 times an hour.
+        """
+        peer = self.peers[member]
+        peer.warned += 1
+        wait = 1 if peer.warned < WARN_OFTEN else WARN_SELDOM
+        peer.warn_at = self._now + wait * self.timing.period_us
+        self._say(member, Kind.PING, self._new_seq())
 
     def _worse(self) -> None:
         self.health = min(HEALTH_MOST, self.health + 1)
@@ -363,7 +412,6 @@
         if self.peers[probe.member].record.status is Status.DEAD:
             return
         for helper in self._some(HELPERS, lambda m: m != probe.member and self._trusted(m)):
-            probe.nacks += 1
             self._say(helper, Kind.ASK, probe.seq, probe.member)
 
     def _end_probe(self) -> None:
@@ -374,7 +422,9 @@
         record = self.peers[probe.member].record
         if record.status is Status.DEAD:
             return  # that a dead one is silent tells nothing of this one's health
-        for _ in range(1 + probe.nacks):  # a helper's silence tells of this one, not of the member
+        # Silence on all sides tells of this one. Lifeguard counts each NACK that is missing: where seven in
+        # ten had died the rest took that for their own slowness, and knew of it three times as late.
+        if not probe.vouched:
             self._worse()
         if record.status is Status.ALIVE and probe.asked:
             self._adopt(probe.member, record._replace(status=Status.SUSPECT))
@@ -393,7 +443,9 @@
     def _next_of(self, left: list[int], fits: Callable[[Status], bool]) -> int | None:
         for fresh in (False, True):
             if fresh:
-                left += self._shuffled(m for m, p in self.peers.items() if fits(p.record.status))
+                # Those never heard of come first: each such probe makes two members known.
+                found = self._shuffled(m for m, p in self.peers.items() if fits(p.record.status))
+                left += sorted(found, key=lambda m: self.peers[m].record == NEVER)
             while left:
                 member = left.pop()
                 if fits(self.peers[member].record.status):
@@ -426,3 +478,9 @@
         for member in self._suspected:
             peer = self.peers[member]
             peer.began, peer.until = peer.began + late, peer.until + late
+            peer.warn_at = self._now
+
+
+def _digest(member: int, record: Record) -> int:
+    """16 bits, for exclusive or over all members: equal views have equal digests."""
+    return crc32(b"%d %d %d %d" % (member, *record)) & 0xFFFF
--- a/membership/messages.py
+++ b/membership/messages.py
@@ -33,6 +33,7 @@
     incarnation: int
     seq: int
     about: int = 0  # the member that an ASK, and the ACK or NACK to it, is about
+    digest: int = 0  # 16 bits over all that the sender holds
     facts: tuple[Fact, ...] = ()
 
 
--- a/membership/wire.py
+++ b/membership/wire.py
@@ -1,7 +1,7 @@
 """Messages as datagrams of at most 256 bytes (PROTOCOL, Between agents).
 
-Big-endian: version, fleet's tag, kind, sender, start, incarnation, sequence number, about, number of facts,
-then 13 bytes a fact (member, start, incarnation, status), then 8 bytes of BLAKE2b (RFC 7693) over all
+Big-endian: version, fleet's tag, kind, sender, start, incarnation, sequence number, about, digest, number of
+facts, then 13 bytes a fact (member, start, incarnation, status), then 8 bytes of BLAKE2b (RFC 7693) over all
 before, keyed where the fleet has a key. Without one they still tell a spoilt byte. Whatever does not fit
 this form in full is dropped: nothing is half believed.
 """
@@ -18,7 +18,7 @@
 
 MOST_BYTES = 256
 VERSION = 1
-HEAD = Struct(">BIBHHIIIHB")
+HEAD = Struct(">BIBHHIIIHHB")
 FACT = Struct(">HHIIB")
 MAC_BYTES, KEY_MOST = 8, 64
 KINDS, STATUSES = {int(k): k for k in Kind}, {int(s): s for s in Status}
@@ -41,7 +41,7 @@
         """At most 256 bytes; facts beyond those that fit are left out."""
         facts = m.facts[:FACTS]
         data = HEAD.pack(VERSION, self._tag, m.kind, m.sender, m.start >> 32, m.start & 0xFFFFFFFF,
-                         m.incarnation, m.seq, m.about, len(facts))
+                         m.incarnation, m.seq, m.about, m.digest, len(facts))
         for fact in facts:
             r = fact.record
             data += FACT.pack(fact.member, r.start >> 32, r.start & 0xFFFFFFFF, r.incarnation, r.status)
@@ -51,7 +51,7 @@
         """Raises Unreadable."""
         if not HEAD.size + MAC_BYTES <= len(data) <= MOST_BYTES:
             raise Unreadable("length")
-        version, tag, kind, sender, high, low, incarnation, seq, about, count = HEAD.unpack_from(data)
+        version, tag, kind, sender, high, low, incarnation, seq, about, digest, count = HEAD.unpack_from(data)
         if version != VERSION:
             raise Unreadable("version")
         if tag != self._tag:
@@ -69,7 +69,7 @@
             if member >= self._size or status not in STATUSES:
                 raise Unreadable("value")
             facts.append(Fact(member, Record(fact_high << 32 | fact_low, of, STATUSES[status])))
-        return Message(KINDS[kind], sender, start, incarnation, seq, about, tuple(facts))
+        return Message(KINDS[kind], sender, start, incarnation, seq, about, digest, tuple(facts))
 
     def _mac(self, data: bytes) -> bytes:
         return blake2b(data, digest_size=MAC_BYTES, key=self._key, person=b"burlshift-peers1").digest()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -61,7 +61,7 @@
 MESSAGES = st.builds(
     Message, st.sampled_from(Kind), st.integers(0, 39), st.integers(1, 2 ** 48 - 1),
     st.integers(0, 2 ** 32 - 1), st.integers(0, 2 ** 32 - 1), st.integers(0, 39),
-    st.lists(FACTS, max_size=17).map(tuple))
+    st.integers(0, 0xFFFF), st.lists(FACTS, max_size=17).map(tuple))
 
 
 @settings(derandomize=True)
@@ -91,7 +91,7 @@
 @settings(derandomize=True, max_examples=300)
 @given(st.lists(st.builds(
     Message, st.sampled_from(Kind), st.integers(0, 5), st.integers(1, 5), st.integers(0, 3),
-    st.integers(0, 3), st.integers(0, 4), st.lists(st.builds(Fact, st.integers(0, 4), RECORDS),
+    st.integers(0, 3), st.integers(0, 4), st.just(0), st.lists(st.builds(Fact, st.integers(0, 4), RECORDS),
                                                    max_size=4).map(tuple)), max_size=30))
 def test_whatever_is_said_the_object_stays_sound(messages: list[Message]) -> None:
     member = Membership(0, 5, 2, Random(1).random)
@@ -246,13 +246,13 @@
 def _lies(m: Message) -> Message:
     """All others are dead, by huge numbers."""
     facts = tuple(Fact(i, Record(2 ** 48 - 1, 2 ** 32 - 1, Status.DEAD)) for i in range(1, 10))
-    return Message(m.kind, m.sender, m.start, m.incarnation, m.seq, m.about, facts)
+    return Message(m.kind, m.sender, m.start, m.incarnation, m.seq, m.about, m.digest, facts)
 
 
 def _accuses(m: Message) -> Message:
     """All others are dead, as they are now."""
     facts = tuple(Fact(i, Record(1001 + i, 0, Status.DEAD)) for i in range(1, 10))
-    return Message(m.kind, m.sender, m.start, m.incarnation, m.seq, m.about, facts)
+    return Message(m.kind, m.sender, m.start, m.incarnation, m.seq, m.about, m.digest, facts)
 
 
 @pytest.mark.parametrize("lie", [_lies, _accuses])
@@ -301,7 +301,7 @@
 
 
 def says(sender: int, *facts: Fact, start: int = 50, incarnation: int = 0, kind: Kind = Kind.PING) -> Message:
-    return Message(kind, sender, start, incarnation, 7, 0, facts)
+    return Message(kind, sender, start, incarnation, 7, 0, 0, facts)
 
 
 def test_the_older_process_of_a_name_gives_way_once_two_know_the_later() -> None:
@@ -330,12 +330,13 @@
 
 def test_a_suspicion_is_shorter_the_more_confirm_it_and_no_shorter_by_repeats() -> None:
     member = alone()
-    member.heard(1, says(1, start=60))
+    for sender in (1, 2, 3, 4):
+        member.heard(1, says(sender, start=60))
     member._adopt(1, Record(60, 0, Status.SUSPECT))
     lengths = [member.peers[1].until]
     accused = Fact(1, Record(60, 0, Status.SUSPECT))
     for teller in (2, 2, 3, 4):
-        member.heard(2, says(teller, accused))
+        member.heard(2, says(teller, accused, start=60))
         lengths.append(member.peers[1].until)
     assert lengths[0] > lengths[1] == lengths[2] > lengths[3] > lengths[4]
     assert len(member.peers[1].accusers) == CONFIRM
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -78,7 +78,7 @@
         async with fleet(2, 1) as (addresses, (one,)):
             def packed(key: bytes = b"k", fleet: str = "test", sender: int = 1) -> bytes:
                 facts = (Fact(1, Record(9, 9, Status.DEAD)),)
-                return Wire(fleet, 2, key).pack(Message(Kind.PING, sender, 5, 0, 1, 0, facts))
+                return Wire(fleet, 2, key).pack(Message(Kind.PING, sender, 5, 0, 1, 0, 0, facts))
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other, \
                     socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
                 other.bind((addresses[1].host, addresses[1].port))
