Handover: one that breaks off midway does not end the task that serves the next

That ran through `lost`, which opens the path anew and so closed the listener under the very task it ran in: EBADF, a traceback, and the path taken from the second process. A hand-over that did not come off now only drops its link: who failed to take over never was a successor.

--- a/lilacsill/handover.py
+++ b/lilacsill/handover.py
@@ -293,13 +293,16 @@
             link.confirm(number)
 
     def lost(self, link: Link) -> None:
-        if link in self._links:
-            self._links.remove(link)
-            self._owner.beside(1 + len(self._links))
+        self._drop(link)
         if link.successor and self._socket is not None:
             log.info("the process that took over has ended")
             self.open()  # it had put its own socket at the path
 
+    def _drop(self, link: Link) -> None:
+        if link in self._links:
+            self._links.remove(link)
+            self._owner.beside(1 + len(self._links))
+
     def _add(self, link: Link) -> None:
         self._links.append(link)
         self._owner.beside(1 + len(self._links))
@@ -343,6 +346,7 @@
             await loop.sock_sendall(sock, state[sent:])
             await loop.create_unix_connection(lambda: link, sock=sock)
         except BaseException:
-            self.lost(link)
+            # It took over nothing. The path is this one's still, or its own by now, if it starts without.
+            self._drop(link)
             raise
         log.info("handed over to another process")
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -22,6 +22,7 @@
 from lilacsill.bans import Roster
 from lilacsill.clock import Clock
 from lilacsill.discovery import Address, Listing, ListingParser, Member
+from lilacsill.handover import Act, Succession, inherit
 
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
 
@@ -164,6 +165,46 @@
     asyncio.run(run())
 
 
+def test_a_handover_that_breaks_off_leaves_the_first_to_be_found_as_before(
+        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    """As where the first stood still until the second had gone on without it."""
+    class Owner:
+        def __init__(self) -> None:
+            self.broken = True
+
+        def listener(self) -> socket.socket:
+            if self.broken:
+                raise ValueError("broken off")
+            return listener
+
+        def state(self) -> dict[str, Any]:
+            return {"kept": 7}
+
+        def apply(self, act: Act) -> None: ...
+
+        def beside(self, processes: int) -> None: ...
+
+    path, listener = tmp_path / "found", socket.create_server(("127.0.0.1", 0))
+
+    async def run() -> None:
+        owner = Owner()
+        succession = Succession(path, owner)
+        succession.open()
+        serving, inode = succession._serving, path.stat().st_ino
+        assert await asyncio.to_thread(inherit, path) is None
+        owner.broken = False
+        heritage = await asyncio.to_thread(inherit, path)
+        assert heritage is not None and heritage.state == {"kept": 7}
+        assert succession._serving is serving and path.stat().st_ino == inode
+        heritage.listener.close()
+        heritage.link.close()
+        succession.close()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+    listener.close()
+    assert "nothing handed over: broken off" in caplog.text
+
+
 def test_a_single_process_leaves_nothing_behind(tmp_path: Path) -> None:
     async def run() -> None:
         async with site(tmp_path) as s:
