--- a/faultlab/agent_config.py
+++ b/faultlab/agent_config.py
@@ -8,6 +8,7 @@
 
 EFFECTS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
 MEMORY_MB, SOCKETS = 192, 1024
+FLEET, KEY = "faultlab", "of the rig"
 
 
 def settings(s: LabScenario, agent: int, zone: int) -> dict[str, Any]:
@@ -41,8 +42,10 @@
 def document(s: LabScenario, block: Block, agent: int, zone: int, seed: int, discovery: int,
              known: dict[str, Any]) -> dict[str, Any]:
     """The whole file; `discovery` is which of discovery's addresses it names."""
+    membership = {"membership": {"fleet": FLEET, "key": KEY}} if s.membership else {}
     return {
-        "name": f"a{agent}", "listen": block.agent(agent), "discovery": block.asks(agent, discovery),
+        **membership, "name": f"a{agent}",
+        "listen": block.agent(agent), "discovery": block.asks(agent, discovery),
         "seed": f"{seed:x}", "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
         "peer_listen": block.hears(agent),
         "peers": [block.peer(agent, other) if other != agent else block.hears(agent)
--- a/faultlab/checkers/case.py
+++ b/faultlab/checkers/case.py
@@ -202,3 +202,11 @@
 
     def seconds(self, t: int) -> float:
         return (t - self.begin) / 1e6
+
+
+def figure(text: str, name: str) -> int | None:
+    """One of the figures that INFO gives."""
+    for line in text.splitlines():
+        if line.startswith(f"agent.{name}:"):
+            return int(line.partition(":")[2].partition("|")[0])
+    return None
--- a/faultlab/checkers/lists.py
+++ b/faultlab/checkers/lists.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from .. import history as h
-from .case import END_OF_TIME, GONE, PATHS, Breach, Case, Window
+from .case import END_OF_TIME, GONE, PATHS, Breach, Case, Window, figure
 
 SLACK_US = 50_000  # PROTOCOL, the rules on sockets
 COUNTS_AS_TOLD_US = 6_000_000  # PROTOCOL, Figures
@@ -132,7 +132,7 @@
     found = []
     troubled = _unheard(case, agent)
     for call in case.door[agent]:
-        told = _figure(call.answer, "members")
+        told = figure(call.answer, "members")
         up = case.lives_at(agent, call.asked)
         if call.call != "INFO" or told is None or len(up) != 1 or up[0].ready == END_OF_TIME:
             continue
@@ -150,13 +150,6 @@
     return found
 
 
-def _figure(text: str, name: str) -> int | None:
-    for line in text.splitlines():
-        if line.startswith(f"agent.{name}:"):
-            return int(line.partition(":")[2].partition("|")[0])
-    return None
-
-
 def _drains(case: Case, views: dict[str, View]) -> list[Breach]:
     grace = int(case.scenario.rules.drain_grace_ms * 1000) + SLACK_US
     bans = {agent: _bans(case, agent) for agent in views}
--- a/faultlab/faultacts.py
+++ b/faultlab/faultacts.py
@@ -38,6 +38,7 @@
             faults.Busy: self._busy, faults.UnixTime: self._unix_time, faults.Disk: self._disk,
             faults.Lists: self._lists, faults.Reload: self._reload, faults.Upgrade: self._upgrade,
             faults.LameDuck: self._lame_duck, faults.Detach: self._detach, faults.Spoilt: self._spoilt,
+            faults.Lie: self._lie,
         }
 
     async def carry_out(self, act: Act) -> None:
@@ -121,6 +122,10 @@
         await self._at_relays(act, relay.Shape(act.number, fault, names) if act.on
                               else relay.Clear(act.number))
 
+    async def _lie(self, act: Act, fault: faults.Lie) -> None:
+        assert self._rig.datagrams is not None  # the scenario was checked for it
+        await self._rig.datagrams.order(datagrams.Liars(list(act.agents) if act.on else []))
+
     async def _at_relays(self, act: Act, order: msgspec.Struct) -> None:
         await asyncio.gather(*(self._rig.relays[i].order(order) for i in act.agents))
 
--- a/faultlab/faults_schema.py
+++ b/faultlab/faults_schema.py
@@ -5,7 +5,7 @@
 """
 from __future__ import annotations
 
-from typing import Annotated, ClassVar, Literal
+from typing import Annotated, Literal
 
 from msgspec import Meta, Struct
 
@@ -19,7 +19,6 @@
     at_s: NonNegative
     len_s: NonNegative = 0.0
     agents: Share = 1.0
-    needs_peers: ClassVar[bool] = False
 
 
 class Link(Fault, kw_only=True, tag="link"):
@@ -36,6 +35,7 @@
     corrupt: Share = 0.0  # of the pieces have a byte changed
     duplicate: Share = 0.0  # of the datagrams come twice
     reorder: Share = 0.0  # of the datagrams come after the next one
+    split: bool = False  # of datagrams: only between those that are struck and the others
 
 
 class Reset(Fault, kw_only=True, tag="reset"):
@@ -137,5 +137,13 @@
     part: Share = 0.3  # of their answers
 
 
+class Lie(Fault, kw_only=True, tag="lie"):
+    """What these agents tell their peers is no longer true.
+
+    All others are dead, by the numbers that they have and now and then by huge ones; the teller's own incarnation
+    is huge, its sequence from the future.
+    """
+
+
 AnyFault = (Link | Reset | HalfOpen | Pause | Kill | Descriptors | Busy | UnixTime | Disk | Lists | Reload
-            | Upgrade | LameDuck | Detach | Spoilt)
+            | Upgrade | LameDuck | Detach | Spoilt | Lie)
--- a/faultlab/parts/datagrams.py
+++ b/faultlab/parts/datagrams.py
@@ -8,7 +8,13 @@
 
 import msgspec
 
+from membership.core import FACTS
+from membership.messages import Fact, Kind, Message
+from membership.record import Record, Status
+from membership.wire import Unreadable, Wire
+
 from ..addresses import Block, split
+from ..agent_config import FLEET, KEY
 from ..faults_schema import Link
 from .part import Plan, Writes, main
 
@@ -30,6 +36,12 @@
     agents: list[int]
 
 
+class Liars(msgspec.Struct, tag_field="order", tag="liars"):
+    """These agents lie from now on, and no others."""
+
+    agents: list[int]
+
+
 class Clear(msgspec.Struct, tag_field="order", tag="clear"):
     number: int
 
@@ -41,6 +53,10 @@
         self.plan, self.random = plan, random.Random(plan.seed)
         self.faults: dict[int, Shape] = {}
         self.dropped_long = 0
+        self.liars: frozenset[int] = frozenset()
+        self._wire = Wire(FLEET, plan.agents, KEY.encode())
+        self._spoke: dict[int, Record] = {}  # what each agent said of itself last
+        self._lies = 0
         self._sockets: dict[tuple[int, int], socket.socket] = {}
         self._kept: dict[tuple[int, int], bytes] = {}  # to come after the next one
 
@@ -54,8 +70,10 @@
                     sock.bind(split(self.plan.block.peer(a, b)))
                     self._loop.add_reader(sock, partial(self._come, a, b))
 
-    async def order(self, order: Shape | Clear) -> None:
-        if isinstance(order, Shape):
+    async def order(self, order: Shape | Clear | Liars) -> None:
+        if isinstance(order, Liars):
+            self.liars = frozenset(order.agents)
+        elif isinstance(order, Shape):
             self.faults[order.number] = order
         else:
             self.faults.pop(order.number, None)
@@ -71,6 +89,8 @@
         for fault in self.faults.values():
             to, from_ = b in fault.agents, a in fault.agents
             way = fault.link.direction
+            if fault.link.split and to == from_:
+                continue
             if (to and way in ("both", "to")) or (from_ and way in ("both", "from")):
                 found.append(fault.link)
         return found
@@ -87,6 +107,8 @@
         if len(data) > DATAGRAM_BYTES:
             self.dropped_long += 1
             return
+        if self.liars:
+            data = self._heard(a, data)
         late_s, copies, chance = 0.0, 1, self.random
         links = self._links(a, b)
         for link in links:
@@ -108,6 +130,24 @@
             else:
                 self._send(a, b, piece)
 
+    def _heard(self, a: int, data: bytes) -> bytes:
+        """What goes on in the place of what an agent said."""
+        try:
+            m = self._wire.unpack(data)
+        except Unreadable:
+            return data
+        self._spoke[a] = Record(m.start, m.incarnation, Status.ALIVE)
+        if a not in self.liars:
+            return data
+        self._lies += 1
+        huge = 2 ** 32 - 1
+        facts = [Fact(other, r._replace(status=Status.DEAD, incarnation=huge if self._lies % 3 == 0
+                                        else r.incarnation))
+                 for other, r in self._spoke.items() if other != a]
+        seq = (m.seq + 2 ** 31) % 2 ** 32 if m.kind is Kind.PING else m.seq
+        return self._wire.pack(Message(m.kind, m.sender, m.start, huge, seq, m.about, m.digest,
+                                       tuple(facts[:FACTS])))
+
     def _send(self, a: int, b: int, data: bytes) -> None:
         try:
             self._sockets[b, a].sendto(data, split(self.plan.block.hears(b)))
@@ -116,4 +156,4 @@
 
 
 if __name__ == "__main__":
-    main(DatagramsPart, Datagrams, Shape | Clear)
+    main(DatagramsPart, Datagrams, Shape | Clear | Liars)
--- a/faultlab/scenario.py
+++ b/faultlab/scenario.py
@@ -10,7 +10,7 @@
 from fleetsim import troubles_schema as emulated
 from fleetsim.scenario import ScenarioError
 
-from .faults_schema import AnyFault, Lists, Reload
+from .faults_schema import AnyFault, Lie, Lists, Reload
 
 PACKAGE = "faultlab"
 MOST_AGENTS, MOST_SERVERS = 20, 30
@@ -21,6 +21,7 @@
 
 class LabScenario(scenario.Scenario, frozen=True):
     list_service: bool = False  # the project's own serves the list; agents then reach servers without relays
+    membership: bool = False  # the agents tell one another that they live; needs allow.peers
     fault: list[AnyFault] = msgspec.field(default_factory=list)
 
 
@@ -61,6 +62,10 @@
                                  for f in high.fault):
         raise ScenarioError(f"{name}: list_service: goes with no fault on the path to servers, nor of the "
                             "stand-in's lists; take those out")
+    if high.membership and not high.allow.peers:
+        raise ScenarioError(f"{name}: membership: needs allow.peers = true; write that too")
+    if not high.membership and any(isinstance(f, Lie) for f in high.fault):
+        raise ScenarioError(f"{name}: fault `lie`: needs membership = true; write that too")
     for i, fault in enumerate(high.fault):
         if fault.at_s + fault.len_s > high.run.length_s:
             raise ScenarioError(f"{name}: fault[{i}]: ends after the run; lower at_s or len_s, or raise "
--- a/faultlab/verdict.py
+++ b/faultlab/verdict.py
@@ -8,12 +8,13 @@
 import msgspec
 
 from . import history as h
-from .checkers import answers, copies, effects, lists, processes
+from .checkers import answers, copies, effects, lists, presence, processes
 from .checkers.case import Breach, Case
 from .figures import Figures, figures
 from .rig import RunFile
 
-CHECKERS = (answers.check, effects.check, copies.check, lists.check, processes.check)
+CHECKERS = (answers.check, effects.check, copies.check, lists.check, presence.check,
+            processes.check)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_faultlab_checkers.py
+++ b/tests/test_faultlab_checkers.py
@@ -11,7 +11,7 @@
 
 from faultlab import history as h
 from faultlab import verdict
-from faultlab.checkers import answers, copies, effects, lists, processes
+from faultlab.checkers import answers, copies, effects, lists, presence, processes
 from faultlab.checkers.case import Breach, Case
 from faultlab.scenario import LabScenario, load
 from fleetsim.scenario import Rules
@@ -101,7 +101,8 @@
     def rules(self) -> set[str]:
         case = self.case()
         found: list[Breach] = []
-        for checker in (answers.check, effects.check, copies.check, lists.check, processes.check):
+        for checker in (answers.check, effects.check, copies.check, lists.check, presence.check,
+                        processes.check):
             found += checker(case)
         return {b.rule for b in found}
 
@@ -437,6 +438,59 @@
         assert story.end(60 * S).rules() == broken
 
 
+# Who is there
+
+def fleet(*up: str) -> Story:
+    """Agents that tell one another; a0 and these."""
+    story = Story(msgspec.structs.replace(DAY, membership=True))
+    for name in up:
+        story.add(h.Begun, 0, name, life=0, pid=5)
+        story.add(h.Ready, 10, name, life=0, took_us=10)
+    return story
+
+
+def says(story: Story, t: int, low: int, high: int, agent: str = "a0") -> None:
+    text = f"agent.agents_alive:{low}|g\nagent.agents_possible:{high}|g\nEND\n"
+    story.add(h.Door, t, agent, life=0, call="INFO", asked=t - 1000, answer=text)
+
+
+K = presence.KNOWN_US
+
+
+@pytest.mark.parametrize(("low", "high", "broken"), [
+    (3, 3, set()), (2, 3, {"present"}), (3, 4, {"present"}), (2, 2, {"present"}), (4, 4, {"present"})])
+def test_agents_know_how_many_live(low: int, high: int, broken: set[str]) -> None:
+    story = fleet("a1", "a2")
+    says(story, 10 + K + 2000, low, high)
+    assert story.rules() == broken
+    early = fleet("a1", "a2")
+    says(early, K, low, high)
+    assert early.rules() == set()
+
+
+@pytest.mark.parametrize(("kind", "detail", "count", "broken"), [
+    ("link", {"cut": True}, (1, 1), set()), ("link", {"loss": 0.3}, (1, 3), set()),
+    ("link", {"loss": 0.3}, (1, 2), {"present"}), ("link", {"loss": 0.3}, (4, 4), {"present"}),
+    ("pause", {"of": "agents"}, (1, 1), set()), ("pause", {"of": "servers"}, (1, 1), {"present"}),
+    ("lie", {}, (2, 4), set()), ("lie", {}, (1, 3), {"present"}), ("lie", {}, (1, 1), {"present"})])
+def test_what_strikes_agents_or_their_datagrams_excuses_what_it_may(
+        kind: str, detail: dict[str, Any], count: tuple[int, int], broken: set[str]) -> None:
+    story = fleet("a1", "a2")
+    story.add(h.Fault, 2 * K, "rig", kind=kind, on=True, number=0, agents=["a1"], detail=detail,
+              path="peers" if kind == "link" else "")
+    says(story, 3 * K, *count)
+    says(story, 3 * K, 1, 1, agent="a1") if kind == "lie" else None
+    assert story.rules() == broken
+
+
+def test_a_death_is_known_in_time() -> None:
+    for after, broken in ((K - 2000, set()), (K + 2000, {"present"})):
+        story = fleet("a1", "a2")
+        story.add(h.Ended, 2 * K, "a1", life=0, status=-9, asked=True)
+        says(story, 2 * K + after, 2, 3)
+        assert story.rules() == broken
+
+
 # Verdicts and histories
 
 def test_a_late_rig_does_not_count_but_one_paused_on_purpose_does() -> None:
