--- a/faultlab/faults_schema.py
+++ b/faultlab/faults_schema.py
@@ -140,8 +140,8 @@
 class Lie(Fault, kw_only=True, tag="lie"):
     """What these agents tell their peers is no longer true.
 
-    All others are dead, by the numbers that they have and now and then by huge ones; the teller's own incarnation
-    is huge, its sequence from the future.
+    All others are dead, by the numbers that they have and now and then by huge ones; the teller's own
+    incarnation is huge, its sequence from the future.
     """
 
 
