Emulator: our decisions with the true number of living agents, to weigh what knowing it is worth

The constant of the settings has three uses in the module: attempts on a guess that all agents together may hold at a server, turns of list calls, and the start of a tenant's part, which is then learned. ours-counted knows the true number at every moment, ours-counted-idle and ours-counted-turns use it for one thing each.

--- /dev/null
+++ b/fleetsim/counted.py
@@ -0,0 +1,41 @@
+"""Our decisions with the true number of living agents in the place of the settings' constant.
+
+It is what knowing the number is worth at most, each use by itself: no membership could tell it as exactly,
+or as soon.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import brasshead.interface as q
+from brasshead import logic
+from brasshead.logic import Balancer
+
+from .world import MakePolicy, World
+
+USES = ("idle", "turns")
+
+
+class Counted(Balancer):
+    """idle: what all agents together may hold at a server on a guess; turns: their calls for lists."""
+
+    def __init__(self, settings: q.Settings, seed: int, alive: Callable[[], int],
+                 uses: tuple[str, ...]) -> None:
+        super().__init__(settings, seed)
+        self._alive, self._uses = alive, uses
+
+    def handle(self, now: int, event: q.Event) -> list[q.Action]:
+        alive = max(1, self._alive())
+        if "idle" in self._uses:
+            self.idle = logic.IDLE / alive
+        if "turns" in self._uses:
+            self.turn_us = min(logic.TURN_US, self.settings.ask_within_us // (2 * alive))
+            self.watch_first = max(logic.WATCH_FIRST_US, alive * self.turn_us)
+            self.watch_max = max(logic.WATCH_MAX_US, min(2 * self.watch_first, self.settings.ask_within_us))
+        return super().handle(now, event)
+
+
+def maker(uses: tuple[str, ...]) -> MakePolicy:
+    def make(world: World, settings: q.Settings, seed: int) -> Counted:
+        return Counted(settings, seed, lambda: sum(h is not None and h.alive for h in world.hosts), uses)
+    return make
--- a/fleetsim/registry.py
+++ b/fleetsim/registry.py
@@ -4,6 +4,7 @@
 import brasshead.interface as q
 from brasshead.logic import Balancer
 
+from . import counted
 from .agents import Policy
 from .ours import PARTS
 from .policies import BoundedHash, LeastLoaded, PeakEwma, RoundRobin, TwoChoices, UniformRandom
@@ -12,7 +13,8 @@
 
 BASELINES = {"random": UniformRandom, "round-robin": RoundRobin, "two-choices": TwoChoices,
              "peak-ewma": PeakEwma, "bounded-hash": BoundedHash}
-NAMES = ("ours", *(f"ours-{part}" for part in PARTS), *BASELINES, "least-loaded")
+COUNTED = {"ours-counted": counted.USES, **{f"ours-counted-{use}": (use,) for use in counted.USES}}
+NAMES = ("ours", *(f"ours-{part}" for part in PARTS), *COUNTED, *BASELINES, "least-loaded")
 
 
 class UnknownPolicy(Exception):
@@ -26,6 +28,8 @@
         return lambda world, settings, seed: baseline(settings, seed)
     if name == "least-loaded":
         return _least_loaded
+    if name in COUNTED:
+        return counted.maker(COUNTED[name])
     part = name.removeprefix("ours").removeprefix("-")
     if name != "ours" and (not name.startswith("ours-") or part not in PARTS):
         raise UnknownPolicy(f"{name}: no such policy; known are {', '.join(NAMES)}")
