--- a/tests/test_catalog_trials.py
+++ b/tests/test_catalog_trials.py
@@ -6,6 +6,8 @@
 import json
 import os
 import signal
+import sqlite3
+import subprocess
 import sys
 from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
@@ -13,9 +15,9 @@
 
 import pytest
 from tests.loopback import Peer, config_doc, member
-from tests.test_catalog_service import MEMBERS, Client, Process, _client, body
+from tests.test_catalog_service import MEMBERS, ROOT, Client, Process, _client, body
 
-from catalog.store import backup, restore
+from catalog.store import FILE, backup, restore
 from lilacsill.discovery import ANSWER_BYTES
 
 
@@ -127,6 +129,47 @@
     asyncio.run(asyncio.wait_for(run(), 120))
 
 
+def test_of_two_processes_that_claim_one_id_the_later_has_it(
+        tmp_path: Path, processes: list[Process]) -> None:
+    async def run() -> None:
+        processes.append(Process(tmp_path))
+        older, later = await _client(processes[0].at), await _client(processes[0].at)
+        assert (await older.call("PUT", f"{MEMBERS}/s1", body(80, start=7, ttl_ms=60_000)))[0] == 200
+        status, said = await later.call("PUT", f"{MEMBERS}/s1", body(81, start=8, ttl_ms=60_000))
+        assert status == 200
+        for method, path, doc in (("PUT", "", body(80, start=7)), ("POST", "/renew", {"start": 7}),
+                                  ("PUT", "/phase", {"phase": "DRAINING", "start": 7})):
+            assert (await older.call(method, f"{MEMBERS}/s1{path}", doc))[0] == 409
+        assert (await later.call("POST", f"{MEMBERS}/s1/renew", {"start": 8}))[0] == 200
+        assert processes[0].end() == -signal.SIGKILL
+        processes.append(Process(tmp_path))  # and a kill forgets no fence
+        older = await _client(processes[1].at)
+        assert (await older.call("DELETE", f"{MEMBERS}/s1?start=7"))[0] == 409
+        _, listed = await older.call("GET", MEMBERS)
+        assert listed["revision"] == said["revision"]
+        assert [m["host_port"] for m in listed["members"]] == ["127.0.0.1:81"]
+
+    asyncio.run(asyncio.wait_for(run(), 120))
+
+
+def test_a_directory_that_cannot_be_written_or_is_anothers_is_refused_in_one_line(
+        tmp_path: Path, processes: list[Process]) -> None:
+    def refused(folder: Path) -> str:
+        done = subprocess.run([sys.executable, "-m", "catalog", "serve", "--listen", "127.0.0.1:0",
+                               "--data", str(folder)], cwd=ROOT, capture_output=True, text=True, timeout=60)
+        assert done.returncode == 2 and done.stderr.count("\n") == 1
+        return done.stderr
+
+    (tmp_path / "file").write_text("")
+    assert "give a directory that can be written" in refused(tmp_path / "file" / "data")
+    processes.append(Process(tmp_path / "held"))
+    assert "another process has it open" in refused(tmp_path / "held")
+    assert processes[0].end(signal.SIGTERM) == 0
+    with contextlib.closing(sqlite3.connect(tmp_path / "held" / FILE)) as db, db:
+        db.execute("update meta set value = '99' where key = 'format'")
+    assert "is of format 99" in refused(tmp_path / "held")
+
+
 def test_an_older_backup_is_restored_under_running_agents(tmp_path: Path, processes: list[Process]) -> None:
     data = tmp_path / "data"
 
