--- a/tests/test_faultlab_relay.py
+++ b/tests/test_faultlab_relay.py
@@ -10,9 +10,13 @@
 import pytest
 
 from faultlab.addresses import Block
+from faultlab.agent_config import FLEET, KEY
 from faultlab.faults_schema import Link
 from faultlab.parts import datagrams
 from faultlab.parts.relay import Break, Clear, Relay, RelayPart, Route, Shape, Up
+from membership.messages import Kind, Message
+from membership.record import Status
+from membership.wire import Wire
 
 
 class Nothing:
@@ -224,5 +228,31 @@
     assert asyncio.run(run()) == [b"0", b"1", b"2", b"3"]
     assert asyncio.run(run(cut=True)) == []
     assert asyncio.run(run(cut=True, direction="from")) == [b"0", b"1", b"2", b"3"]
+    assert asyncio.run(run(cut=True, split=True)) == []
     assert asyncio.run(run(duplicate=1.0)) == [b"0", b"0", b"1", b"1", b"2", b"2", b"3", b"3"]
     assert asyncio.run(run(reorder=1.0)) == [b"1", b"0", b"3", b"2"]
+
+
+def test_a_split_cuts_only_between_those_struck_and_the_others() -> None:
+    part = datagrams.Datagrams(datagrams.DatagramsPart(
+        name="u0", history="", block=Block(64, 20_000), agents=4, seed=1), Nothing())
+    link = Link(at_s=0.0, path="peers", cut=True, split=True)
+    part.faults[1] = datagrams.Shape(1, link, [0, 1])
+    cut = {(a, b) for a in range(4) for b in range(4) if a != b and part._links(a, b)}
+    assert cut == {(a, b) for a in range(4) for b in range(4) if (a < 2) != (b < 2)}
+
+
+def test_a_liar_says_that_the_others_are_dead_and_nobody_else_does() -> None:
+    part = datagrams.Datagrams(datagrams.DatagramsPart(
+        name="u0", history="", block=Block(64, 20_000), agents=3, seed=1), Nothing())
+    wire = Wire(FLEET, 3, KEY.encode())
+    truth = [wire.pack(Message(Kind.PING, i, 100 + i, i, 7)) for i in range(3)]
+    assert [part._heard(i, data) for i, data in enumerate(truth)] == truth
+    part.liars = frozenset({0})
+    assert part._heard(1, truth[1]) == truth[1] and part._heard(0, b"none of ours") == b"none of ours"
+    lies = [wire.unpack(part._heard(0, truth[0])) for _ in range(3)]
+    assert {fact.member for fact in lies[0].facts} == {1, 2}
+    assert all(fact.record.status is Status.DEAD for lie in lies for fact in lie.facts)
+    assert {fact.record.incarnation for fact in lies[0].facts} == {1, 2}
+    assert {fact.record.incarnation for fact in lies[2].facts} == {2 ** 32 - 1}
+    assert lies[0].incarnation == 2 ** 32 - 1 and lies[0].seq == 7 + 2 ** 31
--- a/tests/test_faultlab_rig.py
+++ b/tests/test_faultlab_rig.py
@@ -45,7 +45,7 @@
         assert lines[1] == play.schedule_lines(load(name), 1, None, Path(), ROOT)
     kinds = {type(fault).__name__ for name in names for fault in settle(load(name), 1)[1].fault}
     assert {"Link", "Reset", "HalfOpen", "Pause", "Kill", "Descriptors", "Busy", "UnixTime", "Lists",
-            "Reload", "Upgrade", "LameDuck", "Detach", "Spoilt"} <= kinds
+            "Reload", "Upgrade", "LameDuck", "Detach", "Spoilt", "Lie"} <= kinds
 
 
 @settings(derandomize=True, max_examples=40, deadline=None)
@@ -76,6 +76,8 @@
     ("[[fault]]\nwhat = 'pause'\nat_s = 9\nlen_s = 9", "fault[0]: ends after the run"),
     ("[[fault]]\nwhat = 'link'\nat_s = 1\nloss = 2", "fault[0].loss: expected `float` <= 1.0"),
     ("[[trouble]]\nwhat = 'herd'\nat_s = 1\nlen_s = 1\npart = 0.5", "does not play `herd`; write a fault"),
+    ("[[fault]]\nwhat = 'lie'\nat_s = 1", "fault `lie`: needs membership = true"),
+    ("membership = true", "membership: needs allow.peers = true"),
     ("[fleet]\nagents = 21", "fleet.agents: 21 is more than the rig carries; write 20"),
 ])
 def test_a_scenario_that_cannot_be_played_is_one_line(tmp_path: Path, text: str, says: str) -> None:
