--- a/tests/test_faultlab_rig.py
+++ b/tests/test_faultlab_rig.py
@@ -119,7 +119,7 @@
     (tmp_path / "tree" / "lilacsill").mkdir(parents=True)
     (tmp_path / "tree" / "lilacsill" / "bans.py").write_text("")
     with pytest.raises(plants.PlantError, match="is there 0 times; mend it"):
-        plants.plant_in(tmp_path / "tree", plants.PLANTS[-1], tmp_path / "copy")
+        plants.plant_in(tmp_path / "tree", plants.named(["ban"])[0], tmp_path / "copy")
 
 
 # Addresses, disks, processes
