Rig: SIGTERM ends it as Ctrl-C does, also in the background

A soak that was started in the background heard no SIGINT, which shells have such commands ignore, and on SIGTERM left the directory of its run in memory. Both now end it with nothing left, which the test of Ctrl-C shows for both.

--- a/faultlab/cli.py
+++ b/faultlab/cli.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import shutil
+import signal
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -227,4 +228,8 @@
 
 
 def main() -> None:
+    # SIGTERM ends it as Ctrl-C does, with nothing left behind, also where a shell started it in the
+    # background and had it ignore SIGINT.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     app()
--- a/tests/test_faultlab_rig.py
+++ b/tests/test_faultlab_rig.py
@@ -214,8 +214,9 @@
     assert [p.name for p in tmp_path.iterdir()] == ["t"]  # nothing half written
 
 
-def test_ctrl_c_leaves_no_process_and_no_directory(tmp_path: Path) -> None:
-    name = f"ctrl-c-{os.getpid()}"
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_an_end_from_outside_leaves_no_process_and_no_directory(tmp_path: Path, number: int) -> None:
+    name = f"end-{number}-{os.getpid()}"
     (tmp_path / f"{name}.toml").write_text(f'base = "{ROOT}/faultlab/scenarios/_lab.toml"\nabout = "x"\n')
     rig = subprocess.Popen(
         [sys.executable, "-m", "faultlab", "run", str(tmp_path / f"{name}.toml"), "-o", str(tmp_path / "run"),
@@ -223,7 +224,7 @@
         cwd=ROOT, stderr=subprocess.PIPE, stdout=subprocess.DEVNULL, text=True)
     while not (logs := [p for p in play.place().glob(f"faultlab-{name}-*/logs/a0.log") if p.read_text()]):
         assert rig.poll() is None
-    rig.send_signal(signal.SIGINT)
+    rig.send_signal(number)
     _, said = rig.communicate(timeout=60)
     assert rig.returncode == 130 and "interrupted" in said and "Traceback" not in said
     assert {p.name for p in tmp_path.iterdir()} == {"t", f"{name}.toml"} and not any(p.exists() for p in logs)
