--- a/fleetsim/cli_members.py
+++ b/fleetsim/cli_members.py
@@ -1,6 +1,7 @@
 """The emulator's commands on membership: whole fleets, and every interleaving of small ones."""
 from __future__ import annotations
 
+import itertools
 import time
 from typing import Annotated
 
@@ -8,7 +9,7 @@
 
 from . import explore as exploring
 from . import members
-from .cli import app, out, plain_errors, progress_bar, show
+from .cli import app, out, plain_errors, progress_bar
 
 
 @app.command("members")
@@ -23,16 +24,14 @@
     """
     with plain_errors():
         for size in sizes or [10, 100]:
-            rows = [members.memory(size, seed), members.processor(size, seed)]
+            rows = itertools.chain(
+                (members.memory(size, seed), members.processor(size, seed)), members.spread(size, seed),
+                members.false_deaths(size, seed, minutes) if minutes else ())
             with progress_bar() as bar:
-                task = bar.add_task(f"{size} members", total=12 if minutes else 8)
-                for row in members.spread(size, seed):
-                    rows.append(row)
+                task = bar.add_task(f"{size} members", total=14 if minutes else 10)
+                for row in rows:  # a thousand members take many minutes: each line as it is known
+                    out.print(f"{row.size:>6}  {row.what:<62} {row.value}", highlight=False, markup=False)
                     bar.update(task, advance=1)
-                for row in members.false_deaths(size, seed, minutes) if minutes else ():
-                    rows.append(row)
-                    bar.update(task, advance=1)
-            show([["members", "what", "value"], *([str(r.size), r.what, r.value] for r in rows)])
 
 
 @app.command("explore")
