--- a/lilacsill/peers.py
+++ b/lilacsill/peers.py
@@ -71,8 +71,8 @@
     def __init__(self, config: PeersConfig, clock: Clock, random: Callable[[], float]) -> None:
         self._config, self._clock = config, clock
         self._wire = Wire(config.fleet, len(config.peers), config.key)
-        self._start = clock.to_unix_ms(clock.now())
-        self.core = Membership(config.me, len(config.peers), self._start, random)
+        start = clock.to_unix_ms(clock.now())
+        self.core = Membership(config.me, len(config.peers), start, random)
         self._budget = Budget(config.price, clock.now())
         self._socket: socket.socket | None = None
         self._loop = asyncio.get_running_loop()
@@ -97,7 +97,7 @@
             return
         self._socket = made
         self._loop.add_reader(made, self._readable)
-        self._carry_out(self.core.begin(self._clock.now()), BURST_BYTES)
+        self._carry_out(self.core.begin(self._clock.now()))
         self._arm()
 
     def stop(self, leave: bool) -> None:
@@ -107,7 +107,7 @@
         if self._socket is None:
             return
         if leave:
-            self._carry_out(self.core.leave(self._clock.now()), OWED_BYTES)
+            self._carry_out(self.core.leave(self._clock.now()))
         self._loop.remove_reader(self._socket)
         self._socket.close()
         self._socket = None
@@ -146,7 +146,7 @@
 
     def _due(self) -> None:
         if self._budget.level(self._clock.now()) >= 0:
-            self._carry_out(self.core.tick(self._clock.now()), OWED_BYTES)
+            self._carry_out(self.core.tick(self._clock.now()))
         self._arm()
 
     # In
@@ -179,19 +179,19 @@
             self.counts["dropped_too_many"] += 1
             return
         self.counts["received"] += 1
-        self._carry_out(self.core.heard(now, message), OWED_BYTES)
+        self._carry_out(self.core.heard(now, message))
 
     # Out
 
-    def _carry_out(self, actions: list[Action], ahead: float) -> None:
+    def _carry_out(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Send):
-                self._send(action, ahead)
+                self._send(action)
             else:
                 self._note(action)
 
-    def _send(self, action: Send, ahead: float) -> None:
-        if self._socket is None or self._budget.level(self._clock.now()) < -ahead:
+    def _send(self, action: Send) -> None:
+        if self._socket is None or self._budget.level(self._clock.now()) < -OWED_BYTES:
             self.counts["held_back"] += 1
             return
         data, to = self._wire.pack(action.message), self._config.peers[action.to]
