Closing: the client reads its whole answer, whatever of its own is unread then

Need: an answer that asks to close, a refusal or a call at the door ended in transport.close(). With bytes of the peer in the kernel just then, a request sent ahead or half a head, the system resets the connection, and what it still held of the answer goes with it. It held back small writes too: asyncio sets TCP_NODELAY only on sockets made with IPPROTO_TCP, and neither the listener's nor those to backends were (probe: getsockopt gave 0 on both sides).

At fault: server.py _answered, control.py _Caller._answer, Server.take_over, Backends._connected. Change: one way to part after an answer, _part (_Caller._say at the door): end the sending, read and drop until the peer has closed, a second of silence at most. NODELAY on the listener, which what is accepted inherits, and on connections to backends.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -491,7 +491,8 @@
         """A connection that is up. Only the handshake is timed, and by what the kernel says of it: an agent
         whose loop is late must not take its own lateness for the backend's."""
         loop, address = asyncio.get_running_loop(), member.address
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        # With its protocol's number, or asyncio leaves small writes to be held back by the system.
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         try:
             sock.setblocking(False)
             try:
--- a/lilacsill/control.py
+++ b/lilacsill/control.py
@@ -12,7 +12,7 @@
 
 LINE_LIMIT = 512  # bytes of a call
 SILENT_S = 2.0  # a caller that has not finished its call by then is let go
-LINGER_S = 0.5  # what an over-long call still sends is read and dropped for so long
+LINGER_S = 0.5  # what a caller still sends behind its answer is read and dropped for so long
 MOST = 16  # callers at once; a part of the descriptors set apart
 BACKLOG = 64
 
@@ -116,6 +116,7 @@
         self._transport: asyncio.Transport | None = None
         self._silent: asyncio.TimerHandle | None = None
         self.called = False  # the call is complete; what else comes is dropped
+        self._said = False  # it has been answered
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -139,7 +140,7 @@
     def eof_received(self) -> bool:
         if not self.called:
             self._say("ERR a call ends with a line feed\n")
-        return True  # a caller may end its sending and wait for the answer
+        return not self._said  # a caller may end its sending and wait for the answer
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self._silent is not None:
@@ -155,14 +156,13 @@
             self._say("ERR no call in time\n")
 
     async def _answer(self, line: bytes) -> None:
-        text = await self._door.answer(line)
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(text.encode())
-            self._transport.close()
+        self._say(await self._door.answer(line))
 
     def _say(self, text: str) -> None:
-        """Answer in the middle of a call: closing on unread bytes would reset the answer away."""
-        self.called = True
+        """Answer and part: read and drop what still comes, for a close over unread bytes would reset the
+        answer away.
+        """
+        self.called = self._said = True
         if self._transport is None or self._transport.is_closing():
             return
         self._transport.write(text.encode())
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -567,13 +567,13 @@
             super().resume()  # no effect where it was not paused
             if self.http.trailing_data[0]:
                 self._loop.call_soon(self.resume_reading)
-        elif self._read_in_full():
-            self.transport.close()
         else:
-            self._linger()
+            self._part()
 
-    def _linger(self) -> None:
-        """Read and drop the rest: closing on unread bytes would reset the answer away."""
+    def _part(self) -> None:
+        """Part after an answer: read and drop what still comes. Whatever the client has sent by then, a request
+        ahead or the rest of a body, a close over unread bytes would reset the answer away.
+        """
         assert self.transport is not None
         self.deaf = True
         self._read_whole()
@@ -618,6 +618,8 @@
         """Accept from a socket that listens already; returns its port."""
         self.listener = listener
         listener.setblocking(False)
+        # What is accepted inherits it. asyncio sets it only where a socket was made with its protocol's number.
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.freed()
         return int(listener.getsockname()[1])
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -6,6 +6,7 @@
 import json
 import os
 import socket
+import struct
 import sys
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field, replace
@@ -113,6 +114,35 @@
         self.writer.close()
 
 
+class Raw:
+    """A client's bare socket, for what a stream would hide: what it sent last, and how its peer closed."""
+
+    def __init__(self) -> None:
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        self.socket.setblocking(False)
+
+    async def connect(self, port: int) -> Raw:
+        await asyncio.get_running_loop().sock_connect(self.socket, ("127.0.0.1", port))
+        return self
+
+    async def send(self, data: bytes) -> None:
+        await asyncio.get_running_loop().sock_sendall(self.socket, data)
+
+    async def read_to_end(self) -> bytes:
+        """All that comes; ConnectionResetError where the end is a reset."""
+        data = bytearray()
+        while piece := await asyncio.get_running_loop().sock_recv(self.socket, 65536):
+            data += piece
+        return bytes(data)
+
+    def close(self) -> None:
+        self.socket.close()
+
+    def reset(self) -> None:
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.socket.close()
+
+
 class Peer:
     """A server whose requests the test answers one by one, but for probes."""
 
@@ -190,6 +220,9 @@
         finally:
             writer.close()
 
+    async def raw(self) -> Raw:
+        return await Raw().connect(self.port)
+
     async def ask(self, request: bytes) -> Conversation:
         client = await self.client()
         await client.write(request)
