Attempts: one place settles whether one may still go out, asked last thing before it does

Need: an attempt that waited for its connection went out whatever had happened since. Its client may have left, which does not show on a connection that is not read (a large body held, or AHEAD_LIMIT reached); the window in which a keyed request may be repeated may be over, where it is shorter than connect time-out or deadline; and the connection itself may have been freed by an answer behind which a second one lay unread, to be taken for the answer to the next request.

At fault: backends.py Exchange._put (the list alone was looked at), Backends._offer (no look at the kernel), server.py (a paused connection's close is seen by nobody). Change: Exchange.may_go asks the list and Ask.wanted; the agent answers by the client, whom Connection.left asks the kernel about (POLLRDHUP, also behind unread bytes), and by Send.until_us, which the decisions set for keyed classes. A request sent in the turn in which it is read, the ordinary path, asks the kernel nothing.

A body of which the kernel has not got the end yet cannot show its client's leaving: not claimed.

--- a/brasshead/interface.py
+++ b/brasshead/interface.py
@@ -281,6 +281,7 @@
     request: int
     backend: BackendId
     timeout_us: int
+    until_us: int = 0  # one that has to wait for a connection may go out before this time only; 0: any time
 
 
 @dataclass(slots=True)
--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -624,12 +624,22 @@
             return False
         if not r.may_have_run or r.cls.effect is Effect.SAFE:
             return True
-        _, first, sent = r.may_have_run[0]
-        if r.cls.effect is Effect.UNSAFE or self.now >= sent + r.cls.window_us - 2 * self.settings.tick_us:
+        _, first, _ = r.may_have_run[0]
+        if r.cls.effect is Effect.UNSAFE or self.now >= self._repeat_until(r):
             return False
         return r.cls.group is Group.ALL or (
             s.zone == first.zone if r.cls.group is Group.ZONE else s.cell == first.cell)
 
+    def _repeat_until(self, r: Request) -> int:
+        """When the time ends in which attempts of a keyed request may go out; 0: it has none. The first one's
+        too: if it waits for its connection for so long, a copy may have run, and be forgotten, before it."""
+        if r.cls.effect is not Effect.KEYED:
+            return 0
+        window = r.cls.window_us - 2 * self.settings.tick_us
+        if r.may_have_run:
+            return r.may_have_run[0][2] + window
+        return self.now + window if window > 0 else 0
+
     def _admits(self, r: Request, s: Server) -> bool:
         # Where peers tell every answer, a server of which nothing is heard hangs. Some requests still try it.
         silence = (self.now - s.news_at) * r.luck * self.cold.warmth(s, self.now) if self.tells else 0
@@ -728,13 +738,13 @@
     # Attempt plan
 
     def _send(self, r: Request, s: Server, load: float) -> None:
-        now, attempt = self.now, r.sends
+        now, attempt, until = self.now, r.sends, self._repeat_until(r)
         r.sends += 1
         r.out[attempt] = (s, now, load)
         r.may_have_run.append((attempt, s, now))
         r.tried.append(s)
         (s.streams if r.streamed else s.open)[(r.id, attempt)] = now
-        self.actions.append(Send(r.id, s.id, max(1, r.deadline - now - self.margin)))
+        self.actions.append(Send(r.id, s.id, max(1, r.deadline - now - self.margin), until))
         if r.cls.effect is not Effect.UNSAFE and self.table.typical and self.settings.second_copies:
             at = now + int(3 * self.table.typical)
             if at + self.table.typical < r.aim_at:
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -249,7 +249,8 @@
         held.attempts += 1
         call = held.call
         reader = _Reader(self, number, attempt)
-        ask = Ask(call.method, call.target, call.headers, call.body, reader, self._hold_us)
+        ask = Ask(call.method, call.target, call.headers, call.body, reader, self._hold_us,
+                  partial(self._wanted, a))
 
         def done(result: Result) -> None:
             self._out.pop((number, attempt), None)
@@ -259,6 +260,12 @@
         if not exchange.ended:
             self._out[number, attempt] = exchange
 
+    def _wanted(self, a: q.Send) -> bool:
+        """Whether an attempt that has waited for its connection is still to go out."""
+        held = self._held.get(a.request)
+        return (held is not None and held.call.client.waits(held.call)
+                and (not a.until_us or self._clock.now() < a.until_us))
+
     def _attempt_ended(self, number: int, attempt: int, backend: q.BackendId, result: Result) -> None:
         served, held = result.outcome is q.Outcome.OK, self._held.get(number)
         if result.begun and held is not None:
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -80,6 +80,7 @@
     body: bytes | Body = b""
     reader: Reader | None = None  # None: a probe
     hold_us: int = 0  # an answer of unknown length is passed on if it is not whole after so long
+    wanted: Callable[[], bool] = lambda: True  # asked last thing before it goes out: time has passed since
 
 
 def parse_report(text: str | None, fields: tuple[str, ...]) -> tuple[float, ...]:
@@ -174,6 +175,8 @@
         member = self._backends.ready(self._backend)
         if member is None:
             return self._end(Outcome.NOT_SENT)
+        if not self.may_go():
+            return
         connection = self._backends.take(member)
         if connection is not None:
             return self.carry(connection)
@@ -188,6 +191,14 @@
         """No connection came up for it."""
         self._end(outcome)
 
+    def may_go(self) -> bool:
+        """The one place where it is settled that an attempt may still go out. The list may have changed while
+        its connection came up, its time or that of repeats have run out, its client have left.
+        """
+        if not self.ended and (self._backends.ready(self._backend) is None or not self._ask.wanted()):
+            self._end(Outcome.NOT_SENT)
+        return not self.ended
+
     def carry(self, connection: _Pooled) -> None:
         """Go out on this connection."""
         try:
@@ -197,10 +208,6 @@
             self._end(self._lost())
 
     def _put(self, connection: _Pooled) -> None:
-        # The list may have changed while the connection came up: nothing new goes to one that drains.
-        if not connection.member.same_process(self._backends.ready(self._backend)):
-            connection.drop()
-            return self._end(Outcome.NOT_SENT)
         self._connection, connection.exchange = connection, self
         ask, body, headers = self._ask, self._ask.body, [(b"Host", HOST), *self._ask.headers]
         large = not isinstance(body, bytes)
@@ -479,6 +486,7 @@
         if connection is not None and connection.closed:
             outcome = Outcome.CONNECT_FAILED
         elif connection is not None and member.same_process(self.ready(backend)):
+            outcome = Outcome.CONNECT_FAILED  # of one that is left: this connection was closed as it came up
             self._offer(connection)
         elif connection is not None:
             self._discard(connection)
@@ -515,12 +523,16 @@
                 del self._waiting[backend]
 
     def _offer(self, connection: _Pooled) -> None:
-        """To the exchange that has waited longest, else kept."""
+        """To the exchange that has waited longest and may still go out, else kept."""
         backend = connection.member.backend.id
-        if waiting := self._waiting.get(backend):
+        while waiting := self._waiting.get(backend):
+            # What came behind an answer is not read yet: it would pass for the answer to the next request.
+            if not connection.usable():
+                return self._discard(connection)
             exchange = next(iter(waiting))
             self.waits_no_more(backend, exchange)
-            return exchange.carry(connection)
+            if exchange.may_go():
+                return exchange.carry(connection)
         connection.idle_since = self.clock.now()
         connection.retire = asyncio.get_running_loop().call_later(
             self._idle_us / 1e6, self._retired, connection)
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -110,11 +110,21 @@
 
     def quiet(self) -> bool:
         """Whether the kernel has nothing to read for it, not even the peer's close."""
+        return self._kernel_says(select.POLLIN | select.POLLHUP) == 0
+
+    def left(self) -> bool:
+        """Whether the peer has closed or reset it as far as the kernel knows, also behind bytes not yet read:
+        a connection that is not being read does not show it by itself."""
+        gone = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+        return bool(self._kernel_says(select.POLLRDHUP) & gone)
+
+    def _kernel_says(self, asked: int) -> int:
         if self.transport is None or self.transport.is_closing():
-            return False
+            return select.POLLHUP
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLHUP)
-        return not poll.poll(0)
+        poll.register(self.transport.get_extra_info("socket").fileno(), asked)
+        said = poll.poll(0)
+        return said[0][1] if said else 0
 
     def pause(self) -> None:
         """Read nothing more from the peer until resume."""
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -67,6 +67,9 @@
 class Answerer(Protocol):
     """Where a call came from, and its one answer goes to: whole, or begun, passed on and finished."""
 
+    def waits(self, call: Call) -> bool:
+        """Whether the client is still there for its answer; one that is not has left by then."""
+
     def answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None: ...
 
     def begin(self, call: Call, headers: Headers, length: int | None, source: Source) -> None:
@@ -268,6 +271,7 @@
         self._call: Call | None = None
         self._upload: Upload | None = None  # the body, where it is large
         self._source: Source | None = None  # of an answer that is passed on as it comes
+        self._taking = False  # the call is being handed on in the turn in which it was read
         self._unread: asyncio.TimerHandle | None = None  # set while a request is waited for
         self._began = self._body_began = self._last = 0.0  # the request, its body, its latest piece
         self._stuck: asyncio.TimerHandle | None = None  # set while the client takes nothing
@@ -426,7 +430,20 @@
         upload.come(data)
         self._call, self._upload = call, upload
         self.pause()
-        self._server.taker.take(call)
+        self._take(call)
+
+    def _take(self, call: Call) -> None:
+        self._taking = True
+        try:
+            self._server.taker.take(call)
+        finally:
+            self._taking = False
+
+    def waits(self, call: Call) -> bool:
+        if self._call is call and not self._taking and self.left():
+            self._leave()
+            self.drop()
+        return self._call is call
 
     def on_broken(self, error: Exception) -> None:
         """Malformed HTTP is the client's fault, anything else ours; either is answered."""
@@ -473,7 +490,7 @@
             raise Rejected(404, "no such path")
         self._call = self._server.checker.check(self._request, self._fields, bytes(self._piece), self)
         self._piece = bytearray()
-        self._server.taker.take(self._call)
+        self._take(self._call)
 
     # What goes back
 
@@ -571,8 +588,8 @@
             self._part()
 
     def _part(self) -> None:
-        """Part after an answer: read and drop what still comes. Whatever the client has sent by then, a request
-        ahead or the rest of a body, a close over unread bytes would reset the answer away.
+        """Part after an answer: read and drop what still comes. Whatever the client has sent by then, a
+        request ahead or the rest of a body, a close over unread bytes would reset the answer away.
         """
         assert self.transport is not None
         self.deaf = True
@@ -618,7 +635,7 @@
         """Accept from a socket that listens already; returns its port."""
         self.listener = listener
         listener.setblocking(False)
-        # What is accepted inherits it. asyncio sets it only where a socket was made with its protocol's number.
+        # What is accepted inherits it; asyncio sets it only on a socket made with its protocol's number.
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.freed()
         return int(listener.getsockname()[1])
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from lilacsill.__main__ import assemble
 from lilacsill.agent import Agent
 from lilacsill.clock import Clock
@@ -281,6 +283,19 @@
             await peer.stop()
 
 
+def held_connects(monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
+    """Connects come up in the kernel, and the loop hears of it only when the event is set."""
+    heard, whole = asyncio.Event(), asyncio.SelectorEventLoop.sock_connect
+
+    async def sock_connect(loop: asyncio.SelectorEventLoop, sock: socket.socket,
+                           address: tuple[str, int]) -> None:
+        await whole(loop, sock, address)
+        await heard.wait()
+
+    monkeypatch.setattr(asyncio.SelectorEventLoop, "sock_connect", sock_connect)
+    return heard
+
+
 async def start(folder: Path, doc: object) -> tuple[asyncio.subprocess.Process, int]:
     """The agent as a process of its own; returns when it listens."""
     path = folder / "config.json"
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from tests.loopback import Message, Peer, member
+from tests.loopback import Message, Peer, held_connects, member
 
 from brasshead.interface import Outcome
 from lilacsill.backends import Ask, Backends, Result, parse_report
@@ -222,19 +222,6 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
-def held_connects(monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
-    """Connects come up in the kernel, and the loop hears of it only when the event is set."""
-    heard, whole = asyncio.Event(), asyncio.SelectorEventLoop.sock_connect
-
-    async def sock_connect(loop: asyncio.SelectorEventLoop, sock: socket.socket,
-                           address: tuple[str, int]) -> None:
-        await whole(loop, sock, address)
-        await heard.wait()
-
-    monkeypatch.setattr(asyncio.SelectorEventLoop, "sock_connect", sock_connect)
-    return heard
-
-
 def test_a_late_loop_does_not_make_a_connection_fail_that_is_up(monkeypatch: pytest.MonkeyPatch) -> None:
     async def run() -> None:
         peer = await Peer().start()
--- /dev/null
+++ b/tests/test_client_gone.py
@@ -0,0 +1,148 @@
+"""A client that leaves while its request waits: nothing goes out any more, whatever the request waits for."""
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from tests.loopback import Peer, Raw, World, held_connects, member, post, world
+
+from brasshead.interface import ListKind, Send
+from lilacsill.server import AHEAD_LIMIT
+
+# The first two leave the agent not reading the connection, so that nothing there shows its close.
+SENT = {
+    "a large body, held": post(body=b"x" * 150_000),
+    "much sent ahead": post() + b"x" * (2 * AHEAD_LIMIT),
+    "nothing else": post(),
+    "the next request too": post() + post(),
+}
+NOT_READ = list(SENT)[:2]
+GOES: dict[str, Callable[[Raw], None]] = {"FIN": Raw.close, "RST": Raw.reset}
+goes = pytest.mark.parametrize("how", GOES)
+
+
+async def until_unread(w: World) -> None:
+    (connection,) = w.server.connections
+    assert connection.transport is not None
+    while connection.transport.is_reading():
+        await asyncio.sleep(0)
+
+
+async def assert_next_is_another(w: World) -> None:
+    """What the backends get next is the next client's: nothing of the one that has left."""
+    while w.agent._held:
+        await asyncio.sleep(0)
+    await w.ask(post(Request_Id="next"))
+    assert (await w.request()).headers["request-id"] == "next"
+    assert w.nothing_sent()
+
+
+@goes
+@pytest.mark.parametrize("sent", SENT)
+def test_while_its_connection_comes_up(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: str, how: str) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            heard = held_connects(monkeypatch)
+            await client.send(SENT[sent])
+            while not w.backends[0].connections:
+                await asyncio.sleep(0)
+            if sent in NOT_READ:
+                await until_unread(w)
+            GOES[how](client)
+            heard.set()  # no turn of the loop since it left
+            await assert_next_is_another(w)
+
+    asyncio.run(run())
+
+
+@goes
+@pytest.mark.parametrize("sent", SENT)
+def test_while_the_decisions_hold_it(tmp_path: Path, sent: str, how: str) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=0) as w:
+            client, late = await w.raw(), await Peer().start()
+            w.backends.append(late)
+            await client.send(SENT[sent])
+            while not w.agent._held:
+                await asyncio.sleep(0)
+            if sent in NOT_READ:
+                await until_unread(w)
+            GOES[how](client)
+            doc = {"revision": 42, "complete": True, "members": [member("late", late.port)]}
+            w.agent._tell(ListKind.FULL, w.agent._roster.told(w.agent._discovery.parser.parse(doc)))
+            await assert_next_is_another(w)
+
+    asyncio.run(run())
+
+
+@goes
+def test_before_a_second_attempt(tmp_path: Path, how: str) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=2) as w:
+            client = await w.raw()
+            await client.send(SENT["much sent ahead"])
+            first = await w.request()
+            await until_unread(w)
+            GOES[how](client)
+            first.peer.reset()
+            await assert_next_is_another(w)
+
+    asyncio.run(run())
+
+
+@goes
+def test_before_a_copy(tmp_path: Path, how: str) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=2, secondCopies=True) as w:
+            client = await w.raw()
+            await client.send(SENT["much sent ahead"])
+            first = await w.request()
+            await until_unread(w)
+            GOES[how](client)
+            (number,) = w.agent._held
+            busy = next(f"s{i}" for i, b in enumerate(w.backends) if b.connections)
+            other = {"s0": "s1", "s1": "s0"}[busy]
+            w.agent._send(Send(number, other, 10_000_000))  # as the decisions order one
+            await first.peer.ended()  # what was out is given up with it
+            await assert_next_is_another(w)
+
+    asyncio.run(run())
+
+
+def test_what_is_not_read_keeps_no_connection_of_one_that_left(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=0) as w:
+            client, late = await w.raw(), await Peer().start()
+            await client.send(SENT["much sent ahead"])
+            while not w.agent._held:
+                await asyncio.sleep(0)
+            await until_unread(w)
+            client.close()
+            doc = {"revision": 42, "complete": True, "members": [member("late", late.port)]}
+            w.agent._tell(ListKind.FULL, w.agent._roster.told(w.agent._discovery.parser.parse(doc)))
+            while w.server.connections:
+                await asyncio.sleep(0)
+            await late.stop()
+
+    asyncio.run(run())
+
+
+def test_one_that_stays_is_served(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            heard = held_connects(monkeypatch)
+            await client.send(SENT["much sent ahead"])
+            while not w.backends[0].connections:
+                await asyncio.sleep(0)
+            await until_unread(w)
+            heard.set()
+            await (await w.request()).answer()
+            assert b"HTTP/1.1 200" in await asyncio.get_running_loop().sock_recv(client.socket, 65536)
+            client.close()
+
+    asyncio.run(run())
