Shutdown: what is read after the last request was given up is refused, never sent on

Need: after give_up_all, while large answers finish, what came on open or new connections was still taken and sent on, and the process ended without an answer to it. Connections in the accept queue were reset by the listener's close. A process told to stop half way through a handover took itself for succeeded, and let go of the address although nobody else had it. A SIGHUP after the loop's end met the system's handler: exit by a signal, which is a crash.

At fault: server.py Server.drain (nothing said that no more is taken; listener closed over its queue), handover.py Succession.succeeded (true from the first byte), __main__.py serve. Change: Server.refusing, asked where a call is checked: 503 with Retry-After where allowed. The queue is emptied before the listener closes, and what it held gets its refusal. succeeded waits for the last byte. Signals are blocked once the loop's work is over.

--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -112,6 +112,8 @@
     await server.drain(drain_times(config.settings), succeeded)
     door.close()
     log.info("%s stops", config.name)
+    # From here on they would meet the interpreter's own handlers, and a SIGHUP be a crash.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
     return 0
 
 
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -22,7 +22,7 @@
 from .figures import Figures, Levels
 from .losses import STEP_S, Losses
 from .peers import Peers
-from .server import Call
+from .server import Call, retry_after
 
 log = logging.getLogger(__name__)
 
@@ -298,8 +298,7 @@
             held.call.client.more(held.call, data)
 
     def _refuse(self, a: q.Refuse) -> None:
-        advice = [(b"Retry-After", b"%.6f" % (a.retry_after_us / 1e6))] if a.retry_after_us else []
-        self._answer(a.request, 503, advice, b"refused\n")
+        self._answer(a.request, 503, retry_after(a.retry_after_us), b"refused\n")
 
     def _fail(self, a: q.Fail) -> None:
         self._answer(a.request, 502, [], b"failed\n")
--- a/lilacsill/handover.py
+++ b/lilacsill/handover.py
@@ -148,6 +148,11 @@
         self._sent = 0
         self._unconfirmed: dict[int, asyncio.Future[None]] = {}
 
+    @property
+    def up(self) -> bool:
+        """What was to be handed over has been, in whole."""
+        return self._transport is not None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
@@ -230,8 +235,8 @@
 
     @property
     def succeeded(self) -> bool:
-        """Whether another process has taken over what this one has."""
-        return any(link.successor for link in self._links)
+        """Whether another process has taken over what this one has, to the last byte."""
+        return any(link.successor and link.up for link in self._links)
 
     async def follow(self, heritage: Heritage) -> None:
         """Keep the link to the process that handed over."""
@@ -348,5 +353,7 @@
         except BaseException:
             # It took over nothing. The path is this one's still, or its own by now, if it starts without.
             self._drop(link)
+            sock.close()
             raise
+        self._owner.beside(1 + len(self._links))
         log.info("handed over to another process")
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -35,6 +35,8 @@
 STREAMS_S = 60.0  # how long large answers may go on after a stop; whoever ordered it may end it before
 STUCK_S = 60.0  # a client that takes nothing of its answer for so long has stopped
 POLL_S = 0.01  # while the last requests end
+LAST_S = 0.3  # for what has come in by the end: read, refused, and its refusal taken
+COME_AGAIN_US = 500_000  # a client turned away by a stop: by then another process serves, or will soon
 # From connecting, or from a request's first byte. Whoever stops is owed an error within 3 s, while an honest
 # client may take 2 s for a head, and 64 kB a second are its body's mean: single pieces come as they may.
 HEAD_S, DECIDED_S = 2.5, 2.7
@@ -177,9 +179,14 @@
 class Rejected(Exception):
     """A request that cannot be taken; it never reaches the module."""
 
-    def __init__(self, status: int, why: str) -> None:
+    def __init__(self, status: int, why: str, headers: Headers | None = None) -> None:
         super().__init__(why)
-        self.status = status
+        self.status, self.headers = status, headers or []
+
+
+def retry_after(after_us: int) -> Headers:
+    """Advice to a client that is refused; none where there is nothing to say."""
+    return [(b"Retry-After", b"%.6f" % (after_us / 1e6))] if after_us else []
 
 
 class Checker:
@@ -406,7 +413,7 @@
             elif kind is h11.EndOfMessage:
                 self._complete()
         except Rejected as e:
-            self._break_off(e.status, str(e))
+            self._break_off(e.status, str(e), e.headers)
 
     def on_read(self) -> None:
         """What has come of a large body goes on; how large it is may show only now."""
@@ -420,12 +427,12 @@
                 length = header(self._fields, b"content-length")
                 self._take_large(int(length) if length is not None else None)
         except Rejected as e:
-            self._break_off(e.status, str(e))
+            self._break_off(e.status, str(e), e.headers)
 
     def _take_large(self, length: int | None) -> None:
         assert self._request is not None
         upload = Upload(length, self)
-        call = self._server.checker.check(self._request, self._fields, upload, self)
+        call = self._server.check(self._request, self._fields, upload, self)
         data, self._piece = self._piece, bytearray()
         upload.come(data)
         self._call, self._upload = call, upload
@@ -488,13 +495,13 @@
             return self._respond(503 if self._server.draining else 200, [], b"")
         if path != API:
             raise Rejected(404, "no such path")
-        self._call = self._server.checker.check(self._request, self._fields, bytes(self._piece), self)
+        self._call = self._server.check(self._request, self._fields, bytes(self._piece), self)
         self._piece = bytearray()
         self._take(self._call)
 
     # What goes back
 
-    def _break_off(self, status: int, why: str) -> None:
+    def _break_off(self, status: int, why: str, headers: Headers | None = None) -> None:
         """The error for a request that is not taken, or not to its end; each is counted once."""
         taken = self._leave()
         if self.transport is None or self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -503,7 +510,7 @@
         index = self._server.checker.class_of(self._fields) if self._request is not None else None
         if index is not None and not taken:
             self._server.taker.turned_away(index, status)
-        self._respond(status, [], f"{why}\n".encode())
+        self._respond(status, headers or [], f"{why}\n".encode())
 
     def answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None:
         if self._call is call:
@@ -616,9 +623,11 @@
         self.taker = taker
         self._most = most  # connections at once, so that descriptors are left for backends
         self.checker = Checker(settings.classes, settings.tenants)
+        self._come_again_us = min(COME_AGAIN_US, settings.max_retry_after_us) if settings.retry_after else 0
         self.connections: set[_Client] = set()
         self.draining = False  # health says no
         self.closing = False  # answers ask the client to close
+        self.refusing = False  # a request that is read now has no process left to see it through
         self._emptying: asyncio.Task[None] | None = None
         self.listener: socket.socket | None = None
         self._accepting = False
@@ -626,6 +635,13 @@
         self._starved = False  # the last try to accept found no descriptor
         self._coming: set[asyncio.Task[object]] = set()  # accepted, and not yet among the connections
 
+    def check(self, request: h11.Request, fields: Fields, body: bytes | Upload, client: Answerer) -> Call:
+        """The call that a whole head, and a body at least begun, make. Rejected, where it cannot be taken."""
+        call = self.checker.check(request, fields, body, client)
+        if self.refusing:
+            raise Rejected(503, "shutting down", retry_after(self._come_again_us))
+        return call
+
     async def listen(self, address: Address, shared: bool = False) -> int:
         """Returns the port, for an address whose port is 0. A shared one can be listened on once more."""
         return self.take_over(socket.create_server(
@@ -652,12 +668,12 @@
             self._accepting = True
             asyncio.get_running_loop().add_reader(self.listener, self._accept)
 
-    def _accept(self) -> None:
+    def _accept(self, most: int = ACCEPTS) -> None:
         """Take some that wait. Beyond the limit the kernel holds them: accepting on without descriptors fails
         for each one that waits, again and again."""
         assert self.listener is not None
         loop = asyncio.get_running_loop()
-        for _ in range(ACCEPTS):
+        for _ in range(most):
             if not self._room():
                 self._accepting = False
                 loop.remove_reader(self.listener)
@@ -733,11 +749,18 @@
             await asyncio.sleep(times.serve_s)
         while (self.connections or self._coming) and loop.time() < began + times.end_s:
             await asyncio.sleep(POLL_S)
+        self.refusing = True
         self.taker.give_up_all()
         # What has begun is not cut off here: if it must be, that is for whoever ordered the stop.
         while any(c.busy for c in self.connections) and loop.time() < began + STREAMS_S:
             await asyncio.sleep(POLL_S)
         # Open to the end: closing it resets what has come in and is not accepted yet.
+        if self.listener is not None:
+            self._accept(BACKLOG)
+        self._close_listener()
+        last = loop.time() + LAST_S
+        while (self.connections or self._coming) and loop.time() < last:
+            await asyncio.sleep(POLL_S)
         self.stop()
 
     def stop(self) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -296,13 +296,18 @@
     return heard
 
 
+def environment(folder: Path) -> dict[str, str]:
+    """Of an agent whose configuration lies in this folder."""
+    return {**os.environ, "RELAY_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder)}
+
+
 async def start(folder: Path, doc: object) -> tuple[asyncio.subprocess.Process, int]:
     """The agent as a process of its own; returns when it listens."""
     path = folder / "config.json"
     path.write_text(json.dumps(doc))
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "lilacsill", stderr=asyncio.subprocess.PIPE,
-        env={**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(folder)})
+        env=environment(folder))
     assert process.stderr is not None
     while b"listens on" not in (line := await process.stderr.readline()):
         assert line, "ended before it listened"
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -205,6 +205,47 @@
     assert "nothing handed over: broken off" in caplog.text
 
 
+def test_it_is_succeeded_only_when_all_has_gone_over(tmp_path: Path) -> None:
+    # Told to stop half way, it let go of the clients' address although nobody else had it.
+    class Owner:
+        def __init__(self) -> None:
+            self.told: list[int] = []
+
+        def listener(self) -> socket.socket:
+            return listener
+
+        def state(self) -> dict[str, Any]:
+            return {"much": "x" * 4_000_000}  # more than the two sockets hold
+
+        def apply(self, act: Act) -> None: ...
+
+        def beside(self, processes: int) -> None:
+            self.told.append(processes)
+
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    async def run() -> None:
+        loop, owner = asyncio.get_running_loop(), Owner()
+        succession = Succession(tmp_path / "found", owner)
+        succession.open()
+        with socket.socket(socket.AF_UNIX) as new:
+            new.setblocking(False)
+            await loop.sock_connect(new, str(tmp_path / "found"))
+            await loop.sock_sendall(new, b'{"lilacsill":1}\n')
+            while not owner.told:
+                await asyncio.sleep(0)
+            assert owner.told == [2] and not succession.succeeded
+            while not (await loop.sock_recv(new, 65536)).endswith(b"\n"):
+                pass
+            while len(owner.told) < 2:  # told anew: only now does it let go of the address
+                await asyncio.sleep(0)
+            assert owner.told == [2, 2] and succession.succeeded
+            succession.close()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
+    listener.close()
+
+
 def test_a_single_process_leaves_nothing_behind(tmp_path: Path) -> None:
     async def run() -> None:
         async with site(tmp_path) as s:
