--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -14,6 +14,7 @@
 from random import Random
 from typing import Any
 
+from brasshead.interface import Discovery as PushOrAsk
 from brasshead.interface import Settings
 from brasshead.logic import Balancer
 
@@ -22,7 +23,7 @@
 from .clock import Clock
 from .config import Config, ConfigError, load, reload_discovery
 from .control import Door
-from .discovery import Discovery
+from .discovery import ASK_WAIT_MS, PUSH_WAIT_MS, Discovery
 from .figures import Figures
 from .handover import Succession, inherit, path_for
 from .losses import Losses
@@ -49,11 +50,14 @@
     settings, most = config.settings, most_connections(config.sockets, 1)
     backends = Backends(clock, settings.report_fields, config.connect_timeout_us, config.conn_idle_us, most,
                         figures.written)
-    # Who is asked whether it can serve must have heard discovery itself: then the whole list comes first.
-    revision = config.known.revision if config.control is None else None
-    discovery = Discovery(config.discovery, config.parser, revision, config.connect_timeout_us / 1e6)
+    # Who says whether it can serve must have heard discovery itself: then the whole list comes first.
+    pushed = settings.discovery is PushOrAsk.PUSH
+    revision = None if pushed or config.control is not None else config.known.revision
+    discovery = Discovery(config.discovery, config.parser, revision, config.connect_timeout_us / 1e6,
+                          PUSH_WAIT_MS if pushed else ASK_WAIT_MS)
     losses = Losses(Random(config.seed)) if config.hold_missing else None
-    agent = Agent(Balancer(settings, config.seed), clock, backends, discovery, figures, losses)
+    agent = Agent(Balancer(settings, config.seed), clock, backends, discovery, figures,
+                  config.drain_grace_us / 1e6, losses)
     return agent, Server(settings, agent, most)
 
 
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -32,8 +32,11 @@
 GONE, BROKEN = 499, 502  # count as the status of a request whose client has left, whose answer broke off
 HOLD_SHARE = 0.05  # of the shortest aim: so long may an answer be held that is not known to be small
 # Where changes are pushed, every change made while nobody asks counts as told: the wait after a broken watch
-# is doubled and drawn at random, but stays well within the second that the drain rule leaves.
-WATCH_AGAIN_S, WATCH_AGAIN_MOST_S = 0.1, 0.4
+# is doubled and drawn at random, but stays well within the time that the drain rule leaves, as a share of it.
+WATCH_AGAIN, WATCH_AGAIN_MOST = 0.1, 0.4
+# There too what discovery has counts as told from the first moment of a new process: it says that it is ready
+# once it has heard, or after so long. Discovery answers at once or, while it is down, has nothing to tell.
+FIRST_LIST_S = 0.5
 
 
 @dataclass(slots=True, eq=False)
@@ -67,7 +70,7 @@
     """Hands events to the module one at a time, in order of arrival, and carries out its actions."""
 
     def __init__(self, balancer: Balancer, clock: Clock, backends: Backends, discovery: Discovery,
-                 figures: Figures, losses: Losses | None = None) -> None:
+                 figures: Figures, drain_grace_s: float, losses: Losses | None = None) -> None:
         # Where changes come by themselves, the module never asks: it is the agent that keeps the watch.
         self._pushes = balancer.settings.discovery is q.Discovery.PUSH
         self._balancer, self._clock = balancer, clock
@@ -82,7 +85,9 @@
         self._events: deque[q.Event] = deque()
         self._handling = False
         self._taken = 0
-        self._watch_again_s = WATCH_AGAIN_S
+        self._drain_grace_s = drain_grace_s
+        self._watch_again_s = WATCH_AGAIN * drain_grace_s
+        self._began = self._loop.time()
         self.fresh = False  # discovery has been heard
         self._heard = False  # the list is what discovery said, to this process or the one before it
         self._hold_us = int(HOLD_SHARE * min(c.aim_us for c in balancer.settings.classes))
@@ -146,6 +151,9 @@
 
     # The application's side
 
+    def ready(self) -> bool:
+        return not self._pushes or self.fresh or self._loop.time() >= self._began + FIRST_LIST_S
+
     def take(self, call: Call) -> None:
         self._taken += 1
         if self.peers is not None:
@@ -326,10 +334,10 @@
     def _listed(self, listing: Listing | None) -> None:
         if listing is None and self._pushes:
             wait_s = self._watch_again_s * (0.5 + random.random() / 2)
-            self._watch_again_s = min(2 * self._watch_again_s, WATCH_AGAIN_MOST_S)
+            self._watch_again_s = min(2 * self._watch_again_s, WATCH_AGAIN_MOST * self._drain_grace_s)
             self._loop.call_later(wait_s, self._discovery.watch, self._listed)
             return
-        self._watch_again_s = WATCH_AGAIN_S
+        self._watch_again_s = WATCH_AGAIN * self._drain_grace_s
         self.fresh = self.fresh or listing is not None
         if listing is None:
             self._post(q.BackendsChanged(q.ListKind.FAILED, []))
--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -16,6 +16,7 @@
 from .peers import PeersConfig
 
 T = TypeVar("T")
+DRAIN_GRACE_US = 1_000_000  # where the settings say nothing of it
 
 
 class ConfigError(Exception):
@@ -34,6 +35,7 @@
     settings: Settings
     connect_timeout_us: int
     conn_idle_us: int
+    drain_grace_us: int  # after the list says so, a backend may be sent to for so long
     control: Address | None  # where operators call; None: nowhere
     hold_missing: bool  # a whole list that lost most of the backends at once is taken in steps
     peers: PeersConfig | None  # the other agents; None: they are not spoken to
@@ -110,6 +112,7 @@
         settings=replace(settings_from(facts), can_tell=False),
         connect_timeout_us=int(allowed["connectTimeoutUs"]),
         conn_idle_us=int(allowed["connIdleUs"]),
+        drain_grace_us=int(facts["rules"].get("drainGraceUs") or DRAIN_GRACE_US),
         control=parse_address(control) if control else None,
         hold_missing=_flag(doc, "hold_missing"),
         peers=_peers(doc, facts) if "membership" in doc else None,
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -20,8 +20,12 @@
 log = logging.getLogger(__name__)
 
 PATH = "/catalog/members"
-WAIT_MS = 20_000  # long: each call costs discovery, which all agents share
-ANSWER_S = 2.0  # what discovery has to tell counts as told this long after the wait is over
+# How long a call may wait for news. What one that falls silent misses counts as told 6 s after that, or 2 s
+# after its wait, whichever is later. Where changes are pushed a call costs nothing, and a short one finds
+# silence within the 6 s; where each costs a discovery that all share, they are long.
+PUSH_WAIT_MS, ASK_WAIT_MS = 4_000, 20_000
+SILENT_S = 1.0  # past its wait: half of what is left then, the other half is for the next call
+ANSWER_S = 2.0  # to a call that has nothing to wait for
 ANSWER_BYTES = 4 * 1024 * 1024  # of an answer
 # Where there are several addresses: a call a second at most, and full jitter (Brooker 2015), so that agents
 # that were left together do not come back together.
@@ -163,8 +167,9 @@
     addresses it goes on at another."""
 
     def __init__(self, addresses: tuple[Address, ...], parser: ListingParser, revision: int | None,
-                 connect_s: float) -> None:
+                 connect_s: float, wait_ms: int) -> None:
         self._addresses, self.parser, self._connect_s = addresses, parser, connect_s
+        self._wait_ms = wait_ms
         self._at = 0  # the address in use
         self._revision = revision  # None: the whole list is wanted first
         self._identity: str | None = None
@@ -173,7 +178,7 @@
         self.heard_at: float | None = None  # when anything was heard last, by the same
         self._watching: asyncio.Task[None] | None = None
         self._told: Callable[[Listing | None], None] | None = None
-        self._fetches: set[asyncio.Task[None]] = set()
+        self._fetches: dict[asyncio.Task[None], Callable[[Listing | None], None]] = {}
 
     def watch(self, told: Callable[[Listing | None], None]) -> None:
         """Report every change from now on; None, once, when the watch has broken."""
@@ -193,12 +198,16 @@
             self._watching = None
         if self._told is not None:
             self.watch(self._told)
+        fetches, self._fetches = self._fetches, {}
+        for task, told in fetches.items():
+            task.cancel()
+            self.fetch(told)
 
     def fetch(self, told: Callable[[Listing | None], None]) -> None:
         """Report the whole list once, or None."""
         task = asyncio.get_running_loop().create_task(self._fetch(told))
-        self._fetches.add(task)
-        task.add_done_callback(self._fetches.discard)
+        self._fetches[task] = told
+        task.add_done_callback(lambda done: self._fetches.pop(done, None))
 
     async def _watch(self, told: Callable[[Listing | None], None]) -> None:
         call: _Call | None = None
@@ -229,10 +238,10 @@
         """The next answer to the watch."""
         if self._revision is None:
             return await self._ask(call, PATH, ANSWER_S)
-        target = f"{PATH}?index={self._revision}&wait={WAIT_MS}"
+        target = f"{PATH}?index={self._revision}&wait={self._wait_ms}"
         if self._identity is not None:
             target += f"&list={quote(self._identity)}"
-        return await self._ask(call, target, WAIT_MS / 1000 + ANSWER_S)
+        return await self._ask(call, target, self._wait_ms / 1000 + SILENT_S)
 
     def _follows(self, listing: Listing) -> bool:
         """Whether it goes on from what was heard before.
@@ -271,6 +280,9 @@
         finally:
             if call is not None:
                 call.drop()
+        if listing is not None and self._revision is not None and listing.revision < self._revision:
+            log.warning("a whole list of revision %s came after %s", listing.revision, self._revision)
+            listing = None  # the watch has told what is newer
         told(listing)
 
     async def _connected(self, call: _Call | None) -> _Call:
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -164,6 +164,9 @@
 class Taker(Protocol):
     """Who takes the calls."""
 
+    def ready(self) -> bool:
+        """Whether calls may come."""
+
     def take(self, call: Call) -> None: ...
 
     def leave(self, call: Call) -> None:
@@ -492,7 +495,7 @@
             return
         path = origin_form(self._request.target).partition("?")[0]
         if path == HEALTH:
-            return self._respond(503 if self._server.draining else 200, [], b"")
+            return self._respond(200 if self._server.ready() else 503, [], b"")
         if path != API:
             raise Rejected(404, "no such path")
         self._call = self._server.check(self._request, self._fields, bytes(self._piece), self)
@@ -635,6 +638,10 @@
         self._starved = False  # the last try to accept found no descriptor
         self._coming: set[asyncio.Task[object]] = set()  # accepted, and not yet among the connections
 
+    def ready(self) -> bool:
+        """Whether new clients are welcome."""
+        return not self.draining and self.taker.ready()
+
     def check(self, request: h11.Request, fields: Fields, body: bytes | Upload, client: Answerer) -> Call:
         """The call that a whole head, and a body at least begun, make. Rejected, where it cannot be taken."""
         call = self.checker.check(request, fields, body, client)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -252,12 +252,14 @@
 
 @contextlib.asynccontextmanager
 async def world(folder: Path, backends: int = 1, most: int | None = None, mode: str = "ask",
-                hold_missing: bool = False, **allowed: Any) -> AsyncIterator[World]:
+                hold_missing: bool = False, drain_grace_us: int = 1_000_000,
+                **allowed: Any) -> AsyncIterator[World]:
     """Everything up and listening; all of it ends with the block."""
     discovery = await Peer().start()
     peers = [await Peer().start() for _ in range(backends)]
     doc = config_doc(discovery.port, [member(f"s{i}", p.port) for i, p in enumerate(peers)], **allowed)
     doc["settings"]["registryMode"] = mode
+    doc["settings"]["rules"]["drainGraceUs"] = drain_grace_us
     doc["hold_missing"] = hold_missing
     clock = Clock()
     config = load_config(folder, doc, clock)
--- a/tests/test_catalog_service.py
+++ b/tests/test_catalog_service.py
@@ -124,7 +124,7 @@
             await c.call("PUT", f"{MEMBERS}/s1", body(locality="a", flavor="m"))
             told: asyncio.Queue[Listing | None] = asyncio.Queue()
             parser = ListingParser(Clock(), ("a",), ("m",))
-            agent = Discovery((Address("127.0.0.1", w.port),), parser, None, 1.0)
+            agent = Discovery((Address("127.0.0.1", w.port),), parser, None, 1.0, 20_000)
             agent.watch(told.put_nowait)
             first = await told.get()
             assert first is not None and first.complete
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -18,7 +18,8 @@
 
 
 def asks(peer: Peer) -> Discovery:
-    return Discovery((Address("127.0.0.1", peer.port),), ListingParser(Clock(), ("a",), ("m",)), 41, 9.0)
+    parser = ListingParser(Clock(), ("a",), ("m",))
+    return Discovery((Address("127.0.0.1", peer.port),), parser, 41, 9.0, 20_000)
 
 
 def test_the_same_start_is_always_the_same_time() -> None:
@@ -104,7 +105,7 @@
         told = asyncio.Queue[Listing | None]()
         first, second = await Peer().start(), await Peer().start()
         addresses = tuple(Address("127.0.0.1", peer.port) for peer in (first, second))
-        discovery = Discovery(addresses, ListingParser(Clock(), ("a",), ("m",)), 41, 9.0)
+        discovery = Discovery(addresses, ListingParser(Clock(), ("a",), ("m",)), 41, 9.0, 20_000)
         discovery.watch(told.put_nowait)
         for peer in (first, second, first):
             await (await peer.requests.get()).answer(503)
