Floods: who sends much ahead is read on, so that its leaving shows; nobody makes way for nobody

At one place below the limit of connections each accept closed a resting client's connection, also where nobody waited: the look for room came before the accept, and one on its way into the loop was counted twice. Which one made way was chance, one that had just come included. Once none could, nothing was accepted until one ended: 2.5 s.

At fault: server.py _Client.data_received (pause), Server._accept and _room. Change: what comes beyond 64 kB is read and dropped, the answer in hand is the last, then _part. A connection makes way after the accept, the longest at rest first, never one younger than FIRST_S; without room the next try is 0.1 s later.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -6,8 +6,9 @@
 import re
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 from urllib.parse import unquote_plus
 from zlib import crc32
@@ -24,13 +25,13 @@
 API, HEALTH = "/api", "/_health"
 WHOLE_BYTES = 64 * 1024  # a body up to this is taken whole, a larger one passed on as it comes
 BODY_LIMIT = 32 * 1024 * 1024
-AHEAD_LIMIT = 128 * 1024  # of what comes while a request is in hand
+AHEAD_LIMIT = 64 * 1024  # of what is kept while a request is in hand; beyond that what still comes is dropped
 TIMEOUT_LIMIT_MS = 24 * 3600 * 1000
 BACKLOG = 512
 EXTRA = 32  # connections beyond the limit while none is idle; half of the descriptors set apart
 ACCEPTS = 32  # in one turn of the loop
 FIRST_S = 0.5  # a new connection has so long for its first request before it counts as idle
-STARVED_S = 0.1  # without descriptors, until the next try
+STARVED_S = 0.1  # without descriptors, or room, until the next try
 LINGER_S, LINGER_MOST_S = 1.0, 30.0  # after an answer in the middle of a request: in silence, in all
 STREAMS_S = 60.0  # how long large answers may go on after a stop; whoever ordered it may end it before
 STUCK_S = 60.0  # a client that takes nothing of its answer for so long has stopped
@@ -281,9 +282,10 @@
         self._call: Call | None = None
         self._upload: Upload | None = None  # the body, where it is large
         self._source: Source | None = None  # of an answer that is passed on as it comes
+        self._overran = False  # it has sent too much ahead, and what came after has been dropped
         self._taking = False  # the call is being handed on in the turn in which it was read
         self._unread: asyncio.TimerHandle | None = None  # set while a request is waited for
-        self._began = self._body_began = self._last = 0.0  # the request, its body, its latest piece
+        self._began = self._body_began = self.last = 0.0  # the request, its body, its latest piece
         self._stuck: asyncio.TimerHandle | None = None  # set while the client takes nothing
 
     @property
@@ -323,7 +325,7 @@
 
     def _await_whole(self) -> None:
         if self._unread is None:
-            self._began = self._last = self._loop.time()
+            self._began = self.last = self._loop.time()
             self._unread = self._loop.call_later(HEAD_S, self._look)
 
     def _read_whole(self) -> None:
@@ -345,7 +347,7 @@
         if self._request is None:
             return self._began + HEAD_S
         decided = self._began + DECIDED_S
-        silent = self._last + (SILENT_S if self._last + STOPPED_S > decided else STOPPED_S)
+        silent = self.last + (SILENT_S if self.last + STOPPED_S > decided else STOPPED_S)
         return max(decided, min(silent, self._body_began + BODY_START_S + self._received / BODY_RATE))
 
     def pause(self) -> None:
@@ -357,8 +359,8 @@
         super().resume()
         if self._upload is not None and not self._upload.whole and self._unread is None and not self.deaf:
             now = self._loop.time()
-            self._body_began += now - self._last
-            self._last = now
+            self._body_began += now - self.last
+            self.last = now
             self._unread = self._loop.call_later(DECIDED_S, self._look)
 
     def _too_slow(self) -> None:
@@ -388,7 +390,7 @@
             self._await_whole()
 
     def data_received(self, data: bytes) -> None:
-        self._last = self._loop.time()
+        self.last = self._loop.time()
         if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
             data = self._blank + data  # empty lines before a request are to be passed over
             while data.startswith(b"\r\n"):
@@ -396,10 +398,18 @@
             self._blank = data if data == b"\r" else b""
             if self._blank or not data:
                 return
+        if self._runs_ahead(data):
+            return
         super().data_received(data)
-        # What a client sends ahead is kept unread in memory: without a bound one client could fill it.
-        if self._call is not None and len(self.http.trailing_data[0]) > AHEAD_LIMIT:
-            super().pause()
+
+    def _runs_ahead(self, data: bytes) -> bool:
+        """Whether a client has sent more than is kept for after its answer, which is then its last. It is
+        read on all the same: on a connection that is not, nobody sees the client leave.
+        """
+        if self._call is None or not (self._upload is None or self._upload.whole):
+            return False
+        self._overran = self._overran or len(self.http.trailing_data[0]) + len(data) > AHEAD_LIMIT
+        return self._overran
 
     def on_event(self, event: h11.Event) -> None:
         try:
@@ -573,7 +583,8 @@
         return self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED) and not self._chunked
 
     def _last_words(self) -> Headers:
-        return [(b"Connection", b"close")] if self._server.closing or not self._read_in_full() else []
+        last = self._server.closing or self._overran or not self._read_in_full()
+        return [(b"Connection", b"close")] if last else []
 
     def _respond(self, status: int, headers: Headers, body: bytes) -> None:
         if not self._writable():
@@ -587,7 +598,7 @@
     def _answered(self) -> None:
         """Go on to the next request, or part."""
         assert self.transport is not None
-        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not self._overran:
             self.http.start_next_cycle()
             self._request = None
             self._server.freed()
@@ -604,21 +615,25 @@
         assert self.transport is not None
         self.deaf = True
         self._read_whole()
-        self._last = self._loop.time()
+        self.last = self._loop.time()
         super().resume()
         self.transport.write_eof()
-        self._loop.call_later(LINGER_S, self._lingered, self._last + LINGER_MOST_S)
+        self._loop.call_later(LINGER_S, self._lingered, self.last + LINGER_MOST_S)
 
     def _lingered(self, until: float) -> None:
         """Part from a client that has stopped sending, or never will."""
         assert self.transport is not None
         now = self._loop.time()
-        if self.written and now >= min(until, self._last + LINGER_S):
+        if self.written and now >= min(until, self.last + LINGER_S):
             self.transport.abort()
         elif not self.transport.is_closing():
             self._loop.call_later(LINGER_S, self._lingered, until)
 
 
+def _itself(client: _Client) -> _Client:
+    return client
+
+
 class Server:
     """Listens for the application."""
 
@@ -636,7 +651,7 @@
         self._accepting = False
         self._shared = False
         self._starved = False  # the last try to accept found no descriptor
-        self._coming: set[asyncio.Task[object]] = set()  # accepted, and not yet among the connections
+        self._coming: dict[asyncio.Task[object], _Client] = {}  # accepted, and on its way into the loop
 
     def ready(self) -> bool:
         """Whether new clients are welcome."""
@@ -680,10 +695,14 @@
         for each one that waits, again and again."""
         assert self.listener is not None
         loop = asyncio.get_running_loop()
+        resting = self._resting()
         for _ in range(most):
-            if not self._room():
+            full = self._occupied() >= self._most
+            makes_way = next(resting, None) if full and not self._shared else None
+            if full and makes_way is None and not self._room_beyond():
                 self._accepting = False
                 loop.remove_reader(self.listener)
+                loop.call_later(STARVED_S, self.freed)  # new ones that say nothing will make way by then
                 return
             try:
                 sock, _address = self.listener.accept()
@@ -692,11 +711,14 @@
             except OSError as e:
                 return self._starve(e)
             self._starved = False
+            if makes_way is not None:  # only now: before, nobody may have waited
+                makes_way.drop()
             sock.setblocking(False)
+            client = _Client(self)
             task: asyncio.Task[object] = loop.create_task(
-                loop.connect_accepted_socket(lambda: _Client(self), sock))
-            self._coming.add(task)
-            task.add_done_callback(self._coming.discard)
+                loop.connect_accepted_socket(partial(_itself, client), sock))
+            self._coming[task] = client
+            task.add_done_callback(self._coming.pop)
 
     def _starve(self, error: OSError) -> None:
         """Nothing to accept with. The kernel goes on saying that one waits: asked again at once, that would
@@ -710,17 +732,21 @@
         loop.remove_reader(self.listener)
         loop.call_later(STARVED_S, self.freed)
 
-    def _room(self) -> bool:
-        """Whether one more may come. At the limit an idle one makes way."""
-        if len(self.connections) + len(self._coming) < self._most:
-            return True
-        if self._shared:
-            return False
-        idle = next((c for c in self.connections if c.idle), None)
-        if idle is not None:
-            idle.drop()
-            return True
-        return len(self.connections) + len(self._coming) < self._most + EXTRA
+    def _resting(self) -> Iterator[_Client]:
+        """Those that may make way, the one that has rested longest first. Not who has just come: its request
+        is on the way, and a new connection that is closed unanswered counts as a refusal."""
+        candidates = [c for c in self.connections if c.empty and not c.fresh]
+        for client in sorted(candidates, key=lambda c: c.last):
+            if client.idle:
+                yield client
+
+    def _occupied(self) -> int:
+        """Places taken. One on its way is among the connections before its way is over."""
+        return len(self.connections) + sum(c.transport is None for c in self._coming.values())
+
+    def _room_beyond(self) -> bool:
+        """Whether one more may come where none makes way. Another process that listens has room for it."""
+        return not self._shared and self._occupied() < self._most + EXTRA
 
     def empty(self, times: EmptyTimes) -> None:
         """Send the clients away until refill, losing nothing that was taken. A repeat changes nothing."""
