--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -207,25 +207,10 @@
 
 def test_it_is_succeeded_only_when_all_has_gone_over(tmp_path: Path) -> None:
     # Told to stop half way, it let go of the clients' address although nobody else had it.
-    class Owner:
-        def __init__(self) -> None:
-            self.told: list[int] = []
-
-        def listener(self) -> socket.socket:
-            return listener
-
-        def state(self) -> dict[str, Any]:
-            return {"much": "x" * 4_000_000}  # more than the two sockets hold
-
-        def apply(self, act: Act) -> None: ...
-
-        def beside(self, processes: int) -> None:
-            self.told.append(processes)
-
     listener = socket.create_server(("127.0.0.1", 0))
 
     async def run() -> None:
-        loop, owner = asyncio.get_running_loop(), Owner()
+        loop, owner = asyncio.get_running_loop(), Wordy(listener)
         succession = Succession(tmp_path / "found", owner)
         succession.open()
         with socket.socket(socket.AF_UNIX) as new:
@@ -246,6 +231,54 @@
     listener.close()
 
 
+class Wordy:
+    """An owner whose state is more than the two sockets hold."""
+
+    def __init__(self, listener: socket.socket) -> None:
+        self.told: list[int] = []
+        self._listener = listener
+
+    def listener(self) -> socket.socket:
+        return self._listener
+
+    def state(self) -> dict[str, Any]:
+        return {"much": "x" * 4_000_000}
+
+    def apply(self, act: Act) -> None: ...
+
+    def beside(self, processes: int) -> None:
+        self.told.append(processes)
+
+
+def test_an_act_between_the_states_export_and_the_yes_goes_behind_it(tmp_path: Path) -> None:
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    async def run() -> None:
+        loop, owner = asyncio.get_running_loop(), Wordy(listener)
+        succession = Succession(tmp_path / "found", owner)
+        succession.open()
+        with socket.socket(socket.AF_UNIX) as new:
+            new.setblocking(False)
+            await loop.sock_connect(new, str(tmp_path / "found"))
+            await loop.sock_sendall(new, b'{"lilacsill":1}\n')
+            while not owner.told:
+                await asyncio.sleep(0)
+            ban = asyncio.create_task(succession.tell({"act": "detach", "backend": "s0"}))
+            said = b""
+            while said.count(b"\n") < 2:
+                said += await loop.sock_recv(new, 65536)
+            state, act, _ = said.split(b"\n")
+            assert json.loads(state)["state"]["much"]
+            assert json.loads(act) == {"n": 1, "act": {"act": "detach", "backend": "s0"}}
+            assert not ban.done()  # no yes before it holds there too
+            await loop.sock_sendall(new, b'{"done":1}\n')
+            await ban
+            succession.close()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
+    listener.close()
+
+
 def test_a_single_process_leaves_nothing_behind(tmp_path: Path) -> None:
     async def run() -> None:
         async with site(tmp_path) as s:
@@ -287,6 +320,7 @@
     ("a file", None), ("a folder", None), ("a dead one's", None), ("silent", None), ("strange", b""),
     ("strange", b"hello\n"), ("strange", b"[]\n"), ("strange", b'{"lilacsill":0}\n'),
     ("strange", b'{"lilacsill":1,"state":{}}\n'), ("strange", b"\xff\n"),
+    ("strange", b'{"lilacsill":1,"state":{"ros'),  # killed half way
 ])
 def test_what_is_no_predecessor_is_done_without(
         tmp_path: Path, kind: str, said: bytes | None, monkeypatch: pytest.MonkeyPatch,
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -69,6 +69,30 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("read", [True, False])
+def test_what_was_accepted_and_not_read_is_served_by_who_is_succeeded(tmp_path: Path, read: bool) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            while not w.server.connections:
+                await asyncio.sleep(0)
+            if read:
+                await client.send(post())
+            draining = asyncio.create_task(
+                w.server.drain(DrainTimes(close_s=0.0, idle_s=0.0, serve_s=0.0, end_s=30.0), succeeded=True))
+            while w.server.listener is not None:
+                await asyncio.sleep(0)
+            if not read:  # it comes on a connection that is open, and young enough not to be idle
+                await client.send(post())
+            got = await w.request()
+            await got.answer(200, b"done")
+            assert (await client.read_to_end()).endswith(b"done")
+            client.close()
+            await draining
+
+    asyncio.run(run())
+
+
 async def come_again(port: int, answered: set[str], name: str) -> None:
     """A client that sends on its connection as long as it stays open, and then on a new one, while there is
     one to be had."""
