--- a/catalog/bench.py
+++ b/catalog/bench.py
@@ -39,7 +39,7 @@
 
 
 def _put(name: str, cell: int = 0) -> Put:
-    return Put(member=Member(id=name, host_port="10.0.0.1:9000", locality="vancouver", flavor="std-2",
+    return Put(member=Member(id=name, host_port="10.0.0.1:9000", locality="a", flavor="m",
                              cell=cell))
 
 
