--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -69,6 +69,28 @@
     asyncio.run(run())
 
 
+def test_told_to_stop_while_it_is_emptied(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            await client.send(post())
+            got = await w.request()
+            assert await w.call("LAMEDUCK") == "OK\n"
+            draining = asyncio.create_task(
+                w.server.drain(DrainTimes(close_s=0.0, idle_s=0.0, serve_s=0.0, end_s=30.0)))
+            late = await w.ask(post(UNSAFE))
+            await (await w.request()).answer(200, b"late")
+            assert (await late.read()).status == 200
+            late.close()
+            await got.answer(200, b"done")
+            assert (await client.read_to_end()).endswith(b"done")
+            client.close()
+            await draining
+            assert w.server.draining and not w.server.connections
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("read", [True, False])
 def test_what_was_accepted_and_not_read_is_served_by_who_is_succeeded(tmp_path: Path, read: bool) -> None:
     async def run() -> None:
