--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -211,21 +211,13 @@
 
     async def run() -> None:
         loop, owner = asyncio.get_running_loop(), Wordy(listener)
-        succession = Succession(tmp_path / "found", owner)
-        succession.open()
-        with socket.socket(socket.AF_UNIX) as new:
-            new.setblocking(False)
-            await loop.sock_connect(new, str(tmp_path / "found"))
-            await loop.sock_sendall(new, b'{"lilacsill":1}\n')
-            while not owner.told:
-                await asyncio.sleep(0)
+        async with half_handed_over(tmp_path / "found", owner) as (succession, new):
             assert owner.told == [2] and not succession.succeeded
             while not (await loop.sock_recv(new, 65536)).endswith(b"\n"):
                 pass
             while len(owner.told) < 2:  # told anew: only now does it let go of the address
                 await asyncio.sleep(0)
             assert owner.told == [2, 2] and succession.succeeded
-            succession.close()
 
     asyncio.run(asyncio.wait_for(run(), 20))
     listener.close()
@@ -250,19 +242,27 @@
         self.told.append(processes)
 
 
+@asynccontextmanager
+async def half_handed_over(path: Path, owner: Wordy) -> AsyncIterator[tuple[Succession, socket.socket]]:
+    """A process that serves, and the link of a new one that has greeted and read nothing of the state yet."""
+    loop, succession = asyncio.get_running_loop(), Succession(path, owner)
+    succession.open()
+    with socket.socket(socket.AF_UNIX) as new:
+        new.setblocking(False)
+        await loop.sock_connect(new, str(path))
+        await loop.sock_sendall(new, b'{"lilacsill":1}\n')
+        while not owner.told:
+            await asyncio.sleep(0)
+        yield succession, new
+    succession.close()
+
+
 def test_an_act_between_the_states_export_and_the_yes_goes_behind_it(tmp_path: Path) -> None:
     listener = socket.create_server(("127.0.0.1", 0))
 
     async def run() -> None:
         loop, owner = asyncio.get_running_loop(), Wordy(listener)
-        succession = Succession(tmp_path / "found", owner)
-        succession.open()
-        with socket.socket(socket.AF_UNIX) as new:
-            new.setblocking(False)
-            await loop.sock_connect(new, str(tmp_path / "found"))
-            await loop.sock_sendall(new, b'{"lilacsill":1}\n')
-            while not owner.told:
-                await asyncio.sleep(0)
+        async with half_handed_over(tmp_path / "found", owner) as (succession, new):
             ban = asyncio.create_task(succession.tell({"act": "detach", "backend": "s0"}))
             said = b""
             while said.count(b"\n") < 2:
@@ -273,7 +273,6 @@
             assert not ban.done()  # no yes before it holds there too
             await loop.sock_sendall(new, b'{"done":1}\n')
             await ban
-            succession.close()
 
     asyncio.run(asyncio.wait_for(run(), 20))
     listener.close()
