Closing and list: what fails at the last step of one ends neither an attempt's report nor the watch

Need: _part ends the sending of every last answer now. Where the client has reset the connection since the write, that raises ENOTCONN, out of the end of an attempt of which the decisions then never hear. And whatever raises while a list is taken in ended the watch for good: the task was over, and nobody asked again.

At fault: server.py _part, control.py _say (write_eof), discovery.py _watch (told). Change: Connection.end_sending, which takes a peer that has gone for what it is; a list that cannot be taken in is logged with its revision, and the watch goes on. Both tests hang without it.

--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -135,6 +135,12 @@
         if self.transport is not None:
             self.transport.resume_reading()
 
+    def end_sending(self) -> None:
+        """Nothing more is written. The peer may have reset the connection since the last write went out."""
+        if self.transport is not None:
+            with suppress(OSError):
+                self.transport.write_eof()
+
     def drop(self) -> None:
         """Close at once, in the eyes of the peer too: the transport itself closes only a turn later, when the
         next attempt of the same request may be out already."""
--- a/lilacsill/control.py
+++ b/lilacsill/control.py
@@ -4,6 +4,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from typing import Any, Protocol
 
 from .discovery import Address
@@ -166,6 +167,6 @@
         if self._transport is None or self._transport.is_closing():
             return
         self._transport.write(text.encode())
-        if self._transport.can_write_eof():
+        with suppress(OSError):  # the caller may have reset it since
             self._transport.write_eof()
         asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -227,7 +227,7 @@
                     continue
                 self._failed = 0
                 if self._follows(listing) and (listing.members or listing.complete):
-                    told(listing)
+                    _tell(told, listing)
         finally:
             if call is not None:
                 call.drop()
@@ -305,6 +305,14 @@
         return listing
 
 
+def _tell(told: Callable[[Listing | None], None], listing: Listing) -> None:
+    """Whoever cannot take a list in must not end the watch: no later one would ever be heard."""
+    try:
+        told(listing)
+    except Exception:
+        log.exception("list of revision %s not taken in", listing.revision)
+
+
 def _failed(e: Exception) -> None:
     """What discovery does wrong is one line; a fault of the agent's own shows where it is."""
     foreseen = isinstance(e, OSError | ValueError | h11.ProtocolError)
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -612,12 +612,11 @@
         """Part after an answer: read and drop what still comes. Whatever the client has sent by then, a
         request ahead or the rest of a body, a close over unread bytes would reset the answer away.
         """
-        assert self.transport is not None
         self.deaf = True
         self._read_whole()
         self.last = self._loop.time()
         super().resume()
-        self.transport.write_eof()
+        self.end_sending()
         self._loop.call_later(LINGER_S, self._lingered, self.last + LINGER_MOST_S)
 
     def _lingered(self, until: float) -> None:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from pathlib import Path
 
@@ -135,3 +136,26 @@
                 await asyncio.sleep(0)
 
     asyncio.run(run())
+
+
+def test_a_reset_between_the_answer_and_the_end_of_sending(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    # It came out of the end of an attempt, which the decisions then never heard of.
+    def gone(_: object) -> None:
+        raise OSError(errno.ENOTCONN, "not connected")
+
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.ask(post())
+            got = await w.request()
+            w.server.empty(EmptyTimes(0.0, 60.0))
+            monkeypatch.setattr("asyncio.selector_events._SelectorSocketTransport.write_eof", gone)
+            await got.answer()
+            assert (await client.read()).status == 200
+            assert await w.call("PING")  # the same at the door
+            while w.agent._balancer.requests:
+                await asyncio.sleep(0)
+            client.close()
+
+    asyncio.run(run())
+    assert not [r for r in caplog.records if r.levelname == "ERROR" and r.name.startswith("lilacsill")]
--- a/tests/test_list_silence.py
+++ b/tests/test_list_silence.py
@@ -164,6 +164,28 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_a_list_that_cannot_be_taken_in_does_not_end_the_watch() -> None:
+    async def run() -> None:
+        peer, told = await Peer().start(), asyncio.Queue[Listing | None]()
+
+        def take(listing: Listing | None) -> None:
+            if listing is not None and listing.revision == 42:
+                raise RuntimeError("a fault of the agent's own")
+            told.put_nowait(listing)
+
+        watcher = asks(peer)
+        watcher.watch(take)
+        await (await peer.requests.get()).answer(200, body(42))
+        call = await peer.requests.get()
+        assert "index=42&" in call.first
+        await call.answer(200, body(43))
+        listing = await told.get()
+        assert listing is not None and listing.revision == 43
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
+
+
 async def watch_of(w: World) -> Any:
     call = await w.discovery.requests.get()
     assert call.first == "GET /catalog/members HTTP/1.1"
