List calls: the wait after a failed one, where all ask, ends before a change counts as told

Need: whatever became of the call before, a change counts as told 6 s after discovery had it and could be reached. Where discovery must be asked the wait grew with the number of balancers and with each failure. At fault: logic.py, _backends (FAILED): watch_wait * (0.5 + random) with watch_max up to 10 s, so 15 s. Change: TOLD_US in the interface; the wait is bounded so that its longest draw leaves CALL_US of it. It stays drawn over the same width about it, so balancers that failed together stay spread: 1.7 to 5 s.

--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -16,8 +16,8 @@
 from zlib import crc32
 
 from .interface import (
-    NEVER_RAN, Action, AttemptEnded, Backend, BackendId, BackendsChanged, Cancel, ClientGone, Discovery,
-    Effect, Event, Fail, Group, ListKind, Log, Outcome, PeerMessage, Probe, ProbeEnded, Refuse,
+    NEVER_RAN, TOLD_US, Action, AttemptEnded, Backend, BackendId, BackendsChanged, Cancel, ClientGone,
+    Discovery, Effect, Event, Fail, Group, ListKind, Log, Outcome, PeerMessage, Probe, ProbeEnded, Refuse,
     RequestArrived, RequestClass, Send, SetTimer, Settings, State, StreamStarted, Tell, TimerFired, Watch,
 )
 
@@ -50,6 +50,8 @@
 ASK_PAIRS = 4  # pairs asked for one request before it is given up as hopeless
 HOLD_US = 20 * MS  # a held request is looked at this often
 WATCH_FIRST_US, WATCH_MAX_US = 200 * MS, 2 * SECOND  # wait after a failed list call, doubled each time
+CALL_US = SECOND  # a list call's connect and answer, where one discovery serves many at once
+WATCH_DRAWN_US = 2 * (TOLD_US - CALL_US) // 3  # the longest wait: half as much again may be drawn
 TURN_US = 150 * MS  # between the list calls of balancers that start together: one discovery serves them all
 
 
@@ -468,7 +470,8 @@
         now = self.now
         if e.kind is ListKind.FAILED:
             self.watching = False
-            self._later(now + int(self.watch_wait * (0.5 + self.rng.random())), self._watch, None)
+            wait = min(self.watch_wait, WATCH_DRAWN_US)
+            self._later(now + int(wait * (0.5 + self.rng.random())), self._watch, None)
             self.watch_wait = min(2 * self.watch_wait, self.watch_max)
             return
         if e.kind is not ListKind.CACHED:
