Discovery: the next call comes before what the last one missed counts as told

Need: 6 s after discovery had a change and could be reached it counts as told, whatever became of the call before; what a silent call missed counts so at the latest 2 s after its wait. At fault: discovery.py _elsewhere (a wait of up to 8 s, and any address next, so that one of three could be passed over again and again); __init__ (a connect time-out of any length); move (the waits of the old addresses went on at the new ones); agent.py _listed (pushed: up to 0.4 of any drain grace, 24 s for a minute's; asked: a call that fell silent waited the module's turn too, up to 7.5 s, where 1 s is left). Change: TOLD_S in one place; AGAIN_MOST_S, each address's turn and the rest of a spent call's time are derived from it. Several addresses are asked in turn, in an order drawn for each process. A call that fell silent is opened anew within AGAIN_MOST_S (0.5 s, jittered) also where the module asks. Tests: test_told_in_time.py; on the unchanged program failed: 3 of 9 cases of a change between pushed calls (a grace of a minute), 6 of 6 of several addresses, 4 of 4 of what a call has spent, the connect that never comes up, the silent call where the module asks. test_list_silence.py demanded a wait of 1.2 s for a grace of 3 s: with a silent call's 5 s that is past the 6 s; now it demands the lesser of share and bound. Left: with more than five addresses a call a second cannot reach each within 6 s.

--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -18,7 +18,7 @@
 from .bans import Roster
 from .clock import Clock
 from .connection import Headers
-from .discovery import Address, Discovery, Listing, Member
+from .discovery import AGAIN_MOST_S, Address, Discovery, Listing, Member
 from .figures import Figures, Levels
 from .losses import STEP_S, Losses
 from .peers import Peers
@@ -32,7 +32,8 @@
 GONE, BROKEN = 499, 502  # count as the status of a request whose client has left, whose answer broke off
 HOLD_SHARE = 0.05  # of the shortest aim: so long may an answer be held that is not known to be small
 # Where changes are pushed, every change made while nobody asks counts as told: the wait after a broken watch
-# is doubled and drawn at random, but stays well within the time that the drain rule leaves, as a share of it.
+# is doubled and drawn at random, but stays well within the time that the drain rule leaves, as a share of it,
+# and within what a silent call leaves of the time after which a change counts as told.
 WATCH_AGAIN, WATCH_AGAIN_MOST = 0.1, 0.4
 # There too what discovery has counts as told from the first moment of a new process: it says that it is ready
 # once it has heard, or after so long. Discovery answers at once or, while it is down, has nothing to tell.
@@ -332,8 +333,10 @@
         self._discovery.fetch(self._listed)
 
     def _listed(self, listing: Listing | None) -> None:
-        if listing is None and self._pushes:
-            wait_s = self._watch_again_s * (0.5 + random.random() / 2)
+        # One that fell silent is opened anew at once also where the module asks: what it missed counts as
+        # told a second after that is found, and the module's wait is for a discovery that does not answer.
+        if listing is None and (self._pushes or self._discovery.silent):
+            wait_s = min(self._watch_again_s, AGAIN_MOST_S) * (0.5 + random.random() / 2)
             self._watch_again_s = min(2 * self._watch_again_s, WATCH_AGAIN_MOST * self._drain_grace_s)
             self._loop.call_later(wait_s, self._discovery.watch, self._listed)
             return
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -12,7 +12,7 @@
 
 import h11
 
-from brasshead.interface import Backend, State
+from brasshead.interface import TOLD_US, Backend, State
 
 from .clock import Clock
 from .connection import Connection
@@ -27,9 +27,15 @@
 SILENT_S = 1.0  # past its wait: half of what is left then, the other half is for the next call
 ANSWER_S = 2.0  # to a call that has nothing to wait for
 ANSWER_BYTES = 4 * 1024 * 1024  # of an answer
+# What discovery has and could tell counts as told after TOLD_S, whatever became of the call before, and what
+# a silent one missed so long after its wait. A connect that does not come up may have begun just too early.
+TOLD_S, TOLD_PAST_S = TOLD_US / 1e6, 2.0
+CONNECT_MOST_S, CALL_S = 0.5, 0.5  # CALL_S: connect, question and answer, where it can be reached
+# The longest wait after a pushed call: where it fell silent, the rest of the time has been spent on it.
+AGAIN_MOST_S = TOLD_S - (PUSH_WAIT_MS / 1000 + SILENT_S) - CALL_S
 # Where there are several addresses: a call a second at most, and full jitter (Brooker 2015), so that agents
 # that were left together do not come back together.
-CALL_EVERY_S, ELSEWHERE_FIRST_S, ELSEWHERE_MOST_S = 1.0, 0.5, 8.0
+CALL_EVERY_S, ELSEWHERE_FIRST_S = 1.0, 0.5
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 
 
@@ -168,13 +174,16 @@
 
     def __init__(self, addresses: tuple[Address, ...], parser: ListingParser, revision: int | None,
                  connect_s: float, wait_ms: int) -> None:
-        self._addresses, self.parser, self._connect_s = addresses, parser, connect_s
+        self._addresses, self.parser = addresses, parser
+        self._connect_s = min(connect_s, CONNECT_MOST_S)
         self._wait_ms = wait_ms
         self._at = 0  # the address in use
         self._revision = revision  # None: the whole list is wanted first
         self._identity: str | None = None
         self._failed = 0  # calls in a row
-        self._called = -CALL_EVERY_S  # when the latest call began, by the loop's clock
+        self._called = -CALL_EVERY_S  # when the latest connect began, by the loop's clock
+        self._asked = 0.0  # when the watch's latest call did, by the same
+        self.silent = False  # that call got no answer in its time
         self.heard_at: float | None = None  # when anything was heard last, by the same
         self._watching: asyncio.Task[None] | None = None
         self._told: Callable[[Listing | None], None] | None = None
@@ -191,7 +200,7 @@
 
         The whole list comes first: that the revisions of the one go on at the other is promised nowhere.
         """
-        self._addresses, self._at = addresses, 0
+        self._addresses, self._at, self._failed = addresses, 0, 0
         self._revision = self._identity = None
         if self._watching is not None:
             self._watching.cancel()
@@ -213,11 +222,14 @@
         call: _Call | None = None
         try:
             while True:
+                self._asked, self.silent = asyncio.get_running_loop().time(), False
                 try:
                     call = await self._connected(call)
+                    self.silent = True
                     listing = await self._next(call)
                 except Exception as e:
                     _failed(e)
+                    self.silent = self.silent and isinstance(e, TimeoutError)
                     if len(self._addresses) == 1:
                         break
                     if call is not None:
@@ -258,13 +270,25 @@
         return not wanted
 
     async def _elsewhere(self) -> None:
-        """Leave this address for another, after a while of chance that grows with each failure."""
+        """Leave this address for another, after a while of chance that grows with each failure.
+
+        Only one of them may be there to tell: each gets its turn within the time after which that counts as
+        told, as far as a call a second allows, and the next one before what this call missed does.
+        """
         loop = asyncio.get_running_loop()
         self._failed += 1
-        self._at = (self._at + random.randrange(1, len(self._addresses))) % len(self._addresses)
+        count = len(self._addresses)
+        # In an order of its own: were it the list's, all that leave one would come to the same next one.
+        if self._failed == 1:
+            here, others = self._addresses[self._at], list(self._addresses)
+            others.remove(here)
+            self._addresses, self._at = (here, *random.sample(others, count - 1)), 0
+        self._at = (self._at + 1) % count
         if self._identity is None:
             self._revision = None  # whether the other counts as this one did is not known
-        most = min(ELSEWHERE_MOST_S, ELSEWHERE_FIRST_S * 2 ** min(self._failed, 10))
+        turn = (TOLD_S - CALL_S) / count - self._connect_s
+        due = self._asked + max(TOLD_S, self._wait_ms / 1000 + TOLD_PAST_S) - CALL_S
+        most = max(0.0, min(turn, ELSEWHERE_FIRST_S * 2 ** min(self._failed, 10), due - loop.time()))
         address = self._addresses[self._at]
         log.info("discovery is asked at %s:%d next", address.host, address.port)
         await asyncio.sleep(max(random.random() * most, self._called + CALL_EVERY_S - loop.time()))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -114,7 +114,7 @@
         await call.answer(200, body(7, [GOOD], complete=True))
         listing = await told.get()
         assert listing is not None and listing.complete and discovery.heard_at is not None
-        assert len(waits) == 3 and all(0.9 < wait <= 8.0 for wait in waits) and told.empty()
+        assert len(waits) == 3 and all(0.9 < wait <= 2.75 for wait in waits) and told.empty()
         assert discovery._watching is not None
         discovery._watching.cancel()
         await first.stop()
--- a/tests/test_list_silence.py
+++ b/tests/test_list_silence.py
@@ -113,7 +113,8 @@
             w.agent._listed(None)
 
     asyncio.run(run())
-    assert max(waits) == pytest.approx(0.4 * grace_ms / 1000)
+    # Nor is it longer than what a silent call has left of the time after which a change counts as told.
+    assert max(waits) == pytest.approx(min(0.4 * grace_ms / 1000, discovery.AGAIN_MOST_S))
     assert waits[0] == waits[-1] == pytest.approx(0.1 * grace_ms / 1000)
 
 
@@ -207,7 +208,10 @@
     asyncio.run(run())
 
 
-def test_a_move_during_the_wait_before_the_next_watch(tmp_path: Path) -> None:
+def test_a_move_during_the_wait_before_the_next_watch(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(agent, "AGAIN_MOST_S", 600.0)
+
     async def run() -> None:
         async with world(tmp_path, mode="push", drain_grace_us=600_000_000) as w:  # a wait that would not end
             new = await Peer().start()
--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -1,14 +1,23 @@
 """After a failed, refused or given-up call to discovery the next comes before a change counts as told."""
 from __future__ import annotations
 
+import asyncio
+import random
+from pathlib import Path
 from random import Random
+from typing import Any
 
 import pytest
 from tests.helpers import Drive, only
+from tests.loopback import Message, Peer, member, world
+from tests.test_list_silence import asks, body, watch_of
 
-from brasshead.interface import TOLD_US, BackendsChanged, ListKind, Watch
+from brasshead.interface import TOLD_US, BackendsChanged, ListKind, State, Watch
 from brasshead.interface import Discovery as PushOrAsk
 from brasshead.logic import CALL_US
+from lilacsill import discovery
+from lilacsill.clock import Clock
+from lilacsill.discovery import CALL_S, TOLD_S, Address, Discovery, Listing, ListingParser
 
 LONGEST = 1.0 - 1e-9  # the draw
 
@@ -29,3 +38,184 @@
         assert len(only(d.log, Watch)) == times
         d.event(BackendsChanged(ListKind.FAILED, []))
         d.wait(TOLD_US - CALL_US)
+
+
+def wrong(how: str, call: Message) -> Any:
+    if how == "refused":
+        call.peer.reset()
+        return asyncio.sleep(0)
+    if how == "given up half-way":
+        return call.peer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\nConnection: close\r\n\r\n{\"revi")
+    return call.answer(500)
+
+
+@pytest.mark.parametrize("how", ["refused", "given up half-way", "500"])
+@pytest.mark.parametrize("grace_ms", [200, 1_000, 60_000])
+def test_a_change_between_pushed_calls_that_fail_again_and_again(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str, grace_ms: int) -> None:
+    # With a drain grace of a minute the wait was up to 24 s; a drain leaves that time, a cold start does not.
+    waits: list[float] = []
+    monkeypatch.setattr(random, "random", lambda: LONGEST)
+
+    class Loop:
+        def call_later(self, wait_s: float, what: Any, *args: Any) -> None:
+            waits.append(wait_s)
+            asyncio.get_running_loop().call_soon(what, *args)
+
+    async def run() -> None:
+        async with world(tmp_path, mode="push", drain_grace_us=grace_ms * 1000) as w:
+            call = await watch_of(w)
+            monkeypatch.setattr(w.agent, "_loop", Loop())
+            for _ in range(6):
+                await wrong(how, call)
+                if how == "given up half-way":
+                    call.peer.reset()
+                call = await w.discovery.requests.get()
+            assert "index=42&" in call.first
+            drained = member("s0", w.backends[0].port, "DRAINING")
+            await call.answer(200, body(43, drained, complete=False))
+            await w.discovery.requests.get()
+            assert w.agent._balancer.servers["s0"].state is State.DRAINING
+            w.agent._loop = asyncio.get_running_loop()
+
+    asyncio.run(run())
+    # Also if the call before was given up for its silence.
+    silent_s = discovery.PUSH_WAIT_MS / 1000 + discovery.SILENT_S
+    assert len(waits) == 6 and max(waits) + silent_s + CALL_S <= TOLD_S
+
+
+def of_several(count: int, connect_s: float = 0.25, wait_ms: int = 20_000) -> Discovery:
+    addresses = tuple(Address("127.0.0.1", port) for port in range(1, count + 1))
+    return Discovery(addresses, ListingParser(Clock(), ("a",), ("m",)), 41, connect_s, wait_ms)
+
+
+@pytest.mark.parametrize("wait_ms", [discovery.PUSH_WAIT_MS, discovery.ASK_WAIT_MS])
+@pytest.mark.parametrize("count", [2, 3, 5])
+def test_each_of_several_addresses_has_its_turn_in_time(
+        count: int, wait_ms: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    # The wait alone was up to 8 s, and the next address was any.
+    waits: list[float] = []
+    tried: list[int] = []
+    monkeypatch.setattr(random, "random", lambda: LONGEST)
+
+    async def run() -> None:
+        loop, done = asyncio.get_running_loop(), asyncio.Event()
+        watcher = of_several(count, wait_ms=wait_ms)
+
+        async def hangs(_: Any, host: str, port: int) -> Any:
+            tried.append(port)
+            watcher._called -= 0.25  # as if it had, to its limit
+            raise TimeoutError
+
+        async def sleep(seconds: float) -> None:
+            waits.append(seconds)
+            if len(waits) >= 8 * count:
+                done.set()
+                await loop.create_future()
+
+        monkeypatch.setattr(loop, "create_connection", hangs)
+        monkeypatch.setattr("lilacsill.discovery.asyncio.sleep", sleep)
+        watcher.watch(lambda _: None)
+        await done.wait()
+        assert watcher._watching is not None
+        watcher._watching.cancel()
+        watcher.move(watcher._addresses)
+        assert watcher._failed == 0  # what refused before tells nothing of the new ones
+        assert watcher._watching is not None
+        watcher._watching.cancel()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
+    for i in range(len(tried) - count):
+        assert len(set(tried[i:i + count])) == count
+    for i in range(len(waits) - count):  # from one turn of an address to its next
+        assert sum(0.25 + w for w in waits[i:i + count]) <= TOLD_S - CALL_S + 1e-6
+
+
+@pytest.mark.parametrize(("wait_ms", "spent_s"), [(4_000, 5.0), (20_000, 21.0), (4_000, 4.9), (20_000, 15.0)])
+def test_what_a_call_has_spent_is_not_waited_once_more(
+        wait_ms: int, spent_s: float, monkeypatch: pytest.MonkeyPatch) -> None:
+    waits: list[float] = []
+    monkeypatch.setattr(random, "random", lambda: LONGEST)
+
+    async def sleep(seconds: float) -> None:
+        waits.append(seconds)
+
+    async def run() -> None:
+        monkeypatch.setattr("lilacsill.discovery.asyncio.sleep", sleep)
+        watcher = of_several(2, wait_ms=wait_ms)
+        for _ in range(8):
+            watcher._asked = asyncio.get_running_loop().time() - spent_s
+            await watcher._elsewhere()
+
+    asyncio.run(run())
+    told_s = max(TOLD_S, wait_ms / 1000 + 2.0)
+    assert max(waits) + spent_s + CALL_S <= told_s
+    assert max(waits) > 0.4  # and it is spread still
+
+
+def test_a_connect_to_discovery_that_never_comes_up_is_given_up_whatever_the_settings_say(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "CONNECT_MOST_S", 0.01)
+
+    async def run() -> None:
+        peer, told = await Peer().start(), asyncio.Queue[Listing | None]()
+        loop, connect = asyncio.get_running_loop(), asyncio.get_running_loop().create_connection
+
+        async def hangs(*_: Any) -> Any:
+            await loop.create_future()
+
+        address = Address("127.0.0.1", peer.port)
+        watcher = Discovery((address,), ListingParser(Clock(), ("a",), ("m",)), 41, 3600.0, 20_000)
+        monkeypatch.setattr(loop, "create_connection", hangs)
+        watcher.watch(told.put_nowait)
+        assert await told.get() is None
+        monkeypatch.setattr(loop, "create_connection", connect)
+        monkeypatch.setattr(watcher, "_connect_s", 9.0)
+        watcher.watch(told.put_nowait)
+        await (await peer.requests.get()).answer(200, body(42))
+        listing = await told.get()
+        assert listing is not None and listing.revision == 42
+        assert watcher._watching is not None
+        watcher._watching.cancel()
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 10))
+
+
+def test_a_silent_call_is_repeated_at_once_also_where_the_module_asks(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # It is given up a second before what it missed counts as told; the module's wait is up to 5 s.
+    monkeypatch.setattr(discovery, "SILENT_S", 0.05)
+    monkeypatch.setattr("lilacsill.__main__.ASK_WAIT_MS", 0)
+    failures: list[Any] = []
+
+    async def run() -> None:
+        async with world(tmp_path, mode="ask", drain_grace_us=60_000_000) as w:
+            post = w.agent._post
+
+            def seen(event: Any) -> None:
+                if isinstance(event, BackendsChanged) and event.kind is ListKind.FAILED:
+                    failures.append(event)
+                post(event)
+
+            monkeypatch.setattr(w.agent, "_post", seen)
+            await w.discovery.requests.get()
+            call = await w.discovery.requests.get()
+            assert not failures and discovery.AGAIN_MOST_S + discovery.CALL_S <= 1.0
+            call.peer.reset()  # this one is for the module to repeat
+            while not failures:
+                await asyncio.sleep(0)
+
+    asyncio.run(run())
+
+
+def test_where_it_is_asked_a_silence_is_no_failure_of_the_next_call() -> None:
+    async def run() -> None:
+        peer, told = await Peer().start(), asyncio.Queue[Listing | None]()
+        watcher = asks(peer)
+        watcher.watch(told.put_nowait)
+        await (await peer.requests.get()).answer(500)
+        assert await told.get() is None and not watcher.silent
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
