Clients: a request whose close is already in the kernel as it is read is not taken

Need: an attempt, first or further, that begins more than 0.1 s after its client has gone is a break. At fault: server.py _Client.waits: asked in the turn in which a request is read, it left the kernel unasked. A process that is late reads the request and the close behind it in one turn; and a request kept behind another is taken up as the first is answered, whatever has come since. Where a connection to a backend was open already, either went out, and was cut off a turn later. A client that ends only its sending has left, as before; now a test says so.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -453,6 +453,10 @@
         self._take(call)
 
     def _take(self, call: Call) -> None:
+        # Whoever gave up while this process was late has its close behind the request, both to be read now.
+        if self.left():
+            self._call = self._upload = None
+            return self.drop()
         self._taking = True
         try:
             self._server.taker.take(call)
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from pathlib import Path
 
@@ -148,3 +149,91 @@
             client.close()
 
     asyncio.run(run())
+
+
+async def with_a_connection_kept(w: World) -> None:
+    """What goes out next needs no connect, and so no turn of the loop."""
+    client = await w.ask(post(Request_Id="first"))
+    await (await w.request()).answer()
+    await client.read()
+    while not w.agent._backends._idle:
+        await asyncio.sleep(0)
+
+
+@goes
+@pytest.mark.parametrize("known", [True, False])
+@pytest.mark.parametrize("body", [b"job", b"x" * 100_000])
+def test_before_its_request_is_read(tmp_path: Path, how: str, known: bool, body: bytes) -> None:
+    # An agent that is late reads request and close in one turn: it asked the kernel nothing there, and sent.
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            await with_a_connection_kept(w)
+            client = await w.raw()
+            while known and len(w.server.connections) < 2:
+                await asyncio.sleep(0)
+            assert client.socket.send(post(body=body)) > len(body)
+            GOES[how](client)  # no turn of the loop since
+            while len(w.server.connections) > 1 or w.server._coming or not w.server._accepting:
+                await asyncio.sleep(0)
+            await assert_next_is_another(w)
+
+    asyncio.run(run())
+
+
+@goes
+def test_before_the_request_behind_another_is_taken_up(tmp_path: Path, how: str) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            await with_a_connection_kept(w)
+            client = await w.raw()
+            await client.send(post() + post())
+            first = await w.request()
+            connection = next(c for c in w.server.connections if c._call is not None)
+            assert connection.transport is not None
+            connection.transport.pause_reading()  # the answer comes in the turn in which the close would be read
+            GOES[how](client)
+            await first.answer()
+            while connection in w.server.connections:
+                await asyncio.sleep(0)
+            await assert_next_is_another(w)
+
+    asyncio.run(run())
+
+
+@goes
+@pytest.mark.parametrize("status", [500, 503])
+def test_before_an_attempt_on_a_connection_that_is_open(tmp_path: Path, status: int, how: str) -> None:
+    # Which needs no connect either; where its first answer says 503 it never ran, and would go out again.
+    async def run() -> None:
+        async with world(tmp_path, backends=2) as w:
+            while len(w.agent._backends._idle) < 2:
+                await with_a_connection_kept(w)
+            client = await w.raw()
+            await client.send(SENT["much sent ahead"])
+            first = await w.request()
+            connection = next(c for c in w.server.connections if c._call is not None)
+            while not connection._overran:
+                await asyncio.sleep(0)
+            assert connection.transport is not None
+            connection.transport.pause_reading()
+            GOES[how](client)
+            await first.answer(status, b"", Not_Started="1")
+            await assert_next_is_another(w)
+
+    asyncio.run(run())
+
+
+def test_one_that_only_ends_its_sending_has_left_too(tmp_path: Path) -> None:
+    # From here it cannot be told from a close; nor does the protocol know clients that go on reading.
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            await client.send(SENT["nothing else"])
+            got = await w.request()
+            client.socket.shutdown(socket.SHUT_WR)
+            await got.peer.ended()
+            await assert_next_is_another(w)
+            assert await client.read_to_end() == b""
+            client.close()
+
+    asyncio.run(run())
