Descriptors: the process's own limit counts where it is below the stated one

Need: idle clients may fill the descriptors while discovery is down; its return must be heard. At fault: config.py, sockets: the figure of the settings alone. Where the process may hold fewer, idle clients took the last one and rested on it, and every call to discovery found none (EMFILE). Change: the lesser of the two. Ruled out: with the stated limit in force 32 stay beyond clients (half, and EXTRA) and backends; a call that finds none is repeated like any other, within AGAIN_MOST_S.

--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import json
+import resource
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -69,6 +70,12 @@
     return named if isinstance(named, list) else env.get("RELAY_DISCOVERY") or named
 
 
+def _sockets(stated: int) -> int:
+    """What the process is allowed, where that is less: some must be left for discovery whoever connects."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return stated if allowed == resource.RLIM_INFINITY else min(stated, allowed)
+
+
 def _flag(doc: dict[str, Any], key: str) -> bool:
     value = doc.get(key, False)
     if not isinstance(value, bool):
@@ -105,7 +112,7 @@
         listen=parse_address(env.get("RELAY_LISTEN") or doc["listen"]),
         discovery=parse_addresses(_discovery(env, doc)),
         seed=int(doc["seed"], 16),
-        sockets=int((doc.get("limits") or {}).get("sockets") or 1024),
+        sockets=_sockets(int((doc.get("limits") or {}).get("sockets") or 1024)),
         known=parser.parse(doc["known"]),
         parser=parser,
         # The channel to peers tells who is there and no loads, so the module must not count on it.
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -190,7 +190,7 @@
             first = await w.request()
             connection = next(c for c in w.server.connections if c._call is not None)
             assert connection.transport is not None
-            connection.transport.pause_reading()  # the answer comes in the turn in which the close would be read
+            connection.transport.pause_reading()  # the answer comes as its close would be read
             GOES[how](client)
             await first.answer()
             while connection in w.server.connections:
