Tests: a restarted agent is ready whatever becomes of its calls to discovery

Need: nine in ten restarted agents are ready within 10 s. Held: Agent.ready says yes FIRST_LIST_S (0.5 s) after the start where changes are pushed, at once where all ask; it listens, and answers for its health, before it has heard anything. Tests: test_ready.py, 14 cases: discovery that refuses, never comes up, is silent, slow, says 500, in both modes; the last in turn of up to 1000 asks within 5 s.

--- /dev/null
+++ b/tests/test_ready.py
@@ -0,0 +1,64 @@
+"""A restarted agent says that it is ready within seconds, whatever becomes of its calls to discovery."""
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+from tests.helpers import Drive, only
+from tests.loopback import post, world
+from tests.test_list_silence import body, health
+
+from brasshead.interface import Watch
+from brasshead.interface import Discovery as PushOrAsk
+from lilacsill.agent import FIRST_LIST_S
+from lilacsill.discovery import _Call
+
+READY_S = 10.0  # the page's; 6 s where the day ends sooner
+AILING = ("refuses", "never comes up", "is silent", "is slow", "says 500")
+
+
+@pytest.mark.parametrize("mode", ["push", "ask"])
+@pytest.mark.parametrize("ailing", AILING)
+def test_whatever_discovery_does(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, ailing: str, mode: str) -> None:
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def fails(factory: Any, *to: Any, **known: Any) -> Any:
+            if factory is not _Call:
+                return await connect(factory, *to, **known)
+            if ailing == "refuses":
+                raise ConnectionRefusedError("refused")
+            await loop.create_future()
+
+        if ailing in AILING[:2]:
+            monkeypatch.setattr(loop, "create_connection", fails)
+        async with world(tmp_path, mode=mode) as w:
+            monkeypatch.setattr(w.agent._discovery, "_connect_s", 3600.0)
+            call = await w.discovery.requests.get() if ailing in AILING[2:] else None
+            if ailing == "says 500" and call is not None:
+                await call.answer(500)
+            w.agent._began = loop.time()
+            assert await health(w) == (503 if mode == "push" else 200)  # it listens, and says how it is
+            w.agent._began -= FIRST_LIST_S
+            assert await health(w) == 200 and not w.agent.fresh
+            monkeypatch.undo()
+            client = await w.ask(post())
+            await (await w.request()).answer()
+            assert (await client.read()).status == 200
+            if ailing == "is slow" and call is not None:
+                await call.answer(200, body(42))
+                await w.discovery.requests.get()
+                assert w.agent.fresh and await health(w) == 200
+
+    asyncio.run(run())
+    assert FIRST_LIST_S < READY_S / 10
+
+
+@pytest.mark.parametrize("siblings", [1, 30, 200, 1000])
+def test_the_last_in_turn_asks_within_the_time_too(siblings: int) -> None:
+    d = Drive(discovery=PushOrAsk.ASK, siblings=siblings, me=siblings - 1)
+    assert only(d.wait(int(READY_S / 2 * 1e6)), Watch)
