--- a/catalog/cli.py
+++ b/catalog/cli.py
@@ -8,14 +8,15 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import msgspec
 import typer
 
-from lilacsill.discovery import parse_address
+from lilacsill.discovery import Address, parse_address
 
 from . import caller, store
+from .replica import Replica
 from .server import CatalogServer
 from .service import Service
 
@@ -47,19 +48,68 @@
 
     Example: python -m catalog serve --listen 127.0.0.1:8500 --data data
     """
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    _log_to_stderr()
     with plain_errors():
-        try:
-            address = parse_address(listen)
-        except ValueError:
-            raise caller.CallError(f"--listen {listen}: is no address; write HOST:PORT") from None
+        address = _address("--listen", listen)
         asyncio.run(_serve(address, store.Store(data)))
 
 
-async def _serve(address: Any, opened: store.Store) -> None:
+@app.command()
+def follow(listen: Annotated[str, typer.Option(metavar="HOST:PORT")],
+           source: Annotated[list[str], typer.Option(metavar="HOST:PORT", help="The list service, or another "
+                                                     "follower; several are tried in turn.")]) -> None:
+    """Serve reads of another's list, on no disk, until SIGTERM or Ctrl-C.
+
+    Example: python -m catalog follow --listen 127.0.0.2:8500 --source 127.0.0.1:8500
+    """
+    _log_to_stderr()
+    with plain_errors():
+        address = _address("--listen", listen)
+        sources = tuple(_address("--source", text) for text in source)
+        if address in sources:
+            raise caller.CallError(f"--source {listen}: is its own address; name whom it is to follow")
+        for n, one in enumerate(sources):
+            if one in sources[:n]:
+                raise caller.CallError(f"--source {source[n]}: is named twice; name each once")
+        asyncio.run(_follow(address, sources))
+
+
+def _log_to_stderr() -> None:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+
+
+def _address(flag: str, text: str) -> Address:
+    try:
+        return parse_address(text)
+    except ValueError:
+        raise caller.CallError(f"{flag} {text}: is no address; write HOST:PORT") from None
+
+
+def _stop_at_signals() -> asyncio.Event:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    return stop
+
+
+async def _follow(address: Address, sources: tuple[Address, ...]) -> None:
+    stop = _stop_at_signals()
+    replica = Replica(sources)
+    server = CatalogServer(replica)
+    try:
+        port = await server.listen(address)
+        logging.getLogger("catalog").info(
+            "follows %s; listens on %s:%d", " ".join(f"{a.host}:{a.port}" for a in sources),
+            address.host, port)
+        replica.start()
+        await stop.wait()
+    finally:
+        replica.stop()
+        server.close()
+
+
+async def _serve(address: Address, opened: store.Store) -> None:
+    stop = _stop_at_signals()
     service = Service(opened, lambda: server.listens())
     server = CatalogServer(service)
     service.start()
--- a/catalog/core.py
+++ b/catalog/core.py
@@ -189,6 +189,20 @@
     return int.from_bytes(blake2b(msgspec.msgpack.encode(entry), digest_size=16).digest(), "big")
 
 
+class Range(Struct, frozen=True):
+    """All that changed after one revision, up to that of the change.
+
+    Of a leader each is one revision. Of a follower it is what one answer told: a superset for a reader in the
+    middle, which loses nothing by it. Only where the change was made of two whole lists (`exact`), what came
+    and went between them is not in it, and none can go on by it from within.
+    """
+
+    after: int
+    change: Change
+    size: int  # bytes
+    exact: bool = False
+
+
 class History:
     """The latest changes, bounded by count and bytes, and what each revision's watcher is owed.
 
@@ -200,32 +214,43 @@
 
     def __init__(self, most_changes: int, most_bytes: int) -> None:
         self.most_changes, self.most_bytes = most_changes, most_bytes
-        self._changes: dict[int, tuple[Change, int]] = {}  # by revision, the oldest first; and its bytes
+        self._ranges: dict[int, Range] = {}  # by the revision each leads to, the oldest first
         self._bytes = 0
 
     def __len__(self) -> int:
-        return len(self._changes)
+        return len(self._ranges)
+
+    def add(self, change: Change, size: int, after: int | None = None, exact: bool = False) -> int:
+        """`after` is the revision that the change follows on; None: the one before its own.
 
-    def add(self, change: Change, size: int) -> int:
-        """Returns the latest revision that is kept no longer; 0 where all are."""
-        self._changes[change.revision] = change, size
+        Returns the latest revision that is kept no longer; 0 where all are.
+        """
+        before = change.revision - 1 if after is None else after
+        self._ranges[change.revision] = Range(before, change, size, exact)
         self._bytes += size
         dropped = 0
-        while len(self._changes) > self.most_changes or (self._bytes > self.most_bytes and self._changes):
-            dropped = next(iter(self._changes))
-            self._bytes -= self._changes.pop(dropped)[1]
+        while len(self._ranges) > self.most_changes or (self._bytes > self.most_bytes and self._ranges):
+            dropped = next(iter(self._ranges))
+            self._bytes -= self._ranges.pop(dropped).size
         return dropped
 
     def since(self, index: int, revision: int) -> Change | None:
         """All that changed after index, up to a revision, as one change; None: the whole list is owed."""
-        if not 0 <= revision - index <= len(self._changes):
+        if index == revision:
+            return Change(revision=revision)
+        if index > revision or not self._ranges or index < next(iter(self._ranges.values())).after:
             return None
+        owed: list[Change] = []
+        at = revision
+        while at > index:
+            part = self._ranges.get(at)
+            if part is None or (part.exact and part.after < index):
+                return None
+            owed.append(part.change)
+            at = part.after
         put: dict[str, Entry] = {}
         gone: dict[str, Entry] = {}
-        for at in range(index + 1, revision + 1):
-            if at not in self._changes:
-                return None
-            change = self._changes[at][0]
+        for change in reversed(owed):
             for entry in change.put:
                 gone.pop(entry.member.id, None)
                 put[entry.member.id] = entry
@@ -254,5 +279,9 @@
 
 def whole(state: State) -> dict[str, object]:
     """The whole list in PROTOCOL's form."""
-    return {"revision": state.revision, "complete": True,
-            "members": [form(entry.member) for entry in state.entries.values()]}
+    return whole_of(state.revision, state.entries)
+
+
+def whole_of(revision: int, entries: Mapping[str, Entry]) -> dict[str, object]:
+    return {"revision": revision, "complete": True,
+            "members": [form(entry.member) for entry in entries.values()]}
--- a/catalog/server.py
+++ b/catalog/server.py
@@ -14,7 +14,7 @@
 from lilacsill.discovery import PATH, Address
 
 from .core import Answer, Delete, Name, Phase, Put, SetPhase, Start, Write
-from .service import AGAIN_S, Service
+from .service import AGAIN_S, Readers, Service
 from .store import Command
 
 log = logging.getLogger(__name__)
@@ -27,10 +27,12 @@
 TAKE_S = 20.0  # a reader that has not taken its answer by then is cut off
 UNREAD_BYTES = 64 * 1024 * 1024  # of answers not taken by all readers together; then the latest is cut off
 KEY_LIMIT = 200
+NO_LIST = "there is no list here yet; ask another"
+BEHIND = "the list here is behind yours; ask another"
 BACKLOG = 2048
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict",
-           412: "Precondition Failed", 413: "Content Too Large", 503: "Service Unavailable",
-           507: "Insufficient Storage"}
+           412: "Precondition Failed", 413: "Content Too Large", 421: "Misdirected Request",
+           503: "Service Unavailable", 507: "Insufficient Storage"}
 
 
 class PutBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -84,7 +86,7 @@
 class CatalogServer:
     """Listens, and knows what its readers have not taken yet."""
 
-    def __init__(self, service: Service) -> None:
+    def __init__(self, service: Readers) -> None:
         self.service = service
         self.conns: set[_Conn] = set()
         self.behind: set[_Conn] = set()  # those that have not taken all of their answer
@@ -201,7 +203,10 @@
         if method == "GET" and path in (PATH, STATUS, HEALTH):
             if path == PATH:
                 return self._read_list(query)
+            if path == HEALTH and self._service.identity is None:
+                raise _Wrong(503, NO_LIST)
             return self._write(200, msgspec.json.encode(self._service.status()) if path == STATUS else b"{}")
+        service = self._writing()
         if method == "POST" and path == BATCH:
             body = msgspec.json.decode(self._body, type=BatchBody)
             return self._do(tuple(body.writes))
@@ -221,14 +226,20 @@
                                     if_revision=_number(query, "if_revision")),))
         if method == "POST" and act == "renew":
             renewal = msgspec.json.decode(self._body or b"{}", type=RenewBody)
-            return self._spawn(self._service.renew(name, renewal.start))
+            return self._spawn(service.renew(name, renewal.start))
         raise _Wrong(405, f"{method} is not for this path")
 
+    def _writing(self) -> Service:
+        """Who takes writes here."""
+        if isinstance(self._service, Service):
+            return self._service
+        raise _Wrong(421, f"this is a follower and takes no writes; write to {self._service.write_at()}")
+
     def _do(self, writes: tuple[Write, ...]) -> None:
         key = header(self._fields, b"idempotency-key")
         if key is not None and not 0 < len(key) <= KEY_LIMIT:
             raise _Wrong(400, f"Idempotency-Key: give 1 to {KEY_LIMIT} characters")
-        self._spawn(self._service.do(Command(writes, key)))
+        self._spawn(self._writing().do(Command(writes, key)))
 
     def _spawn(self, work: Coroutine[Any, Any, Answer]) -> None:
         async def answer() -> None:
@@ -255,27 +266,31 @@
             self._tell()
 
     def look(self) -> None:
-        """There is a new revision."""
-        if self._watch is not None:
+        """There is a new revision; it may still be below the one that a follower's reader has."""
+        if self._watch is not None and self._service.news(*self._watch):
             self._tell()
 
     def _tell(self) -> None:
         assert self._watch is not None
         self._service.unwatch(self.look)
         watch, self._watch = self._watch, None
+        if self._service.ahead(*watch):
+            self._say(_Wrong(503, NO_LIST if self._service.identity is None else BEHIND))
+            return
         body = self._service.answer(*watch)
         if self._server.unread() + len(body) > UNREAD_BYTES:
             log.warning("a reader is cut off: over %d bytes wait to be taken", UNREAD_BYTES)
             self.drop()
             return
-        self._write(200, body)
+        age = self._service.age_s()
+        self._write(200, body, "" if age is None else f"Age: {age}\r\n")
 
     # Answers
 
     def _say(self, wrong: _Wrong) -> None:
         self._write(wrong.status, msgspec.json.encode({"error": str(wrong)}))
 
-    def _write(self, status: int, body: bytes) -> None:
+    def _write(self, status: int, body: bytes, more: str = "") -> None:
         """The answer as it goes out: made once for all, where its body is."""
         if self.closed or self.transport is None or self.transport.is_closing():
             return
@@ -284,7 +299,7 @@
         again = f"Retry-After: {AGAIN_S}\r\n" if status == 503 else ""
         ending = "" if keep else "Connection: close\r\n"
         head = (f"HTTP/1.1 {status} {REASONS.get(status, 'Error')}\r\nContent-Type: application/json\r\n"
-                f"Content-Length: {len(body)}\r\n{again}{ending}\r\n")
+                f"Content-Length: {len(body)}\r\n{more}{again}{ending}\r\n")
         self.transport.write(head.encode() + body)
         self.written = self.transport.get_write_buffer_size() == 0
         if not self.written:
--- a/catalog/service.py
+++ b/catalog/service.py
@@ -4,12 +4,13 @@
 import asyncio
 import logging
 import time
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
 
-from .core import Answer, SetPhase, listing, whole
+from .core import Answer, Change, SetPhase, listing, whole
 from .leases import TURN_US, Leases
 from .store import Command, NotWritten, Store
 
@@ -19,18 +20,92 @@
 AGAIN_S = 1  # Retry-After where the disk takes nothing
 
 
-class Service:
+class Readers(ABC):
+    """The readers' half: who watches, and what each is owed, encoded once for all who have the same."""
+
+    def __init__(self) -> None:
+        self._watchers: set[Callable[[], None]] = set()
+        self._encoded: dict[int | None, bytes] = {}  # answers at this revision, by the revision asked with
+
+    @property
+    @abstractmethod
+    def identity(self) -> str | None:
+        """Of the list; None: there is none yet."""
+
+    @property
+    @abstractmethod
+    def revision(self) -> int: ...
+
+    @abstractmethod
+    def status(self) -> dict[str, object]: ...
+
+    @abstractmethod
+    def _since(self, index: int) -> Change | None: ...
+
+    @abstractmethod
+    def _whole(self) -> dict[str, object]: ...
+
+    def write_at(self) -> str:
+        """Whom to write to, where it is another."""
+        return ""
+
+    def age_s(self) -> int | None:
+        """Since the list was last known to be the leader's; None: it is the leader's own."""
+        return None
+
+    def watch(self, tell: Callable[[], None]) -> None:
+        """Have tell called at each new revision, until unwatch."""
+        self._watchers.add(tell)
+
+    def unwatch(self, tell: Callable[[], None]) -> None:
+        self._watchers.discard(tell)
+
+    @property
+    def watchers(self) -> int:
+        return len(self._watchers)
+
+    def news(self, index: int | None, identity: str | None) -> bool:
+        """Whether there is something to tell who has that revision of that list."""
+        return index != self.revision or (identity is not None and identity != self.identity)
+
+    def ahead(self, index: int | None, identity: str | None) -> bool:
+        """Whether that reader has more of the list than there is here: any answer would lead it back."""
+        return False
+
+    def answer(self, index: int | None, identity: str | None) -> bytes:
+        """What to tell who is not ahead, encoded once for all who have the same."""
+        if identity is not None and identity != self.identity:
+            index = None
+        if index not in self._encoded:
+            change = self._since(index) if index is not None else None
+            if change is not None:
+                doc = listing(change)
+            elif None in self._encoded:
+                return self._encoded[None]
+            else:
+                index, doc = None, self._whole()
+            self._encoded[index] = msgspec.json.encode(
+                {"revision": self.revision, "list": self.identity, **doc})
+        return self._encoded[index]
+
+    def _told(self) -> None:
+        """There is a new revision."""
+        self._encoded.clear()
+        for tell in list(self._watchers):
+            tell()
+
+
+class Service(Readers):
     """Owns the store: all of it happens in the loop, but for the commits, one at a time in a thread."""
 
     def __init__(self, store: Store, listens: Callable[[], bool] = lambda: True) -> None:
+        super().__init__()
         self.store, self._listens = store, listens
         self.leases = Leases()
         self.leases.listed(store.state.entries.values())
         self.commits = self.committed = 0
         self._waiting: list[tuple[Command, asyncio.Future[Answer]]] = []
         self._come = asyncio.Event()
-        self._watchers: set[Callable[[], None]] = set()
-        self._encoded: dict[int | None, bytes] = {}  # answers at this revision, by the revision asked with
         self._writer = ThreadPoolExecutor(1, "catalog-writer")
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = False
@@ -48,6 +123,10 @@
         self._writer.shutdown()
         self.store.close()
 
+    @property
+    def identity(self) -> str:
+        return str(self.store.identity)
+
     @property
     def revision(self) -> int:
         return self.store.state.revision
@@ -105,9 +184,7 @@
                 self.leases.gone(e.member.id for e in change.gone)
                 self.leases.listed(change.put)
             if changes:
-                self._encoded.clear()
-                for tell in list(self._watchers):
-                    tell()
+                self._told()
         for (_, waiting), answer in zip(taken, answers, strict=True):
             if not waiting.done():
                 waiting.set_result(answer)
@@ -129,32 +206,11 @@
 
     # Readers
 
-    def watch(self, tell: Callable[[], None]) -> None:
-        """Have tell called at each new revision, until unwatch."""
-        self._watchers.add(tell)
-
-    def unwatch(self, tell: Callable[[], None]) -> None:
-        self._watchers.discard(tell)
-
-    @property
-    def watchers(self) -> int:
-        return len(self._watchers)
-
-    def news(self, index: int | None, identity: str | None) -> bool:
-        """Whether there is something to tell who has that revision of that list."""
-        return index != self.revision or (identity is not None and identity != self.store.identity)
+    def _since(self, index: int) -> Change | None:
+        return self.store.history.since(index, self.revision)
 
-    def answer(self, index: int | None, identity: str | None) -> bytes:
-        """What to tell, encoded once for all who have the same."""
-        if identity is not None and identity != self.store.identity:
-            index = None
-        if index not in self._encoded:
-            change = self.store.history.since(index, self.revision) if index is not None else None
-            doc = listing(change) if change is not None else whole(self.store.state)
-            self._encoded[index if change is not None else None] = encoded = msgspec.json.encode(
-                {"revision": self.revision, "list": self.store.identity, **doc})
-            return encoded
-        return self._encoded[index]
+    def _whole(self) -> dict[str, object]:
+        return whole(self.store.state)
 
     def status(self) -> dict[str, object]:
         return {"list": self.store.identity, "revision": self.revision,
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -15,7 +15,7 @@
 from brasshead.interface import Backend, State
 
 from .clock import Clock
-from .connection import Connection
+from .connection import Connection, fields_of, header
 
 log = logging.getLogger(__name__)
 
@@ -30,6 +30,10 @@
 # Where there are several addresses: a call a second at most, and full jitter (Brooker 2015), so that agents
 # that were left together do not come back together.
 CALL_EVERY_S, ELSEWHERE_FIRST_S, ELSEWHERE_MOST_S = 1.0, 0.5, 8.0
+# An answer that says it is older than this (Age, RFC 9111) comes from a follower that does not hear the
+# list's leader: at rest two followers behind each other tell 8 s at most. Another may be nearer, and is tried
+# after half to all of that again, by chance, so that a cut follower's readers do not leave it together.
+OLD_S = 10.0
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 
 
@@ -113,13 +117,18 @@
         return Member(backend, parse_address(m["host_port"]))
 
 
-class _Call(Connection):
+class WentBack(ConnectionError):
+    """A list that leads back from what was told, of the same identity."""
+
+
+class Call(Connection):
     """A connection to discovery; one call at a time."""
 
     def __init__(self) -> None:
         super().__init__()
         self._answer: asyncio.Future[bytes] | None = None
         self._status = 0
+        self.age_s = 0  # of the latest answer, where it says so
         self._body = bytearray()
 
     async def get(self, target: str) -> bytes:
@@ -133,6 +142,8 @@
     def on_event(self, event: h11.Event) -> None:
         if isinstance(event, h11.Response):
             self._status = event.status_code
+            age = header(fields_of(event.headers), b"age") or ""
+            self.age_s = int(age) if age.isascii() and age.isdigit() and len(age) < 11 else 0
         elif isinstance(event, h11.Data):
             self._body += event.data
             if len(self._body) > ANSWER_BYTES:
@@ -164,7 +175,9 @@
 
 class Discovery:
     """Asks discovery. A watch goes on by itself from call to call until a call fails; where there are several
-    addresses it goes on at another."""
+    addresses it goes on at another. What it tells of a list that has an identity never goes back."""
+
+    keeps_on = False  # with one address too, where a watch would else be said to have broken
 
     def __init__(self, addresses: tuple[Address, ...], parser: ListingParser, revision: int | None,
                  connect_s: float, wait_ms: int) -> None:
@@ -173,6 +186,9 @@
         self._at = 0  # the address in use
         self._revision = revision  # None: the whole list is wanted first
         self._identity: str | None = None
+        self._latest: tuple[str | None, int] = (None, 0)  # identity and revision that were told, wherever
+        self._disputed: tuple[str | None, int] = (None, 0)  # the list that went back, and has been said to
+        self._leave_at: float | None = None  # an answer was old: when to look elsewhere
         self._failed = 0  # calls in a row
         self._called = -CALL_EVERY_S  # when the latest call began, by the loop's clock
         self.heard_at: float | None = None  # when anything was heard last, by the same
@@ -210,15 +226,17 @@
         task.add_done_callback(lambda done: self._fetches.pop(done, None))
 
     async def _watch(self, told: Callable[[Listing | None], None]) -> None:
-        call: _Call | None = None
+        call: Call | None = None
         try:
             while True:
                 try:
                     call = await self._connected(call)
                     listing = await self._next(call)
+                    follows = self._follows(listing)
                 except Exception as e:
-                    _failed(e)
-                    if len(self._addresses) == 1:
+                    if not self._said(e):
+                        _failed(e)
+                    if len(self._addresses) == 1 and not (self.keeps_on or isinstance(e, WentBack)):
                         break
                     if call is not None:
                         call.drop()
@@ -226,15 +244,20 @@
                     await self._elsewhere()
                     continue
                 self._failed = 0
-                if self._follows(listing) and (listing.members or listing.complete):
+                if follows and (listing.members or listing.complete):
                     _tell(told, listing)
+                if self._leaves(call.age_s):
+                    log.info("the list is %d s old: it is looked for elsewhere", call.age_s)
+                    call.drop()
+                    call = None
+                    self._turn()
         finally:
             if call is not None:
                 call.drop()
         self._watching = None  # before the report: the answer to it may be the next watch
         told(None)
 
-    async def _next(self, call: _Call) -> Listing:
+    async def _next(self, call: Call) -> Listing:
         """The next answer to the watch."""
         if self._revision is None:
             return await self._ask(call, PATH, ANSWER_S)
@@ -247,30 +270,80 @@
         """Whether it goes on from what was heard before.
 
         Changes to a list that went back, or to another, are not laid over this one: all of it is asked for.
+        Raises WentBack where that is still below what was told.
         """
-        back = self._revision is not None and listing.revision < self._revision
+        behind = self._behind(listing)
+        if behind and listing.complete:
+            # Once it is ahead again it may have come there by another way: nothing goes on from what is here.
+            self._revision = None
+            raise WentBack(f"revision {listing.revision} after {self._latest[1]}, both of {listing.identity}")
+        back = behind or (self._revision is not None and listing.revision < self._revision)
         other = self._identity is not None and listing.identity != self._identity
         if back or other:
             log.warning("the list %s: revision %s after %s", "is another one" if other else "went back",
                         listing.revision, self._revision)
         wanted = (back or other) and not listing.complete
         self._revision, self._identity = None if wanted else listing.revision, listing.identity
+        if not wanted:
+            self._note(listing)
         return not wanted
 
+    def _note(self, listing: Listing) -> None:
+        if listing.identity is not None:
+            self._latest = listing.identity, listing.revision
+
+    def _behind(self, listing: Listing) -> bool:
+        """Whether it is an older state of the list that was told, as a follower may have."""
+        identity, revision = self._latest
+        return identity is not None and listing.identity == identity and listing.revision < revision
+
+    def _said(self, e: Exception) -> bool:
+        """A list that went back is said loudly, and not again until one goes on."""
+        if not isinstance(e, WentBack):
+            return False
+        if self._disputed != self._latest:
+            self._disputed = self._latest
+            log.error("%s:%d went back and is not followed: %s; what was told stays until it is ahead again "
+                      "or has another list (`catalog restore` makes one)",
+                      self.address.host, self.address.port, e)
+        return True
+
+    def _leaves(self, age_s: int) -> bool:
+        """Whether an old answer is reason enough now to look for a fresher one."""
+        now = asyncio.get_running_loop().time()
+        if age_s <= OLD_S or len(self._addresses) == 1:
+            self._leave_at = None
+        elif self._leave_at is None:
+            self._leave_at = now + OLD_S * (0.5 + random.random() / 2)
+        elif now >= self._leave_at:
+            self._leave_at = None
+            return True
+        return False
+
     async def _elsewhere(self) -> None:
         """Leave this address for another, after a while of chance that grows with each failure."""
         loop = asyncio.get_running_loop()
         self._failed += 1
-        self._at = (self._at + random.randrange(1, len(self._addresses))) % len(self._addresses)
-        if self._identity is None:
-            self._revision = None  # whether the other counts as this one did is not known
+        self._turn()
         most = min(ELSEWHERE_MOST_S, ELSEWHERE_FIRST_S * 2 ** min(self._failed, 10))
-        address = self._addresses[self._at]
+        address = self.address
         log.info("discovery is asked at %s:%d next", address.host, address.port)
         await asyncio.sleep(max(random.random() * most, self._called + CALL_EVERY_S - loop.time()))
 
+    def _turn(self) -> None:
+        """To another address, where there is one."""
+        if len(self._addresses) > 1:
+            self._at = (self._at + random.randrange(1, len(self._addresses))) % len(self._addresses)
+        if self._identity is None:
+            self._revision = None  # whether the other counts as this one did is not known
+
+    @property
+    def address(self) -> Address:
+        """That is asked now."""
+        return self._addresses[self._at]
+
     async def _fetch(self, told: Callable[[Listing | None], None]) -> None:
-        call: _Call | None = None
+        call: Call | None = None
         listing: Listing | None = None
         try:
             call = await self._connected(None)
@@ -280,28 +353,33 @@
         finally:
             if call is not None:
                 call.drop()
-        if listing is not None and self._revision is not None and listing.revision < self._revision:
+        if listing is not None and (self._behind(listing) or (
+                self._revision is not None and listing.revision < self._revision)):
             log.warning("a whole list of revision %s came after %s", listing.revision, self._revision)
             listing = None  # the watch has told what is newer
+        if listing is not None:
+            self._note(listing)
         told(listing)
 
-    async def _connected(self, call: _Call | None) -> _Call:
+    async def _connected(self, call: Call | None) -> Call:
         """The same connection while discovery keeps it, else a new one."""
         if call is not None:
             if not call.closed:
                 return call
             call.drop()
         loop = asyncio.get_running_loop()
-        address, self._called = self._addresses[self._at], loop.time()
+        address, self._called = self.address, loop.time()
         async with asyncio.timeout(self._connect_s):
-            _, call = await loop.create_connection(_Call, address.host, address.port)
+            _, call = await loop.create_connection(Call, address.host, address.port)
         return call
 
-    async def _ask(self, call: _Call, target: str, limit_s: float) -> Listing:
+    async def _ask(self, call: Call, target: str, limit_s: float) -> Listing:
         # Bounded: a machine that is cut off says nothing, and the watch would wait for ever.
         async with asyncio.timeout(limit_s):
             listing = self.parser.parse(json.loads(await call.get(target)))
-        self.heard_at = asyncio.get_running_loop().time()
+        if not self._behind(listing):
+            heard_at = asyncio.get_running_loop().time() - call.age_s
+            self.heard_at = heard_at if self.heard_at is None else max(self.heard_at, heard_at)
         return listing
 
 
