--- /dev/null
+++ b/tests/test_catalog_replica.py
@@ -0,0 +1,274 @@
+"""Followers of the list service as state machines: no reader's list goes back, and what is old says so."""
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from tests.test_catalog_core import WRITES, phases, put
+
+from catalog import service as acting
+from catalog.core import Change, Delete, History, SetPhase, State, Write, listing, whole
+from catalog.follower import Age, Follower, Heard, HeardParser
+from catalog.replica import Replica
+from catalog.service import Readers
+from lilacsill.discovery import Address
+
+Told = dict[str, str]
+
+
+class Leader(Readers):
+    """The reader's half of the service over a state in memory."""
+
+    def __init__(self, history: History, identity: str = "x", state: State | None = None) -> None:
+        super().__init__()
+        self.state, self.history, self.name = state or State(100), history, identity
+
+    identity = property(lambda self: self.name)  # type: ignore[assignment]
+    revision = property(lambda self: self.state.revision)  # type: ignore[assignment]
+
+    def status(self) -> dict[str, object]:
+        return {}
+
+    def _since(self, index: int) -> Change | None:
+        return self.history.since(index, self.revision)
+
+    def _whole(self) -> dict[str, object]:
+        return whole(self.state)
+
+    def write(self, *writes: Write) -> None:
+        change = self.state.apply(writes)[1]
+        if change is not None:
+            self.history.add(change, 100)
+            self._told()
+
+
+def replica(history: History | None = None) -> Replica:
+    made = Replica((Address("127.0.0.1", 1),))
+    if history is not None:
+        made.copy = Follower(history.most_changes, history.most_bytes)
+    return made
+
+
+def ask(node: Readers, index: int | None, identity: str | None) -> Any:
+    """What it answers at once; None for its 503."""
+    return None if node.ahead(index, identity) else json.loads(node.answer(index, identity))
+
+
+def sync(node: Replica, source: Readers, lost: bool = False) -> Heard | None:
+    """One call to the source, as it is made by `_Source`."""
+    copy = node.copy
+    known = copy.identity is not None and not lost
+    doc = ask(source, copy.revision if known else None, copy.identity if known else None)
+    if doc is None:
+        return None
+    heard = HeardParser().parse(doc)
+    if copy.disputed(heard) or not (heard.complete or known):
+        return None
+    node.take(heard, 0.0)
+    return heard
+
+
+@dataclass
+class Reader:
+    """An agent's part: it takes in no older list of the same identity."""
+
+    index: int | None = None
+    identity: str | None = None
+    has: Told = field(default_factory=dict)
+    names: bool = True  # an old agent names no list
+
+    def asks(self, node: Readers, afresh: bool = False) -> None:
+        doc = ask(node, None if afresh else self.index, self.identity if self.names and not afresh else None)
+        if doc is None or (self.names and doc["list"] == self.identity and doc["revision"] < (self.index or 0)):
+            return
+        has = {} if doc["complete"] else dict(self.has)
+        has.update((m["id"], m["phase"]) for m in doc["members"])
+        self.has = {name: phase for name, phase in has.items() if phase != "DELETED"}
+        self.index, self.identity = doc["revision"], doc["list"]
+
+
+@settings(derandomize=True, max_examples=120, deadline=None)
+@given(st.data())
+def test_a_reader_that_moves_between_followers_and_leader_never_goes_back(data: st.DataObject) -> None:
+    """Over any sequence of writes, restores, syncs, restarts of followers and moves of readers."""
+    def bounds() -> History:
+        return History(data.draw(st.integers(0, 4)), data.draw(st.sampled_from([200, 10_000])))
+
+    leader = Leader(bounds())
+    nodes: list[Readers] = [leader, replica(bounds()), replica(bounds()), replica(bounds())]
+    readers = [Reader(), Reader(), Reader(names=False)]
+    in_force: dict[tuple[str | None, int], Told] = {("x", 100): {}}
+    for _ in range(data.draw(st.integers(5, 40))):
+        act = data.draw(st.sampled_from(["write"] * 3 + ["sync"] * 4 + ["read"] * 5 + ["restart", "restore"]))
+        n = data.draw(st.integers(1, 3))
+        node = nodes[n]
+        assert isinstance(node, Replica)
+        if act == "write":
+            leader.write(*data.draw(st.lists(WRITES, min_size=1, max_size=3)))
+        elif act == "sync":  # each follows the leader or any that was made before it
+            sync(node, nodes[data.draw(st.integers(0, n - 1))], lost=data.draw(st.integers(0, 5)) == 0)
+        elif act == "restart":
+            nodes[n] = replica(bounds())
+        elif act == "restore":
+            state = State(leader.revision + 1000, leader.state.entries)
+            nodes[0] = leader = Leader(bounds(), leader.name + "'", state)
+        else:
+            reader, afresh = data.draw(st.sampled_from(readers)), data.draw(st.integers(0, 4)) == 0
+            before = reader.identity, reader.index
+            reader.asks(data.draw(st.sampled_from(nodes)), afresh and reader.names)
+            if reader.index is not None:
+                assert reader.has == in_force[reader.identity, reader.index]
+                assert reader.identity != before[0] or reader.index >= (before[1] or 0)
+        in_force[leader.name, leader.revision] = phases(leader.state)
+    for n in (1, 2, 3):  # and all of them come to what the leader has
+        follower = nodes[n]
+        assert isinstance(follower, Replica)
+        sync(follower, leader)
+        assert whole(leader.state) == follower.copy.whole() or follower.copy.disputed(
+            HeardParser().parse(ask(leader, None, None)))
+        for reader in readers:
+            reader.asks(follower)
+            assert reader.has == phases(leader.state)
+
+
+def test_a_reader_within_a_range_gets_all_of_it() -> None:
+    leader, node = Leader(History(100, 10_000)), replica()
+    sync(node, leader)
+    for write in (put("a"), put("b"), Delete(id="a"), put("c")):  # revisions 101 to 104
+        leader.write(write)
+    sync(node, leader)
+    told = ask(node, 102, "x")
+    assert (told["complete"], told["revision"]) == (False, 104)
+    assert {m["id"]: m["phase"] for m in told["members"]} == {"a": "DELETED", "b": "SERVING", "c": "SERVING"}
+    assert ask(node, 99, "x")["complete"] and ask(node, 104, "x")["members"] == []
+
+
+def test_what_a_whole_list_lacks_reaches_readers_as_deleted_or_in_a_whole_list() -> None:
+    leader, node = Leader(History(1, 10_000)), replica()
+    leader.write(put("a"))
+    sync(node, leader)  # at 101
+    for write in (put("b"), Delete(id="a"), put("c"), Delete(id="b")):  # b came and went between the two lists
+        leader.write(write)
+    heard = sync(node, leader)
+    assert heard is not None and heard.complete
+    told = ask(node, 101, "x")
+    assert not told["complete"]
+    assert {m["id"]: m["phase"] for m in told["members"]} == {"a": "DELETED", "c": "SERVING"}
+    assert ask(node, 102, "x")["complete"]  # such a reader has b, of which the follower never heard
+    leader.write(put("d"))
+    sync(node, leader)
+    assert {m["id"] for m in ask(node, 101, "x")["members"]} == {"a", "c", "d"}
+
+
+def test_a_list_of_another_identity_is_taken_whole_and_told_whole() -> None:
+    leader, node = Leader(History(9, 10_000)), replica()
+    leader.write(put("a"))
+    sync(node, leader)
+    restored = Leader(History(9, 10_000), "y", State(50, leader.state.entries))  # even where it counts lower
+    restored.write(Delete(id="a"))
+    sync(node, restored)
+    told = ask(node, 101, "x")
+    assert (told["list"], told["revision"], told["complete"], told["members"]) == ("y", 51, True, [])
+
+
+@pytest.mark.parametrize("change", [
+    lambda doc: doc | {"revision": 100}, lambda doc: doc | {"members": []},
+    lambda doc: doc | {"revision": 100, "complete": False}, lambda doc: doc | {"complete": False, "list": "y"},
+])
+def test_an_answer_that_leads_back_or_on_from_nothing_is_not_taken(change: Any) -> None:
+    leader, node = Leader(History(9, 10_000)), replica()
+    leader.write(put("a"))
+    sync(node, leader)
+    before = ask(node, None, None)
+    with pytest.raises(ValueError, match="does not go on from 101"):
+        node.take(HeardParser().parse(change(before)), 5.0)
+    assert ask(node, None, None) == before and node.age.at(9.0) == 9
+
+
+def test_a_reader_who_is_ahead_is_told_nothing() -> None:
+    leader, node = Leader(History(9, 10_000)), replica()
+    assert ask(node, None, None) is None and ask(node, 3, "x") is None  # no list yet
+    sync(node, leader)
+    leader.write(put("a"))
+    for identity in ("x", None):
+        assert ask(node, 101, identity) is None and not node.news(101, identity)
+    assert ask(node, 101, "w")["complete"]
+    sync(node, leader)
+    assert ask(node, 101, "x")["members"] == []
+
+
+def test_bodies_are_the_leaders_byte_for_byte() -> None:
+    leader, node = Leader(History(9, 10_000)), replica()
+    leader.write(put("a", cell=3, locality="z"), put("b", size=2.5))
+    sync(node, leader)
+    assert node.answer(None, None) == leader.answer(None, None)
+    leader.write(SetPhase(id="a", phase="DRAINING"), Delete(id="b"))
+    sync(node, leader)
+    assert node.answer(101, "x") == leader.answer(101, "x")
+
+
+def test_a_whole_list_is_encoded_once_for_all_who_are_behind_the_history(monkeypatch: pytest.MonkeyPatch) -> None:
+    encoded: list[object] = []
+    leader = Leader(History(1, 10_000))
+    for name in ("a", "b", "c"):
+        leader.write(put(name))
+
+    def encode(doc: object) -> bytes:
+        encoded.append(doc)
+        return msgspec.msgpack.encode(doc)
+    monkeypatch.setattr(acting.msgspec.json, "encode", encode)
+    assert len({leader.answer(index, "x") for index in (None, 1, 2, 100, 900)}) == len(encoded) == 1
+
+
+def test_ranges_are_bounded_by_count_and_bytes() -> None:
+    history = History(3, 100)
+    for after, revision in ((10, 14), (14, 15), (15, 30)):
+        assert history.add(Change(revision=revision), 30, after=after) == 0
+    assert history.since(12, 30) == Change(revision=30) and history.since(9, 30) is None
+    assert history.add(Change(revision=31), 20, after=30) == 14  # one too many
+    assert history.since(13, 31) is None and history.since(14, 31) is not None
+    assert history.add(Change(revision=32), 90) == 31  # too many bytes
+    assert history.since(31, 32) is not None and history.since(30, 32) is None and len(history) == 1
+    assert listing(Change(revision=32))["members"] == []
+
+
+@pytest.mark.parametrize("spoil", [
+    lambda doc: [], lambda doc: {}, lambda doc: {k: v for k, v in doc.items() if k != "list"},
+    lambda doc: doc | {"list": ""}, lambda doc: doc | {"list": 7}, lambda doc: doc | {"revision": None},
+    lambda doc: doc | {"members": [{}]}, lambda doc: doc | {"members": {"a": 1}},
+    lambda doc: doc | {"members": [doc["members"][0] | {"phase": "WELL"}]},
+    lambda doc: doc | {"members": [doc["members"][0] | {"host_port": "nowhere"}]},
+])
+def test_what_is_no_list_services_answer_is_refused(spoil: Any) -> None:
+    leader = Leader(History(9, 10_000))
+    leader.write(put("a"))
+    good = ask(leader, None, None)
+    assert HeardParser().parse(good | {"members": [good["members"][0] | {"later": 1}], "later": 2}).put
+    with pytest.raises(ValueError):
+        HeardParser().parse(spoil(good))
+
+
+def test_age_counts_from_the_call_however_late_its_answer_is_read() -> None:
+    age = Age()
+    age.heard(100.0, True)
+    assert [age.at(now) for now in (100.0, 100.1, 102.0, 160.5)] == [0, 1, 2, 61]
+    age.heard(95.0, True)  # another source, which knows less: what is known stays known
+    assert age.at(102.0) == 2
+    age.heard(90.0, False)  # of another list
+    assert age.at(102.0) == 12
+
+
+def test_followers_that_hear_only_each_other_grow_old() -> None:
+    first, second = Age(), Age()
+    first.heard(0.0, True)
+    second.heard(0.0, True)
+    for turn in range(1, 400):
+        now = turn * 0.3
+        hearer, teller = (first, second) if turn % 2 else (second, first)
+        hearer.heard(now - teller.at(now), True)
+        assert min(first.at(now), second.at(now)) >= now
