--- a/tests/test_catalog_replica.py
+++ b/tests/test_catalog_replica.py
@@ -11,7 +11,6 @@
 from hypothesis import strategies as st
 from tests.test_catalog_core import WRITES, phases, put
 
-from catalog import service as acting
 from catalog.core import Change, Delete, History, SetPhase, State, Write, listing, whole
 from catalog.follower import Age, Follower, Heard, HeardParser
 from catalog.replica import Replica
@@ -28,8 +27,8 @@
         super().__init__()
         self.state, self.history, self.name = state or State(100), history, identity
 
-    identity = property(lambda self: self.name)  # type: ignore[assignment]
-    revision = property(lambda self: self.state.revision)  # type: ignore[assignment]
+    identity = property(lambda self: self.name)
+    revision = property(lambda self: self.state.revision)
 
     def status(self) -> dict[str, object]:
         return {}
@@ -84,7 +83,9 @@
 
     def asks(self, node: Readers, afresh: bool = False) -> None:
         doc = ask(node, None if afresh else self.index, self.identity if self.names and not afresh else None)
-        if doc is None or (self.names and doc["list"] == self.identity and doc["revision"] < (self.index or 0)):
+        if doc is None:
+            return
+        if self.names and doc["list"] == self.identity and doc["revision"] < (self.index or 0):
             return
         has = {} if doc["complete"] else dict(self.has)
         has.update((m["id"], m["phase"]) for m in doc["members"])
@@ -104,7 +105,8 @@
     readers = [Reader(), Reader(), Reader(names=False)]
     in_force: dict[tuple[str | None, int], Told] = {("x", 100): {}}
     for _ in range(data.draw(st.integers(5, 40))):
-        act = data.draw(st.sampled_from(["write"] * 3 + ["sync"] * 4 + ["read"] * 5 + ["restart", "restore"]))
+        acts = ["write"] * 3 + ["sync"] * 4 + ["read"] * 5 + ["restart", "restore"]
+        act = data.draw(st.sampled_from(acts))
         n = data.draw(st.integers(1, 3))
         node = nodes[n]
         assert isinstance(node, Replica)
@@ -152,7 +154,7 @@
     leader, node = Leader(History(1, 10_000)), replica()
     leader.write(put("a"))
     sync(node, leader)  # at 101
-    for write in (put("b"), Delete(id="a"), put("c"), Delete(id="b")):  # b came and went between the two lists
+    for write in (put("b"), Delete(id="a"), put("c"), Delete(id="b")):  # b came and went between
         leader.write(write)
     heard = sync(node, leader)
     assert heard is not None and heard.complete
@@ -178,7 +180,8 @@
 
 @pytest.mark.parametrize("change", [
     lambda doc: doc | {"revision": 100}, lambda doc: doc | {"members": []},
-    lambda doc: doc | {"revision": 100, "complete": False}, lambda doc: doc | {"complete": False, "list": "y"},
+    lambda doc: doc | {"revision": 100, "complete": False},
+    lambda doc: doc | {"complete": False, "list": "y"},
 ])
 def test_an_answer_that_leads_back_or_on_from_nothing_is_not_taken(change: Any) -> None:
     leader, node = Leader(History(9, 10_000)), replica()
@@ -212,7 +215,8 @@
     assert node.answer(101, "x") == leader.answer(101, "x")
 
 
-def test_a_whole_list_is_encoded_once_for_all_who_are_behind_the_history(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_whole_list_is_encoded_once_for_all_who_are_behind_the_history(
+        monkeypatch: pytest.MonkeyPatch) -> None:
     encoded: list[object] = []
     leader = Leader(History(1, 10_000))
     for name in ("a", "b", "c"):
@@ -221,7 +225,7 @@
     def encode(doc: object) -> bytes:
         encoded.append(doc)
         return msgspec.msgpack.encode(doc)
-    monkeypatch.setattr(acting.msgspec.json, "encode", encode)
+    monkeypatch.setattr(msgspec.json, "encode", encode)
     assert len({leader.answer(index, "x") for index in (None, 1, 2, 100, 900)}) == len(encoded) == 1
 
 
--- a/tests/test_catalog_replica_service.py
+++ b/tests/test_catalog_replica_service.py
@@ -1,4 +1,4 @@
-"""Followers over loopback: what they serve while sources come, go, stand still and disagree. Nothing is timed."""
+"""Followers over loopback: what they serve while sources come, go, stand still and disagree."""
 from __future__ import annotations
 
 import asyncio
