--- a/faultlab/addresses.py
+++ b/faultlab/addresses.py
@@ -40,6 +40,14 @@
     def discovery(self, k: int) -> str:
         return f"{self._ip(3, k)}:{self.port}"
 
+    def leader(self, k: int) -> str:
+        """Where a follower of the list service reaches it: a relay."""
+        return f"{self._ip(7, k)}:{self.port}"
+
+    def follower(self, k: int) -> str:
+        """What that relay calls from."""
+        return self._ip(8, k)
+
     def front(self, i: int) -> str:
         """Where clients reach an agent: its relay."""
         return f"{self._ip(4, i)}:{self.port}"
--- a/faultlab/agent_config.py
+++ b/faultlab/agent_config.py
@@ -41,11 +41,15 @@
 
 def document(s: LabScenario, block: Block, agent: int, zone: int, seed: int, discovery: int,
              known: dict[str, Any]) -> dict[str, Any]:
-    """The whole file; `discovery` is which of discovery's addresses it names."""
+    """The whole file; `discovery` is which of discovery's addresses it names.
+
+    Where there are followers it names all of them, the next agent another one first.
+    """
+    followers = [block.asks(agent, 1 + (agent + k) % s.followers) for k in range(s.followers)]
     membership = {"membership": {"fleet": FLEET, "key": KEY}} if s.membership else {}
     return {
         **membership, "name": f"a{agent}",
-        "listen": block.agent(agent), "discovery": block.asks(agent, discovery),
+        "listen": block.agent(agent), "discovery": followers or block.asks(agent, discovery),
         "seed": f"{seed:x}", "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
         "peer_listen": block.hears(agent),
         "peers": [block.peer(agent, other) if other != agent else block.hears(agent)
--- a/faultlab/checkers/lists.py
+++ b/faultlab/checkers/lists.py
@@ -12,6 +12,7 @@
 COUNTS_AS_TOLD_US = 6_000_000  # PROTOCOL, Figures
 TOO_MUCH = 2 / 3  # of the work that felled a server came from who knew that it was cold
 FIGURES_AGE_US = 500_000  # DAYS: figures are half a second old at most
+ELSEWHERE_US = 10_000_000  # who has several addresses tries the next after 8 s at most, and asks 2 s at most
 WAKING_US = 300_000  # one that stood still reads what came meanwhile
 
 
@@ -82,10 +83,20 @@
     windows = _unheard(case, agent)
     windows += [w for w, _, _, _ in case.windows
                 if w.kind in ("lists", "reload") or (w.detail.get("of") == "discovery")]
+    windows += _at_followers(case)
     up = any(life.ready <= begin and life.ended > end and life.stop > end for life in case.lives[agent])
     return not up or any(w.meets(begin, end) for w in windows)
 
 
+def _at_followers(case: Case) -> list[Window]:
+    """While followers of the list service, it, or the way to it were struck, and until all have moved on."""
+    if not case.scenario.followers:
+        return []
+    return [Window(w.begin, w.end + ELSEWHERE_US, w.kind, w.number, w.detail)
+            for w, _, _, path in case.windows
+            if path == "leader" or w.detail.get("of") in ("discovery", "followers")]
+
+
 def _moved(case: Case) -> bool:
     """Whether agents were led to another address of discovery: then one list is not all there is."""
     return any(w.kind == "reload" for w, _, _, _ in case.windows)
--- a/faultlab/faultacts.py
+++ b/faultlab/faultacts.py
@@ -119,8 +119,11 @@
                                           else datagrams.Clear(act.number))
             return
         names = [f"s{j}" for j in act.servers]
-        await self._at_relays(act, relay.Shape(act.number, fault, names) if act.on
-                              else relay.Clear(act.number))
+        order = relay.Shape(act.number, fault, names) if act.on else relay.Clear(act.number)
+        if fault.path == "leader":
+            assert rig.leader_relay is not None  # the scenario was checked for it
+            return await rig.leader_relay.order(order)
+        await self._at_relays(act, order)
 
     async def _lie(self, act: Act, fault: faults.Lie) -> None:
         assert self._rig.datagrams is not None  # the scenario was checked for it
@@ -143,6 +146,9 @@
 
     def _struck(self, act: Act, of: str) -> list[Child]:
         rig = self._rig
+        if of == "followers":
+            assert isinstance(act.fault, faults.Pause | faults.Kill) and rig.list_service is not None
+            return [rig.list_service.followers[act.fault.follower]]
         if of == "agents":
             return [child for i in act.agents for child in rig.agents.up[i]]
         if of == "servers":
@@ -179,14 +185,24 @@
                     await rig.stop_server(j)
                     rig.later(rig.s.discovery.silent_notice_s, partial(self._gone, j))
         elif act.on:
-            self._discovery().kill()
-            await self._discovery_up(act, False)
+            self._struck(act, fault.of)[0].kill()
+            await self._discovery_up(fault, False)
         else:
-            await (rig.start_discovery(0) if rig.list_service is None else rig.list_service.start())
-            await self._discovery_up(act, True)
+            if rig.list_service is None:
+                await rig.start_discovery(0)
+            else:
+                await (rig.list_service.start_follower(fault.follower) if fault.of == "followers"
+                       else rig.list_service.start())
+            await self._discovery_up(fault, True)
 
-    async def _discovery_up(self, act: Act, up: bool) -> None:
-        await asyncio.gather(*(r.order(relay.Up("discovery", [], up)) for r in self._rig.relays))
+    async def _discovery_up(self, fault: faults.Kill, up: bool) -> None:
+        """Connections to it are refused from now on, or not any more."""
+        rig = self._rig
+        name = f"d{1 + fault.follower}" if fault.of == "followers" else "d0"
+        orders = [r.order(relay.Up("discovery", [name], up)) for r in rig.relays]
+        if rig.leader_relay is not None and fault.of == "discovery":
+            orders.append(rig.leader_relay.order(relay.Up("leader", [], up)))
+        await asyncio.gather(*orders)
 
     async def _descriptors(self, act: Act, fault: faults.Descriptors) -> None:
         for child in self._struck(act, "agents"):
--- a/faultlab/faults_schema.py
+++ b/faultlab/faults_schema.py
@@ -11,7 +11,7 @@
 
 from fleetsim.units import Count, NonNegative, Share
 
-Path = Literal["clients", "servers", "discovery", "peers"]
+Path = Literal["clients", "servers", "discovery", "peers", "leader"]  # leader: from followers to it
 Direction = Literal["both", "to", "from"]  # to: as requests go; from: as answers do
 
 
@@ -56,15 +56,17 @@
 class Pause(Fault, kw_only=True, tag="pause"):
     """SIGSTOP, and SIGCONT when the time is up."""
 
-    of: Literal["agents", "servers", "discovery"] = "agents"
+    of: Literal["agents", "servers", "discovery", "followers"] = "agents"
     servers: Share = 1.0
+    follower: Annotated[int, Meta(ge=0)] = 0  # which of them
 
 
 class Kill(Fault, kw_only=True, tag="kill"):
     """The process ends, and is started again when the time is up."""
 
-    of: Literal["agents", "servers", "discovery"] = "agents"
+    of: Literal["agents", "servers", "discovery", "followers"] = "agents"
     servers: Share = 1.0
+    follower: Annotated[int, Meta(ge=0)] = 0
     signal: Literal["KILL", "TERM"] = "KILL"
     keep: bool = False  # what it kept in $TMPDIR is there again
 
--- a/faultlab/listservice.py
+++ b/faultlab/listservice.py
@@ -31,20 +31,32 @@
         self._rig, self._at = rig, rig.block.discovery(0)
         self._writes = 0
         self.child: Child | None = None
+        self.followers: dict[int, Child] = {}
 
     async def start(self) -> None:
         """Returns once it answers."""
-        rig, life, began = self._rig, self._rig.life("d0"), now_us()
-        command = [sys.executable, "-m", "catalog", "serve", "--listen", self._at,
-                   "--data", str(rig.folder / "list")]
-        child = await rig.starter.start("d0", life, tethered(command), rig.folder / "logs" / "d0.log",
-                                        os.environ, HOME)
+        self.child = await self._start(0, ["serve", "--data", str(self._rig.folder / "list")])
+
+    async def start_follower(self, k: int) -> None:
+        """It has two sources, the leader and the other follower. Returns once it has a list."""
+        block = self._rig.block
+        sources = [block.leader(k)]
+        sources += [block.discovery(1 + other) for other in range(self._rig.s.followers) if other != k]
+        named = [word for source in sources for word in ("--source", source)]
+        self.followers[k] = await self._start(1 + k, ["follow", *named])
+
+    async def _start(self, k: int, command: list[str]) -> Child:
+        rig, name, began = self._rig, f"d{k}", now_us()
+        life, at = rig.life(name), rig.block.discovery(k)
+        whole = tethered([sys.executable, "-m", "catalog", *command, "--listen", at])
+        words = rig.folder / "logs" / f"{name}.log"
+        child = await rig.starter.start(name, life, whole, words, os.environ, HOME)
         rig.children.append(child)
-        rig.write(Begun(t=began, who="d0", life=life, pid=child.pid))
+        rig.write(Begun(t=began, who=name, life=life, pid=child.pid))
         rig.watch(child)
-        self.child = child
-        await self._until_yes("GET", "/_health", None, "")
-        rig.write(Ready(t=now_us(), who="d0", life=life, took_us=now_us() - began))
+        await self._until_yes("GET", "/_health", None, "", at)
+        rig.write(Ready(t=now_us(), who=name, life=life, took_us=now_us() - began))
+        return child
 
     async def put_all(self) -> None:
         """What serves at the start, in one batch."""
@@ -77,10 +89,13 @@
             await self._call("POST", f"{caller.member_path(f's{j}')}/renew", {}, "")
 
     async def note_what_is_kept(self) -> None:
-        """The list at the end, as the service gives it."""
-        doc = await self._until_yes("GET", PATH, None, "")
-        self._rig.write(Kept(t=now_us(), who="d0", revision=doc["revision"],
-                             members=[(m["id"], m["phase"]) for m in doc["members"]]))
+        """The list at the end, as the service and its followers give it."""
+        revision = 0
+        for k in range(1 + self._rig.s.followers):
+            doc = await self._until_yes("GET", PATH, None, "", self._rig.block.discovery(k), revision)
+            revision = doc["revision"]
+            self._rig.write(Kept(t=now_us(), who=f"d{k}", revision=revision,
+                                 members=[(m["id"], m["phase"]) for m in doc["members"]]))
 
     def _member(self, j: int) -> dict[str, Any]:
         entry = self._rig.entries[j]
@@ -96,21 +111,23 @@
         self._writes += 1
         return f"write-{self._writes}"
 
-    async def _until_yes(self, method: str, path: str, doc: object, key: str) -> dict[str, Any]:
-        """The same write until it is answered: its key makes that one write."""
+    async def _until_yes(self, method: str, path: str, doc: object, key: str, at: str = "",
+                         least: int = 0) -> dict[str, Any]:
+        """The same call until it is answered, from that revision on; its key makes that one write."""
         until = now_us() + int(WRITE_S * 1e6)
         while now_us() < until:
-            answer = await self._call(method, path, doc, key)
-            if answer is not None:
+            answer = await self._call(method, path, doc, key, at)
+            if answer is not None and answer.get("revision", 0) >= least:
                 return answer
             await asyncio.sleep(AGAIN_S)
-        raise Failed(f"d0: {method} {path} found no answer for {WRITE_S:g} s; see logs/d0.log")
+        raise Failed(f"{at or self._at}: {method} {path} found no answer for {WRITE_S:g} s; see logs/d0.log")
 
-    async def _call(self, method: str, path: str, doc: object, key: str) -> dict[str, Any] | None:
+    async def _call(self, method: str, path: str, doc: object, key: str,
+                    at: str = "") -> dict[str, Any] | None:
         """None where there is no yes."""
         headers = {"Idempotency-Key": key} if key else {}
         try:
-            body = await asyncio.to_thread(caller.call, self._at, method, path, doc, CALL_S, headers)
+            body = await asyncio.to_thread(caller.call, at or self._at, method, path, doc, CALL_S, headers)
         except caller.CallError:
             return None
         return msgspec.json.decode(body, type=dict[str, Any])
--- a/faultlab/rig.py
+++ b/faultlab/rig.py
@@ -95,6 +95,7 @@
         self.discoveries: list[PartChild] = []
         self.list_service: ListService | None = None
         self.relays: list[PartChild] = []
+        self.leader_relay: PartChild | None = None  # where the list service has followers
         self.datagrams: PartChild | None = None
         self.clients: list[PartChild] = []
         self.servers: dict[int, PartChild] = {}
@@ -268,6 +269,9 @@
             await self.list_service.start()
             await self.list_service.put_all()
             self.spawn(self.list_service.renew_all())
+            if self.s.followers:
+                await self._leader_relay()
+                await asyncio.gather(*(self.list_service.start_follower(k) for k in range(self.s.followers)))
         else:
             await self.start_discovery(0)
         if any(act.what == "reload" for act in self.acts):
@@ -300,8 +304,8 @@
     async def _relay(self, i: int) -> None:
         b = self.block
         routes = [relay.Route(path="clients", at=b.front(i), to=b.agent(i), source=b.caller(i))]
-        routes += [relay.Route(path="discovery", at=b.asks(i, k), to=b.discovery(k), source=b.caller(i))
-                   for k in (0, 1)]
+        routes += [relay.Route(path="discovery", server=f"d{k}", at=b.asks(i, k), to=b.discovery(k),
+                               source=b.caller(i)) for k in range(max(2, 1 + self.s.followers))]
         routes += [relay.Route(path="servers", server=f"s{j}", at=b.sees(i, j), to=b.server(j),
                                source=b.caller(i)) for j in range(len(self.plans))]
         part = await self.part(f"r{i}", "relay", lambda life: relay.RelayPart(
@@ -312,6 +316,14 @@
         if late:
             await part.order(relay.Up("servers", late, False))
 
+    async def _leader_relay(self) -> None:
+        """Between the list service and its followers."""
+        b = self.block
+        routes = [relay.Route(path="leader", at=b.leader(k), to=b.discovery(0), source=b.follower(k))
+                  for k in range(self.s.followers)]
+        self.leader_relay = await self.part("q0", "relay", lambda life: relay.RelayPart(
+            **self.common("q0"), routes=routes, seed=self.order.seed))
+
     async def _clients(self, i: int) -> PartChild:
         a = self.day.arrivals
         mine = (a.agent == i).nonzero()[0].tolist()
@@ -339,7 +351,7 @@
         if hasattr(self, "faults"):
             self.faults.undo_all()
         parts = [*self.clients, *self.relays, *self.servers.values(), *self.discoveries]
-        for part in [*parts, *([self.datagrams] if self.datagrams is not None else [])]:
+        for part in [*parts, *(one for one in (self.datagrams, self.leader_relay) if one is not None)]:
             part.child.signal(signal.SIGCONT)
             part.close()
         with contextlib.suppress(TimeoutError):
--- a/faultlab/scenario.py
+++ b/faultlab/scenario.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import cast
+from typing import Annotated, cast
 
 import msgspec
 
@@ -21,6 +21,7 @@
 
 class LabScenario(scenario.Scenario, frozen=True):
     list_service: bool = False  # the project's own serves the list; agents then reach servers without relays
+    followers: Annotated[int, msgspec.Meta(ge=0, le=2)] = 0  # of it; agents then ask these, in turned orders
     membership: bool = False  # the agents tell one another that they live; needs allow.peers
     fault: list[AnyFault] = msgspec.field(default_factory=list)
 
@@ -62,6 +63,14 @@
                                  for f in high.fault):
         raise ScenarioError(f"{name}: list_service: goes with no fault on the path to servers, nor of the "
                             "stand-in's lists; take those out")
+    if high.followers and not high.list_service:
+        raise ScenarioError(f"{name}: followers: need list_service = true; write that too")
+    for f in high.fault:
+        least = 1 if getattr(f, "path", "") == "leader" else 0
+        if getattr(f, "of", "") == "followers":
+            least = 1 + getattr(f, "follower", 0)
+        if least > high.followers:
+            raise ScenarioError(f"{name}: a fault at followers: needs followers = {least}; write that too")
     if high.membership and not high.allow.peers:
         raise ScenarioError(f"{name}: membership: needs allow.peers = true; write that too")
     if not high.membership and any(isinstance(f, Lie) for f in high.fault):
--- a/tests/test_catalog_replica_agent.py
+++ b/tests/test_catalog_replica_agent.py
@@ -105,14 +105,14 @@
         async with watching(1) as w:
             await w.tell(0, answer(50, "a"))
             await w.told_next()
+            heard = w.discovery.heard_at
             assert await w.tell(0, answer(40, "old")) == "?index=50&wait=20000&list=x"
             for _ in range(3):
                 assert await w.tell(0, answer(41, "old")) == ""
-            heard = w.discovery.heard_at
-            assert await w.tell(0, answer(49, "old")) == ""
-            assert await w.tell(0, answer(51, "b")) == ""
+            call = await w.call(0)
+            assert w.discovery.heard_at == heard  # what is not followed makes nothing younger
+            await call.answer(200, answer(51, "b"))
             assert await w.told_next() == (51, True, ["b"]) and w.told.empty()
-            assert heard is not None and w.discovery.heard_at is not None and w.discovery.heard_at > heard
 
     asyncio.run(run())
     assert len([r for r in caplog.records if "went back and is not followed" in r.message]) == 1
