--- a/catalog/replica.py
+++ b/catalog/replica.py
@@ -88,10 +88,6 @@
         self._replica = replica
         self._asked_s, self._age_s = 0.0, 0  # of the latest answer: when it was asked for, and what it says
 
-    def stop(self) -> None:
-        if self._watching is not None:
-            self._watching.cancel()
-
     def _behind(self, listing: Listing) -> bool:
         assert isinstance(listing, Heard)
         return super()._behind(listing) or self._replica.copy.disputed(listing)
--- a/faultlab/checkers/lists.py
+++ b/faultlab/checkers/lists.py
@@ -39,6 +39,7 @@
     found += _drains(case, views)
     found += _cold(case)
     found += _kept(case)
+    found += _followed(case)
     return found + _deaf(case)
 
 
@@ -240,5 +241,43 @@
     return found
 
 
+def _followed(case: Case) -> list[Breach]:
+    """What a reader has through followers is a state that was in force, never older than one it had."""
+    in_force = _in_force(case)
+    had: dict[str, tuple[str, int]] = {}
+    has: dict[str, dict[str, str]] = defaultdict(dict)
+    found = []
+    for e in case.events:
+        if not isinstance(e, h.Heard):
+            continue
+        identity, revision = had.get(e.who, ("", 0))
+        if e.identity == identity and e.revision < revision:
+            found.append(Breach("list", e.t, e.who, f"was told revision {e.revision} after {revision}"))
+        had[e.who] = e.identity, e.revision
+        state = has[e.who] = _laid_over({} if e.complete else has[e.who], e.members)
+        owed = in_force.get(e.revision, state)
+        if state != owed:
+            wrong = sorted(set(owed.items()) ^ set(state.items()))
+            found.append(Breach("list", e.t, e.who,
+                                f"has at {e.revision} what was not in force: {wrong[:3]}"))
+    return found
+
+
+def _in_force(case: Case) -> dict[int, dict[str, str]]:
+    """The states that are known, by their revisions: up to the first that somebody else, as a lease, made."""
+    listed = sorted((e for e in case.events if isinstance(e, h.Listed)), key=lambda e: e.revision)
+    states: dict[int, dict[str, str]] = {}
+    state: dict[str, str] = {}
+    for n, e in enumerate(listed):
+        if n and e.revision > listed[n - 1].revision + 1:
+            break
+        state = states[e.revision] = _laid_over(state, [(name, phase) for name, phase, _ in e.members])
+    return states
+
+
+def _laid_over(state: dict[str, str], changes: list[tuple[str, str]]) -> dict[str, str]:
+    return {name: phase for name, phase in (state | dict(changes)).items() if phase != "DELETED"}
+
+
 def _knew(case: Case, agent: str, server: str, started: int, t: int) -> bool:
     return any(told.t <= t and (server, "SERVING", started) in told.members for told in case.told[agent])
--- a/faultlab/history.py
+++ b/faultlab/history.py
@@ -168,6 +168,15 @@
     whole: bool = True
 
 
+class Heard(Event, kw_only=True, tag="heard"):
+    """A reader of the list service and its followers was told this: id and phase of each member."""
+
+    revision: int
+    identity: str
+    complete: bool
+    members: list[tuple[str, str]]
+
+
 class Kept(Event, kw_only=True, tag="kept"):
     """The whole list of the list service at the end: id and phase."""
 
@@ -218,8 +227,8 @@
 
 
 AnyEvent = (Begun | Ready | Ended | Stop | Fault | Asked | Answered | Unanswered | Resent | Got | Turned
-            | Gave | Left | Fell | Listed | Called | Told | Kept | Door | Health | Open | Logged | Late
-            | Usage)
+            | Gave | Left | Fell | Listed | Called | Told | Heard | Kept | Door | Health | Open | Logged
+            | Late | Usage)
 
 
 class HistoryError(Exception):
--- a/faultlab/rig.py
+++ b/faultlab/rig.py
@@ -30,6 +30,7 @@
 from .parts.part import NICE, punctual
 from .parts.server import unix_ms
 from .scenario import LabScenario, settle
+from .watchers import Watchers
 
 LEAD_S = 0.3  # from the last readiness to the first request
 END_S = 5.0  # a part that has not ended by then is killed
@@ -96,6 +97,7 @@
         self.list_service: ListService | None = None
         self.relays: list[PartChild] = []
         self.leader_relay: PartChild | None = None  # where the list service has followers
+        self.watchers: Watchers | None = None
         self.datagrams: PartChild | None = None
         self.clients: list[PartChild] = []
         self.servers: dict[int, PartChild] = {}
@@ -272,6 +274,8 @@
             if self.s.followers:
                 await self._leader_relay()
                 await asyncio.gather(*(self.list_service.start_follower(k) for k in range(self.s.followers)))
+                self.watchers = Watchers(self)
+                self.watchers.start()
         else:
             await self.start_discovery(0)
         if any(act.what == "reload" for act in self.acts):
@@ -348,6 +352,8 @@
     async def _end_all(self) -> None:
         for task in list(self._tasks):
             task.cancel()
+        if self.watchers is not None:
+            self.watchers.stop()
         if hasattr(self, "faults"):
             self.faults.undo_all()
         parts = [*self.clients, *self.relays, *self.servers.values(), *self.discoveries]
