--- a/catalog/cli.py
+++ b/catalog/cli.py
@@ -56,8 +56,9 @@
 
 @app.command()
 def follow(listen: Annotated[str, typer.Option(metavar="HOST:PORT")],
-           source: Annotated[list[str], typer.Option(metavar="HOST:PORT", help="The list service, or another "
-                                                     "follower; several are tried in turn.")]) -> None:
+           source: Annotated[list[str] | None, typer.Option(
+               metavar="HOST:PORT", help="The list service, or another follower; several are tried in turn."
+           )] = None) -> None:
     """Serve reads of another's list, on no disk, until SIGTERM or Ctrl-C.
 
     Example: python -m catalog follow --listen 127.0.0.2:8500 --source 127.0.0.1:8500
@@ -65,12 +66,14 @@
     _log_to_stderr()
     with plain_errors():
         address = _address("--listen", listen)
-        sources = tuple(_address("--source", text) for text in source)
-        if address in sources:
-            raise caller.CallError(f"--source {listen}: is its own address; name whom it is to follow")
+        sources = tuple(_address("--source", text) for text in source or ())
+        if not sources:
+            raise caller.CallError("--source: name whom it is to follow, HOST:PORT")
         for n, one in enumerate(sources):
+            if one == address:
+                raise caller.CallError(f"--source {listen}: is its own address; name whom it is to follow")
             if one in sources[:n]:
-                raise caller.CallError(f"--source {source[n]}: is named twice; name each once")
+                raise caller.CallError(f"--source {one.host}:{one.port}: is named twice; name each once")
         asyncio.run(_follow(address, sources))
 
 
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -30,9 +30,9 @@
 # Where there are several addresses: a call a second at most, and full jitter (Brooker 2015), so that agents
 # that were left together do not come back together.
 CALL_EVERY_S, ELSEWHERE_FIRST_S, ELSEWHERE_MOST_S = 1.0, 0.5, 8.0
-# An answer that says it is older than this (Age, RFC 9111) comes from a follower that does not hear the list's
-# leader: of two, one behind the other, the second tells 7 s at most. Another may be nearer, and is tried after
-# half to all of that again, by chance, so that a cut follower's readers do not leave it together.
+# An answer that says it is older than this (Age, RFC 9111) comes from a follower that does not hear the
+# leader: of two, one behind the other, the second tells 7 s at most. Another may be nearer, and is tried
+# after half to all of that again, by chance, so that a cut follower's readers do not leave it together.
 OLD_S = 10.0
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 
