--- a/faultlab/checkers/lists.py
+++ b/faultlab/checkers/lists.py
@@ -12,6 +12,7 @@
 COUNTS_AS_TOLD_US = 6_000_000  # PROTOCOL, Figures
 TOO_MUCH = 2 / 3  # of the work that felled a server came from who knew that it was cold
 FIGURES_AGE_US = 500_000  # DAYS: figures are half a second old at most
+ELSEWHERE_US = 10_000_000  # who has several addresses tries the next after 8 s at most, and asks 2 s at most
 WAKING_US = 300_000  # one that stood still reads what came meanwhile
 
 
@@ -38,6 +39,7 @@
     found += _drains(case, views)
     found += _cold(case)
     found += _kept(case)
+    found += _followed(case)
     return found + _deaf(case)
 
 
@@ -82,10 +84,20 @@
     windows = _unheard(case, agent)
     windows += [w for w, _, _, _ in case.windows
                 if w.kind in ("lists", "reload") or (w.detail.get("of") == "discovery")]
+    windows += _at_followers(case)
     up = any(life.ready <= begin and life.ended > end and life.stop > end for life in case.lives[agent])
     return not up or any(w.meets(begin, end) for w in windows)
 
 
+def _at_followers(case: Case) -> list[Window]:
+    """While followers of the list service, it, or the way to it were struck, and until all have moved on."""
+    if not case.scenario.followers:
+        return []
+    return [Window(w.begin, w.end + ELSEWHERE_US, w.kind, w.number, w.detail)
+            for w, _, _, path in case.windows
+            if path == "leader" or w.detail.get("of") in ("discovery", "followers")]
+
+
 def _moved(case: Case) -> bool:
     """Whether agents were led to another address of discovery: then one list is not all there is."""
     return any(w.kind == "reload" for w, _, _, _ in case.windows)
@@ -229,5 +241,43 @@
     return found
 
 
+def _followed(case: Case) -> list[Breach]:
+    """What a reader has through followers is a state that was in force, never older than one it had."""
+    in_force = _in_force(case)
+    had: dict[str, tuple[str, int]] = {}
+    has: dict[str, dict[str, str]] = defaultdict(dict)
+    found = []
+    for e in case.events:
+        if not isinstance(e, h.Heard):
+            continue
+        identity, revision = had.get(e.who, ("", 0))
+        if e.identity == identity and e.revision < revision:
+            found.append(Breach("list", e.t, e.who, f"was told revision {e.revision} after {revision}"))
+        had[e.who] = e.identity, e.revision
+        state = has[e.who] = _laid_over({} if e.complete else has[e.who], e.members)
+        owed = in_force.get(e.revision, state)
+        if state != owed:
+            wrong = sorted(set(owed.items()) ^ set(state.items()))
+            found.append(Breach("list", e.t, e.who,
+                                f"has at {e.revision} what was not in force: {wrong[:3]}"))
+    return found
+
+
+def _in_force(case: Case) -> dict[int, dict[str, str]]:
+    """The states that are known, by their revisions: up to the first that somebody else, as a lease, made."""
+    listed = sorted((e for e in case.events if isinstance(e, h.Listed)), key=lambda e: e.revision)
+    states: dict[int, dict[str, str]] = {}
+    state: dict[str, str] = {}
+    for n, e in enumerate(listed):
+        if n and e.revision > listed[n - 1].revision + 1:
+            break
+        state = states[e.revision] = _laid_over(state, [(name, phase) for name, phase, _ in e.members])
+    return states
+
+
+def _laid_over(state: dict[str, str], changes: list[tuple[str, str]]) -> dict[str, str]:
+    return {name: phase for name, phase in (state | dict(changes)).items() if phase != "DELETED"}
+
+
 def _knew(case: Case, agent: str, server: str, started: int, t: int) -> bool:
     return any(told.t <= t and (server, "SERVING", started) in told.members for told in case.told[agent])
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -13,7 +13,7 @@
 from brasshead.interface import Watch
 from brasshead.interface import Discovery as PushOrAsk
 from lilacsill.agent import FIRST_LIST_S
-from lilacsill.discovery import _Call
+from lilacsill.discovery import Call
 
 READY_S = 10.0  # the page's; 6 s where the day ends sooner
 AILING = ("refuses", "never comes up", "is silent", "is slow", "says 500")
@@ -28,7 +28,7 @@
         connect = loop.create_connection
 
         async def fails(factory: Any, *to: Any, **known: Any) -> Any:
-            if factory is not _Call:
+            if factory is not Call:
                 return await connect(factory, *to, **known)
             if ailing == "refuses":
                 raise ConnectionRefusedError("refused")
