--- a/fleetsim/dayfile.py
+++ b/fleetsim/dayfile.py
@@ -46,7 +46,7 @@
         "run": {"length_s": d["length"] / S, "tail_s": d["tail"] / S, "tick_ms": d["tick"] / MS},
         "fleet": {"servers": len(servers), "agents": len(agents), "zones": d["zones"]},
         "load": {"share": traffic["load"], "swing": traffic["burst_cv"],
-                 "swing_ms": traffic["burst_ms"] or 300.0, "keys": traffic["keys"],
+                 "swing_ms": traffic["burst_ms"] or 300.0, "keys": traffic["keys"] or 1,
                  "key_zipf": traffic["key_zipf"]},
         "network": {"same_ms": d["net"]["same"] / MS, "cross_ms": d["net"]["cross"] / MS,
                     "jitter": d["net"]["jitter"]},
@@ -74,7 +74,7 @@
                         "cap_per_core": tier["conn_cap_per_core"], "full_tax": tier["conn_full_tax"]},
         "probing": {"work_us": tier["probe_work"], "cap_per_core": tier["probe_cap_per_core"],
                     "deep": tier["probe_deep"], "timeout_ms": tier["probe_timeout"] / MS},
-        "cache": {"gain": fam["affinity_gain"], "seconds": fam["affinity_s"],
+        "cache": {"gain": fam["affinity_gain"] if traffic["keys"] else 0.0, "seconds": fam["affinity_s"],
                   "keys_per_core": fam["affinity_keys_per_core"]},
         "kind": [{
             "name": k["name"], "share": 1.0, "cores": k["cores"], "speed": 1.0,
--- a/fleetsim/scenario.py
+++ b/fleetsim/scenario.py
@@ -115,7 +115,8 @@
 
 
 class Report(Part, frozen=True):
-    fields: list[Literal["util", "inflight"]] = msgspec.field(default_factory=lambda: ["util", "inflight"])
+    fields: list[Literal["util", "inflight", "eps"]] = msgspec.field(
+        default_factory=lambda: ["util", "inflight"])
     period_ms: Positive = 900.0
     delay_ms: NonNegative = 240.0
     noise: NonNegative = 0.04
@@ -160,7 +161,7 @@
     pause_ms: NonNegative = 0.0
     pause_grow: NonNegative = 0.0  # a pause is this much longer when all slots are taken
     error_rate: Share = 0.0
-    cancel: Literal["queued", "all"] = "queued"
+    cancel: Literal["none", "queued", "all"] = "queued"  # of what is given up, what is not worked on
 
 
 class Class(Part, frozen=True):
--- a/fleetsim/servers.py
+++ b/fleetsim/servers.py
@@ -158,7 +158,8 @@
             _, util, held = self.samples.popleft()
             noise = self.day.report.noise
             values = {"util": util * (1 + noise * self.stream.normal()),
-                      "inflight": held * (1 + noise * self.stream.normal())}
+                      "inflight": held * (1 + noise * self.stream.normal()),
+                      "eps": 0.0}  # errors are rare here, and the decisions do not look at their rate
             self.report = tuple(max(0.0, values[f]) for f in self.day.report.fields)
         return self.report
 
@@ -251,7 +252,7 @@
         Returns the share of the job's work that was done or will be, 0 to 1.
         """
         self.book()
-        if job.place == WAITING:
+        if job.place == WAITING and self.kind.cancel != "none":
             job.place = OVER
             self.gone_waiting += 1
             self.held -= 1
--- a/tests/test_fleetsim_model.py
+++ b/tests/test_fleetsim_model.py
@@ -63,6 +63,16 @@
     assert one.held == 3
 
 
+def test_where_nothing_is_cancelled_withdrawn_work_is_done_all_the_same() -> None:
+    engine = Engine(1_000)
+    one = server(engine, day(slots_per_core=0.5, cancel="none"))
+    running, waiting, last = Job(10_000.0), Job(10_000.0), Job(10_000.0)
+    assert all(one.take(j, False) for j in (running, waiting, last))
+    assert one.withdraw(waiting) == one.withdraw(running) == 1.0 and one.held == 3
+    engine.run(1_000_000)
+    assert [j.ended_at for j in (running, waiting, last)] == pytest.approx([11_000, 21_000, 31_000], abs=2)
+
+
 def test_withdrawn_work_waits_no_more_and_runs_on_only_where_the_kind_says_so() -> None:
     for cancel, ends in (("queued", True), ("all", False)):
         engine = Engine(1_000)
