--- a/faultlab/cli.py
+++ b/faultlab/cli.py
@@ -20,6 +20,8 @@
 from .addresses import NoRoom
 from .children import Failed
 from .disk import DiskFault
+from .scale import runs
+from .scale.slopes import Run
 from .scenario import PACKAGE, calmed, load
 
 app = typer.Typer(no_args_is_help=True, pretty_exceptions_enable=False, rich_markup_mode=None,
@@ -28,7 +30,7 @@
 
 ERRORS = (ScenarioError, NoRoom, Failed, history.HistoryError, play.Occupied, DiskFault,
           report.ReportError, soaking.SoakError, shrinking.ShrinkError, loadtest.LoadError,
-          plants.PlantError)
+          plants.PlantError, runs.ScaleError)
 Seed = Annotated[int, typer.Option(min=0, help="Draws the day and its faults.")]
 Tree = Annotated[Path, typer.Option(help="The checkout whose agent is run, by its deploy/balancer.toml.")]
 Folder = Annotated[Path, typer.Argument(metavar="DIR", help="What `run -o` wrote.")]
@@ -227,6 +229,51 @@
             raise typer.Exit(130)
 
 
+@app.command()
+def scale(only: Annotated[list[str] | None, typer.Option(metavar="NAME", help="These measurements alone.")
+                          ] = None,
+          sizes: Annotated[str | None, typer.Option(metavar="N,N,...", help="Sizes of the fleet; "
+                                                    f"{runs.SIZES}, with --small {runs.SMALL_SIZES}.")] = None,
+          output: Annotated[Path | None, typer.Option("-o", help="Write the figures here, as JSON.")] = None,
+          check: Annotated[bool, typer.Option("--check", help="Say which lines of docs/CAPACITY.md no longer "
+                                              "follow from the figures; then the exit status is 1.")] = False,
+          small: Annotated[bool, typer.Option("--small", help="Shortened: tries the tool itself.")] = False,
+          from_: Annotated[Path | None, typer.Option("--from", metavar="JSON", help="Figures that -o wrote, "
+                                                     "instead of measuring.")] = None,
+          charts: Annotated[Path | None, typer.Option(metavar="DIR", help="Draw the charts there, as SVG.")
+                            ] = None) -> None:
+    """Scale tests: what each role costs by the size of the fleet, as slopes through what was measured.
+
+    Example: python -m faultlab scale -o scale.json --check
+    """
+    with plain_errors():
+        if from_ is not None and (only or sizes or small):
+            raise runs.ScaleError("--from: goes with none of --only, --sizes, --small; leave those out")
+        judge = runs.other("page", "check") if check else None
+        draw = runs.other("charts", "draw") if charts is not None else None
+        if from_ is not None:
+            result = runs.read(from_)
+            for found in result.measured:
+                for line in runs.lines(found):
+                    say(line)
+        else:
+            wanted = runs.sizes_of(sizes or (runs.SMALL_SIZES if small else runs.SIZES))
+            result = runs.measure(only or [], wanted, Run(say, small))
+        if output is not None:
+            runs.write(result, output)
+        if draw is not None:
+            draw(result.measured, charts)
+        broken = judge(result.measured) if judge is not None else []
+        for line in broken:
+            say(line)
+        for reason in result.late:
+            say(f"late: {reason}")
+        if result.late:
+            say("the tool itself was late: this run does not count")
+            raise typer.Exit(play.DOES_NOT_COUNT)
+        raise typer.Exit(play.BROKE if broken else play.HELD)
+
+
 def main() -> None:
     # SIGTERM ends it as Ctrl-C does, with nothing left behind, also where a shell started it in the
     # background and had it ignore SIGINT.
--- a/faultlab/scale/slopes.py
+++ b/faultlab/scale/slopes.py
@@ -68,6 +68,7 @@
     """What all measurements of one run share."""
 
     say: Callable[[str], None]
+    small: bool = False  # shortened as far as it goes: what is tried is the tool, its figures tell nothing
     late: list[str] = field(default_factory=list)  # why this run does not count: the tool itself was late
 
 
