--- a/faultlab/cli.py
+++ b/faultlab/cli.py
@@ -232,8 +232,8 @@
 @app.command()
 def scale(only: Annotated[list[str] | None, typer.Option(metavar="NAME", help="These measurements alone.")
                           ] = None,
-          sizes: Annotated[str | None, typer.Option(metavar="N,N,...", help="Sizes of the fleet; "
-                                                    f"{runs.SIZES}, with --small {runs.SMALL_SIZES}.")] = None,
+          sizes: Annotated[str | None, typer.Option(metavar="N,N,...", help="Sizes of the fleet, from "
+                                                    "small to large.", show_default=runs.SIZES)] = None,
           output: Annotated[Path | None, typer.Option("-o", help="Write the figures here, as JSON.")] = None,
           check: Annotated[bool, typer.Option("--check", help="Say which lines of docs/CAPACITY.md no longer "
                                               "follow from the figures; then the exit status is 1.")] = False,
--- a/faultlab/scale/fleet_steps.py
+++ b/faultlab/scale/fleet_steps.py
@@ -6,7 +6,9 @@
 import signal
 import statistics
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Coroutine, Sequence
+from functools import partial
+from typing import Any
 
 import msgspec
 import numpy as np
@@ -98,15 +100,16 @@
 
     async def all(self, longest: bool) -> dict[str, float]:
         lab, t = self.lab, self.times
-        for name, work in (("all connect", self.connect()), ("at rest", self.rest()),
-                           ("one member", self.one()), ("zone and region", self.many()),
-                           ("zone, one by one", self.one_by_one()), ("whole lists", self.storm()),
-                           ("restart", self.restart()),
-                           *([(f"paused {t.pause_s:g} s", self.pause())] if longest else []),
-                           ("region cut off", self.cut(t.longest_cut_s if longest else t.cut_s)),
-                           ("leases", self.leases())):
+        steps: list[tuple[str, Callable[[], Coroutine[Any, Any, None]]]] = [
+            ("all connect", self.connect), ("at rest", self.rest), ("one member", self.one),
+            ("zone and region", self.many), ("zone, one by one", self.one_by_one),
+            ("whole lists", self.storm), ("restart", self.restart),
+            *([(f"paused {t.pause_s:g} s", self.pause)] if longest else []),
+            ("region cut off", partial(self.cut, t.longest_cut_s if longest else t.cut_s)),
+            ("leases", self.leases)]
+        for name, work in steps:
             began = time.monotonic()
-            await work
+            await work()
             self.run.say(f"  {lab.size} agents: {name}: {time.monotonic() - began:.1f} s")
         self.values["tool_mb"] = resident_mb(os.getpid()) + sum(
             resident_mb(c.pid) for c in lab.children if c.alive)
