--- a/faultlab/scale/fleet_like_real.py
+++ b/faultlab/scale/fleet_like_real.py
@@ -21,6 +21,7 @@
 from .fleet_lab import Lab
 from .fleet_orders import Seen, Start
 from .fleet_steps import LIMIT_S, Times
+from .fleet_turns import LATE_MS
 from .slopes import Figure, Run
 
 READY_S, LOOK_S = 30.0, 0.02
@@ -173,7 +174,8 @@
             each[kind] += took
             lasts[kind].append(took[-1])
             sizes[kind].append(taps[kind].received / count)
-    run.late += lab.late("like real", [])
+    if lab.turns.lost_ms > LATE_MS:
+        run.late.append(f"like real: the taps were without a processor for {lab.turns.lost_ms:.0f} ms")
     busy_ms = lab.turns.busy_ms
     await lab.kill()
     await lab.serve()
