Scale tests: one turn for a change by its parts; rest counted over whole calls; agents start at once

Need: a change's cost grows with the list, and the run did not say where. In an ask-mode run of 40 s one call or two were seen, so that bytes at rest differed by two where nothing differed. Change: agent.change_turn_ms, agent.change_roster_ms and decisions.change_ms, in process; rest from one call to another. Garbage of the tool's own is kept out of what is measured in process.

--- a/faultlab/scale/agentcost.py
+++ b/faultlab/scale/agentcost.py
@@ -16,8 +16,8 @@
 from ..children import Starter
 from ..scenario import LabScenario
 from . import agentcost_process as process
-from .agentcost_decisions import Decided, Turn, decide, whole_list
-from .agentcost_lists import ListHost, listed
+from .agentcost_decisions import Decided, Turn, by_itself, decide, take_in
+from .agentcost_lists import ListHost, Traffic, listed
 from .slopes import Measured, Point, Run, Slope
 
 SERVICE = 16  # members of a service of the plan: the smallest size that is measured
@@ -30,14 +30,15 @@
 class Effort(msgspec.Struct, frozen=True):
     """How much is done for one figure."""
 
-    rest_s: float  # of idleness: ten watches of 4 s, or two of 20 s where changes are asked for
+    rest_s: float  # of idleness: some watches of 4 s, or two of 20 s where changes are asked for
     changes: int  # of which the median is taken
     repeats: int  # of a zone's changes in one answer, and of a whole list
     requests: int  # at the decisions
 
 
-FULL = Effort(40.0, 30, 7, 4000)
+FULL = Effort(44.0, 30, 7, 4000)
 LITTLE = Effort(0.3, 3, 2, 50)
+LOOK_S = 0.1
 
 
 class Cost(msgspec.Struct, frozen=True):
@@ -63,6 +64,14 @@
     whole: Cost
 
 
+class Alone(msgspec.Struct, frozen=True):
+    """What was measured in this process."""
+
+    whole: Turn
+    change: Turn
+    decided: Decided
+
+
 class Told:
     """An agent, the list that tells it, and what it has cost so far."""
 
@@ -134,22 +143,21 @@
     sizes, effort = with_service(sizes), effort_for(sizes)
     s = process.deployment()
     with tempfile.TemporaryDirectory(prefix="scale-agentcost-") as folder:
-        costs, turns, decided = asyncio.run(_all(Path(folder), sizes, s, effort, run))
-    return [*_slopes(costs["push"], ""), *_slopes(costs["ask"], "_ask"), *_turn_slopes(turns),
-            *_decision_slopes(decided)]
+        costs, alone = asyncio.run(_all(Path(folder), sizes, s, effort, run))
+    return [*_slopes(costs["push"], ""), *_slopes(costs["ask"], "_ask"), *_alone_slopes(alone)]
 
 
 async def _all(folder: Path, sizes: list[int], s: LabScenario, effort: Effort, run: Run
-               ) -> tuple[dict[Mode, dict[int, Costs]], dict[int, Turn], dict[int, Decided]]:
+               ) -> tuple[dict[Mode, dict[int, Costs]], dict[int, Alone]]:
     block, held = take_block()
     costs: dict[Mode, dict[int, Costs]] = {mode: {} for mode in MODES}
-    turns, decided = {}, {}
+    starter = Starter()
     try:
         async with AsyncExitStack() as stack:
-            told: dict[tuple[Mode, int], Told] = {}
-            for mode in MODES:
-                for n in sizes:
-                    told[mode, n] = await _one(stack, folder, block, s, mode, n, len(told))
+            which = [(mode, n) for mode in MODES for n in sizes]
+            told = dict(zip(which, await process.together(
+                _one(stack, starter, folder, block, s, mode, n, i) for i, (mode, n) in enumerate(which)),
+                strict=True))
             run.say(f"{len(told)} agents, {', '.join(map(str, sizes))} members each way; idle for "
                     f"{effort.rest_s:g} s")
             rests = await _rest(list(told.values()), effort.rest_s)
@@ -160,39 +168,65 @@
                     one_by_one=await one.one_by_one(), whole=await one.whole(effort.repeats))
                 run.say(f"{mode}, {n} members: {_told(costs[mode][n])}")
         # Nothing else runs now: what follows is of this process.
-        for n in sizes:
-            doc = process.document(s, "", "", told["push", n].host.known())
-            turns[n] = whole_list(doc, told["push", n].host.whole_answer(), effort.repeats)
-            decided[n] = decide(doc, effort.requests)
-            run.say(f"{n} members: one turn for the whole list {turns[n].all_ms:.2f} ms; decisions "
-                    f"{decided[n].mean_us:.0f} us a request, cutoffs {decided[n].rebuild_ms:.2f} ms")
+        alone = {n: _alone(s, told["push", n].host, effort) for n in sizes}
+        for n, found in alone.items():
+            run.say(f"{n} members: one turn for the whole list {found.whole.all_ms:.2f} ms, for a change "
+                    f"{found.change.all_ms:.2f} ms; decisions {found.decided.mean_us:.0f} us a request, "
+                    f"cutoffs {found.decided.rebuild_ms:.2f} ms")
     finally:
         held.close()
-    return costs, turns, decided
+    return costs, alone
+
 
+def _alone(s: LabScenario, host: ListHost, effort: Effort) -> Alone:
+    known = host.known()
+    doc = process.document(s, "", "", known)
+    changed = {**known["members"][0], "phase": "DRAINING"}
+    answer = msgspec.json.encode({"revision": known["revision"] + 1, "complete": False, "members": [changed]})
+    with by_itself():
+        return Alone(take_in(doc, host.whole_answer(), effort.repeats), take_in(doc, answer, effort.repeats),
+                     decide(doc, effort.requests))
 
-async def _one(stack: AsyncExitStack, folder: Path, block: Block, s: LabScenario, mode: Mode, n: int,
-               number: int) -> Told:
+
+async def _one(stack: AsyncExitStack, starter: Starter, folder: Path, block: Block, s: LabScenario,
+               mode: Mode, n: int, number: int) -> Told:
     zones, kind = tuple(s.fleet.zones), s.kind[0].name
     host = await stack.enter_async_context(listed(
         folder / f"list{number}", block.discovery(number), n, lambda i: members_at(block, i), zones, kind))
     doc = process.document(s, block.agent(number), host.address, host.known(), mode)
-    agent = await stack.enter_async_context(process.started(Starter(), folder, f"a{number}", doc))
+    agent = await stack.enter_async_context(process.started(starter, folder, f"a{number}", doc))
     await host.heard()
     return Told(agent, host)
 
 
 async def _rest(all_told: list[Told], seconds: float) -> list[Rest]:
     """All of them left alone at once: each but sleeps."""
-    before = [(t.agent.proc.cpu_ns(), t.host.traffic()) for t in all_told]
-    began = time.monotonic()
-    await asyncio.sleep(seconds)
-    rests = []
-    for one, (cpu, traffic) in zip(all_told, before, strict=True):
-        took, now = time.monotonic() - began, one.host.traffic()
-        both = now.received - traffic.received + now.sent - traffic.sent
-        rests.append(Rest((one.agent.proc.cpu_ns() - cpu) / 1e9 / took, both / took))
-    return rests
+    marks = [[_mark(told)] for told in all_told]
+    until = time.monotonic() + seconds
+    while (left := until - time.monotonic()) > 0:
+        await asyncio.sleep(min(LOOK_S, left))
+        for told, seen in zip(all_told, marks, strict=True):
+            if told.host.traffic() != seen[-1].traffic:
+                seen.append(_mark(told))
+    return [_between(seen, _mark(told)) for told, seen in zip(all_told, marks, strict=True)]
+
+
+class Mark(msgspec.Struct, frozen=True):
+    at: float
+    cpu_ns: int
+    traffic: Traffic
+
+
+def _mark(told: Told) -> Mark:
+    return Mark(time.monotonic(), told.agent.proc.cpu_ns(), told.host.traffic())
+
+
+def _between(seen: list[Mark], end: Mark) -> Rest:
+    """From one call to another, a whole number of them; where none or one was seen, over all the time."""
+    first, last = (seen[1], seen[-1]) if len(seen) > 2 else (seen[0], end)
+    took, before, now = last.at - first.at, first.traffic, last.traffic
+    both = now.received - before.received + now.sent - before.sent
+    return Rest((last.cpu_ns - first.cpu_ns) / 1e9 / took, both / took)
 
 
 def _told(c: Costs) -> str:
@@ -226,26 +260,26 @@
     ]
 
 
-def _turn_slopes(turns: dict[int, Turn]) -> list[Slope]:
-    def of(name: str, value: Any, note: str) -> Slope:
-        return _slope(name, "ms", {n: value(t) for n, t in turns.items()}, note)
-
-    return [
-        of("agent.longest_turn_ms", lambda t: t.all_ms, "of a whole list: the next five, in one turn"),
-        of("agent.turn_json_ms", lambda t: t.json_ms, "json.loads"),
-        of("agent.turn_parser_ms", lambda t: t.parser_ms, "ListingParser.parse"),
-        of("agent.turn_roster_ms", lambda t: t.roster_ms, "Roster.told"),
-        of("agent.turn_backends_ms", lambda t: t.backends_ms, "Backends.told"),
-        of("decisions.whole_list_ms", lambda t: t.balancer_ms, "Balancer.handle(BackendsChanged)"),
-    ]
-
-
-def _decision_slopes(decided: dict[int, Decided]) -> list[Slope]:
+def _alone_slopes(alone: dict[int, Alone]) -> list[Slope]:
+    """Processor time in this process, where nothing else is in it."""
     def of(name: str, unit: str, value: Any, note: str) -> Slope:
-        return _slope(f"decisions.{name}", unit, {n: value(d) for n, d in decided.items()}, note)
+        return _slope(name, unit, {n: value(a) for n, a in alone.items()}, note)
 
+    turn = "one turn for a whole list: "
+    change = "one turn for a change: "
     return [
-        of("request_us", "us", lambda d: d.mean_us, "the mean; its share of rebuilding the cutoffs included"),
-        of("request_between_us", "us", lambda d: d.between_us, "the median: the cutoffs as they are"),
-        of("rebuild_ms", "ms", lambda d: d.rebuild_ms, "Balancer._index, in one turn, every n/4 picks"),
+        of("agent.longest_turn_ms", "ms", lambda a: a.whole.all_ms, turn + "the next five"),
+        of("agent.turn_json_ms", "ms", lambda a: a.whole.json_ms, turn + "json.loads"),
+        of("agent.turn_parser_ms", "ms", lambda a: a.whole.parser_ms, turn + "ListingParser.parse"),
+        of("agent.turn_roster_ms", "ms", lambda a: a.whole.roster_ms, turn + "Roster.told"),
+        of("agent.turn_backends_ms", "ms", lambda a: a.whole.backends_ms, turn + "Backends.told"),
+        of("decisions.whole_list_ms", "ms", lambda a: a.whole.balancer_ms, turn + "Balancer.handle"),
+        of("agent.change_turn_ms", "ms", lambda a: a.change.all_ms, change + "the next two, and little else"),
+        of("agent.change_roster_ms", "ms", lambda a: a.change.roster_ms, change + "Roster.told"),
+        of("decisions.change_ms", "ms", lambda a: a.change.balancer_ms, change + "Balancer.handle"),
+        of("decisions.request_us", "us", lambda a: a.decided.mean_us, "the mean, rebuilt cutoffs included"),
+        of("decisions.request_between_us", "us", lambda a: a.decided.between_us,
+           "the median: the cutoffs as they are"),
+        of("decisions.rebuild_ms", "ms", lambda a: a.decided.rebuild_ms,
+           "Balancer._index in one turn, every n/4 picks and after each change"),
     ]
--- a/faultlab/scale/agentcost_decisions.py
+++ b/faultlab/scale/agentcost_decisions.py
@@ -4,7 +4,8 @@
 import gc
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 from random import Random
 from statistics import median
@@ -26,7 +27,7 @@
 
 
 class Turn(msgspec.Struct, frozen=True):
-    """What one turn of the loop does with an answer that holds the whole list, ms."""
+    """What one turn of the loop does with an answer of the list service, ms of processor."""
 
     json_ms: float
     parser_ms: float
@@ -62,16 +63,26 @@
     return ListingParser(Clock(), tuple(facts["localities"]), tuple(facts["skus"]))
 
 
-def whole_list(doc: dict[str, Any], answer: bytes, times: int) -> Turn:
-    """The median of so many, each taken in by a fresh agent's parts that know the list already, as in service
-    when it is told again."""
+@contextmanager
+def by_itself() -> Iterator[None]:
+    """What else this process holds costs nothing when garbage is collected."""
+    gc.collect()
+    gc.freeze()
+    try:
+        yield
+    finally:
+        gc.unfreeze()
+
+
+def take_in(doc: dict[str, Any], answer: bytes, times: int) -> Turn:
+    """The median of so many, each taken in by a fresh agent's parts that know the list of `doc` already."""
     parser, settings = parser_of(doc), settings_of(doc)
     turns = []
     for _ in range(times):
         clock = Clock()
         balancer, roster = Balancer(settings, 1), Roster()
         backends = Backends(clock, settings.report_fields, 250_000, 3_000_000, 100, lambda: None)
-        known = parser.parse(json.loads(answer))
+        known = parser.parse(doc["known"])
         balancer.handle(clock.now(), q.BackendsChanged(q.ListKind.CACHED, backends.told(roster.told(known))))
         turns.append(_turn(parser, balancer, roster, backends, answer, clock.now()))
     return Turn(*(median(values) for values in zip(*map(msgspec.structs.astuple, turns), strict=True)))
@@ -84,7 +95,8 @@
     assert isinstance(listing, Listing)
     roster_ms, overlaid = _ms(lambda: roster.told(listing))
     backends_ms, entries = _ms(lambda: backends.told(overlaid))
-    balancer_ms, _ = _ms(lambda: balancer.handle(now, q.BackendsChanged(q.ListKind.FULL, entries)))
+    kind = q.ListKind.FULL if listing.complete else q.ListKind.DELTA
+    balancer_ms, _ = _ms(lambda: balancer.handle(now, q.BackendsChanged(kind, entries)))
     return Turn(json_ms, parser_ms, roster_ms, backends_ms, balancer_ms)
 
 
@@ -99,7 +111,6 @@
     report = tuple(1.0 for _ in settings.report_fields)
     count = max(least, REBUILDS * (len(members) // REINDEX + 1))
     times: list[int] = []
-    gc.collect()
     for number in range(1, 2 * count + 1):  # the first half is so that every part has something to know
         took = _one(balancer, now, number, index, settings.classes[index].deadline_us, report)
         if number > count:
--- a/faultlab/scale/agentcost_process.py
+++ b/faultlab/scale/agentcost_process.py
@@ -6,20 +6,19 @@
 import os
 import resource
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine, Iterable
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from .. import agent_config, door
-from ..addresses import split
 from ..children import HOME, Child, Failed, Starter, tethered
 from ..scenario import LabScenario, load, settle
 
 SCENARIO = "steady"  # whose classes, limits and windows the agents are told
 SEED = 1
 READY_S, LOOK_S = 20.0, 0.01
-END_S = 5.0
+T = TypeVar("T")
 
 
 class Proc:
@@ -58,28 +57,19 @@
 
 
 @asynccontextmanager
-async def started(starter: Starter, folder: Path, name: str, doc: Any,
-                  profile: Path | None = None) -> AsyncIterator[Agent]:
-    """It serves within the block and is gone after it. With a profile, its functions are timed (cProfile) and
-    it is ended in order, or they would not be written down. Raises Failed.
-    """
+async def started(starter: Starter, folder: Path, name: str, doc: Any) -> AsyncIterator[Agent]:
+    """It serves within the block and is gone after it. Raises Failed."""
     home = folder / name
     home.mkdir()
     (home / "config.json").write_text(json.dumps(doc))
     env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
     env |= {"RELAY_CONFIG": str(home / "config.json"), "TMPDIR": str(home)}
-    watched = ["-m", "cProfile", "-o", str(profile)] if profile is not None else []
-    child = await starter.start(name, 0, tethered([sys.executable, *watched, "-m", "lilacsill"]),
-                                home / "log", env, HOME)
+    command = tethered([sys.executable, "-m", "lilacsill"])
+    child = await starter.start(name, 0, command, home / "log", env, HOME)
     try:
         await _ready(child, doc["listen"])
         yield Agent(child, doc["listen"])
     finally:
-        if profile is not None:
-            child.asked = True
-            child.process.terminate()
-            async with asyncio.timeout(END_S):
-                await child.process.wait()
         await ended(child)
 
 
@@ -100,6 +90,11 @@
     await child.process.wait()
 
 
-def host_and_port(address: str) -> list[Any]:
-    """In JSON's terms, for the plans of parts."""
-    return list(split(address))
+async def together(works: Iterable[Coroutine[Any, Any, T]]) -> list[T]:
+    """All at once, as each takes long to start. The first failure ends them all, and is what is raised."""
+    try:
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(work) for work in works]
+    except BaseExceptionGroup as e:
+        raise e.exceptions[0] from None
+    return [task.result() for task in tasks]
--- a/faultlab/scale/deep.py
+++ b/faultlab/scale/deep.py
@@ -74,8 +74,8 @@
                 levels=[[split(p) for p in places] for places in levels],
                 agents=[split(block.agent(depth)) for depth in range(most)],
                 report=list(s.report.fields), request=onward))
-            for depth, places in enumerate(levels):
-                await _agent(stack, starter, folder, s, block, depth, places)
+            await process.together(_agent(stack, starter, folder, s, block, depth, places)
+                                   for depth, places in enumerate(levels))
             client = await stack.enter_async_context(part(starter, folder, "client"))
             found = {}
             for depth in effort.depths:
--- a/faultlab/scale/latency.py
+++ b/faultlab/scale/latency.py
@@ -146,10 +146,9 @@
             client = await stack.enter_async_context(part(starter, folder, "client"))
             direct = Target(places=[split(p) for p in places[:DIRECT]], request=head, name="direct")
             field = Field(client, standin, direct, run)
-            agents = {}
-            for i, n in enumerate(sizes):
-                agents[n] = await _agent(stack, starter, folder, s, block.agent(i), block.discovery(i),
-                                         places[:n])
+            agents = dict(zip(sizes, await process.together(
+                _agent(stack, starter, folder, s, block.agent(i), block.discovery(i), places[:n])
+                for i, n in enumerate(sizes)), strict=True))
             shared = Tally()
             low = {n: Way(agent, head, shared) for n, agent in agents.items()}
             await field.alternate(list(low.values()), RATE, plan.low)
--- a/tests/test_scale_agent.py
+++ b/tests/test_scale_agent.py
@@ -13,6 +13,7 @@
 import pytest
 
 from faultlab.scale import agentcost, deep, latency
+from faultlab.scale.agentcost_lists import Traffic
 from faultlab.scale.latency_client import LATE_NS, LEAD_NS, Arrival, Block, Client, Taken, Target
 from faultlab.scale.latency_parts import Tally, arrivals, judge
 from faultlab.scale.latency_standin import whole_message
@@ -79,7 +80,8 @@
     for name, unit in wanted.items():
         assert units[f"agent.{name}"] == units[f"agent.{name}_ask"] == unit
     turns = ("agent.longest_turn_ms", "agent.turn_json_ms", "agent.turn_parser_ms", "agent.turn_roster_ms",
-             "agent.turn_backends_ms", "decisions.whole_list_ms", "decisions.rebuild_ms")
+             "agent.turn_backends_ms", "decisions.whole_list_ms", "agent.change_turn_ms",
+             "agent.change_roster_ms", "decisions.change_ms", "decisions.rebuild_ms")
     assert all(units[name] == "ms" for name in turns)
     assert units["decisions.request_us"] == units["decisions.request_between_us"] == "us"
     assert _sizes(found, "members") == {(agentcost.SERVICE, *SIZES)}
@@ -112,6 +114,16 @@
     assert not any("failed" in line and " 0 failed" not in line for line in said), said
 
 
+def test_rest_is_counted_over_whole_calls() -> None:
+    """Two calls of 200 bytes in the 40 s after the first; what was seen before it and after is of none."""
+    def mark(at: float, count: int) -> agentcost.Mark:
+        return agentcost.Mark(at, count * 1_000_000, Traffic(150 * count, 50 * count))
+
+    seen = [mark(0.0, 0), mark(3.0, 1), mark(23.0, 2), mark(43.0, 3)]
+    assert agentcost._between(seen, mark(44.0, 3)) == agentcost.Rest(2e-3 / 40, 400 / 40)
+    assert agentcost._between(seen[:1], mark(4.0, 0)) == agentcost.Rest(0.0, 0.0)
+
+
 def test_arrivals_are_drawn_ahead_and_the_same_each_time() -> None:
     drawn = arrivals(Random(7), [(0, 100.0), (1, 50.0)], 10.0)
     assert drawn == arrivals(Random(7), [(0, 100.0), (1, 50.0)], 10.0)
