Capacity page: nothing is read below the smallest size; what is exceeded comes first

Need: a slope that bends gave two figures on either side of its smallest point, seen as a step in the chart. Change: plan.read refuses sizes below the smallest; the tables put what is exceeded first.

--- a/faultlab/scale/charts.py
+++ b/faultlab/scale/charts.py
@@ -46,7 +46,8 @@
     axes.axhline(1.0, color="black", lw=0.8)
     for size, word in ((plan.TODAY, "today"), (plan.SERVERS, "plan")):
         axes.axvline(size, color="grey", lw=0.8, ls=":")
-        axes.text(size, 0.02, f" {word}, {size:,}", transform=axes.get_xaxis_transform(), color="grey")
+        axes.text(size, 0.02, f"{word}, {size:,} ", transform=axes.get_xaxis_transform(), color="grey",
+                  ha="right")
     axes.set(xscale="log", yscale="log", xlim=(10, 2 * plan.SERVERS), xlabel="servers, each with its agent",
              ylabel="figure / the plan's limit", title="Beyond 1 a line of the plan is exceeded")
     _legend(axes)
--- a/faultlab/scale/page.py
+++ b/faultlab/scale/page.py
@@ -122,7 +122,7 @@
     cells = [cell.strip() for cell in row.strip().strip("|").split("|")]
     if len(cells) != COLUMNS:
         raise PageError(f"has {len(cells)} columns and not {COLUMNS}")
-    figure, unit, verdict, breaks, allowed = cells[2], cells[3], *cells[6:9]
+    figure, unit, verdict, breaks, allowed = cells[3], cells[4], *cells[6:9]
     if figure in (NOT_KNOWN, NOT_MEASURED):
         return Said(None, unit, verdict, breaks, allowed)
     if figure == NO_BOUND:
--- a/faultlab/scale/plan.py
+++ b/faultlab/scale/plan.py
@@ -84,7 +84,7 @@
     """The value at a size, and how far beyond what was measured that is: 1 within.
 
     Within the range between its neighbours' values. Beyond it along the line through all points, where they
-    lie on one, and FARTHEST at most. Raises NotKnown.
+    lie on one, and FARTHEST at most; below it nothing is known. Raises NotKnown.
     """
     points = sorted(slope.points, key=lambda p: p.size)
     if not points:
@@ -97,6 +97,8 @@
         above = next(i for i, p in enumerate(points) if p.size > size)
         a, b = points[above - 1], points[above]
         return a.value + (b.value - a.value) * (size - a.size) / (b.size - a.size), 1.0
+    if size < least.size:
+        raise NotKnown(f"{slope.name}: measured from {least.size}")
     if least.size == most.size:
         raise NotKnown(f"{slope.name}: measured at {most.size} alone")
     fit = _fit(slope)
@@ -104,7 +106,7 @@
         raise NotKnown(f"{slope.name} bends, {least.size} to {most.size} measured")
     if size > FARTHEST * most.size:
         raise NotKnown(f"{slope.name}: measured to {most.size}")
-    return fit.base + fit.each * size, max(1.0, size / most.size)
+    return fit.base + fit.each * size, size / most.size
 
 
 @lru_cache(maxsize=256)
--- a/faultlab/scale/tables.py
+++ b/faultlab/scale/tables.py
@@ -11,7 +11,7 @@
 
 Known = dict[str, Measured]
 
-HEAD = ("| key | what | figure | unit | limit | ratio | verdict | breaks at | tolerance | worked out as "
+HEAD = ("| key | what | limit | figure | unit | ratio | verdict | breaks at | tolerance | worked out as "
         "| from |")
 COLUMNS = HEAD.count("|") - 1
 SLOPE_HEAD = "| slope | unit | per | points | line | off the line | measured | to the plan |"
@@ -71,14 +71,22 @@
     if line.limit is not None:
         limit, breaks = number(line.limit, line.unit), breaks_at(line, known)
         ratio = "-" if w.ratio in (None, plan.NO_BOUND) else f"{w.ratio:.2g}"
-    cells = (f"`{line.key}`", line.what, figure, line.unit, limit, ratio, w.verdict, breaks, tolerance(line),
+    cells = (f"`{line.key}`", line.what, limit, figure, line.unit, ratio, w.verdict, breaks, tolerance(line),
              line.words, source)
     return "| " + " | ".join(cells) + " |\n"
 
 
+def _rank(w: Worked) -> tuple[int, float]:
+    """First what is exceeded, then what is not known, then what holds; without limits as it is written."""
+    if w.line.limit is None:
+        return 0, 0.0
+    return (1, 0.0) if w.ratio is None else (0 if w.ratio > 1 else 2, -w.ratio)
+
+
 def _lines(wanted: Callable[[Line], bool]) -> Callable[[Known], str]:
     def made(known: Known) -> str:
-        rows = "".join(_row(worked(line, known), known) for line in LINES if wanted(line))
+        found = sorted((worked(line, known) for line in LINES if wanted(line)), key=_rank)
+        rows = "".join(_row(w, known) for w in found)
         return f"{HEAD}\n{'| --- ' * COLUMNS}|\n{rows}"
     return made
 
--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -188,6 +188,8 @@
     straight = slope("s", 1, 2, (10, 20, 30))
     value, factor = read(straight, 60)
     assert value == pytest.approx(121) and factor == 2.0
+    with pytest.raises(NotKnown, match="s: measured from 10"):
+        read(straight, 9)
     with pytest.raises(NotKnown, match="s: measured to 30"):
         read(straight, 151)
     with pytest.raises(NotKnown, match="s: measured at 10 alone"):
@@ -210,7 +212,8 @@
         return Line("k", "call", "", "`s`", "s", lambda a: a("s"), limit)
 
     assert 1000 < float(breaks_at(line(1000), known).replace(",", "")) < 1000 * plan.STEP ** 2
-    assert breaks_at(line(0.5), known) == "any"
+    assert breaks_at(line(0.5), known) == "under 16"
+    assert breaks_at(Line("k", "call", "", "", "s", lambda a: plan.NO_BOUND, 1.0), {}) == "any"
     assert breaks_at(line(1e9), known).startswith("over 6,")
     assert breaks_at(line(1), {}) == "not known"
 
