--- a/faultlab/scale/lines.py
+++ b/faultlab/scale/lines.py
@@ -20,9 +20,9 @@
     return Line(key, role, what, words, unit, lambda a: a(slope) / over, limit)
 
 
-def told(key: str, what: str, slope: str) -> Line:
+def told(key: str, what: str, slope: str, role: Role = "list") -> Line:
     """Until all who must know do."""
-    return plain(key, "list", what, slope, S, plan.IN_FORCE_S, 1000)
+    return plain(key, role, what, slope, S, plan.IN_FORCE_S, 1000)
 
 
 def rest(a: At) -> float:
@@ -46,6 +46,11 @@
                 plan.CONTROL_BYTES_S)
 
 
+def by_all(a: At, share: str, seconds: float) -> float:
+    """How long, where all had it in the time that they were given."""
+    return seconds if a(share) == 1 else plan.NO_BOUND
+
+
 CALL = (
     plain("call.added_p99", "call", "added to a call, 99 in 100, with a list of all",
           "call.added_p99_ms_42", "ms",
@@ -107,9 +112,12 @@
          "fleet.one_last_worst_ms") / 1000,
          plan.IN_FORCE_S),
     told("list.joined", "a region joined again, until all of it are current", "fleet.joined_last_ms"),
-    Line("list.machine_gone", "list", "its machine gone, until changes are in force again",
+    Line("list.machine_gone", "list", "its machine gone, until changes are taken again",
          "nothing starts it elsewhere: an operator restores a backup there", S, lambda a: plan.NO_BOUND,
          plan.IN_FORCE_S),
+    Line("list.gone_readers", "list", "its machine gone: until all agents that ask anew have the list",
+         "13, no bound where `replicas.before_share` is under 1", S,
+         lambda a: by_all(a, "replicas.before_share", plan.IN_FORCE_S), plan.IN_FORCE_S),
     Line("list.machine_days", "list", "between two failures or restarts of the one machine that it is on",
          "3,100 / (11 + 240)", "days", lambda a: plan.SERVERS / (plan.FAILED_DAY + plan.RESTARTED_DAY)),
     Line("list.calls_rest", "list", "watches begun again, nothing going on", f"n / {PUSH_WAIT_MS / 1000:g} s",
@@ -134,6 +142,26 @@
          lambda a: TTL_S + LEASE_TURN_S + a("fleet.zone_single_last_ms") / 1000),
 )
 
+FOLLOWER = (
+    Line("follower.gone_readers", "follower", "the same with followers, the service's machine still gone",
+         "`replicas.after_last_ms` / 1,000, no bound where `replicas.after_share` is under 1", S,
+         lambda a: by_all(a, "replicas.after_share", a("replicas.after_last_ms") / 1000), plan.IN_FORCE_S),
+    Line("follower.last_change", "follower", "a change, the service killed right after its yes",
+         "13, no bound where `replicas.last_change_share` is under 1", S,
+         lambda a: by_all(a, "replicas.last_change_share", plan.IN_FORCE_S), plan.IN_FORCE_S),
+    told("follower.one", "a change, until the last agent at a follower has it", "replicas.one_last_ms",
+         "follower"),
+    told("follower.back", "the service back, a change, until the last agent has it", "replicas.back_last_ms",
+         "follower"),
+    Line("follower.machines", "follower", "the list service, and a follower in each zone", "1 + 12", "machines",
+         lambda a: 1 + plan.ZONES, plan.CONTROL_MACHINES),
+    plain("follower.memory", "follower", "with a region's agents watching", "replicas.follower_mb", "MB"),
+    plain("follower.cores", "follower", "nothing going on, a region's agents watching",
+          "replicas.follower_cores", SHARE),
+    plain("follower.leader_cores", "follower", "the list service, nothing going on, followers alone watching",
+          "replicas.leader_cores", SHARE),
+)
+
 MEMBERSHIP = (
     plain("membership.bytes_rest", "membership", "sent by one member at rest", "membership.rest_bytes_s",
           BYTES_S,
@@ -149,4 +177,4 @@
           "membership.zone_death_share_13s", "of 1"),
 )
 
-LINES: tuple[Line, ...] = (*CALL, *CONTROL, *LIST, *MEMBERSHIP)
+LINES: tuple[Line, ...] = (*CALL, *CONTROL, *LIST, *FOLLOWER, *MEMBERSHIP)
--- a/faultlab/scale/membership.py
+++ b/faultlab/scale/membership.py
@@ -19,7 +19,7 @@
 SETTLE, REST = 4.0, 20.0  # periods before and while bytes at rest are counted
 KNOWN = 0.99  # of the pairs of one who lives and one who died
 YARDSTICK_S = 13.0  # the plan's time for changes of configuration; it has none for deaths
-WALL_S = 50.0  # after so long by this machine's clock no further step is begun
+WALL_S = 40.0  # after so long by this machine's clock no further step is begun
 STEP = 1.0  # periods between two looks
 
 
--- a/faultlab/scale/tables.py
+++ b/faultlab/scale/tables.py
@@ -19,7 +19,7 @@
 NOT_KNOWN, NOT_MEASURED = "not known", "not measured"
 NO_BOUND = "no bound"
 # By how much a later run may differ. Bytes are counted; times and processor are a machine's.
-SHARES = {"bytes/s": 0.05, "kB": 0.05, "calls/s": 0.005, "days": 0.005, "MB": 0.15}
+SHARES = {"bytes/s": 0.05, "kB": 0.05, "calls/s": 0.005, "days": 0.005, "machines": 0.005, "MB": 0.15}
 TIMES = 2.0
 
 
