--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -144,6 +144,27 @@
     assert len(said) == 1 and said[0].endswith(expected)
 
 
+def test_a_size_at_which_a_line_breaks_that_has_moved_is_said(tmp_path: Path) -> None:
+    path, steep = tmp_path / "CAPACITY.md", slope("agent.memory_mb", 2, 0.05)
+    measured = [steep if m.name == steep.name else m for m in figures()]
+    path.write_text(page.fill(page.PAGE.read_text(encoding="utf-8"), measured), encoding="utf-8")
+    breaks = breaks_at(next(line for line in LINES if line.key == "agent.memory"), by_name(measured))
+    assert 1_200 < float(breaks.replace(",", "")) < 1_300 and page.check(measured, path) == []
+    row = row_of(path, "agent.memory")
+    edited(path, row, row.replace(f"| {breaks} |", "| 300 |"))
+    assert page.check(measured, path) == [
+        f"agent.memory: the page says that it breaks at 300 servers; {breaks} follows now"]
+
+
+def test_what_has_no_bound_is_said_so(filled: Path) -> None:
+    assert "| 13 | no bound | s | - | **exceeded** | any |" in row_of(filled, "list.machine_gone")
+    all_had_it, some = slope("replicas.after_share", 1, 0), slope("replicas.after_share", 0.9, 0)
+    line = next(line for line in LINES if line.key == "follower.gone_readers")
+    last = slope("replicas.after_last_ms", 500, 0)
+    assert worked(line, by_name([all_had_it, last])).value == 0.5
+    assert worked(line, by_name([some, last])).value == plan.NO_BOUND
+
+
 def test_a_figure_in_the_text_is_the_tables(filled: Path) -> None:
     mark = "<!--=list.one-->"
     said = page.check(figures(), edited(filled, mark, f"<!--=list.zoo-->1 s<!--/--> {mark}"))
