Capacity page: the sizes at which lines break stand in the text, and are checked there

Need: what is missing first is named by those sizes; in the text they were left to the reader to look up. Change: a mark for them; a yardstick where the plan has no limit (deaths in membership).

--- a/faultlab/scale/lines.py
+++ b/faultlab/scale/lines.py
@@ -170,9 +170,10 @@
           plan.CONTROL_MB),
     plain("membership.processor", "membership", "one member at rest, without its sockets",
           "membership.idle_share", SHARE, plan.CONTROL_CORE),
-    plain("membership.one_death", "membership", "until 99% know of one death", "membership.one_death_s", S),
-    plain("membership.zone_death", "membership", "until 99% of pairs know of a zone's deaths",
-          "membership.zone_death_s", S),
+    Line("membership.one_death", "membership", "until 99% know of one death; breaks by 13 s",
+         "`membership.one_death_s`", S, lambda a: a("membership.one_death_s"), yardstick=plan.IN_FORCE_S),
+    Line("membership.zone_death", "membership", "until 99% of pairs know of a zone's deaths; breaks by 13 s",
+         "`membership.zone_death_s`", S, lambda a: a("membership.zone_death_s"), yardstick=plan.IN_FORCE_S),
     plain("membership.zone_share", "membership", "pairs that know of a zone's deaths after 13 s",
           "membership.zone_death_share_13s", "of 1"),
 )
--- a/faultlab/scale/page.py
+++ b/faultlab/scale/page.py
@@ -1,7 +1,8 @@
 """docs/CAPACITY.md: filled from measured figures, and checked against those of a later run.
 
 Between `<!-- table: NAME -->` and `<!-- end -->` stands a table that `fill` writes. A figure in the text
-stands between `<!--=KEY-->` and `<!--/-->`, and is that of the table's line with that key.
+stands between `<!--=KEY-->` and `<!--/-->`, and is that of the table's line with that key; with
+`<!--=breaks:KEY-->` it is the size at which the line breaks.
 """
 from __future__ import annotations
 
@@ -15,7 +16,7 @@
 
 from . import charts, plan, tables
 from .lines import LINES
-from .plan import Line, Worked, breaks_at, by_name, worked
+from .plan import Line, Worked, by_name, worked
 from .slopes import Figure, Measured, Slope
 from .tables import (
     COLUMNS,
@@ -23,6 +24,7 @@
     NOT_KNOWN,
     NOT_MEASURED,
     SLOPE_COLUMNS,
+    breaks_of,
     breaks_within,
     said,
     slopes_of,
@@ -32,7 +34,7 @@
 
 PAGE = Path(__file__).resolve().parents[2] / "docs" / "CAPACITY.md"
 TABLE = re.compile(r"<!-- table: ([a-z]+) -->\n(.*?)<!-- end -->", re.S)
-MARK = re.compile(r"<!--=([a-z_.]+)-->(.*?)<!--/-->", re.S)
+MARK = re.compile(r"<!--=(breaks:)?([a-z_.]+)-->(.*?)<!--/-->", re.S)
 KEY = re.compile(r"\| *`([^`]+)` *\|")
 
 
@@ -52,9 +54,11 @@
         return f"<!-- table: {found[1]} -->\n{tables.TABLES[found[1]](known)}<!-- end -->"
 
     def mark(found: re.Match[str]) -> str:
-        if found[1] not in at:
-            raise PageError(f"{found[1]}: no such key; faultlab/scale/lines.py has them")
-        return f"<!--={found[1]}-->{said(at[found[1]])}<!--/-->"
+        prefix, key = found[1] or "", found[2]
+        if key not in at:
+            raise PageError(f"{key}: no such key; faultlab/scale/lines.py has them")
+        figure = breaks_of(at[key].line, known) if prefix else said(at[key])
+        return f"<!--={prefix}{key}-->{figure}<!--/-->"
 
     return MARK.sub(mark, TABLE.sub(table, text))
 
@@ -93,7 +97,7 @@
             wrong += _judge(line, found[line.key], known)
         elif not any(f"{line.key}: " in w for w in wrong):
             wrong.append(f"{line.key}: is missing on the page; fill it anew")
-    return wrong + [w for m in MARK.finditer(text) for w in _judge_mark(m[1], m[2], found)]
+    return wrong + [w for m in MARK.finditer(text) for w in _judge_mark(m, found)]
 
 
 def _read(text: str) -> tuple[dict[str, Said], list[str]]:
@@ -156,16 +160,21 @@
                 f"{tolerance(line)})"]
     if page.verdict != (expected := Worked(line, page.figure).verdict):
         return [f"{key}: the page says {page.verdict}, by its figure: {expected}"]
-    breaks = breaks_at(line, known) if line.limit is not None else "-"
+    breaks = breaks_of(line, known)
     if not breaks_within(page.breaks, breaks):
         return [f"{key}: the page says that it breaks at {page.breaks} servers; {breaks} follows now"]
     return []
 
 
-def _judge_mark(key: str, text: str, found: dict[str, Said]) -> list[str]:
+def _judge_mark(mark: re.Match[str], found: dict[str, Said]) -> list[str]:
+    breaks, key, text = mark.groups()
     line = next((line for line in LINES if line.key == key), None)
     if line is None or key not in found:
         return [] if line is not None else [f"{key}: stands in the text and is no key"]
+    if breaks:
+        fits = text == found[key].breaks
+        return [] if fits else [f"{key}: the text says that it breaks at {text}, and the table at "
+                                f"{found[key].breaks}"]
     figure = found[key].figure
     fits = text in (NOT_KNOWN, NOT_MEASURED) if figure is None else text == said(Worked(line, figure))
     return [] if fits else [f"{key}: the text says {text}, and not the table's figure"]
--- a/faultlab/scale/plan.py
+++ b/faultlab/scale/plan.py
@@ -125,6 +125,7 @@
     unit: str
     work: Callable[[At], float]
     limit: float | None = None  # the plan's, in the same unit
+    yardstick: float | None = None  # where the plan has none: what its breaking is measured by
 
 
 @dataclass(frozen=True)
@@ -164,11 +165,11 @@
 
 def ratios(line: Line, measured: dict[str, Measured]) -> list[tuple[float, float]]:
     """Fleet size and ratio to the limit, small to large, where known; to twice the plan's."""
-    found, size = [], 1.0
-    while size <= 2 * SERVERS:
-        ratio = worked(line, measured, size).ratio
-        if ratio is not None:
-            found.append((size, ratio))
+    most, found, size = line.limit or line.yardstick, [], 1.0
+    while most is not None and size <= 2 * SERVERS:
+        value = worked(line, measured, size).value
+        if value is not None:
+            found.append((size, value / most))
         size *= STEP
     return found
 
--- a/faultlab/scale/tables.py
+++ b/faultlab/scale/tables.py
@@ -63,13 +63,17 @@
     return f"{number(w.value, w.line.unit)} {w.line.unit}"
 
 
+def breaks_of(line: Line, known: Known) -> str:
+    return "-" if line.limit is None and line.yardstick is None else breaks_at(line, known)
+
+
 def _row(w: Worked, known: Known) -> str:
     line = w.line
     figure = (NOT_KNOWN if w.measured else NOT_MEASURED) if w.value is None else number(w.value, line.unit)
     source = w.why or ("arithmetic" if not w.used else "measured" if w.factor <= 1 else f"x{w.factor:.2g}")
-    limit, ratio, breaks = "-", "-", "-"
+    limit, ratio, breaks = "-", "-", breaks_of(line, known)
     if line.limit is not None:
-        limit, breaks = number(line.limit, line.unit), breaks_at(line, known)
+        limit = number(line.limit, line.unit)
         ratio = "-" if w.ratio in (None, plan.NO_BOUND) else f"{w.ratio:.2g}"
     cells = (f"`{line.key}`", line.what, limit, figure, line.unit, ratio, w.verdict, breaks, tolerance(line),
              line.words, source)
--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -60,7 +60,7 @@
     text = page.PAGE.read_text(encoding="utf-8")
     assert [w for w in page.check([]) if "not measured in this run" not in w] == []
     assert set(tables.TABLES) == {found[1] for found in page.TABLE.finditer(text)}
-    rows = [page.MARK.sub(r"\2", row) for row in text.splitlines() if not row.startswith(("|", "!"))]
+    rows = [page.MARK.sub(r"\3", row) for row in text.splitlines() if not row.startswith(("|", "!"))]
     assert [row for row in rows if len(row) > 125] == []
 
 
@@ -169,9 +169,12 @@
     mark = "<!--=list.one-->"
     said = page.check(figures(), edited(filled, mark, f"<!--=list.zoo-->1 s<!--/--> {mark}"))
     assert said == ["list.zoo: stands in the text and is no key"]
-    written = next(m for m in page.MARK.finditer(filled.read_text(encoding="utf-8")) if m[1] == "list.one")
+    written = next(m for m in page.MARK.finditer(filled.read_text(encoding="utf-8")) if m[2] == "list.one")
     said = page.check(figures(), edited(filled, written[0], f"{mark}7 s<!--/-->"))
     assert "list.one: the text says 7 s, and not the table's figure" in said
+    broken = next(m for m in page.MARK.finditer(filled.read_text(encoding="utf-8")) if m[1])
+    said = page.check(figures(), edited(filled, broken[0], f"<!--=breaks:{broken[2]}-->7<!--/-->"))
+    assert [w for w in said if w.startswith(f"{broken[2]}: the text says that it breaks at 7, and the table")]
 
 
 def test_what_cannot_be_filled_is_one_line() -> None:
