Capacity page: lines break at sizes up to the plan's, the measured ones among them

Need: a line that is exceeded at its smallest size was said to break under the next step of the search. Change: the sizes that were measured are looked at; none beyond the plan's.

--- a/faultlab/scale/charts.py
+++ b/faultlab/scale/charts.py
@@ -48,7 +48,8 @@
         axes.axvline(size, color="grey", lw=0.8, ls=":")
         axes.text(size, 0.02, f"{word}, {size:,} ", transform=axes.get_xaxis_transform(), color="grey",
                   ha="right")
-    axes.set(xscale="log", yscale="log", xlim=(10, 2 * plan.SERVERS), xlabel="servers, each with its agent",
+    axes.set(xscale="log", yscale="log", xlim=(10, 1.05 * plan.SERVERS),
+             xlabel="servers, each with its agent",
              ylabel="figure / the plan's limit", title="Beyond 1 a line of the plan is exceeded")
     _legend(axes)
 
--- a/faultlab/scale/plan.py
+++ b/faultlab/scale/plan.py
@@ -164,14 +164,14 @@
 
 
 def ratios(line: Line, measured: dict[str, Measured]) -> list[tuple[float, float]]:
-    """Fleet size and ratio to the limit, small to large, where known; to twice the plan's."""
-    most, found, size = line.limit or line.yardstick, [], 1.0
-    while most is not None and size <= 2 * SERVERS:
-        value = worked(line, measured, size).value
-        if value is not None:
-            found.append((size, value / most))
-        size *= STEP
-    return found
+    """Fleet size and ratio to the limit, from small to large, where known; up to the plan's size."""
+    most, steps = line.limit or line.yardstick, math.ceil(math.log(SERVERS) / math.log(STEP))
+    if most is None:
+        return []
+    sizes = {p.size for m in measured.values() if isinstance(m, Slope) for p in m.points}
+    sizes |= {round(SERVERS ** (n / steps)) for n in range(steps + 1)}
+    values = [(size, worked(line, measured, size).value) for size in sorted(sizes) if 0 < size <= SERVERS]
+    return [(size, value / most) for size, value in values if value is not None]
 
 
 def breaks_at(line: Line, measured: dict[str, Measured]) -> str:
@@ -182,4 +182,4 @@
     over = next((size for size, ratio in found if ratio > 1), None)
     if over is None:
         return f"over {found[-1][0]:,.0f}"
-    return "any" if found[0][0] == over == 1.0 else f"{'under ' if found[0][0] == over else ''}{over:,.0f}"
+    return "any" if found[0][0] == over == 1 else f"{'under ' if found[0][0] == over else ''}{over:,.0f}"
