--- a/faultlab/scale/hollow.py
+++ b/faultlab/scale/hollow.py
@@ -22,7 +22,7 @@
 from lilacsill.clock import Clock
 from lilacsill.config import Config, load
 from lilacsill.discovery import (
-    PUSH_WAIT_MS, Address, Discovery, Listing, ListingParser, _Call, parse_address,
+    PUSH_WAIT_MS, Address, Discovery, Listing, ListingParser, Call, parse_address,
 )
 from lilacsill.figures import Figures
 
@@ -60,7 +60,7 @@
         self._same = same
         self.received = self.came_ns = 0
 
-    async def _connected(self, call: _Call | None) -> _Call:
+    async def _connected(self, call: Call | None) -> Call:
         got = await super()._connected(call)
         if got is not call:
             def counted(nbytes: int, real: Any = got.buffer_updated) -> None:
@@ -70,7 +70,7 @@
             vars(got)["buffer_updated"] = counted
         return got
 
-    async def _ask(self, call: _Call, target: str, limit_s: float) -> Listing:
+    async def _ask(self, call: Call, target: str, limit_s: float) -> Listing:
         if self._same is None:
             return await super()._ask(call, target, limit_s)
         async with asyncio.timeout(limit_s):
