--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -34,6 +34,10 @@
             raise pytest.UsageError(f"{FILE}:{number}: write TEST | CAUSE | ISSUE, TEST as FILE::NAME")
         if any(parts[0] == k.test for k in found):
             raise pytest.UsageError(f"{FILE}:{number}: {parts[0]} is named twice; take one out")
+        file, _, name = parts[0].partition("::")
+        source = path.parent / file
+        if not (source.is_file() and f"def {name.partition('[')[0]}(" in source.read_text()):
+            raise pytest.UsageError(f"{FILE}:{number}: {parts[0]} is no test; take its line out")
         found.append(Known(*parts))
     if len(found) > MOST:
         raise pytest.UsageError(f"{FILE}: names {len(found)} tests, at most {MOST} may stand; mend some")
@@ -52,7 +56,7 @@
                 mark = pytest.mark.xfail(reason=f"known red, issue {k.issue}: {k.cause}", strict=True)
                 by_name[k.test].add_marker(mark)
             elif config.args_source is pytest.Config.ArgsSource.TESTPATHS:  # all of them were collected
-                raise pytest.UsageError(f"{FILE}: {k.test} is no test; take its line out")
+                raise pytest.UsageError(f"{FILE}: {k.test} is none of that test's cases; take its line out")
 
     def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
         for k in self._known:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -39,9 +39,11 @@
 @pytest.mark.parametrize(("known", "status", "said"), [
     ("tests/test_some.py::test_good | a cause | 31", 1, "XPASS(strict)"),
     (f"{BAD}\ntests/test_some.py::test_gone | a cause | 31", 4, "test_gone is no test"),
+    ("tests/test_some.py::test_bad[1] | a cause | 31", 4, "test_bad[1] is none of that test's cases"),
+    ("tests/test_gone.py::test_bad | a cause | 31", 4, "test_gone.py::test_bad is no test; take"),
     ("tests/test_some.py::test_bad", 4, "KNOWN-RED.txt:1: write TEST | CAUSE | ISSUE"),
     (f"{BAD}\n{BAD}", 4, "KNOWN-RED.txt:2: tests/test_some.py::test_bad is named twice"),
-    ("\n".join(f"tests/test_some.py::test_{i} | a cause | 31" for i in range(4)), 4, "names 4 tests"),
+    ("\n".join(f"tests/test_some.py::test_bad[{i}] | a cause | 31" for i in range(4)), 4, "names 4 tests"),
 ])
 def test_what_passes_or_is_not_there_fails_the_run(
         tmp_path: Path, known: str, status: int, said: str) -> None:
@@ -51,5 +53,12 @@
 
 
 def test_some_of_the_tests_may_be_run_alone(tmp_path: Path) -> None:
-    run = play(tmp_path, "tests/test_other.py::test_bad | a cause | 31", "tests/test_some.py::test_good")
+    run = play(tmp_path, f"{BAD}\n", "tests/test_some.py::test_good")
     assert run.returncode == 0, run.stdout
+
+
+@pytest.mark.parametrize(("known", "status"), [
+    (None, 1), (BAD, 0), ("tests/test_some.py::test_good | a cause | 31", 1),
+    ("tests/test_some.py::test_gone | a cause | 31", 4)])
+def test_several_processes_give_the_same_verdict(tmp_path: Path, known: str | None, status: int) -> None:
+    assert play(tmp_path, known, "-n", "2").returncode == status
