Scale tests: a measurement in which the tool was late is left out by itself

Need: one late measurement of six threw the whole run away, and the page could not be filled from what counts. Fault: runs.py kept one list of figures and of reasons for all measurements.

--- a/faultlab/scale/page.py
+++ b/faultlab/scale/page.py
@@ -201,9 +201,11 @@
             result = msgspec.json.decode(source.read_bytes(), type=_Result)
         except msgspec.DecodeError as e:
             raise PageError(f"{source}: is no result of `scale`: {e}; measure again") from None
-        if result.late:
-            raise PageError(f"{source}: that run does not count ({result.late[0]}); measure again")
         measured: list[Measured] = [*result.slopes, *result.figures]
+        if result.late and not measured:
+            raise PageError(f"{source}: that run does not count ({result.late[0]}); measure again")
+        for reason in result.late:
+            print(f"left out, late: {reason}")
         PAGE.write_text(fill(PAGE.read_text(encoding="utf-8"), measured), encoding="utf-8")
         charts.draw(measured, PAGE.parent / "capacity")
         for line in check(measured):
--- a/faultlab/scale/runs.py
+++ b/faultlab/scale/runs.py
@@ -24,18 +24,25 @@
 
 
 class Result(Struct, kw_only=True):
-    """What `-o` writes. It does not count where `late` says why."""
+    """What `-o` writes. A measurement in which the tool was late does not count: `late` says why, and its
+    figures stand apart."""
 
     sizes: list[int]
     small: bool
     late: list[str]
     slopes: list[Slope]
     figures: list[Figure]
+    uncounted_slopes: list[Slope] = []
+    uncounted_figures: list[Figure] = []
 
     @property
     def measured(self) -> list[Measured]:
         return [*self.slopes, *self.figures]
 
+    @property
+    def uncounted(self) -> list[Measured]:
+        return [*self.uncounted_slopes, *self.uncounted_figures]
+
 
 def sizes_of(text: str) -> list[int]:
     """From small to large. Raises ScaleError."""
@@ -54,8 +61,9 @@
         measures = [(name, registry.measure(name)) for name in registry.named(names)]
     except registry.UnknownMeasurement as e:
         raise ScaleError(str(e)) from None
-    slopes, figures = list[Slope](), list[Figure]()
+    result = Result(sizes=list(sizes), small=run.small, late=run.late, slopes=[], figures=[])
     for name, made_by in measures:
+        before = len(run.late)
         run.say(f"{name}:")
         try:
             made = made_by(sizes, run)
@@ -64,9 +72,14 @@
         for found in made:
             for line in lines(found):
                 run.say(line)
+        counts = len(run.late) == before
+        slopes = result.slopes if counts else result.uncounted_slopes
         slopes += [m for m in made if isinstance(m, Slope)]
+        figures = result.figures if counts else result.uncounted_figures
         figures += [m for m in made if isinstance(m, Figure)]
-    return Result(sizes=list(sizes), small=run.small, late=run.late, slopes=slopes, figures=figures)
+        if not counts:
+            run.say(f"{name}: the tool itself was late, its figures do not count")
+    return result
 
 
 def lines(found: Measured) -> Iterator[str]:
