--- a/faultlab/scale/lateness.py
+++ b/faultlab/scale/lateness.py
@@ -8,8 +8,9 @@
 
 from .slopes import Figure, Measured
 
-# `SIZE agents, STEP: why`, as the measurements say it.
+# `SIZE agents, STEP: why`, `RATE calls a second: why` and `DEPTH deep: why`, as the measurements say it.
 REASON = re.compile(r"(\d+) agents, ([a-z ,]+): ")
+RATE, DEEP = re.compile(r"(\d+) calls a second: "), re.compile(r"(\d+) deep: ")
 # Which names a step's figures begin with. Steps that only bring all to the next one are nobody's figure.
 STEPS: dict[str, tuple[str, ...]] = {
     "one member": ("fleet.one_", "replicas.one_", "replicas.leader_", "replicas.follower_"),
@@ -30,15 +31,21 @@
     A reason that names no step takes everything with it.
     """
     gone: set[tuple[int | None, str]] = set()
+    rates: set[str] = set()
     for reason in late:
-        found = REASON.match(reason)
-        if found is None or found[2] not in STEPS:
-            gone.add((None, "hollow." if reason.startswith("like real") else ALL))
-        else:
+        if found := RATE.match(reason):
+            rates.add(f"_{found[1]}")
+        elif found := DEEP.match(reason):
+            gone.add((int(found[1]), "deep."))
+        elif (found := REASON.match(reason)) and found[2] in STEPS:
             gone |= {(int(found[1]), prefix) for prefix in STEPS[found[2]]}
+        else:
+            gone.add((None, "hollow." if reason.startswith("like real") else ALL))
     kept: list[Measured] = []
     for m in made:
         sizes = {size for size, prefix in gone if m.name.startswith(prefix)}
+        if m.name.startswith("call.") and any(m.name.endswith(rate) for rate in rates):
+            continue
         if None in sizes or (sizes and isinstance(m, Figure)):
             continue
         if isinstance(m, Figure):
