Durable state: a disk that fails for long cost a descriptor and files at every try

Need: while a folder's disk fails, begin is tried again until it takes it. Root cause (durable/store.py, begin): a generation that could not be written left

descriptors open, one set at each try; files that were whole kept theirs too. Change: what is finished is closed, what could not be written is removed, a new file is a new inode.

--- a/durable/files.py
+++ b/durable/files.py
@@ -22,14 +22,17 @@
     def read(self, name: str) -> bytes: ...
 
     def create(self, name: str) -> None:
-        """A new empty file; one of that name is gone."""
+        """A new empty file; one of that name is gone, and none of its pages are used again."""
 
     def append(self, name: str, data: bytes) -> None:
-        """To a file that was created here."""
+        """To a file that was created here. One that raises may have written a part."""
 
     def sync(self, name: str) -> None:
         """What was appended is on disk when this returns (fsync(2)); the name need not be."""
 
+    def finish(self, name: str) -> None:
+        """Nothing more is appended to it; its descriptor is closed."""
+
     def rename(self, name: str, to: str) -> None: ...
 
     def remove(self, name: str) -> None: ...
@@ -65,8 +68,10 @@
         return (self.path / name).read_bytes()
 
     def create(self, name: str) -> None:
-        self._forget(name)
-        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+        self.finish(name)
+        with contextlib.suppress(FileNotFoundError):
+            os.unlink(self.path / name)
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC
         self._open[name] = os.open(self.path / name, flags, 0o600)
 
     def append(self, name: str, data: bytes) -> None:
@@ -77,14 +82,20 @@
     def sync(self, name: str) -> None:
         os.fsync(self._open[name])
 
+    def finish(self, name: str) -> None:
+        fd = self._open.pop(name, None)
+        if fd is not None:
+            with contextlib.suppress(OSError):
+                os.close(fd)
+
     def rename(self, name: str, to: str) -> None:
         os.replace(self.path / name, self.path / to)
-        self._forget(to)
+        self.finish(to)
         if name in self._open:
             self._open[to] = self._open.pop(name)
 
     def remove(self, name: str) -> None:
-        self._forget(name)
+        self.finish(name)
         os.unlink(self.path / name)
 
     def sync_folder(self) -> None:
@@ -96,11 +107,5 @@
 
     def close(self) -> None:
         for name in list(self._open):
-            self._forget(name)
+            self.finish(name)
         os.close(self._lock)
-
-    def _forget(self, name: str) -> None:
-        fd = self._open.pop(name, None)
-        if fd is not None:
-            with contextlib.suppress(OSError):
-                os.close(fd)
--- a/durable/store.py
+++ b/durable/store.py
@@ -62,29 +62,47 @@
 
         Raises NotWritten, and then what was there is there still.
         """
-        files, generation = self._files, self._generation + 1
+        generation = self._generation + 1
         name, journal = f"snapshot-{generation}", f"journal-{generation}"
+        data = self._head("snapshot", generation) + frame(SNAPSHOT, snapshot)
+        head = self._head("journal", generation)
+        self._end_journal()  # if this fails, whether the new snapshot holds is not known
+        self._generation = generation
         try:
-            files.create(ASIDE)
-            files.append(ASIDE, self._head("snapshot", generation) + frame(SNAPSHOT, snapshot))
-            files.sync(ASIDE)
-            files.create(journal)
-            head = self._head("journal", generation)
-            files.append(journal, head)
-            files.sync(journal)
-            files.rename(ASIDE, name)
-            files.sync_folder()
+            self._write_new(ASIDE, data)
+            self._write_new(journal, head)
+            self._files.finish(ASIDE)
+            self._files.rename(ASIDE, name)
+            self._files.sync_folder()
         except OSError as e:
-            # Whether the new snapshot holds is not known: nothing may be added to the generation before it.
-            self._journal = ""
-            self._generation = generation
+            self._discard(ASIDE, journal, name)
             raise NotWritten(f"{name}: {e.strerror}") from None
         before, self._good = self._good, generation
-        self._generation, self._journal, self.journal_bytes = generation, journal, len(head)
+        self._journal, self.journal_bytes = journal, len(head)
         self._waiting.clear()
         with contextlib.suppress(OSError):  # what is left over goes with a later generation
             self._remove_below(before)
 
+    def _write_new(self, name: str, data: bytes) -> None:
+        self._files.create(name)
+        self._files.append(name, data)
+        self._files.sync(name)
+
+    def _discard(self, *names: str) -> None:
+        """Give up the files of a generation that could not be written, so that retries do not fill the disk.
+
+        All that was committed is in the generations before it.
+        """
+        for name in names:
+            self._files.finish(name)
+            with contextlib.suppress(OSError):
+                self._files.remove(name)
+
+    def _end_journal(self) -> None:
+        if self._journal:
+            self._files.finish(self._journal)
+            self._journal = ""
+
     def append(self, record: bytes) -> None:
         """It goes to disk with the next commit."""
         self._waiting.append(record)
@@ -103,7 +121,8 @@
             self._files.append(self._journal, data)
             self._files.sync(self._journal)
         except OSError as e:
-            name, self._journal = self._journal, ""
+            name = self._journal
+            self._end_journal()
             raise NotWritten(f"{name}: {e.strerror}") from None
         self._taken += len(self._waiting)
         self.journal_bytes += len(data)
--- /dev/null
+++ b/tests/disk_faults.py
@@ -0,0 +1,94 @@
+"""Failing system calls of a disk: the k-th once, from the k-th on for a while, or the process killed in it."""
+from __future__ import annotations
+
+import errno
+import os
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+FOR_A_WHILE = 4  # calls that fail one after the other
+ERRORS = (errno.ENOSPC, errno.EIO)
+
+
+class Killed(BaseException):
+    """The process is gone: no code that catches errors sees this one."""
+
+
+@dataclass
+class FaultPlan:
+    """Counts the calls that reach the disk, and says which of them fail.
+
+    A call that fails may have done half of its work: a write, half of its bytes; a rename or a sync, all.
+    """
+
+    first: int = 0  # the number, from 1, of the first call that fails; 0: none
+    count: int = 1
+    error: int = errno.EIO
+    kill: bool = False
+    done_anyway: bool = False  # a call that fails has done its work all the same
+    killed: bool = False
+    calls: list[str] = field(default_factory=list)
+
+    def fails(self, call: str) -> bool:
+        """Whether this call fails; raises Killed in a process that is gone."""
+        if self.killed:
+            raise Killed(call)
+        self.calls.append(call)
+        number = len(self.calls)
+        if not self.first <= number < self.first + self.count or not self.first:
+            return False
+        self.killed = self.kill
+        return True
+
+    def failure(self, path: object = None) -> BaseException:
+        if self.killed:
+            return Killed(self.calls[-1])
+        name = None if path is None else os.fspath(path) if isinstance(path, os.PathLike) else path
+        return OSError(self.error, os.strerror(self.error), name)
+
+
+class FailingOs:
+    """Stands in for the module `os` in a module under test; what changes the disk goes by the plan."""
+
+    def __init__(self, plan: FaultPlan) -> None:
+        self._plan = plan
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(os, name)
+
+    def write(self, fd: int, data: bytes | memoryview) -> int:
+        if not self._plan.fails("write"):
+            return os.write(fd, data)
+        os.write(fd, data[:len(data) // 2])
+        raise self._plan.failure()
+
+    def fsync(self, fd: int) -> None:
+        """Without the disk's own time: nothing here cuts the power."""
+        self._call("fsync", lambda: None, None)
+
+    def open(self, path: Any, flags: int, mode: int = 0o777) -> int:
+        if not flags & os.O_CREAT:
+            return os.open(path, flags, mode)
+        if self._plan.fails("create"):
+            if self._plan.done_anyway:
+                os.close(os.open(path, flags, mode))
+            raise self._plan.failure(path)
+        return os.open(path, flags, mode)
+
+    def replace(self, old: Any, new: Any) -> None:
+        self._call("rename", lambda: os.replace(old, new), old)
+
+    def unlink(self, path: Any) -> None:
+        self._call("unlink", lambda: os.unlink(path), path)
+
+    def _call(self, name: str, work: Callable[[], None], path: Any) -> None:
+        if not self._plan.fails(name):
+            return work()
+        if self._plan.done_anyway:
+            work()
+        raise self._plan.failure(path)
+
+
+def open_descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
--- a/tests/disk_model.py
+++ b/tests/disk_model.py
@@ -69,6 +69,9 @@
         inode = self.inodes[name]
         inode.synced, inode.pending = inode.now(), []
 
+    def finish(self, name: str) -> None:
+        return
+
     def rename(self, name: str, to: str) -> None:
         self._call("rename")
         self.inodes[to] = self.inodes.pop(name)
@@ -76,6 +79,8 @@
 
     def remove(self, name: str) -> None:
         self._call("remove")
+        if name not in self.inodes:
+            raise FileNotFoundError(errno.ENOENT, "No such file or directory")
         del self.inodes[name]
         self.pending_names.append((name, None, None))
 
