Durable state: a file that cannot be read for a moment was taken for a damaged one

Root cause (durable/store.py, _read): an OSError of reading (EIO, ENFILE) was noted and the file left out, journals too; the start then began a generation from less than had been committed and removed the rest. An error of listing the folder was raised as it came. Change: both are Refused in one line, nothing is written; the next start has it all.

--- a/durable/store.py
+++ b/durable/store.py
@@ -47,13 +47,15 @@
     """
 
     def __init__(self, files: Files, fleet: str, name: str) -> None:
-        """Raises Refused where the folder holds another owner's state, or that of another version."""
+        """Raises Refused where the folder holds another owner's state, or that of another version, or where
+        it cannot be read.
+        """
         self._files, self._fleet, self._name = files, fleet, name
         self._generation = 0  # the highest number that is there
         self._good = 0  # the latest generation whose snapshot is known to hold
         self._taken = 0  # records since the first generation
         self._journal = ""  # the file that is appended to; empty: none
-        self._waiting: list[bytes] = []
+        self._waiting: list[bytes] = []  # frames
         self.journal_bytes = 0
         self.recovered = self._recover()
 
@@ -135,7 +137,7 @@
 
     def _recover(self) -> Recovered:
         notes: list[str] = []
-        found = {name: self._read(name, notes) for name in self._files.names()
+        found = {name: self._read(name, notes) for name in self._names()
                  if name.startswith(("snapshot-", "journal-"))}
         numbers = sorted({n for name in found if (n := _number(name)) is not None}, reverse=True)
         self._generation = max(numbers, default=0)
@@ -153,13 +155,23 @@
             return Recovered(snapshot.payloads[0], tuple(records), tuple(notes))
         return Recovered(notes=tuple(notes))
 
+    def _names(self) -> list[str]:
+        try:
+            return self._files.names()
+        except OSError as e:
+            where = e.filename or "the folder"
+            raise Refused(f"{where}: {e.strerror}; mend the disk and try again") from None
+
     def _read(self, name: str, notes: list[str]) -> _File | None:
-        """None: nothing of it can be used. Raises Refused."""
+        """None: nothing of it can be used. Raises Refused.
+
+        An error of reading may pass, and the file be whole: without it a new generation would be begun from
+        less than was committed.
+        """
         try:
             data = self._files.read(name)
         except OSError as e:
-            notes.append(f"{name}: {e.strerror}; it is left out")
-            return None
+            raise Refused(f"{name}: {e.strerror}; mend the disk and try again, or move it away") from None
         made: _File | None = None
         try:
             for at, kind, payload in frames(data):
