--- a/durable/store.py
+++ b/durable/store.py
@@ -215,11 +215,18 @@
 
 
 def _joined(taken: int, journals: list[_File | None], notes: list[str]) -> list[bytes]:
-    """The records of these journals, each of which must go on where the one before it ended."""
+    """The records of these journals, each of which must go on where the one before it ended.
+
+    Records behind that place are of a commit that was refused, before the next generation was begun.
+    """
     records: list[bytes] = []
     for journal in journals:
         if journal is None:
             continue
+        if taken <= journal.head.first < taken + len(records):
+            notes.append(f"journal-{journal.head.generation}: goes on from record {journal.head.first}; what "
+                         "stands behind that in the one before was refused, and is left out")
+            del records[journal.head.first - taken:]
         if journal.head.first != taken + len(records):
             notes.append(f"journal-{journal.head.generation}: goes on from record {journal.head.first}, but "
                          f"{taken + len(records)} are there; it is left out")
