Durable state: a record that is too long no longer holds up all commits after it

Root cause (durable/store.py, commit): frames were made at the commit, and the ValueError of one too long left it among those that wait, to be raised at each later commit. Change: append makes the frame and refuses it there. Test: a_record_that_is_too_long_is_refused failed before, passes now.

--- a/durable/store.py
+++ b/durable/store.py
@@ -106,8 +106,8 @@
             self._journal = ""
 
     def append(self, record: bytes) -> None:
-        """It goes to disk with the next commit."""
-        self._waiting.append(record)
+        """It goes to disk with the next commit. Raises ValueError on one that is too long."""
+        self._waiting.append(frame(RECORD, record))
 
     def commit(self) -> None:
         """All that was appended is on disk when this returns, by one fsync.
@@ -118,7 +118,7 @@
             return
         if not self._journal:
             raise NotWritten(f"journal-{self._generation}: could not be written; begin a new generation")
-        data = b"".join(frame(RECORD, record) for record in self._waiting)
+        data = b"".join(self._waiting)
         try:
             self._files.append(self._journal, data)
             self._files.sync(self._journal)
