List service: a start on a failing disk told to restore a backup, or went on without its log

Root cause (catalog/store.py, _open): every error of SQLite, ENOSPC and EIO too, was told as damage with 'restore a backup' for its mend. 'pragma journal_mode=wal' that fails raises nothing and leaves the mode of before (delete): one failing call in the first start and the list was served without the write-ahead log that its commits and backups count on. SQLite passes over errors of the directory's sync when it creates its log, and the directory's own name was not synced. Any error of flock was another process. Change: Unavailable, a Damaged that knows of no damage, by SQLite's result code; the mode is read back; the directory is synced after the log is made and its name as it is made.

--- a/catalog/store.py
+++ b/catalog/store.py
@@ -18,6 +18,8 @@
 
 import msgspec
 
+from durable.files import make_folder, sync_folder
+
 from .core import Answer, Change, Entry, History, State, Write
 
 FORMAT = 1
@@ -37,8 +39,27 @@
     """The data cannot be trusted or used; the text is one line that names place and mend."""
 
 
+class Unavailable(Damaged):
+    """The disk, or another process, does not let the data be used now; no damage is known of."""
+
+
 class NotWritten(Exception):
-    """The disk did not take it: nothing of it holds. The text is one line."""
+    """The disk did not take it: it does not hold, unless the process dies before `settle` has returned.
+
+    The text is one line.
+    """
+
+
+# SQLite's results that say nothing against the data (https://sqlite.org/rescode.html).
+PASSING = frozenset({
+    sqlite3.SQLITE_IOERR, sqlite3.SQLITE_FULL, sqlite3.SQLITE_CANTOPEN, sqlite3.SQLITE_READONLY,
+    sqlite3.SQLITE_PERM, sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED, sqlite3.SQLITE_NOMEM,
+    sqlite3.SQLITE_PROTOCOL})
+
+
+def _may_pass(error: sqlite3.Error) -> bool:
+    """Whether an error is of the disk or of another process, and not of the data."""
+    return getattr(error, "sqlite_errorcode", 0) & 0xFF in PASSING  # the low byte is the primary result
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,13 +93,22 @@
         fresh = not self.path.exists()
         try:
             self._db = connect(str(self.path), isolation_level=None, check_same_thread=False)
-            self._db.execute("pragma journal_mode=wal")
+            mode = self._db.execute("pragma journal_mode=wal").fetchone()[0]
+            if mode != "wal":  # SQLite stays with the mode before, and raises nothing
+                raise Unavailable(f"{self.path}: the write-ahead log cannot be made ({mode} stays); "
+                                  "mend the disk and start again")
             self._db.execute("pragma synchronous=full")
             if fresh or not self._db.execute("select count(*) from sqlite_master").fetchone()[0]:
                 self._make()
             self._read()
+            # SQLite creates its files without regard to an error of the directory's sync.
+            sync_folder(self.path.parent)
         except sqlite3.DatabaseError as e:
+            if _may_pass(e):
+                raise Unavailable(f"{self.path}: {e}; mend the disk and start again") from None
             raise Damaged(f"{self.path}: {e}; restore a backup") from None
+        except OSError as e:
+            raise Unavailable(f"{self.path}: {e.strerror}; mend the disk and start again") from None
 
     def _make(self) -> None:
         db = self.db
@@ -200,15 +230,19 @@
 def _locked(folder: Path) -> int:
     """Held as long as the process lives: two that write to one file would each undo the other."""
     try:
-        folder.mkdir(parents=True, exist_ok=True)
+        make_folder(folder)
         fd = os.open(folder / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
     except OSError as e:
-        raise Damaged(f"{folder}: {e.strerror}; give a directory that can be written") from None
+        raise Unavailable(f"{folder}: {e.strerror}; give a directory that can be written") from None
     try:
         fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except OSError:
+    except BlockingIOError:
+        os.close(fd)
+        raise Unavailable(
+            f"{folder}: another process has it open; end that or give another directory") from None
+    except OSError as e:
         os.close(fd)
-        raise Damaged(f"{folder}: another process has it open; end that or give another directory") from None
+        raise Unavailable(f"{folder}: {e.strerror}; give a directory that can be locked") from None
     return fd
 
 
