List service: a write refused with 503 was there after a kill; settle it for good

Root cause (catalog/store.py, _write): where the sync of SQLite's log fails, COMMIT returns an error and the state in memory stays, but the whole commit stands in the log. Nothing wrote over it until somebody's next write; killed before, the next start had it, though the page says that nothing was written. Change: Store.in_doubt and Store.settle, a small transaction that takes the place of the failed one; the service tries it once a second while nobody writes. The log says once that the disk fails, with file and error, and once that it works again: it said so at each commit.

--- a/catalog/leases.py
+++ b/catalog/leases.py
@@ -64,6 +64,11 @@
         lease.left_us = lease.ttl_us
         return True
 
+    def is_due(self, name: str) -> bool:
+        """Whether the lease has run out and was not renewed since."""
+        lease = self._leases.get(name)
+        return lease is not None and lease.left_us <= 0
+
     def tick(self, now_us: int, listens: bool) -> list[SetPhase | Delete]:
         """What is due now. Time in which nobody could renew does not count."""
         last, self._last_us = self._last_us, now_us
--- a/catalog/service.py
+++ b/catalog/service.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import time
 from abc import ABC, abstractmethod
@@ -10,7 +11,7 @@
 
 import msgspec
 
-from .core import Answer, Change, SetPhase, listing, whole
+from .core import Answer, Change, SetPhase, State, listing, whole
 from .leases import TURN_US, Leases
 from .store import Command, NotWritten, Store
 
@@ -18,6 +19,7 @@
 
 MOST_WAITING = 10_000  # commands; beyond them a writer is told to come again
 AGAIN_S = 1  # Retry-After where the disk takes nothing
+SETTLE_S = 1.0  # between tries to undo for good a commit that failed, where nobody writes
 
 
 class Readers(ABC):
@@ -109,6 +111,7 @@
         self._writer = ThreadPoolExecutor(1, "catalog-writer")
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = False
+        self._disk_fails = False
 
     def start(self) -> None:
         loop = asyncio.get_running_loop()
@@ -159,42 +162,78 @@
         """All that waits goes into one commit; what comes meanwhile into the next."""
         loop = asyncio.get_running_loop()
         while True:
-            await self._come.wait()
-            self._come.clear()
+            await self._wait_for_commands()
             taken, self._waiting = self._waiting, []
             if taken:
                 await self._commit(loop, taken)
+            elif self.store.in_doubt:
+                await self._settle(loop)
             if self._stopping and not self._waiting:
                 return
 
+    async def _wait_for_commands(self) -> None:
+        """Or for a time where a commit has failed: what it left on disk is not to wait for the next one."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_S if self.store.in_doubt else None):
+                await self._come.wait()
+        self._come.clear()
+
     async def _commit(self, loop: asyncio.AbstractEventLoop,
                       taken: list[tuple[Command, asyncio.Future[Answer]]]) -> None:
         commands = [command for command, _ in taken]
         try:
             state, answers, changes = await loop.run_in_executor(self._writer, self.store.commit, commands)
         except NotWritten as e:
-            log.error("nothing was written: %s", e)
+            self._disk_failed(e)
             refused = Answer(status=503, revision=self.revision, said="the disk takes nothing now")
             answers = [refused] * len(taken)
         else:
-            self.store.adopt(state, changes)
-            self.commits += 1
-            self.committed += len(taken)
-            for change in changes:
-                self.leases.gone(e.member.id for e in change.gone)
-                self.leases.listed(change.put)
-            if changes:
-                self._told()
+            self._disk_worked()
+            self._adopt(state, changes, len(taken))
         for (_, waiting), answer in zip(taken, answers, strict=True):
             if not waiting.done():
                 waiting.set_result(answer)
 
+    def _adopt(self, state: State, changes: list[Change], commands: int) -> None:
+        """A commit is on disk: readers see it from now on."""
+        self.store.adopt(state, changes)
+        self.commits += 1
+        self.committed += commands
+        for change in changes:
+            self.leases.gone(e.member.id for e in change.gone)
+            self.leases.listed(change.put)
+        if changes:
+            self._told()
+
+    async def _settle(self, loop: asyncio.AbstractEventLoop) -> None:
+        try:
+            await loop.run_in_executor(self._writer, self.store.settle)
+        except NotWritten as e:
+            self._disk_failed(e)
+        else:
+            self._disk_worked()
+
+    def _disk_failed(self, error: NotWritten) -> None:
+        """Said once, however many commits fail."""
+        if not self._disk_fails:
+            log.error("nothing was written, and writes are refused until the disk works: %s", error)
+        self._disk_fails = True
+
+    def _disk_worked(self) -> None:
+        if self._disk_fails and not self.store.in_doubt:
+            log.warning("the disk works again")
+            self._disk_fails = False
+
     async def _run_leases(self) -> None:
         while True:
             await asyncio.sleep(TURN_US / 1e6)
             held = self.leases.held
             for write in self.leases.tick(time.monotonic_ns() // 1000, self._listens()):
+                if not self.leases.is_due(write.id):
+                    continue  # renewed while those before it were written
                 answer = await self.do(Command((write,)))
+                if answer.status == 503:
+                    break  # the disk fails; they stay due
                 if answer.status == 200:
                     what = "drains" if isinstance(write, SetPhase) else "is gone"
                     log.warning("%s has not renewed its lease and %s", write.id, what)
--- a/catalog/store.py
+++ b/catalog/store.py
@@ -83,6 +83,7 @@
         self.path = folder / FILE
         self._lock = _locked(folder)
         self._db: sqlite3.Connection | None = None
+        self.in_doubt = False  # a commit that failed may be in the file, where the next start would find it
         try:
             self._open(connect)
         except BaseException:
@@ -156,7 +157,8 @@
     def commit(self, commands: Sequence[Command]) -> tuple[State, list[Answer], list[Change]]:
         """All commands, one after the other, in one transaction: on disk when this returns.
 
-        The state that it returns is to be given to `adopt`. Raises NotWritten, and then nothing holds.
+        The state that it returns is to be given to `adopt`. Raises NotWritten, and then nothing holds;
+        `settle` makes sure of that.
         """
         state = self.state.copy()
         answers, changes = [], []
@@ -197,10 +199,27 @@
                 db.execute("delete from history where revision <= ?", (self._drop_to,))
             db.execute("commit")
         except sqlite3.Error as e:
+            self.in_doubt = True
             with contextlib.suppress(sqlite3.Error):
                 if db.in_transaction:
                     db.execute("rollback")
             raise NotWritten(f"{self.path}: {e}") from None
+        self.in_doubt = False
+
+    def settle(self) -> None:
+        """Have a commit that failed gone for good: what it left in the write-ahead log is written over.
+
+        Where only its sync failed, it stands there whole, and would come back after a kill. Raises
+        NotWritten.
+        """
+        if not self.in_doubt:
+            return
+        try:
+            version = self.db.execute("pragma user_version").fetchone()[0]
+            self.db.execute(f"pragma user_version={int(version == 0)}")  # any change; nobody reads it
+        except sqlite3.Error as e:
+            raise NotWritten(f"{self.path}: {e}") from None
+        self.in_doubt = False
 
     def _write_fences(self, state: State) -> None:
         old = self.state.fences
