List service: a restore cut short left no list, and the next start served an empty one

Root cause (catalog/store.py, _put_in_place): the old file was moved aside before the new one took its name. A kill, ENOSPC or EIO between the two left a directory without a list; Store made a new, empty one under a new identity, which every reader takes at once. Backup: an error behind the rename left the file, so that another try was refused; leftovers of the copy stayed; 'pragma journal_mode=delete' was not read back; errors of the disk were told as damage, or as 'system' with no place. Change: the restored list, whole, checked and synced, gets the name restored.sqlite3; finish_restore does the rest, each step of which can be made again, in the command or at the next start. What fails in the disk is Unavailable. Tests: test_disk_faults_backup.py, every call of SQLite and of the system that changes the disk failing once, for a while, done or not, and killed.

--- a/catalog/store.py
+++ b/catalog/store.py
@@ -11,7 +11,7 @@
 import shutil
 import sqlite3
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -24,6 +24,7 @@
 
 FORMAT = 1
 FILE, LOCK = "catalog.sqlite3", "lock"
+RESTORED = "restored.sqlite3"  # a whole list that is to take the place of FILE
 SHIFT = 20  # a list changes less than 2**20 times a second over its life
 MOST_CHANGES, MOST_BYTES = 10_000, 32 * 1024 * 1024
 TABLES = """
@@ -50,6 +51,7 @@
     """
 
 
+PRIMARY = 0xFF  # the byte of SQLite's extended results that has the primary one
 # SQLite's results that say nothing against the data (https://sqlite.org/rescode.html).
 PASSING = frozenset({
     sqlite3.SQLITE_IOERR, sqlite3.SQLITE_FULL, sqlite3.SQLITE_CANTOPEN, sqlite3.SQLITE_READONLY,
@@ -59,7 +61,7 @@
 
 def _may_pass(error: sqlite3.Error) -> bool:
     """Whether an error is of the disk or of another process, and not of the data."""
-    return getattr(error, "sqlite_errorcode", 0) & 0xFF in PASSING  # the low byte is the primary result
+    return getattr(error, "sqlite_errorcode", 0) & PRIMARY in PASSING
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +93,10 @@
             raise
 
     def _open(self, connect: Any) -> None:
+        try:
+            finish_restore(self.path.parent)
+        except OSError as e:
+            raise Unavailable(f"{self.path}: {e.strerror}; mend the disk and start again") from None
         fresh = not self.path.exists()
         try:
             self._db = connect(str(self.path), isolation_level=None, check_same_thread=False)
@@ -265,9 +271,13 @@
     return fd
 
 
+def _holds_list(folder: Path) -> bool:
+    return (folder / FILE).exists() or (folder / RESTORED).exists()
+
+
 def check(folder: Path) -> list[str]:
     """What is in a directory, after every check there is; raises Damaged."""
-    if not (folder / FILE).exists():
+    if not _holds_list(folder):
         raise Damaged(f"{folder}: holds no list; give the directory of `serve --data`")
     store = Store(folder)
     try:
@@ -282,7 +292,10 @@
 
 
 def backup(folder: Path, to: Path) -> str:
-    """A copy of the list as it is in one file, taken while the service runs or not; returns what it holds."""
+    """A copy of the list as it is in one file, taken while the service runs or not; returns what it holds.
+
+    Raises Damaged, and then there is no such file.
+    """
     source = folder / FILE
     if not source.exists():
         raise Damaged(f"{folder}: holds no list; give the directory of `serve --data`")
@@ -290,35 +303,83 @@
         raise Damaged(f"{to}: is there already; name another file")
     new = to.with_name(f"{to.name}.{os.getpid()}")
     try:
-        with contextlib.closing(sqlite3.connect(f"file:{source}?mode=ro", uri=True)) as db, \
-                contextlib.closing(sqlite3.connect(new)) as copy:
-            db.backup(copy)
-            copy.execute("pragma journal_mode=delete")
+        with _copied(source, new) as copy:
             revision = copy.execute("select value from meta where key = 'revision'").fetchone()[0]
         _sync(new)
-        new.rename(to)
-        _sync(to.parent)
-    except (sqlite3.Error, TypeError) as e:
-        new.unlink(missing_ok=True)
+        os.replace(new, to)
+        _sync_name(to)
+    except OSError as e:
+        raise Unavailable(f"{to}: {e.strerror}; mend the disk or name another file") from None
+    except sqlite3.Error as e:
+        if _may_pass(e):
+            raise Unavailable(f"{source} to {to}: {e}; mend the disk or name another file") from None
         raise Damaged(f"{source}: {e}; check the directory") from None
+    except TypeError:
+        raise Damaged(f"{source}: has no revision; check the directory") from None
+    finally:
+        _remove(new)
     return str(revision)
 
 
+@contextlib.contextmanager
+def _copied(source: Path, to: Path) -> Iterator[sqlite3.Connection]:
+    """A copy of a list in one file, that can be changed before it is closed."""
+    with contextlib.closing(sqlite3.connect(f"file:{source}?mode=ro", uri=True)) as db, \
+            contextlib.closing(sqlite3.connect(to)) as copy:
+        db.backup(copy)
+        mode = copy.execute("pragma journal_mode=delete").fetchone()[0]
+        if mode != "delete":  # a part of it would stay in another file
+            raise Unavailable(f"{to}: its write-ahead log cannot be ended ({mode} stays); mend the disk")
+        yield copy
+
+
+def _sync_name(path: Path) -> None:
+    """A file that was just given its name; where that need not last, it is taken away again."""
+    try:
+        sync_folder(path.parent)
+    except OSError:
+        with contextlib.suppress(OSError):
+            os.unlink(path)
+        raise
+
+
+def _remove(path: Path) -> None:
+    """A file of SQLite's, with what it keeps beside it."""
+    for suffix in ("", "-journal", "-wal", "-shm"):
+        with contextlib.suppress(OSError):
+            os.unlink(f"{path}{suffix}")
+
+
 def restore(folder: Path, source: Path, unix_s: float | None = None) -> str:
     """The list of a backup under a new identity and above every revision ever given; returns what it holds.
 
-    What was in the directory is moved aside, not lost. Raises Damaged, and then nothing has changed.
+    What was in the directory is moved aside, not lost. Raises Damaged: then either nothing has changed, or,
+    as the text says, the next start has the restored list.
     """
     if not source.exists():
         raise Damaged(f"{source}: is not there; give the file that `backup` wrote")
     lock = _locked(folder)
+    try:
+        said = _make_restored(folder, source, unix_s)
+        try:
+            finish_restore(folder)
+        except OSError as e:
+            raise Unavailable(
+                f"{folder}: {e.strerror}; mend the disk, and the next start finishes the restore") from None
+        return said
+    except OSError as e:
+        raise Unavailable(f"{folder}: {e.strerror}; mend the disk and try again") from None
+    finally:
+        os.close(lock)
+
+
+def _make_restored(folder: Path, source: Path, unix_s: float | None) -> str:
+    """RESTORED, whole and checked, from a backup; returns what it holds."""
     made = folder / "restoring"
     try:
         shutil.rmtree(made, ignore_errors=True)
         made.mkdir()
-        with contextlib.closing(sqlite3.connect(f"file:{source}?mode=ro", uri=True)) as db, \
-                contextlib.closing(sqlite3.connect(made / FILE)) as copy:
-            db.backup(copy)
+        with _copied(source, made / FILE) as copy:
             meta = dict(copy.execute("select key, value from meta"))
             revision = first_revision(time.time() if unix_s is None else unix_s, int(meta["revision"]))
             with copy:
@@ -326,26 +387,46 @@
                 copy.executemany("update meta set value = ? where key = ?", [
                     (str(revision), "revision"), (secrets.token_hex(8), "list")])
         said = check(made)[0]
-        _put_in_place(folder, made / FILE)
+        if (made / f"{FILE}-wal").exists():  # closing could not write it into the file
+            raise Unavailable(f"{made}: the write-ahead log stays; mend the disk and try again")
+        _sync(made / FILE)
+        os.replace(made / FILE, folder / RESTORED)
+        _sync_name(folder / RESTORED)
         return said
-    except (sqlite3.Error, KeyError, ValueError) as e:
+    except sqlite3.Error as e:
+        if _may_pass(e):
+            raise Unavailable(f"{source} to {folder}: {e}; mend the disk and try again") from None
+        raise Damaged(f"{source}: is no backup of a list ({e}); give another file") from None
+    except (KeyError, ValueError) as e:
         raise Damaged(f"{source}: is no backup of a list ({e}); give another file") from None
+    except Unavailable:
+        raise
     except Damaged as e:
         raise Damaged(f"{source}: holds no list that can be trusted ({e})") from None
     finally:
         shutil.rmtree(made, ignore_errors=True)
-        os.close(lock)
 
 
-def _put_in_place(folder: Path, new: Path) -> None:
-    _sync(new)
-    aside = folder / f"before-{time.time_ns()}"
-    for name in (FILE, f"{FILE}-wal", f"{FILE}-shm"):
-        if (folder / name).exists():
-            aside.mkdir(exist_ok=True)
-            (folder / name).rename(aside / name)
-    new.rename(folder / FILE)
-    _sync(folder)
+def finish_restore(folder: Path) -> None:
+    """Put RESTORED, where there is one, in the list's place, and what was there aside.
+
+    It is done at each start too: a restore that was cut short, by a kill or an error of the disk, would else
+    leave no list, and the start would make an empty one. Every step can be made again. Raises OSError.
+    """
+    restored = folder / RESTORED
+    if not restored.exists():
+        return
+    before = [folder / f"{FILE}{suffix}" for suffix in ("", "-wal", "-shm")]
+    if any(path.exists() for path in before):
+        aside = folder / f"before-{restored.stat().st_mtime_ns}"  # the same at each try
+        aside.mkdir(exist_ok=True)
+        for path in before:
+            if path.exists():
+                os.replace(path, aside / path.name)
+        sync_folder(aside)
+        sync_folder(folder)  # the old log must not come back beside the new file
+    os.replace(restored, folder / FILE)
+    sync_folder(folder)
 
 
 def _sync(path: Path) -> None:
