List service: an error of reading, told by SQLite's check, was taken for damage

Root cause (catalog/store.py, _read and check): quick_check and integrity_check give an error of reading as a line of their findings ('unable to get the page. error code=266'); it was told as damage, over two lines, with 'restore a backup'. An error that the check raised went out as a traceback of the command. Change: findings with a result code of the disk are Unavailable; one line.

--- a/catalog/store.py
+++ b/catalog/store.py
@@ -7,6 +7,7 @@
 import contextlib
 import fcntl
 import os
+import re
 import secrets
 import shutil
 import sqlite3
@@ -136,9 +137,7 @@
     def _read(self) -> None:
         """The state, checked against its digest and SQLite's own check."""
         db = self.db
-        found = [row[0] for row in db.execute("pragma quick_check(1)")]
-        if found != ["ok"]:
-            raise Damaged(f"{self.path}: {found[0]}; restore a backup")
+        _check_integrity(db, "quick_check(1)", self.path)
         meta = dict(db.execute("select key, value from meta"))
         if meta.get("format") != str(FORMAT):
             raise Damaged(f"{self.path}: is of format {meta.get('format')}, this program's is {FORMAT}; "
@@ -281,16 +280,28 @@
         raise Damaged(f"{folder}: holds no list; give the directory of `serve --data`")
     store = Store(folder)
     try:
-        found = [row[0] for row in store.db.execute("pragma integrity_check")]
-        if found != ["ok"]:
-            raise Damaged(f"{store.path}: {found[0]}; restore a backup")
+        _check_integrity(store.db, "integrity_check", store.path)
         state = store.state
         return [f"list {store.identity}, revision {state.revision}, {len(state.entries)} members, "
                 f"{len(store.history)} changes kept, digest {state.digest:032x}"]
+    except sqlite3.Error as e:
+        raise Unavailable(f"{store.path}: {e}; mend the disk and try again") from None
     finally:
         store.close()
 
 
+def _check_integrity(db: sqlite3.Connection, check: str, path: Path) -> None:
+    """SQLite's own check, which tells an error of reading among the damage that it finds. Raises Damaged."""
+    found = [row[0] for row in db.execute(f"pragma {check}")]
+    if found == ["ok"]:
+        return
+    text = " ".join(found[0].split())
+    codes = [int(code) for code in re.findall(r"error code=(\d+)", text)]
+    if any(code & PRIMARY in PASSING for code in codes):
+        raise Unavailable(f"{path}: {text}; mend the disk and try again")
+    raise Damaged(f"{path}: {text}; restore a backup")
+
+
 def backup(folder: Path, to: Path) -> str:
     """A copy of the list as it is in one file, taken while the service runs or not; returns what it holds.
 
--- a/tests/test_disk_faults_backup.py
+++ b/tests/test_disk_faults_backup.py
@@ -154,6 +154,22 @@
     live.close()
 
 
+def test_an_error_of_reading_is_one_line_and_no_damage(lists: Lists) -> None:
+    counted = FaultPlan()
+    data = lists.make()
+    with failing(counted, reads=True):
+        store.check(data)
+    assert any(call.startswith("read") for call in counted.calls)
+    for number in range(1, len(counted.calls) + 1):
+        data = lists.make()
+        with failing(FaultPlan(number), reads=True), contextlib.suppress(Unavailable):
+            store.check(data)
+        opened = Store(data)
+        assert lists.is_old(opened)
+        opened.close()
+        shutil.rmtree(data)
+
+
 @pytest.mark.parametrize("error", ERRORS)
 @pytest.mark.parametrize("command", ["serve", "check", "dump", "backup", "restore"])
 def test_a_command_on_a_disk_that_fails_says_one_line(lists: Lists, command: str, error: int) -> None:
