--- a/durable/store.py
+++ b/durable/store.py
@@ -47,13 +47,15 @@
     """
 
     def __init__(self, files: Files, fleet: str, name: str) -> None:
-        """Raises Refused where the folder holds another owner's state, or that of another version."""
+        """Raises Refused where the folder holds another owner's state, or that of another version, or where
+        it cannot be read.
+        """
         self._files, self._fleet, self._name = files, fleet, name
         self._generation = 0  # the highest number that is there
         self._good = 0  # the latest generation whose snapshot is known to hold
         self._taken = 0  # records since the first generation
         self._journal = ""  # the file that is appended to; empty: none
-        self._waiting: list[bytes] = []
+        self._waiting: list[bytes] = []  # frames
         self.journal_bytes = 0
         self.recovered = self._recover()
 
@@ -62,32 +64,50 @@
 
         Raises NotWritten, and then what was there is there still.
         """
-        files, generation = self._files, self._generation + 1
+        generation = self._generation + 1
         name, journal = f"snapshot-{generation}", f"journal-{generation}"
+        data = self._head("snapshot", generation) + frame(SNAPSHOT, snapshot)
+        head = self._head("journal", generation)
+        self._end_journal()  # if this fails, whether the new snapshot holds is not known
+        self._generation = generation
         try:
-            files.create(ASIDE)
-            files.append(ASIDE, self._head("snapshot", generation) + frame(SNAPSHOT, snapshot))
-            files.sync(ASIDE)
-            files.create(journal)
-            head = self._head("journal", generation)
-            files.append(journal, head)
-            files.sync(journal)
-            files.rename(ASIDE, name)
-            files.sync_folder()
+            self._write_new(ASIDE, data)
+            self._write_new(journal, head)
+            self._files.finish(ASIDE)
+            self._files.rename(ASIDE, name)
+            self._files.sync_folder()
         except OSError as e:
-            # Whether the new snapshot holds is not known: nothing may be added to the generation before it.
-            self._journal = ""
-            self._generation = generation
+            self._discard(ASIDE, journal, name)
             raise NotWritten(f"{name}: {e.strerror}") from None
         before, self._good = self._good, generation
-        self._generation, self._journal, self.journal_bytes = generation, journal, len(head)
+        self._journal, self.journal_bytes = journal, len(head)
         self._waiting.clear()
         with contextlib.suppress(OSError):  # what is left over goes with a later generation
             self._remove_below(before)
 
+    def _write_new(self, name: str, data: bytes) -> None:
+        self._files.create(name)
+        self._files.append(name, data)
+        self._files.sync(name)
+
+    def _discard(self, *names: str) -> None:
+        """Give up the files of a generation that could not be written, so that retries do not fill the disk.
+
+        All that was committed is in the generations before it.
+        """
+        for name in names:
+            self._files.finish(name)
+            with contextlib.suppress(OSError):
+                self._files.remove(name)
+
+    def _end_journal(self) -> None:
+        if self._journal:
+            self._files.finish(self._journal)
+            self._journal = ""
+
     def append(self, record: bytes) -> None:
-        """It goes to disk with the next commit."""
-        self._waiting.append(record)
+        """It goes to disk with the next commit. Raises ValueError on one that is too long."""
+        self._waiting.append(frame(RECORD, record))
 
     def commit(self) -> None:
         """All that was appended is on disk when this returns, by one fsync.
@@ -98,12 +118,13 @@
             return
         if not self._journal:
             raise NotWritten(f"journal-{self._generation}: could not be written; begin a new generation")
-        data = b"".join(frame(RECORD, record) for record in self._waiting)
+        data = b"".join(self._waiting)
         try:
             self._files.append(self._journal, data)
             self._files.sync(self._journal)
         except OSError as e:
-            name, self._journal = self._journal, ""
+            name = self._journal
+            self._end_journal()
             raise NotWritten(f"{name}: {e.strerror}") from None
         self._taken += len(self._waiting)
         self.journal_bytes += len(data)
@@ -116,7 +137,7 @@
 
     def _recover(self) -> Recovered:
         notes: list[str] = []
-        found = {name: self._read(name, notes) for name in self._files.names()
+        found = {name: self._read(name, notes) for name in self._names()
                  if name.startswith(("snapshot-", "journal-"))}
         numbers = sorted({n for name in found if (n := _number(name)) is not None}, reverse=True)
         self._generation = max(numbers, default=0)
@@ -134,13 +155,23 @@
             return Recovered(snapshot.payloads[0], tuple(records), tuple(notes))
         return Recovered(notes=tuple(notes))
 
+    def _names(self) -> list[str]:
+        try:
+            return self._files.names()
+        except OSError as e:
+            where = e.filename or "the folder"
+            raise Refused(f"{where}: {e.strerror}; mend the disk and try again") from None
+
     def _read(self, name: str, notes: list[str]) -> _File | None:
-        """None: nothing of it can be used. Raises Refused."""
+        """None: nothing of it can be used. Raises Refused.
+
+        An error of reading may pass, and the file be whole: without it a new generation would be begun from
+        less than was committed.
+        """
         try:
             data = self._files.read(name)
         except OSError as e:
-            notes.append(f"{name}: {e.strerror}; it is left out")
-            return None
+            raise Refused(f"{name}: {e.strerror}; mend the disk and try again, or move it away") from None
         made: _File | None = None
         try:
             for at, kind, payload in frames(data):
@@ -184,11 +215,18 @@
 
 
 def _joined(taken: int, journals: list[_File | None], notes: list[str]) -> list[bytes]:
-    """The records of these journals, each of which must go on where the one before it ended."""
+    """The records of these journals, each of which must go on where the one before it ended.
+
+    Records behind that place are of a commit that was refused, before the next generation was begun.
+    """
     records: list[bytes] = []
     for journal in journals:
         if journal is None:
             continue
+        if taken <= journal.head.first < taken + len(records):
+            notes.append(f"journal-{journal.head.generation}: goes on from record {journal.head.first}; what "
+                         "stands behind that in the one before was refused, and is left out")
+            del records[journal.head.first - taken:]
         if journal.head.first != taken + len(records):
             notes.append(f"journal-{journal.head.generation}: goes on from record {journal.head.first}, but "
                          f"{taken + len(records)} are there; it is left out")
