Ages of servers: bounded by what the agent saw, whatever the wall clock says

Need: a wall clock may be wrong or stepped by an hour, and a server that has just started must still get a cold one's load (rule failback), and warm up by the monotonic clock.

Root cause: clock.py fixed one offset between wall clock and monotonic clock at the start of the process, and discovery.py (ListingParser._member) translated every `up_since_ms` with it, for the name of a process and for its age alike. With the agent's clock ahead at its start, or the servers' clocks stepped back with it later, a server that had just started looked an hour old and was warm at once; with it behind, a start lay an hour in the future, and the server stayed at the colder end of its ramp for all of that (logic.py, ColdBudget.warmth: max(0, age)).

The raw `up_since_ms` is the name of the process (Member keeps it). The time that the decisions get is settled once for each id and raw value, when it is first told: not after that moment, not before the list was last known to lack it, and between them the later of what the wall clock says now and said at the start. Starts are remembered while a server is listed and for 4096 more, so that one which a whole list left out returns as it was. A call for news that was held before anything else was heard says that there was none when it was asked. From another address a list that shares no server with the one before is bounded by nothing. Two starts of one id never get one time.

Not covered, for nobody saw it: a start from before the first list of a process whose clock is ahead.

--- a/catalog/follower.py
+++ b/catalog/follower.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from lilacsill.clock import Clock
 from lilacsill.discovery import Listing, ListingParser
 
 from .core import Change, Entry, History, Member, whole_of
@@ -31,7 +32,8 @@
     """Keeps all that a member has; raises ValueError on what is no answer of a list service."""
 
     def __init__(self) -> None:
-        """Zones and kinds stay names."""
+        """Zones and kinds stay names, and starts Unix times: ages are the readers' matter."""
+        super().__init__(Clock(), (), ())
 
     def parse(self, doc: Any) -> Heard:
         try:
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -16,6 +16,7 @@
 
 from .clock import Clock
 from .connection import Connection, fields_of, header
+from .starts import Starts
 
 log = logging.getLogger(__name__)
 
@@ -53,6 +54,7 @@
 class Member:
     backend: Backend
     address: Address
+    up_since_ms: int = 0  # the latest start as the list gives it; with the id the name of the process
 
     def same_process(self, other: Member | None) -> bool:
         """Whether a connection to the one leads to the other."""
@@ -90,15 +92,20 @@
     """Turns discovery's JSON into a Listing; raises ValueError on anything that does not fit its form."""
 
     def __init__(self, clock: Clock, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
-        self._clock = clock
+        self.starts = Starts(clock)
         self._zones = {name: i for i, name in enumerate(zones)}
         self._kinds = {name: i for i, name in enumerate(kinds)}
 
     def parse(self, doc: Any) -> Listing:
         try:
-            members = tuple(self._member(m) for m in doc["members"])
-            identity = doc.get("list")
-            return Listing(int(doc["revision"]), bool(doc["complete"]), members,
+            rows, complete, identity = doc["members"], bool(doc["complete"]), doc.get("list")
+            if complete:
+                self.starts.whole_list(str(m["id"]) for m in rows)
+            members = tuple(self._member(m) for m in rows)
+            if not complete:
+                self.starts.change([str(m.backend.id) for m in members],
+                                   [str(m.backend.id) for m in members if m.backend.state is State.GONE])
+            return Listing(int(doc["revision"]), complete, members,
                            identity if isinstance(identity, str) else None)
         except (KeyError, TypeError, AttributeError, OverflowError) as e:
             raise ValueError(f"list of backends: {type(e).__name__} {e}") from None
@@ -111,16 +118,17 @@
             "id": str(b.id), "host_port": f"{member.address.host}:{member.address.port}", "phase": phase,
             "locality": next((name for name, i in self._zones.items() if i == b.zone), None),
             "flavor": next((name for name, i in self._kinds.items() if i == b.kind), None),
-            "cell": b.cell, "size": b.capacity_hint, "up_since_ms": self._clock.to_unix_ms(b.started_at),
+            "cell": b.cell, "size": b.capacity_hint, "up_since_ms": member.up_since_ms,
         }
 
     def _member(self, m: Any) -> Member:
+        name, up_since_ms = str(m["id"]), int(m.get("up_since_ms") or 0)
         backend = Backend(
-            str(m["id"]), STATES[m["phase"]], self._zones.get(m.get("locality"), 0), int(m.get("cell") or 0),
+            name, STATES[m["phase"]], self._zones.get(m.get("locality"), 0), int(m.get("cell") or 0),
             self._kinds.get(m.get("flavor"), 0), float(m.get("size") or 1.0),
-            self._clock.from_unix_ms(int(m.get("up_since_ms") or 0)),
+            self.starts.started_at(name, up_since_ms),
         )
-        return Member(backend, parse_address(m["host_port"]))
+        return Member(backend, parse_address(m["host_port"]), up_since_ms)
 
 
 class WentBack(ConnectionError):
@@ -221,6 +229,7 @@
 
         The whole list comes first: that the revisions of the one go on at the other is promised nowhere.
         """
+        self.parser.starts.moved()
         self._addresses, self._at, self._failed = addresses, 0, 0
         self._revision = self._identity = None
         if self._watching is not None:
@@ -403,10 +412,17 @@
 
     async def _ask(self, call: Call, target: str, limit_s: float) -> Listing:
         # Bounded: a machine that is cut off says nothing, and the watch would wait for ever.
+        loop = asyncio.get_running_loop()
+        asked = loop.time()
         async with asyncio.timeout(limit_s):
-            listing = self.parser.parse(json.loads(await call.get(target)))
+            answer = await call.get(target)
+            held_s = loop.time() - asked
+            if target != PATH and held_s > ANSWER_S:
+                self.parser.starts.held(held_s)
+            listing = self.parser.parse(json.loads(answer))
         if not self._behind(listing):
-            heard_at = asyncio.get_running_loop().time() - call.age_s
+            self.parser.starts.heard(call.age_s)
+            heard_at = loop.time() - call.age_s
             self.heard_at = heard_at if self.heard_at is None else max(self.heard_at, heard_at)
         return listing
 
--- /dev/null
+++ b/tests/test_wall_clock.py
@@ -0,0 +1,374 @@
+"""A machine's wall clock may be wrong or stepped: ages of servers and identities of processes hold."""
+from __future__ import annotations
+
+import ast
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import pytest
+from tests.loopback import Message, Peer, config_doc, load_config, member
+
+import lilacsill
+from lilacsill import discovery
+from lilacsill.__main__ import assemble
+from lilacsill.agent import Agent
+from lilacsill.clock import Clock
+from lilacsill.config import Config
+from lilacsill.discovery import Address, Discovery, Listing, ListingParser
+from lilacsill.figures import Figures
+from lilacsill.starts import KEPT, Starts
+
+STEPS_S = [-3600, -5, 5, 3600]
+SECOND_US = 1_000_000
+WARM_UP_US = 24 * SECOND_US  # as the loopback settings have it
+LONG_S = 7200.0  # a start so long ago is warm whichever way the clock is stepped
+
+
+class Machine:
+    """The clocks of the agent's machine, in place of the module `time` in lilacsill/clock.py.
+
+    The servers' machines have the right time, `unix_ms`; this one's wall clock is off by `off_s`.
+    """
+
+    def __init__(self) -> None:
+        self.seconds = 500_000.0
+        self.off_s = 0.0
+
+    def monotonic_ns(self) -> int:
+        return int(self.seconds * 1e9)
+
+    def time_ns(self) -> int:
+        return int((1_700_000_000 + self.seconds + self.off_s) * 1e9)
+
+    def unix_ms(self, ago_s: float = 0.0) -> int:
+        return int((1_700_000_000 + self.seconds - ago_s) * 1000)
+
+    @property
+    def now_us(self) -> int:
+        return int(self.seconds * 1e6)
+
+
+@pytest.fixture
+def machine(monkeypatch: pytest.MonkeyPatch) -> Machine:
+    made = Machine()
+    monkeypatch.setattr(lilacsill.clock, "time", made)
+    return made
+
+
+@dataclass
+class Site:
+    """Discovery, which the test answers, and the agents that are started after each other."""
+
+    folder: Path
+    machine: Machine
+    discovery: Peer
+    mode: str = "push"
+    revision: int = 41
+    known: list[dict[str, Any]] = field(default_factory=list)
+    agents: list[Agent] = field(default_factory=list)
+    call: Message | None = None  # the watch that waits
+
+    def _made(self) -> tuple[Agent, Config]:
+        clock = Clock()
+        doc = config_doc(self.discovery.port, self.known)
+        doc["settings"]["registryMode"] = self.mode
+        doc["control"] = "127.0.0.1:0"
+        config = load_config(self.folder, doc, clock)
+        agent, _ = assemble(config, clock, Figures([c.name for c in config.settings.classes]))
+        self.agents.append(agent)
+        return agent, config
+
+    async def start(self) -> Agent:
+        agent, config = self._made()
+        agent.start(config.known)
+        self.call = await self.discovery.requests.get()
+        return agent
+
+    async def tell(self, *members: dict[str, Any], complete: bool = False) -> None:
+        """Answer the call that waits; returns once the agent has taken the answer in."""
+        assert self.call is not None
+        self.revision += 1
+        doc = {"revision": self.revision, "complete": complete, "members": list(members)}
+        await self.call.answer(200, json.dumps(doc).encode())
+        self.call = await self.discovery.requests.get()
+
+
+def on_site(folder: Path, machine: Machine, play: Callable[[Site], Any], mode: str = "push") -> None:
+    async def run() -> None:
+        site = Site(folder, machine, await Peer().start(), mode)
+        try:
+            await play(site)
+        finally:
+            for agent in site.agents:
+                agent._discovery.stop()
+            await site.discovery.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def started_at(agent: Agent, name: str) -> int:
+    return agent._balancer.servers[name].started_at
+
+
+def warmth(agent: Agent, name: str, now_us: int) -> float:
+    return agent._balancer.cold.warmth(agent._balancer.servers[name], now_us)
+
+
+def cold(agent: Agent, name: str, machine: Machine) -> bool:
+    """Whether it is given what a server gets that has started within the last second."""
+    return warmth(agent, name, machine.now_us) <= agent._balancer.cold.start + 0.87 / 24
+
+
+@pytest.mark.parametrize("when", ["at its start", "while it runs"])
+@pytest.mark.parametrize("off_s", STEPS_S)
+def test_a_server_that_starts_is_cold_and_warms_up_by_the_monotonic_clock(
+        tmp_path: Path, machine: Machine, off_s: float, when: str) -> None:
+    async def play(site: Site) -> None:
+        machine.off_s = off_s if when == "at its start" else 0.0
+        agent = await site.start()
+        await site.tell(member("old", 1, up=machine.unix_ms(LONG_S)), complete=True)
+        machine.seconds += 30
+        machine.off_s = off_s
+        await site.tell()
+        machine.seconds += 0.5
+        await site.tell(member("new", 2, up=machine.unix_ms(0.25)))
+        assert cold(agent, "new", machine)
+        assert warmth(agent, "new", machine.now_us + WARM_UP_US) == 1.0
+        assert warmth(agent, "old", machine.now_us) == 1.0
+
+    on_site(tmp_path, machine, play)
+
+
+@pytest.mark.parametrize("off_s", STEPS_S)
+def test_so_is_one_of_a_machine_whose_clock_was_stepped_with_the_agents(
+        tmp_path: Path, machine: Machine, off_s: float) -> None:
+    async def play(site: Site) -> None:
+        agent = await site.start()
+        await site.tell(complete=True)
+        machine.off_s = off_s
+        machine.seconds += 60  # discovery was down meanwhile: the agent has seen nothing of the start
+        await site.tell(member("new", 2, up=machine.unix_ms(-off_s)))
+        assert cold(agent, "new", machine)
+        assert warmth(agent, "new", machine.now_us + WARM_UP_US) == 1.0
+
+    on_site(tmp_path, machine, play)
+
+
+@pytest.mark.parametrize("off_s", STEPS_S)
+def test_a_restart_under_the_same_id_is_a_new_process_and_cold(
+        tmp_path: Path, machine: Machine, off_s: float) -> None:
+    async def play(site: Site) -> None:
+        machine.off_s = off_s
+        agent = await site.start()
+        await site.tell(member("s", 1, up=machine.unix_ms(0)), complete=True)
+        first = started_at(agent, "s")
+        agent._balancer.servers["s"].samples = 7
+        machine.seconds += 0.001  # the two values may lie as close as this
+        await site.tell(member("s", 1, up=machine.unix_ms(0)))
+        assert started_at(agent, "s") != first
+        assert agent._balancer.servers["s"].samples == 0
+        machine.seconds += 30
+        await site.tell()
+        await site.tell(member("s", 1, up=machine.unix_ms(0.25)), complete=True)
+        assert cold(agent, "s", machine)
+
+    on_site(tmp_path, machine, play)
+
+
+@pytest.mark.parametrize("off_s", STEPS_S)
+def test_two_starts_that_are_told_in_one_moment_are_two(
+        tmp_path: Path, machine: Machine, off_s: float) -> None:
+    """Each is bounded by that moment; by that alone they would be one."""
+    async def play(site: Site) -> None:
+        machine.off_s = off_s
+        agent = await site.start()
+        await site.tell(complete=True)
+        seen = set()
+        for n in range(3):
+            await site.tell(member("s", 1, up=machine.unix_ms(LONG_S - n)))
+            seen.add(started_at(agent, "s"))
+        assert len(seen) == 3
+
+    on_site(tmp_path, machine, play)
+
+
+@pytest.mark.parametrize("off_s", STEPS_S)
+def test_a_running_server_stays_the_same_process_through_steps(
+        tmp_path: Path, machine: Machine, off_s: float) -> None:
+    async def play(site: Site) -> None:
+        up = machine.unix_ms(3.0)
+        agent = await site.start()
+        await site.tell(member("s", 1, up=up), complete=True)
+        first = started_at(agent, "s")
+        agent._balancer.servers["s"].samples = 7
+        for step_s in (off_s, 0.0, -off_s):
+            machine.off_s = step_s
+            machine.seconds += 1
+            await site.tell(member("s", 1, up=up))
+            await site.tell(member("s", 1, up=up), complete=True)
+            assert started_at(agent, "s") == first
+        assert agent._balancer.servers["s"].samples == 7
+
+    on_site(tmp_path, machine, play)
+
+
+@pytest.mark.parametrize("off_s", [0, *STEPS_S])
+def test_one_that_a_whole_list_left_out_returns_as_it_was(
+        tmp_path: Path, machine: Machine, off_s: float) -> None:
+    """Whole lists may leave out who drains."""
+    async def play(site: Site) -> None:
+        agent = await site.start()
+        here, up = member("here", 2), machine.unix_ms(LONG_S)
+        await site.tell(member("s", 1, up=up), here, complete=True)
+        first = started_at(agent, "s")
+        machine.off_s = off_s
+        machine.seconds += 30
+        await site.tell(here, complete=True)
+        assert "s" not in agent._balancer.servers
+        machine.seconds += 30
+        await site.tell(member("s", 1, up=up))
+        assert started_at(agent, "s") == first and warmth(agent, "s", machine.now_us) == 1.0
+
+    on_site(tmp_path, machine, play)
+
+
+@pytest.mark.parametrize("off_s", [0, *STEPS_S])
+def test_what_started_long_ago_by_the_list_is_warm(tmp_path: Path, machine: Machine, off_s: float) -> None:
+    """0 is no wall time: no clock that is off makes a start of it."""
+    async def play(site: Site) -> None:
+        machine.off_s = off_s
+        agent = await site.start()
+        await site.tell(member("a", 1), complete=True)
+        machine.seconds += 5
+        await site.tell(member("b", 2))
+        assert started_at(agent, "a") == started_at(agent, "b") == 0
+
+    on_site(tmp_path, machine, play)
+
+
+def test_a_right_clock_tells_the_age_of_a_start_that_was_told_late(tmp_path: Path, machine: Machine) -> None:
+    """Discovery was down: the bound is older than what the list says, and the list is believed."""
+    async def play(site: Site) -> None:
+        agent = await site.start()
+        await site.tell(member("a", 1), complete=True)
+        machine.seconds += 60
+        await site.tell(member("b", 2, up=machine.unix_ms(10.0)))
+        assert abs(started_at(agent, "b") - (machine.now_us - 10 * SECOND_US)) <= 1000
+
+    on_site(tmp_path, machine, play)
+
+
+@pytest.mark.parametrize("off_s", STEPS_S)
+def test_what_the_configuration_knows_warms_up_and_stays_the_same_process(
+        tmp_path: Path, machine: Machine, off_s: float) -> None:
+    async def play(site: Site) -> None:
+        machine.off_s = off_s
+        site.known = [member("s", 1, up=machine.unix_ms(1.0)), member("old", 2, up=machine.unix_ms(LONG_S))]
+        agent = await site.start()
+        first, old = started_at(agent, "s"), started_at(agent, "old")
+        assert first <= machine.now_us
+        agent._balancer.servers["s"].samples = 7
+        machine.seconds += 5
+        await site.tell(*site.known, complete=True)
+        assert started_at(agent, "s") == first and started_at(agent, "old") == old
+        assert agent._balancer.servers["s"].samples == 7
+        assert warmth(agent, "s", machine.now_us + WARM_UP_US) == 1.0
+        assert warmth(agent, "old", machine.now_us) == 1.0
+
+    on_site(tmp_path, machine, play)
+
+
+@pytest.mark.parametrize("off_s", STEPS_S)
+def test_another_list_says_nothing_of_starts_by_what_the_first_one_lacked(
+        tmp_path: Path, machine: Machine, off_s: float) -> None:
+    async def play(site: Site) -> None:
+        agent = await site.start()
+        await site.tell(member("a", 1), complete=True)
+        machine.off_s = off_s
+        agent.move((Address("127.0.0.1", site.discovery.port),))
+        site.call = await site.discovery.requests.get()
+        machine.seconds += 0.5
+        await site.tell(member("b", 2, up=machine.unix_ms(LONG_S)), complete=True)
+        assert warmth(agent, "b", machine.now_us) == 1.0
+        agent.move((Address("127.0.0.1", site.discovery.port),))
+        site.call = await site.discovery.requests.get()
+        machine.seconds += 0.5  # the same list now: it has one that it had before
+        listed = [member("b", 2, up=machine.unix_ms(LONG_S + 0.5)), member("c", 3, up=machine.unix_ms(0.25))]
+        await site.tell(*listed, complete=True)
+        assert cold(agent, "c", machine) and warmth(agent, "b", machine.now_us) == 1.0
+
+    on_site(tmp_path, machine, play)
+
+
+def test_starts_of_the_past_are_forgotten_and_those_of_the_listed_are_not(machine: Machine) -> None:
+    starts, up = Starts(Clock()), machine.unix_ms(LONG_S)
+    starts.whole_list(["stays", "left"])
+    first = starts.started_at("stays", up), starts.started_at("left", up)
+    starts.heard(0)
+    starts.change([], ["left"])
+    machine.seconds += 30
+    for n in range(3 * KEPT):
+        name = f"s{n}"
+        starts.change([name], [f"s{n - 1}"])
+        starts.started_at(name, up)
+        starts.heard(0)
+    for n in range(100):
+        starts.started_at("restarts", up + n)
+    assert starts.started_at("stays", up) == first[0]
+    assert starts.started_at("left", up) > first[1]
+    kept = starts._known
+    assert len(kept) <= KEPT + 10 and len(kept["restarts"]) < 10
+
+
+@pytest.mark.parametrize("off_s", STEPS_S)
+def test_a_start_told_by_the_first_call_that_waited_is_bounded_by_it(
+        machine: Machine, off_s: float, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Without a door an agent that asks has no whole list first, and its first call may wait long."""
+    whole = Starts.held
+    monkeypatch.setattr(discovery, "ANSWER_S", 0.0)  # any call has waited longer than this
+    monkeypatch.setattr(Starts, "held", lambda starts, held_s: whole(starts, 0.25))
+
+    async def run() -> None:
+        machine.off_s = off_s
+        peer, told = await Peer().start(), asyncio.Queue[Listing | None]()
+        parser = ListingParser(Clock(), ("a",), ("m",))
+        parser.parse({"revision": 41, "complete": True, "members": [member("a", 1)]})
+        watch = Discovery((Address("127.0.0.1", peer.port),), parser, 41, 9.0, 20_000)
+        watch.watch(told.put_nowait)
+        call = await peer.requests.get()
+        assert "index=41&" in call.first
+        doc = {"revision": 42, "complete": False, "members": [member("new", 2, up=machine.unix_ms(0))]}
+        await call.answer(200, json.dumps(doc).encode())
+        listing = await told.get()
+        assert listing is not None
+        assert 0 <= machine.now_us - listing.members[0].backend.started_at <= SECOND_US // 4
+        watch.stop()
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+# Everything else
+
+PROGRAM = ("lilacsill", "brasshead", "membership", "durable", "catalog")
+WALL = {"time", "time_ns", "ctime", "gmtime", "localtime", "strftime", "clock_gettime", "clock_gettime_ns"}
+READS_WALL = {"lilacsill/clock.py", "catalog/store.py"}
+
+
+def _reads_wall(node: ast.AST) -> bool:
+    if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name):
+        return node.value.id == "time" and node.attr in WALL
+    if isinstance(node, ast.ImportFrom):
+        return node.module in ("time", "datetime", "email.utils")
+    return isinstance(node, ast.Import) and any(name.name == "datetime" for name in node.names)
+
+
+def test_the_wall_clock_is_read_in_two_places_only() -> None:
+    root = Path(lilacsill.__file__).parent.parent
+    found = {str(path.relative_to(root)) for package in PROGRAM for path in (root / package).rglob("*.py")
+             if any(_reads_wall(node) for node in ast.walk(ast.parse(path.read_text())))}
+    assert found == READS_WALL
