Hand-over: ages of servers go over as monotonic times

Need: the wall clock may be stepped between two processes of a hand-over; the successor must not take cold servers for warm ones, nor running ones for new.

Root cause: Agent.state handed the list over with Unix times only, and the successor put them on its own clock by its own offset (Clock.from_unix_ms), fixed at its own start: all ages were off by the step. It knew nothing either of when the list was last known to lack what it then heard first.

Change: `starts` beside `roster` and `memory` in what is handed over: id, `up_since_ms` and monotonic time of each start, and when the list was last heard; one machine's processes have that clock in common. The list itself keeps its form, with the raw `up_since_ms`. A successor that finds no `starts`, cannot read them, or finds times that lie ahead of its clock starts as before, with a line in the log.

--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -103,9 +103,12 @@
 
     def resume(self, state: dict[str, Any], known: Listing) -> None:
         """Go on from what another process hands over, or start where its list cannot be read."""
+        parser = self._discovery.parser
+        if "starts" in state:  # an earlier version hands over none
+            parser.starts.resume(state["starts"])
         try:
             roster = state["roster"]
-            listing = self._roster.resume(roster, self._discovery.parser.parse(roster["list"]))
+            listing = self._roster.resume(roster, parser.parse(roster["list"]))
             self._heard = True
         except (ValueError, KeyError, TypeError, AttributeError) as e:
             log.warning("starts without the list that was handed over: %s", e)
@@ -123,7 +126,8 @@
 
     def state(self) -> dict[str, Any]:
         """What another process goes on from."""
-        return {"roster": self._roster.state(self._discovery.parser.form),
+        parser = self._discovery.parser
+        return {"roster": self._roster.state(parser.form), "starts": parser.starts.state(),
                 "memory": memory.take(self._balancer)}
 
     def move(self, discovery: tuple[Address, ...]) -> None:
--- a/lilacsill/starts.py
+++ b/lilacsill/starts.py
@@ -14,10 +14,14 @@
 """
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterable
+from typing import Any
 
 from .clock import Clock
 
+log = logging.getLogger(__name__)
+
 KEPT = 4096  # servers no longer listed whose starts are remembered
 KEPT_EACH = 8  # starts of one server, the latest told
 
@@ -92,3 +96,25 @@
             runs = self._known.pop(name)
             if name in self._listed:
                 self._known[name] = runs
+
+    # Between processes of one machine, which have the monotonic clock in common
+
+    def state(self) -> dict[str, Any]:
+        """All of it in JSON's terms."""
+        return {"lacking_us": self._lacking_us,
+                "runs": {name: list(runs.items()) for name, runs in self._known.items()}}
+
+    def resume(self, state: Any) -> None:
+        """Go on from another's state; without it, and with a line in the log, where it cannot be read."""
+        now = self._clock.now()
+        try:
+            runs = {str(name): {int(up_since_ms): int(at) for up_since_ms, at in pairs}
+                    for name, pairs in state["runs"].items()}
+            lacking_us = None if state["lacking_us"] is None else int(state["lacking_us"])
+            if max([lacking_us or 0, *(at for each in runs.values() for at in each.values())]) > now:
+                raise ValueError("of another machine's clock")
+        except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as e:
+            log.warning("starts without the servers' ages that were handed over: %s", e)
+            return
+        self._known.update(runs)
+        self._lacking_us = lacking_us
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -4,15 +4,19 @@
 import ast
 import asyncio
 import json
+import sys
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import pytest
-from tests.loopback import Message, Peer, config_doc, load_config, member
+from tests.loopback import Message, Peer, config_doc, environment, load_config, member
+from tests.test_handover import free_port
 
 import lilacsill
+from faultlab.parts.skewed_agent import SKEW_FILE
 from lilacsill import discovery
 from lilacsill.__main__ import assemble
 from lilacsill.agent import Agent
@@ -20,6 +24,7 @@
 from lilacsill.config import Config
 from lilacsill.discovery import Address, Discovery, Listing, ListingParser
 from lilacsill.figures import Figures
+from lilacsill.handover import inherit
 from lilacsill.starts import KEPT, Starts
 
 STEPS_S = [-3600, -5, 5, 3600]
@@ -88,6 +93,16 @@
         self.call = await self.discovery.requests.get()
         return agent
 
+    async def succeed(self, agent: Agent, edit: Callable[[dict[str, Any]], None] = lambda _: None) -> Agent:
+        """A second process takes over what the first one hands on, over a wire."""
+        state = json.loads(json.dumps(agent.state()))
+        edit(state)
+        agent._discovery.stop()
+        after, config = self._made()
+        after.resume(state, config.known)
+        self.call = await self.discovery.requests.get()
+        return after
+
     async def tell(self, *members: dict[str, Any], complete: bool = False) -> None:
         """Answer the call that waits; returns once the agent has taken the answer in."""
         assert self.call is not None
@@ -352,6 +367,171 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+# Between two processes of a hand-over
+
+
+@pytest.mark.parametrize("off_s", STEPS_S)
+def test_a_successor_has_the_starts_of_its_predecessor(
+        tmp_path: Path, machine: Machine, off_s: float) -> None:
+    async def play(site: Site) -> None:
+        first = await site.start()
+        listed = [member("old", 1, up=machine.unix_ms(LONG_S)), member("long", 2)]
+        await site.tell(*listed, complete=True)
+        machine.seconds += 30
+        await site.tell()
+        listed.append(member("new", 3, up=machine.unix_ms(0.25)))
+        await site.tell(listed[-1])
+        starts = {name: started_at(first, name) for name in ("old", "long", "new")}
+        first._balancer.servers["old"].samples = 7
+        machine.off_s = off_s
+        second = await site.succeed(first)
+        assert {name: started_at(second, name) for name in starts} == starts
+        await site.tell(*listed, complete=True)
+        assert {name: started_at(second, name) for name in starts} == starts
+        assert second._balancer.servers["old"].samples == 7
+        machine.seconds += 0.5
+        await site.tell(member("later", 4, up=machine.unix_ms(0.25)))
+        assert cold(second, "later", machine)
+        third = await site.succeed(second)
+        assert {name: started_at(third, name) for name in starts} == starts
+
+    on_site(tmp_path, machine, play)
+
+
+@pytest.mark.parametrize("off_s", STEPS_S)
+def test_a_start_between_the_hand_over_and_the_first_list_is_seen(
+        tmp_path: Path, machine: Machine, off_s: float) -> None:
+    async def play(site: Site) -> None:
+        first = await site.start()
+        left = member("left", 2, up=machine.unix_ms(LONG_S))
+        await site.tell(member("a", 1), left, complete=True)
+        await site.tell(member("a", 1), complete=True)
+        machine.off_s = off_s
+        second = await site.succeed(first)
+        machine.seconds += 0.5
+        await site.tell(member("a", 1), left, member("new", 3, up=machine.unix_ms(0.25)), complete=True)
+        assert cold(second, "new", machine)
+        assert warmth(second, "left", machine.now_us) == 1.0  # the predecessor knew it
+
+    on_site(tmp_path, machine, play)
+
+
+def _older(state: dict[str, Any]) -> None:
+    del state["starts"]
+
+
+def _spoilt(state: dict[str, Any]) -> None:
+    state["starts"] = {"runs": {"s": 7}}
+
+
+def _strange(state: dict[str, Any]) -> None:
+    state["starts"] = None
+
+
+def _impossible(state: dict[str, Any]) -> None:
+    """Starts that have not been yet: the machine is another."""
+    state["starts"]["lacking_us"] = 10 ** 15
+    state["starts"]["runs"] = {name: [[raw, 10 ** 15] for raw, _ in runs]
+                               for name, runs in state["starts"]["runs"].items()}
+
+
+@pytest.mark.parametrize("edit", [_older, _spoilt, _strange, _impossible])
+def test_a_successor_starts_from_another_form(
+        tmp_path: Path, machine: Machine, edit: Callable[[dict[str, Any]], None]) -> None:
+    async def play(site: Site) -> None:
+        first = await site.start()
+        listed = member("s", 1, up=machine.unix_ms(3.0))
+        await site.tell(listed, complete=True)
+        first._balancer.servers["s"].samples = 7
+        machine.seconds += 1
+        second = await site.succeed(first, edit)
+        assert started_at(second, "s") <= machine.now_us
+        assert second._balancer.servers["s"].samples == 7
+        await site.tell(listed, complete=True)
+        assert second._balancer.servers["s"].samples == 7
+        assert warmth(second, "s", machine.now_us + WARM_UP_US) == 1.0
+
+    on_site(tmp_path, machine, play)
+
+
+def test_an_older_successor_reads_what_is_handed_on(tmp_path: Path, machine: Machine) -> None:
+    """It takes `up_since_ms` of the list for what discovery says."""
+    async def play(site: Site) -> None:
+        machine.off_s = -3600.0
+        agent = await site.start()
+        up = machine.unix_ms(1.0)
+        await site.tell(member("s", 1, up=up), complete=True)
+        machine.off_s = 5.0
+        listed = json.loads(json.dumps(agent.state()))["roster"]["list"]["members"]
+        assert listed == [member("s", 1, up=up)]
+
+    on_site(tmp_path, machine, play)
+
+
+@pytest.mark.parametrize("off_s", STEPS_S)
+def test_bans_outlive_steps_and_hand_overs(tmp_path: Path, machine: Machine, off_s: float) -> None:
+    async def play(site: Site) -> None:
+        first = await site.start()
+        up = machine.unix_ms(3.0)
+        await site.tell(member("s", 1, up=up), complete=True)
+        first.detach("s")
+        machine.off_s = off_s
+        await site.tell(member("s", 1, up=up))
+        assert not first._balancer.ready
+        second = await site.succeed(first)
+        await site.tell(member("s", 1, up=up), complete=True)
+        assert not second._balancer.ready
+        second.attach("s")
+        assert [s.id for s in second._balancer.ready] == ["s"]
+
+    on_site(tmp_path, machine, play)
+
+
+async def _started(folder: Path, doc: dict[str, Any], off_s: float) -> asyncio.subprocess.Process:
+    """The agent as a process of its own, on a machine with that clock; returns when it listens."""
+    (folder / "config.json").write_text(json.dumps(doc))
+    (folder / "skew").write_text(str(off_s))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "faultlab.parts.skewed_agent", stderr=asyncio.subprocess.PIPE,
+        env={**environment(folder), SKEW_FILE: str(folder / "skew")})
+    assert process.stderr is not None
+    while b"listens on" not in (line := await process.stderr.readline()):
+        assert line, "ended before it listened"
+    return process
+
+
+@pytest.mark.parametrize("off_s", STEPS_S)
+def test_processes_with_other_wall_clocks_hand_over_to_each_other(tmp_path: Path, off_s: float) -> None:
+    async def run() -> None:
+        discovery, processes = await Peer().start(), list[asyncio.subprocess.Process]()
+        up = int(time.time() * 1000) - 1000
+        expected_us = time.monotonic_ns() // 1000 - SECOND_US
+        doc = config_doc(discovery.port, []) | {"listen": f"127.0.0.1:{free_port()}"}
+        doc["settings"]["registryMode"] = "push"
+        try:
+            for skew_s in (0.0, off_s):
+                doc["control"] = f"127.0.0.1:{free_port()}"
+                processes.append(await _started(tmp_path, doc, skew_s))
+                call = await discovery.requests.get()
+                assert call.first == "GET /catalog/members HTTP/1.1"
+                listing = {"revision": 9, "complete": True, "members": [member("s", 1, up=up)]}
+                await call.answer(200, json.dumps(listing).encode())
+                await discovery.requests.get()
+            heritage = await asyncio.to_thread(inherit, next(tmp_path.glob("lilacsill-*.sock")))
+            assert heritage is not None
+            heritage.listener.close()
+            heritage.link.close()
+        finally:
+            for process in processes:
+                process.kill()
+                await process.wait()
+            await discovery.stop()
+        (raw, started_us), = heritage.state["starts"]["runs"]["s"]
+        assert raw == up and abs(started_us - expected_us) < SECOND_US
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
 # Everything else
 
 PROGRAM = ("lilacsill", "brasshead", "membership", "durable", "catalog")
