Membership: one that starts again after its clock went back is known again

Need: the start number of an agent's process is a wall time; after a step back a new process has a lower one than the process before it, and must be taken for what it is all the same.

Root cause: membership/core.py, Membership.heard answers a PING of an outdated process with an ACK, and _acked took any ACK for "someone has taken this process for what it is" (_acknowledged). Once two had told it of its earlier start, _defend then held it for the older of two and silenced it for good; which of the two came first was left to chance. Where the peers still held the earlier process for alive the ACK did not name it at all (_facts), and in a fleet of two there is no second teller.

Change: that ACK always names the later start, and one that does so acknowledges nothing. In a fleet of two the other's word is enough to go above it, as long as nobody has acknowledged this process.

--- a/membership/core.py
+++ b/membership/core.py
@@ -191,7 +191,7 @@
             # An older process of that name. If it is a later one whose clock went back, it learns so here.
             self.ignored += 1
             if m.kind is Kind.PING:
-                self._say(m.sender, Kind.ACK, m.seq)
+                self._say(m.sender, Kind.ACK, m.seq, outdated=True)
             return self._actions
         if m.digest != self._digest:
             self._differs_until = now + DIFFERS_PERIODS * self.timing.period_us
@@ -250,21 +250,27 @@
         if probe is None or probe.seq != m.seq:
             return
         if m.sender == probe.member:
-            self._acknowledged = True
+            self._acknowledged = self._acknowledged or not self._outdated(m)
         elif not probe.asked or m.about != probe.member:
             return
         self._probe = None
         self.health = max(0, self.health - 1)
 
-    def _say(self, to: int, kind: Kind, seq: int, about: int = 0) -> None:
+    def _outdated(self, m: Message) -> bool:
+        """Whether its sender holds another process of this name for the latest."""
+        return any(fact.member == self.me and fact.record.start > self.start for fact in m.facts)
+
+    def _say(self, to: int, kind: Kind, seq: int, about: int = 0, outdated: bool = False) -> None:
+        """outdated: the other is not the latest process of its name known here, and is told so."""
+        facts = self._facts(to, outdated)
         self._actions.append(Send(to, Message(
-            kind, self.me, self.start, self.incarnation, seq, about, self._digest, self._facts(to))))
+            kind, self.me, self.start, self.incarnation, seq, about, self._digest, facts)))
 
-    def _facts(self, to: int) -> tuple[Fact, ...]:
+    def _facts(self, to: int, outdated: bool) -> tuple[Fact, ...]:
         """What the other must hear of itself first, then the news told least often."""
         facts = []
         theirs = self.peers[to].record
-        if theirs.status is not Status.ALIVE:
+        if outdated or theirs.status is not Status.ALIVE:
             facts.append(Fact(to, theirs))  # the buddy system
         most, again = self._times(), []
         while self._news and len(facts) < FACTS:
@@ -312,6 +318,8 @@
         """What is said of this very member."""
         self._mine.add(teller, r)
         sure = self._mine.witnessed()
+        if len(self.peers) == 1 and r.start > self.start and not self._acknowledged:
+            sure = r  # there is no second one who could say it, and going above it does no harm
         if sure.start > self.start:
             # Two know a later process of this name. If nobody has taken this one for what it is, the clock
             # that gave its start went back, and it goes above; else it is the older one, and gives way.
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -14,6 +14,7 @@
 import pytest
 from tests.loopback import Message, Peer, config_doc, environment, load_config, member
 from tests.test_handover import free_port
+from tests.test_membership import Fleet
 
 import lilacsill
 from faultlab.parts.skewed_agent import SKEW_FILE
@@ -26,6 +27,8 @@
 from lilacsill.figures import Figures
 from lilacsill.handover import inherit
 from lilacsill.starts import KEPT, Starts
+from membership.messages import Fact, Kind, Message as Datagram
+from membership.record import Record, Status
 
 STEPS_S = [-3600, -5, 5, 3600]
 SECOND_US = 1_000_000
@@ -532,6 +535,44 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+# Membership: the start number of a process is a wall time
+
+
+@pytest.mark.parametrize("away_s", [0.1, 3, 30])
+@pytest.mark.parametrize("step_s", STEPS_S)
+@pytest.mark.parametrize("size", [2, 3, 10])
+def test_an_agent_that_starts_again_after_a_step_is_known_again(
+        size: int, step_s: int, away_s: float) -> None:
+    fleet = Fleet(size)
+    fleet.starts = 10_000_000  # Unix ms, as far as these members know
+    for i in range(size):
+        fleet.start(i)
+    fleet.run(15)
+    assert fleet.agree(set(range(size)))
+    del fleet.members[1]
+    fleet.run(away_s)
+    fleet.starts += step_s * 1000
+    fleet.start(1)
+    fleet.run(30)
+    assert fleet.agree(set(range(size)))
+    assert not any(m.superseded for m in fleet.members.values())
+
+
+@pytest.mark.parametrize("size", [3, 10])
+def test_of_two_processes_that_both_run_the_acknowledged_one_gives_way_to_a_later(size: int) -> None:
+    fleet = Fleet(size)
+    fleet.run(15)
+    earlier = fleet.members[1]
+    fleet.starts += 5000
+    fleet.start(1)
+    fleet.run(15)
+    later = fleet.members[1]
+    for teller in (m for i, m in fleet.members.items() if i != 1):
+        earlier.heard(fleet.now, Datagram(Kind.PING, teller.me, teller.start, 0, 1, 0, 0, (
+            Fact(1, Record(later.start, 0, Status.ALIVE)),)))
+    assert earlier.superseded and not later.superseded
+
+
 # Everything else
 
 PROGRAM = ("lilacsill", "brasshead", "membership", "durable", "catalog")
