A large body's last byte is not passed on for a client that has left

Need: an attempt that begins more than 0.1 s after its client closed is a lost request, with no free case. A backend starts on a request with its last byte, so that byte is what must not go out.

Root cause: _Client._complete handed the last piece of a large body, and its end, to the attempt without a look at whether the client had left (lilacsill/server.py, _complete: on_read, then Upload.end). The look was made only as an attempt began (Exchange.may_go). A close lies behind unread bytes for as long as a slow backend keeps the client paused, and is read only after them: a client that wrote all, waited and left had its request run seconds later. docs/design.md called this open by nature; it is not, for the close comes in the same read as the last byte, or the kernel knows of it by then.

Change: _complete_upload asks the kernel first; if the client has left, the attempt is given up with its body cut short.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -503,9 +503,7 @@
         assert self._request is not None
         self._read_whole()
         if self._upload is not None:
-            self.on_read()
-            if self._upload is not None:
-                self._upload.end()
+            self._complete_upload()
             return
         path = origin_form(self._request.target).partition("?")[0]
         if path == HEALTH:
@@ -516,6 +514,17 @@
         self._piece = bytearray()
         self._take(self._call)
 
+    def _complete_upload(self) -> None:
+        """The last piece of a large body has been read. A backend starts on a request with its last byte: it
+        must not get that for a client whose close lies right behind it."""
+        if self.left():
+            self._leave()
+            self.drop()
+            return
+        self.on_read()
+        if self._upload is not None:
+            self._upload.end()
+
     # What goes back
 
     def _break_off(self, status: int, why: str, headers: Headers | None = None) -> None:
--- /dev/null
+++ b/tests/test_client_departure.py
@@ -0,0 +1,112 @@
+"""A client that leaves in the middle of its own request: the last byte of an attempt never follows it."""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import pytest
+from tests.loopback import Raw, World, member, post, world
+
+from brasshead.interface import ListKind
+
+LEAVES: dict[str, Callable[[Raw], None]] = {
+    "FIN": Raw.close, "RST": Raw.reset, "half-close": lambda client: client.socket.shutdown(socket.SHUT_WR)}
+leaves = pytest.mark.parametrize("how", LEAVES)
+BODY = b"x" * 160_000
+FIRST_PART = 100_000  # of the body: more than what the agent takes whole
+
+
+class SlowServer:
+    """A backend that reads only when the test does; its kernel takes little meanwhile."""
+
+    def __init__(self) -> None:
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+        self.listener.setblocking(False)
+        self.port = int(self.listener.getsockname()[1])
+        self.connection: socket.socket | None = None
+
+    async def accept(self) -> None:
+        self.connection, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+
+    async def read(self, body: int | None = None) -> bytes:
+        """What comes next, up to so many bytes of the request's body; None: to the end."""
+        assert self.connection is not None
+        loop, data = asyncio.get_running_loop(), bytearray()
+        with contextlib.suppress(ConnectionError):
+            while body is None or len(data.partition(b"\r\n\r\n")[2]) < body:
+                piece = await loop.sock_recv(self.connection, 65536)
+                if not piece:
+                    break
+                data += piece
+        return bytes(data)
+
+    def close(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+        self.listener.close()
+
+
+@contextlib.asynccontextmanager
+async def slow_server(w: World) -> AsyncIterator[SlowServer]:
+    """A slow server as the only backend of the list."""
+    server = SlowServer()
+    doc = {"revision": 42, "complete": True, "members": [member("slow", server.port)]}
+    w.agent._tell(ListKind.FULL, w.agent._roster.told(w.agent._discovery.parser.parse(doc)))
+    try:
+        yield server
+    finally:
+        server.close()
+
+
+def body_of(request: bytes) -> bytes:
+    return request.partition(b"\r\n\r\n")[2]
+
+
+def is_whole(request: bytes) -> bool:
+    """Whether the last byte of the body has come."""
+    if b"Transfer-Encoding: chunked" in request:
+        return request.endswith(b"\r\n0\r\n\r\n")
+    return body_of(request) == BODY
+
+
+def in_two_parts() -> tuple[bytes, bytes]:
+    """The head and the first part of a large body, and the rest of it."""
+    request = post(body=BODY)
+    cut = len(request) - len(BODY) + FIRST_PART
+    return request[:cut], request[cut:]
+
+
+def in_chunks() -> tuple[bytes, bytes]:
+    """The same in chunks, cut before the last, empty one."""
+    head = post(body=b"", drop=("Content-Length",), Transfer_Encoding="chunked")
+    return head + b"%x\r\n%b\r\n" % (len(BODY), BODY), b"0\r\n\r\n"
+
+
+@leaves
+@pytest.mark.parametrize("parts", [in_two_parts, in_chunks])
+def test_the_end_of_a_large_body_is_not_passed_on_for_a_client_that_has_left(
+        tmp_path: Path, how: str, parts: Callable[[], tuple[bytes, bytes]]) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=0) as w, slow_server(w) as server:
+            client, (first, rest) = await w.raw(), parts()
+            sending = asyncio.create_task(client.send(first))
+            await server.accept()
+            request = await server.read(FIRST_PART)
+            await sending
+            (connection,) = w.server.connections
+            assert connection.transport is not None
+            connection.transport.pause_reading()  # an agent that is late: end and close are read in one turn
+            assert client.socket.send(rest) == len(rest)
+            LEAVES[how](client)
+            connection.transport.resume_reading()
+            assert not is_whole(request + await server.read())
+            assert not w.agent._held
+            client.close()
+
+    asyncio.run(run())
