A client whose large body has been read whole is read on, so that its leaving is seen

Root cause: where the backend takes the last piece of a body slowly, Exchange.more halts the client's reading, and nothing resumes it once the body is whole (Upload.end in lilacsill/server.py told only the attempt). The client then stayed unread until its answer: its close was not seen, and the last byte, still in the agent's write buffer, went out whenever the backend read on.

Change: Upload.end resumes the reading.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -144,6 +144,7 @@
         self.on_whole()
         if self._sink is not None:
             self._sink.all_sent()
+        self.go_on()  # while it waits for its answer the client must be seen leaving
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -110,3 +110,33 @@
             client.close()
 
     asyncio.run(run())
+
+
+@leaves
+def test_a_client_is_seen_leaving_while_the_end_of_its_body_waits_for_the_server(
+        tmp_path: Path, how: str) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=0) as w, slow_server(w) as server:
+            client, (first, rest) = await w.raw(), in_two_parts()
+            sending = asyncio.create_task(client.send(first))
+            await server.accept()
+            request = await server.read(FIRST_PART)
+            await sending
+            (upstream,) = w.agent._backends._open
+            assert upstream.transport is not None
+            upstream.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            (held,) = w.agent._held.values()
+            assert not isinstance(held.call.body, bytes)
+            await client.send(rest)
+            while not held.call.body.whole:
+                await asyncio.sleep(0)
+            assert not upstream.written  # the last byte has not gone out
+            (connection,) = w.server.connections
+            assert connection.transport is not None and connection.transport.is_reading()
+            LEAVES[how](client)
+            while w.agent._held:
+                await asyncio.sleep(0)
+            assert not is_whole(request + await server.read())
+            client.close()
+
+    asyncio.run(run())
