An attempt that is given up takes back what the kernel still holds of it

Need: no attempt may begin after its client has left or its request has had its final answer.

Root cause: an attempt that was cancelled or timed out had its connection closed in the plain way (Connection.drop: shutdown and close). The kernel then goes on to deliver what it has not got rid of: the rest of the request and, behind it, the end. A backend that is slow to read, or cut off for a while, gets the whole request when it comes back, seconds after the client left or was answered, and starts it.

Change: before the connection of an attempt that ended as CANCELLED or TIMEOUT is closed, SO_LINGER 0 is set (Connection.reset_on_close), so that the close discards what is unsent. One system call more for an attempt that is given up, none for others. _Client._reset, which did the same by itself, uses it too.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -21,6 +21,8 @@
 
 # What this process lacks for a connection: descriptors, ports. No word on the backend.
 LACKING = (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL)
+# Ends that the agent makes itself: nothing of the request that the backend has not got may reach it later.
+GIVEN_UP = (Outcome.CANCELLED, Outcome.TIMEOUT)
 HOST = b"origin.svc"
 PROBE_US = 50_000  # a load told later than this is of no use to the requests that asked for it
 IDLE_SHARE = 0.7  # of the time after which a backend closes an idle connection; then it is retired here
@@ -404,6 +406,8 @@
             self._ask.body.stop(self)
         if self._connection is not None:
             self.resume()
+            if outcome in GIVEN_UP:
+                self._connection.reset_on_close()
             self._connection.exchange = None
             self._backends.give_back(self._connection)
         self._done(Result(
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -5,6 +5,7 @@
 import logging
 import select
 import socket
+import struct
 from collections.abc import Iterable
 from contextlib import suppress
 
@@ -14,6 +15,7 @@
 
 HEADER_LIMIT = 32 * 1024  # bytes of request or status line and headers
 READ_BYTES = 64 * 1024  # at once: what a connection holds while the other side is slower is a few of these
+LINGER_NOT = struct.pack("ii", 1, 0)  # struct linger: a close discards what is unsent and resets
 # One for all: what is read is handed on before the loop turns to the next connection.
 _read_buffer = bytearray(READ_BYTES)
 
@@ -151,6 +153,14 @@
             self.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
         self.transport.abort()
 
+    def reset_on_close(self) -> None:
+        """Let its close reset the connection, and so take back what the kernel still holds for the peer: a
+        plain close has all of that delivered first, however late."""
+        if self.transport is not None and not self.transport.is_closing():
+            with suppress(OSError):  # the peer may have reset it already
+                self.transport.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+
     def resume_reading(self) -> None:
         """Hand on what came in while the message before it was in hand."""
         self._feed(None)
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -5,7 +5,6 @@
 import logging
 import re
 import socket
-import struct
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from functools import partial
@@ -584,8 +583,7 @@
     def _reset(self) -> None:
         """Close so that nobody can take what has come for whole, however its end is told."""
         if self.transport is not None and not self.transport.is_closing():
-            linger = struct.pack("ii", 1, 0)
-            self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.reset_on_close()
             self.deaf = self.closed = True
             self.transport.abort()
 
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
+import h11
 import pytest
 from tests.loopback import Raw, World, member, post, world
 
@@ -140,3 +141,31 @@
             client.close()
 
     asyncio.run(run())
+
+
+GIVEN_UP: dict[str, Callable[[World, Raw], None]] = {
+    "client gone": lambda w, client: client.close(), "answered": lambda w, client: w.agent.give_up_all()}
+
+
+@pytest.mark.parametrize("body", [BODY[:60_000], BODY], ids=["taken whole", "passed on"])
+@pytest.mark.parametrize("why", GIVEN_UP)
+def test_what_the_kernel_holds_of_an_attempt_that_is_given_up_never_arrives(
+        tmp_path: Path, why: str, body: bytes) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=0) as w, slow_server(w) as server:
+            client = await w.raw()
+            await client.send(post(body=body))
+            await server.accept()
+            while not w.agent._backends._open:
+                await asyncio.sleep(0)
+            (upstream,) = w.agent._backends._open
+            while upstream.http.our_state is not h11.DONE or not upstream.written:
+                await asyncio.sleep(0)
+            assert upstream.transport is not None
+            GIVEN_UP[why](w, client)
+            while upstream.transport.get_extra_info("socket").fileno() >= 0:
+                await asyncio.sleep(0)
+            assert body_of(await server.read()) != body
+            client.close()
+
+    asyncio.run(run())
