Whether a client has left is asked as its first attempt goes out, not as it is read

Root cause: for a first attempt the kernel was asked about the client once, before the decisions (_Client._take in lilacsill/server.py), and _Client.waits skipped the question as long as the call was being handed on (_taking). A client that left while the agent was in its decisions, or a repeat in the same turn after an attempt that failed at once, went out unasked. Agent._wanted asked before it read the clock for the time of repeats.

Change: no look in _take, always one in waits, last of all in _wanted: one system call for each attempt, as many as before for a request with one attempt.

--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -270,10 +270,10 @@
             self._out[number, attempt] = exchange
 
     def _wanted(self, a: q.Send) -> bool:
-        """Whether an attempt that has waited for its connection is still to go out."""
+        """Whether an attempt is still to go out. The client is asked last, so that its leaving shows."""
         held = self._held.get(a.request)
-        return (held is not None and held.call.client.waits(held.call)
-                and (not a.until_us or self._clock.now() < a.until_us))
+        in_time = not a.until_us or self._clock.now() < a.until_us
+        return held is not None and in_time and held.call.client.waits(held.call)
 
     def _attempt_ended(self, number: int, attempt: int, backend: q.BackendId, result: Result) -> None:
         served, held = result.outcome is q.Outcome.OK, self._held.get(number)
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -283,7 +283,6 @@
         self._upload: Upload | None = None  # the body, where it is large
         self._source: Source | None = None  # of an answer that is passed on as it comes
         self._overran = False  # it has sent too much ahead, and what came after has been dropped
-        self._taking = False  # the call is being handed on in the turn in which it was read
         self._unread: asyncio.TimerHandle | None = None  # set while a request is waited for
         self._began = self._body_began = self.last = 0.0  # the request, its body, its latest piece
         self._stuck: asyncio.TimerHandle | None = None  # set while the client takes nothing
@@ -450,21 +449,10 @@
         upload.come(data)
         self._call, self._upload = call, upload
         self.pause()
-        self._take(call)
-
-    def _take(self, call: Call) -> None:
-        # Whoever gave up while this process was late has its close behind the request, both to be read now.
-        if self.left():
-            self._call = self._upload = None
-            return self.drop()
-        self._taking = True
-        try:
-            self._server.taker.take(call)
-        finally:
-            self._taking = False
+        self._server.taker.take(call)
 
     def waits(self, call: Call) -> bool:
-        if self._call is call and not self._taking and self.left():
+        if self._call is call and self.left():
             self._leave()
             self.drop()
         return self._call is call
@@ -512,7 +500,7 @@
             raise Rejected(404, "no such path")
         self._call = self._server.check(self._request, self._fields, bytes(self._piece), self)
         self._piece = bytearray()
-        self._take(self._call)
+        self._server.taker.take(self._call)
 
     def _complete_upload(self) -> None:
         """The last piece of a large body has been read. A backend starts on a request with its last byte: it
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -10,8 +10,9 @@
 import h11
 import pytest
 from tests.loopback import Raw, World, member, post, world
+from tests.test_client_gone import assert_next_is_another, with_a_connection_kept
 
-from brasshead.interface import ListKind
+from brasshead.interface import Action, Event, ListKind, RequestArrived, Send
 
 LEAVES: dict[str, Callable[[Raw], None]] = {
     "FIN": Raw.close, "RST": Raw.reset, "half-close": lambda client: client.socket.shutdown(socket.SHUT_WR)}
@@ -169,3 +170,60 @@
             client.close()
 
     asyncio.run(run())
+
+
+@leaves
+@pytest.mark.parametrize("body", [b"job", b"x" * 150_000], ids=["taken whole", "passed on"])
+def test_a_client_that_leaves_while_its_first_attempt_is_decided(
+        tmp_path: Path, how: str, body: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    # An agent may be held up between reading its clock and writing: the look that counts is the last one.
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            await with_a_connection_kept(w)
+            client = await w.raw()
+            decide = w.agent._balancer.handle
+
+            def held_up(now_us: int, event: Event) -> list[Action]:
+                if isinstance(event, RequestArrived):
+                    LEAVES[how](client)
+                return decide(now_us, event)
+
+            with monkeypatch.context() as patch:
+                patch.setattr(w.agent._balancer, "handle", held_up)
+                await client.send(post(body=body))
+                while len(w.server.connections) > 1 or w.server._coming:
+                    await asyncio.sleep(0)
+            await assert_next_is_another(w)
+            client.close()
+
+    asyncio.run(run())
+
+
+@leaves
+def test_a_client_that_leaves_while_the_time_for_repeats_is_looked_at(
+        tmp_path: Path, how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            await with_a_connection_kept(w)
+            client = await w.raw()
+            await client.send(post())
+            first = await w.request()
+            (number,) = w.agent._held
+            now = w.agent._clock.now
+
+            left: list[None] = []
+
+            def held_up() -> int:
+                if not left:
+                    left.append(LEAVES[how](client))
+                return now()
+
+            copy = Send(number, "s0", 10_000_000, until_us=now() + 10_000_000)
+            with monkeypatch.context() as patch:
+                patch.setattr(w.agent._clock, "now", held_up)
+                assert not w.agent._wanted(copy)
+            await first.peer.ended()
+            await assert_next_is_another(w)
+            client.close()
+
+    asyncio.run(run())
