--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -5,7 +5,6 @@
 import logging
 import re
 import socket
-import struct
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from functools import partial
@@ -144,6 +143,7 @@
         self.on_whole()
         if self._sink is not None:
             self._sink.all_sent()
+        self.go_on()  # while it waits for its answer the client must be seen leaving
 
 
 @dataclass(slots=True, frozen=True)
@@ -283,7 +283,6 @@
         self._upload: Upload | None = None  # the body, where it is large
         self._source: Source | None = None  # of an answer that is passed on as it comes
         self._overran = False  # it has sent too much ahead, and what came after has been dropped
-        self._taking = False  # the call is being handed on in the turn in which it was read
         self._unread: asyncio.TimerHandle | None = None  # set while a request is waited for
         self._began = self._body_began = self.last = 0.0  # the request, its body, its latest piece
         self._stuck: asyncio.TimerHandle | None = None  # set while the client takes nothing
@@ -450,21 +449,10 @@
         upload.come(data)
         self._call, self._upload = call, upload
         self.pause()
-        self._take(call)
-
-    def _take(self, call: Call) -> None:
-        # Whoever gave up while this process was late has its close behind the request, both to be read now.
-        if self.left():
-            self._call = self._upload = None
-            return self.drop()
-        self._taking = True
-        try:
-            self._server.taker.take(call)
-        finally:
-            self._taking = False
+        self._server.taker.take(call)
 
     def waits(self, call: Call) -> bool:
-        if self._call is call and not self._taking and self.left():
+        if self._call is call and self.left():
             self._leave()
             self.drop()
         return self._call is call
@@ -503,9 +491,7 @@
         assert self._request is not None
         self._read_whole()
         if self._upload is not None:
-            self.on_read()
-            if self._upload is not None:
-                self._upload.end()
+            self._complete_upload()
             return
         path = origin_form(self._request.target).partition("?")[0]
         if path == HEALTH:
@@ -514,7 +500,18 @@
             raise Rejected(404, "no such path")
         self._call = self._server.check(self._request, self._fields, bytes(self._piece), self)
         self._piece = bytearray()
-        self._take(self._call)
+        self._server.taker.take(self._call)
+
+    def _complete_upload(self) -> None:
+        """The last piece of a large body has been read. A backend starts on a request with its last byte: it
+        must not get that for a client whose close lies right behind it."""
+        if self.left():
+            self._leave()
+            self.drop()
+            return
+        self.on_read()
+        if self._upload is not None:
+            self._upload.end()
 
     # What goes back
 
@@ -574,8 +571,7 @@
     def _reset(self) -> None:
         """Close so that nobody can take what has come for whole, however its end is told."""
         if self.transport is not None and not self.transport.is_closing():
-            linger = struct.pack("ii", 1, 0)
-            self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.reset_on_close()
             self.deaf = self.closed = True
             self.transport.abort()
 
--- /dev/null
+++ b/tests/test_client_departure.py
@@ -0,0 +1,229 @@
+"""A client that leaves in the middle of its own request: the last byte of an attempt never follows it."""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import h11
+import pytest
+from tests.loopback import Raw, World, member, post, world
+from tests.test_client_gone import assert_next_is_another, with_a_connection_kept
+
+from brasshead.interface import Action, Event, ListKind, RequestArrived, Send
+
+LEAVES: dict[str, Callable[[Raw], None]] = {
+    "FIN": Raw.close, "RST": Raw.reset, "half-close": lambda client: client.socket.shutdown(socket.SHUT_WR)}
+leaves = pytest.mark.parametrize("how", LEAVES)
+BODY = b"x" * 160_000
+FIRST_PART = 100_000  # of the body: more than what the agent takes whole
+
+
+class SlowServer:
+    """A backend that reads only when the test does; its kernel takes little meanwhile."""
+
+    def __init__(self) -> None:
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+        self.listener.setblocking(False)
+        self.port = int(self.listener.getsockname()[1])
+        self.connection: socket.socket | None = None
+
+    async def accept(self) -> None:
+        self.connection, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+
+    async def read(self, body: int | None = None) -> bytes:
+        """What comes next, up to so many bytes of the request's body; None: to the end."""
+        assert self.connection is not None
+        loop, data = asyncio.get_running_loop(), bytearray()
+        with contextlib.suppress(ConnectionError):
+            while body is None or len(data.partition(b"\r\n\r\n")[2]) < body:
+                piece = await loop.sock_recv(self.connection, 65536)
+                if not piece:
+                    break
+                data += piece
+        return bytes(data)
+
+    def close(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+        self.listener.close()
+
+
+@contextlib.asynccontextmanager
+async def slow_server(w: World) -> AsyncIterator[SlowServer]:
+    """A slow server as the only backend of the list."""
+    server = SlowServer()
+    doc = {"revision": 42, "complete": True, "members": [member("slow", server.port)]}
+    w.agent._tell(ListKind.FULL, w.agent._roster.told(w.agent._discovery.parser.parse(doc)))
+    try:
+        yield server
+    finally:
+        server.close()
+
+
+def body_of(request: bytes) -> bytes:
+    return request.partition(b"\r\n\r\n")[2]
+
+
+def is_whole(request: bytes) -> bool:
+    """Whether the last byte of the body has come."""
+    if b"Transfer-Encoding: chunked" in request:
+        return request.endswith(b"\r\n0\r\n\r\n")
+    return body_of(request) == BODY
+
+
+def in_two_parts() -> tuple[bytes, bytes]:
+    """The head and the first part of a large body, and the rest of it."""
+    request = post(body=BODY)
+    cut = len(request) - len(BODY) + FIRST_PART
+    return request[:cut], request[cut:]
+
+
+def in_chunks() -> tuple[bytes, bytes]:
+    """The same in chunks, cut before the last, empty one."""
+    head = post(body=b"", drop=("Content-Length",), Transfer_Encoding="chunked")
+    return head + b"%x\r\n%b\r\n" % (len(BODY), BODY), b"0\r\n\r\n"
+
+
+@leaves
+@pytest.mark.parametrize("parts", [in_two_parts, in_chunks])
+def test_the_end_of_a_large_body_is_not_passed_on_for_a_client_that_has_left(
+        tmp_path: Path, how: str, parts: Callable[[], tuple[bytes, bytes]]) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=0) as w, slow_server(w) as server:
+            client, (first, rest) = await w.raw(), parts()
+            sending = asyncio.create_task(client.send(first))
+            await server.accept()
+            request = await server.read(FIRST_PART)
+            await sending
+            (connection,) = w.server.connections
+            assert connection.transport is not None
+            connection.transport.pause_reading()  # an agent that is late: end and close are read in one turn
+            assert client.socket.send(rest) == len(rest)
+            LEAVES[how](client)
+            connection.transport.resume_reading()
+            assert not is_whole(request + await server.read())
+            assert not w.agent._held
+            client.close()
+
+    asyncio.run(run())
+
+
+@leaves
+def test_a_client_is_seen_leaving_while_the_end_of_its_body_waits_for_the_server(
+        tmp_path: Path, how: str) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=0) as w, slow_server(w) as server:
+            client, (first, rest) = await w.raw(), in_two_parts()
+            sending = asyncio.create_task(client.send(first))
+            await server.accept()
+            request = await server.read(FIRST_PART)
+            await sending
+            (upstream,) = w.agent._backends._open
+            assert upstream.transport is not None
+            upstream.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            (held,) = w.agent._held.values()
+            assert not isinstance(held.call.body, bytes)
+            await client.send(rest)
+            while not held.call.body.whole:
+                await asyncio.sleep(0)
+            assert not upstream.written  # the last byte has not gone out
+            (connection,) = w.server.connections
+            assert connection.transport is not None and connection.transport.is_reading()
+            LEAVES[how](client)
+            while w.agent._held:
+                await asyncio.sleep(0)
+            assert not is_whole(request + await server.read())
+            client.close()
+
+    asyncio.run(run())
+
+
+GIVEN_UP: dict[str, Callable[[World, Raw], None]] = {
+    "client gone": lambda w, client: client.close(), "answered": lambda w, client: w.agent.give_up_all()}
+
+
+@pytest.mark.parametrize("body", [BODY[:60_000], BODY], ids=["taken whole", "passed on"])
+@pytest.mark.parametrize("why", GIVEN_UP)
+def test_what_the_kernel_holds_of_an_attempt_that_is_given_up_never_arrives(
+        tmp_path: Path, why: str, body: bytes) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=0) as w, slow_server(w) as server:
+            client = await w.raw()
+            await client.send(post(body=body))
+            await server.accept()
+            while not w.agent._backends._open:
+                await asyncio.sleep(0)
+            (upstream,) = w.agent._backends._open
+            while upstream.http.our_state is not h11.DONE or not upstream.written:
+                await asyncio.sleep(0)
+            assert upstream.transport is not None
+            GIVEN_UP[why](w, client)
+            while upstream.transport.get_extra_info("socket").fileno() >= 0:
+                await asyncio.sleep(0)
+            assert body_of(await server.read()) != body
+            client.close()
+
+    asyncio.run(run())
+
+
+@leaves
+@pytest.mark.parametrize("body", [b"job", b"x" * 150_000], ids=["taken whole", "passed on"])
+def test_a_client_that_leaves_while_its_first_attempt_is_decided(
+        tmp_path: Path, how: str, body: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    # An agent may be held up between reading its clock and writing: the look that counts is the last one.
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            await with_a_connection_kept(w)
+            client = await w.raw()
+            decide = w.agent._balancer.handle
+
+            def held_up(now_us: int, event: Event) -> list[Action]:
+                if isinstance(event, RequestArrived):
+                    LEAVES[how](client)
+                return decide(now_us, event)
+
+            with monkeypatch.context() as patch:
+                patch.setattr(w.agent._balancer, "handle", held_up)
+                await client.send(post(body=body))
+                while len(w.server.connections) > 1 or w.server._coming:
+                    await asyncio.sleep(0)
+            await assert_next_is_another(w)
+            client.close()
+
+    asyncio.run(run())
+
+
+@leaves
+def test_a_client_that_leaves_while_the_time_for_repeats_is_looked_at(
+        tmp_path: Path, how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            await with_a_connection_kept(w)
+            client = await w.raw()
+            await client.send(post())
+            first = await w.request()
+            (number,) = w.agent._held
+            now = w.agent._clock.now
+
+            left: list[None] = []
+
+            def held_up() -> int:
+                if not left:
+                    left.append(LEAVES[how](client))
+                return now()
+
+            copy = Send(number, "s0", 10_000_000, until_us=now() + 10_000_000)
+            with monkeypatch.context() as patch:
+                patch.setattr(w.agent._clock, "now", held_up)
+                assert not w.agent._wanted(copy)
+            await first.peer.ended()
+            await assert_next_is_another(w)
+            client.close()
+
+    asyncio.run(run())
