An answer before the request's last byte is written does not count

Root cause: Exchange._answered and _too_large_to_hold (lilacsill/backends.py) looked at _sending, which only large bodies set; after a short write of a small one nothing told them. A 200 whose head came during an upload counted too, once its own end came after that of the upload.

Change: what an answer means is settled as its head comes, by _whole_sent: a 200 or any other answer is a failed attempt that may have run, Not-Started is one that never did, and the connection is closed.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -300,6 +300,9 @@
             # Two lengths: which of them the backend meant, and so what its answer is, cannot be told.
             if b"content-length" in self._headers and b"transfer-encoding" in self._headers:
                 return self._end(Outcome.ERROR)
+            # A backend begins with the last byte: it was made for another request, or says no to this one.
+            if not self._whole_sent():
+                return self._end(self._answered())
             length = header(self._headers, b"content-length")
             self._length = int(length) if length is not None else None
             if self._length is not None and self._length > ANSWER_BYTES:
@@ -334,7 +337,7 @@
         if self._holding is not None:
             self._holding.cancel()
         reader = self._ask.reader
-        if self._status != 200 or self._sending or reader is None:
+        if self._status != 200 or reader is None:
             return self._end(self._answered())
         self._begun_us = self._backends.clock.now() - self._began
         self._watch_progress()
@@ -375,8 +378,8 @@
     def _answered(self) -> Outcome:
         if self._status == 200:
             # Served before it was asked in full, or a probe's answer without end, is no answer.
-            whole = not self._sending and len(self._body) <= ANSWER_BYTES
-            return Outcome.OK if whole else Outcome.ERROR
+            counts = self._whole_sent() and len(self._body) <= ANSWER_BYTES
+            return Outcome.OK if counts else Outcome.ERROR
         if self._status in (503, 504) and header(self._headers, b"not-started") == "1":
             return Outcome.REJECTED
         return Outcome.ERROR
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -91,6 +91,8 @@
         """Write these events in one piece."""
         data = b"".join(self.http.send(e) or b"" for e in events)
         assert self.transport is not None
+        if not data:  # the end of a body of known length: what has been written stays so, whatever broke since
+            return
         self.transport.write(data)
         # A write that fails empties the buffer too: then the transport is closing.
         self.written = not self.transport.is_closing() and self.transport.get_write_buffer_size() == 0
