--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -91,7 +91,7 @@
         """Write these events in one piece."""
         data = b"".join(self.http.send(e) or b"" for e in events)
         assert self.transport is not None
-        if not data:  # the end of a body of known length: what has been written stays so, whatever broke since
+        if not data:  # the end of a body of known length: what has been written stays so, whatever broke
             return
         self.transport.write(data)
         # A write that fails empties the buffer too: then the transport is closing.
