Rig: judge final answers, late attempts and told deadlines without free cases

Change: events for departures, surplus bytes, the heads of attempts as the relay next to the agent sees them (so that trouble at servers shifts nothing), and connections that the relay accepted and the agent did not. Checker attempts.py (rules ended, told); answers.py judges each exchange by itself. A half answer is excused only where it was over 64 KiB, which no agent can hold whole. Every changed check is stricter than before.

--- a/faultlab/checkers/case.py
+++ b/faultlab/checkers/case.py
@@ -58,9 +58,12 @@
 class Exchange:
     """A client's request and what became of it."""
 
-    asked: h.Asked
+    asked: h.Asked  # the last sending, where a client sent it once more
+    askings: list[h.Asked] = field(default_factory=list)
     end: h.Answered | h.Unanswered | None = None
     resent: int = 0
+    departed: h.Departed | None = None
+    surplus: list[h.Surplus] = field(default_factory=list)
 
     @property
     def rid(self) -> str:
@@ -73,6 +76,7 @@
 
 
 LOST_US = 500_000
+HOLD_UP_US = 200_000  # STANDING: an agent may be held up for 0.15 s; such a pause excuses nothing
 PATHS = ("link", "reset", "half_open")
 
 
@@ -86,6 +90,8 @@
         self.lives: dict[str, list[Life]] = defaultdict(list)
         self.exchanges: dict[str, Exchange] = {}
         self.got: dict[str, list[h.Got]] = defaultdict(list)
+        self.sent: dict[str, list[h.Sent]] = defaultdict(list)
+        self.unreached: dict[tuple[str, int], list[int]] = defaultdict(list)  # agent, client's port: when
         self.turned: dict[tuple[str, str, int], int] = {}
         self.gave: dict[str, list[h.Gave]] = defaultdict(list)
         self.left: dict[str, list[h.Left]] = defaultdict(list)
@@ -106,15 +112,26 @@
                 case h.Asked():
                     known = self.exchanges.get(e.rid)
                     if known is None:
-                        self.exchanges[e.rid] = Exchange(e)
+                        self.exchanges[e.rid] = Exchange(e, [e])
                     else:
                         known.asked = e  # sent once more
+                        known.askings.append(e)
                 case h.Resent():
                     if e.rid in self.exchanges:
                         self.exchanges[e.rid].resent = e.t
                 case h.Answered() | h.Unanswered():
                     if e.rid in self.exchanges:
                         self.exchanges[e.rid].end = e
+                case h.Departed():
+                    if e.rid in self.exchanges:
+                        self.exchanges[e.rid].departed = e
+                case h.Surplus():
+                    if e.rid in self.exchanges:
+                        self.exchanges[e.rid].surplus.append(e)
+                case h.Sent():
+                    self.sent[e.rid].append(e)
+                case h.Unreached():
+                    self.unreached[e.agent, e.port].append(e.t)
                 case h.Got():
                     if not e.agent and e.rid in self.exchanges:  # it came without a relay
                         e.agent = self.exchanges[e.rid].asked.agent
@@ -187,7 +204,8 @@
 
     def hindered(self, agent: str, begin: int, end: int) -> bool:
         """Whether the agent, or the way from its clients to it, was struck meanwhile."""
-        windows = self.frozen(agent) + self.faults(agent, PATHS, "clients")
+        frozen = [w for w in self.frozen(agent) if w.kind != "pause" or w.end - w.begin > HOLD_UP_US]
+        windows = frozen + self.faults(agent, PATHS, "clients")
         return any(w.meets(begin, end) for w in windows)
 
     def corrupted(self, agent: str, begin: int, end: int) -> bool:
--- a/faultlab/history.py
+++ b/faultlab/history.py
@@ -78,6 +78,7 @@
     conn: int  # of this client, counted
     opened: int  # when that connection was up
     fresh: bool  # the first request on it
+    port: int = 0  # the client's own
 
 
 class Answered(Event, kw_only=True, tag="answered"):
@@ -96,6 +97,36 @@
     how: str
 
 
+class Departed(Event, kw_only=True, tag="departed"):
+    """The client has gone before its answer: `close`, `half_close`, `reset`, or `gave_up` after its time."""
+
+    rid: str
+    how: str
+
+
+class Surplus(Event, kw_only=True, tag="surplus"):
+    """More than its one answer has come for a request."""
+
+    rid: str
+    bytes: int
+
+
+class Sent(Event, kw_only=True, tag="sent"):
+    """The head of an attempt has come from the agent to the relay next to it, whatever befalls it after."""
+
+    rid: str
+    agent: str
+    server: str
+    timeout_ms: int
+
+
+class Unreached(Event, kw_only=True, tag="unreached"):
+    """The relay accepted a client's connection and the agent did not: `port` is the client's."""
+
+    agent: str
+    port: int
+
+
 class Resent(Event, kw_only=True, tag="resent"):
     """The agent closed a used connection across a request; the client sends that once more (PROTOCOL)."""
 
@@ -127,6 +158,7 @@
     status: int
     digest: str
     whole: bool = True
+    bytes: int = 0
 
 
 class Left(Event, kw_only=True, tag="left"):
@@ -226,9 +258,9 @@
     cpu_us: int
 
 
-AnyEvent = (Begun | Ready | Ended | Stop | Fault | Asked | Answered | Unanswered | Resent | Got | Turned
-            | Gave | Left | Fell | Listed | Called | Told | Heard | Kept | Door | Health | Open | Logged
-            | Late | Usage)
+AnyEvent = (Begun | Ready | Ended | Stop | Fault | Asked | Answered | Unanswered | Departed | Surplus | Sent
+            | Unreached | Resent | Got | Turned | Gave | Left | Fell | Listed | Called | Told | Heard | Kept
+            | Door | Health | Open | Logged | Late | Usage)
 
 
 class HistoryError(Exception):
--- a/faultlab/parts/relay.py
+++ b/faultlab/parts/relay.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import random
+import re
 import socket
 import struct
 from collections import deque
@@ -13,12 +14,15 @@
 
 from ..addresses import split
 from ..faults_schema import Link
+from ..history import Sent, Unreached, now_us
 from .part import Plan, Writes, main
 
 BACKLOG = 512
 AHEAD_BYTES = 256 * 1024  # read from one side and not yet written to the other; then reading pauses
 RETRANSMIT_S = 0.2  # RFC 6298 with the minimum that systems use: what a lost piece comes later by
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
+ATTEMPT = re.compile(rb"request-id: ([^\r\n]+)", re.IGNORECASE)
+TOLD = re.compile(rb"request-timeout-ms: (\d+)", re.IGNORECASE)
 PIECE_BYTES = 1460  # at least this much passes at once where bytes a second are limited
 
 
@@ -35,6 +39,7 @@
 class RelayPart(Plan, kw_only=True):
     routes: list[Route]
     seed: int
+    agent: str = ""
 
 
 class Shape(msgspec.Struct, tag_field="order", tag="shape"):
@@ -71,7 +76,7 @@
     """All routes of one agent."""
 
     def __init__(self, plan: RelayPart, book: Writes) -> None:
-        self.plan, self.random = plan, random.Random(plan.seed)
+        self.plan, self.book, self.random = plan, book, random.Random(plan.seed)
         self.doors = [Door(route, self) for route in plan.routes]
 
     async def start(self) -> None:
@@ -220,11 +225,29 @@
             await self._loop.create_connection(lambda: pair.near, sock=sock)
         except OSError:
             far.close()
+            self._unreached(sock)
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                 sock.close()
 
 
+    def _unreached(self, sock: socket.socket) -> None:
+        relay = self.relay
+        if self.route.path == "clients":
+            with contextlib.suppress(OSError):  # it may have gone by itself
+                relay.book.write(Unreached(t=now_us(), who=relay.plan.name, agent=relay.plan.agent,
+                                           port=int(sock.getpeername()[1])))
+
+    def note_attempt(self, data: bytes) -> None:
+        """An attempt begins where its head is in this piece: an agent writes a head in one."""
+        relay, request = self.relay, ATTEMPT.search(data)
+        if request is not None and self.route.path == "servers":
+            told = TOLD.search(data)
+            relay.book.write(Sent(
+                t=now_us(), who=relay.plan.name, rid=request[1].decode("latin-1"), agent=relay.plan.agent,
+                server=self.route.server, timeout_ms=int(told[1]) if told is not None else 0))
+
+
 class Pair:
     """The two connections that are one for those at their ends."""
 
@@ -279,6 +302,8 @@
 
     def data_received(self, data: bytes) -> None:
         pair = self._pair
+        if self._near:
+            pair.door.note_attempt(data)
         if pair.half >= 0:
             return  # it goes nowhere, and nobody says so
         breaks = set(pair.door.breaks.values()) if self._near else set()
--- a/faultlab/rig.py
+++ b/faultlab/rig.py
@@ -313,7 +313,7 @@
         routes += [relay.Route(path="servers", server=f"s{j}", at=b.sees(i, j), to=b.server(j),
                                source=b.caller(i)) for j in range(len(self.plans))]
         part = await self.part(f"r{i}", "relay", lambda life: relay.RelayPart(
-            **self.common(f"r{i}"), routes=routes, seed=self.order.seed * 1000 + i))
+            **self.common(f"r{i}"), agent=f"a{i}", routes=routes, seed=self.order.seed * 1000 + i))
         self.relays.append(part)
         self.relays.sort(key=lambda p: int(p.child.name[1:]))
         late = [f"s{j}" for j in range(len(self.day.servers), len(self.plans))]
--- a/faultlab/verdict.py
+++ b/faultlab/verdict.py
@@ -8,12 +8,12 @@
 import msgspec
 
 from . import history as h
-from .checkers import answers, copies, effects, lists, presence, processes
+from .checkers import answers, attempts, copies, effects, lists, presence, processes
 from .checkers.case import Breach, Case
 from .figures import Figures, figures
 from .rig import RunFile
 
-CHECKERS = (answers.check, effects.check, copies.check, lists.check, presence.check,
+CHECKERS = (answers.check, attempts.check, effects.check, copies.check, lists.check, presence.check,
             processes.check)
 
 
--- a/tests/test_faultlab_checkers.py
+++ b/tests/test_faultlab_checkers.py
@@ -11,7 +11,7 @@
 
 from faultlab import history as h
 from faultlab import verdict
-from faultlab.checkers import answers, copies, effects, lists, presence, processes
+from faultlab.checkers import presence
 from faultlab.checkers.case import Breach, Case
 from faultlab.scenario import LabScenario, load
 from fleetsim.scenario import Rules
@@ -58,18 +58,22 @@
     def listed(self, t: int, revision: int, *members: tuple[str, str, int]) -> None:
         self.add(h.Listed, t, "d0", revision=revision, members=list(members))
 
-    def asked(self, t: int, cls: str = SAFE, patience: int = S, fresh: bool = False) -> str:
+    def asked(self, t: int, cls: str = SAFE, patience: int = S, fresh: bool = False, port: int = 0) -> str:
         self.rids += 1
         rid = f"r{self.rids}"
         self.add(h.Asked, t, "c0", rid=rid, first=rid, cls=CLASSES.index(cls), agent="a0", due=t,
-                 patience_us=patience, conn=1, opened=t - 5, fresh=fresh)
+                 patience_us=patience, conn=1, opened=t - 5, fresh=fresh, port=port)
         return rid
 
+    def sent(self, t: int, rid: str, server: str = "s0", told: int = 0) -> None:
+        self.add(h.Sent, t, "r0", rid=rid, agent="a0", server=server, timeout_ms=told)
+
     def got(self, t: int, rid: str, server: str = "s0", life: int = 0) -> None:
         self.add(h.Got, t, server, rid=rid, life=life, agent="a0", began=t - 2, conn=1)
 
-    def gave(self, t: int, rid: str, server: str = "s0", digest: str = "d", whole: bool = True) -> None:
-        self.add(h.Gave, t, server, rid=rid, life=0, status=200, digest=digest, whole=whole)
+    def gave(self, t: int, rid: str, server: str = "s0", digest: str = "d", whole: bool = True,
+             size: int = 0) -> None:
+        self.add(h.Gave, t, server, rid=rid, life=0, status=200, digest=digest, whole=whole, bytes=size)
 
     def answered(self, t: int, rid: str, status: int = 200, digest: str = "d") -> None:
         self.add(h.Answered, t, "c0", rid=rid, status=status, digest=digest, bytes=1)
@@ -101,8 +105,7 @@
     def rules(self) -> set[str]:
         case = self.case()
         found: list[Breach] = []
-        for checker in (answers.check, effects.check, copies.check, lists.check, presence.check,
-                        processes.check):
+        for checker in verdict.CHECKERS:
             found += checker(case)
         return {b.rule for b in found}
 
@@ -143,21 +146,118 @@
 
 
 def test_an_answer_cut_off_is_the_agents_fault_where_its_server_went_on() -> None:
-    for whole, broken in ((True, {"answered"}), (False, set())):
+    """Where its server spoilt it too, unless it was too large to be held until it was whole."""
+    for whole, size, broken in ((True, 10, {"answered"}), (False, 65_536, {"answered"}),
+                                (False, 65_537, set()), (True, 65_537, {"answered"})):
         story = Story()
         rid = story.asked(S)
         story.got(S + 10, rid)
-        story.gave(S + 20, rid, whole=whole)
+        story.gave(S + 20, rid, whole=whole, size=size)
         story.add(h.Unanswered, S + 30, "c0", rid=rid, how="cut")
         assert story.end(60 * S).rules() == broken
 
 
-def test_a_few_new_connections_may_be_closed_unanswered() -> None:
-    for closed, broken in ((2, set()), (3, {"answered"})):
+@pytest.mark.parametrize(("fresh", "excuse", "broken"), [
+    (True, "", {"answered"}), (False, "", {"answered"}), (True, "unreached", set()),
+    (True, "another's unreached", {"answered"}), (True, "descriptors", set()),
+    (False, "descriptors", {"answered"}), (True, "server paused", {"answered"}),
+    (True, "server killed", {"answered"}), (True, "another client left", {"answered"})])
+def test_no_connection_is_closed_unanswered(fresh: bool, excuse: str, broken: set[str]) -> None:
+    story = Story()
+    rid = story.asked(S, fresh=fresh, port=7)
+    story.got(S + 10, rid)
+    story.add(h.Unanswered, S + 20, "c0", rid=rid, how="closed")
+    if "unreached" in excuse:
+        story.add(h.Unreached, S - 3, "r0", agent="a0", port=7 if excuse == "unreached" else 8)
+    elif excuse == "descriptors":
+        story.fault(S // 2, 2 * S, "descriptors")
+    elif excuse == "server paused":
+        story.fault(S // 2, 2 * S, "pause", servers=("s0",), of="servers")
+    elif excuse == "server killed":
+        story.add(h.Ended, S + 15, "s0", life=0, status=-9, asked=True)
+    elif excuse:
+        story.add(h.Departed, S + 15, "c0", rid=story.asked(S), how="close")
+    assert story.end(60 * S).rules() == broken
+
+
+def test_a_request_has_one_answer_and_no_more() -> None:
+    story = Story()
+    rid = story.served(S)
+    assert story.end(60 * S).rules() == set()
+    story.add(h.Surplus, S + 40, "c0", rid=rid, bytes=1)
+    assert story.rules() == {"answered"}
+
+
+@pytest.mark.parametrize("how", ["close", "half_close", "reset"])
+def test_nobody_is_owed_an_answer_who_has_left(how: str) -> None:
+    story = Story()
+    story.add(h.Departed, S + 10, "c0", rid=story.asked(S), how=how)
+    assert story.end(60 * S).rules() == set()
+
+
+# Attempts
+
+@pytest.mark.parametrize("how", ["close", "half_close", "reset", "gave_up"])
+@pytest.mark.parametrize(("after", "broken"), [(100_000, set()), (100_001, {"ended"})])
+def test_no_attempt_begins_over_a_tenth_of_a_second_after_its_client_left(
+        how: str, after: int, broken: set[str]) -> None:
+    """The first as little as a retry or a hedged request."""
+    for attempts in (1, 2):
+        story = Story()
+        rid = story.asked(S)
+        if attempts == 2:
+            story.sent(S + 5, rid, "s1")
+        story.add(h.Departed, S + 10, "c0", rid=rid, how=how)
+        story.sent(S + 10 + after, rid)
+        assert story.end(60 * S).rules() == broken
+
+
+def test_no_attempt_begins_after_the_final_answer() -> None:
+    for after, broken in ((50_000, set()), (50_001, {"ended"})):
+        story = Story()
+        rid = story.served(S)
+        story.sent(S + 30 + after, rid, "s1")
+        assert story.end(60 * S).rules() == broken
+
+
+def test_trouble_elsewhere_excuses_no_late_attempt() -> None:
+    def broken(*fault: Any, **detail: Any) -> bool:
         story = Story()
-        for i in range(closed):
-            rid = story.asked(S + i, fresh=True)
-            story.add(h.Unanswered, S + i + 10, "c0", rid=rid, how="closed")
+        rid = story.asked(S)
+        story.add(h.Departed, S + 10, "c0", rid=rid, how="close")
+        story.sent(S + 300_000, rid)
+        if fault:
+            story.fault(*fault, **detail)
+        return "ended" in story.end(60 * S).rules()
+
+    assert broken()
+    assert broken(S, 2 * S, "link", "servers", delay_ms=200.0)
+    assert broken(S, 2 * S, "pause", servers=("s0",), of="servers")
+    assert broken(S, S + 200_000, "pause", of="agents"), "it went on long before"
+    assert not broken(S, S + 290_000, "pause", of="agents")
+    assert not broken(S, 2 * S, "link", "clients", delay_ms=200.0)
+
+
+@pytest.mark.parametrize(("after", "told", "broken"), [
+    (10_000, 990, set()), (10_000, 1140, set()), (10_000, 1141, {"told"}), (900_000, 251, {"told"}),
+    (1_200_000, 150, set()), (1_200_000, 151, {"told"}), (-100_000, 1150, set()), (-100_000, 1151, {"told"})])
+def test_an_attempt_is_told_no_more_than_its_client_has_left(after: int, told: int, broken: set[str]) -> None:
+    """A large body's attempt may begin before the request's last byte."""
+    story = Story()
+    rid = story.asked(S)
+    story.sent(S + after, rid, told=told)
+    story.got(S + after + 5, rid)
+    story.gave(S + after + 10, rid)
+    story.answered(S + max(after, 0) + 20, rid)
+    assert story.end(60 * S).rules() == broken
+
+
+def test_a_hold_up_explains_no_more_than_its_slack() -> None:
+    for pause, broken in ((150_000, {"told"}), (500_000, set())):
+        story = Story()
+        story.fault(S + 10, S + 10 + pause, "pause", of="agents")
+        story.sent(S + 600_000, rid := story.asked(S), told=551)
+        story.answered(S + 700_000, rid, status=502)
         assert story.end(60 * S).rules() == broken
 
 
@@ -179,13 +279,17 @@
         assert story.end(60 * S).rules() == broken
 
 
-def test_who_was_stopped_long_ago_need_not_take_a_request() -> None:
-    for after, broken in ((600_000, {"answered"}), (800_000, set())):
+def test_who_was_stopped_owes_an_answer_to_what_reached_it() -> None:
+    """At whatever time after SIGTERM, but for what is written as the process ends."""
+    for after, closed, broken in ((600_000, S, {"answered"}), (800_000, S, {"answered"}),
+                                  (3 * S - 100_001, 3 * S - 1, {"answered"}),
+                                  (3 * S - 100_000, 3 * S + 10, set())):
         story = Story()
         story.add(h.Stop, S, "a0", life=0, kill_us=3_700_000)
-        story.asked(S + after)
+        rid = story.asked(S + after)
+        story.add(h.Unanswered, S + max(after, closed), "c0", rid=rid, how="closed")
         story.add(h.Ended, 4 * S, "a0", life=0, status=0, asked=True)
-        assert story.end(60 * S).rules() == broken
+        assert story.end(60 * S).rules() == broken, after
 
 
 # Effects
