Rig: clients that leave or hurry, hold-ups, slow accepts and more spoilt answers, drawn too

Change: faults restless (close, half-close, reset; waiting, uploading, behind bytes sent ahead; again at once), short_time, bad_clients, hold_up (SIGSTOP for up to 0.15 s), short_idle, slow_accept; reload in quick succession; spoilt answers second, reset, half_reset, half_hang, no_length, no_length_reset. Drawn runs have two to six agents and up to six faults, half of them of these kinds. Answers name request and attempt.

--- a/faultlab/drawn.py
+++ b/faultlab/drawn.py
@@ -13,6 +13,9 @@
 PREFIX = "drawn-"
 LENGTH_S = 20.0
 FIRST_S, LAST_S = 2.0, 15.0
+SPOILT = ("cut_off", "garbage", "two_lengths", "endless", "second", "reset", "half_reset", "half_hang",
+          "no_length", "no_length_reset")
+OFTEN = ("spoilt", "hold_up", "short_idle", "slow_accept", "restless", "short_time", "bad_clients", "kill")
 STEPS = ("none", "pause_old", "kill_old", "cut_off", "kill_new")
 
 
@@ -45,22 +48,35 @@
          "detach_first": int(rng.integers(2))},
         {"what": "lame_duck", "deaf_front": bool(rng.random() < 0.5)},
         {"what": "detach", "servers": 0.2},
-        {"what": "spoilt", "how": _draw(rng, "cut_off", "garbage", "two_lengths", "endless")},
+        {"what": "spoilt", "how": _draw(rng, *SPOILT)},
+        {"what": "reload", "times": int(rng.integers(2, 5)), "gap_ms": float(rng.integers(20, 300))},
+        {"what": "hold_up"},
+        {"what": "short_idle", "idle_ms": float(rng.integers(1, 120))},
+        {"what": "slow_accept"},
+        {"what": "restless", "part": _draw(rng, 0.2, 0.5), "again": bool(rng.random() < 0.5),
+         "within_ms": _draw(rng, 5.0, 100.0, 400.0)},
+        {"what": "short_time", "time_ms": _draw(rng, 5.0, 50.0, 200.0)},
+        {"what": "bad_clients", "per_s": _draw(rng, 3.0, 20.0)},
     ]
+    # The clients' part comes as often as all else: what they see is what is judged.
+    ours = [k for k in kinds if k["what"] in OFTEN]
+    kinds = ours if rng.random() < 0.5 else kinds
     fault = kinds[int(rng.integers(len(kinds)))]
     if fault["what"] != "lists":
         fault["agents"] = some
-    strikes_servers = fault["what"] in ("link", "reset", "half_open", "pause", "kill", "spoilt")
+    strikes_servers = fault["what"] in ("link", "reset", "half_open", "pause", "kill", "spoilt", "short_idle",
+                                        "slow_accept")
     if strikes_servers and fault.get("path", fault.get("of", "servers")) == "servers":
         fault["servers"] = servers
     return fault
 
 
 def draw(seed: int) -> Span:
-    """One to four faults, some at once, and often a replacement of servers under them."""
+    """Two to six agents, one to six faults, some at once, and often a replacement of servers under them."""
     rng = np.random.Generator(np.random.PCG64(seed))
-    tables: dict[str, Any] = {"about": f"drawn scenario {seed}", "run": {"length_s": LENGTH_S}, "fault": []}
-    for _ in range(int(rng.integers(1, 5))):
+    tables: dict[str, Any] = {"about": f"drawn scenario {seed}", "run": {"length_s": LENGTH_S}, "fault": [],
+                              "fleet": {"agents": int(rng.integers(2, 7))}}
+    for _ in range(int(rng.integers(1, 7))):
         begin = round(float(rng.uniform(FIRST_S, LAST_S - 1)), 2)
         length = round(float(rng.uniform(0.3, min(6.0, LENGTH_S - 4 - begin))), 2)
         tables["fault"].append({**_fault(rng), "at_s": begin, "len_s": length})
--- a/faultlab/faultacts.py
+++ b/faultlab/faultacts.py
@@ -38,7 +38,8 @@
             faults.Busy: self._busy, faults.UnixTime: self._unix_time, faults.Disk: self._disk,
             faults.Lists: self._lists, faults.Reload: self._reload, faults.Upgrade: self._upgrade,
             faults.LameDuck: self._lame_duck, faults.Detach: self._detach, faults.Spoilt: self._spoilt,
-            faults.Lie: self._lie,
+            faults.Lie: self._lie, faults.HoldUp: self._hold_up, faults.ShortIdle: self._short_idle,
+            faults.SlowAccept: self._slow_accept, **dict.fromkeys(faults.HABITS, self._habit),
         }
 
     async def carry_out(self, act: Act) -> None:
@@ -166,6 +167,24 @@
         for child in self._struck(act, fault.of):
             child.signal(signal.SIGSTOP if act.on else signal.SIGCONT)
 
+    async def _hold_up(self, act: Act, fault: faults.HoldUp) -> None:
+        """Each time for another share of the longest, and all of these agents at once."""
+        if not act.on:
+            return
+        rig, loop = self._rig, asyncio.get_running_loop()
+        until = loop.time() + fault.len_s
+        struck = [f"a{i}" for i in act.agents]
+        while loop.time() < until:
+            stopped = self._struck(act, "agents")
+            for on, number, wait_s in (
+                    (True, signal.SIGSTOP, fault.longest_ms / 1000 * rig.rng.uniform(0.2, 1.0)),
+                    (False, signal.SIGCONT, fault.every_ms / 1000)):
+                rig.write(Fault(t=now_us(), who="rig", kind="pause", on=on, number=act.number, agents=struck,
+                                detail={"of": "agents"}))
+                for child in stopped:
+                    child.signal(number)
+                await asyncio.sleep(wait_s)
+
     async def _kill(self, act: Act, fault: faults.Kill) -> None:
         rig = self._rig
         if fault.of == "agents":
@@ -282,6 +301,9 @@
                 agents.write_config(i)
             for child in agents.up[i]:
                 child.signal(signal.SIGHUP)
+        if fault.times > 1 and act.on:
+            await asyncio.sleep(fault.gap_ms / 1000)
+            await self._reload(act, msgspec.structs.replace(fault, times=fault.times - 1))
 
     async def _lame_duck(self, act: Act, fault: faults.LameDuck) -> None:
         for i in act.agents:
@@ -306,12 +328,25 @@
             for j in act.servers:
                 await asyncio.gather(*(rig.agents.call(i, f"ATTACH s{j}") for i in act.agents))
 
-    async def _spoilt(self, act: Act, fault: faults.Spoilt) -> None:
-        order = server.Spoil(fault.how, fault.part if act.on else 0.0)
+    async def _habit(self, act: Act, fault: faults.Habit) -> None:
+        order = clients.Habit(act.number, fault if act.on else None)
+        await asyncio.gather(*(self._rig.clients[i].order(order) for i in act.agents))
+
+    async def _short_idle(self, act: Act, fault: faults.ShortIdle) -> None:
+        await self._at_servers(act, server.Idle(fault.idle_ms / 1000 if act.on else None))
+
+    async def _slow_accept(self, act: Act, fault: faults.SlowAccept) -> None:
+        await self._at_servers(act, server.Accept(not act.on))
+
+    async def _at_servers(self, act: Act, order: msgspec.Struct) -> None:
         for j in act.servers:
             if j in self._rig.servers:
                 await self._rig.servers[j].order(order)
 
+    async def _spoilt(self, act: Act, fault: faults.Spoilt) -> None:
+        order = server.Spoil(fault.how, fault.part if act.on else 0.0)
+        await self._at_servers(act, order)
+
     # Upgrades
 
     async def _upgrade(self, act: Act, fault: faults.Upgrade) -> None:
--- a/faultlab/faults_schema.py
+++ b/faultlab/faults_schema.py
@@ -53,6 +53,13 @@
     servers: Share = 1.0
 
 
+class HoldUp(Fault, kw_only=True, tag="hold_up"):
+    """SIGSTOP for a moment, again and again: an agent that is not given the processor."""
+
+    longest_ms: Annotated[float, Meta(gt=0, le=150)] = 130.0
+    every_ms: Annotated[float, Meta(ge=400)] = 700.0
+
+
 class Pause(Fault, kw_only=True, tag="pause"):
     """SIGSTOP, and SIGCONT when the time is up."""
 
@@ -108,6 +115,8 @@
 
     lacks: Share = 0.0  # of the servers are missing from the list there
     spoilt: bool = False
+    times: Count = 1  # one after the other, each to the other address
+    gap_ms: NonNegative = 100.0
 
 
 class Upgrade(Fault, kw_only=True, tag="upgrade"):
@@ -135,10 +144,47 @@
     """Some servers answer with what is no answer."""
 
     servers: Share = 0.2
-    how: Literal["cut_off", "garbage", "two_lengths", "endless"] = "cut_off"
+    how: Literal["cut_off", "garbage", "two_lengths", "endless", "second", "reset", "half_reset", "half_hang",
+                 "no_length", "no_length_reset"] = "cut_off"
     part: Share = 0.3  # of their answers
 
 
+class ShortIdle(Fault, kw_only=True, tag="short_idle"):
+    """Servers close connections that have been idle for so long, just as a request may go out."""
+
+    servers: Share = 0.5
+    idle_ms: NonNegative = 50.0
+
+
+class SlowAccept(Fault, kw_only=True, tag="slow_accept"):
+    """Servers do not come to their new connections: these are up, and nothing reads from them."""
+
+    servers: Share = 0.5
+
+
+class Restless(Fault, kw_only=True, tag="restless"):
+    """Clients leave before their answer, and some send a new request at once."""
+
+    part: Share = 0.3  # of the tries
+    how: Literal["any", "close", "half_close", "reset"] = "any"
+    when: Literal["any", "waiting", "uploading", "ahead"] = "any"  # ahead: behind bytes beyond the request
+    within_ms: NonNegative = 300.0
+    again: bool = False
+
+
+class ShortTime(Fault, kw_only=True, tag="short_time"):
+    """Clients have little time left for some of their tries."""
+
+    part: Share = 0.5
+    time_ms: Annotated[float, Meta(ge=1)] = 50.0
+
+
+class BadClients(Fault, kw_only=True, tag="bad_clients"):
+    """Peers that send what is no request, or half of one, or much, and go or stay."""
+
+    per_s: Annotated[float, Meta(gt=0, le=100)] = 10.0
+
+
 class Lie(Fault, kw_only=True, tag="lie"):
     """What these agents tell their peers is no longer true.
 
@@ -148,4 +194,7 @@
 
 
 AnyFault = (Link | Reset | HalfOpen | Pause | Kill | Descriptors | Busy | UnixTime | Disk | Lists | Reload
-            | Upgrade | LameDuck | Detach | Spoilt | Lie)
+            | Upgrade | LameDuck | Detach | Spoilt | Lie | HoldUp | ShortIdle | SlowAccept | Restless
+            | ShortTime | BadClients)
+HABITS = (Restless, ShortTime, BadClients)  # of clients
+Habit = Restless | ShortTime | BadClients
--- a/faultlab/parts/server.py
+++ b/faultlab/parts/server.py
@@ -3,6 +3,8 @@
 
 import asyncio
 import math
+import socket
+import struct
 import time
 from collections import deque
 from collections.abc import Callable
@@ -23,6 +25,13 @@
 from .wire import answer_body, cost_of
 
 ENDLESS_S, ENDLESS_MOST = 0.1, 300
+SECOND_MOST_S = 0.03  # a second answer comes so late at most
+BACKLOG = 512
+RESET_S = 0.05  # from the bytes of an answer to its reset
+NO_LENGTH = b"HTTP/1.1 200 OK\r\n\r\n"
+SECOND = b"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\nmade for none\n"
+WHOLE = ("second", "no_length")  # spoilt answers that are whole all the same
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
 
 
 class ServerPart(Plan, kw_only=True):
@@ -51,6 +60,18 @@
     part: float  # of the answers
 
 
+class Accept(msgspec.Struct, tag_field="order", tag="accept"):
+    """Whether new connections are read from. They come up in the kernel all the same."""
+
+    on: bool
+
+
+class Idle(msgspec.Struct, tag_field="order", tag="idle"):
+    """How long a connection may rest; None: as the scenario has it."""
+
+    seconds: float | None
+
+
 class RealTimeline:
     """The emulator's timeline on the loop's clock."""
 
@@ -68,10 +89,10 @@
 class Work:
     """One attempt: the job that the model serves, and where its answer goes."""
 
-    __slots__ = ("work", "key", "mark", "place", "rid", "conn")
+    __slots__ = ("work", "key", "mark", "place", "rid", "attempt", "conn")
 
-    def __init__(self, rid: str, work: float, key: int, conn: Conn) -> None:
-        self.rid, self.work, self.key, self.conn = rid, work, key, conn
+    def __init__(self, rid: str, attempt: int, work: float, key: int, conn: Conn) -> None:
+        self.rid, self.attempt, self.work, self.key, self.conn = rid, attempt, work, key, conn
         self.mark, self.place = 0.0, NOWHERE
 
     def served(self, server: Server, error: bool) -> None:
@@ -89,7 +110,9 @@
         self.plan, self.book, self.day = plan, book, plan.scenario
         self.life = plan.life
         self.conns: set[Conn] = set()
-        self.counted = 0
+        self.counted = self.attempts = 0
+        self.idle_s = plan.scenario.connections.idle_s
+        self.accepts = True
         self.spoil = Spoil("cut_off", 0.0)
         self._pressure: deque[tuple[str, int, float]] = deque()
         self._listener: asyncio.Server | None = None
@@ -103,9 +126,14 @@
         if self.plan.cold:
             self.model.start()
         host, port = split(self.plan.listen)
-        self._listener = await loop.create_server(lambda: Conn(self), host, port, backlog=512)
+        self._listener = await loop.create_server(lambda: Conn(self), host, port, backlog=BACKLOG)
 
-    async def order(self, order: Set | Spoil) -> None:
+    async def order(self, order: Set | Spoil | Accept | Idle) -> None:
+        if isinstance(order, Idle):
+            self.idle_s = self.day.connections.idle_s if order.seconds is None else order.seconds
+            return
+        if isinstance(order, Accept):
+            return self._accept(order.on)
         if isinstance(order, Spoil):
             self.spoil = order
             return
@@ -116,6 +144,12 @@
                 setattr(self.model, field.name, value)
         self.model.change()
 
+    def _accept(self, on: bool) -> None:
+        self.accepts = on
+        for conn in self.conns:
+            if on:
+                conn.resume()
+
     async def stop(self) -> None:
         self.close()
 
@@ -167,6 +201,8 @@
         self.agent = server.plan.callers.get(transport.get_extra_info("peername")[0], "")
         self._full = server.model.connections >= server.model.max_connections
         server.model.connections += 1
+        if not server.accepts:
+            self.pause()
         self._wait()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -178,7 +214,7 @@
             self._idle.cancel()
 
     def _wait(self) -> None:
-        self._idle = self._loop.call_later(self._server.day.connections.idle_s, self.drop)
+        self._idle = self._loop.call_later(self._server.idle_s, self.drop)
 
     def on_end(self) -> None:
         work, self.work = self.work, None
@@ -227,7 +263,8 @@
         if self._first:
             work_us += int(server.day.connections.handshake_us)
         self._first = False
-        work = Work(rid, float(work_us), key, self)
+        server.attempts += 1
+        work = Work(rid, server.attempts, float(work_us), key, self)
         if not self._full and server.take(work, self.agent):
             self.work = work
         elif not model.fallen:
@@ -238,11 +275,13 @@
         """The model has ended it."""
         self.work = None
         server = self._server
-        body = b"failed\n" if error else answer_body(work.rid, server.plan.name, server.life)
+        body = b"failed\n" if error else answer_body(
+            work.rid, server.plan.name, server.life, work.attempt)
         status = 500 if error else 200
         spoilt = not error and server.stream.uniform() < server.spoil.part
+        whole = not spoilt or server.spoil.how in WHOLE
         server.book.write(Gave(t=now_us(), who=server.plan.name, rid=work.rid, life=server.life,
-                               status=status, digest=digest(body), whole=not spoilt))
+                               status=status, digest=digest(body), whole=whole, bytes=len(body)))
         if spoilt:
             self._spoil(server.spoil.how, body)
         else:
@@ -265,20 +304,44 @@
     def _spoil(self, how: str, body: bytes) -> None:
         if self.transport is None or self.transport.is_closing():
             return
+        if how == "second":
+            self._answer(200, [], body)
+            late_s = SECOND_MOST_S * self._server.stream.uniform()
+            self._loop.call_later(late_s, self._write_raw, SECOND)
+            return
         self.deaf = True
-        if how == "garbage":
+        half = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body[:len(body) // 2]
+        if how == "half_hang":
+            return self._write_raw(half)
+        if how in ("reset", "half_reset", "no_length_reset"):
+            said = {"reset": b"", "half_reset": half, "no_length_reset": NO_LENGTH + body[:len(body) // 2]}
+            self._write_raw(said[how])
+            self._loop.call_later(RESET_S if said[how] else 0, self._reset)
+            return
+        if how == "no_length":
+            self._write_raw(NO_LENGTH + body)
+        elif how == "garbage":
             self.transport.write(b"HTTP/1.1 2OO fine\r\nContent-Length\r\n\r\n" + body)
         elif how == "two_lengths":
             self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body)
                                  + b"Transfer-Encoding: chunked\r\n\r\n" + body)
         elif how == "cut_off":
-            self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
-                                 + body[:len(body) // 2])
+            self._write_raw(half)
         else:
             self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             return self._endless(0)
         self.transport.close()
 
+    def _write_raw(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def _reset(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            sock: socket.socket = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            self.transport.abort()
+
     def _endless(self, count: int) -> None:
         if self.transport is None or self.transport.is_closing() or count >= ENDLESS_MOST:
             return self.drop()
@@ -291,4 +354,4 @@
 
 
 if __name__ == "__main__":
-    main(ServerPart, MeterServer, Set | Spoil)
+    main(ServerPart, MeterServer, Set | Spoil | Accept | Idle)
--- a/faultlab/parts/wire.py
+++ b/faultlab/parts/wire.py
@@ -19,8 +19,9 @@
     return int(parts[2]), int(parts[3])
 
 
-def answer_body(rid: str, server: str, life: int) -> bytes:
+def answer_body(rid: str, server: str, life: int, attempt: int) -> bytes:
+    """Names the request, and the attempt that was answered: no two attempts get the same."""
     mark = crc32(rid.encode())
     size = LARGE_BYTES if mark % LARGE_EVERY == 0 else 100 + mark % 1500
-    start = f"{rid} {server} {life}\n".encode()
+    start = f"{rid} {server} {life} {attempt}\n".encode()
     return start + b"%08x" % mark * (size // 8)
--- a/faultlab/schedule.py
+++ b/faultlab/schedule.py
@@ -77,7 +77,8 @@
     strikes_agents = getattr(fault, "of", "agents") == "agents"
     agents = _some(stream, len(day.agents), fault.agents) if strikes_agents else ()
     part = getattr(fault, "servers", 0.0)
-    on_servers = isinstance(fault, faults.Detach | faults.Spoilt) or "servers" in (
+    on_servers = isinstance(
+        fault, faults.Detach | faults.Spoilt | faults.ShortIdle | faults.SlowAccept) or "servers" in (
         getattr(fault, "of", ""), getattr(fault, "path", ""))
     servers = _some(stream, len(day.servers), part) if on_servers else ()
     if isinstance(fault, faults.Lists):
