Tests: system calls that fail as a test says, in the process or a real agent

Need: accept, connect, send, recv, poll, epoll_ctl and the rest fail in ways that loopback never shows. The program knows nothing of it. loopback.start takes faults.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import pytest
+from tests.fault_injection import Fault, in_environment
 
 from lilacsill.__main__ import assemble
 from lilacsill.agent import Agent
@@ -303,13 +304,14 @@
     return {**os.environ, "RELAY_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder)}
 
 
-async def start(folder: Path, doc: object) -> tuple[asyncio.subprocess.Process, int]:
-    """The agent as a process of its own; returns when it listens."""
+async def start(folder: Path, doc: object, *faults: Fault) -> tuple[asyncio.subprocess.Process, int]:
+    """The agent as a process of its own, which meets these faults; returns when it listens."""
     path = folder / "config.json"
     path.write_text(json.dumps(doc))
+    module = "tests.fault_injection" if faults else "lilacsill"
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "lilacsill", stderr=asyncio.subprocess.PIPE,
-        env=environment(folder))
+        sys.executable, "-m", module, stderr=asyncio.subprocess.PIPE,
+        env=environment(folder) | (in_environment(*faults) if faults else {}))
     assert process.stderr is not None
     while b"listens on" not in (line := await process.stderr.readline()):
         assert line, "ended before it listened"
