--- a/tests/test_disk_faults_durable.py
+++ b/tests/test_disk_faults_durable.py
@@ -52,6 +52,8 @@
             store.commit()
         except NotWritten as e:
             self.refused.append(str(e))
+            with pytest.raises(NotWritten, match="begin a new generation"):
+                store.commit()
             self._begin(store)
         else:
             self.acknowledged.append(word)
