--- a/catalog/service.py
+++ b/catalog/service.py
@@ -19,7 +19,7 @@
 
 MOST_WAITING = 10_000  # commands; beyond them a writer is told to come again
 AGAIN_S = 1  # Retry-After where the disk takes nothing
-SETTLE_S = 1.0  # between tries to undo for good a commit that failed, where nobody writes
+SETTLE_S = 1.0  # between attempts to overwrite a failed commit while no commands arrive
 
 
 class Readers(ABC):
@@ -172,7 +172,7 @@
                 return
 
     async def _wait_for_commands(self) -> None:
-        """Or for a time where a commit has failed: what it left on disk is not to wait for the next one."""
+        """Return when a command arrives; after a failed commit also when it is time to settle it."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SETTLE_S if self.store.in_doubt else None):
                 await self._come.wait()
@@ -195,7 +195,7 @@
                 waiting.set_result(answer)
 
     def _adopt(self, state: State, changes: list[Change], commands: int) -> None:
-        """A commit is on disk: readers see it from now on."""
+        """Publish a committed state to readers, watchers and leases."""
         self.store.adopt(state, changes)
         self.commits += 1
         self.committed += commands
@@ -214,7 +214,7 @@
             self._disk_worked()
 
     def _disk_failed(self, error: NotWritten) -> None:
-        """Said once, however many commits fail."""
+        """Log the first of consecutive failures."""
         if not self._disk_fails:
             log.error("nothing was written, and writes are refused until the disk works: %s", error)
         self._disk_fails = True
--- a/catalog/store.py
+++ b/catalog/store.py
@@ -25,7 +25,7 @@
 
 FORMAT = 1
 FILE, LOCK = "catalog.sqlite3", "lock"
-RESTORED = "restored.sqlite3"  # a whole list that is to take the place of FILE
+RESTORED = "restored.sqlite3"  # a complete list that is to replace FILE
 SHIFT = 20  # a list changes less than 2**20 times a second over its life
 MOST_CHANGES, MOST_BYTES = 10_000, 32 * 1024 * 1024
 TABLES = """
@@ -42,18 +42,18 @@
 
 
 class Unavailable(Damaged):
-    """The disk, or another process, does not let the data be used now; no damage is known of."""
+    """The disk fails or another process holds the data; nothing indicates that the data is damaged."""
 
 
 class NotWritten(Exception):
-    """The disk did not take it: it does not hold, unless the process dies before `settle` has returned.
+    """The disk failed and the transaction is rolled back. The message is one line.
 
-    The text is one line.
+    After a crash it may still be found committed, unless `Store.settle` has returned before.
     """
 
 
-PRIMARY = 0xFF  # the byte of SQLite's extended results that has the primary one
-# SQLite's results that say nothing against the data (https://sqlite.org/rescode.html).
+PRIMARY = 0xFF  # mask of the primary code in SQLite's extended result codes
+# Result codes that do not indicate damaged data (https://sqlite.org/rescode.html).
 PASSING = frozenset({
     sqlite3.SQLITE_IOERR, sqlite3.SQLITE_FULL, sqlite3.SQLITE_CANTOPEN, sqlite3.SQLITE_READONLY,
     sqlite3.SQLITE_PERM, sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED, sqlite3.SQLITE_NOMEM,
@@ -61,7 +61,7 @@
 
 
 def _may_pass(error: sqlite3.Error) -> bool:
-    """Whether an error is of the disk or of another process, and not of the data."""
+    """Whether an error comes from the disk or another process rather than from damaged data."""
     return getattr(error, "sqlite_errorcode", 0) & PRIMARY in PASSING
 
 
@@ -86,7 +86,7 @@
         self.path = folder / FILE
         self._lock = _locked(folder)
         self._db: sqlite3.Connection | None = None
-        self.in_doubt = False  # a commit that failed may be in the file, where the next start would find it
+        self.in_doubt = False  # a commit that failed may be complete in the log, and be recovered by a restart
         try:
             self._open(connect)
         except BaseException:
@@ -102,14 +102,14 @@
         try:
             self._db = connect(str(self.path), isolation_level=None, check_same_thread=False)
             mode = self._db.execute("pragma journal_mode=wal").fetchone()[0]
-            if mode != "wal":  # SQLite stays with the mode before, and raises nothing
+            if mode != "wal":  # SQLite keeps the old mode without an error
                 raise Unavailable(f"{self.path}: the write-ahead log cannot be made ({mode} stays); "
                                   "mend the disk and start again")
             self._db.execute("pragma synchronous=full")
             if fresh or not self._db.execute("select count(*) from sqlite_master").fetchone()[0]:
                 self._make()
             self._read()
-            # SQLite creates its files without regard to an error of the directory's sync.
+            # SQLite ignores errors of the directory sync when it creates its files.
             sync_folder(self.path.parent)
         except sqlite3.DatabaseError as e:
             if _may_pass(e):
@@ -212,16 +212,15 @@
         self.in_doubt = False
 
     def settle(self) -> None:
-        """Have a commit that failed gone for good: what it left in the write-ahead log is written over.
+        """Overwrite what a failed commit left in the write-ahead log. Raises NotWritten.
 
-        Where only its sync failed, it stands there whole, and would come back after a kill. Raises
-        NotWritten.
+        If only its sync failed, the transaction is complete there, and a restart would recover it.
         """
         if not self.in_doubt:
             return
         try:
             version = self.db.execute("pragma user_version").fetchone()[0]
-            self.db.execute(f"pragma user_version={int(version == 0)}")  # any change; nobody reads it
+            self.db.execute(f"pragma user_version={int(version == 0)}")  # any change will do
         except sqlite3.Error as e:
             raise NotWritten(f"{self.path}: {e}") from None
         self.in_doubt = False
@@ -291,7 +290,7 @@
 
 
 def _check_integrity(db: sqlite3.Connection, check: str, path: Path) -> None:
-    """SQLite's own check, which tells an error of reading among the damage that it finds. Raises Damaged."""
+    """Run SQLite's own check, which reports read errors among the damage. Raises Damaged or Unavailable."""
     found = [row[0] for row in db.execute(f"pragma {check}")]
     if found == ["ok"]:
         return
@@ -334,7 +333,7 @@
 
 @contextlib.contextmanager
 def _copied(source: Path, to: Path) -> Iterator[sqlite3.Connection]:
-    """A copy of a list in one file, that can be changed before it is closed."""
+    """Copy a list into a single file, open for changes until the context ends."""
     with contextlib.closing(sqlite3.connect(f"file:{source}?mode=ro", uri=True)) as db, \
             contextlib.closing(sqlite3.connect(to)) as copy:
         db.backup(copy)
@@ -345,7 +344,7 @@
 
 
 def _sync_name(path: Path) -> None:
-    """A file that was just given its name; where that need not last, it is taken away again."""
+    """Flush the entry of a file that was just renamed, and remove the file if that fails. Raises OSError."""
     try:
         sync_folder(path.parent)
     except OSError:
@@ -355,7 +354,7 @@
 
 
 def _remove(path: Path) -> None:
-    """A file of SQLite's, with what it keeps beside it."""
+    """Remove a database with its journal, log and shared memory."""
     for suffix in ("", "-journal", "-wal", "-shm"):
         with contextlib.suppress(OSError):
             os.unlink(f"{path}{suffix}")
@@ -385,7 +384,7 @@
 
 
 def _make_restored(folder: Path, source: Path, unix_s: float | None) -> str:
-    """RESTORED, whole and checked, from a backup; returns what it holds."""
+    """Create RESTORED from a backup and check it; returns a line on its content."""
     made = folder / "restoring"
     try:
         shutil.rmtree(made, ignore_errors=True)
@@ -398,7 +397,7 @@
                 copy.executemany("update meta set value = ? where key = ?", [
                     (str(revision), "revision"), (secrets.token_hex(8), "list")])
         said = check(made)[0]
-        if (made / f"{FILE}-wal").exists():  # closing could not write it into the file
+        if (made / f"{FILE}-wal").exists():  # the final checkpoint failed
             raise Unavailable(f"{made}: the write-ahead log stays; mend the disk and try again")
         _sync(made / FILE)
         os.replace(made / FILE, folder / RESTORED)
@@ -419,10 +418,10 @@
 
 
 def finish_restore(folder: Path) -> None:
-    """Put RESTORED, where there is one, in the list's place, and what was there aside.
+    """Replace the list by RESTORED, if there is one, and move the old files to a directory beside it.
 
-    It is done at each start too: a restore that was cut short, by a kill or an error of the disk, would else
-    leave no list, and the start would make an empty one. Every step can be made again. Raises OSError.
+    Idempotent, and run at each start too: a restore interrupted by a crash or a disk error would otherwise
+    leave no list, and the start would create an empty one. Raises OSError.
     """
     restored = folder / RESTORED
     if not restored.exists():
@@ -435,7 +434,7 @@
             if path.exists():
                 os.replace(path, aside / path.name)
         sync_folder(aside)
-        sync_folder(folder)  # the old log must not come back beside the new file
+        sync_folder(folder)  # an old log must never be found beside the new file
     os.replace(restored, folder / FILE)
     sync_folder(folder)
 
--- a/durable/__init__.py
+++ b/durable/__init__.py
@@ -1,1 +1,1 @@
-"""State that outlasts the process: a snapshot and a journal after it, checked, with two generations kept."""
+"""Crash-safe state for one process: a checksummed snapshot and a write-ahead journal, in generations."""
--- a/durable/files.py
+++ b/durable/files.py
@@ -1,4 +1,4 @@
-"""The seam to the file system: every call that durable state makes of it. A model of a disk fits here too."""
+"""File system access for durable state, as an interface that tests can replace, and its implementation."""
 from __future__ import annotations
 
 import contextlib
@@ -11,40 +11,43 @@
 
 
 class Refused(Exception):
-    """What is there cannot be used, and was not changed; the text is one line with place and mend."""
+    """The folder or a file in it cannot be used, and nothing was changed.
+
+    The message is one line that names the path, the problem and what to do about it.
+    """
 
 
 class Files(Protocol):
-    """The files of one folder, by name. Everything but a name given wrongly raises OSError."""
+    """The files of one folder, by name. Every method may raise OSError."""
 
     def names(self) -> list[str]: ...
 
     def read(self, name: str) -> bytes: ...
 
     def create(self, name: str) -> None:
-        """A new empty file; one of that name is gone, and none of its pages are used again."""
+        """Create an empty file as a new inode, replacing any file of that name."""
 
     def append(self, name: str, data: bytes) -> None:
-        """To a file that was created here. One that raises may have written a part."""
+        """Append to a file that `create` made. On an error, part of the data may have been written."""
 
     def sync(self, name: str) -> None:
-        """What was appended is on disk when this returns (fsync(2)); the name need not be."""
+        """Flush appended data to disk (fsync(2)). The directory entry is flushed by `sync_folder`."""
 
     def finish(self, name: str) -> None:
-        """Nothing more is appended to it; its descriptor is closed."""
+        """Close the file's descriptor: nothing more will be appended."""
 
     def rename(self, name: str, to: str) -> None: ...
 
     def remove(self, name: str) -> None: ...
 
     def sync_folder(self) -> None:
-        """Names are on disk as they are now."""
+        """Flush the directory entries to disk."""
 
     def close(self) -> None: ...
 
 
 def sync_folder(path: Path) -> None:
-    """The names in a folder are on disk when this returns."""
+    """Flush the entries of a directory to disk. Raises OSError."""
     fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
     try:
         os.fsync(fd)
@@ -53,7 +56,7 @@
 
 
 def make_folder(path: Path) -> None:
-    """With those above it that are missing, each of which is on disk by its name when this returns."""
+    """Create a directory and its missing parents, and flush each new entry to disk. Raises OSError."""
     if path.is_dir():
         return
     make_folder(path.parent)
@@ -62,12 +65,12 @@
         sync_folder(path.parent)
     except OSError:
         with contextlib.suppress(OSError):
-            path.rmdir()  # the next try makes and syncs it anew
+            path.rmdir()  # so that a retry creates and flushes it again
         raise
 
 
 class Folder:
-    """The files of a folder on the system's disk, held by one process at a time."""
+    """`Files` on a real directory, which a lock file reserves for one process at a time."""
 
     def __init__(self, path: Path) -> None:
         """Raises Refused."""
--- a/durable/frames.py
+++ b/durable/frames.py
@@ -1,4 +1,4 @@
-"""The form of files: frames of length, type, version and checksum, of which the first says whose it is."""
+"""The file format: checksummed frames, the first of which is a header that identifies the owner."""
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -9,13 +9,16 @@
 import msgspec
 
 FORMAT, VERSION = "burlshift-durable", 1
-FRAME = Struct(">IBBI")  # bytes of payload, type, version, CRC-32C (RFC 3720, B.4) over these and the payload
+FRAME = Struct(">IBBI")  # payload length, type, version, CRC-32C (RFC 3720, B.4) of these and the payload
 HEAD, SNAPSHOT, RECORD = 0, 1, 2
-MOST_BYTES = 64 * 1024 * 1024  # of one payload: a length beyond it is damage, and not to be allocated
+MOST_BYTES = 64 * 1024 * 1024  # per payload; a greater length is corruption and must not be allocated
 
 
 class Head(msgspec.Struct, frozen=True, kw_only=True):
-    """generation counts from 1; first: how many records the store had taken before those of this file."""
+    """The header of a file.
+
+    `generation` counts from 1; `first` is the number of records committed before those in this file.
+    """
 
     format: str = FORMAT
     version: int = VERSION
@@ -27,17 +30,18 @@
 
 
 class Damage(Exception):
-    """A frame is not as it was written; the text says at which offset and what is wrong."""
+    """A frame is corrupt; the message gives the offset and the problem."""
 
 
 def frame(kind: int, payload: bytes) -> bytes:
+    """Encode one frame. Raises ValueError if the payload is too long."""
     if len(payload) > MOST_BYTES:
         raise ValueError(f"{len(payload)} bytes in one record; {MOST_BYTES} at most")
     return FRAME.pack(len(payload), kind, VERSION, _checksum(kind, payload)) + payload
 
 
 def frames(data: bytes) -> Iterator[tuple[int, int, bytes]]:
-    """Offset, type and payload of each; raises Damage where one is not whole, also where the data ends."""
+    """Decode frames as (offset, type, payload). Raises Damage at the first incomplete or corrupt one."""
     at = 0
     while at < len(data):
         if at + FRAME.size > len(data):
--- a/durable/store.py
+++ b/durable/store.py
@@ -1,11 +1,10 @@
-"""A snapshot and the journal after it, generation by generation.
-
-A generation is `snapshot-N`, written aside, synced and renamed, and `journal-N`, to which records are
-appended. The snapshot holds all that was committed before it; the one before stays with its journal, so that
-a damaged one costs no more than reading the older and both journals. A start never writes on in an old file:
-it recovers, and begins a generation of its own. So a journal that a cut has torn is never appended to, and an
-fsync that failed is never tried again on the same file: of its pages nothing may be assumed after that
-(PostgreSQL, 2018).
+"""A snapshot and the journal that follows it, in numbered generations.
+
+Generation N is `snapshot-N`, written to a temporary file, synced and renamed, and `journal-N`, to which
+records are appended. A snapshot contains everything committed before it. The previous generation is kept, so
+that a corrupt snapshot can be replaced by the older one and both journals. Existing files are never appended
+to: a start recovers and begins a new generation. So a journal torn by a crash is never continued, and a failed
+fsync is never retried on the same file, as the state of its pages is unknown afterwards (PostgreSQL, 2018).
 """
 from __future__ import annotations
 
@@ -17,16 +16,16 @@
 from .files import Files, Refused
 from .frames import FORMAT, HEAD, RECORD, SNAPSHOT, VERSION, Damage, Head, frame, frames
 
-ASIDE = "writing"
+TEMPORARY = "writing"
 
 
 class NotWritten(Exception):
-    """The disk did not take it: whether it holds after a cut is not known. The text is one line."""
+    """The disk failed: whether the data survives a crash is unknown. The message is one line."""
 
 
 @dataclass(frozen=True, slots=True)
 class Recovered:
-    """A snapshot, the records after it in their order, and lines on what was not as it should be."""
+    """The snapshot, the records committed after it, and one line for each problem that was found."""
 
     snapshot: bytes | None = None
     records: tuple[bytes, ...] = ()
@@ -37,52 +36,53 @@
 class _File:
     head: Head
     payloads: list[bytes] = field(default_factory=list)
-    damage: str = ""  # where reading ended, if not at the end
+    damage: str = ""  # why reading ended before the end of the file
 
 
 class Store:
-    """One owner's state in one folder; all calls come from one thread at a time.
+    """One owner's state in one folder. Not thread-safe.
 
-    Open it, take what `recovered` has, `begin` with a snapshot of that, then `append` and `commit`.
+    Restore the state from `recovered`, call `begin` with a snapshot of it, then `append` records and `commit`.
     """
 
     def __init__(self, files: Files, fleet: str, name: str) -> None:
-        """Raises Refused where the folder holds another owner's state, or that of another version, or where
-        it cannot be read.
+        """Recover what the folder holds.
+
+        Raises Refused if it belongs to another owner or format version, or cannot be read.
         """
         self._files, self._fleet, self._name = files, fleet, name
-        self._generation = 0  # the highest number that is there
-        self._good = 0  # the latest generation whose snapshot is known to hold
-        self._taken = 0  # records since the first generation
-        self._journal = ""  # the file that is appended to; empty: none
-        self._waiting: list[bytes] = []  # frames
+        self._generation = 0  # the highest number in use
+        self._last_good = 0  # the latest generation whose snapshot is known to be on disk
+        self._record_count = 0  # committed since the first generation
+        self._journal = ""  # the file being appended to, if any
+        self._pending: list[bytes] = []  # frames to be written by the next commit
         self.journal_bytes = 0
         self.recovered = self._recover()
 
     def begin(self, snapshot: bytes) -> None:
-        """A new generation that starts from this; what is older than the one before it goes.
+        """Start a new generation from a snapshot, and remove all but the previous generation.
 
-        Raises NotWritten, and then what was there is there still.
+        Raises NotWritten if the disk fails; everything committed so far is still on disk then.
         """
         generation = self._generation + 1
         name, journal = f"snapshot-{generation}", f"journal-{generation}"
         data = self._head("snapshot", generation) + frame(SNAPSHOT, snapshot)
         head = self._head("journal", generation)
-        self._end_journal()  # if this fails, whether the new snapshot holds is not known
+        self._end_journal()  # a failure leaves it unknown which generation is the latest on disk
         self._generation = generation
         try:
-            self._write_new(ASIDE, data)
+            self._write_new(TEMPORARY, data)
             self._write_new(journal, head)
-            self._files.finish(ASIDE)
-            self._files.rename(ASIDE, name)
+            self._files.finish(TEMPORARY)
+            self._files.rename(TEMPORARY, name)
             self._files.sync_folder()
         except OSError as e:
-            self._discard(ASIDE, journal, name)
+            self._discard(TEMPORARY, journal, name)
             raise NotWritten(f"{name}: {e.strerror}") from None
-        before, self._good = self._good, generation
+        before, self._last_good = self._last_good, generation
         self._journal, self.journal_bytes = journal, len(head)
-        self._waiting.clear()
-        with contextlib.suppress(OSError):  # what is left over goes with a later generation
+        self._pending.clear()
+        with contextlib.suppress(OSError):  # a later generation removes what is left
             self._remove_below(before)
 
     def _write_new(self, name: str, data: bytes) -> None:
@@ -91,9 +91,9 @@
         self._files.sync(name)
 
     def _discard(self, *names: str) -> None:
-        """Give up the files of a generation that could not be written, so that retries do not fill the disk.
+        """Remove the files of a generation that could not be written, so that retries do not fill the disk.
 
-        All that was committed is in the generations before it.
+        Everything committed is in earlier generations.
         """
         for name in names:
             self._files.finish(name)
@@ -106,19 +106,19 @@
             self._journal = ""
 
     def append(self, record: bytes) -> None:
-        """It goes to disk with the next commit. Raises ValueError on one that is too long."""
-        self._waiting.append(frame(RECORD, record))
+        """Add a record to the next commit. Raises ValueError if it is too long."""
+        self._pending.append(frame(RECORD, record))
 
     def commit(self) -> None:
-        """All that was appended is on disk when this returns, by one fsync.
+        """Write the appended records to disk, with one fsync.
 
-        Raises NotWritten; after that only `begin` writes again.
+        Raises NotWritten if the disk fails; after that, `begin` must succeed before the next commit.
         """
-        if not self._waiting:
+        if not self._pending:
             return
         if not self._journal:
             raise NotWritten(f"journal-{self._generation}: could not be written; begin a new generation")
-        data = b"".join(self._waiting)
+        data = b"".join(self._pending)
         try:
             self._files.append(self._journal, data)
             self._files.sync(self._journal)
@@ -126,9 +126,9 @@
             name = self._journal
             self._end_journal()
             raise NotWritten(f"{name}: {e.strerror}") from None
-        self._taken += len(self._waiting)
+        self._record_count += len(self._pending)
         self.journal_bytes += len(data)
-        self._waiting.clear()
+        self._pending.clear()
 
     def close(self) -> None:
         self._files.close()
@@ -150,8 +150,8 @@
                 continue
             journals = [found[name] for m in reversed(numbers)
                         if m >= n and (name := f"journal-{m}") in found]
-            records = _joined(snapshot.head.first, journals, notes)
-            self._good, self._taken = n, snapshot.head.first + len(records)
+            records = _concatenate(snapshot.head.first, journals, notes)
+            self._last_good, self._record_count = n, snapshot.head.first + len(records)
             return Recovered(snapshot.payloads[0], tuple(records), tuple(notes))
         return Recovered(notes=tuple(notes))
 
@@ -163,10 +163,10 @@
             raise Refused(f"{where}: {e.strerror}; mend the disk and try again") from None
 
     def _read(self, name: str, notes: list[str]) -> _File | None:
-        """None: nothing of it can be used. Raises Refused.
+        """Decode a file, or return None if nothing of it is usable.
 
-        An error of reading may pass, and the file be whole: without it a new generation would be begun from
-        less than was committed.
+        Raises Refused on a read error: it may be transient and the file intact, and starting a generation
+        without it would lose committed records.
         """
         try:
             data = self._files.read(name)
@@ -204,7 +204,7 @@
 
     def _head(self, kind: str, generation: int) -> bytes:
         doc = {"format": FORMAT, "version": VERSION, "kind": kind, "fleet": self._fleet, "name": self._name,
-               "generation": generation, "first": self._taken}
+               "generation": generation, "first": self._record_count}
         return frame(HEAD, msgspec.json.encode(doc))
 
     def _remove_below(self, generation: int) -> None:
@@ -214,22 +214,23 @@
                 self._files.remove(name)
 
 
-def _joined(taken: int, journals: list[_File | None], notes: list[str]) -> list[bytes]:
-    """The records of these journals, each of which must go on where the one before it ended.
+def _concatenate(count: int, journals: list[_File | None], notes: list[str]) -> list[bytes]:
+    """Concatenate the records of successive journals.
 
-    Records behind that place are of a commit that was refused, before the next generation was begun.
+    Each journal's header says how many records were committed before it. Records beyond that number belong to
+    a commit that failed before the next generation began, and are dropped; a gap ends the recovery.
     """
     records: list[bytes] = []
     for journal in journals:
         if journal is None:
             continue
-        if taken <= journal.head.first < taken + len(records):
+        if count <= journal.head.first < count + len(records):
             notes.append(f"journal-{journal.head.generation}: goes on from record {journal.head.first}; what "
                          "stands behind that in the one before was refused, and is left out")
-            del records[journal.head.first - taken:]
-        if journal.head.first != taken + len(records):
+            del records[journal.head.first - count:]
+        if journal.head.first != count + len(records):
             notes.append(f"journal-{journal.head.generation}: goes on from record {journal.head.first}, but "
-                         f"{taken + len(records)} are there; it is left out")
+                         f"{count + len(records)} are there; it is left out")
             break
         records += journal.payloads
     return records
