--- a/catalog/store.py
+++ b/catalog/store.py
@@ -86,7 +86,7 @@
         self.path = folder / FILE
         self._lock = _locked(folder)
         self._db: sqlite3.Connection | None = None
-        self.in_doubt = False  # a commit that failed may be complete in the log, and be recovered by a restart
+        self.in_doubt = False  # a failed commit may be complete in the log, and be recovered by a restart
         try:
             self._open(connect)
         except BaseException:
--- a/durable/store.py
+++ b/durable/store.py
@@ -3,8 +3,8 @@
 Generation N is `snapshot-N`, written to a temporary file, synced and renamed, and `journal-N`, to which
 records are appended. A snapshot contains everything committed before it. The previous generation is kept, so
 that a corrupt snapshot can be replaced by the older one and both journals. Existing files are never appended
-to: a start recovers and begins a new generation. So a journal torn by a crash is never continued, and a failed
-fsync is never retried on the same file, as the state of its pages is unknown afterwards (PostgreSQL, 2018).
+to: a start recovers and begins a new generation. So a journal torn by a crash is never continued, and a
+failed fsync is never retried on the same file: its pages are in an unknown state then (PostgreSQL, 2018).
 """
 from __future__ import annotations
 
@@ -42,7 +42,7 @@
 class Store:
     """One owner's state in one folder. Not thread-safe.
 
-    Restore the state from `recovered`, call `begin` with a snapshot of it, then `append` records and `commit`.
+    Restore the state from `recovered`, call `begin` with a snapshot of it, then `append` and `commit`.
     """
 
     def __init__(self, files: Files, fleet: str, name: str) -> None:
