What is read at the end of a process is answered, and nothing is read after its last look

Need: a request that is read and then closed with no answer is lost, on new connections too; who stops in the middle of a request is owed an error; a large answer must not look whole where the end cuts it.

Root cause, in Server.drain and Server.stop (lilacsill/server.py): requests read in part were left to their own time limit of 2.5 s, which the process does not live to see; after the last look, stop closed no connection, so that the loop read on while asyncio.run cancelled its tasks; the process's exit then ended a begun answer by a plain close, which an HTTP/1.0 client takes for its end; and the listener was closed after one round of accepts, which stops at the limit of connections.

Change: once nothing is taken any more, each part of a request gets a 503 at once, also while large answers finish (Server._refuse_unfinished); who waits is accepted until nobody does or time is out (_accept_all); stop closes every connection itself, and resets one whose answer is not whole.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -4,6 +4,7 @@
 import asyncio
 import logging
 import re
+import select
 import socket
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -302,6 +303,11 @@
         """Just accepted: whoever connects has something to ask, and its first request is on the way."""
         return self.empty and self._unread is not None and self._loop.time() < self._began + FIRST_S
 
+    @property
+    def unfinished(self) -> bool:
+        """A part of a request has been read that is not handed on yet."""
+        return self._call is None and not self.deaf and not self.empty
+
     @property
     def busy(self) -> bool:
         """A large answer is on its way, or the last bytes of any."""
@@ -526,6 +532,18 @@
             self._server.taker.turned_away(index, status)
         self._respond(status, headers or [], f"{why}\n".encode())
 
+    def refuse_unfinished(self) -> None:
+        """The process ends before the rest of this request could be answered."""
+        refused = self._server.refusal()
+        self._break_off(refused.status, str(refused), refused.headers)
+
+    def cut_off(self) -> None:
+        """The end, whatever is in hand; an answer that is not whole must not pass for it."""
+        if self.busy:
+            self._reset()
+        else:
+            self.drop()
+
     def answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None:
         if self._call is call:
             self._call = self._upload = None
@@ -629,6 +647,13 @@
             self._loop.call_later(LINGER_S, self._lingered, until)
 
 
+def _readable(sock: socket.socket) -> bool:
+    """Whether there is something to read, or somebody to accept, as far as the kernel knows."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _itself(client: _Client) -> _Client:
     return client
 
@@ -660,9 +685,13 @@
         """The call that a whole head, and a body at least begun, make. Rejected, where it cannot be taken."""
         call = self.checker.check(request, fields, body, client)
         if self.refusing:
-            raise Rejected(503, "shutting down", retry_after(self._come_again_us))
+            raise self.refusal()
         return call
 
+    def refusal(self) -> Rejected:
+        """Of whatever cannot be seen through any more."""
+        return Rejected(503, "shutting down", retry_after(self._come_again_us))
+
     async def listen(self, address: Address, shared: bool = False) -> int:
         """Returns the port, for an address whose port is 0. A shared one can be listened on once more."""
         return self.take_over(socket.create_server(
@@ -785,20 +814,41 @@
         self.taker.give_up_all()
         # What has begun is not cut off here: if it must be, that is for whoever ordered the stop.
         while any(c.busy for c in self.connections) and loop.time() < began + STREAMS_S:
+            self._refuse_unfinished()
             await asyncio.sleep(POLL_S)
-        # Open to the end: closing it resets what has come in and is not accepted yet.
-        if self.listener is not None:
-            self._accept(BACKLOG)
-        self._close_listener()
         last = loop.time() + LAST_S
+        await self._accept_all(last)
+        self._close_listener()
         while (self.connections or self._coming) and loop.time() < last:
+            self._refuse_unfinished()
             await asyncio.sleep(POLL_S)
         self.stop()
 
+    async def _accept_all(self, last: float) -> None:
+        """Accept who waits, until nobody does: closing the listener resets what has come in and is not
+        accepted yet. Those beyond the limit come as the ones before them, refused, have left."""
+        loop = asyncio.get_running_loop()
+        while self.listener is not None and loop.time() < last:
+            self._accept(BACKLOG)
+            if not _readable(self.listener):
+                return
+            self._refuse_unfinished()
+            await asyncio.sleep(POLL_S)
+
+    def _refuse_unfinished(self) -> None:
+        """Requests that nobody will be there to read to their end: each is owed its error while there is."""
+        for client in [c for c in self.connections if c.unfinished]:
+            client.refuse_unfinished()
+
     def stop(self) -> None:
+        """End all at once. From here on nothing is read: a request that comes now stays unread, and its
+        client asks elsewhere, while one that was read as the loop is torn down would be lost."""
         if self._emptying is not None:
             self._emptying.cancel()
         self._close_listener()
+        self._refuse_unfinished()
+        for client in list(self.connections):
+            client.cut_off()
 
     def _close_listener(self) -> None:
         if self.listener is not None:
