Requests that were read together are all answered, also while clients are sent away

Need: a request that was read and then closed with no answer is lost.

Root cause: _Client._last_words (lilacsill/server.py) put Connection: close on the answer in hand as soon as the agent was closing, and _part then dropped what had been read behind it: a second request that had come in the same segment was read and never answered.

Change: while something lies read behind a request, its answer does not ask to close; the last one does. Errors of the client (4xx) part as before, and so do chunks and more than 64 KiB sent ahead.

Measured: test_requests_that_were_read_together_are_all_answered, in a stop and while emptied: both hung before (no second request went out), pass now.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -530,7 +530,9 @@
         index = self._server.checker.class_of(self._fields) if self._request is not None else None
         if index is not None and not taken:
             self._server.taker.turned_away(index, status)
-        self._respond(status, headers or [], f"{why}\n".encode())
+        # Refusals go on for what has been read already; a client in error is parted from with the others.
+        part = self._server.closing and status < 500
+        self._respond(status, headers or [], f"{why}\n".encode(), part)
 
     def refuse_unfinished(self) -> None:
         """The process ends before the rest of this request could be answered."""
@@ -600,14 +602,16 @@
         # Behind chunks nothing more is read: h11 is lenient about where their trailer ends.
         return self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED) and not self._chunked
 
-    def _last_words(self) -> Headers:
-        last = self._server.closing or self._overran or not self._read_in_full()
+    def _last_words(self, part: bool = False) -> Headers:
+        # What has been read already behind this request is answered too.
+        last = self._server.closing and not self.http.trailing_data[0]
+        last = last or part or self._overran or not self._read_in_full()
         return [(b"Connection", b"close")] if last else []
 
-    def _respond(self, status: int, headers: Headers, body: bytes) -> None:
+    def _respond(self, status: int, headers: Headers, body: bytes, part: bool = False) -> None:
         if not self._writable():
             return
-        fields = [*headers, (b"Content-Length", b"%d" % len(body)), *self._last_words()]
+        fields = [*headers, (b"Content-Length", b"%d" % len(body)), *self._last_words(part)]
         head = self._request is not None and self._request.method == b"HEAD"
         data = [] if head or not body else [h11.Data(data=body)]
         self.send(h11.Response(status_code=status, headers=fields), *data, h11.EndOfMessage())
--- a/tests/test_shutdown_requests.py
+++ b/tests/test_shutdown_requests.py
@@ -9,7 +9,9 @@
 import pytest
 from tests.loopback import Conversation, Peer, Raw, World, config_doc, member, post, start, world
 
-from lilacsill.server import DrainTimes
+from brasshead.interface import RequestClass, Settings
+from lilacsill.__main__ import drain_times
+from lilacsill.server import DrainTimes, EmptyTimes
 
 AT_ONCE = DrainTimes(close_s=0.0, idle_s=0.0, serve_s=0.0, end_s=0.0)
 HELD_UP_S = 0.15  # by so much an agent may be late, at the signal and at the end
@@ -155,6 +157,34 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("stopping", [True, False])
+def test_requests_that_were_read_together_are_all_answered(tmp_path: Path, stopping: bool) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            await client.send(post(Request_Id="one") + post(Request_Id="two"))
+            first = await w.request()
+            draining = None
+            if stopping:
+                draining = asyncio.create_task(w.server.drain(DrainTimes(0.0, 0.0, 0.0, end_s=30.0)))
+                while not w.server.closing:
+                    await asyncio.sleep(0)
+            else:
+                w.server.empty(EmptyTimes(0.0, 60.0))
+            await first.answer(200, b"1st")
+            second = await w.request()
+            assert second.headers["request-id"] == "two"
+            await second.answer(200, b"2nd")
+            answers = await client.read_to_end()
+            assert answers.count(b"HTTP/1.1 200") == 2 and answers.count(b"Connection: close") == 1
+            assert answers.endswith(b"2nd")
+            client.close()
+            if draining is not None:
+                await draining
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 def test_half_a_request_and_a_hanging_backend_through_a_whole_stop(
         tmp_path: Path, number: signal.Signals) -> None:
