A connection whose first request has just come is not closed for its silence

Need: no request fails that could be served.

Root cause: _Client._too_slow (lilacsill/server.py) dropped a connection on which nothing had been read without asking whether the kernel has something: an agent that is late then reset a request that had come.

Change: the kernel is asked as the time runs out; with something to read the connection has POLL_S more, and in all no more than DECIDED_S, so that empty lines keep nobody's connection.

Measured: test_a_request_that_comes_as_the_time_for_it_runs_out_is_served: failed before, passes now.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -372,10 +372,12 @@
         self._read_whole()
         if self.deaf or (self._call is not None and self._upload is None):
             return
-        if self.empty:
-            self.drop()
-        else:
+        if self.unfinished or self._upload is not None:
             self._break_off(408, "request not whole in time")
+        elif self.quiet() or self._loop.time() >= self._began + DECIDED_S:
+            self.drop()
+        else:  # its request has come just now, and is read next
+            self._unread = self._loop.call_later(POLL_S, self._look)
 
     # What comes
 
--- a/tests/test_shutdown_requests.py
+++ b/tests/test_shutdown_requests.py
@@ -185,6 +185,25 @@
     asyncio.run(run())
 
 
+def test_a_request_that_comes_as_the_time_for_it_runs_out_is_served(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            while not w.server.connections:
+                await asyncio.sleep(0)
+            (connection,) = w.server.connections
+            assert connection.transport is not None
+            connection.transport.pause_reading()  # an agent that is late
+            await client.send(post())
+            connection._too_slow()
+            connection.transport.resume_reading()
+            await (await w.request()).answer()
+            assert b"HTTP/1.1 200" in await asyncio.get_running_loop().sock_recv(client.socket, 65536)
+            client.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 def test_half_a_request_and_a_hanging_backend_through_a_whole_stop(
         tmp_path: Path, number: signal.Signals) -> None:
