The client is asked behind the last look at the clock, as its attempt goes out

Need: an agent may be held up by 0.15 s between reading its clock and writing; an attempt that begins over 0.1 s after its client left is lost.

Root cause: Exchange.start asked in may_go, then took a connection and told the time left (take and _put in lilacsill/backends.py), which reads the clock twice more: a client that left there was not seen.

Change: _put asks last of all, before anything of the attempt or its connection is touched; an attempt that finds an idle connection is no longer asked about before, so it stays one look for each. The connection goes to whoever waits for it, or back to where it was (hand_on), with the rest of its time.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -177,11 +177,11 @@
         member = self._backends.ready(self._backend)
         if member is None:
             return self._end(Outcome.NOT_SENT)
-        if not self.may_go():
-            return
         connection = self._backends.take(member)
         if connection is not None:
             return self.carry(connection)
+        if not self.may_go():
+            return
         if not self._backends.room():
             return self._end(Outcome.NOT_SENT)
         self._backends.dial(member, self)
@@ -207,10 +207,10 @@
             self._put(connection)
         except Exception:  # whatever it is, the attempt must end, or its request gets no answer
             log.exception("attempt failed")
+            self._connection = connection  # not to be used again
             self._end(self._lost())
 
     def _put(self, connection: _Pooled) -> None:
-        self._connection, connection.exchange = connection, self
         ask, body, headers = self._ask, self._ask.body, [(b"Host", HOST), *self._ask.headers]
         large = not isinstance(body, bytes)
         if ask.reader is not None:
@@ -226,6 +226,10 @@
         events: list[h11.Event] = [h11.Request(method=ask.method, target=ask.target, headers=headers)]
         if start:
             events.append(h11.Data(data=start))
+        if not ask.wanted():  # asked behind the last look at the clock: the agent may be held up there
+            self._end(Outcome.NOT_SENT)
+            return self._backends.hand_on(connection)
+        self._connection, connection.exchange = connection, self
         if isinstance(body, bytes) or body.whole:
             connection.send(*events, h11.EndOfMessage())
             if connection.written:
@@ -527,6 +531,11 @@
                 del self._waiting[backend]
 
     def _offer(self, connection: _Pooled) -> None:
+        """It is free from now on."""
+        connection.idle_since = self.clock.now()
+        self.hand_on(connection)
+
+    def hand_on(self, connection: _Pooled) -> None:
         """To the exchange that has waited longest and may still go out, else kept."""
         backend = connection.member.backend.id
         while waiting := self._waiting.get(backend):
@@ -537,9 +546,9 @@
             self.waits_no_more(backend, exchange)
             if exchange.may_go():
                 return exchange.carry(connection)
-        connection.idle_since = self.clock.now()
+        left_us = connection.idle_since + self._idle_us - self.clock.now()
         connection.retire = asyncio.get_running_loop().call_later(
-            self._idle_us / 1e6, self._retired, connection)
+            left_us / 1e6, self._retired, connection)
         self._idle.setdefault(backend, []).append(connection)
 
     def limit(self, most: int) -> None:
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -13,6 +13,7 @@
 from tests.test_client_gone import assert_next_is_another, with_a_connection_kept
 
 from brasshead.interface import Action, Event, ListKind, RequestArrived, Send
+from lilacsill.backends import _Pooled
 
 LEAVES: dict[str, Callable[[Raw], None]] = {
     "FIN": Raw.close, "RST": Raw.reset, "half-close": lambda client: client.socket.shutdown(socket.SHUT_WR)}
@@ -227,3 +228,45 @@
             client.close()
 
     asyncio.run(run())
+
+
+@leaves
+def test_a_client_that_leaves_at_any_reading_of_the_clock_before_its_attempt_goes_out(
+        tmp_path: Path, how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            await with_a_connection_kept(w)
+            now, send = w.agent._clock.now, _Pooled.send
+            readings, leave_at = 0, 0
+            readings_before_send: list[int] = []
+            client = await w.raw()
+
+            def held_up() -> int:
+                nonlocal readings
+                readings += 1
+                if readings == leave_at:
+                    LEAVES[how](client)
+                return now()
+
+            def sending(connection: _Pooled, *events: h11.Event) -> None:
+                readings_before_send.append(readings)
+                send(connection, *events)
+
+            with monkeypatch.context() as patch:
+                patch.setattr(w.agent._clock, "now", held_up)
+                patch.setattr(_Pooled, "send", sending)
+                await client.send(post())
+                await (await w.request()).answer()
+                assert b"HTTP/1.1 200" in await asyncio.get_running_loop().sock_recv(client.socket, 65536)
+                client.close()
+                (most,) = readings_before_send
+                for leave_at in range(1, most + 1):
+                    client, readings = await w.raw(), 0
+                    await client.send(post())
+                    while readings < leave_at or len(w.server.connections) > 1 or w.server._coming:
+                        await asyncio.sleep(0)
+                    client.close()
+                assert len(readings_before_send) == 1
+            assert w.nothing_sent() and w.backends[0].connections == 1  # the kept connection is not spoilt
+
+    asyncio.run(run())
