An attempt ends with its one Result, whatever fails on the way

Need: an attempt without an end leaves its request to the overdue timer, and the decisions with a slot taken for good; and a fault at one attempt must not end what is at work at that moment: others that wait, or the client's connection.

Root cause (lilacsill/backends.py): Exchange._end marked the exchange as ended, and then ran body.stop, resume and give_back before it told its Result; a raise there lost it. Exchange.start let a raise of take (poll may fail for a moment), room or Ask.wanted out to its caller. Raised behind a connect, it also ended Backends._dial before it had told the others that wait. more and all_sent raised into the client's connection, which broke off with 500; on_written left an upload that its own watch took for waiting for the client; _held_long left an answer half passed on.

Change: _release holds what may raise, and the Result is told behind it, with the connection closed where it did; each entry into an exchange ends it by _failed; may_go takes a raise for no; a connection that poll cannot be asked about is not used.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -150,7 +150,10 @@
 
     def usable(self) -> bool:
         """Idle and, as far as the kernel knows, open: one with anything to read was closed by the peer."""
-        return not self.closed and self.quiet()
+        try:
+            return not self.closed and self.quiet()
+        except OSError:  # the kernel cannot be asked just now
+            return False
 
 
 class Exchange:
@@ -176,6 +179,13 @@
         self._holding: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
+        try:
+            self._find_connection()
+        except Exception:
+            log.exception("attempt failed before it was sent")
+            self._end(Outcome.NOT_SENT)
+
+    def _find_connection(self) -> None:
         member = self._backends.ready(self._backend)
         if member is None:
             return self._end(Outcome.NOT_SENT)
@@ -199,17 +209,28 @@
         """The one place where it is settled that an attempt may still go out. The list may have changed while
         its connection came up, its time or that of repeats have run out, its client have left.
         """
-        if not self.ended and (self._backends.ready(self._backend) is None or not self._ask.wanted()):
+        if not self.ended and (self._backends.ready(self._backend) is None or not self._wanted()):
             self._end(Outcome.NOT_SENT)
         return not self.ended
 
+    def _wanted(self) -> bool:
+        try:
+            return self._ask.wanted()
+        except Exception:  # those that wait behind it must not miss their connection
+            log.exception("cannot tell whether an attempt is still wanted")
+            return False
+
     def carry(self, connection: _Pooled) -> None:
         """Go out on this connection."""
         try:
             self._put(connection)
-        except Exception:  # whatever it is, the attempt must end, or its request gets no answer
-            log.exception("attempt failed")
-            self._end(self._lost())
+        except Exception:
+            self._failed()
+
+    def _failed(self) -> None:
+        """For an exception in hand: whatever it is, the attempt must end, or its request gets no answer."""
+        log.exception("attempt failed")
+        self._end(self._lost())
 
     def _put(self, connection: _Pooled) -> None:
         self._connection, connection.exchange = connection, self
@@ -248,9 +269,12 @@
             return
         assert not isinstance(self._ask.body, bytes)
         self._moved = self._loop.time()
-        self._connection.send(h11.Data(data=data))
-        if not self._connection.written:
-            self._ask.body.halt()
+        try:
+            self._connection.send(h11.Data(data=data))
+            if not self._connection.written:
+                self._ask.body.halt()
+        except Exception:  # it is no fault of the client, which is at work here
+            self._failed()
 
     def all_sent(self) -> None:
         """The body is whole: now its time runs."""
@@ -260,7 +284,10 @@
         self._timer.cancel()
         self._timer = self._loop.call_later(self._timeout_us / 1e6, self._timed_out)
         self._began = self._backends.clock.now()
-        self._connection.send(h11.EndOfMessage())
+        try:
+            self._connection.send(h11.EndOfMessage())
+        except Exception:
+            return self._failed()
         if self._connection.written:
             self.on_written()
 
@@ -286,7 +313,10 @@
         if self._sending:
             assert not isinstance(self._ask.body, bytes)
             self._moved = self._loop.time()
-            self._ask.body.flow(self)
+            try:
+                self._ask.body.flow(self)
+            except Exception:
+                self._failed()
         elif self._ask.reader is not None:
             self._backends.written()
 
@@ -329,8 +359,12 @@
 
     def _held_long(self) -> None:
         """Whether an answer will be large is not known, but its client has waited for it long enough."""
-        self._too_large_to_hold()
-        self.on_read()
+        try:
+            self._too_large_to_hold()
+            self.on_read()
+        except Exception:
+            log.exception("an answer could not be passed on")
+            self._end(Outcome.ERROR)
 
     def _too_large_to_hold(self) -> None:
         """Only an answer that counts is passed on; of any other the status says enough."""
@@ -402,6 +436,19 @@
         if self.ended:
             return
         self.ended = True
+        try:
+            self._release()
+        except Exception:
+            log.exception("an attempt did not end in good order")
+            if self._connection is not None:
+                self._connection.drop()
+        self._done(Result(
+            outcome, self.latency_us, self.report(), bytes(self._body),
+            self._headers.get(b"content-type"), self._begun_us >= 0,
+        ))
+
+    def _release(self) -> None:
+        """Let go of its timers, its place among those that wait, its body and its connection."""
         self._timer.cancel()
         if self._holding is not None:
             self._holding.cancel()
@@ -413,10 +460,6 @@
             self.resume()
             self._connection.exchange = None
             self._backends.give_back(self._connection)
-        self._done(Result(
-            outcome, self.latency_us, self.report(), bytes(self._body),
-            self._headers.get(b"content-type"), self._begun_us >= 0,
-        ))
 
 
 class Backends:
