--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -37,7 +37,7 @@
 def test_samples_are_asked_for_their_load_first(tmp_path: Path) -> None:
     async def run() -> None:
         async with world(tmp_path, probes=True) as w:
-            w.agent._backends.clock = ManualClock()  # so that no connection is quiet for long enough by itself
+            w.agent._backends.clock = ManualClock()  # no connection is quiet for long enough by itself
             client = await w.ask(post())
             for _ in range(3):
                 await (await w.request()).answer()
