--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -10,6 +10,7 @@
 import h11
 import pytest
 from tests.loopback import Raw, World, member, post, world
+from tests.test_backends import quiet_is_over
 from tests.test_client_gone import assert_next_is_another, with_a_connection_kept
 
 from brasshead.interface import Action, Event, ListKind, RequestArrived, Send
@@ -236,6 +237,7 @@
     async def run() -> None:
         async with world(tmp_path) as w:
             await with_a_connection_kept(w)
+            quiet_is_over(w.agent._backends)
             now, send = w.agent._clock.now, _Pooled.send
             readings, leave_at = 0, 0
             readings_before_send: list[int] = []
@@ -259,6 +261,7 @@
                 await (await w.request()).answer()
                 assert b"HTTP/1.1 200" in await asyncio.get_running_loop().sock_recv(client.socket, 65536)
                 client.close()
+                quiet_is_over(w.agent._backends)
                 (most,) = readings_before_send
                 for leave_at in range(1, most + 1):
                     client, readings = await w.raw(), 0
