A SIGHUP at the last moment starts nothing while the tasks are cancelled

Need: signals in quick succession, at any moment of a stop, are one orderly stop.

Root cause: serve (lilacsill/__main__.py) blocks the signals after its last look, but one that had come just before was still carried out by the loop as asyncio.run cancelled its tasks: _reload moved the agent to the new address of discovery, by a task that nobody cancelled, and the process ended with tracebacks (its status was 0).

Change: the handler of SIGHUP is removed once the signals are blocked.

--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -118,6 +118,8 @@
     log.info("%s stops", config.name)
     # From here on they would meet the interpreter's own handlers, and a SIGHUP be a crash.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
+    # One that has come just now would be carried out while the tasks are cancelled, and start new ones.
+    loop.remove_signal_handler(signal.SIGHUP)
     return 0
 
 
--- /dev/null
+++ b/tests/test_shutdown_signals.py
@@ -0,0 +1,69 @@
+"""Signals at any moment between the start of service and the end of the process: one orderly stop."""
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import signal
+import sys
+from pathlib import Path
+
+import pytest
+from tests.loopback import Conversation, Peer, config_doc, environment, member, post
+
+# The process sends itself all signals as it comes to the call that is named here.
+SIGNALLED_AT = """
+import asyncio.base_events, asyncio.runners, os, signal, sys
+import lilacsill.agent, lilacsill.server
+from lilacsill.__main__ import main
+
+def signalled(owner, name):
+    call = getattr(owner, name)
+    def wrapped(*args, **kwargs):
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+            os.kill(os.getpid(), number)
+        return call(*args, **kwargs)
+    setattr(owner, name, wrapped)
+
+signalled({owner}, "{name}")
+sys.exit(main())
+"""
+MOMENTS = {
+    "before it listens": ("lilacsill.agent.Agent", "start"),
+    "as it listens": ("lilacsill.server.Server", "take_over"),
+    "as it begins to stop": ("lilacsill.server.Server", "drain"),
+    "at its last look": ("lilacsill.server.Server", "stop"),
+    "as its tasks are cancelled": ("asyncio.runners", "_cancel_all_tasks"),
+    "as its threads end": ("asyncio.base_events.BaseEventLoop", "shutdown_default_executor"),
+    "as its loop is closed": ("asyncio.base_events.BaseEventLoop", "close"),
+}
+
+
+@pytest.mark.parametrize("moment", MOMENTS)
+def test_signals_at_any_moment_are_one_orderly_stop(tmp_path: Path, moment: str) -> None:
+    async def run() -> None:
+        owner, name = MOMENTS[moment]
+        discovery, backend = await Peer().start(), await Peer().start()
+        doc = config_doc(discovery.port, [member("s", backend.port)])
+        (tmp_path / "config.json").write_text(json.dumps(doc))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", SIGNALLED_AT.format(owner=owner, name=name),
+            stderr=asyncio.subprocess.PIPE, env=environment(tmp_path))
+        assert process.stderr is not None
+        said = b""
+        while line := await process.stderr.readline():
+            said += line
+            if b"listens on" in line:
+                client = Conversation(*await asyncio.open_connection("127.0.0.1", int(line.split(b":")[-1])))
+                await client.write(post())
+                await (await backend.requests.get()).answer()
+                assert (await client.read()).status == 200
+                client.close()
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0, said
+        assert b"listens on" in said and b"Traceback" not in said
+        await discovery.stop()
+        await backend.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
