Empty lines that come with a request are passed over like those before one

Need: bad input gets its error on its own connection; what is not bad input gets none.

Root cause: _Client.data_received (lilacsill/server.py) passes over empty lines only where nothing waits in h11. Those that came with a request, or while it was in hand, went to h11 behind it, which takes an empty line for a request that is malformed: the client, which had asked for one thing, got a 400 behind its answer, to be read as the answer to its next request, and that one was closed unanswered.

Change: _answered takes empty lines off what was sent ahead, before h11 sees them as a message.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -17,7 +17,7 @@
 
 from brasshead.interface import Effect, RequestClass, Settings, Tenant
 
-from .connection import Connection, Fields, Headers, fields_of, header
+from .connection import HEADER_LIMIT, Connection, Fields, Headers, fields_of, header
 from .discovery import Address
 
 log = logging.getLogger(__name__)
@@ -399,11 +399,8 @@
     def data_received(self, data: bytes) -> None:
         self.last = self._loop.time()
         if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
-            data = self._blank + data  # empty lines before a request are to be passed over
-            while data.startswith(b"\r\n"):
-                data = data[2:]
-            self._blank = data if data == b"\r" else b""
-            if self._blank or not data:
+            data, self._blank = without_blank_lines(self._blank + data)
+            if not data:
                 return
         if self._runs_ahead(data):
             return
@@ -627,11 +624,23 @@
             self._request = None
             self._server.freed()
             super().resume()  # no effect where it was not paused
+            self._pass_over_blank_lines()
             if self.http.trailing_data[0]:
                 self._loop.call_soon(self.resume_reading)
         else:
             self._part()
 
+    def _pass_over_blank_lines(self) -> None:
+        """Those that came with the request before: h11 takes them for a bad request of their own."""
+        ahead = self.http.trailing_data[0]
+        if not ahead.startswith(b"\r"):
+            return
+        rest, self._blank = without_blank_lines(ahead)
+        if rest != ahead:
+            self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
+            if rest:
+                self.http.receive_data(rest)
+
     def _part(self) -> None:
         """Part after an answer: read and drop what still comes. Whatever the client has sent by then, a
         request ahead or the rest of a body, a close over unread bytes would reset the answer away.
@@ -653,6 +662,14 @@
             self._loop.call_later(LINGER_S, self._lingered, until)
 
 
+def without_blank_lines(data: bytes) -> tuple[bytes, bytes]:
+    """What follows the empty lines, which are to be passed over before a request; and half of one more,
+    where it ends in that."""
+    while data.startswith(b"\r\n"):
+        data = data[2:]
+    return (b"", data) if data == b"\r" else (data, b"")
+
+
 def _readable(sock: socket.socket) -> bool:
     """Whether there is something to read, or somebody to accept, as far as the kernel knows."""
     poll = select.poll()
