Who stops in a large body is judged by when the request began, not by when it was read on

Need: who stops in the middle gets an error or a close within 3 s.

Root cause: _Client.resume (lilacsill/server.py) gave a client whose reading had been paused DECIDED_S anew, 2.7 s from then on: while a connection came up in 2 s, its error came after 4.7 s, and each further pause put it off again.

Change: the next look is when _due says, which already leaves out the time that was not read.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -366,7 +366,7 @@
             now = self._loop.time()
             self._body_began += now - self.last
             self.last = now
-            self._unread = self._loop.call_later(DECIDED_S, self._look)
+            self._unread = self._loop.call_later(max(0.0, self._due() - now), self._look)
 
     def _too_slow(self) -> None:
         self._read_whole()
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -9,7 +9,7 @@
 
 import h11
 import pytest
-from tests.loopback import Raw, World, member, post, world
+from tests.loopback import Raw, World, held_connects, member, post, world
 from tests.test_client_gone import assert_next_is_another, with_a_connection_kept
 
 from brasshead.interface import Action, Event, ListKind, RequestArrived, Send
@@ -270,3 +270,28 @@
             assert w.nothing_sent() and w.backends[0].connections == 1  # the kept connection is not spoilt
 
     asyncio.run(run())
+
+
+def test_who_stops_in_a_large_body_while_its_connection_comes_up_is_let_go_in_time(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Within the 3 s that it is owed its error or its close, and not so long after the connection is up.
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            heard = held_connects(monkeypatch)
+            sending = asyncio.create_task(client.send(in_two_parts()[0]))
+            while not w.backends[0].connections:
+                await asyncio.sleep(0)
+            (connection,) = w.server.connections
+            while connection._upload is None:
+                await asyncio.sleep(0)
+            assert connection._unread is None  # while it is not read nothing is held against it
+            connection._began -= 2.0  # the connection takes so long to come up
+            heard.set()
+            while connection._unread is None:
+                await asyncio.sleep(0)
+            assert connection._unread.when() < connection._began + 3.0
+            await sending
+            client.close()
+
+    asyncio.run(run())
