List service: a restore goes above the lists it replaces, not above its backup alone

Need: under any step of the wall clock no revision may go back or stand for two states.

Root cause: catalog/store.py, restore took the later of the wall clock and the backup's revision plus 2^20. With the clock behind the list, the same backup restored twice gave the same revisions to two lists, and a list that had changed more since the backup was gone below.

Change: it goes above the list in the directory and those that were put aside there too, as far as they can be read; what cannot be read keeps no backup from being restored.

Measured: test_every_restore_is_above_what_the_lists_before_it_gave (steps of -3600, -5, 5, 3600 s) and test_a_list_that_was_put_aside_counts_too failed before, pass now. Held before and now, by tests: revisions go on over steps and restarts, leases end by the monotonic clock, and who knew a lost list gets all of the new one; ages of followers take the loop's time only (test_wall_clock: the wall clock is read in two places).

--- a/catalog/store.py
+++ b/catalog/store.py
@@ -22,6 +22,7 @@
 
 FORMAT = 1
 FILE, LOCK = "catalog.sqlite3", "lock"
+ASIDE = "before-"  # begins the name of a directory with a list that a restore has replaced
 SHIFT = 20  # a list changes less than 2**20 times a second over its life
 MOST_CHANGES, MOST_BYTES = 10_000, 32 * 1024 * 1024
 TABLES = """
@@ -267,7 +268,8 @@
                 contextlib.closing(sqlite3.connect(made / FILE)) as copy:
             db.backup(copy)
             meta = dict(copy.execute("select key, value from meta"))
-            revision = first_revision(time.time() if unix_s is None else unix_s, int(meta["revision"]))
+            above = max(int(meta["revision"]), _highest_revision(folder))
+            revision = first_revision(time.time() if unix_s is None else unix_s, above)
             with copy:
                 copy.execute("delete from history")  # of the other list: who watched that one starts anew
                 copy.executemany("update meta set value = ? where key = ?", [
@@ -284,9 +286,21 @@
         os.close(lock)
 
 
+def _highest_revision(folder: Path) -> int:
+    """Of the lists in a directory, one that is put aside included, as far as they can be read. The clock may
+    be behind them, and a backup is older than what was given after it."""
+    highest = 0
+    for path in (folder / FILE, *folder.glob(f"{ASIDE}*/{FILE}")):
+        with contextlib.suppress(sqlite3.Error, TypeError, ValueError), \
+                contextlib.closing(sqlite3.connect(f"file:{path}?mode=ro", uri=True)) as db:
+            row = db.execute("select value from meta where key = 'revision'").fetchone()
+            highest = max(highest, int(row[0]))
+    return highest
+
+
 def _put_in_place(folder: Path, new: Path) -> None:
     _sync(new)
-    aside = folder / f"before-{time.time_ns()}"
+    aside = folder / f"{ASIDE}{time.time_ns()}"
     for name in (FILE, f"{FILE}-wal", f"{FILE}-shm"):
         if (folder / name).exists():
             aside.mkdir(exist_ok=True)
