Membership test: one that left in order and starts again after a step back

Need: the mend of start numbers was tested for processes that were killed only; a stop in order takes another way (LEFT, which the answers name).

Change: test_so_is_one_that_had_left_in_order, for fleets of 2, 3 and 10.

--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -560,6 +560,22 @@
     assert not any(m.superseded for m in fleet.members.values())
 
 
+@pytest.mark.parametrize("step_s", STEPS_S)
+@pytest.mark.parametrize("size", [2, 3, 10])
+def test_so_is_one_that_had_left_in_order(size: int, step_s: int) -> None:
+    fleet = Fleet(size)
+    fleet.starts = 10_000_000
+    for i in range(size):
+        fleet.start(i)
+    fleet.run(15)
+    fleet._do(1, fleet.members.pop(1).leave(fleet.now))
+    fleet.run(3)
+    fleet.starts += step_s * 1000
+    fleet.start(1)
+    fleet.run(30)
+    assert fleet.agree(set(range(size)))
+
+
 @pytest.mark.parametrize("size", [3, 10])
 def test_of_two_processes_that_both_run_the_acknowledged_one_gives_way_to_a_later(size: int) -> None:
     fleet = Fleet(size)
