A shortage in epoll_ctl no longer leaves a connection unread or an answer cut

Need: epoll_ctl(2) may fail for a while with ENOMEM or ENOSPC; a request was then never read, or its answer lost its rest. Root cause: asyncio's _add_reader in a call of its own only logs the error, _add_writer raises out of transport.write before the rest is in the buffer, a failed modify of EpollSelector forgets the key, and Server.freed had set _accepting before add_reader raised: accepting never came back. Change: event_loop.py, a selector whose registration stands at once and is made again in the kernel before each wait; __main__ runs on it. No system call more while nothing fails.

--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -24,6 +24,7 @@
 from .config import Config, ConfigError, load, reload_discovery
 from .control import Door
 from .discovery import ASK_WAIT_MS, PUSH_WAIT_MS, Discovery
+from .event_loop import new_event_loop
 from .figures import Figures
 from .handover import Succession, inherit, path_for
 from .losses import Losses
@@ -150,7 +151,8 @@
     except ConfigError as e:
         print(f"lilacsill: {e}", file=sys.stderr)
         return 2
-    return asyncio.run(serve(config, clock))
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        return runner.run(serve(config, clock))
 
 
 if __name__ == "__main__":
--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -293,7 +293,7 @@
     """What the event loop's selector waits on."""
 
     def __init__(self) -> None:
-        self._epoll = select.epoll()
+        self._epoll = _epoll()
 
     def register(self, fd: int, *events: int) -> None:
         _check("epoll_ctl", _sockets.get(fd))
@@ -317,7 +317,7 @@
         self._epoll.close()
 
 
-_poll = select.poll
+_poll, _epoll = select.poll, select.epoll
 
 
 @contextmanager
@@ -326,15 +326,14 @@
     global _faults
     assert _faults is None, "not one in another"
     before, selector = socket.socket, vars(selectors)["EpollSelector"]
-    epoll = selector._selector_cls
     _faults = faults or Faults()
     try:
         vars(socket)["socket"], vars(select)["poll"] = FaultySocket, _FaultyPoll
-        selector._selector_cls = _FaultyEpoll
+        vars(select)["epoll"] = selector._selector_cls = _FaultyEpoll
         yield _faults
     finally:
         vars(socket)["socket"], vars(select)["poll"] = before, _poll
-        selector._selector_cls = epoll
+        vars(select)["epoll"] = selector._selector_cls = _epoll
         _faults = None
 
 
