A lack of memory in a send, a read or a look at a socket ends no connection

Need: ENOBUFS and ENOMEM of send(2) and recv(2), an option that cannot be set, ENOMEM of poll(2): requests were read and closed with no answer, or answered 500; a server was blamed for what this machine lacked. Root cause: asyncio treats any error but EAGAIN and EINTR as the end of a connection, and setsockopt in the transport's making (sockets with a protocol number, so those of inherited listeners) leaves the accepted connection shut; Connection.left and quiet let poll's error out; LACKING knew three errnos; getpeername raised in place of the time-out. Change: sockets.py: a stream socket that says "not now" for a shortage and does without an option; quiet and left take what they cannot learn for the safe case; LACK in place of LACKING; _is_up.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -2,7 +2,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import socket
 from collections.abc import Callable
@@ -16,11 +15,10 @@
 from .clock import Clock
 from .connection import Connection, Fields, Headers, fields_of, header
 from .discovery import Listing, Member
+from .sockets import LACK, retrying
 
 log = logging.getLogger(__name__)
 
-# What this process lacks for a connection: descriptors, ports. No word on the backend.
-LACKING = (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL)
 HOST = b"origin.svc"
 PROBE_US = 50_000  # a load told later than this is of no use to the requests that asked for it
 IDLE_SHARE = 0.7  # of the time after which a backend closes an idle connection; then it is retired here
@@ -96,6 +94,15 @@
     return report if all(0.0 <= x < 1e9 for x in report) else ()
 
 
+def _is_up(sock: socket.socket) -> bool:
+    """Whether it has come to be connected."""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 class _Pooled(Connection):
     """A connection to a backend; idle, or in the hands of one exchange."""
 
@@ -477,7 +484,7 @@
         try:
             connection = await self._connected(member)
         except (OSError, TimeoutError) as e:
-            outcome = Outcome.NOT_SENT if e.errno in LACKING else Outcome.CONNECT_FAILED
+            outcome = Outcome.NOT_SENT if e.errno in LACK else Outcome.CONNECT_FAILED
         except Exception:
             log.exception("attempt failed before it was sent")
         self._dials[backend] -= 1
@@ -507,8 +514,10 @@
                 async with asyncio.timeout(self._connect_s):
                     await loop.sock_connect(sock, (address.host, address.port))
             except TimeoutError:
-                sock.getpeername()  # raises where it is not up even now
-            _, connection = await loop.create_connection(lambda: _Pooled(member, self._discard), sock=sock)
+                if not _is_up(sock):
+                    raise
+            _, connection = await loop.create_connection(
+                lambda: _Pooled(member, self._discard), sock=retrying(sock))
         except BaseException:
             sock.close()
             raise
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -110,13 +110,19 @@
 
     def quiet(self) -> bool:
         """Whether the kernel has nothing to read for it, not even the peer's close."""
-        return self._kernel_says(select.POLLIN | select.POLLHUP) == 0
+        try:
+            return self._kernel_says(select.POLLIN | select.POLLHUP) == 0
+        except OSError:  # no memory to look: what is not known to be idle is not taken for idle
+            return False
 
     def left(self) -> bool:
         """Whether the peer has closed or reset it as far as the kernel knows, also behind bytes not yet read:
         a connection that is not being read does not show it by itself."""
         gone = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-        return bool(self._kernel_says(select.POLLRDHUP) & gone)
+        try:
+            return bool(self._kernel_says(select.POLLRDHUP) & gone)
+        except OSError:  # no memory to look: who is not known to have left is still owed an answer
+            return False
 
     def _kernel_says(self, asked: int) -> int:
         if self.transport is None or self.transport.is_closing():
--- /dev/null
+++ b/lilacsill/sockets.py
@@ -0,0 +1,90 @@
+"""Sockets whose calls fail for a moment: what an errno says, and what to do about it.
+
+The manual pages of Linux name two kinds of error that end nothing. A lack of memory, buffers, descriptors or
+ports is this machine's, and passes: the call is made again. And accept(2) hands on what befell a connection
+before it was accepted: that one is gone, the next may be in order.
+"""
+from __future__ import annotations
+
+import errno
+import socket
+from contextlib import suppress
+from typing import Any, cast
+
+# What this machine lacks for one more connection, or has no way out for just now. No word on a server.
+LACK = frozenset({
+    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ENOSPC, errno.EAGAIN,
+    errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.ENETDOWN, errno.ENETUNREACH,
+})
+# accept(2): of one connection that waited; the others are not concerned.
+GONE_BEFORE_ACCEPT = frozenset({
+    errno.ECONNABORTED, errno.ENETDOWN, errno.EPROTO, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET,
+    errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.ECONNRESET, errno.EINTR,
+})
+SHORTAGE = frozenset({errno.ENOBUFS, errno.ENOMEM})  # of a transfer on a connection that is in order
+
+
+class RetryingSocket:
+    """A stream socket on which a shortage of memory ends nothing: the transfer is made again.
+
+    asyncio takes any error of a send or a read for the end of the connection, but for "not now".
+    """
+
+    __slots__ = ("_socket", "_send", "_recv", "_recv_into", "__weakref__")
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._socket = sock
+        self._send, self._recv, self._recv_into = sock.send, sock.recv, sock.recv_into
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._socket, name)
+
+    def send(self, data: bytes) -> int:
+        try:
+            return self._send(data)
+        except OSError as e:
+            raise _not_now(e) from None
+
+    def recv(self, size: int) -> bytes:
+        try:
+            return self._recv(size)
+        except OSError as e:
+            raise _not_now(e) from None
+
+    def recv_into(self, buffer: bytearray) -> int:
+        try:
+            return self._recv_into(buffer)
+        except OSError as e:
+            raise _not_now(e) from None
+
+    def setsockopt(self, *args: Any) -> None:
+        """Options make a connection faster, or its end plainer; none is worth the connection."""
+        with suppress(OSError):
+            self._socket.setsockopt(*args)
+
+
+def _not_now(error: OSError) -> OSError:
+    if error.errno in SHORTAGE:
+        return BlockingIOError(errno.EAGAIN, error.strerror)
+    return error
+
+
+def retrying(sock: socket.socket) -> socket.socket:
+    """The same socket, for a transport of asyncio."""
+    return cast(socket.socket, RetryingSocket(sock))
+
+
+def accept(listener: socket.socket) -> socket.socket:
+    """The connection that has waited longest, for a transport of asyncio.
+
+    BlockingIOError: nobody waits. ConnectionAbortedError: it was gone, and another may wait. Any other
+    OSError: there is nothing to accept with for now.
+    """
+    try:
+        sock, _address = listener.accept()
+    except OSError as e:
+        if e.errno in GONE_BEFORE_ACCEPT:
+            raise ConnectionAbortedError(e.errno, e.strerror) from None
+        raise
+    sock.setblocking(False)
+    return retrying(sock)
