An accept that fails for one connection or for a moment costs no other, at the end neither

Need: errors of accept(2) as the agent stops left all that waited reset, with no answer; a network error of one connection closed the door to all for 0.1 s. Root cause: Server._accept returned at the first ECONNABORTED and starved on any other error, and drain's last look (_accept(BACKLOG)) closed the listener after it, whatever was left in its queue. Change: sockets.accept tells "that one is gone" from "nothing to accept with"; _accept goes on after the first and says whether the queue is empty; drain looks again until it is, within the time it has.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -19,6 +19,7 @@
 
 from .connection import Connection, Fields, Headers, fields_of, header
 from .discovery import Address
+from .sockets import accept, retrying
 
 log = logging.getLogger(__name__)
 
@@ -677,7 +678,7 @@
         self.listener = listener
         listener.setblocking(False)
         # What is accepted inherits it; asyncio sets it only on a socket made with its protocol's number.
-        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        retrying(listener).setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.freed()
         return int(listener.getsockname()[1])
 
@@ -693,9 +694,9 @@
             self._accepting = True
             asyncio.get_running_loop().add_reader(self.listener, self._accept)
 
-    def _accept(self, most: int = ACCEPTS) -> None:
-        """Take some that wait. Beyond the limit the kernel holds them: accepting on without descriptors fails
-        for each one that waits, again and again."""
+    def _accept(self, most: int = ACCEPTS) -> bool:
+        """Take some that wait; whether nobody does any more. Beyond the limit the kernel holds them:
+        accepting on without descriptors fails for each one that waits, again and again."""
         assert self.listener is not None
         loop = asyncio.get_running_loop()
         resting = self._resting()
@@ -706,22 +707,25 @@
                 self._accepting = False
                 loop.remove_reader(self.listener)
                 loop.call_later(STARVED_S, self.freed)  # new ones that say nothing will make way by then
-                return
+                return False
             try:
-                sock, _address = self.listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                sock = accept(self.listener)
+            except BlockingIOError:
+                return True
+            except ConnectionAbortedError:
+                continue
             except OSError as e:
-                return self._starve(e)
+                self._starve(e)
+                return False
             self._starved = False
             if makes_way is not None:  # only now: before, nobody may have waited
                 makes_way.drop()
-            sock.setblocking(False)
             client = _Client(self)
             task: asyncio.Task[object] = loop.create_task(
                 loop.connect_accepted_socket(partial(_itself, client), sock))
             self._coming[task] = client
             task.add_done_callback(self._coming.pop)
+        return False
 
     def _starve(self, error: OSError) -> None:
         """Nothing to accept with. The kernel goes on saying that one waits: asked again at once, that would
@@ -791,10 +795,10 @@
         while any(c.busy for c in self.connections) and loop.time() < began + STREAMS_S:
             await asyncio.sleep(POLL_S)
         # Open to the end: closing it resets what has come in and is not accepted yet.
-        if self.listener is not None:
-            self._accept(BACKLOG)
-        self._close_listener()
         last = loop.time() + LAST_S
+        while self.listener is not None and not self._accept(BACKLOG) and loop.time() < last:
+            await asyncio.sleep(POLL_S)
+        self._close_listener()
         while (self.connections or self._coming) and loop.time() < last:
             await asyncio.sleep(POLL_S)
         self.stop()
--- /dev/null
+++ b/tests/test_system_calls_clients.py
@@ -0,0 +1,170 @@
+"""System calls that fail on the clients' side: every request is answered once, and service goes on."""
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from pathlib import Path
+
+import pytest
+from tests.fault_injection import Faults, Side
+from tests.loopback import post, world
+from tests.system_calls import WHILE, asking, echoing, one_answer, play, serves, statuses
+
+from lilacsill.server import DrainTimes
+
+AT_ONCE = DrainTimes(close_s=0.0, idle_s=0.0, serve_s=0.0, end_s=0.0)
+NAMES = (b"one", b"two", b"three")
+# accept(2): what was wrong with the connection that was to be accepted; and what is lacking here.
+OF_ONE = (errno.ECONNABORTED, errno.ENETDOWN, errno.EPROTO, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET,
+          errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.EPERM)
+LACK = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ENOSR)
+AGAIN = (errno.EAGAIN, errno.EINTR)
+ACCEPT = (*OF_ONE, *LACK, *AGAIN)
+# What a connection in good order may meet, and what the selector may.
+TRANSIENT = (errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM)
+REGISTER = (errno.ENOMEM, errno.ENOSPC)
+ON_CONNECTION = [
+    *(("recv", e) for e in TRANSIENT), *(("send", e) for e in TRANSIENT),
+    *(("epoll_ctl", e) for e in REGISTER), ("poll", errno.ENOMEM), ("poll", errno.EINTR),
+    *(("setsockopt", e) for e in (errno.ENOBUFS, errno.ENOMEM, errno.EINVAL)),
+    ("shutdown", errno.ENOBUFS), ("getsockname", errno.ENOBUFS), ("getpeername", errno.ENOBUFS),
+]
+
+
+def name_of(value: object) -> str:
+    return errno.errorcode.get(value, str(value)) if isinstance(value, int) else str(value)
+
+
+@pytest.mark.parametrize("times", [1, WHILE])
+@pytest.mark.parametrize("error", ACCEPT, ids=name_of)
+def test_an_accept_that_fails_costs_no_request(tmp_path: Path, error: int, times: int) -> None:
+    async def story(faults: Faults) -> None:
+        async with world(tmp_path) as w, echoing(w) as echo:
+            fault = faults.fail("accept", error, side=Side.LISTENING, port=w.port, times=times)
+            clients = await asking(w, *NAMES)
+            assert await statuses(clients) == [(200, name) for name in NAMES]
+            assert echo.seen == dict.fromkeys(NAMES, 1) and fault.hits == times
+            await serves(w)
+
+    play(story)
+
+
+@pytest.mark.parametrize("times", [1, WHILE])
+@pytest.mark.parametrize("error", [e for e in ACCEPT if e != errno.EAGAIN], ids=name_of)  # it: nobody waits
+def test_an_accept_that_fails_as_the_agent_stops_leaves_nobody_unanswered(
+        tmp_path: Path, error: int, times: int) -> None:
+    async def story(faults: Faults) -> None:
+        async with world(tmp_path) as w, echoing(w):
+            assert w.server.listener is not None
+            asyncio.get_running_loop().remove_reader(w.server.listener)  # until the last look nobody comes
+            clients = await asking(w, *NAMES)
+            fault = faults.fail("accept", error, side=Side.LISTENING, port=w.port, times=times)
+            draining = asyncio.create_task(w.server.drain(AT_ONCE))
+            assert [status for status, _ in await statuses(clients)] == [503] * len(NAMES)
+            await draining
+            assert fault.hits == times and not w.server.connections
+
+    play(story)
+
+
+@pytest.mark.parametrize("times", [1, WHILE])
+@pytest.mark.parametrize(("call", "error"), ON_CONNECTION, ids=name_of)
+def test_a_call_that_fails_on_an_accepted_connection_costs_no_request(
+        tmp_path: Path, call: str, error: int, times: int) -> None:
+    async def story(faults: Faults) -> None:
+        async with world(tmp_path) as w, echoing(w) as echo:
+            faults.fail(call, error, side=Side.ACCEPTED, port=w.port, times=times)
+            clients = await asking(w, *NAMES)
+            assert await statuses(clients) == [(200, name) for name in NAMES]
+            assert echo.seen == dict.fromkeys(NAMES, 1)
+            faults.release()
+            await serves(w)
+
+    play(story)
+
+
+@pytest.mark.parametrize("times", [1, WHILE])
+@pytest.mark.parametrize(("call", "error"), ON_CONNECTION, ids=name_of)
+def test_the_same_as_the_agent_stops(tmp_path: Path, call: str, error: int, times: int) -> None:
+    async def story(faults: Faults) -> None:
+        async with world(tmp_path) as w:
+            held = await asking(w, b"held")
+            got = await w.request()
+            faults.fail(call, error, side=Side.ACCEPTED, port=w.port, times=times)
+            assert w.server.listener is not None
+            asyncio.get_running_loop().remove_reader(w.server.listener)
+            waiting = await asking(w, *NAMES)
+            draining = asyncio.create_task(w.server.drain(AT_ONCE))
+            assert [status for status, _ in await statuses(held + waiting)] == [500] + [503] * len(NAMES)
+            await draining
+            await got.peer.ended()
+            while w.server.connections:  # of whom the end could not be told; the process's own end tells it
+                await asyncio.sleep(0.001)
+            assert w.nothing_sent()
+
+    play(story)
+
+
+@pytest.mark.parametrize("call", ["recv", "send"])
+def test_a_byte_at_a_time_on_both_sides_of_the_agent(tmp_path: Path, call: str) -> None:
+    async def story(faults: Faults) -> None:
+        async with world(tmp_path) as w, echoing(w) as echo:
+            faults.short(call, 1, side=Side.ACCEPTED, port=w.port, times=None)
+            faults.short(call, 1, side=Side.CONNECTED, port=w.backends[0].port, times=None)
+            assert await statuses(await asking(w, *NAMES)) == [(200, name) for name in NAMES]
+            assert echo.seen == dict.fromkeys(NAMES, 1)
+
+    play(story)
+
+
+@pytest.mark.parametrize(("call", "error"), [("send", e) for e in TRANSIENT] + [("epoll_ctl", errno.ENOMEM)],
+                         ids=name_of)
+def test_an_answer_that_goes_out_in_part_goes_on_where_it_stopped(
+        tmp_path: Path, call: str, error: int) -> None:
+    async def story(faults: Faults) -> None:
+        async with world(tmp_path) as w, echoing(w):
+            faults.short("send", 20, side=Side.ACCEPTED, port=w.port)
+            # The first one would be met as the connection is registered for reading.
+            faults.fail(call, error, side=Side.ACCEPTED, port=w.port, times=2, skip=call == "epoll_ctl")
+            assert await statuses(await asking(w, b"x" * 5000)) == [(200, b"x" * 5000)]
+            await serves(w)
+
+    play(story)
+
+
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.ENOMEM])
+def test_large_bodies_both_ways_through_sends_and_reads_that_fail(tmp_path: Path, error: int) -> None:
+    async def story(faults: Faults) -> None:
+        body = bytes(range(256)) * 4000
+        async with world(tmp_path) as w, echoing(w):
+            for call in ("recv", "send"):
+                for skip in (0, 2, 3):
+                    faults.fail(call, error, side=Side.ACCEPTED, port=w.port, skip=skip, times=2)
+                    faults.fail(call, error, side=Side.CONNECTED, port=w.backends[0].port, skip=skip, times=2)
+            client = await w.raw()
+            sending = asyncio.create_task(client.send(post(body=body, Connection="close")))
+            status, got = one_answer(await client.read_to_end())
+            await sending
+            client.close()
+            assert (status, got == body) == (200, True)
+
+    play(story)
+
+
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.ENOMEM, errno.EINVAL], ids=name_of)
+def test_an_option_that_cannot_be_set_on_what_an_inherited_listener_accepts(
+        tmp_path: Path, error: int) -> None:
+    # Only on a socket that knows its protocol's number does asyncio set one; it then closed the connection.
+    async def story(faults: Faults) -> None:
+        async with world(tmp_path) as w, echoing(w) as echo:
+            w.server._close_listener()
+            inherited = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+            inherited.bind(("127.0.0.1", 0))
+            inherited.listen()
+            w.port = w.server.take_over(inherited)
+            fault = faults.fail("setsockopt", error, side=Side.ACCEPTED, port=w.port, times=len(NAMES))
+            assert await statuses(await asking(w, *NAMES)) == [(200, name) for name in NAMES]
+            assert echo.seen == dict.fromkeys(NAMES, 1) and fault.hits == len(NAMES)
+
+    play(story)
