--- a/tests/test_system_calls_clients.py
+++ b/tests/test_system_calls_clients.py
@@ -159,6 +159,7 @@
     async def story(faults: Faults) -> None:
         async with world(tmp_path) as w, echoing(w) as echo:
             w.server._close_listener()
+            w.server._accepting = False  # a server takes over one listener only
             inherited = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
             inherited.bind(("127.0.0.1", 0))
             inherited.listen()
