What this machine lacks to connect is told from what the network says of a server

Need: EAGAIN, EADDRINUSE, ENOBUFS, ENOMEM, ENETUNREACH, ENETDOWN of connect(2), ENOBUFS and ENOMEM of socket(2) were taken for a server's failure and left it out as ill. A connect that the kernel timed out met the same branch as the agent's own limit. Change: sockets.connecting and RetryingSocket.connect raise Lacking for the call itself; _dial says NOT_SENT for it, CONNECT_FAILED for anything else; ETIMEDOUT of the kernel is not looked into again.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import socket
 from collections.abc import Callable
@@ -15,7 +16,7 @@
 from .clock import Clock
 from .connection import Connection, Fields, Headers, fields_of, header
 from .discovery import Listing, Member
-from .sockets import LACK, retrying
+from .sockets import Lacking, connecting
 
 log = logging.getLogger(__name__)
 
@@ -483,8 +484,10 @@
         backend, connection, outcome = member.backend.id, None, Outcome.NOT_SENT
         try:
             connection = await self._connected(member)
-        except (OSError, TimeoutError) as e:
-            outcome = Outcome.NOT_SENT if e.errno in LACK else Outcome.CONNECT_FAILED
+        except Lacking:
+            log.debug("nothing to connect with", exc_info=True)
+        except OSError:
+            outcome = Outcome.CONNECT_FAILED
         except Exception:
             log.exception("attempt failed before it was sent")
         self._dials[backend] -= 1
@@ -506,18 +509,15 @@
         """A connection that is up. Only the handshake is timed, and by what the kernel says of it: an agent
         whose loop is late must not take its own lateness for the backend's."""
         loop, address = asyncio.get_running_loop(), member.address
-        # With its protocol's number, or asyncio leaves small writes to be held back by the system.
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        sock = connecting()
         try:
-            sock.setblocking(False)
             try:
                 async with asyncio.timeout(self._connect_s):
                     await loop.sock_connect(sock, (address.host, address.port))
-            except TimeoutError:
-                if not _is_up(sock):
+            except TimeoutError as e:
+                if e.errno == errno.ETIMEDOUT or not _is_up(sock):  # the former is the kernel's own word
                     raise
-            _, connection = await loop.create_connection(
-                lambda: _Pooled(member, self._discard), sock=retrying(sock))
+            _, connection = await loop.create_connection(lambda: _Pooled(member, self._discard), sock=sock)
         except BaseException:
             sock.close()
             raise
--- a/lilacsill/sockets.py
+++ b/lilacsill/sockets.py
@@ -11,10 +11,11 @@
 from contextlib import suppress
 from typing import Any, cast
 
-# What this machine lacks for one more connection, or has no way out for just now. No word on a server.
-LACK = frozenset({
-    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.ENOSPC, errno.EAGAIN,
-    errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.ENETDOWN, errno.ENETUNREACH,
+# connect(2), of the call itself: ports, routes and memory are this machine's. The same errno as the end of a
+# connect under way is what the network says of the server.
+LACKING_TO_CONNECT = frozenset({
+    errno.EAGAIN, errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.ENOBUFS, errno.ENOMEM, errno.ENETDOWN,
+    errno.ENETUNREACH,
 })
 # accept(2): of one connection that waited; the others are not concerned.
 GONE_BEFORE_ACCEPT = frozenset({
@@ -24,6 +25,10 @@
 SHORTAGE = frozenset({errno.ENOBUFS, errno.ENOMEM})  # of a transfer on a connection that is in order
 
 
+class Lacking(OSError):
+    """This machine has nothing to make a connection with just now; no word on the server."""
+
+
 class RetryingSocket:
     """A stream socket on which a shortage of memory ends nothing: the transfer is made again.
 
@@ -39,6 +44,15 @@
     def __getattr__(self, name: str) -> Any:
         return getattr(self._socket, name)
 
+    def connect(self, address: tuple[str, int]) -> None:
+        try:
+            self._socket.connect(address)
+        except OSError as e:
+            # asyncio would take EAGAIN, a lack of ports, for a connect under way.
+            if e.errno in LACKING_TO_CONNECT:
+                raise Lacking(e.errno, e.strerror) from None
+            raise
+
     def send(self, data: bytes) -> int:
         try:
             return self._send(data)
@@ -69,6 +83,17 @@
     return error
 
 
+def connecting() -> socket.socket:
+    """A socket for a connection to be made, and a transport of asyncio. Raises Lacking."""
+    try:
+        # With its protocol's number, or asyncio leaves small writes to be held back by the system.
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    except OSError as e:
+        raise Lacking(e.errno, e.strerror) from None
+    sock.setblocking(False)
+    return retrying(sock)
+
+
 def retrying(sock: socket.socket) -> socket.socket:
     """The same socket, for a transport of asyncio."""
     return cast(socket.socket, RetryingSocket(sock))
--- a/tests/system_calls.py
+++ b/tests/system_calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import gc
 import os
 from collections import Counter
@@ -11,13 +12,18 @@
 from dataclasses import dataclass, field
 
 from tests.fault_injection import Faults, injected
-from tests.loopback import Message, Raw, World, post
+from tests.loopback import KEYED, Message, Peer, Raw, World, post
 
 from lilacsill.event_loop import new_event_loop
 
 WHILE = 3  # calls that fail in a row, where one fails "for a while"
 
 
+def name_of(value: object) -> str:
+    """Of an errno, for the names of tests."""
+    return errno.errorcode.get(value, str(value)) if isinstance(value, int) else str(value)
+
+
 def descriptors() -> int:
     gc.collect()
     return len(os.listdir("/proc/self/fd"))
@@ -52,20 +58,21 @@
     """All backends of this world say back what they get."""
     echo = Echo()
 
-    async def serve() -> None:
+    async def serve(backend: Peer) -> None:
         while True:
-            await echo.answer(await w.request())
+            await echo.answer(await backend.requests.get())
 
-    task = asyncio.create_task(serve())
+    tasks = [asyncio.create_task(serve(backend)) for backend in w.backends]
     try:
         yield echo
     finally:
-        task.cancel()
+        for task in tasks:
+            task.cancel()
 
 
-async def asking(w: World, *names: bytes, cls: str = "registro-servicio") -> list[Raw]:
-    """A client for each request, which has sent it whole."""
-    clients = [await w.raw() for _ in names]
+async def asking(w: World, *names: bytes, cls: str = KEYED, clients: list[Raw] | None = None) -> list[Raw]:
+    """A client for each request, which has sent it whole; those given, or new ones."""
+    clients = clients or [await w.raw() for _ in names]
     for client, name in zip(clients, names, strict=True):
         await client.send(post(cls, body=name, Connection="close"))
     return clients
--- a/tests/test_system_calls_clients.py
+++ b/tests/test_system_calls_clients.py
@@ -9,7 +9,7 @@
 import pytest
 from tests.fault_injection import Faults, Side
 from tests.loopback import post, world
-from tests.system_calls import WHILE, asking, echoing, one_answer, play, serves, statuses
+from tests.system_calls import WHILE, asking, echoing, name_of, one_answer, play, serves, statuses
 
 from lilacsill.server import DrainTimes
 
@@ -32,10 +32,6 @@
 ]
 
 
-def name_of(value: object) -> str:
-    return errno.errorcode.get(value, str(value)) if isinstance(value, int) else str(value)
-
-
 @pytest.mark.parametrize("times", [1, WHILE])
 @pytest.mark.parametrize("error", ACCEPT, ids=name_of)
 def test_an_accept_that_fails_costs_no_request(tmp_path: Path, error: int, times: int) -> None:
