Listening and the door outlast errors of a moment

Need: a start that met EADDRINUSE, EADDRNOTAVAIL, EMFILE, ENOBUFS or ENOMEM once was refused for good; at the door each failing accept raised out of asyncio's own loop, a lack kept callers out for a second and was said sixty-four times a turn, and what a call that fails did to its connection nobody answered. Root cause: socket.create_server was asked once; loop.create_server's accept loop raises what it does not know, goes on after a lack, and starts serving again by a timer that a close does not end. Change: listener.py: listening() tries again for 5 s where the error passes by itself, then says it in one line as before; Acceptor for the door, on the same accept as the clients' listener.

--- a/lilacsill/control.py
+++ b/lilacsill/control.py
@@ -8,6 +8,7 @@
 from typing import Any, Protocol
 
 from .discovery import Address
+from .listener import Acceptor, listening
 
 log = logging.getLogger(__name__)
 
@@ -44,20 +45,19 @@
 
     def __init__(self, acts: Acts) -> None:
         self._acts = acts
-        self._listener: asyncio.Server | None = None
+        self._acceptor: Acceptor | None = None
         self.callers: dict[_Caller, None] = {}  # the first come first
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self, address: Address) -> int:
         """Returns the port, for an address whose port is 0."""
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            lambda: _Caller(self), address.host, address.port, backlog=BACKLOG)
-        return int(self._listener.sockets[0].getsockname()[1])
+        listener = await listening(address, BACKLOG)
+        self._acceptor = Acceptor(listener, lambda: _Caller(self))
+        return int(listener.getsockname()[1])
 
     def close(self) -> None:
-        if self._listener is not None:
-            self._listener.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
         for caller in list(self.callers):
             caller.drop()
 
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -19,6 +19,7 @@
 
 from .connection import Connection, Fields, Headers, fields_of, header
 from .discovery import Address
+from .listener import ACCEPTS, STARVED_S, listening
 from .sockets import accept, retrying
 
 log = logging.getLogger(__name__)
@@ -30,9 +31,7 @@
 TIMEOUT_LIMIT_MS = 24 * 3600 * 1000
 BACKLOG = 512
 EXTRA = 32  # connections beyond the limit while none is idle; half of the descriptors set apart
-ACCEPTS = 32  # in one turn of the loop
 FIRST_S = 0.5  # a new connection has so long for its first request before it counts as idle
-STARVED_S = 0.1  # without descriptors, or room, until the next try
 LINGER_S, LINGER_MOST_S = 1.0, 30.0  # after an answer in the middle of a request: in silence, in all
 STREAMS_S = 60.0  # how long large answers may go on after a stop; whoever ordered it may end it before
 STUCK_S = 60.0  # a client that takes nothing of its answer for so long has stopped
@@ -670,8 +669,7 @@
 
     async def listen(self, address: Address, shared: bool = False) -> int:
         """Returns the port, for an address whose port is 0. A shared one can be listened on once more."""
-        return self.take_over(socket.create_server(
-            (address.host, address.port), backlog=BACKLOG, reuse_port=shared))
+        return self.take_over(await listening(address, BACKLOG, shared))
 
     def take_over(self, listener: socket.socket) -> int:
         """Accept from a socket that listens already; returns its port."""
