A failing accept or socket no longer ends the hand-over, or the channel to the peers

Need: one ECONNABORTED on the hand-over's socket, and no later process was ever heard; EMFILE as the peers' socket was made ended the start with a traceback. Root cause: Succession._serve let sock_accept's error end its task; Peers.start made the socket outside of its try. Change: both try again.

--- a/lilacsill/handover.py
+++ b/lilacsill/handover.py
@@ -21,6 +21,7 @@
 from typing import Any, Protocol
 
 from .discovery import Address
+from .listener import STARVED_S
 
 log = logging.getLogger(__name__)
 
@@ -320,7 +321,12 @@
     async def _serve(self, listener: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            sock, _ = await loop.sock_accept(listener)
+            try:
+                sock, _ = await loop.sock_accept(listener)
+            except OSError as e:  # of that connection, or of a moment: the next process is to be heard too
+                log.warning("cannot accept another process for now: %s", e.strerror)
+                await asyncio.sleep(STARVED_S)
+                continue
             try:
                 async with asyncio.timeout(GREET_S):
                     await self._hand_over(sock)
--- a/lilacsill/peers.py
+++ b/lilacsill/peers.py
@@ -82,13 +82,10 @@
         self.counts: Counter[str] = Counter()  # sent, received, held_back, dropped and why
 
     def start(self) -> None:
-        """Take the address; while another process has it, try again."""
-        made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        made.setblocking(False)
+        """Take the address; while that fails, as when another process has it, try again."""
         try:
-            made.bind((self._config.listen.host, self._config.listen.port))
+            made = self._bound()
         except OSError as e:
-            made.close()
             if not self.counts["binds_failed"]:
                 log.warning("peers cannot be heard at %s:%d yet: %s", self._config.listen.host,
                             self._config.listen.port, e.strerror)
@@ -100,6 +97,16 @@
         self._carry_out(self.core.begin(self._clock.now()))
         self._arm()
 
+    def _bound(self) -> socket.socket:
+        made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            made.setblocking(False)
+            made.bind((self._config.listen.host, self._config.listen.port))
+        except BaseException:
+            made.close()
+            raise
+        return made
+
     def stop(self, leave: bool) -> None:
         """leave: no other process goes on in this one's place."""
         if self._timer is not None:
