An end of sending that cannot be told is told by the close, not by a traceback

Need: shutdown(2) that fails behind an answer still in the buffer came out of asyncio's write callback as unhandled; broken client connections and signals in the middle of calls had no test. Root cause: Connection.end_sending suppresses OSError, but with bytes waiting the transport shuts down later. Change: RetryingSocket.shutdown suppresses it; it keeps no bound methods, for memory. Result: test_an_end_that_cannot_be_told failed before, passes; ten cases of a broken client connection and a process under a hundred SIGHUP hold.

--- a/lilacsill/sockets.py
+++ b/lilacsill/sockets.py
@@ -35,11 +35,10 @@
     asyncio takes any error of a send or a read for the end of the connection, but for "not now".
     """
 
-    __slots__ = ("_socket", "_send", "_recv", "_recv_into", "__weakref__")
+    __slots__ = ("_socket", "__weakref__")
 
     def __init__(self, sock: socket.socket) -> None:
         self._socket = sock
-        self._send, self._recv, self._recv_into = sock.send, sock.recv, sock.recv_into
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._socket, name)
@@ -55,22 +54,27 @@
 
     def send(self, data: bytes) -> int:
         try:
-            return self._send(data)
+            return self._socket.send(data)
         except OSError as e:
             raise _not_now(e) from None
 
     def recv(self, size: int) -> bytes:
         try:
-            return self._recv(size)
+            return self._socket.recv(size)
         except OSError as e:
             raise _not_now(e) from None
 
     def recv_into(self, buffer: bytearray) -> int:
         try:
-            return self._recv_into(buffer)
+            return self._socket.recv_into(buffer)
         except OSError as e:
             raise _not_now(e) from None
 
+    def shutdown(self, how: int) -> None:
+        """Whoever cannot be told the end now sees it as the connection is closed."""
+        with suppress(OSError):
+            self._socket.shutdown(how)
+
     def setsockopt(self, *args: Any) -> None:
         """Options make a connection faster, or its end plainer; none is worth the connection."""
         with suppress(OSError):
--- a/tests/system_calls.py
+++ b/tests/system_calls.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from tests.fault_injection import Faults, injected
 from tests.loopback import KEYED, Message, Peer, Raw, World, post
@@ -29,6 +30,13 @@
     return len(os.listdir("/proc/self/fd"))
 
 
+def unhandled() -> list[dict[str, Any]]:
+    """What nobody caught in this loop from now on."""
+    found: list[dict[str, Any]] = []
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: found.append(context))
+    return found
+
+
 def play(story: Callable[[Faults], Awaitable[None]]) -> None:
     """One story on the agent's own event loop; it leaves no descriptor behind."""
     before = descriptors()
--- a/tests/test_system_calls_clients.py
+++ b/tests/test_system_calls_clients.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import socket
 from pathlib import Path
@@ -9,7 +10,7 @@
 import pytest
 from tests.fault_injection import Faults, Side
 from tests.loopback import post, world
-from tests.system_calls import WHILE, asking, echoing, name_of, one_answer, play, serves, statuses
+from tests.system_calls import WHILE, asking, echoing, name_of, one_answer, play, serves, statuses, unhandled
 
 from lilacsill.server import DrainTimes
 
@@ -165,3 +166,42 @@
             assert echo.seen == dict.fromkeys(NAMES, 1) and fault.hits == len(NAMES)
 
     play(story)
+
+
+@pytest.mark.parametrize("error", [errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ECONNRESET,
+                                   errno.EPIPE], ids=name_of)
+@pytest.mark.parametrize("call", ["recv", "send"])
+def test_a_client_whose_connection_breaks_is_gone_and_no_other_suffers(
+        tmp_path: Path, call: str, error: int) -> None:
+    async def story(faults: Faults) -> None:
+        found = unhandled()
+        async with world(tmp_path) as w:
+            broken = await w.raw()
+            await broken.send(post(body=b"broken"))
+            got = await w.request()
+            fault = faults.fail(call, error, side=Side.ACCEPTED, port=w.port)
+            await (broken.send(b"G") if call == "recv" else got.answer(200, b"late"))
+            await fault.reached()
+            with contextlib.suppress(ConnectionResetError):  # where the byte was not read
+                assert await broken.read_to_end() == b""
+            if call == "recv":
+                await got.peer.ended()  # the attempt goes with its client
+            async with echoing(w) as echo:
+                assert await statuses(await asking(w, *NAMES)) == [(200, name) for name in NAMES]
+                assert echo.seen == dict.fromkeys(NAMES, 1)
+            broken.close()
+        assert not [context for context in found if "lilacsill" in repr(context)]
+
+    play(story)
+
+
+def test_an_end_that_cannot_be_told_behind_an_answer_that_waits_is_told_by_the_close(tmp_path: Path) -> None:
+    async def story(faults: Faults) -> None:
+        found = unhandled()
+        async with world(tmp_path) as w, echoing(w):
+            faults.short("send", 20, side=Side.ACCEPTED, port=w.port)
+            fault = faults.fail("shutdown", errno.ENOBUFS, side=Side.ACCEPTED, port=w.port)
+            assert await statuses(await asking(w, b"x" * 5000)) == [(200, b"x" * 5000)]
+            assert fault.spent and not found
+
+    play(story)
--- a/tests/test_system_calls_doors.py
+++ b/tests/test_system_calls_doors.py
@@ -10,7 +10,7 @@
 import pytest
 from tests.fault_injection import Faults, Side
 from tests.loopback import member, world
-from tests.system_calls import WHILE, asking, echoing, name_of, play, serves, statuses
+from tests.system_calls import WHILE, asking, echoing, name_of, play, serves, statuses, unhandled
 from tests.test_list_silence import body, watch_of
 from tests.test_peers import free, made, until
 from tests.test_system_calls_clients import ACCEPT, ON_CONNECTION
@@ -31,13 +31,6 @@
 SERVERS = 2  # sockets that the test's own two listeners take before the agent's
 
 
-def unhandled() -> list[dict[str, Any]]:
-    """What nobody caught from now on."""
-    found: list[dict[str, Any]] = []
-    asyncio.get_running_loop().set_exception_handler(lambda _, context: found.append(context))
-    return found
-
-
 @pytest.mark.parametrize("times", [1, WHILE])
 @pytest.mark.parametrize(("call", "error"), START, ids=name_of)
 def test_a_start_waits_until_it_can_listen(tmp_path: Path, call: str, error: int, times: int) -> None:
--- a/tests/test_system_calls_process.py
+++ b/tests/test_system_calls_process.py
@@ -11,7 +11,7 @@
 
 import pytest
 from tests.fault_injection import Fault, Side
-from tests.loopback import KEYED, Peer, Raw, config_doc, member, post, start
+from tests.loopback import KEYED, UNSAFE, Peer, Raw, config_doc, member, post, start
 from tests.system_calls import Echo, one_answer
 
 ACCEPTED, CONNECTED = Side.ACCEPTED, Side.CONNECTED
@@ -127,3 +127,23 @@
             assert b"Traceback" not in await logged
 
     asyncio.run(run())
+
+
+def test_calls_interrupted_by_signals_are_made_again(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with site(tmp_path, Fault("recv", size=7, side=ACCEPTED, times=None)) as s:
+            assert s.process.stderr is not None
+            logged = asyncio.create_task(s.process.stderr.read())
+            names = [b"%d" % number for number in range(20)]
+            clients = []
+            for name in names:
+                clients.append(await s.ask(name, UNSAFE))
+                for _ in range(5):
+                    s.process.send_signal(signal.SIGHUP)
+            assert [await answer_of(client) for client in clients] == [(200, name) for name in names]
+            assert s.echo.seen == dict.fromkeys(names, 1)
+            s.process.send_signal(signal.SIGTERM)
+            assert await s.process.wait() == 0
+            assert b"Traceback" not in await logged
+
+    asyncio.run(run())
