--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -13,6 +13,7 @@
 log = logging.getLogger(__name__)
 
 HEADER_LIMIT = 32 * 1024  # bytes of request or status line and headers
+TCP_ESTABLISHED = 1  # the state that TCP_INFO begins with, see tcp(7)
 READ_BYTES = 64 * 1024  # at once: what a connection holds while the other side is slower is a few of these
 # One for all: what is read is handed on before the loop turns to the next connection.
 _read_buffer = bytearray(READ_BYTES)
@@ -121,8 +122,18 @@
         gone = select.POLLRDHUP | select.POLLHUP | select.POLLERR
         try:
             return bool(self._kernel_says(select.POLLRDHUP) & gone)
-        except OSError:  # no memory to look: who is not known to have left is still owed an answer
+        except OSError:  # no memory to look
+            return self._half_open()
+
+    def _half_open(self) -> bool:
+        """Whether the kernel no longer has it open in both directions. Where it does not even say that, the
+        peer is not known to have left, and is owed an answer."""
+        assert self.transport is not None
+        try:
+            info = self.transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError:
             return False
+        return bool(info[0] != TCP_ESTABLISHED)
 
     def _kernel_says(self, asked: int) -> int:
         if self.transport is None or self.transport.is_closing():
--- a/tests/test_system_calls_clients.py
+++ b/tests/test_system_calls_clients.py
@@ -9,7 +9,7 @@
 
 import pytest
 from tests.fault_injection import Faults, Side
-from tests.loopback import post, world
+from tests.loopback import World, post, world
 from tests.system_calls import WHILE, asking, echoing, name_of, one_answer, play, serves, statuses, unhandled
 
 from lilacsill.server import DrainTimes
@@ -205,3 +205,53 @@
             assert fault.spent and not found
 
     play(story)
+
+
+@pytest.mark.parametrize("end", ["stays", "closes", "resets", "ends its sending"])
+@pytest.mark.parametrize("all_fail", [False, True])
+def test_who_has_left_is_known_where_poll_fails(tmp_path: Path, end: str, all_fail: bool) -> None:
+    async def story(faults: Faults) -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            while not any(c.transport is not None for c in w.server.connections):
+                await asyncio.sleep(0.001)
+            (connection,) = w.server.connections
+            connection.pause()  # what comes is not read, so that only the kernel knows
+            await client.send(post())
+            if end == "closes":
+                client.close()
+            elif end == "resets":
+                client.reset()
+            elif end == "ends its sending":
+                client.socket.shutdown(socket.SHUT_WR)
+            known = connection.left()
+            faults.fail("poll", errno.ENOMEM, side=Side.ACCEPTED)
+            if all_fail:
+                faults.fail("getsockopt", errno.ENOMEM, side=Side.ACCEPTED, port=w.port)
+            assert known == (end != "stays")
+            assert connection.left() == (known and not all_fail)
+            client.close()
+
+    play(story)
+
+
+def test_an_answer_broken_off_ends_where_a_reset_cannot_be_asked_for(tmp_path: Path) -> None:
+    async def story(faults: Faults) -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            await client.send(post())
+            got = await w.request()
+            await got.peer.write(b"HTTP/1.1 200 X\r\nContent-Length: 900000\r\n\r\n" + b"x" * 300_000)
+            await asyncio.get_running_loop().sock_recv(client.socket, 1)
+            fault = faults.fail("setsockopt", errno.ENOBUFS, side=Side.ACCEPTED, port=w.port)
+            got.peer.reset()
+            assert len(await client.read_to_end()) < 900_000
+            assert fault.spent
+            client.close()
+            await serves_next(w)
+
+    async def serves_next(w: World) -> None:
+        async with echoing(w):
+            await serves(w)
+
+    play(story)
