A hand-over outlasts a lack of a moment on either side

Need: one ENOBUFS, ENOMEM or EMFILE as a process was handed over to, and it started without: bans and what was learned were lost, or the start failed with "cannot listen". Root cause: inherit made its socket outside of its try and asked once; Succession sent the descriptor once, and read and wrote on a bare socket, where a shortage is an error. Change: inherit asks again within its two seconds after a lack, the sender tries again within its own; retrying() under the link. __main__ no longer hides EMFILE from the log: asyncio accepts nowhere now.

--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -5,7 +5,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import os
 import signal
@@ -137,10 +136,7 @@
 
 def _unhandled(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     """What no one caught is logged and ends neither the process nor other requests."""
-    error = context.get("exception")
-    if isinstance(error, OSError) and error.errno in (errno.EMFILE, errno.ENFILE):
-        return  # at the door; the loop tries again by itself, and would say so for each caller that waits
-    log.error("unhandled: %s", context.get("message"), exc_info=error)
+    log.error("unhandled: %s", context.get("message"), exc_info=context.get("exception"))
 
 
 def main() -> int:
--- a/lilacsill/handover.py
+++ b/lilacsill/handover.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import errno
 import json
 import logging
 import os
@@ -22,6 +23,7 @@
 
 from .discovery import Address
 from .listener import STARVED_S
+from .sockets import retrying
 
 log = logging.getLogger(__name__)
 
@@ -30,6 +32,9 @@
 CONFIRM_S = 0.7  # a caller at the door waits 1 s
 STATE_LIMIT = 16 * 1024 * 1024
 LINE_LIMIT = 64 * 1024  # of a message on a link
+# unix(7), sendmsg(2): of the machine, for a moment.
+LACK = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN, errno.ETOOMANYREFS})
+LACKING_S = 0.02  # until the next try
 PATH_LIMIT = 107  # bytes of a Unix socket's address
 CREDENTIALS = struct.Struct("3i")  # pid, uid, gid
 
@@ -84,27 +89,37 @@
 
 def inherit(path: Path) -> Heritage | None:
     """Ask the process that serves for what it has. None, with a line in the log, where that cannot be had."""
+    until, lacked = time.monotonic() + GREET_S, False
+    while os.path.exists(path):  # also false where that cannot be known
+        try:
+            return _inherit(path, until)
+        except (OSError, ValueError, KeyError, TypeError, IndexError, _Strange) as e:
+            # After a lack of a moment the other process may still be about to take back what it gave.
+            lacked = lacked or (isinstance(e, OSError) and e.errno in LACK)
+            if not lacked or time.monotonic() >= until:
+                log.warning("starts without the process at %s: %s", path, str(e) or type(e).__name__)
+                return None
+        time.sleep(LACKING_S)
+    return None
+
+
+def _inherit(path: Path, until: float) -> Heritage:
+    """Raises what kept it from being had."""
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     fds: list[int] = []
     try:
-        if not path.exists():
-            sock.close()
-            return None
-        state, early = _ask(sock, path, fds)
-        listener = socket.socket(fileno=fds.pop())
-        return Heritage(listener, state, sock, early)
-    except (OSError, ValueError, KeyError, TypeError, IndexError, _Strange) as e:
-        log.warning("starts without the process at %s: %s", path, str(e) or type(e).__name__)
+        state, early = _ask(sock, path, fds, until)
+        return Heritage(socket.socket(fileno=fds.pop()), state, sock, early)
+    except BaseException:
         sock.close()
-        return None
+        raise
     finally:
         for fd in fds:
             os.close(fd)
 
 
-def _ask(sock: socket.socket, path: Path, fds: list[int]) -> tuple[dict[str, Any], bytes]:
-    until = time.monotonic() + GREET_S
-    sock.settimeout(GREET_S)
+def _ask(sock: socket.socket, path: Path, fds: list[int], until: float) -> tuple[dict[str, Any], bytes]:
+    sock.settimeout(max(LACKING_S, until - time.monotonic()))
     with _short(path) as name:
         sock.connect(name)
     if not _own(sock):
@@ -138,6 +153,17 @@
     return json.dumps(doc, separators=(",", ":")).encode() + b"\n"
 
 
+async def _send_descriptor(sock: socket.socket, data: bytes, shared: socket.socket) -> int:
+    """Send a socket along with these bytes, once the system has room for it; how many bytes have gone out."""
+    while True:
+        try:
+            return socket.send_fds(sock, [data], [shared.fileno()])
+        except OSError as e:
+            if e.errno not in LACK:
+                raise
+        await asyncio.sleep(LACKING_S)
+
+
 class Link(asyncio.Protocol):
     """A connection to the process before or after this one: acts, each confirmed."""
 
@@ -322,11 +348,12 @@
         loop = asyncio.get_running_loop()
         while True:
             try:
-                sock, _ = await loop.sock_accept(listener)
+                accepted, _address = await loop.sock_accept(listener)
             except OSError as e:  # of that connection, or of a moment: the next process is to be heard too
                 log.warning("cannot accept another process for now: %s", e.strerror)
                 await asyncio.sleep(STARVED_S)
                 continue
+            sock = retrying(accepted)
             try:
                 async with asyncio.timeout(GREET_S):
                     await self._hand_over(sock)
@@ -353,7 +380,7 @@
         state = _line({"lilacsill": VERSION, "state": self._owner.state()})
         self._add(link)
         try:
-            sent = socket.send_fds(sock, [state[:1]], [self._owner.listener().fileno()])
+            sent = await _send_descriptor(sock, state[:1], self._owner.listener())
             await loop.sock_sendall(sock, state[sent:])
             await loop.create_unix_connection(lambda: link, sock=sock)
         except BaseException:
--- a/tests/test_system_calls_doors.py
+++ b/tests/test_system_calls_doors.py
@@ -133,6 +133,31 @@
     play(story)
 
 
+@pytest.mark.parametrize(("call", "error"), [
+    ("socket", errno.EMFILE), ("socket", errno.ENFILE), ("socket", errno.ENOBUFS), ("socket", errno.ENOMEM),
+    ("connect", errno.ENOBUFS), ("connect", errno.ENOMEM), ("send", errno.ENOBUFS), ("send", errno.ENOMEM),
+    ("recv", errno.ENOBUFS), ("recv", errno.ENOMEM), ("setsockopt", errno.ENOBUFS)], ids=name_of)
+@pytest.mark.parametrize("side", [Side.ACCEPTED, Side.CONNECTED])
+@pytest.mark.parametrize("times", [1, WHILE])
+def test_a_hand_over_outlasts_calls_that_fail_on_either_side(
+        tmp_path: Path, call: str, error: int, side: Side, times: int) -> None:
+    async def story(faults: Faults) -> None:
+        owner = Owner()
+        succession = Succession(tmp_path / "found", owner)
+        succession.open()
+        faults.fail(call, error, times=times, **({} if call == "socket" else {"side": side}))
+        heritage = await asyncio.to_thread(inherit, tmp_path / "found")
+        assert heritage is not None and heritage.state == {"kept": 7}
+        heritage.listener.close()
+        heritage.link.close()
+        while succession._links:  # it has seen the other end
+            await asyncio.sleep(0.001)
+        succession.close()
+        owner.listener().close()
+
+    play(story)
+
+
 @pytest.mark.parametrize(("call", "error"), DISCOVERY, ids=name_of)
 def test_discovery_is_heard_again_after_calls_that_fail(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str, error: int) -> None:
