--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -5,7 +5,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import os
 import signal
@@ -24,6 +23,7 @@
 from .config import Config, ConfigError, load, reload_discovery
 from .control import Door
 from .discovery import ASK_WAIT_MS, PUSH_WAIT_MS, Discovery
+from .event_loop import new_event_loop
 from .figures import Figures
 from .handover import Succession, inherit, path_for
 from .losses import Losses
@@ -138,10 +138,7 @@
 
 def _unhandled(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     """What no one caught is logged and ends neither the process nor other requests."""
-    error = context.get("exception")
-    if isinstance(error, OSError) and error.errno in (errno.EMFILE, errno.ENFILE):
-        return  # at the door; the loop tries again by itself, and would say so for each caller that waits
-    log.error("unhandled: %s", context.get("message"), exc_info=error)
+    log.error("unhandled: %s", context.get("message"), exc_info=context.get("exception"))
 
 
 def main() -> int:
@@ -152,7 +149,8 @@
     except ConfigError as e:
         print(f"lilacsill: {e}", file=sys.stderr)
         return 2
-    return asyncio.run(serve(config, clock))
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        return runner.run(serve(config, clock))
 
 
 if __name__ == "__main__":
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -14,6 +14,7 @@
 log = logging.getLogger(__name__)
 
 HEADER_LIMIT = 32 * 1024  # bytes of request or status line and headers
+TCP_ESTABLISHED = 1  # the state that TCP_INFO begins with, see tcp(7)
 READ_BYTES = 64 * 1024  # at once: what a connection holds while the other side is slower is a few of these
 LINGER_NOT = struct.pack("ii", 1, 0)  # struct linger: a close discards what is unsent and resets
 # One for all: what is read is handed on before the loop turns to the next connection.
@@ -114,13 +115,29 @@
 
     def quiet(self) -> bool:
         """Whether the kernel has nothing to read for it, not even the peer's close."""
-        return self._kernel_says(select.POLLIN | select.POLLHUP) == 0
+        try:
+            return self._kernel_says(select.POLLIN | select.POLLHUP) == 0
+        except OSError:  # no memory to look: what is not known to be idle is not taken for idle
+            return False
 
     def left(self) -> bool:
         """Whether the peer has closed or reset it as far as the kernel knows, also behind bytes not yet read:
         a connection that is not being read does not show it by itself."""
         gone = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-        return bool(self._kernel_says(select.POLLRDHUP) & gone)
+        try:
+            return bool(self._kernel_says(select.POLLRDHUP) & gone)
+        except OSError:  # no memory to look
+            return self._half_open()
+
+    def _half_open(self) -> bool:
+        """Whether the kernel no longer has it open in both directions. Where it does not even say that, the
+        peer is not known to have left, and is owed an answer."""
+        assert self.transport is not None
+        try:
+            info = self.transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError:
+            return False
+        return bool(info[0] != TCP_ESTABLISHED)
 
     def _kernel_says(self, asked: int) -> int:
         if self.transport is None or self.transport.is_closing():
