An option that the listener could not be given at the start is given later

Need: setsockopt(2) of TCP_NODELAY that failed once at a start ended it, and since it is suppressed would leave small writes held back for good on all that is accepted. Root cause: Server.take_over set it once.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -20,7 +20,7 @@
 from .connection import Connection, Fields, Headers, fields_of, header
 from .discovery import Address
 from .listener import ACCEPTS, STARVED_S, listening
-from .sockets import accept, retrying
+from .sockets import accept
 
 log = logging.getLogger(__name__)
 
@@ -675,11 +675,21 @@
         """Accept from a socket that listens already; returns its port."""
         self.listener = listener
         listener.setblocking(False)
-        # What is accepted inherits it; asyncio sets it only on a socket made with its protocol's number.
-        retrying(listener).setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._write_at_once()
         self.freed()
         return int(listener.getsockname()[1])
 
+    def _write_at_once(self) -> None:
+        """Small writes are not to be held back. What is accepted inherits it; asyncio sets it only on a
+        socket made with its protocol's number."""
+        if self.listener is None:
+            return
+        try:
+            self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as e:
+            log.warning("small writes are held back for now: %s", e.strerror)
+            asyncio.get_running_loop().call_later(STARVED_S, self._write_at_once)
+
     def limit(self, most: int, shared: bool) -> None:
         """So many connections at once from now on; those beyond it end in their own time. Where the listener
         is shared, what is not accepted here because of it is left to the other process."""
--- a/tests/test_system_calls_doors.py
+++ b/tests/test_system_calls_doors.py
@@ -43,6 +43,21 @@
     play(story)
 
 
+@pytest.mark.parametrize("times", [1, WHILE])
+def test_what_a_listener_cannot_be_told_at_the_start_it_is_told_later(tmp_path: Path, times: int) -> None:
+    # That small writes are not to be held back: what it accepts inherits it.
+    async def story(faults: Faults) -> None:
+        faults.fail("setsockopt", errno.ENOBUFS, side=Side.LISTENING, times=times)
+        async with world(tmp_path) as w, echoing(w):
+            listener = w.server.listener
+            assert listener is not None
+            while not listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY):
+                await asyncio.sleep(0.001)
+            await serves(w)
+
+    play(story)
+
+
 @pytest.mark.parametrize("error", [errno.EACCES, errno.EINVAL], ids=name_of)
 def test_a_start_that_can_never_listen_is_given_up(tmp_path: Path, error: int) -> None:
     async def story(faults: Faults) -> None:
