--- /dev/null
+++ b/tests/test_departed_uploads.py
@@ -0,0 +1,67 @@
+"""A client that sends all of a large body and leaves: its close comes behind bytes that are not read yet."""
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from tests.loopback import Raw, World, held_connects, post, world
+
+LARGE = b"x" * 200_000
+HUGE = b"x" * 600_000  # more than the agent's side of the connection takes while nobody reads
+
+
+def half_close(client: Raw) -> None:
+    client.socket.shutdown(1)
+
+
+GOES: dict[str, Callable[[Raw], None]] = {"close": Raw.close, "half close": half_close}
+
+
+async def until_read(w: World, size: int) -> None:
+    """So much of the body has been read, and its attempt is out."""
+    while not any(c._received == size and c._upload is not None and c._upload.spent
+                  for c in w.server.connections):
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("how", GOES)
+def test_the_last_byte_of_a_body_is_not_passed_on_for_who_has_left(tmp_path: Path, how: str) -> None:
+    """An attempt counts from its last byte: with this one held back the server never has it whole."""
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            await client.send(post(body=LARGE)[:-1])
+            await until_read(w, len(LARGE) - 1)
+            client.socket.send(LARGE[-1:])
+            GOES[how](client)  # no turn of the loop since the last byte
+            while w.agent._held:
+                await asyncio.sleep(0)
+            await w.ask(post(Request_Id="next"))
+            assert (await w.request()).headers["request-id"] == "next"
+            assert w.nothing_sent()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("how", GOES)
+def test_no_attempt_is_whole_whose_client_left_before_it_began(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+    """The close lies behind what the agent does not read while no attempt takes the body."""
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            heard = held_connects(monkeypatch)
+            await client.send(post(body=HUGE))
+            while not w.backends[0].connections:
+                await asyncio.sleep(0)
+            GOES[how](client)
+            heard.set()
+            while w.agent._held:
+                await asyncio.sleep(0)
+            await w.ask(post(Request_Id="next"))
+            assert (await w.request()).headers["request-id"] == "next"
+            assert w.nothing_sent()
+
+    asyncio.run(run())
