An answer of unknown length is held until it is whole, so that none is passed on in part

The client got a 200 head and a reset, where a final answer is owed whatever servers do.

Root cause: Exchange.on_read began to pass such an answer on when it had been held for hold_us (HOLD_SHARE, a twentieth of the shortest aim: 10 to 25 ms), as it might be large. Begun, it can neither be asked for again nor be turned into a failure. PROTOCOL: a body holds 64 KiB at most, which is held anyway where its length is told.

Change: size alone decides. HOLD_SHARE, hold_us and the timer are gone. An answer that never ends is a timeout when the time is up, with a whole failure for its client; before, its client got neither.

The test that such an answer begins after some time is replaced by one that it begins by its size, and once; that it stays whole is in the new ones.

--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -30,7 +30,6 @@
 # the 50 ms that the protocol allows.
 OVERDUE_S = 0.025
 GONE, BROKEN = 499, 502  # count as the status of a request whose client has left, whose answer broke off
-HOLD_SHARE = 0.05  # of the shortest aim: so long may an answer be held that is not known to be small
 # Where changes are pushed, every change made while nobody asks counts as told: the wait after a broken watch
 # is doubled and drawn at random, but stays well within the time that the drain rule leaves, as a share of it,
 # and within what a silent call leaves of the time after which a change counts as told.
@@ -91,7 +90,6 @@
         self._began = self._loop.time()
         self.fresh = False  # discovery has been heard
         self._heard = False  # the list is what discovery said, to this process or the one before it
-        self._hold_us = int(HOLD_SHARE * min(c.aim_us for c in balancer.settings.classes))
         self._carriers: dict[type, Callable[[Any], None]] = {
             q.Send: self._send, q.Refuse: self._refuse, q.Fail: self._fail, q.Cancel: self._cancel,
             q.SetTimer: self._set_timer, q.Probe: self._probe, q.Watch: self._watch, q.Fetch: self._fetch,
@@ -258,7 +256,7 @@
         held.attempts += 1
         call = held.call
         reader = _Reader(self, number, attempt)
-        ask = Ask(call.method, call.target, call.headers, call.body, reader, self._hold_us,
+        ask = Ask(call.method, call.target, call.headers, call.body, reader,
                   partial(self._wanted, a))
 
         def done(result: Result) -> None:
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -79,7 +79,6 @@
     headers: Headers
     body: bytes | Body = b""
     reader: Reader | None = None  # None: a probe
-    hold_us: int = 0  # an answer of unknown length is passed on if it is not whole after so long
     wanted: Callable[[], bool] = lambda: True  # asked last thing before it goes out: time has passed since
 
 
@@ -169,7 +168,6 @@
         self._moved = 0.0  # when anything last came or went, by the loop's clock
         self.ended = False
         self._timer = self._loop.call_later(timeout_us / 1e6, self._timed_out)
-        self._holding: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         member = self._backends.ready(self._backend)
@@ -312,23 +310,15 @@
             return
         if self._begun_us < 0 and len(self._body) > ANSWER_BYTES:
             self._too_large_to_hold()
-        elif self._begun_us < 0 and self._body and self._length is None and self._holding is None:
-            self._holding = self._loop.call_later(self._ask.hold_us / 1e6, self._held_long)
         if self._begun_us >= 0 and self._body and not self.ended:
             data, self._body = bytes(self._body), bytearray()
             self._moved = self._loop.time()
             assert self._ask.reader is not None
             self._ask.reader.more(self, data)
 
-    def _held_long(self) -> None:
-        """Whether an answer will be large is not known, but its client has waited for it long enough."""
-        self._too_large_to_hold()
-        self.on_read()
-
     def _too_large_to_hold(self) -> None:
-        """Only an answer that counts is passed on; of any other the status says enough."""
-        if self._holding is not None:
-            self._holding.cancel()
+        """Only an answer that counts is passed on; of any other the status says enough. A smaller one is held
+        until it is whole, however long its server takes: once begun, it could break off."""
         reader = self._ask.reader
         if self._status != 200 or self._sending or reader is None:
             return self._end(self._answered())
@@ -396,8 +386,6 @@
             return
         self.ended = True
         self._timer.cancel()
-        if self._holding is not None:
-            self._holding.cancel()
         self._backends.waits_no_more(self._backend, self)
         if self._sending:
             assert not isinstance(self._ask.body, bytes)
--- /dev/null
+++ b/tests/test_answers_without_length.py
@@ -0,0 +1,83 @@
+"""An answer whose length nobody told is not begun before it is whole: a server may yet break it off."""
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from pathlib import Path
+
+import pytest
+from tests.loopback import UNSAFE, Message, World, post, world
+
+BEGUN = {
+    "to its close": b"HTTP/1.1 200 OK\r\n\r\nhalf of it",
+    "in chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\nhalf of it",
+}
+begun = pytest.mark.parametrize("how", BEGUN)
+SHORT_AIM_US = 200_000
+
+
+async def half_an_answer(w: World, how: str) -> Message:
+    """A server has answered in part, and then no more for a quarter of the shortest aim."""
+    got = await w.request()
+    await got.peer.write(BEGUN[how])
+    while not any(e._body for e in w.agent._out.values()):
+        await asyncio.sleep(0)
+    await asyncio.sleep(SHORT_AIM_US / 4e6)
+    (held,) = w.agent._held.values()
+    assert held.begun is None
+    return got
+
+
+def reset(got: Message) -> None:
+    """With an RST, which is no end of an answer."""
+    got.peer.writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    got.peer.reset()
+
+
+def shorter_aims(monkeypatch: pytest.MonkeyPatch, w: World) -> None:
+    monkeypatch.setattr(w.agent, "_hold_us", SHORT_AIM_US // 20, raising=False)
+
+
+@begun
+def test_one_that_breaks_off_is_asked_for_again(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=2) as w:
+            shorter_aims(monkeypatch, w)
+            client = await w.ask(post())
+            reset(await half_an_answer(w, how))
+            await (await w.request()).answer(body=b"all of it")
+            answer = await client.read()
+            assert (answer.status, answer.body) == (200, b"all of it")
+
+    asyncio.run(run())
+
+
+@begun
+def test_one_that_breaks_off_and_may_not_be_asked_for_again_is_a_whole_failure(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+    async def run() -> None:
+        async with world(tmp_path, backends=2) as w:
+            shorter_aims(monkeypatch, w)
+            client = await w.ask(post(UNSAFE))
+            reset(await half_an_answer(w, how))
+            answer = await client.read()
+            assert (answer.status, answer.body) == (502, b"failed\n")
+            assert w.nothing_sent()
+
+    asyncio.run(run())
+
+
+@begun
+def test_one_that_never_ends_is_a_whole_failure_when_its_time_is_up(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            shorter_aims(monkeypatch, w)
+            client = await w.ask(post(UNSAFE, timeout_ms="200"))
+            await half_an_answer(w, how)
+            assert (await client.read()).status in (502, 503, 504)
+
+    asyncio.run(run())
--- a/tests/test_attempts_close.py
+++ b/tests/test_attempts_close.py
@@ -4,7 +4,6 @@
 import asyncio
 import socket
 import struct
-from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -94,7 +93,7 @@
         peer = await Peer().start()
         b = backends(peer.port)
         ends = asyncio.Queue[Result]()
-        exchange = b.exchange("s", replace(ASK, hold_us=60_000_000), 60_000_000, ends.put_nowait)
+        exchange = b.exchange("s", ASK, 60_000_000, ends.put_nowait)
         message = await peer.requests.get()
         await message.peer.write(NO_LENGTH)
         while not exchange._body:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -130,24 +130,18 @@
     asyncio.run(run())
 
 
-def test_an_answer_of_unknown_length_is_not_held_for_long_and_begins_once(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    # A begin by the time held that came after one by size took the answer for a second one and cut it off.
+def test_an_answer_of_unknown_length_begins_once_it_is_too_large_to_hold(tmp_path: Path) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
-            w.agent._hold_us = 50_000
-            for start in (b"5\r\nfirst\r\n", b"11170\r\n" + b"x" * 70_000 + b"\r\n"):
-                client = await w.ask(post())
-                got = await w.request()
-                await got.peer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + start)
-                assert "200" in (await read_head(client))[""]
-                (held,) = w.agent._held.values()
-                assert held.begun is not None
-                if (timer := held.begun._holding) is not None:
-                    while not timer.cancelled() and timer.when() > w.agent._loop.time():
-                        await asyncio.sleep(0.001)
-                await got.peer.write(b"4\r\nrest\r\n0\r\n\r\n")
-                assert (await read_chunks(client.reader)).endswith(b"rest")
+            client = await w.ask(post())
+            got = await w.request()
+            await got.peer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                 b"11170\r\n" + b"x" * 70_000 + b"\r\n")
+            assert "200" in (await read_head(client))[""]
+            (held,) = w.agent._held.values()
+            assert held.begun is not None
+            await got.peer.write(b"4\r\nrest\r\n0\r\n\r\n")
+            assert (await read_chunks(client.reader)).endswith(b"rest")
 
     asyncio.run(run())
 
