Rig: what a client left in the middle of its upload counts where a server has it whole

An attempt that passes a large body on as it comes may begin before it can be seen that its client has left; by PROTOCOL it counts with its last byte, which such a client never wrote. So it breaks the rule if a server ever has it whole, and not when its head goes out.

--- a/faultlab/history.py
+++ b/faultlab/history.py
@@ -98,7 +98,8 @@
 
 
 class Departed(Event, kw_only=True, tag="departed"):
-    """The client has gone before its answer: `close`, `half_close`, `reset`, or `gave_up` after its time."""
+    """The client has gone before its answer: `close`, `half_close`, `reset`, or `gave_up` after its time;
+    `upload_close` and so on: before its request's last byte."""
 
     rid: str
     how: str
--- a/tests/test_faultlab_checkers.py
+++ b/tests/test_faultlab_checkers.py
@@ -212,6 +212,17 @@
         assert story.end(60 * S).rules() == broken
 
 
+def test_what_its_client_never_sent_whole_is_whole_at_no_server() -> None:
+    for whole, broken in ((False, set()), (True, {"ended"})):
+        story = Story()
+        rid = story.asked(S)
+        story.add(h.Departed, S + 10, "c0", rid=rid, how="upload_close")
+        story.sent(S + 500_000, rid)
+        if whole:
+            story.got(S + 500_010, rid)
+        assert story.end(60 * S).rules() == broken
+
+
 def test_no_attempt_begins_after_the_final_answer() -> None:
     for after, broken in ((50_000, set()), (50_001, {"ended"})):
         story = Story()
