--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -503,11 +503,6 @@
         assert self._request is not None
         self._read_whole()
         if self._upload is not None:
-            # A close that came behind a body not yet read shows only here; without its last piece the attempt
-            # does not count.
-            if self.left():
-                self._leave()
-                return self.drop()
             self.on_read()
             if self._upload is not None:
                 self._upload.end()
