--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -384,7 +384,10 @@
 
     @property
     def surplus(self) -> bool:
-        return bool(self._buffer)
+        """Whether more has come than was asked for."""
+        with contextlib.suppress(OSError):
+            return bool(self._buffer) or bool(self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        return False
 
     def leave(self, how: str) -> None:
         if how == "half_close":
@@ -489,6 +492,8 @@
         while True:
             conn = await self._connected(fresh)
             used, conn.used = conn.used, True
+            if conn.surplus:
+                self.record.log(f"more than one answer came before {request.rid}")
             self.record.requests[request.rid] = request
             request.how = ""
             try:
@@ -712,6 +717,7 @@
          "value": 1.0, **({"dedupScope": "all", "memorySpanUs": 400_000} if name == KEYED else {})}
         for name, ms in DEADLINES_MS.items()]
     doc["settings"]["tenants"] = []
+    doc["limits"]["sockets"] = rng.choice([1024, 1024, 84])  # ten connections on either side
     doc["settings"]["registryMode"] = rng.choice(["ask", "push"])
     return doc
 
@@ -740,7 +746,7 @@
     watch = asyncio.create_task(punctual(record))
     until = time.monotonic() + LENGTH_S
     actors = [ClientActor(f"c{i}", random.Random(f"{seed} c{i}"), record, agent.port)
-              for i in range(rng.choice([1, 3, 8]))]
+              for i in range(rng.choice([1, 3, 8, 20]))]
     stops = knobs.allows("stop") and rng.random() < 0.3
     tasks = [asyncio.create_task(actor.run(until + (2.5 if stops else 0))) for actor in actors]
     tasks.append(asyncio.create_task(trouble(rng, agent, servers, discovery, until, knobs)))
