Deadlines: attempts are told what is left since the client's last byte

Root cause: no one place kept when the client's time had begun. - Exchange._put measured from the attempt (Exchange._began): what passed between the decision's clock and the attempt was told again, and max(1, ...) told time where none was left. - It took nothing off for a large body (spent_us = 0 if large): the wait for a connection was told in full, though all of the body may have lain in the kernel. all_sent and Agent._time gave its whole time again. - A request sent ahead had its time from when it was taken up, not from when it came. - A large body that is not read (no connection yet, a backend that takes nothing) had no timer until its last byte was read: a backend that hung in the middle kept the client for STALL_S, past its time.

Change: Call.sent_us is when the client may have written its latest byte, at the earliest; Call.left_us is what it still waits. Exchange tells the lesser of that and the attempt's own time, read last thing; with less than a millisecond left nothing is sent. The agent's own timer runs for large bodies too: while one is not read, its time runs from the last piece that was. The module is told what is left, not the whole.

--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -161,21 +161,27 @@
             self.peers.request()
         call.number = self._taken
         held = self._held[call.number] = Held(call)
+        left_us = max(0, call.left_us(self._clock.now()))
+        self._look_again(held, left_us)
         body = call.body
-        if isinstance(body, bytes):
-            self._time(held)
-        else:
-            body.on_whole = partial(self._time, held)
+        if not isinstance(body, bytes):
+            body.on_whole = partial(self._whole, held)
         self._post(q.RequestArrived(
-            call.number, call.request_class, call.patience_us, call.tenant, call.key, call.cost_us,
+            call.number, call.request_class, left_us, call.tenant, call.key, call.cost_us,
             call.is_retry, streamed=not isinstance(body, bytes)))
 
-    def _time(self, held: Held) -> None:
+    def _whole(self, held: Held) -> None:
         """From its last byte on a request has the time that its client gives it."""
         call = held.call
         if call.number in self._held and held.begun is None:
-            held.overdue = self._loop.call_later(
-                call.patience_us / 1e6 + OVERDUE_S, self._overdue, call.number)
+            self._look_again(held, call.left_us(self._clock.now()))
+
+    def _look_again(self, held: Held, after_us: int) -> None:
+        """Whether the request has been answered, so long from now and a little."""
+        if held.overdue is not None:
+            held.overdue.cancel()
+        held.overdue = self._loop.call_later(
+            max(0, after_us) / 1e6 + OVERDUE_S, self._overdue, held.call.number)
 
     def leave(self, call: Call) -> None:
         if self._over(call.number, GONE) is not None:
@@ -187,6 +193,15 @@
                 self._give_up(number)
 
     def _overdue(self, number: int) -> None:
+        held = self._held.get(number)
+        if held is None:
+            return
+        call, body = held.call, held.call.body
+        if not isinstance(body, bytes) and not body.whole:
+            # What is not read may have been written to its end: then the client's time runs.
+            left_us = call.left_us(self._clock.now()) if body.halted else call.patience_us
+            if left_us > 0:
+                return self._look_again(held, left_us)
         log.error("request %d: no answer from the module in time", number)
         self._give_up(number)
 
@@ -259,7 +274,7 @@
         call = held.call
         reader = _Reader(self, number, attempt)
         ask = Ask(call.method, call.target, call.headers, call.body, reader, self._hold_us,
-                  partial(self._wanted, a))
+                  partial(self._wanted, a), call.left_us)
 
         def done(result: Result) -> None:
             self._out.pop((number, attempt), None)
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -25,6 +25,7 @@
 PROBE_US = 50_000  # a load told later than this is of no use to the requests that asked for it
 IDLE_SHARE = 0.7  # of the time after which a backend closes an idle connection; then it is retired here
 ANSWER_BYTES = 64 * 1024  # an answer up to this is taken whole, a larger one passed on as it comes
+LEAST_TOLD_US = 1_000  # backends are told whole milliseconds: with less than one left nothing is sent
 STALL_S = 5.0  # a backend that takes or gives nothing for so long, while it could, has stopped
 
 
@@ -81,6 +82,7 @@
     reader: Reader | None = None  # None: a probe
     hold_us: int = 0  # an answer of unknown length is passed on if it is not whole after so long
     wanted: Callable[[], bool] = lambda: True  # asked last thing before it goes out: time has passed since
+    left_us: Callable[[int], int] | None = None  # what the client still waits at a time; None: nobody does
 
 
 def parse_report(text: str | None, fields: tuple[str, ...]) -> tuple[float, ...]:
@@ -195,7 +197,8 @@
         """The one place where it is settled that an attempt may still go out. The list may have changed while
         its connection came up, its time or that of repeats have run out, its client have left.
         """
-        if not self.ended and (self._backends.ready(self._backend) is None or not self._ask.wanted()):
+        if not self.ended and (self._backends.ready(self._backend) is None or not self._ask.wanted()
+                               or self._left_us() < LEAST_TOLD_US):
             self._end(Outcome.NOT_SENT)
         return not self.ended
 
@@ -207,14 +210,22 @@
             log.exception("attempt failed")
             self._end(self._lost())
 
+    def _left_us(self) -> int:
+        """The time that the attempt still has: its own, and no more than its client's."""
+        now, body = self._backends.clock.now(), self._ask.body
+        own_us = self._timeout_us
+        if isinstance(body, bytes) or body.whole:  # one still on its way has all its own time after that
+            own_us -= now - self._began
+        return own_us if self._ask.left_us is None else min(own_us, self._ask.left_us(now))
+
     def _put(self, connection: _Pooled) -> None:
         self._connection, connection.exchange = connection, self
         ask, body, headers = self._ask, self._ask.body, [(b"Host", HOST), *self._ask.headers]
-        large = not isinstance(body, bytes)
         if ask.reader is not None:
-            # The time of a body that is still on its way starts with its last byte.
-            spent_us = 0 if large else self._backends.clock.now() - self._began
-            headers.append((b"Request-Timeout-Ms", b"%d" % max(1, (self._timeout_us - spent_us) // 1000)))
+            left_us = self._left_us()  # read anew: what runs between the check and here takes time too
+            if left_us < LEAST_TOLD_US:
+                return self._end(Outcome.NOT_SENT)
+            headers.append((b"Request-Timeout-Ms", b"%d" % (left_us // 1000)))
         start = body if isinstance(body, bytes) else body.held()
         length = len(start) if isinstance(body, bytes) else body.length
         if length is None:
@@ -254,8 +265,8 @@
             return
         self._sending = False
         self._timer.cancel()
-        self._timer = self._loop.call_later(self._timeout_us / 1e6, self._timed_out)
         self._began = self._backends.clock.now()
+        self._timer = self._loop.call_later(max(0, self._left_us()) / 1e6, self._timed_out)
         self._connection.send(h11.EndOfMessage())
         if self._connection.written:
             self.on_written()
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -17,7 +17,7 @@
 
 from brasshead.interface import Effect, RequestClass, Settings, Tenant
 
-from .connection import Connection, Fields, Headers, fields_of, header
+from .connection import READ_BYTES, Connection, Fields, Headers, fields_of, header
 from .discovery import Address
 
 log = logging.getLogger(__name__)
@@ -65,6 +65,11 @@
     is_retry: bool
     client: Answerer
     number: int = 0  # given by whoever takes it
+    sent_us: int = 0  # monotonic: when its client may have written its latest byte, at the earliest
+
+    def left_us(self, now: int) -> int:
+        """What its client still waits, counted from the latest byte; 0 or less: no longer."""
+        return self.sent_us + self.patience_us - now
 
 
 class Answerer(Protocol):
@@ -107,6 +112,7 @@
         self.length = length
         self.whole = False
         self.spent = False  # a part has been passed on and is no longer held
+        self.halted = False  # nothing is read: its client may have written all of it by now
         self.on_whole: Callable[[], None] = lambda: None
         self._connection = connection
         self._held = bytearray()
@@ -125,9 +131,11 @@
             self.halt()
 
     def halt(self) -> None:
+        self.halted = True
         self._connection.pause()
 
     def go_on(self) -> None:
+        self.halted = False
         self._connection.resume()
 
     def come(self, data: bytearray) -> None:
@@ -286,6 +294,8 @@
         self._taking = False  # the call is being handed on in the turn in which it was read
         self._unread: asyncio.TimerHandle | None = None  # set while a request is waited for
         self._began = self._body_began = self.last = 0.0  # the request, its body, its latest piece
+        self._sent_at = 0.0  # when the latest piece may have been written, at the earliest
+        self._unread_since: float | None = None  # set where reading has paused, until all that came is read
         self._stuck: asyncio.TimerHandle | None = None  # set while the client takes nothing
 
     @property
@@ -308,6 +318,11 @@
         """A large answer is on its way, or the last bytes of any."""
         return self._source is not None or not self.written
 
+    @property
+    def _in_hand(self) -> bool:
+        """A request has come whole, and has no answer yet."""
+        return self._call is not None and (self._upload is None or self._upload.whole)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self._server.connections.add(self)
@@ -353,6 +368,7 @@
     def pause(self) -> None:
         """The client need not send anything while the agent does not read."""
         self._read_whole()
+        self._unread_since = self.last
         super().pause()
 
     def resume(self) -> None:
@@ -391,6 +407,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.last = self._loop.time()
+        self._date(len(data))
         if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
             data = self._blank + data  # empty lines before a request are to be passed over
             while data.startswith(b"\r\n"):
@@ -402,11 +419,19 @@
             return
         super().data_received(data)
 
+    def _date(self, length: int) -> None:
+        """A request's time runs from when its client wrote its last byte, not from when that was read."""
+        if self._in_hand and self.http.trailing_data[0]:
+            return  # it goes on a request sent ahead, which may have been whole before
+        self._sent_at = self.last if self._unread_since is None else self._unread_since
+        if length < READ_BYTES:
+            self._unread_since = None
+
     def _runs_ahead(self, data: bytes) -> bool:
         """Whether a client has sent more than is kept for after its answer, which is then its last. It is
         read on all the same: on a connection that is not, nobody sees the client leave.
         """
-        if self._call is None or not (self._upload is None or self._upload.whole):
+        if not self._in_hand:
             return False
         self._overran = self._overran or len(self.http.trailing_data[0]) + len(data) > AHEAD_LIMIT
         return self._overran
@@ -435,6 +460,8 @@
         try:
             if self._upload is not None:
                 data, self._piece = self._piece, bytearray()
+                if self._call is not None and not self._upload.whole:
+                    self._call.sent_us = int(self._sent_at * 1e6)
                 self._upload.come(data)
             elif len(self._piece) > WHOLE_BYTES:
                 length = header(self._fields, b"content-length")
@@ -449,7 +476,7 @@
         data, self._piece = self._piece, bytearray()
         upload.come(data)
         self._call, self._upload = call, upload
-        self.pause()
+        upload.halt()
         self._take(call)
 
     def _take(self, call: Call) -> None:
@@ -457,6 +484,7 @@
         if self.left():
             self._call = self._upload = None
             return self.drop()
+        call.sent_us = int(self._sent_at * 1e6)
         self._taking = True
         try:
             self._server.taker.take(call)
