Deadlines: a request that waited for a busy loop has had that time

Root cause: _Client.data_received dates a piece by when it is read (self.last = loop.time()); what lay in the kernel while the turn before ran was taken for new.

Change: the loop's selector notes since when what it reports may have been ready: the end of the selection before, unless it has waited for it. Two readings of the clock more in a turn, no system call.

A request still in the listener's backlog is not covered: nothing tells its age.

--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -30,6 +30,7 @@
 from .operators import Operators
 from .peers import Peers
 from .server import DrainTimes, Server
+from .turns import new_event_loop
 
 log = logging.getLogger("lilacsill")
 
@@ -150,7 +151,8 @@
     except ConfigError as e:
         print(f"lilacsill: {e}", file=sys.stderr)
         return 2
-    return asyncio.run(serve(config, clock))
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        return runner.run(serve(config, clock))
 
 
 if __name__ == "__main__":
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -19,6 +19,7 @@
 
 from .connection import READ_BYTES, Connection, Fields, Headers, fields_of, header
 from .discovery import Address
+from .turns import unread_since
 
 log = logging.getLogger(__name__)
 
@@ -423,7 +424,8 @@
         """A request's time runs from when its client wrote its last byte, not from when that was read."""
         if self._in_hand and self.http.trailing_data[0]:
             return  # it goes on a request sent ahead, which may have been whole before
-        self._sent_at = self.last if self._unread_since is None else self._unread_since
+        since = unread_since(self._loop)
+        self._sent_at = since if self._unread_since is None else min(since, self._unread_since)
         if length < READ_BYTES:
             self._unread_since = None
 
