Agent: a request is released and answered in one step, whatever raises

Need: a raise between taking a request out of Agent._held and the writing of its answer left it without one, its overdue timer cancelled; and where it came from an attempt's end, the module never heard AttemptEnded and counted the attempt as out for good.

Root cause: _over removed the request, cancelled its timer, and then did what may raise (cancel of exchanges, figures), and _answer, _attempt_ended and answer_begins wrote after that with nothing to fall back on. _Client.answer and finish dropped their call before the writing, so not even the client's leaving ended it.

Change: - Agent._release is the only place that takes a request out of _held; it closes its attempts, writes, and where that raises calls the new Answerer.fail: a plain 500 if nothing of an answer is out, else a reset.

--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -6,7 +6,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
@@ -29,6 +29,9 @@
 # The module answers when a request's time is up; were it to fail, the agent answers this much later, within
 # the 50 ms that the protocol allows.
 OVERDUE_S = 0.025
+# How an attempt counts that failed inside the agent: it may have run, and that is no word on its backend.
+UNKNOWN = Result(q.Outcome.CANCELLED, 0)
+TIMER_AGAIN_S = 0.02  # after the module failed on a timer: what else was due then is still to be done
 GONE, BROKEN = 499, 502  # count as the status of a request whose client has left, whose answer broke off
 HOLD_SHARE = 0.05  # of the shortest aim: so long may an answer be held that is not known to be small
 # Where changes are pushed, every change made while nobody asks counts as told: the wait after a broken watch
@@ -46,21 +49,40 @@
 
     call: Call
     overdue: asyncio.TimerHandle | None = None
-    attempts: int = 0
+    attempts: list[Attempt] = field(default_factory=list)
     begun: Exchange | None = None  # the attempt whose answer is being passed on
 
 
-class _Reader:
-    """What comes of one attempt's answer before it is whole."""
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt of a request: what comes of its answer before it is whole, and its one end."""
 
-    def __init__(self, agent: Agent, number: int, attempt: int) -> None:
-        self._agent, self._number, self._attempt = agent, number, attempt
+    agent: Agent
+    number: int  # of the request
+    index: int  # among the request's attempts
+    backend: q.BackendId
+    exchange: Exchange | None = None
+    over: bool = False
 
     def begin(self, exchange: Exchange, content_type: bytes | None, length: int | None) -> None:
-        self._agent.answer_begins(self._number, self._attempt, exchange, content_type, length)
+        self.agent.answer_begins(self, exchange, content_type, length)
 
     def more(self, exchange: Exchange, data: bytes) -> None:
-        self._agent.answer_goes_on(self._number, exchange, data)
+        self.agent.answer_goes_on(self, exchange, data)
+
+    def cancel(self) -> None:
+        """Never raises: whoever cancels has an answer to give next."""
+        try:
+            if self.exchange is not None:
+                self.exchange.cancel()
+        except Exception:
+            log.exception("request %d: an attempt could not be closed", self.number)
+            self.end(UNKNOWN)
+
+    def end(self, result: Result) -> None:
+        if not self.over:
+            self.over, self.exchange = True, None  # two that know each other would stay until collected
+            self.agent.attempt_ended(self, result)
 
 
 def _kind(content_type: bytes | None) -> Headers:
@@ -81,7 +103,8 @@
         self._letting_go = False  # a step is due
         self.peers: Peers | None = None  # None: the other agents are not spoken to
         self._loop = asyncio.get_running_loop()
-        self._held: dict[int, Held] = {}
+        self._held: dict[int, Held] = {}  # who is owed a final answer; only _release takes one out
+        self._released: dict[int, Held] = {}  # while events are handled: the module may not know yet
         self._out: dict[tuple[int, int], Exchange] = {}  # attempts without an end
         self._events: deque[q.Event] = deque()
         self._handling = False
@@ -184,7 +207,9 @@
             max(0, after_us) / 1e6 + OVERDUE_S, self._overdue, held.call.number)
 
     def leave(self, call: Call) -> None:
-        if self._over(call.number, GONE) is not None:
+        held = self._held.get(call.number)
+        if held is not None:
+            self._release(held, GONE, None)
             self._post(q.ClientGone(call.number))
 
     def give_up_all(self) -> None:
@@ -212,26 +237,43 @@
             self._post(q.ClientGone(number))
 
     def _answer(self, number: int, status: int, headers: Headers, body: bytes) -> None:
-        held = self._over(number, status)
-        if held is not None and held.begun is not None:
-            held.call.client.finish(held.call, False)
-        elif held is not None:
-            held.call.client.answer(held.call, status, headers, body)
+        held = self._held.get(number)
+        if held is None:
+            return
+        call, client = held.call, held.call.client
+        if held.begun is not None:
+            self._release(held, status, partial(client.finish, call, False))
+        else:
+            self._release(held, status, partial(client.answer, call, status, headers, body))
 
     def turned_away(self, request_class: int, status: int) -> None:
         self._figures.ended(request_class, status)
 
-    def _over(self, number: int, status: int) -> Held | None:
-        """Nothing more goes out for this request: what is still out is closed before its answer is given."""
-        held = self._held.pop(number, None)
-        if held is not None:
-            self._figures.ended(held.call.request_class, status)
-            if held.overdue is not None:
-                held.overdue.cancel()
-            for attempt in range(held.attempts):
-                if (number, attempt) in self._out:
-                    self._out[number, attempt].cancel()
-        return held
+    def _release(self, held: Held, status: int, write: Callable[[], None] | None) -> None:
+        """Give a request its final answer; write None: its client has gone. The one place where it stops
+        being owed one, and whatever raises on the way, it gets one here: nothing would answer it later.
+
+        Nothing more goes out for it: what is still out is closed before its answer is given.
+        """
+        call = held.call
+        del self._held[call.number]
+        if self._handling:
+            self._released[call.number] = held
+        if held.overdue is not None:
+            held.overdue.cancel()
+        for attempt in held.attempts:
+            attempt.cancel()
+        try:
+            if write is not None:
+                write()
+        except Exception:
+            log.exception("request %d: its answer could not be written", call.number)
+            call.client.fail(call)
+            status = BROKEN
+        try:
+            self._figures.ended(call.request_class, status)
+        except Exception:
+            log.exception("request %d: not counted", call.number)
 
     # Events in
 
@@ -246,16 +288,17 @@
                 self._handle(self._events.popleft())
         finally:
             self._handling = False
+            self._released.clear()
 
     def _handle(self, event: q.Event) -> None:
+        before = self._balancer.actions
         try:
             actions = self._balancer.handle(self._clock.now(), event)
         except Exception:
-            # The request that the module stumbled on is still owed its answer, and others are to go on.
             log.exception("the module failed on %s", type(event).__name__)
-            number = getattr(event, "request", 0)
-            self._give_up(number)
-            return
+            decided = self._balancer.actions
+            actions = [] if decided is before else list(decided)
+            self._after_fault(event)
         for action in actions:
             try:
                 self._carriers[type(action)](action)
@@ -263,26 +306,34 @@
                 log.exception("could not carry out %s", type(action).__name__)
                 self._give_up(getattr(action, "request", 0))
 
+    def _after_fault(self, event: q.Event) -> None:
+        """The request that the module stumbled on is still owed its answer, and others are to go on: what it
+        had decided by then counts. Requests that it lost are answered when their time is up."""
+        if isinstance(event, q.TimerFired):
+            self._loop.call_later(TIMER_AGAIN_S, self._post, event)
+        self._give_up(getattr(event, "request", 0))
+
     # Actions out
 
     def _send(self, a: q.Send) -> None:
-        held = self._held.get(a.request)
+        held = self._held.get(a.request) or self._released.get(a.request)
         if held is None:
             return
-        number, attempt = a.request, held.attempts
-        held.attempts += 1
-        call = held.call
-        reader = _Reader(self, number, attempt)
-        ask = Ask(call.method, call.target, call.headers, call.body, reader, self._hold_us,
+        call, attempt = held.call, Attempt(self, a.request, len(held.attempts), a.backend)
+        held.attempts.append(attempt)
+        if a.request not in self._held:  # answered since the module decided this, or its client has gone
+            return attempt.end(Result(q.Outcome.NOT_SENT, 0))
+        ask = Ask(call.method, call.target, call.headers, call.body, attempt, self._hold_us,
                   partial(self._wanted, a), call.left_us)
-
-        def done(result: Result) -> None:
-            self._out.pop((number, attempt), None)
-            self._attempt_ended(number, attempt, a.backend, result)
-
-        exchange = self._backends.exchange(a.backend, ask, a.timeout_us, done)
+        try:
+            exchange = self._backends.exchange(a.backend, ask, a.timeout_us, attempt.end)
+        except Exception:
+            log.exception("request %d: an attempt could not be started", a.request)
+            self._give_up(a.request)
+            return attempt.end(UNKNOWN)
         if not exchange.ended:
-            self._out[number, attempt] = exchange
+            attempt.exchange = exchange
+            self._out[a.request, attempt.index] = exchange
 
     def _wanted(self, a: q.Send) -> bool:
         """Whether an attempt that has waited for its connection is still to go out."""
@@ -290,36 +341,63 @@
         return (held is not None and held.call.client.waits(held.call)
                 and (not a.until_us or self._clock.now() < a.until_us))
 
-    def _attempt_ended(self, number: int, attempt: int, backend: q.BackendId, result: Result) -> None:
-        served, held = result.outcome is q.Outcome.OK, self._held.get(number)
-        if result.begun and held is not None:
-            self._over(number, 200 if served else BROKEN)
-            held.call.client.finish(held.call, served)
-        elif served:
-            self._answer(number, 200, _kind(result.content_type), result.body)
+    def attempt_ended(self, attempt: Attempt, result: Result) -> None:
+        """Whatever becomes of the answer, the module hears of the end."""
+        number = attempt.number
+        self._out.pop((number, attempt.index), None)
+        held = self._held.get(number)
         spent = held is not None and not isinstance(held.call.body, bytes) and held.call.body.spent
-        if self._losses is not None:
-            self._missing_answered(str(backend), result)
+        try:
+            if held is not None:
+                self._answer_with(held, result)
+        except Exception:
+            log.exception("request %d: failed on an attempt's end", number)
+            self._give_up(number)
+        try:
+            if self._losses is not None:
+                self._missing_answered(str(attempt.backend), result)
+        except Exception:
+            log.exception("could not say whether %s is still there", attempt.backend)
         self._post(q.AttemptEnded(
-            number, attempt, backend, result.outcome, result.latency_us, number not in self._held,
-            result.report, spent))
+            number, attempt.index, attempt.backend, result.outcome, result.latency_us,
+            number not in self._held, result.report, spent))
+
+    def _answer_with(self, held: Held, result: Result) -> None:
+        """Give the answer that an attempt brought, if it is one."""
+        call, served = held.call, result.outcome is q.Outcome.OK
+        if result.begun:
+            self._release(held, 200 if served else BROKEN, partial(call.client.finish, call, served))
+        elif served:
+            self._answer(call.number, 200, _kind(result.content_type), result.body)
 
-    def answer_begins(self, number: int, attempt: int, exchange: Exchange, content_type: bytes | None,
+    def answer_begins(self, attempt: Attempt, exchange: Exchange, content_type: bytes | None,
                       length: int | None) -> None:
         """A large answer comes; the first of a request's is the one."""
-        held = self._held.get(number)
+        held = self._held.get(attempt.number)
         if held is None or held.begun is not None:
             return exchange.cancel()
         held.begun = exchange
         if held.overdue is not None:
             held.overdue.cancel()
-        held.call.client.begin(held.call, _kind(content_type), length, exchange)
-        self._post(q.StreamStarted(number, attempt, exchange.latency_us, exchange.report()))
+        try:
+            # Where its client is just leaving nothing is written: the connection's end says so in a moment.
+            held.call.client.begin(held.call, _kind(content_type), length, exchange)
+        except Exception:
+            return self._cannot_pass_on(attempt)
+        self._post(q.StreamStarted(attempt.number, attempt.index, exchange.latency_us, exchange.report()))
 
-    def answer_goes_on(self, number: int, exchange: Exchange, data: bytes) -> None:
-        held = self._held.get(number)
+    def answer_goes_on(self, attempt: Attempt, exchange: Exchange, data: bytes) -> None:
+        held = self._held.get(attempt.number)
         if held is not None and held.begun is exchange:
-            held.call.client.more(held.call, data)
+            try:
+                held.call.client.more(held.call, data)
+            except Exception:
+                self._cannot_pass_on(attempt)
+
+    def _cannot_pass_on(self, attempt: Attempt) -> None:
+        """The attempt's end ends its request too: see _answer_with."""
+        log.exception("request %d: its answer could not be passed on", attempt.number)
+        attempt.cancel()
 
     def _refuse(self, a: q.Refuse) -> None:
         self._answer(a.request, 503, retry_after(a.retry_after_us), b"refused\n")
@@ -328,9 +406,9 @@
         self._answer(a.request, 502, [], b"failed\n")
 
     def _cancel(self, a: q.Cancel) -> None:
-        exchange = self._out.get((a.request, a.attempt))
-        if exchange is not None:
-            exchange.cancel()
+        held = self._held.get(a.request)
+        if held is not None and a.attempt < len(held.attempts):
+            held.attempts[a.attempt].cancel()
 
     def _set_timer(self, a: q.SetTimer) -> None:
         self._loop.call_later(a.delay_us / 1e6, self._post, q.TimerFired(a.token))
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -410,6 +410,20 @@
         if self._holding is not None:
             self._holding.cancel()
         self._backends.waits_no_more(self._backend, self)
+        try:
+            self._let_go()
+        except Exception:  # whatever it is, the attempt must end, or its request gets no answer
+            log.exception("connection failed after an attempt")
+            if self._connection is not None:
+                self._connection.drop()
+        self._done(Result(
+            outcome, self.latency_us, self.report(), bytes(self._body),
+            self._headers.get(b"content-type"), self._begun_us >= 0,
+        ))
+
+
+    def _let_go(self) -> None:
+        """Take no more of the body, and give the connection back."""
         if self._sending:
             assert not isinstance(self._ask.body, bytes)
             self._ask.body.stop(self)
@@ -417,10 +431,6 @@
             self.resume()
             self._connection.exchange = None
             self._backends.give_back(self._connection)
-        self._done(Result(
-            outcome, self.latency_us, self.report(), bytes(self._body),
-            self._headers.get(b"content-type"), self._begun_us >= 0,
-        ))
 
 
 class Backends:
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -89,7 +89,9 @@
 
     def send(self, *events: h11.Event) -> None:
         """Write these events in one piece."""
-        data = b"".join(self.http.send(e) or b"" for e in events)
+        self.transmit(b"".join(self.http.send(e) or b"" for e in events))
+
+    def transmit(self, data: bytes) -> None:
         assert self.transport is not None
         self.transport.write(data)
         # A write that fails empties the buffer too: then the transport is closing.
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
@@ -37,6 +38,9 @@
 STREAMS_S = 60.0  # how long large answers may go on after a stop; whoever ordered it may end it before
 STUCK_S = 60.0  # a client that takes nothing of its answer for so long has stopped
 POLL_S = 0.01  # while the last requests end
+# Written as it stands where h11 may be in any state.
+PLAIN_FAILURE = (b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\nConnection: close\r\n\r\n"
+                 b"failed\n")
 LAST_S = 0.3  # for what has come in by the end: read, refused, and its refusal taken
 COME_AGAIN_US = 500_000  # a client turned away by a stop: by then another process serves, or will soon
 # From connecting, or from a request's first byte. Whoever stops is owed an error within 3 s, while an honest
@@ -89,6 +93,10 @@
     def finish(self, call: Call, whole: bool) -> None:
         """One that is not whole is broken off, so that the client can tell."""
 
+    def fail(self, call: Call) -> None:
+        """The end of one whose answer could not be written: a failure, or a break if a part of it is out.
+        Never raises, and does nothing for a call that has been answered."""
+
 
 class Source(Protocol):
     """Where the pieces of an answer come from."""
@@ -291,6 +299,7 @@
         self._call: Call | None = None
         self._upload: Upload | None = None  # the body, where it is large
         self._source: Source | None = None  # of an answer that is passed on as it comes
+        self._answer_out = False  # some of an answer has been written
         self._overran = False  # it has sent too much ahead, and what came after has been dropped
         self._taking = False  # the call is being handed on in the turn in which it was read
         self._unread: asyncio.TimerHandle | None = None  # set while a request is waited for
@@ -561,7 +570,6 @@
 
     def answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None:
         if self._call is call:
-            self._call = self._upload = None
             self._respond(status, headers, body)
 
     def begin(self, call: Call, headers: Headers, length: int | None, source: Source) -> None:
@@ -578,14 +586,39 @@
             self._hold_source()
 
     def finish(self, call: Call, whole: bool) -> None:
+        if not whole:
+            self.fail(call)
+        elif self._call is call:
+            writable = self._writable()
+            if writable:
+                self.send(h11.EndOfMessage())
+            self._release_call()
+            if writable:
+                self._answered()
+
+    def fail(self, call: Call) -> None:
         if self._call is not call:
             return
+        self._release_call()
+        try:
+            if self._answer_out:
+                self._reset()
+            elif self._writable():
+                self.transmit(PLAIN_FAILURE)
+                self._part_somehow()
+        except Exception:
+            log.exception("could not tell a client of a failure")
+            self.drop()
+
+    def _release_call(self) -> None:
+        """The call has its answer, or nobody is there to take one. Only after the writing: until then it is
+        still to be failed, or left."""
         self._call = self._upload = self._source = None
-        if not whole:
-            self._reset()
-        elif self._writable():
-            self.send(h11.EndOfMessage())
-            self._answered()
+
+    def transmit(self, data: bytes) -> None:
+        # What goes out before an answer, as 100 Continue, is no part of it.
+        self._answer_out = self._answer_out or self.http.our_state is not h11.SEND_RESPONSE
+        super().transmit(data)
 
     def _hold_source(self) -> None:
         if not self.written and self._source is not None:
@@ -605,7 +638,9 @@
         """Close so that nobody can take what has come for whole, however its end is told."""
         if self.transport is not None and not self.transport.is_closing():
             linger = struct.pack("ii", 1, 0)
-            self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            with suppress(OSError):  # the client may have reset it already
+                self.transport.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, linger)
             self.deaf = self.closed = True
             self.transport.abort()
 
@@ -622,19 +657,34 @@
 
     def _respond(self, status: int, headers: Headers, body: bytes) -> None:
         if not self._writable():
-            return
+            return self._release_call()
         fields = [*headers, (b"Content-Length", b"%d" % len(body)), *self._last_words()]
         head = self._request is not None and self._request.method == b"HEAD"
         data = [] if head or not body else [h11.Data(data=body)]
         self.send(h11.Response(status_code=status, headers=fields), *data, h11.EndOfMessage())
+        self._release_call()
         self._answered()
 
     def _answered(self) -> None:
-        """Go on to the next request, or part."""
+        """Go on to the next request, or part. The answer is out: no failure here may take it back."""
+        try:
+            self._go_on_or_part()
+        except Exception:
+            log.exception("connection failed after an answer")
+            self._part_somehow()
+
+    def _part_somehow(self) -> None:
+        try:
+            self._part()
+        except Exception:
+            log.exception("cannot part from a client in order")
+            self.drop()
+
+    def _go_on_or_part(self) -> None:
         assert self.transport is not None
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not self._overran:
             self.http.start_next_cycle()
-            self._request = None
+            self._request, self._answer_out = None, False
             self._server.freed()
             super().resume()  # no effect where it was not paused
             if self.http.trailing_data[0]:
