Deadlines: a request that came with its connection has waited since the accept

Root cause: an accepted connection is read some turns of the loop later, and its first request was dated by the last of them only.

Change: where a connection has something to read as it comes into the loop, that is dated by the turn of its accept. One look a connection, none a request.

What waited in the listener's backlog because this process was full is not covered: nothing tells its age.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -305,6 +305,7 @@
         self._unread: asyncio.TimerHandle | None = None  # set while a request is waited for
         self._began = self._body_began = self.last = 0.0  # the request, its body, its latest piece
         self._sent_at = 0.0  # when the latest piece may have been written, at the earliest
+        self._accepted = unread_since(self._loop)
         self._unread_since: float | None = None  # set where reading has paused, until all that came is read
         self._stuck: asyncio.TimerHandle | None = None  # set while the client takes nothing
 
@@ -336,6 +337,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self._server.connections.add(self)
+        if not self.quiet():  # a request that came with the connection has waited for all turns since
+            self._unread_since = self._accepted
         self._await_whole()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/test_late_turns.py
+++ b/tests/test_late_turns.py
@@ -11,6 +11,7 @@
 import pytest
 from tests.loopback import post, world
 
+from lilacsill.server import Server
 from lilacsill.turns import TurnSelector, new_event_loop
 
 
@@ -62,3 +63,32 @@
 
     with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(run())
+
+
+@pytest.mark.parametrize("sent", ["with the connection", "later"])
+def test_a_request_that_came_with_its_connection_has_waited_since(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: str) -> None:
+    whole = Server._accept
+
+    def accept(self: Server, most: int = 1) -> None:
+        whole(self, most)
+        time.sleep(0.2)  # the rest of a turn that takes long
+
+    monkeypatch.setattr(Server, "_accept", accept)
+
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            if sent == "with the connection":
+                client.socket.send(post())
+            while not w.server.connections:
+                await asyncio.sleep(0)
+            if sent == "later":
+                (connection,) = w.server.connections
+                assert connection._unread_since is None
+            else:
+                assert int((await w.request()).headers["request-timeout-ms"]) <= 30_000 - 200
+            client.close()
+
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        runner.run(run())
