--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -364,11 +364,11 @@
 
     def _answer_with(self, held: Held, result: Result) -> None:
         """Give the answer that an attempt brought, if it is one."""
-        call, served = held.call, result.outcome is q.Outcome.OK
+        call, number, served = held.call, held.call.number, result.outcome is q.Outcome.OK
         if result.begun:
             self._release(held, 200 if served else BROKEN, partial(call.client.finish, call, served))
         elif served:
-            self._answer(call.number, 200, _kind(result.content_type), result.body)
+            self._answer(number, 200, _kind(result.content_type), result.body)
 
     def answer_begins(self, attempt: Attempt, exchange: Exchange, content_type: bytes | None,
                       length: int | None) -> None:
