--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -30,7 +30,7 @@
 from .operators import Operators
 from .peers import Peers
 from .server import DrainTimes, Server
-from .turns import new_event_loop
+from .turns import TurnLoop
 
 log = logging.getLogger("lilacsill")
 
@@ -151,7 +151,7 @@
     except ConfigError as e:
         print(f"lilacsill: {e}", file=sys.stderr)
         return 2
-    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=TurnLoop) as runner:
         return runner.run(serve(config, clock))
 
 
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -16,11 +16,10 @@
 from .clock import Clock
 from .connection import Connection, Fields, Headers, fields_of, header
 from .discovery import Listing, Member
+from .sockets import Lacking, connecting
 
 log = logging.getLogger(__name__)
 
-# What this process lacks for a connection: descriptors, ports. No word on the backend.
-LACKING = (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL)
 HOST = b"origin.svc"
 PROBE_US = 50_000  # a load told later than this is of no use to the requests that asked for it
 IDLE_SHARE = 0.7  # of the time after which a backend closes an idle connection; then it is retired here
@@ -98,6 +97,15 @@
     return report if all(0.0 <= x < 1e9 for x in report) else ()
 
 
+def _is_up(sock: socket.socket) -> bool:
+    """Whether it has come to be connected."""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 class _Pooled(Connection):
     """A connection to a backend; idle, or in the hands of one exchange."""
 
@@ -497,8 +505,10 @@
         backend, connection, outcome = member.backend.id, None, Outcome.NOT_SENT
         try:
             connection = await self._connected(member)
-        except (OSError, TimeoutError) as e:
-            outcome = Outcome.NOT_SENT if e.errno in LACKING else Outcome.CONNECT_FAILED
+        except Lacking:
+            log.debug("nothing to connect with", exc_info=True)
+        except OSError:
+            outcome = Outcome.CONNECT_FAILED
         except Exception:
             log.exception("attempt failed before it was sent")
         self._dials[backend] -= 1
@@ -520,15 +530,14 @@
         """A connection that is up. Only the handshake is timed, and by what the kernel says of it: an agent
         whose loop is late must not take its own lateness for the backend's."""
         loop, address = asyncio.get_running_loop(), member.address
-        # With its protocol's number, or asyncio leaves small writes to be held back by the system.
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        sock = connecting()
         try:
-            sock.setblocking(False)
             try:
                 async with asyncio.timeout(self._connect_s):
                     await loop.sock_connect(sock, (address.host, address.port))
-            except TimeoutError:
-                sock.getpeername()  # raises where it is not up even now
+            except TimeoutError as e:
+                if e.errno == errno.ETIMEDOUT or not _is_up(sock):  # the former is the kernel's own word
+                    raise
             _, connection = await loop.create_connection(lambda: _Pooled(member, self._discard), sock=sock)
         except BaseException:
             sock.close()
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -20,6 +20,8 @@
 
 from .connection import READ_BYTES, Connection, Fields, Headers, fields_of, header
 from .discovery import Address
+from .listener import ACCEPTS, STARVED_S, listening
+from .sockets import accept, retrying
 from .turns import unread_since
 
 log = logging.getLogger(__name__)
@@ -31,9 +33,7 @@
 TIMEOUT_LIMIT_MS = 24 * 3600 * 1000
 BACKLOG = 512
 EXTRA = 32  # connections beyond the limit while none is idle; half of the descriptors set apart
-ACCEPTS = 32  # in one turn of the loop
 FIRST_S = 0.5  # a new connection has so long for its first request before it counts as idle
-STARVED_S = 0.1  # without descriptors, or room, until the next try
 LINGER_S, LINGER_MOST_S = 1.0, 30.0  # after an answer in the middle of a request: in silence, in all
 STREAMS_S = 60.0  # how long large answers may go on after a stop; whoever ordered it may end it before
 STUCK_S = 60.0  # a client that takes nothing of its answer for so long has stopped
@@ -752,15 +752,14 @@
 
     async def listen(self, address: Address, shared: bool = False) -> int:
         """Returns the port, for an address whose port is 0. A shared one can be listened on once more."""
-        return self.take_over(socket.create_server(
-            (address.host, address.port), backlog=BACKLOG, reuse_port=shared))
+        return self.take_over(await listening(address, BACKLOG, shared))
 
     def take_over(self, listener: socket.socket) -> int:
         """Accept from a socket that listens already; returns its port."""
         self.listener = listener
         listener.setblocking(False)
         # What is accepted inherits it; asyncio sets it only on a socket made with its protocol's number.
-        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        retrying(listener).setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.freed()
         return int(listener.getsockname()[1])
 
@@ -776,9 +775,9 @@
             self._accepting = True
             asyncio.get_running_loop().add_reader(self.listener, self._accept)
 
-    def _accept(self, most: int = ACCEPTS) -> None:
-        """Take some that wait. Beyond the limit the kernel holds them: accepting on without descriptors fails
-        for each one that waits, again and again."""
+    def _accept(self, most: int = ACCEPTS) -> bool:
+        """Take some that wait; whether nobody does any more. Beyond the limit the kernel holds them:
+        accepting on without descriptors fails for each one that waits, again and again."""
         assert self.listener is not None
         loop = asyncio.get_running_loop()
         resting = self._resting()
@@ -789,22 +788,25 @@
                 self._accepting = False
                 loop.remove_reader(self.listener)
                 loop.call_later(STARVED_S, self.freed)  # new ones that say nothing will make way by then
-                return
+                return False
             try:
-                sock, _address = self.listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                sock = accept(self.listener)
+            except BlockingIOError:
+                return True
+            except ConnectionAbortedError:
+                continue
             except OSError as e:
-                return self._starve(e)
+                self._starve(e)
+                return False
             self._starved = False
             if makes_way is not None:  # only now: before, nobody may have waited
                 makes_way.drop()
-            sock.setblocking(False)
             client = _Client(self)
             task: asyncio.Task[object] = loop.create_task(
                 loop.connect_accepted_socket(partial(_itself, client), sock))
             self._coming[task] = client
             task.add_done_callback(self._coming.pop)
+        return False
 
     def _starve(self, error: OSError) -> None:
         """Nothing to accept with. The kernel goes on saying that one waits: asked again at once, that would
@@ -874,10 +876,10 @@
         while any(c.busy for c in self.connections) and loop.time() < began + STREAMS_S:
             await asyncio.sleep(POLL_S)
         # Open to the end: closing it resets what has come in and is not accepted yet.
-        if self.listener is not None:
-            self._accept(BACKLOG)
-        self._close_listener()
         last = loop.time() + LAST_S
+        while self.listener is not None and not self._accept(BACKLOG) and loop.time() < last:
+            await asyncio.sleep(POLL_S)
+        self._close_listener()
         while (self.connections or self._coming) and loop.time() < last:
             await asyncio.sleep(POLL_S)
         self.stop()
--- a/lilacsill/turns.py
+++ b/lilacsill/turns.py
@@ -6,20 +6,22 @@
 from __future__ import annotations
 
 import asyncio
-import selectors
+from selectors import SelectorKey
 from time import monotonic
 
+from .event_loop import RetryingSelector
+
 BLOCKED_S = 0.005  # a call of the selector that lasted longer has waited, and nothing was ready before
 
 
-class TurnSelector(selectors.DefaultSelector):
+class TurnSelector(RetryingSelector):
     """Selects as usual, and notes since when what it reports may have been ready."""
 
     def __init__(self) -> None:
         super().__init__()
         self.unread_since = self._returned = monotonic()
 
-    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+    def select(self, timeout: float | None = None) -> list[tuple[SelectorKey, int]]:
         called = monotonic()
         ready = super().select(timeout)
         returned = monotonic()
@@ -29,17 +31,13 @@
 
 
 class TurnLoop(asyncio.SelectorEventLoop):
-    """The usual loop on such a selector."""
+    """The agent's event loop: the usual one on such a selector."""
 
     def __init__(self) -> None:
         self.turns = TurnSelector()
         super().__init__(self.turns)
 
 
-def new_event_loop() -> asyncio.AbstractEventLoop:
-    return TurnLoop()
-
-
 def unread_since(loop: asyncio.AbstractEventLoop) -> float:
     """When what is being read may have come, at the earliest; now, on a loop that does not know."""
     return loop.turns.unread_since if isinstance(loop, TurnLoop) else loop.time()
--- a/tests/test_late_turns.py
+++ b/tests/test_late_turns.py
@@ -2,7 +2,6 @@
 from __future__ import annotations
 
 import asyncio
-import selectors
 import socket
 import time
 from pathlib import Path
@@ -11,8 +10,9 @@
 import pytest
 from tests.loopback import post, world
 
+from lilacsill.event_loop import RetryingSelector
 from lilacsill.server import Server
-from lilacsill.turns import TurnSelector, new_event_loop
+from lilacsill.turns import TurnLoop, TurnSelector
 
 
 @pytest.fixture
@@ -43,7 +43,7 @@
         now[0] += 3.0  # it slept
         return []
 
-    monkeypatch.setattr(selectors.DefaultSelector, "select", select)
+    monkeypatch.setattr(RetryingSelector, "select", select)
     now[0] += 0.2
     selector.select(None)
     assert selector.unread_since == now[0]
@@ -61,7 +61,7 @@
             got = await w.request()
             assert int(got.headers["request-timeout-ms"]) <= 30_000 - 200
 
-    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=TurnLoop) as runner:
         runner.run(run())
 
 
@@ -90,5 +90,5 @@
                 assert int((await w.request()).headers["request-timeout-ms"]) <= 30_000 - 200
             client.close()
 
-    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=TurnLoop) as runner:
         runner.run(run())
