A call is dated where it is made

Checker.check takes the date with the rest of the call, so that no later step can leave it out; a large body counts as not read until it is first passed on, as it is.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -69,8 +69,8 @@
     cost_us: int
     is_retry: bool
     client: Answerer
+    sent_us: int  # monotonic: when its client may have written its latest byte, at the earliest
     number: int = 0  # given by whoever takes it
-    sent_us: int = 0  # monotonic: when its client may have written its latest byte, at the earliest
 
     def left_us(self, now: int) -> int:
         """What its client still waits, counted from the latest byte; 0 or less: no longer."""
@@ -80,6 +80,10 @@
 class Answerer(Protocol):
     """Where a call came from, and its one answer goes to: whole, or begun, passed on and finished."""
 
+    @property
+    def sent_us(self) -> int:
+        """When what has come last may have been written, at the earliest."""
+
     def waits(self, call: Call) -> bool:
         """Whether the client is still there for its answer; one that is not has left by then."""
 
@@ -121,7 +125,7 @@
         self.length = length
         self.whole = False
         self.spent = False  # a part has been passed on and is no longer held
-        self.halted = False  # nothing is read: its client may have written all of it by now
+        self.halted = True  # nothing is read: its client may have written all of it by now
         self.on_whole: Callable[[], None] = lambda: None
         self._connection = connection
         self._held = bytearray()
@@ -232,6 +236,7 @@
             method, target, [(k, fields[k]) for k in FORWARDED if k in fields],
             body, index, self._tenant(fields), self._patience_us(fields), _key(target),
             _work_hint(header(fields, b"work-hint")), fields.get(b"client-retry") == b"1", client,
+            client.sent_us,
         )
 
     def class_of(self, fields: Fields) -> int | None:
@@ -329,6 +334,10 @@
         """A large answer is on its way, or the last bytes of any."""
         return self._source is not None or not self.written
 
+    @property
+    def sent_us(self) -> int:
+        return int(self._sent_at * 1e6)
+
     @property
     def _in_hand(self) -> bool:
         """A request has come whole, and has no answer yet."""
@@ -475,7 +484,7 @@
             if self._upload is not None:
                 data, self._piece = self._piece, bytearray()
                 if self._call is not None and not self._upload.whole:
-                    self._call.sent_us = int(self._sent_at * 1e6)
+                    self._call.sent_us = self.sent_us
                 self._upload.come(data)
             elif len(self._piece) > WHOLE_BYTES:
                 length = header(self._fields, b"content-length")
@@ -490,7 +499,7 @@
         data, self._piece = self._piece, bytearray()
         upload.come(data)
         self._call, self._upload = call, upload
-        upload.halt()
+        self.pause()
         self._take(call)
 
     def _take(self, call: Call) -> None:
@@ -498,7 +507,6 @@
         if self.left():
             self._call = self._upload = None
             return self.drop()
-        call.sent_us = int(self._sent_at * 1e6)
         self._taking = True
         try:
             self._server.taker.take(call)
