The request behind a large one is dated by itself

_Client._unread_since stood until a read told that all was read; a large body whose last read filled the buffer left it to the next request, which was dated by the pause before. test_a_request_behind_a_large_one_is_dated_by_itself failed before.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -696,6 +696,7 @@
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not self._overran:
             self.http.start_next_cycle()
             self._request, self._answer_out = None, False
+            self._unread_since = None  # it concerned the request before
             self._server.freed()
             super().resume()  # no effect where it was not paused
             if self.http.trailing_data[0]:
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -11,6 +11,7 @@
 from tests.loopback import KEYED, UNSAFE, Message, World, held_connects, post, world
 
 from lilacsill import backends as backends_module
+from lilacsill import server as server_module
 from lilacsill.backends import Backends
 from lilacsill.clock import Clock
 
@@ -190,6 +191,24 @@
     asyncio.run(run())
 
 
+def test_a_request_behind_a_large_one_is_dated_by_itself(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server_module, "READ_BYTES", 1)  # no read tells that all that had come is read
+
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.ask(post(body=LARGE))
+            await (await w.request()).answer()
+            assert (await client.read()).status == 200
+            (connection,) = w.server.connections
+            before = connection.sent_us
+            await client.write(post())
+            await w.request()
+            assert connection.sent_us > before
+
+    asyncio.run(run())
+
+
 def test_a_slow_client_has_its_whole_time_from_its_last_byte(
         tmp_path: Path, clock: type[SteppedClock]) -> None:
     async def run() -> None:
