--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -23,13 +23,13 @@
 from .config import Config, ConfigError, load, reload_discovery
 from .control import Door
 from .discovery import ASK_WAIT_MS, PUSH_WAIT_MS, Discovery
-from .event_loop import new_event_loop
 from .figures import Figures
 from .handover import Succession, inherit, path_for
 from .losses import Losses
 from .operators import Operators
 from .peers import Peers
 from .server import DrainTimes, Server
+from .turns import TurnLoop
 
 log = logging.getLogger("lilacsill")
 
@@ -149,7 +149,7 @@
     except ConfigError as e:
         print(f"lilacsill: {e}", file=sys.stderr)
         return 2
-    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=TurnLoop) as runner:
         return runner.run(serve(config, clock))
 
 
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -92,7 +92,9 @@
 
     def send(self, *events: h11.Event) -> None:
         """Write these events in one piece."""
-        data = b"".join(self.http.send(e) or b"" for e in events)
+        self.transmit(b"".join(self.http.send(e) or b"" for e in events))
+
+    def transmit(self, data: bytes) -> None:
         assert self.transport is not None
         if not data:  # the end of a body of known length: what has been written stays so, whatever broke
             return
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -16,10 +16,11 @@
 
 from brasshead.interface import Effect, RequestClass, Settings, Tenant
 
-from .connection import HEADER_LIMIT, Connection, Fields, Headers, fields_of, header
+from .connection import HEADER_LIMIT, READ_BYTES, Connection, Fields, Headers, fields_of, header
 from .discovery import Address
 from .listener import ACCEPTS, STARVED_S, listening
 from .sockets import accept
+from .turns import unread_since
 
 log = logging.getLogger(__name__)
 
@@ -35,6 +36,9 @@
 STREAMS_S = 60.0  # how long large answers may go on after a stop; whoever ordered it may end it before
 STUCK_S = 60.0  # a client that takes nothing of its answer for so long has stopped
 POLL_S = 0.01  # while the last requests end
+# Written as it stands where h11 may be in any state.
+PLAIN_FAILURE = (b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\nConnection: close\r\n\r\n"
+                 b"failed\n")
 LAST_S = 0.3  # for what has come in by the end: read, refused, and its refusal taken
 COME_AGAIN_US = 500_000  # a client turned away by a stop: by then another process serves, or will soon
 # From connecting, or from a request's first byte. Whoever stops is owed an error within 3 s, while an honest
@@ -63,12 +67,21 @@
     cost_us: int
     is_retry: bool
     client: Answerer
+    sent_us: int  # monotonic: when its client may have written its latest byte, at the earliest
     number: int = 0  # given by whoever takes it
 
+    def left_us(self, now: int) -> int:
+        """What its client still waits, counted from the latest byte; 0 or less: no longer."""
+        return self.sent_us + self.patience_us - now
+
 
 class Answerer(Protocol):
     """Where a call came from, and its one answer goes to: whole, or begun, passed on and finished."""
 
+    @property
+    def sent_us(self) -> int:
+        """When what has come last may have been written, at the earliest."""
+
     def waits(self, call: Call) -> bool:
         """Whether the client is still there for its answer; one that is not has left by then."""
 
@@ -82,6 +95,10 @@
     def finish(self, call: Call, whole: bool) -> None:
         """One that is not whole is broken off, so that the client can tell."""
 
+    def fail(self, call: Call) -> None:
+        """The end of one whose answer could not be written: a failure, or a break if a part of it is out.
+        Never raises, and does nothing for a call that has been answered."""
+
 
 class Source(Protocol):
     """Where the pieces of an answer come from."""
@@ -106,6 +123,7 @@
         self.length = length
         self.whole = False
         self.spent = False  # a part has been passed on and is no longer held
+        self.halted = True  # nothing is read: its client may have written all of it by now
         self.on_whole: Callable[[], None] = lambda: None
         self._connection = connection
         self._held = bytearray()
@@ -124,9 +142,11 @@
             self.halt()
 
     def halt(self) -> None:
+        self.halted = True
         self._connection.pause()
 
     def go_on(self) -> None:
+        self.halted = False
         self._connection.resume()
 
     def come(self, data: bytearray) -> None:
@@ -215,6 +235,7 @@
             method, target, [(k, fields[k]) for k in FORWARDED if k in fields],
             body, index, self._tenant(fields), self._patience_us(fields), _key(target),
             _work_hint(header(fields, b"work-hint")), fields.get(b"client-retry") == b"1", client,
+            client.sent_us,
         )
 
     def class_of(self, fields: Fields) -> int | None:
@@ -282,9 +303,13 @@
         self._call: Call | None = None
         self._upload: Upload | None = None  # the body, where it is large
         self._source: Source | None = None  # of an answer that is passed on as it comes
+        self._answer_out = False  # some of an answer has been written
         self._overran = False  # it has sent too much ahead, and what came after has been dropped
         self._unread: asyncio.TimerHandle | None = None  # set while a request is waited for
         self._began = self._body_began = self.last = 0.0  # the request, its body, its latest piece
+        self._sent_at = 0.0  # when the latest piece may have been written, at the earliest
+        self._accepted = unread_since(self._loop)
+        self._unread_since: float | None = None  # set where reading has paused, until all that came is read
         self._stuck: asyncio.TimerHandle | None = None  # set while the client takes nothing
 
     @property
@@ -312,9 +337,20 @@
         """A large answer is on its way, or the last bytes of any."""
         return self._source is not None or not self.written
 
+    @property
+    def sent_us(self) -> int:
+        return int(self._sent_at * 1e6)
+
+    @property
+    def _in_hand(self) -> bool:
+        """A request has come whole, and has no answer yet."""
+        return self._call is not None and (self._upload is None or self._upload.whole)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self._server.connections.add(self)
+        if not self.quiet():  # a request that came with the connection has waited for all turns since
+            self._unread_since = self._accepted
         self._await_whole()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -357,6 +393,7 @@
     def pause(self) -> None:
         """The client need not send anything while the agent does not read."""
         self._read_whole()
+        self._unread_since = self.last
         super().pause()
 
     def resume(self) -> None:
@@ -397,6 +434,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.last = self._loop.time()
+        self._date(len(data))
         if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
             data, self._blank = without_blank_lines(self._blank + data)
             if not data:
@@ -405,11 +443,20 @@
             return
         super().data_received(data)
 
+    def _date(self, length: int) -> None:
+        """A request's time runs from when its client wrote its last byte, not from when that was read."""
+        if self._in_hand and self.http.trailing_data[0]:
+            return  # it goes on a request sent ahead, which may have been whole before
+        since = unread_since(self._loop)
+        self._sent_at = since if self._unread_since is None else min(since, self._unread_since)
+        if length < READ_BYTES:
+            self._unread_since = None
+
     def _runs_ahead(self, data: bytes) -> bool:
         """Whether a client has sent more than is kept for after its answer, which is then its last. It is
         read on all the same: on a connection that is not, nobody sees the client leave.
         """
-        if self._call is None or not (self._upload is None or self._upload.whole):
+        if not self._in_hand:
             return False
         self._overran = self._overran or len(self.http.trailing_data[0]) + len(data) > AHEAD_LIMIT
         return self._overran
@@ -438,6 +485,8 @@
         try:
             if self._upload is not None:
                 data, self._piece = self._piece, bytearray()
+                if self._call is not None and not self._upload.whole:
+                    self._call.sent_us = self.sent_us
                 self._upload.come(data)
             elif len(self._piece) > WHOLE_BYTES:
                 length = header(self._fields, b"content-length")
@@ -546,7 +595,6 @@
 
     def answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None:
         if self._call is call:
-            self._call = self._upload = None
             self._respond(status, headers, body)
 
     def begin(self, call: Call, headers: Headers, length: int | None, source: Source) -> None:
@@ -563,14 +611,39 @@
             self._hold_source()
 
     def finish(self, call: Call, whole: bool) -> None:
+        if not whole:
+            self.fail(call)
+        elif self._call is call:
+            writable = self._writable()
+            if writable:
+                self.send(h11.EndOfMessage())
+            self._release_call()
+            if writable:
+                self._answered()
+
+    def fail(self, call: Call) -> None:
         if self._call is not call:
             return
+        self._release_call()
+        try:
+            if self._answer_out:
+                self._reset()
+            elif self._writable():
+                self.transmit(PLAIN_FAILURE)
+                self._part_somehow()
+        except Exception:
+            log.exception("could not tell a client of a failure")
+            self.drop()
+
+    def _release_call(self) -> None:
+        """The call has its answer, or nobody is there to take one. Only after the writing: until then it is
+        still to be failed, or left."""
         self._call = self._upload = self._source = None
-        if not whole:
-            self._reset()
-        elif self._writable():
-            self.send(h11.EndOfMessage())
-            self._answered()
+
+    def transmit(self, data: bytes) -> None:
+        # What goes out before an answer, as 100 Continue, is no part of it.
+        self._answer_out = self._answer_out or self.http.our_state is not h11.SEND_RESPONSE
+        super().transmit(data)
 
     def _hold_source(self) -> None:
         if not self.written and self._source is not None:
@@ -608,19 +681,35 @@
 
     def _respond(self, status: int, headers: Headers, body: bytes, part: bool = False) -> None:
         if not self._writable():
-            return
+            return self._release_call()
         fields = [*headers, (b"Content-Length", b"%d" % len(body)), *self._last_words(part)]
         head = self._request is not None and self._request.method == b"HEAD"
         data = [] if head or not body else [h11.Data(data=body)]
         self.send(h11.Response(status_code=status, headers=fields), *data, h11.EndOfMessage())
+        self._release_call()
         self._answered()
 
     def _answered(self) -> None:
-        """Go on to the next request, or part."""
+        """Go on to the next request, or part. The answer is out: no failure here may take it back."""
+        try:
+            self._go_on_or_part()
+        except Exception:
+            log.exception("connection failed after an answer")
+            self._part_somehow()
+
+    def _part_somehow(self) -> None:
+        try:
+            self._part()
+        except Exception:
+            log.exception("cannot part from a client in order")
+            self.drop()
+
+    def _go_on_or_part(self) -> None:
         assert self.transport is not None
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not self._overran:
             self.http.start_next_cycle()
-            self._request = None
+            self._request, self._answer_out = None, False
+            self._unread_since = None  # it concerned the request before
             self._server.freed()
             super().resume()  # no effect where it was not paused
             self._pass_over_blank_lines()
