--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -3,10 +3,11 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from typing import Any
 
 import pytest
-from tests.loopback import Message, Peer, held_connects
+from tests.loopback import KEYED, UNSAFE, Message, Peer, held_connects, post, world
 from tests.test_backends import ASK, FIELDS, listing
 
 from brasshead.interface import Outcome
@@ -101,6 +102,31 @@
     play(late)
 
 
+@pytest.mark.parametrize("cls", [KEYED, UNSAFE])
+@pytest.mark.parametrize("status, headers", SECOND_ANSWERS)
+def test_a_client_gets_no_answer_that_was_made_for_another(
+        tmp_path: Path, cls: str, status: int, headers: dict[str, str]) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            w.agent._backends.clock = ManualClock()
+            client = await w.ask(post(Request_Id="first"))
+            first = await w.request()
+            await first.answer(200, b"first")
+            assert (await client.read()).body == b"first"
+            await client.write(post(cls, Request_Id="second"))
+            while len(w.agent._out) == 0:
+                await asyncio.sleep(0)
+            await first.answer(status, b"first", **headers)
+            second = await w.request()
+            assert second.headers["request-id"] == "second"
+            await second.answer(200, b"second")
+            answer = await client.read()
+            assert (answer.status, answer.body) == (200, b"second")
+            assert w.nothing_sent()  # and has run once
+
+    asyncio.run(run())
+
+
 def test_a_request_goes_out_on_a_connection_that_is_quiet_before_its_own_is_up(
         monkeypatch: pytest.MonkeyPatch) -> None:
     async def soon(pool: Pool) -> None:
