Exchange: what is let go of is told how the attempt ended

Needed where a close depends on it; no change by itself. Merged without it, a test of the outcome in _release would raise a NameError that _end then logs, and every connection would be closed.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -437,7 +437,7 @@
             return
         self.ended = True
         try:
-            self._release()
+            self._release(outcome)
         except Exception:
             log.exception("an attempt did not end in good order")
             if self._connection is not None:
@@ -447,7 +447,7 @@
             self._headers.get(b"content-type"), self._begun_us >= 0,
         ))
 
-    def _release(self) -> None:
+    def _release(self, outcome: Outcome) -> None:
         """Let go of its timers, its place among those that wait, its body and its connection."""
         self._timer.cancel()
         if self._holding is not None:
