--- a/catalog/store.py
+++ b/catalog/store.py
@@ -7,21 +7,25 @@
 import contextlib
 import fcntl
 import os
+import re
 import secrets
 import shutil
 import sqlite3
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from durable.files import make_folder, sync_folder
+
 from .core import Answer, Change, Entry, History, State, Write
 
 FORMAT = 1
 FILE, LOCK = "catalog.sqlite3", "lock"
+RESTORED = "restored.sqlite3"  # a complete list that is to replace FILE
 SHIFT = 20  # a list changes less than 2**20 times a second over its life
 MOST_CHANGES, MOST_BYTES = 10_000, 32 * 1024 * 1024
 TABLES = """
@@ -37,8 +41,28 @@
     """The data cannot be trusted or used; the text is one line that names place and mend."""
 
 
+class Unavailable(Damaged):
+    """The disk fails or another process holds the data; nothing indicates that the data is damaged."""
+
+
 class NotWritten(Exception):
-    """The disk did not take it: nothing of it holds. The text is one line."""
+    """The disk failed and the transaction is rolled back. The message is one line.
+
+    After a crash it may still be found committed, unless `Store.settle` has returned before.
+    """
+
+
+PRIMARY = 0xFF  # mask of the primary code in SQLite's extended result codes
+# Result codes that do not indicate damaged data (https://sqlite.org/rescode.html).
+PASSING = frozenset({
+    sqlite3.SQLITE_IOERR, sqlite3.SQLITE_FULL, sqlite3.SQLITE_CANTOPEN, sqlite3.SQLITE_READONLY,
+    sqlite3.SQLITE_PERM, sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED, sqlite3.SQLITE_NOMEM,
+    sqlite3.SQLITE_PROTOCOL})
+
+
+def _may_pass(error: sqlite3.Error) -> bool:
+    """Whether an error comes from the disk or another process rather than from damaged data."""
+    return getattr(error, "sqlite_errorcode", 0) & PRIMARY in PASSING
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +86,7 @@
         self.path = folder / FILE
         self._lock = _locked(folder)
         self._db: sqlite3.Connection | None = None
+        self.in_doubt = False  # a failed commit may be complete in the log, and be recovered by a restart
         try:
             self._open(connect)
         except BaseException:
@@ -69,16 +94,29 @@
             raise
 
     def _open(self, connect: Any) -> None:
+        try:
+            finish_restore(self.path.parent)
+        except OSError as e:
+            raise Unavailable(f"{self.path}: {e.strerror}; mend the disk and start again") from None
         fresh = not self.path.exists()
         try:
             self._db = connect(str(self.path), isolation_level=None, check_same_thread=False)
-            self._db.execute("pragma journal_mode=wal")
+            mode = self._db.execute("pragma journal_mode=wal").fetchone()[0]
+            if mode != "wal":  # SQLite keeps the old mode without an error
+                raise Unavailable(f"{self.path}: the write-ahead log cannot be made ({mode} stays); "
+                                  "mend the disk and start again")
             self._db.execute("pragma synchronous=full")
             if fresh or not self._db.execute("select count(*) from sqlite_master").fetchone()[0]:
                 self._make()
             self._read()
+            # SQLite ignores errors of the directory sync when it creates its files.
+            sync_folder(self.path.parent)
         except sqlite3.DatabaseError as e:
+            if _may_pass(e):
+                raise Unavailable(f"{self.path}: {e}; mend the disk and start again") from None
             raise Damaged(f"{self.path}: {e}; restore a backup") from None
+        except OSError as e:
+            raise Unavailable(f"{self.path}: {e.strerror}; mend the disk and start again") from None
 
     def _make(self) -> None:
         db = self.db
@@ -99,9 +137,7 @@
     def _read(self) -> None:
         """The state, checked against its digest and SQLite's own check."""
         db = self.db
-        found = [row[0] for row in db.execute("pragma quick_check(1)")]
-        if found != ["ok"]:
-            raise Damaged(f"{self.path}: {found[0]}; restore a backup")
+        _check_integrity(db, "quick_check(1)", self.path)
         meta = dict(db.execute("select key, value from meta"))
         if meta.get("format") != str(FORMAT):
             raise Damaged(f"{self.path}: is of format {meta.get('format')}, this program's is {FORMAT}; "
@@ -126,7 +162,8 @@
     def commit(self, commands: Sequence[Command]) -> tuple[State, list[Answer], list[Change]]:
         """All commands, one after the other, in one transaction: on disk when this returns.
 
-        The state that it returns is to be given to `adopt`. Raises NotWritten, and then nothing holds.
+        The state that it returns is to be given to `adopt`. Raises NotWritten, and then nothing holds;
+        `settle` makes sure of that.
         """
         state = self.state.copy()
         answers, changes = [], []
@@ -167,10 +204,26 @@
                 db.execute("delete from history where revision <= ?", (self._drop_to,))
             db.execute("commit")
         except sqlite3.Error as e:
+            self.in_doubt = True
             with contextlib.suppress(sqlite3.Error):
                 if db.in_transaction:
                     db.execute("rollback")
             raise NotWritten(f"{self.path}: {e}") from None
+        self.in_doubt = False
+
+    def settle(self) -> None:
+        """Overwrite what a failed commit left in the write-ahead log. Raises NotWritten.
+
+        If only its sync failed, the transaction is complete there, and a restart would recover it.
+        """
+        if not self.in_doubt:
+            return
+        try:
+            version = self.db.execute("pragma user_version").fetchone()[0]
+            self.db.execute(f"pragma user_version={int(version == 0)}")  # any change will do
+        except sqlite3.Error as e:
+            raise NotWritten(f"{self.path}: {e}") from None
+        self.in_doubt = False
 
     def _write_fences(self, state: State) -> None:
         old = self.state.fences
@@ -200,36 +253,59 @@
 def _locked(folder: Path) -> int:
     """Held as long as the process lives: two that write to one file would each undo the other."""
     try:
-        folder.mkdir(parents=True, exist_ok=True)
+        make_folder(folder)
         fd = os.open(folder / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
     except OSError as e:
-        raise Damaged(f"{folder}: {e.strerror}; give a directory that can be written") from None
+        raise Unavailable(f"{folder}: {e.strerror}; give a directory that can be written") from None
     try:
         fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except OSError:
+    except BlockingIOError:
+        os.close(fd)
+        raise Unavailable(
+            f"{folder}: another process has it open; end that or give another directory") from None
+    except OSError as e:
         os.close(fd)
-        raise Damaged(f"{folder}: another process has it open; end that or give another directory") from None
+        raise Unavailable(f"{folder}: {e.strerror}; give a directory that can be locked") from None
     return fd
 
 
+def _holds_list(folder: Path) -> bool:
+    return (folder / FILE).exists() or (folder / RESTORED).exists()
+
+
 def check(folder: Path) -> list[str]:
     """What is in a directory, after every check there is; raises Damaged."""
-    if not (folder / FILE).exists():
+    if not _holds_list(folder):
         raise Damaged(f"{folder}: holds no list; give the directory of `serve --data`")
     store = Store(folder)
     try:
-        found = [row[0] for row in store.db.execute("pragma integrity_check")]
-        if found != ["ok"]:
-            raise Damaged(f"{store.path}: {found[0]}; restore a backup")
+        _check_integrity(store.db, "integrity_check", store.path)
         state = store.state
         return [f"list {store.identity}, revision {state.revision}, {len(state.entries)} members, "
                 f"{len(store.history)} changes kept, digest {state.digest:032x}"]
+    except sqlite3.Error as e:
+        raise Unavailable(f"{store.path}: {e}; mend the disk and try again") from None
     finally:
         store.close()
 
 
+def _check_integrity(db: sqlite3.Connection, check: str, path: Path) -> None:
+    """Run SQLite's own check, which reports read errors among the damage. Raises Damaged or Unavailable."""
+    found = [row[0] for row in db.execute(f"pragma {check}")]
+    if found == ["ok"]:
+        return
+    text = " ".join(found[0].split())
+    codes = [int(code) for code in re.findall(r"error code=(\d+)", text)]
+    if any(code & PRIMARY in PASSING for code in codes):
+        raise Unavailable(f"{path}: {text}; mend the disk and try again")
+    raise Damaged(f"{path}: {text}; restore a backup")
+
+
 def backup(folder: Path, to: Path) -> str:
-    """A copy of the list as it is in one file, taken while the service runs or not; returns what it holds."""
+    """A copy of the list as it is in one file, taken while the service runs or not; returns what it holds.
+
+    Raises Damaged, and then there is no such file.
+    """
     source = folder / FILE
     if not source.exists():
         raise Damaged(f"{folder}: holds no list; give the directory of `serve --data`")
@@ -237,35 +313,83 @@
         raise Damaged(f"{to}: is there already; name another file")
     new = to.with_name(f"{to.name}.{os.getpid()}")
     try:
-        with contextlib.closing(sqlite3.connect(f"file:{source}?mode=ro", uri=True)) as db, \
-                contextlib.closing(sqlite3.connect(new)) as copy:
-            db.backup(copy)
-            copy.execute("pragma journal_mode=delete")
+        with _copied(source, new) as copy:
             revision = copy.execute("select value from meta where key = 'revision'").fetchone()[0]
         _sync(new)
-        new.rename(to)
-        _sync(to.parent)
-    except (sqlite3.Error, TypeError) as e:
-        new.unlink(missing_ok=True)
+        os.replace(new, to)
+        _sync_name(to)
+    except OSError as e:
+        raise Unavailable(f"{to}: {e.strerror}; mend the disk or name another file") from None
+    except sqlite3.Error as e:
+        if _may_pass(e):
+            raise Unavailable(f"{source} to {to}: {e}; mend the disk or name another file") from None
         raise Damaged(f"{source}: {e}; check the directory") from None
+    except TypeError:
+        raise Damaged(f"{source}: has no revision; check the directory") from None
+    finally:
+        _remove(new)
     return str(revision)
 
 
+@contextlib.contextmanager
+def _copied(source: Path, to: Path) -> Iterator[sqlite3.Connection]:
+    """Copy a list into a single file, open for changes until the context ends."""
+    with contextlib.closing(sqlite3.connect(f"file:{source}?mode=ro", uri=True)) as db, \
+            contextlib.closing(sqlite3.connect(to)) as copy:
+        db.backup(copy)
+        mode = copy.execute("pragma journal_mode=delete").fetchone()[0]
+        if mode != "delete":  # a part of it would stay in another file
+            raise Unavailable(f"{to}: its write-ahead log cannot be ended ({mode} stays); mend the disk")
+        yield copy
+
+
+def _sync_name(path: Path) -> None:
+    """Flush the entry of a file that was just renamed, and remove the file if that fails. Raises OSError."""
+    try:
+        sync_folder(path.parent)
+    except OSError:
+        with contextlib.suppress(OSError):
+            os.unlink(path)
+        raise
+
+
+def _remove(path: Path) -> None:
+    """Remove a database with its journal, log and shared memory."""
+    for suffix in ("", "-journal", "-wal", "-shm"):
+        with contextlib.suppress(OSError):
+            os.unlink(f"{path}{suffix}")
+
+
 def restore(folder: Path, source: Path, unix_s: float | None = None) -> str:
     """The list of a backup under a new identity and above every revision ever given; returns what it holds.
 
-    What was in the directory is moved aside, not lost. Raises Damaged, and then nothing has changed.
+    What was in the directory is moved aside, not lost. Raises Damaged: then either nothing has changed, or,
+    as the text says, the next start has the restored list.
     """
     if not source.exists():
         raise Damaged(f"{source}: is not there; give the file that `backup` wrote")
     lock = _locked(folder)
+    try:
+        said = _make_restored(folder, source, unix_s)
+        try:
+            finish_restore(folder)
+        except OSError as e:
+            raise Unavailable(
+                f"{folder}: {e.strerror}; mend the disk, and the next start finishes the restore") from None
+        return said
+    except OSError as e:
+        raise Unavailable(f"{folder}: {e.strerror}; mend the disk and try again") from None
+    finally:
+        os.close(lock)
+
+
+def _make_restored(folder: Path, source: Path, unix_s: float | None) -> str:
+    """Create RESTORED from a backup and check it; returns a line on its content."""
     made = folder / "restoring"
     try:
         shutil.rmtree(made, ignore_errors=True)
         made.mkdir()
-        with contextlib.closing(sqlite3.connect(f"file:{source}?mode=ro", uri=True)) as db, \
-                contextlib.closing(sqlite3.connect(made / FILE)) as copy:
-            db.backup(copy)
+        with _copied(source, made / FILE) as copy:
             meta = dict(copy.execute("select key, value from meta"))
             revision = first_revision(time.time() if unix_s is None else unix_s, int(meta["revision"]))
             with copy:
@@ -273,26 +397,46 @@
                 copy.executemany("update meta set value = ? where key = ?", [
                     (str(revision), "revision"), (secrets.token_hex(8), "list")])
         said = check(made)[0]
-        _put_in_place(folder, made / FILE)
+        if (made / f"{FILE}-wal").exists():  # the final checkpoint failed
+            raise Unavailable(f"{made}: the write-ahead log stays; mend the disk and try again")
+        _sync(made / FILE)
+        os.replace(made / FILE, folder / RESTORED)
+        _sync_name(folder / RESTORED)
         return said
-    except (sqlite3.Error, KeyError, ValueError) as e:
+    except sqlite3.Error as e:
+        if _may_pass(e):
+            raise Unavailable(f"{source} to {folder}: {e}; mend the disk and try again") from None
+        raise Damaged(f"{source}: is no backup of a list ({e}); give another file") from None
+    except (KeyError, ValueError) as e:
         raise Damaged(f"{source}: is no backup of a list ({e}); give another file") from None
+    except Unavailable:
+        raise
     except Damaged as e:
         raise Damaged(f"{source}: holds no list that can be trusted ({e})") from None
     finally:
         shutil.rmtree(made, ignore_errors=True)
-        os.close(lock)
 
 
-def _put_in_place(folder: Path, new: Path) -> None:
-    _sync(new)
-    aside = folder / f"before-{time.time_ns()}"
-    for name in (FILE, f"{FILE}-wal", f"{FILE}-shm"):
-        if (folder / name).exists():
-            aside.mkdir(exist_ok=True)
-            (folder / name).rename(aside / name)
-    new.rename(folder / FILE)
-    _sync(folder)
+def finish_restore(folder: Path) -> None:
+    """Replace the list by RESTORED, if there is one, and move the old files to a directory beside it.
+
+    Idempotent, and run at each start too: a restore interrupted by a crash or a disk error would otherwise
+    leave no list, and the start would create an empty one. Raises OSError.
+    """
+    restored = folder / RESTORED
+    if not restored.exists():
+        return
+    before = [folder / f"{FILE}{suffix}" for suffix in ("", "-wal", "-shm")]
+    if any(path.exists() for path in before):
+        aside = folder / f"before-{restored.stat().st_mtime_ns}"  # the same at each try
+        aside.mkdir(exist_ok=True)
+        for path in before:
+            if path.exists():
+                os.replace(path, aside / path.name)
+        sync_folder(aside)
+        sync_folder(folder)  # an old log must never be found beside the new file
+    os.replace(restored, folder / FILE)
+    sync_folder(folder)
 
 
 def _sync(path: Path) -> None:
--- a/durable/files.py
+++ b/durable/files.py
@@ -1,4 +1,4 @@
-"""The seam to the file system: every call that durable state makes of it. A model of a disk fits here too."""
+"""File system access for durable state, as an interface that tests can replace, and its implementation."""
 from __future__ import annotations
 
 import contextlib
@@ -11,52 +11,83 @@
 
 
 class Refused(Exception):
-    """What is there cannot be used, and was not changed; the text is one line with place and mend."""
+    """The folder or a file in it cannot be used, and nothing was changed.
+
+    The message is one line that names the path, the problem and what to do about it.
+    """
 
 
 class Files(Protocol):
-    """The files of one folder, by name. Everything but a name given wrongly raises OSError."""
+    """The files of one folder, by name. Every method may raise OSError."""
 
     def names(self) -> list[str]: ...
 
     def read(self, name: str) -> bytes: ...
 
     def create(self, name: str) -> None:
-        """A new empty file; one of that name is gone."""
+        """Create an empty file as a new inode, replacing any file of that name."""
 
     def append(self, name: str, data: bytes) -> None:
-        """To a file that was created here."""
+        """Append to a file that `create` made. On an error, part of the data may have been written."""
 
     def sync(self, name: str) -> None:
-        """What was appended is on disk when this returns (fsync(2)); the name need not be."""
+        """Flush appended data to disk (fsync(2)). The directory entry is flushed by `sync_folder`."""
+
+    def finish(self, name: str) -> None:
+        """Close the file's descriptor: nothing more will be appended."""
 
     def rename(self, name: str, to: str) -> None: ...
 
     def remove(self, name: str) -> None: ...
 
     def sync_folder(self) -> None:
-        """Names are on disk as they are now."""
+        """Flush the directory entries to disk."""
 
     def close(self) -> None: ...
 
 
+def sync_folder(path: Path) -> None:
+    """Flush the entries of a directory to disk. Raises OSError."""
+    fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
+def make_folder(path: Path) -> None:
+    """Create a directory and its missing parents, and flush each new entry to disk. Raises OSError."""
+    if path.is_dir():
+        return
+    make_folder(path.parent)
+    path.mkdir(exist_ok=True)
+    try:
+        sync_folder(path.parent)
+    except OSError:
+        with contextlib.suppress(OSError):
+            path.rmdir()  # so that a retry creates and flushes it again
+        raise
+
+
 class Folder:
-    """The files of a folder on the system's disk, held by one process at a time."""
+    """`Files` on a real directory, which a lock file reserves for one process at a time."""
 
     def __init__(self, path: Path) -> None:
         """Raises Refused."""
         self.path = path
         self._open: dict[str, int] = {}
         try:
-            path.mkdir(parents=True, exist_ok=True)
+            make_folder(path)
             self._lock = os.open(path / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         except OSError as e:
             raise Refused(f"{path}: {e.strerror}; give a folder that can be written") from None
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
+        except OSError as e:
             os.close(self._lock)
-            raise Refused(f"{path}: another process has it; end that or give another folder") from None
+            if isinstance(e, BlockingIOError):
+                raise Refused(f"{path}: another process has it; end that or give another folder") from None
+            raise Refused(f"{path}: {e.strerror}; give a folder that can be locked") from None
 
     def names(self) -> list[str]:
         return sorted(name for name in os.listdir(self.path) if name != LOCK)
@@ -65,8 +96,10 @@
         return (self.path / name).read_bytes()
 
     def create(self, name: str) -> None:
-        self._forget(name)
-        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+        self.finish(name)
+        with contextlib.suppress(FileNotFoundError):
+            os.unlink(self.path / name)
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC
         self._open[name] = os.open(self.path / name, flags, 0o600)
 
     def append(self, name: str, data: bytes) -> None:
@@ -77,30 +110,26 @@
     def sync(self, name: str) -> None:
         os.fsync(self._open[name])
 
+    def finish(self, name: str) -> None:
+        fd = self._open.pop(name, None)
+        if fd is not None:
+            with contextlib.suppress(OSError):
+                os.close(fd)
+
     def rename(self, name: str, to: str) -> None:
         os.replace(self.path / name, self.path / to)
-        self._forget(to)
+        self.finish(to)
         if name in self._open:
             self._open[to] = self._open.pop(name)
 
     def remove(self, name: str) -> None:
-        self._forget(name)
+        self.finish(name)
         os.unlink(self.path / name)
 
     def sync_folder(self) -> None:
-        fd = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-        try:
-            os.fsync(fd)
-        finally:
-            os.close(fd)
+        sync_folder(self.path)
 
     def close(self) -> None:
         for name in list(self._open):
-            self._forget(name)
+            self.finish(name)
         os.close(self._lock)
-
-    def _forget(self, name: str) -> None:
-        fd = self._open.pop(name, None)
-        if fd is not None:
-            with contextlib.suppress(OSError):
-                os.close(fd)
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -103,9 +103,12 @@
 
     def resume(self, state: dict[str, Any], known: Listing) -> None:
         """Go on from what another process hands over, or start where its list cannot be read."""
+        parser = self._discovery.parser
+        if "starts" in state:  # an earlier version hands over none
+            parser.starts.resume(state["starts"])
         try:
             roster = state["roster"]
-            listing = self._roster.resume(roster, self._discovery.parser.parse(roster["list"]))
+            listing = self._roster.resume(roster, parser.parse(roster["list"]))
             self._heard = True
         except (ValueError, KeyError, TypeError, AttributeError) as e:
             log.warning("starts without the list that was handed over: %s", e)
@@ -123,7 +126,8 @@
 
     def state(self) -> dict[str, Any]:
         """What another process goes on from."""
-        return {"roster": self._roster.state(self._discovery.parser.form),
+        parser = self._discovery.parser
+        return {"roster": self._roster.state(parser.form), "starts": parser.starts.state(),
                 "memory": memory.take(self._balancer)}
 
     def move(self, discovery: tuple[Address, ...]) -> None:
@@ -270,10 +274,10 @@
             self._out[number, attempt] = exchange
 
     def _wanted(self, a: q.Send) -> bool:
-        """Whether an attempt that has waited for its connection is still to go out."""
+        """Whether an attempt is still to go out. The client is asked last, so that its leaving shows."""
         held = self._held.get(a.request)
-        return (held is not None and held.call.client.waits(held.call)
-                and (not a.until_us or self._clock.now() < a.until_us))
+        in_time = not a.until_us or self._clock.now() < a.until_us
+        return held is not None and in_time and held.call.client.waits(held.call)
 
     def _attempt_ended(self, number: int, attempt: int, backend: q.BackendId, result: Result) -> None:
         served, held = result.outcome is q.Outcome.OK, self._held.get(number)
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -22,6 +22,8 @@
 
 # What this process lacks for a connection: descriptors, ports. No word on the backend.
 LACKING = (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL)
+# Ends that the agent makes itself: nothing of the request that the backend has not got may reach it later.
+GIVEN_UP = (Outcome.CANCELLED, Outcome.TIMEOUT)
 HOST = b"origin.svc"
 PROBE_US = 50_000  # a load told later than this is of no use to the requests that asked for it
 IDLE_SHARE = 0.7  # of the time after which a backend closes an idle connection; then it is retired here
@@ -189,11 +191,11 @@
         member = self._backends.ready(self._backend)
         if member is None:
             return self._end(Outcome.NOT_SENT)
-        if not self.may_go():
-            return
         connection = self._backends.take(member)
         if connection is not None:
             return self.carry(connection)
+        if not self.may_go():
+            return
         if not self._backends.room():
             return self._end(Outcome.NOT_SENT)
         self._backends.dial(member, self)
@@ -225,6 +227,7 @@
         try:
             self._put(connection)
         except Exception:
+            self._connection = connection  # not to be used again
             self._failed()
 
     def _failed(self) -> None:
@@ -233,7 +236,6 @@
         self._end(self._lost())
 
     def _put(self, connection: _Pooled) -> None:
-        self._connection, connection.exchange = connection, self
         ask, body, headers = self._ask, self._ask.body, [(b"Host", HOST), *self._ask.headers]
         large = not isinstance(body, bytes)
         if ask.reader is not None:
@@ -249,6 +251,10 @@
         events: list[h11.Event] = [h11.Request(method=ask.method, target=ask.target, headers=headers)]
         if start:
             events.append(h11.Data(data=start))
+        if not self._wanted():  # asked behind the last look at the clock: the agent may be held up there
+            self._end(Outcome.NOT_SENT)
+            return self._backends.hand_on(connection)
+        self._connection, connection.exchange = connection, self
         if isinstance(body, bytes) or body.whole:
             connection.send(*events, h11.EndOfMessage())
             if connection.written:
@@ -458,6 +464,8 @@
             self._ask.body.stop(self)
         if self._connection is not None:
             self.resume()
+            if outcome in GIVEN_UP:
+                self._connection.reset_on_close()
             self._connection.exchange = None
             self._backends.give_back(self._connection)
 
@@ -579,13 +587,18 @@
                 del self._waiting[backend]
 
     def _offer(self, connection: _Pooled) -> None:
+        """It is free from now on."""
+        connection.idle_since = self.clock.now()
+        self.hand_on(connection)
+
+    def hand_on(self, connection: _Pooled) -> None:
         """To the exchange that has waited longest and may still go out, else kept."""
         if connection.reusable_at <= self.clock.now() and self._hand_over(connection):
             return
         backend = connection.member.backend.id
-        connection.idle_since = self.clock.now()
+        left_us = connection.idle_since + self._idle_us - self.clock.now()
         connection.retire = asyncio.get_running_loop().call_later(
-            self._idle_us / 1e6, self._retired, connection)
+            left_us / 1e6, self._retired, connection)
         self._idle.setdefault(backend, []).append(connection)
         self._await_quiet(backend)
 
