--- a/catalog/store.py
+++ b/catalog/store.py
@@ -26,6 +26,7 @@
 FORMAT = 1
 FILE, LOCK = "catalog.sqlite3", "lock"
 RESTORED = "restored.sqlite3"  # a complete list that is to replace FILE
+ASIDE = "before-"  # begins the name of a directory with a list that a restore has replaced
 SHIFT = 20  # a list changes less than 2**20 times a second over its life
 MOST_CHANGES, MOST_BYTES = 10_000, 32 * 1024 * 1024
 TABLES = """
@@ -391,7 +392,8 @@
         made.mkdir()
         with _copied(source, made / FILE) as copy:
             meta = dict(copy.execute("select key, value from meta"))
-            revision = first_revision(time.time() if unix_s is None else unix_s, int(meta["revision"]))
+            above = max(int(meta["revision"]), _highest_revision(folder))
+            revision = first_revision(time.time() if unix_s is None else unix_s, above)
             with copy:
                 copy.execute("delete from history")  # of the other list: who watched that one starts anew
                 copy.executemany("update meta set value = ? where key = ?", [
@@ -417,6 +419,18 @@
         shutil.rmtree(made, ignore_errors=True)
 
 
+def _highest_revision(folder: Path) -> int:
+    """Of the lists in a directory, one that is put aside included, as far as they can be read. The clock may
+    be behind them, and a backup is older than what was given after it."""
+    highest = 0
+    for path in (folder / FILE, *folder.glob(f"{ASIDE}*/{FILE}")):
+        with contextlib.suppress(sqlite3.Error, TypeError, ValueError), \
+                contextlib.closing(sqlite3.connect(f"file:{path}?mode=ro", uri=True)) as db:
+            row = db.execute("select value from meta where key = 'revision'").fetchone()
+            highest = max(highest, int(row[0]))
+    return highest
+
+
 def finish_restore(folder: Path) -> None:
     """Replace the list by RESTORED, if there is one, and move the old files to a directory beside it.
 
@@ -428,7 +442,7 @@
         return
     before = [folder / f"{FILE}{suffix}" for suffix in ("", "-wal", "-shm")]
     if any(path.exists() for path in before):
-        aside = folder / f"before-{restored.stat().st_mtime_ns}"  # the same at each try
+        aside = folder / f"{ASIDE}{restored.stat().st_mtime_ns}"  # the same at each try
         aside.mkdir(exist_ok=True)
         for path in before:
             if path.exists():
--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -5,7 +5,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import os
 import signal
@@ -24,6 +23,7 @@
 from .config import Config, ConfigError, load, reload_discovery
 from .control import Door
 from .discovery import ASK_WAIT_MS, PUSH_WAIT_MS, Discovery
+from .event_loop import new_event_loop
 from .figures import Figures
 from .handover import Succession, inherit, path_for
 from .losses import Losses
@@ -118,6 +118,8 @@
     log.info("%s stops", config.name)
     # From here on they would meet the interpreter's own handlers, and a SIGHUP be a crash.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM, signal.SIGINT})
+    # One that has come just now would be carried out while the tasks are cancelled, and start new ones.
+    loop.remove_signal_handler(signal.SIGHUP)
     return 0
 
 
@@ -136,10 +138,7 @@
 
 def _unhandled(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     """What no one caught is logged and ends neither the process nor other requests."""
-    error = context.get("exception")
-    if isinstance(error, OSError) and error.errno in (errno.EMFILE, errno.ENFILE):
-        return  # at the door; the loop tries again by itself, and would say so for each caller that waits
-    log.error("unhandled: %s", context.get("message"), exc_info=error)
+    log.error("unhandled: %s", context.get("message"), exc_info=context.get("exception"))
 
 
 def main() -> int:
@@ -150,7 +149,8 @@
     except ConfigError as e:
         print(f"lilacsill: {e}", file=sys.stderr)
         return 2
-    return asyncio.run(serve(config, clock))
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        return runner.run(serve(config, clock))
 
 
 if __name__ == "__main__":
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -17,11 +17,10 @@
 from .connection import Connection, Fields, Headers, fields_of, header
 from .discovery import Listing, Member
 from .quiet_period import QUIET_US, QuietPeriods
+from .sockets import Lacking, connecting
 
 log = logging.getLogger(__name__)
 
-# What this process lacks for a connection: descriptors, ports. No word on the backend.
-LACKING = (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL)
 # Ends that the agent makes itself: nothing of the request that the backend has not got may reach it later.
 GIVEN_UP = (Outcome.CANCELLED, Outcome.TIMEOUT)
 HOST = b"origin.svc"
@@ -82,7 +81,6 @@
     headers: Headers
     body: bytes | Body = b""
     reader: Reader | None = None  # None: a probe
-    hold_us: int = 0  # an answer of unknown length is passed on if it is not whole after so long
     wanted: Callable[[], bool] = lambda: True  # asked last thing before it goes out: time has passed since
 
 
@@ -99,6 +97,15 @@
     return report if all(0.0 <= x < 1e9 for x in report) else ()
 
 
+def _is_up(sock: socket.socket) -> bool:
+    """Whether it has come to be connected."""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 class _Pooled(Connection):
     """A connection to a backend; idle, or in the hands of one exchange."""
 
@@ -178,7 +185,6 @@
         self._moved = 0.0  # when anything last came or went, by the loop's clock
         self.ended = False
         self._timer = self._loop.call_later(timeout_us / 1e6, self._timed_out)
-        self._holding: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         try:
@@ -227,7 +233,8 @@
         try:
             self._put(connection)
         except Exception:
-            self._connection = connection  # not to be used again
+            if self._connection is None:  # nothing has gone out on it; it is not to be used again
+                connection.drop()
             self._failed()
 
     def _failed(self) -> None:
@@ -355,27 +362,15 @@
             return
         if self._begun_us < 0 and len(self._body) > ANSWER_BYTES:
             self._too_large_to_hold()
-        elif self._begun_us < 0 and self._body and self._length is None and self._holding is None:
-            self._holding = self._loop.call_later(self._ask.hold_us / 1e6, self._held_long)
         if self._begun_us >= 0 and self._body and not self.ended:
             data, self._body = bytes(self._body), bytearray()
             self._moved = self._loop.time()
             assert self._ask.reader is not None
             self._ask.reader.more(self, data)
 
-    def _held_long(self) -> None:
-        """Whether an answer will be large is not known, but its client has waited for it long enough."""
-        try:
-            self._too_large_to_hold()
-            self.on_read()
-        except Exception:
-            log.exception("an answer could not be passed on")
-            self._end(Outcome.ERROR)
-
     def _too_large_to_hold(self) -> None:
-        """Only an answer that counts is passed on; of any other the status says enough."""
-        if self._holding is not None:
-            self._holding.cancel()
+        """Only an answer that counts is passed on; of any other the status says enough. A smaller one is held
+        until it is whole, however long its server takes: once begun, it could break off."""
         reader = self._ask.reader
         if self._status != 200 or reader is None:
             return self._end(self._answered())
@@ -456,8 +451,6 @@
     def _release(self, outcome: Outcome) -> None:
         """Let go of its timers, its place among those that wait, its body and its connection."""
         self._timer.cancel()
-        if self._holding is not None:
-            self._holding.cancel()
         self._backends.waits_no_more(self._backend, self)
         if self._sending:
             assert not isinstance(self._ask.body, bytes)
@@ -540,8 +533,10 @@
         backend, connection, outcome = member.backend.id, None, Outcome.NOT_SENT
         try:
             connection = await self._connected(member)
-        except (OSError, TimeoutError) as e:
-            outcome = Outcome.NOT_SENT if e.errno in LACKING else Outcome.CONNECT_FAILED
+        except Lacking:
+            log.debug("nothing to connect with", exc_info=True)
+        except OSError:
+            outcome = Outcome.CONNECT_FAILED
         except Exception:
             log.exception("attempt failed before it was sent")
         self._dials[backend] -= 1
@@ -563,15 +558,14 @@
         """A connection that is up. Only the handshake is timed, and by what the kernel says of it: an agent
         whose loop is late must not take its own lateness for the backend's."""
         loop, address = asyncio.get_running_loop(), member.address
-        # With its protocol's number, or asyncio leaves small writes to be held back by the system.
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        sock = connecting()
         try:
-            sock.setblocking(False)
             try:
                 async with asyncio.timeout(self._connect_s):
                     await loop.sock_connect(sock, (address.host, address.port))
-            except TimeoutError:
-                sock.getpeername()  # raises where it is not up even now
+            except TimeoutError as e:
+                if e.errno == errno.ETIMEDOUT or not _is_up(sock):  # the former is the kernel's own word
+                    raise
             _, connection = await loop.create_connection(lambda: _Pooled(member, self._discard), sock=sock)
         except BaseException:
             sock.close()
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -4,7 +4,6 @@
 import asyncio
 import logging
 import re
-import select
 import socket
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -17,8 +16,10 @@
 
 from brasshead.interface import Effect, RequestClass, Settings, Tenant
 
-from .connection import Connection, Fields, Headers, fields_of, header
+from .connection import HEADER_LIMIT, Connection, Fields, Headers, fields_of, header
 from .discovery import Address
+from .listener import ACCEPTS, STARVED_S, listening
+from .sockets import accept
 
 log = logging.getLogger(__name__)
 
@@ -29,9 +30,7 @@
 TIMEOUT_LIMIT_MS = 24 * 3600 * 1000
 BACKLOG = 512
 EXTRA = 32  # connections beyond the limit while none is idle; half of the descriptors set apart
-ACCEPTS = 32  # in one turn of the loop
 FIRST_S = 0.5  # a new connection has so long for its first request before it counts as idle
-STARVED_S = 0.1  # without descriptors, or room, until the next try
 LINGER_S, LINGER_MOST_S = 1.0, 30.0  # after an answer in the middle of a request: in silence, in all
 STREAMS_S = 60.0  # how long large answers may go on after a stop; whoever ordered it may end it before
 STUCK_S = 60.0  # a client that takes nothing of its answer for so long has stopped
@@ -366,7 +365,7 @@
             now = self._loop.time()
             self._body_began += now - self.last
             self.last = now
-            self._unread = self._loop.call_later(DECIDED_S, self._look)
+            self._unread = self._loop.call_later(max(0.0, self._due() - now), self._look)
 
     def _too_slow(self) -> None:
         self._read_whole()
@@ -399,11 +398,8 @@
     def data_received(self, data: bytes) -> None:
         self.last = self._loop.time()
         if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
-            data = self._blank + data  # empty lines before a request are to be passed over
-            while data.startswith(b"\r\n"):
-                data = data[2:]
-            self._blank = data if data == b"\r" else b""
-            if self._blank or not data:
+            data, self._blank = without_blank_lines(self._blank + data)
+            if not data:
                 return
         if self._runs_ahead(data):
             return
@@ -627,11 +623,23 @@
             self._request = None
             self._server.freed()
             super().resume()  # no effect where it was not paused
+            self._pass_over_blank_lines()
             if self.http.trailing_data[0]:
                 self._loop.call_soon(self.resume_reading)
         else:
             self._part()
 
+    def _pass_over_blank_lines(self) -> None:
+        """Those that came with the request before: h11 takes them for a bad request of their own."""
+        ahead = self.http.trailing_data[0]
+        if not ahead.startswith(b"\r"):
+            return
+        rest, self._blank = without_blank_lines(ahead)
+        if rest != ahead:
+            self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
+            if rest:
+                self.http.receive_data(rest)
+
     def _part(self) -> None:
         """Part after an answer: read and drop what still comes. Whatever the client has sent by then, a
         request ahead or the rest of a body, a close over unread bytes would reset the answer away.
@@ -653,11 +661,12 @@
             self._loop.call_later(LINGER_S, self._lingered, until)
 
 
-def _readable(sock: socket.socket) -> bool:
-    """Whether there is something to read, or somebody to accept, as far as the kernel knows."""
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
+def without_blank_lines(data: bytes) -> tuple[bytes, bytes]:
+    """What follows the empty lines, which are to be passed over before a request; and half of one more,
+    where it ends in that."""
+    while data.startswith(b"\r\n"):
+        data = data[2:]
+    return (b"", data) if data == b"\r" else (data, b"")
 
 
 def _itself(client: _Client) -> _Client:
@@ -700,18 +709,27 @@
 
     async def listen(self, address: Address, shared: bool = False) -> int:
         """Returns the port, for an address whose port is 0. A shared one can be listened on once more."""
-        return self.take_over(socket.create_server(
-            (address.host, address.port), backlog=BACKLOG, reuse_port=shared))
+        return self.take_over(await listening(address, BACKLOG, shared))
 
     def take_over(self, listener: socket.socket) -> int:
         """Accept from a socket that listens already; returns its port."""
         self.listener = listener
         listener.setblocking(False)
-        # What is accepted inherits it; asyncio sets it only on a socket made with its protocol's number.
-        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._write_at_once()
         self.freed()
         return int(listener.getsockname()[1])
 
+    def _write_at_once(self) -> None:
+        """Small writes are not to be held back. What is accepted inherits it; asyncio sets it only on a
+        socket made with its protocol's number."""
+        if self.listener is None:
+            return
+        try:
+            self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as e:
+            log.warning("small writes are held back for now: %s", e.strerror)
+            asyncio.get_running_loop().call_later(STARVED_S, self._write_at_once)
+
     def limit(self, most: int, shared: bool) -> None:
         """So many connections at once from now on; those beyond it end in their own time. Where the listener
         is shared, what is not accepted here because of it is left to the other process."""
@@ -724,9 +742,9 @@
             self._accepting = True
             asyncio.get_running_loop().add_reader(self.listener, self._accept)
 
-    def _accept(self, most: int = ACCEPTS) -> None:
-        """Take some that wait. Beyond the limit the kernel holds them: accepting on without descriptors fails
-        for each one that waits, again and again."""
+    def _accept(self, most: int = ACCEPTS) -> bool:
+        """Take some that wait; whether nobody does any more. Beyond the limit the kernel holds them:
+        accepting on without descriptors fails for each one that waits, again and again."""
         assert self.listener is not None
         loop = asyncio.get_running_loop()
         resting = self._resting()
@@ -737,22 +755,25 @@
                 self._accepting = False
                 loop.remove_reader(self.listener)
                 loop.call_later(STARVED_S, self.freed)  # new ones that say nothing will make way by then
-                return
+                return False
             try:
-                sock, _address = self.listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                sock = accept(self.listener)
+            except BlockingIOError:
+                return True
+            except ConnectionAbortedError:
+                continue
             except OSError as e:
-                return self._starve(e)
+                self._starve(e)
+                return False
             self._starved = False
             if makes_way is not None:  # only now: before, nobody may have waited
                 makes_way.drop()
-            sock.setblocking(False)
             client = _Client(self)
             task: asyncio.Task[object] = loop.create_task(
                 loop.connect_accepted_socket(partial(_itself, client), sock))
             self._coming[task] = client
             task.add_done_callback(self._coming.pop)
+        return False
 
     def _starve(self, error: OSError) -> None:
         """Nothing to accept with. The kernel goes on saying that one waits: asked again at once, that would
@@ -835,8 +856,7 @@
         accepted yet. Those beyond the limit come as the ones before them, refused, have left."""
         loop = asyncio.get_running_loop()
         while self.listener is not None and loop.time() < last:
-            self._accept(BACKLOG)
-            if not _readable(self.listener):
+            if self._accept(BACKLOG):
                 return
             self._refuse_unfinished()
             await asyncio.sleep(POLL_S)
