--- a/faultlab/parts/clients.py
+++ b/faultlab/parts/clients.py
@@ -336,6 +336,7 @@
         conn.answered = rid
         if conn.surplus:
             self.book.write(Surplus(t=now_us(), who=self.plan.name, rid=rid, bytes=conn.surplus))
+            conn.surplus = 0
 
     def _depart(self, conn: Conn, rid: str, how: str, told: str = "") -> None:
         self.book.write(Departed(t=now_us(), who=self.plan.name, rid=rid, how=told or how))
@@ -420,7 +421,6 @@
         """Of a connection that rested after its answer."""
         if conn.surplus and conn.answered:
             self._note_surplus(conn, conn.answered)
-            conn.surplus = 0
 
     def _keep(self, conn: Conn) -> None:
         if conn.closed:
