--- a/fleetsim/ours.py
+++ b/fleetsim/ours.py
@@ -20,7 +20,7 @@
 
 
 class _NoCold(ColdBudget):
-    def admits(self, s: Server, now: int, luck: float, asked: bool, mean: float) -> bool:
+    def admits(self, s: Server, now: int, r: Request, asked: bool, mean: float) -> bool:
         return True
 
 
--- a/fleetsim/trace.py
+++ b/fleetsim/trace.py
@@ -124,7 +124,7 @@
         admitted = super()._admits(r, s)
         seen = self._look(r, s)
         if not admitted:
-            cold = self.cold.admits(s, self.now, r.luck, self.asks, self.table.mean)
+            cold = self.cold.admits(s, self.now, r, self.asks, self.table.mean)
             well = self.health.admits(s, self.now, self.table.typical)
             seen["verdict"] = "ill" if not well else "cold" if not cold else "unheard"
         return admitted
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -21,6 +21,7 @@
 BALANCERS, SERVICE_S, QUEUE, TRIP_US, END_S = 30, 0.05, 20, MS, 4.0
 CLASSES = (RequestClass("safe", 500 * MS, 2 * SECOND),
            RequestClass("unsafe", 500 * MS, 2 * SECOND, Effect.UNSAFE))
+PATIENT = tuple(replace(c, aim_us=1_500 * MS, deadline_us=4 * SECOND) for c in CLASSES)
 
 
 @dataclass
@@ -33,6 +34,7 @@
     waiting: list[Callable[[], None]] = field(default_factory=list)
     busy: int = 0
     got: list[int] = field(default_factory=list)
+    sizes: list[float] = field(default_factory=list)  # their work, as a multiple of the mean
 
     def capacity(self, now: int) -> float:
         """Requests a second."""
@@ -42,6 +44,18 @@
             ramp = self.told.start_fraction + (1.0 - self.told.start_fraction) * age
         return ramp * self.slots / SERVICE_S
 
+    def most_of_budget(self) -> float:
+        """The most work that came in any window, as a share of the budget at the window's start."""
+        most, first, work, window = 0.0, 0, 0.0, self.told.fall_window_us
+        for at, size in zip(self.got, self.sizes, strict=True):
+            work += size
+            while self.got[first] <= at - window:
+                work -= self.sizes[first]
+                first += 1
+            n = self.told.fall_multiple * self.capacity(self.got[first]) * window / SECOND
+            most = max(most, work / (n + (2 * sqrt(n) + 2 if n >= 30 else 3 * sqrt(n) + 3)))
+        return most
+
     def most_over_chance(self) -> float:
         """The most that came in any window, as a share of N + 2 x root of N + 2 at the window's start."""
         most, first, window = 0.0, 0, self.told.fall_window_us
@@ -57,20 +71,23 @@
     """Balancers with uneven traffic, warm servers, and cold ones that all are told of as a burst begins."""
 
     def __init__(self, seed: int, warm: int, cold: int, slots: int, load: float, burst: float,
-                 **settings: Any) -> None:
+                 agents: int = BALANCERS, queue: int = QUEUE, classes: tuple[RequestClass, ...] = CLASSES,
+                 work: tuple[float, float] = (1.0, 1.0), told_us: int = 50 * MS, **settings: Any) -> None:
+        self.agents, self.room, self.work_of, self.told_us = agents, queue, work, told_us
         self.rng, self.now, self.queue, self.count = Random(seed), SECOND, list[Any](), 0
         given: dict[str, Any] = {"report_fields": ("inflight",), "fall_multiple": 2.5,
                                  "fall_window_us": 1_500 * MS, "start_fraction": 0.15,
                                  "warm_up_us": 20 * SECOND}
-        self.told = Settings(classes=CLASSES, siblings=BALANCERS, tick_us=MS, **(given | settings))
-        self.balancers = [Balancer(self.told, 1000 * seed + i) for i in range(BALANCERS)]
-        self.requests, self.attempts = [0] * BALANCERS, [dict[int, int]() for _ in self.balancers]
+        self.told = Settings(classes=classes, siblings=agents, tick_us=MS, **(given | settings))
+        self.balancers = [Balancer(self.told, 1000 * seed + i) for i in range(agents)]
+        self.requests, self.attempts = [0] * agents, [dict[int, int]() for _ in self.balancers]
+        self.classes = [dict[int, int]() for _ in self.balancers]
         self.meters = {f"s{i}": Meter(slots, 0, self.told) for i in range(warm)}
         self.rate, self.burst = load * warm * slots / SERVICE_S, burst
         parts = [self.rng.paretovariate(1.5) for _ in self.balancers]
         self.parts = [part / sum(parts) for part in parts]
         known = [Backend(name) for name in self.meters]
-        for i in range(BALANCERS):
+        for i in range(agents):
             self.event(i, BackendsChanged(ListKind.CACHED, known))
             self.later(self.rng.randrange(200 * MS), partial(self.client, i))
         self.later(SECOND // 2, partial(self.join, cold, slots))
@@ -88,13 +105,15 @@
     def join(self, cold: int, slots: int) -> None:
         new = [Backend(f"new{i}", started_at=self.now) for i in range(cold)]
         self.meters |= {str(b.id): Meter(slots, self.now, self.told) for b in new}
-        for i in range(BALANCERS):
+        for i in range(self.agents):
             told = partial(self.event, i, BackendsChanged(ListKind.DELTA, new))
-            self.later(self.rng.randrange(50 * MS), told)
+            self.later(self.rng.randrange(self.told_us), told)
 
     def client(self, i: int) -> None:
         self.requests[i] += 1
-        self.event(i, RequestArrived(self.requests[i], int(self.rng.random() < 0.3), 2 * SECOND))
+        number = int(self.rng.random() < 0.3)
+        self.classes[i][self.requests[i]] = number
+        self.event(i, RequestArrived(self.requests[i], number, 2 * SECOND))
         rate = self.rate * self.parts[i] * (self.burst if self.now > 1_500 * MS else 1.0)
         self.later(self.rng.expovariate(rate) * SECOND, partial(self.client, i))
 
@@ -110,7 +129,8 @@
     def arrives(self, i: int, a: Send, number: int, sent: int) -> None:
         meter = self.meters[str(a.backend)]
         meter.got.append(self.now)
-        if len(meter.waiting) >= QUEUE:
+        meter.sizes.append(self.work_of[self.classes[i][a.request]])
+        if len(meter.waiting) >= self.room:
             return self.ends(i, a, number, sent, meter, Outcome.REJECTED)
         meter.waiting.append(partial(self.starts, i, a, number, sent, meter))
         self.work(meter)
@@ -121,7 +141,8 @@
 
     def starts(self, i: int, a: Send, number: int, sent: int, meter: Meter) -> None:
         meter.busy += 1
-        took = self.rng.expovariate(meter.capacity(self.now) / meter.slots) * SECOND
+        work = self.work_of[self.classes[i][a.request]]
+        took = work * self.rng.expovariate(meter.capacity(self.now) / meter.slots) * SECOND
         self.later(took, partial(self.served, i, a, number, sent, meter))
 
     def served(self, i: int, a: Send, number: int, sent: int, meter: Meter) -> None:
@@ -159,12 +180,9 @@
     assert most(day) <= 1.0
 
 
-def test_a_jam_behind_long_waiting_rooms_keeps_to_the_cold_budget(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_jam_behind_long_waiting_rooms_keeps_to_the_cold_budget() -> None:
     # Aims of 1.5 s and room for a thousand let the warm ones fill up before anything is refused.
-    monkeypatch.setattr("tests.test_cold_fleet.QUEUE", 1_000)
-    monkeypatch.setattr("tests.test_cold_fleet.CLASSES", tuple(
-        replace(c, aim_us=1_500 * MS, deadline_us=4 * SECOND) for c in CLASSES))
-    (meter,) = Fleet(1, warm=5, cold=1, slots=8, load=0.8, burst=4.0).run()
+    (meter,) = Fleet(1, warm=5, cold=1, slots=8, load=0.8, burst=4.0, queue=1_000, classes=PATIENT).run()
     assert meter.most_over_chance() <= 1.0
 
 
--- /dev/null
+++ b/tests/test_cold_sum.py
@@ -0,0 +1,68 @@
+"""A cold server's budget binds the sum over any number of agents: a single one as well as hundreds.
+
+The budget of a window is N + 2 x root of N + 2 requests of mean work, N + 3 x root of N + 3 where N is under
+30, with N = fall_multiple x the server's capacity at the window's start x the window.
+"""
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from tests.helpers import MS, SECOND, Drive, only
+from tests.test_cold_fleet import PATIENT, Fleet
+
+from brasshead.interface import Backend, Outcome, Send
+
+JAM: dict[str, Any] = {"warm": 5, "cold": 1, "slots": 8, "load": 0.8, "burst": 4.0, "queue": 1_000,
+                       "classes": PATIENT}
+BURST: dict[str, Any] = {"warm": 8, "cold": 1, "slots": 4, "load": 0.6, "burst": 4.0}
+FLEETS: dict[str, tuple[tuple[int, ...], dict[str, Any]]] = {
+    "jam": ((1, 2, 5, 30, 200), JAM),
+    "burst": ((1, 5, 200), BURST),
+    "low capacity": ((1, 2, 30), JAM | {"slots": 1}),
+    "short and long requests": ((1, 2, 5), JAM | {"work": (0.4, 2.4)}),
+    "small multiple": ((1, 2, 30), JAM | {"fall_multiple": 1.5}),
+    "told late": ((1, 5), JAM | {"told_us": SECOND}),
+    "no reports": ((30,), JAM | {"warm": 2, "burst": 6.0, "report_fields": ()}),
+}
+CASES = [(name, agents) for name, (counts, _) in FLEETS.items() for agents in counts]
+
+
+@pytest.mark.parametrize(("name", "agents"), CASES)
+def test_all_agents_together_keep_to_the_cold_budget(name: str, agents: int) -> None:
+    (meter,) = Fleet(2, agents=agents, **FLEETS[name][1]).run()
+    assert 0 < meter.most_of_budget() <= 1.0
+
+
+def test_of_many_agents_whose_part_is_below_one_call_that_part_sends_one() -> None:
+    # Each has had ten answers of nine servers in a second: a quarter of a call to the cold one.
+    # All warm servers are full, so that every request sees the cold one.
+    sent = 0
+    for seed in range(200):
+        d = Drive(servers=9, seed=seed, siblings=200, start_fraction=0.1, warm_up_us=1000 * SECOND,
+                  fall_multiple=2.5, report_fields=("inflight",))
+        d.serve(10, 100 * MS)
+        d.list(Backend("new", started_at=d.now))
+        for _ in range(20):
+            for s in d.balancer.servers.values():
+                s.residue, s.residue_at = (0.0 if s.started_at else 400.0), d.now
+            for send in only(d.request()[1], Send):
+                sent += send.backend == "new"
+                d.end(send, Outcome.REJECTED)
+    assert 10 <= sent <= 50  # the budget of all: 200 x 2.5 x 0.1 x 10 / 9 = 55
+
+
+def test_a_cold_server_that_is_new_again_is_counted_anew() -> None:
+    d = Drive(servers=4, start_fraction=0.1, warm_up_us=1000 * SECOND)
+    d.serve(20)
+    for _ in range(2):
+        d.list(Backend("new", started_at=d.now))
+        server = d.balancer.servers["new"]
+        assert (server.calls, server.called) == ([], 0.0)
+        for _ in range(1_000):
+            for send in only(d.request()[1], Send):
+                d.end(send, Outcome.OK)
+            if server.calls:
+                break
+        assert len(server.calls) == 1 and server.called == 1.0
+        d.wait(MS)
