--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -383,8 +383,9 @@
 
     def look(self, servers: list[Server], now: int) -> None:
         """What the servers that may be sent to come to in warm ones."""
-        self.strength = max(self.start, sum(self.warmth(s, now) for s in servers))
-        cold = [s for s in servers if self.warmth(s, now) < 1.0]
+        cold = [s for s in servers if s.started_at and self.warmth(s, now) < 1.0]
+        strength = len(servers) - len(cold) + sum(self.warmth(s, now) for s in cold)
+        self.strength = max(self.start, strength)
         self.cold_count, self.cold_strength = len(cold), sum(self.warmth(s, now - self.window) for s in cold)
 
     def arrived(self, now: int, work: float) -> None:
