--- a/lilacsill/turns.py
+++ b/lilacsill/turns.py
@@ -9,7 +9,6 @@
 import time
 from selectors import SelectorKey
 
-
 from .event_loop import RetryingSelector
 
 BLOCKED_S = 0.005  # a call of the selector that lasted longer has waited, and nothing was ready before
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -335,7 +335,7 @@
             got = await w.request()
             raises.left = 1
             await begin_large(got, framing)
-            await got.peer.write(b"x" * PIECE)  # an answer by its end is passed on once it is too large to hold
+            await got.peer.write(b"x" * PIECE)  # one by its end is passed on once it is too large to hold
             assert (await read(client)).status == 500 and raises.raised == 1
             assert not await asyncio.wait_for(client.reader.read(1), GUARD_S)
             await all_is_well(w, heard)
