--- a/lilacsill/event_loop.py
+++ b/lilacsill/event_loop.py
@@ -1,4 +1,4 @@
-"""The agent's event loop: asyncio's own, on a selector that outlasts a shortage in the kernel.
+"""The selector of the agent's event loop: one that outlasts a shortage in the kernel.
 
 epoll_ctl(2) may fail for a while, with ENOMEM or, at the limit of watches, ENOSPC. asyncio would then never
 read the connection or listener in question, or lose what it was about to write. Here the registration stands,
@@ -6,7 +6,6 @@
 """
 from __future__ import annotations
 
-import asyncio
 import errno
 import select
 import selectors
@@ -112,7 +111,3 @@
     if fd < 0:
         raise ValueError(f"invalid descriptor: {fd}")
     return fd
-
-
-def new_event_loop() -> asyncio.AbstractEventLoop:
-    return asyncio.SelectorEventLoop(RetryingSelector())
--- a/lilacsill/turns.py
+++ b/lilacsill/turns.py
@@ -6,8 +6,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from selectors import SelectorKey
+from time import monotonic
 
 from .event_loop import RetryingSelector
 
@@ -19,12 +19,12 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.unread_since = self._returned = time.monotonic()
+        self.unread_since = self._returned = monotonic()
 
     def select(self, timeout: float | None = None) -> list[tuple[SelectorKey, int]]:
-        called = time.monotonic()
+        called = monotonic()
         ready = super().select(timeout)
-        returned = time.monotonic()
+        returned = monotonic()
         self.unread_since = returned if returned - called > BLOCKED_S else self._returned
         self._returned = returned
         return ready
--- a/tests/system_calls.py
+++ b/tests/system_calls.py
@@ -15,7 +15,7 @@
 from tests.fault_injection import Faults, injected
 from tests.loopback import KEYED, Message, Peer, Raw, World, post
 
-from lilacsill.event_loop import new_event_loop
+from lilacsill.turns import TurnLoop
 
 WHILE = 3  # calls that fail in a row, where one fails "for a while"
 
@@ -40,7 +40,7 @@
 def play(story: Callable[[Faults], Awaitable[None]]) -> None:
     """One story on the agent's own event loop; it leaves no descriptor behind."""
     before = descriptors()
-    with injected() as faults, asyncio.Runner(loop_factory=new_event_loop) as runner:
+    with injected() as faults, asyncio.Runner(loop_factory=TurnLoop) as runner:
         runner.run(_awaited(story, faults))
     assert descriptors() == before
 
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -602,7 +602,9 @@
     if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name):
         return node.value.id == "time" and node.attr in WALL
     if isinstance(node, ast.ImportFrom):
-        return node.module in ("time", "datetime", "email.utils")
+        named = {name.name for name in node.names}
+        reads = node.module == "time" and bool(named & (WALL | {"*"}))
+        return reads or node.module in ("datetime", "email.utils")
     return isinstance(node, ast.Import) and any(name.name == "datetime" for name in node.names)
 
 
