A client that ends its sending gets its failure, not a silent close

Need: a request that was read and then closed with no answer is lost. A client that ends its sending only (half-close) cannot be told from one that has closed, and no attempt may begin for either; but it still listens.

Root cause: _Client.on_end, waits and _complete_upload (lilacsill/server.py) let the call go and closed without a word. A large answer that had begun ended in a plain close, which without a length passes for its end.

Change: one step, _end_for_departed: the decisions hear that the client has gone, a failure is written, and an answer that has begun is reset.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -506,8 +506,7 @@
 
     def waits(self, call: Call) -> bool:
         if self._call is call and self.left():
-            self._leave()
-            self.drop()
+            self._end_for_departed()
         return self._call is call
 
     def on_broken(self, error: Exception) -> None:
@@ -516,7 +515,18 @@
         self._break_off(400 if malformed else 500, "malformed request" if malformed else "internal error")
 
     def on_end(self) -> None:
-        self._leave()
+        self._end_for_departed()
+
+    def _end_for_departed(self) -> None:
+        """The client has closed, or ended its sending only, which cannot be told apart: nothing more goes out
+        for it, and one that still listens gets a failure, which is always true."""
+        begun = self._source is not None
+        if not self._leave():
+            return
+        if begun:  # a plain close could pass for the end of its answer
+            self._reset()
+        else:
+            self._respond(500, [], b"failed\n")
 
     def _leave(self) -> bool:
         """The call is no longer this client's; whether there was one, which is counted by whoever took it."""
@@ -559,9 +569,7 @@
         """The last piece of a large body has been read. A backend starts on a request with its last byte: it
         must not get that for a client whose close lies right behind it."""
         if self.left():
-            self._leave()
-            self.drop()
-            return
+            return self._end_for_departed()
         self.on_read()
         if self._upload is not None:
             self._upload.end()
