Connection: its descriptor is looked up once, not at each look at the kernel

Cause: transport.get_extra_info('socket').fileno() went through asyncio's wrapper and RetryingSocket.__getattr__ twice a request (connection.py, _kernel_says). Change: kept from connection_made on; a closing transport is asked before it is used, as before.

--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -40,6 +40,7 @@
     def __init__(self, role: type[h11.CLIENT] | type[h11.SERVER] = h11.CLIENT) -> None:
         self.http = h11.Connection(role, max_incomplete_event_size=HEADER_LIMIT)
         self.transport: asyncio.Transport | None = None
+        self._descriptor = -1  # of its socket, valid until the transport is closing
         self.written = True  # the kernel has taken all bytes
         self.closed = False
         self.deaf = False  # what still comes in is dropped
@@ -66,6 +67,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self._descriptor = transport.get_extra_info("socket").fileno()
         transport.set_write_buffer_limits(high=0)  # resume_writing then means: all is written
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -145,7 +147,7 @@
         if self.transport is None or self.transport.is_closing():
             return select.POLLHUP
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), asked)
+        poll.register(self._descriptor, asked)
         said = poll.poll(0)
         return said[0][1] if said else 0
 
