--- a/faultlab/checkers/answers.py
+++ b/faultlab/checkers/answers.py
@@ -20,8 +20,8 @@
         yield _lost(x, more.t, f"{more.bytes} bytes came beyond its answer")
     if isinstance(end, h.Answered):
         yield from _answered(case, x, end)
-    elif x.departed is not None:
-        return  # nobody is left to have an answer
+    elif x.departed is not None and x.departed.how != "gave_up":
+        return  # nobody was left to have an answer
     elif end is None:
         if x.over < case.end and not case.hindered(x.asked.agent, x.asked.t, x.over):
             yield _lost(x, x.over, "no answer to the end")
--- a/faultlab/plants.py
+++ b/faultlab/plants.py
@@ -41,6 +41,7 @@
     said: str
 
 
+ANSWER = "    def answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None:\n"
 PLANTS = (
     Plant("repeat", "an attempt repeated that may not be", "brasshead/logic.py",
           "        if r.cls.effect is Effect.UNSAFE or self.now >=", "        if self.now >=",
@@ -68,6 +69,34 @@
           "            self._answer(number, 200, _kind(result.content_type), result.body)",
           "            self._before, body = result.body, getattr(self, '_before', result.body)\n"
           "            self._answer(number, 200, _kind(result.content_type), body)", "steady", "integrity"),
+    Plant("no-answer", "a failed request gets no answer", "lilacsill/server.py", ANSWER,
+          ANSWER + "        if status == 502:\n            self._call = None\n            return\n",
+          "short-time", "answered"),
+    Plant("half-answer", "one answer in some breaks off", "lilacsill/server.py", ANSWER,
+          ANSWER + "        if len(body) % 16 == 0 and self._call is call and self.transport is not None:\n"
+          "            self._call = None\n"
+          "            self.transport.write(b'HTTP/1.1 200 OK\\r\\nContent-Length: 9\\r\\n\\r\\nhalf')\n"
+          "            return self.transport.close()\n", "steady", "answered"),
+    Plant("two-answers", "a second answer behind the first", "lilacsill/server.py", ANSWER,
+          ANSWER + "        if self._call is call and self.transport is not None:\n"
+          "            more = b'HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n'\n"
+          "            self._loop.call_soon(self.transport.write, more)\n", "steady", "answered"),
+    Plant("departed", "a client that has left is not missed", "lilacsill/server.py",
+          "        call, self._call = self._call, None\n        self._upload = self._source = None\n",
+          "        return False\n        call, self._call = self._call, None\n"
+          "        self._upload = self._source = None\n", "restless", "ended"),
+    Plant("after-answer", "an attempt goes out after the final answer", "lilacsill/agent.py",
+          "            self._answer(number, 200, _kind(result.content_type), result.body)",
+          "            self._answer(number, 200, _kind(result.content_type), result.body)\n"
+          "            ask = held and Ask(held.call.method, held.call.target, held.call.headers,\n"
+          "                               held.call.body, _Reader(self, 0, 0))\n"
+          "            if ask:\n"
+          "                self._loop.call_later(0.2, self._backends.exchange, backend, ask, 1_000_000,\n"
+          "                                      lambda result: None)", "steady", "ended"),
+    Plant("told", "servers are told of time that is not there", "lilacsill/backends.py",
+          'headers.append((b"Request-Timeout-Ms", b"%d" % ',
+          'headers.append((b"Request-Timeout-Ms", b"1%d" % ',
+          "steady", "told"),
     Plant("ban", "a ban dropped over an upgrade", "lilacsill/bans.py",
           '"banned": sorted(self._banned)', '"banned": []', "upgrade", "drain"),
     Plant("copy", "a second copy sent where none may be", "brasshead/logic.py",
--- a/tests/test_faultlab_checkers.py
+++ b/tests/test_faultlab_checkers.py
@@ -195,6 +195,14 @@
     assert story.end(60 * S).rules() == set()
 
 
+def test_who_gave_up_long_after_its_time_was_owed_an_answer() -> None:
+    story = Story()
+    rid = story.asked(S)
+    story.add(h.Departed, 2 * S + 700_000, "c0", rid=rid, how="gave_up")
+    story.add(h.Unanswered, 2 * S + 700_001, "c0", rid=rid, how="waited")
+    assert story.end(60 * S).rules() == {"answered"}
+
+
 # Attempts
 
 @pytest.mark.parametrize("how", ["close", "half_close", "reset", "gave_up"])
