--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -34,6 +34,7 @@
 from lilacsill.clock import Clock
 from lilacsill.discovery import Address
 from lilacsill.figures import Figures
+from lilacsill.turns import TurnLoop
 
 SAFE, KEYED, UNSAFE = "read", "keyed", "order"
 DEADLINES_MS = {SAFE: 700, KEYED: 900, UNSAFE: 500}
@@ -606,7 +607,7 @@
         self.doc, self.record = doc, record
         self.port = 0
         self.ready = threading.Event()
-        self.loop = asyncio.new_event_loop()
+        self.loop = TurnLoop()
         self.thread = threading.Thread(target=self._main, daemon=True)
 
     def _main(self) -> None:
