--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from functools import lru_cache
 from heapq import heappop, heappush
-from math import ceil, log2
+from math import ceil, exp, log2
 from random import Random
 from struct import Struct
 from typing import Any
@@ -43,6 +43,10 @@
 DRAWS = 16  # samples drawn until two fit the request; no more servers than this are looked at one by one
 REINDEX = 4  # the cutoffs of n servers serve n / 4 picks: the cost of a pick must not grow with n
 COLD_MARGIN = 4.0  # from this fall multiple on a cold server gets its full part: two samples can double it
+COLD_FILL = 0.8  # of what a cold server can take in a window, this share is sent at most
+SPREAD = 8  # a part below one call counts so often at most, where there are other cold servers to meet
+EARLY = 2.0  # warm servers that a request draws while nothing is crowded: two samples
+TRAFFIC_US = 5 * SECOND  # own traffic, from which an agent takes its part of that, is averaged over this
 PROBE_SPEND = 0.01  # the most of the goal that asking both samples of every request may cost
 ASK_SHARE = 0.05  # asking may take, and a report may be old, this share of the time to the aim
 PEER_SPEND, PEERS_MOST = 0.005, 32  # the same for telling peers what was heard, and how many at once
@@ -61,7 +65,7 @@
     __slots__ = ("id", "zone", "cell", "hint", "state", "started_at", "open", "residue", "residue_at",
                  "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at",
                  "failing", "streak", "out_until", "out_us", "allowance", "asked_at", "askers",
-                 "pace", "service", "news_at", "luck", "streams", "reported", "beyond")
+                 "pace", "service", "news_at", "luck", "streams", "reported", "beyond", "calls", "called")
 
     def __init__(self, b: Backend, now: int, luck: float) -> None:
         self.id, self.luck = b.id, luck
@@ -69,6 +73,7 @@
         self.streams: dict[tuple[int, int], int] = {}  # and those whose body, or whose answer, is under way
         self.asked_at = 0  # when the probe now out was sent; 0: none is
         self.askers: list[Request] = []  # requests that wait for its echo
+        self.calls: list[tuple[int, float]] = []  # while it is cold: own calls in a window, with their work
         self.adopt(b)
         self.reset(now)
 
@@ -87,6 +92,8 @@
     def reset(self, now: int) -> None:
         """Forget what was learned of an earlier process."""
         self.news_at = now  # when it was last heard of in any way
+        self.calls.clear()
+        self.called = 0.0  # the work of these calls
         self.pace = 1.0  # as of the last look at the table
         self.reported, self.beyond = -1.0, 0.0  # its last report, and what that told beyond the mean
         self.residue = self.others = self.service = self.latency = self.load = self.failing = 0.0
@@ -98,16 +105,20 @@
     """A request this balancer has taken, until its answer is given and its attempts have ended."""
 
     __slots__ = ("id", "cls", "number", "deadline", "aim_at", "gives_way", "sends", "out", "may_have_run",
-                 "tried", "done", "luck", "size", "pair", "silent", "pairs", "redrawn", "streamed",
-                 "begun", "copy")
+                 "tried", "done", "luck", "size", "work", "seen", "early", "pair", "silent", "pairs",
+                 "redrawn", "streamed", "begun", "copy")
 
-    def __init__(self, e: RequestArrived, cls: RequestClass, now: int, luck: float, size: float) -> None:
+    def __init__(self, e: RequestArrived, cls: RequestClass, now: int, luck: float, size: float,
+                 work: float) -> None:
         self.id, self.cls, self.number = e.request, cls, e.request_class
         self.deadline = now + e.patience_us
         self.aim_at = min(now + cls.aim_us + int(cls.aim_stretch * e.cost_us), self.deadline)
         self.gives_way = self.done = False
         self.luck = luck  # one for its whole life: a held request must not draw until a cold server takes it
         self.size = size  # its work as a multiple of the mean, where a hint tells it
+        self.work = work  # the same, as its class has it where no hint does
+        self.seen = 0.0  # strength of the servers drawn for it, in warm ones, up to EARLY
+        self.early: list[Server] = []  # cold ones among these
         self.sends = self.pairs = self.redrawn = 0
         self.copy = -1  # the attempt that was sent while another was out
         self.streamed, self.begun = e.streamed, -1  # its body is passed on; the attempt whose answer is
@@ -339,12 +350,29 @@
 
     Of each balancer's requests only the share that the server is warm may see it at all, drawn at random for
     each request and server: over all balancers it gets its part of the traffic, however that is split.
+
+    In a jam a request goes on drawing until it meets the one server that has room, and more is asked for than
+    can be answered. So a cold server has that part of what is answered only among the first servers drawn, as
+    many as come to two warm ones. Whatever is drawn after them, the calls of one balancer within a window are
+    limited to its part of what the server can take: a warm one carries what all balancers together have
+    answered by it, and each reckons with its own answers, so that the sum is right without knowing how many
+    they are. Where a part is less than one call, one is sent with that probability; where there are many cold
+    servers, of which a request meets some only, with a higher one, and all of them are limited together.
     """
 
     def __init__(self, settings: Settings) -> None:
         self.start, self.warm_up = settings.start_fraction, settings.warm_up_us
         self.scale = min(1.0, settings.fall_multiple / COLD_MARGIN)
         self.answered = self.fit = 1.0  # shares: of attempts answered, of draws of warm servers that fitted
+        self.window = settings.fall_window_us
+        self.multiple = COLD_FILL * settings.fall_multiple
+        self.least = 1.0 / settings.siblings  # all together may always try one call
+        self.strength = 1.0  # capacity of the fleet in warm servers
+        self.cold_count, self.cold_strength = 0, 0.0  # of servers; of theirs as a window began
+        self.calls: list[tuple[int, float]] = []  # own calls to all of them in a window, each with its work
+        self.sent = 0.0  # the work of these calls
+        self.asked = self.carried = 0.0  # own requests and answers: work a warm server in TRAFFIC_US
+        self.began_at, self.faded_at = -1, 0  # the first request; when these two were brought up to date
 
     def warmth(self, s: Server, now: int) -> float:
         """Share of its capacity a server surely has: the slowest ramp the settings allow."""
@@ -353,21 +381,90 @@
             return 1.0
         return self.start + (1.0 - self.start) * max(0, age) / self.warm_up
 
-    def admits(self, s: Server, now: int, luck: float, asked: bool, mean: float) -> bool:
+    def look(self, servers: list[Server], now: int) -> None:
+        """What the servers that may be sent to come to in warm ones."""
+        cold = [s for s in servers if s.started_at and self.warmth(s, now) < 1.0]
+        strength = len(servers) - len(cold) + sum(self.warmth(s, now) for s in cold)
+        self.strength = max(self.start, strength)
+        self.cold_count, self.cold_strength = len(cold), sum(self.warmth(s, now - self.window) for s in cold)
+
+    def arrived(self, now: int, work: float) -> None:
+        if self.began_at < 0:
+            self.began_at = now
+        self._fade(now)
+        self.asked += work / self.strength
+
+    def _fade(self, now: int) -> None:
+        if now > self.faded_at:
+            left = exp((self.faded_at - now) / TRAFFIC_US)
+            self.asked, self.carried, self.faded_at = left * self.asked, left * self.carried, now
+
+    def _answered(self) -> float:
+        """What was answered of what was asked for, and one more that may be under way."""
+        return min(self.asked, self.carried + 1.0 / self.strength)
+
+    def part(self, now: int) -> float:
+        """The work this balancer may send within a window to as much as one warm server's strength."""
+        # Of the traffic of a balancer that has just started only a part has been seen.
+        span = TRAFFIC_US * (1.0 - exp(-max(self.window, now - self.began_at) / TRAFFIC_US))
+        return self.multiple * self._answered() * self.window / span
+
+    def called(self, s: Server, now: int, work: float) -> None:
+        """A call goes out."""
+        if self.warmth(s, now) < 1.0:
+            s.calls.append((now, work))
+            s.called += work
+            self.calls.append((now, work))
+            self.sent += work
+
+    def _forget(self, s: Server, now: int) -> None:
+        """Drop the calls that lie a window back."""
+        since = now - self.window
+        if s.calls and s.calls[0][0] <= since:
+            s.calls = [call for call in s.calls if call[0] > since]
+            s.called = sum(work for _, work in s.calls)
+        if self.calls and self.calls[0][0] <= since:
+            self.calls = [call for call in self.calls if call[0] > since]
+            self.sent = sum(work for _, work in self.calls)
+
+    def admits(self, s: Server, now: int, r: Request, asked: bool, mean: float) -> bool:
         warmth = self.warmth(s, now)
+        if warmth >= 1.0:
+            return True
+        self._forget(s, now)
+        self._fade(now)
+        part, early, rounded = self.part(now), s in r.early, r.work * (1.0 - s.luck)
+        allowance = part * self.warmth(s, now - self.window) + self.least
+        if early:
+            limit = max(allowance, r.work)
+        else:
+            # Drawn early, they come to half of the budget at most in the mean: the other half is for these.
+            half = allowance - 0.5 * min(1.0, allowance)
+            limit = max(half, min(min(self.cold_count, SPREAD) * half, r.work))
+            if self.sent + rounded > part * self.cold_strength + self.cold_count * self.least:
+                return False
+        if s.called + rounded > limit:
+            return False
         # Its part of what warm servers take and answer, not of what is asked for: retries of an overloaded
         # fleet pushed one over. Not needed where it is asked first what it holds, or has just told that this
         # is less than its part: few warm servers that were full kept all the cold ones idle.
         known = asked or (now - s.heard_at < FRESH_US and s.own(now) + max(0.0, s.others) < warmth * mean)
-        part = self.scale if known else self.scale * self.answered * self.fit
+        share = self.scale if known else self.scale * self.answered * self.fit
+        if early and self.asked:
+            share *= self._answered() / self.asked
+        else:
+            share /= min(1.0, limit / r.work)  # the few balancers that may send a call were drawn already
         # One luck for all servers would send a request to one of them at most, however many it draws.
-        return warmth >= 1.0 or (luck + s.luck) % 1.0 < warmth * part
+        return (r.luck + s.luck) % 1.0 < warmth * share
 
     def drew(self, fit: int, draws: int) -> None:
         if draws:
             self.fit += GAIN * (fit / draws - self.fit)
 
-    def ended(self, outcome: Outcome) -> None:
+    def ended(self, now: int, s: Server, outcome: Outcome, work: float) -> None:
+        if outcome is Outcome.OK and s.state is State.READY:
+            self._fade(now)
+            self.carried += work / self.strength
         if outcome not in NEVER_RAN and outcome is not Outcome.CANCELLED:
             self.answered += GAIN * ((outcome is Outcome.OK) - self.answered)
 
@@ -492,6 +589,7 @@
                 del self.servers[s.id]  # each release brings new ids: kept, they would fill the memory
                 self.tags.pop(crc32(_name(s.id).encode()), None)
         self.ready = [x for x in self.servers.values() if x.state is State.READY]
+        self.cold.look(self.ready, now)
         self.picks_left = 0
         if self.settings.discovery is Discovery.ASK and not self.watching:
             self._later(now + self.settings.me * self.turn_us, self._watch, None)
@@ -507,7 +605,9 @@
         now = self.now
         self.settings.check(e, e.request in self.requests)
         size = self.table.size_of(e.cost_us)
-        r = Request(e, self.settings.classes[e.request_class], now, self.rng.random(), size)
+        work = size if e.cost_us else self.needs.of[e.request_class]
+        r = Request(e, self.settings.classes[e.request_class], now, self.rng.random(), size, work)
+        self.cold.arrived(now, work)
         self.requests[e.request] = r
         self.budget = min(RETRY_BURST, self.budget + RETRY_SHARE)
         self.copies = min(HEDGE_BURST, self.copies + HEDGE_SHARE)
@@ -611,7 +711,7 @@
         silent = r.silent if len(r.silent) < len(set(pair)) else []
         r.pair, r.silent = None, []
         fit = [s for s in pair if s not in silent and self._may_go(r, s)
-               and self.cold.admits(s, self.now, r.luck, self.asks, self.table.mean)  # it may be anew
+               and self.cold.admits(s, self.now, r, self.asks, self.table.mean)  # it may be anew
                and self._hopeful(r, s, limit, left, True)]
         if fit and self._left(r) > 0:
             return self._send(r, *self._lighter(r, (fit[0], fit[-1])))
@@ -655,7 +755,7 @@
         silence = (self.now - s.news_at) * r.luck * self.cold.warmth(s, self.now) if self.tells else 0
         if silence > 2 * max(FRESH_US, self.now - self.table.news_at):
             return False
-        return (self.cold.admits(s, self.now, r.luck, self.asks, self.table.mean)
+        return (self.cold.admits(s, self.now, r, self.asks, self.table.mean)
                 and self.health.admits(s, self.now, self.table.typical))
 
     def _two(self, r: Request, pool: list[Server]) -> tuple[Server, Server] | None:
@@ -673,10 +773,15 @@
         while draws < max(2, min(DRAWS, n // 2)) and len(fit) < 2:  # uniform over those that fit
             s = pool[int(random() * n)]
             draws += 1
+            warmth = self.cold.warmth(s, self.now)
+            if r.seen < EARLY:
+                r.seen += warmth
+                if warmth < 1.0:
+                    r.early.append(s)
             fits = s not in r.tried and self._admits(r, s) and self._hopeful(r, s, limit, left, last)
             if fits:
                 fit.append(s)
-            if self.cold.warmth(s, self.now) >= 1.0:
+            if warmth >= 1.0:
                 warm, warm_fit = warm + 1, warm_fit + fits
         if last or len(fit) == 2:
             self.cold.drew(warm_fit, warm)
@@ -697,6 +802,7 @@
         self.picks_left = n // REINDEX
         self.health.look(self.ready, now, self.table.typical)
         self.table.look(self.ready, now)
+        self.cold.look(self.ready, now)
         for s in self.ready:
             s.pace = self.table.pace_of(s, now, self.cold.warmth(s, now))
         self.needs.look(self.table.typical)
@@ -759,6 +865,7 @@
         r.may_have_run.append((attempt, s, now))
         r.tried.append(s)
         (s.streams if r.streamed else s.open)[(r.id, attempt)] = now
+        self.cold.called(s, now, r.work)
         self.actions.append(Send(r.id, s.id, max(1, r.deadline - now - self.margin), until))
         if r.cls.effect is not Effect.UNSAFE and self.table.typical and self.settings.second_copies:
             at = now + int(3 * self.table.typical)
@@ -793,7 +900,7 @@
             if e.outcome is Outcome.OK and s.samples:
                 self.needs.learn(r.number, e.latency_us, load * s.pace)
             self.table.ended(now, s, e, load)
-        self.cold.ended(e.outcome)
+        self.cold.ended(now, s, e.outcome, r.work)
         if e.outcome not in NEVER_RAN and e.outcome is not Outcome.CANCELLED:
             worth = 1.0 if now <= r.aim_at else r.cls.late_worth
             self.earned += GAIN * ((worth if e.outcome is Outcome.OK else 0.0) - self.earned)
