Tests of the scale measurements: a temporary directory of their own

leaves_nothing saw folders that other test runs made in the shared one: two runs side by side failed each other. The test of answers without a length no longer sets an attribute that is gone.

--- a/tests/test_answers_without_length.py
+++ b/tests/test_answers_without_length.py
@@ -36,16 +36,11 @@
     got.peer.reset()
 
 
-def shorter_aims(monkeypatch: pytest.MonkeyPatch, w: World) -> None:
-    monkeypatch.setattr(w.agent, "_hold_us", SHORT_AIM_US // 20, raising=False)
-
-
 @begun
 def test_one_that_breaks_off_is_asked_for_again(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+        tmp_path: Path, how: str) -> None:
     async def run() -> None:
         async with world(tmp_path, backends=2) as w:
-            shorter_aims(monkeypatch, w)
             client = await w.ask(post())
             reset(await half_an_answer(w, how))
             await (await w.request()).answer(body=b"all of it")
@@ -57,10 +52,9 @@
 
 @begun
 def test_one_that_breaks_off_and_may_not_be_asked_for_again_is_a_whole_failure(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+        tmp_path: Path, how: str) -> None:
     async def run() -> None:
         async with world(tmp_path, backends=2) as w:
-            shorter_aims(monkeypatch, w)
             client = await w.ask(post(UNSAFE))
             reset(await half_an_answer(w, how))
             answer = await client.read()
@@ -72,10 +66,9 @@
 
 @begun
 def test_one_that_never_ends_is_a_whole_failure_when_its_time_is_up(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+        tmp_path: Path, how: str) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
-            shorter_aims(monkeypatch, w)
             client = await w.ask(post(UNSAFE, timeout_ms="200"))
             await half_an_answer(w, how)
             assert (await client.read()).status in (502, 503, 504)
--- a/tests/test_scale_agent.py
+++ b/tests/test_scale_agent.py
@@ -46,7 +46,10 @@
 
 
 @pytest.fixture
-def leaves_nothing() -> Iterator[None]:
+def leaves_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    # A temporary directory of its own: measurements of other test runs come and go in the shared one.
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    monkeypatch.setattr(tempfile, "tempdir", None)
     before = _left()
     yield
     assert _left() == before
