--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -17,17 +17,17 @@
 from .connection import Connection, Fields, Headers, fields_of, header
 from .discovery import Listing, Member
 from .quiet_period import QUIET_US, QuietPeriods
+from .sockets import Lacking, connecting
 
 log = logging.getLogger(__name__)
 
-# What this process lacks for a connection: descriptors, ports. No word on the backend.
-LACKING = (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL)
 # Ends that the agent makes itself: nothing of the request that the backend has not got may reach it later.
 GIVEN_UP = (Outcome.CANCELLED, Outcome.TIMEOUT)
 HOST = b"origin.svc"
 PROBE_US = 50_000  # a load told later than this is of no use to the requests that asked for it
 IDLE_SHARE = 0.7  # of the time after which a backend closes an idle connection; then it is retired here
 ANSWER_BYTES = 64 * 1024  # an answer up to this is taken whole, a larger one passed on as it comes
+LEAST_TOLD_US = 1_000  # backends are told whole milliseconds: with less than one left nothing is sent
 STALL_S = 5.0  # a backend that takes or gives nothing for so long, while it could, has stopped
 
 
@@ -82,8 +82,8 @@
     headers: Headers
     body: bytes | Body = b""
     reader: Reader | None = None  # None: a probe
-    hold_us: int = 0  # an answer of unknown length is passed on if it is not whole after so long
     wanted: Callable[[], bool] = lambda: True  # asked last thing before it goes out: time has passed since
+    left_us: Callable[[int], int] | None = None  # what the client still waits at a time; None: nobody does
 
 
 def parse_report(text: str | None, fields: tuple[str, ...]) -> tuple[float, ...]:
@@ -99,6 +99,15 @@
     return report if all(0.0 <= x < 1e9 for x in report) else ()
 
 
+def _is_up(sock: socket.socket) -> bool:
+    """Whether it has come to be connected."""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 class _Pooled(Connection):
     """A connection to a backend; idle, or in the hands of one exchange."""
 
@@ -152,7 +161,10 @@
 
     def usable(self) -> bool:
         """Idle and, as far as the kernel knows, open: one with anything to read was closed by the peer."""
-        return not self.closed and self.quiet()
+        try:
+            return not self.closed and self.quiet()
+        except OSError:  # the kernel cannot be asked just now
+            return False
 
 
 class Exchange:
@@ -175,17 +187,23 @@
         self._moved = 0.0  # when anything last came or went, by the loop's clock
         self.ended = False
         self._timer = self._loop.call_later(timeout_us / 1e6, self._timed_out)
-        self._holding: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
+        try:
+            self._find_connection()
+        except Exception:
+            log.exception("attempt failed before it was sent")
+            self._end(Outcome.NOT_SENT)
+
+    def _find_connection(self) -> None:
         member = self._backends.ready(self._backend)
         if member is None:
             return self._end(Outcome.NOT_SENT)
-        if not self.may_go():
-            return
         connection = self._backends.take(member)
         if connection is not None:
             return self.carry(connection)
+        if not self.may_go():
+            return
         if not self._backends.room():
             return self._end(Outcome.NOT_SENT)
         self._backends.dial(member, self)
@@ -201,26 +219,47 @@
         """The one place where it is settled that an attempt may still go out. The list may have changed while
         its connection came up, its time or that of repeats have run out, its client have left.
         """
-        if not self.ended and (self._backends.ready(self._backend) is None or not self._ask.wanted()):
+        if not self.ended and (self._backends.ready(self._backend) is None
+                               or self._left_us() < LEAST_TOLD_US or not self._wanted()):
             self._end(Outcome.NOT_SENT)
         return not self.ended
 
+    def _wanted(self) -> bool:
+        try:
+            return self._ask.wanted()
+        except Exception:  # those that wait behind it must not miss their connection
+            log.exception("cannot tell whether an attempt is still wanted")
+            return False
+
     def carry(self, connection: _Pooled) -> None:
         """Go out on this connection."""
         try:
             self._put(connection)
-        except Exception:  # whatever it is, the attempt must end, or its request gets no answer
-            log.exception("attempt failed")
-            self._end(self._lost())
+        except Exception:
+            if self._connection is None:  # nothing has gone out on it; it is not to be used again
+                connection.drop()
+            self._failed()
+
+    def _failed(self) -> None:
+        """For an exception in hand: whatever it is, the attempt must end, or its request gets no answer."""
+        log.exception("attempt failed")
+        self._end(self._lost())
+
+    def _left_us(self) -> int:
+        """The time that the attempt still has: its own, and no more than its client's."""
+        now, body = self._backends.clock.now(), self._ask.body
+        own_us = self._timeout_us
+        if isinstance(body, bytes) or body.whole:  # one still on its way has all its own time after that
+            own_us -= now - self._began
+        return own_us if self._ask.left_us is None else min(own_us, self._ask.left_us(now))
 
     def _put(self, connection: _Pooled) -> None:
-        self._connection, connection.exchange = connection, self
         ask, body, headers = self._ask, self._ask.body, [(b"Host", HOST), *self._ask.headers]
-        large = not isinstance(body, bytes)
         if ask.reader is not None:
-            # The time of a body that is still on its way starts with its last byte.
-            spent_us = 0 if large else self._backends.clock.now() - self._began
-            headers.append((b"Request-Timeout-Ms", b"%d" % max(1, (self._timeout_us - spent_us) // 1000)))
+            left_us = self._left_us()  # read anew: what runs between the check and here takes time too
+            if left_us < LEAST_TOLD_US:
+                return self._hand_on_unused(connection)
+            headers.append((b"Request-Timeout-Ms", b"%d" % (left_us // 1000)))
         start = body if isinstance(body, bytes) else body.held()
         length = len(start) if isinstance(body, bytes) else body.length
         if length is None:
@@ -230,6 +269,9 @@
         events: list[h11.Event] = [h11.Request(method=ask.method, target=ask.target, headers=headers)]
         if start:
             events.append(h11.Data(data=start))
+        if not self._wanted():  # asked behind the last look at the clock: the agent may be held up there
+            return self._hand_on_unused(connection)
+        self._connection, connection.exchange = connection, self
         if isinstance(body, bytes) or body.whole:
             connection.send(*events, h11.EndOfMessage())
             if connection.written:
@@ -242,6 +284,11 @@
         if connection.written:
             body.flow(self)
 
+    def _hand_on_unused(self, connection: _Pooled) -> None:
+        """End without having gone out; the connection is as good as before."""
+        self._end(Outcome.NOT_SENT)
+        self._backends.hand_on(connection)
+
     # A large body
 
     def more(self, data: bytes) -> None:
@@ -250,9 +297,12 @@
             return
         assert not isinstance(self._ask.body, bytes)
         self._moved = self._loop.time()
-        self._connection.send(h11.Data(data=data))
-        if not self._connection.written:
-            self._ask.body.halt()
+        try:
+            self._connection.send(h11.Data(data=data))
+            if not self._connection.written:
+                self._ask.body.halt()
+        except Exception:  # it is no fault of the client, which is at work here
+            self._failed()
 
     def all_sent(self) -> None:
         """The body is whole: now its time runs."""
@@ -260,9 +310,12 @@
             return
         self._sending = False
         self._timer.cancel()
-        self._timer = self._loop.call_later(self._timeout_us / 1e6, self._timed_out)
         self._began = self._backends.clock.now()
-        self._connection.send(h11.EndOfMessage())
+        self._timer = self._loop.call_later(max(0, self._left_us()) / 1e6, self._timed_out)
+        try:
+            self._connection.send(h11.EndOfMessage())
+        except Exception:
+            return self._failed()
         if self._connection.written:
             self.on_written()
 
@@ -288,7 +341,10 @@
         if self._sending:
             assert not isinstance(self._ask.body, bytes)
             self._moved = self._loop.time()
-            self._ask.body.flow(self)
+            try:
+                self._ask.body.flow(self)
+            except Exception:
+                self._failed()
         elif self._ask.reader is not None:
             self._backends.written()
 
@@ -321,23 +377,15 @@
             return
         if self._begun_us < 0 and len(self._body) > ANSWER_BYTES:
             self._too_large_to_hold()
-        elif self._begun_us < 0 and self._body and self._length is None and self._holding is None:
-            self._holding = self._loop.call_later(self._ask.hold_us / 1e6, self._held_long)
         if self._begun_us >= 0 and self._body and not self.ended:
             data, self._body = bytes(self._body), bytearray()
             self._moved = self._loop.time()
             assert self._ask.reader is not None
             self._ask.reader.more(self, data)
 
-    def _held_long(self) -> None:
-        """Whether an answer will be large is not known, but its client has waited for it long enough."""
-        self._too_large_to_hold()
-        self.on_read()
-
     def _too_large_to_hold(self) -> None:
-        """Only an answer that counts is passed on; of any other the status says enough."""
-        if self._holding is not None:
-            self._holding.cancel()
+        """Only an answer that counts is passed on; of any other the status says enough. A smaller one is held
+        until it is whole, however long its server takes: once begun, it could break off."""
         reader = self._ask.reader
         if self._status != 200 or reader is None:
             return self._end(self._answered())
@@ -404,9 +452,20 @@
         if self.ended:
             return
         self.ended = True
+        try:
+            self._release(outcome)
+        except Exception:
+            log.exception("an attempt did not end in good order")
+            if self._connection is not None:
+                self._connection.drop()
+        self._done(Result(
+            outcome, self.latency_us, self.report(), bytes(self._body),
+            self._headers.get(b"content-type"), self._begun_us >= 0,
+        ))
+
+    def _release(self, outcome: Outcome) -> None:
+        """Let go of its timers, its place among those that wait, its body and its connection."""
         self._timer.cancel()
-        if self._holding is not None:
-            self._holding.cancel()
         self._backends.waits_no_more(self._backend, self)
         if self._sending:
             assert not isinstance(self._ask.body, bytes)
@@ -417,10 +476,6 @@
                 self._connection.reset_on_close()
             self._connection.exchange = None
             self._backends.give_back(self._connection)
-        self._done(Result(
-            outcome, self.latency_us, self.report(), bytes(self._body),
-            self._headers.get(b"content-type"), self._begun_us >= 0,
-        ))
 
 
 class Backends:
@@ -493,8 +548,10 @@
         backend, connection, outcome = member.backend.id, None, Outcome.NOT_SENT
         try:
             connection = await self._connected(member)
-        except (OSError, TimeoutError) as e:
-            outcome = Outcome.NOT_SENT if e.errno in LACKING else Outcome.CONNECT_FAILED
+        except Lacking:
+            log.debug("nothing to connect with", exc_info=True)
+        except OSError:
+            outcome = Outcome.CONNECT_FAILED
         except Exception:
             log.exception("attempt failed before it was sent")
         self._dials[backend] -= 1
@@ -516,15 +573,14 @@
         """A connection that is up. Only the handshake is timed, and by what the kernel says of it: an agent
         whose loop is late must not take its own lateness for the backend's."""
         loop, address = asyncio.get_running_loop(), member.address
-        # With its protocol's number, or asyncio leaves small writes to be held back by the system.
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        sock = connecting()
         try:
-            sock.setblocking(False)
             try:
                 async with asyncio.timeout(self._connect_s):
                     await loop.sock_connect(sock, (address.host, address.port))
-            except TimeoutError:
-                sock.getpeername()  # raises where it is not up even now
+            except TimeoutError as e:
+                if e.errno == errno.ETIMEDOUT or not _is_up(sock):  # the former is the kernel's own word
+                    raise
             _, connection = await loop.create_connection(lambda: _Pooled(member, self._discard), sock=sock)
         except BaseException:
             sock.close()
@@ -540,13 +596,18 @@
                 del self._waiting[backend]
 
     def _offer(self, connection: _Pooled) -> None:
+        """It is free from now on."""
+        connection.idle_since = self.clock.now()
+        self.hand_on(connection)
+
+    def hand_on(self, connection: _Pooled) -> None:
         """To the exchange that has waited longest and may still go out, else kept."""
         if connection.reusable_at <= self.clock.now() and self._hand_over(connection):
             return
         backend = connection.member.backend.id
-        connection.idle_since = self.clock.now()
+        left_us = connection.idle_since + self._idle_us - self.clock.now()
         connection.retire = asyncio.get_running_loop().call_later(
-            self._idle_us / 1e6, self._retired, connection)
+            left_us / 1e6, self._retired, connection)
         self._idle.setdefault(backend, []).append(connection)
         self._await_quiet(backend)
 
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -16,8 +16,11 @@
 
 from brasshead.interface import Effect, RequestClass, Settings, Tenant
 
-from .connection import Connection, Fields, Headers, fields_of, header
+from .connection import HEADER_LIMIT, READ_BYTES, Connection, Fields, Headers, fields_of, header
 from .discovery import Address
+from .listener import ACCEPTS, STARVED_S, listening
+from .sockets import accept
+from .turns import unread_since
 
 log = logging.getLogger(__name__)
 
@@ -28,13 +31,14 @@
 TIMEOUT_LIMIT_MS = 24 * 3600 * 1000
 BACKLOG = 512
 EXTRA = 32  # connections beyond the limit while none is idle; half of the descriptors set apart
-ACCEPTS = 32  # in one turn of the loop
 FIRST_S = 0.5  # a new connection has so long for its first request before it counts as idle
-STARVED_S = 0.1  # without descriptors, or room, until the next try
 LINGER_S, LINGER_MOST_S = 1.0, 30.0  # after an answer in the middle of a request: in silence, in all
 STREAMS_S = 60.0  # how long large answers may go on after a stop; whoever ordered it may end it before
 STUCK_S = 60.0  # a client that takes nothing of its answer for so long has stopped
 POLL_S = 0.01  # while the last requests end
+# Written as it stands where h11 may be in any state.
+PLAIN_FAILURE = (b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\nConnection: close\r\n\r\n"
+                 b"failed\n")
 LAST_S = 0.3  # for what has come in by the end: read, refused, and its refusal taken
 COME_AGAIN_US = 500_000  # a client turned away by a stop: by then another process serves, or will soon
 # From connecting, or from a request's first byte. Whoever stops is owed an error within 3 s, while an honest
@@ -63,12 +67,21 @@
     cost_us: int
     is_retry: bool
     client: Answerer
+    sent_us: int  # monotonic: when its client may have written its latest byte, at the earliest
     number: int = 0  # given by whoever takes it
 
+    def left_us(self, now: int) -> int:
+        """What its client still waits, counted from the latest byte; 0 or less: no longer."""
+        return self.sent_us + self.patience_us - now
+
 
 class Answerer(Protocol):
     """Where a call came from, and its one answer goes to: whole, or begun, passed on and finished."""
 
+    @property
+    def sent_us(self) -> int:
+        """When what has come last may have been written, at the earliest."""
+
     def waits(self, call: Call) -> bool:
         """Whether the client is still there for its answer; one that is not has left by then."""
 
@@ -82,6 +95,10 @@
     def finish(self, call: Call, whole: bool) -> None:
         """One that is not whole is broken off, so that the client can tell."""
 
+    def fail(self, call: Call) -> None:
+        """The end of one whose answer could not be written: a failure, or a break if a part of it is out.
+        Never raises, and does nothing for a call that has been answered."""
+
 
 class Source(Protocol):
     """Where the pieces of an answer come from."""
@@ -106,6 +123,7 @@
         self.length = length
         self.whole = False
         self.spent = False  # a part has been passed on and is no longer held
+        self.halted = True  # nothing is read: its client may have written all of it by now
         self.on_whole: Callable[[], None] = lambda: None
         self._connection = connection
         self._held = bytearray()
@@ -124,9 +142,11 @@
             self.halt()
 
     def halt(self) -> None:
+        self.halted = True
         self._connection.pause()
 
     def go_on(self) -> None:
+        self.halted = False
         self._connection.resume()
 
     def come(self, data: bytearray) -> None:
@@ -215,6 +235,7 @@
             method, target, [(k, fields[k]) for k in FORWARDED if k in fields],
             body, index, self._tenant(fields), self._patience_us(fields), _key(target),
             _work_hint(header(fields, b"work-hint")), fields.get(b"client-retry") == b"1", client,
+            client.sent_us,
         )
 
     def class_of(self, fields: Fields) -> int | None:
@@ -282,9 +303,13 @@
         self._call: Call | None = None
         self._upload: Upload | None = None  # the body, where it is large
         self._source: Source | None = None  # of an answer that is passed on as it comes
+        self._answer_out = False  # some of an answer has been written
         self._overran = False  # it has sent too much ahead, and what came after has been dropped
         self._unread: asyncio.TimerHandle | None = None  # set while a request is waited for
         self._began = self._body_began = self.last = 0.0  # the request, its body, its latest piece
+        self._sent_at = 0.0  # when the latest piece may have been written, at the earliest
+        self._accepted = unread_since(self._loop)
+        self._unread_since: float | None = None  # set where reading has paused, until all that came is read
         self._stuck: asyncio.TimerHandle | None = None  # set while the client takes nothing
 
     @property
@@ -302,14 +327,30 @@
         """Just accepted: whoever connects has something to ask, and its first request is on the way."""
         return self.empty and self._unread is not None and self._loop.time() < self._began + FIRST_S
 
+    @property
+    def unfinished(self) -> bool:
+        """A part of a request has been read that is not handed on yet."""
+        return self._call is None and not self.deaf and not self.empty
+
     @property
     def busy(self) -> bool:
         """A large answer is on its way, or the last bytes of any."""
         return self._source is not None or not self.written
 
+    @property
+    def sent_us(self) -> int:
+        return int(self._sent_at * 1e6)
+
+    @property
+    def _in_hand(self) -> bool:
+        """A request has come whole, and has no answer yet."""
+        return self._call is not None and (self._upload is None or self._upload.whole)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self._server.connections.add(self)
+        if not self.quiet():  # a request that came with the connection has waited for all turns since
+            self._unread_since = self._accepted
         self._await_whole()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -352,6 +393,7 @@
     def pause(self) -> None:
         """The client need not send anything while the agent does not read."""
         self._read_whole()
+        self._unread_since = self.last
         super().pause()
 
     def resume(self) -> None:
@@ -360,16 +402,18 @@
             now = self._loop.time()
             self._body_began += now - self.last
             self.last = now
-            self._unread = self._loop.call_later(DECIDED_S, self._look)
+            self._unread = self._loop.call_later(max(0.0, self._due() - now), self._look)
 
     def _too_slow(self) -> None:
         self._read_whole()
         if self.deaf or (self._call is not None and self._upload is None):
             return
-        if self.empty:
-            self.drop()
-        else:
+        if self.unfinished or self._upload is not None:
             self._break_off(408, "request not whole in time")
+        elif self.quiet() or self._loop.time() >= self._began + DECIDED_S:
+            self.drop()
+        else:  # its request has come just now, and is read next
+            self._unread = self._loop.call_later(POLL_S, self._look)
 
     # What comes
 
@@ -390,22 +434,29 @@
 
     def data_received(self, data: bytes) -> None:
         self.last = self._loop.time()
+        self._date(len(data))
         if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
-            data = self._blank + data  # empty lines before a request are to be passed over
-            while data.startswith(b"\r\n"):
-                data = data[2:]
-            self._blank = data if data == b"\r" else b""
-            if self._blank or not data:
+            data, self._blank = without_blank_lines(self._blank + data)
+            if not data:
                 return
         if self._runs_ahead(data):
             return
         super().data_received(data)
 
+    def _date(self, length: int) -> None:
+        """A request's time runs from when its client wrote its last byte, not from when that was read."""
+        if self._in_hand and self.http.trailing_data[0]:
+            return  # it goes on a request sent ahead, which may have been whole before
+        since = unread_since(self._loop)
+        self._sent_at = since if self._unread_since is None else min(since, self._unread_since)
+        if length < READ_BYTES:
+            self._unread_since = None
+
     def _runs_ahead(self, data: bytes) -> bool:
         """Whether a client has sent more than is kept for after its answer, which is then its last. It is
         read on all the same: on a connection that is not, nobody sees the client leave.
         """
-        if self._call is None or not (self._upload is None or self._upload.whole):
+        if not self._in_hand:
             return False
         self._overran = self._overran or len(self.http.trailing_data[0]) + len(data) > AHEAD_LIMIT
         return self._overran
@@ -434,6 +485,8 @@
         try:
             if self._upload is not None:
                 data, self._piece = self._piece, bytearray()
+                if self._call is not None and not self._upload.whole:
+                    self._call.sent_us = self.sent_us
                 self._upload.come(data)
             elif len(self._piece) > WHOLE_BYTES:
                 length = header(self._fields, b"content-length")
@@ -524,11 +577,24 @@
         index = self._server.checker.class_of(self._fields) if self._request is not None else None
         if index is not None and not taken:
             self._server.taker.turned_away(index, status)
-        self._respond(status, headers or [], f"{why}\n".encode())
+        # Refusals go on for what has been read already; a client in error is parted from with the others.
+        part = self._server.closing and status < 500
+        self._respond(status, headers or [], f"{why}\n".encode(), part)
+
+    def refuse_unfinished(self) -> None:
+        """The process ends before the rest of this request could be answered."""
+        refused = self._server.refusal()
+        self._break_off(refused.status, str(refused), refused.headers)
+
+    def cut_off(self) -> None:
+        """The end, whatever is in hand; an answer that is not whole must not pass for it."""
+        if self.busy:
+            self._reset()
+        else:
+            self.drop()
 
     def answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None:
         if self._call is call:
-            self._call = self._upload = None
             self._respond(status, headers, body)
 
     def begin(self, call: Call, headers: Headers, length: int | None, source: Source) -> None:
@@ -545,14 +611,39 @@
             self._hold_source()
 
     def finish(self, call: Call, whole: bool) -> None:
+        if not whole:
+            self.fail(call)
+        elif self._call is call:
+            writable = self._writable()
+            if writable:
+                self.send(h11.EndOfMessage())
+            self._release_call()
+            if writable:
+                self._answered()
+
+    def fail(self, call: Call) -> None:
         if self._call is not call:
             return
+        self._release_call()
+        try:
+            if self._answer_out:
+                self._reset()
+            elif self._writable():
+                self.transmit(PLAIN_FAILURE)
+                self._part_somehow()
+        except Exception:
+            log.exception("could not tell a client of a failure")
+            self.drop()
+
+    def _release_call(self) -> None:
+        """The call has its answer, or nobody is there to take one. Only after the writing: until then it is
+        still to be failed, or left."""
         self._call = self._upload = self._source = None
-        if not whole:
-            self._reset()
-        elif self._writable():
-            self.send(h11.EndOfMessage())
-            self._answered()
+
+    def transmit(self, data: bytes) -> None:
+        # What goes out before an answer, as 100 Continue, is no part of it.
+        self._answer_out = self._answer_out or self.http.our_state is not h11.SEND_RESPONSE
+        super().transmit(data)
 
     def _hold_source(self) -> None:
         if not self.written and self._source is not None:
@@ -582,32 +673,62 @@
         # Behind chunks nothing more is read: h11 is lenient about where their trailer ends.
         return self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED) and not self._chunked
 
-    def _last_words(self) -> Headers:
-        last = self._server.closing or self._overran or not self._read_in_full()
+    def _last_words(self, part: bool = False) -> Headers:
+        # What has been read already behind this request is answered too.
+        last = self._server.closing and not self.http.trailing_data[0]
+        last = last or part or self._overran or not self._read_in_full()
         return [(b"Connection", b"close")] if last else []
 
-    def _respond(self, status: int, headers: Headers, body: bytes) -> None:
+    def _respond(self, status: int, headers: Headers, body: bytes, part: bool = False) -> None:
         if not self._writable():
-            return
-        fields = [*headers, (b"Content-Length", b"%d" % len(body)), *self._last_words()]
+            return self._release_call()
+        fields = [*headers, (b"Content-Length", b"%d" % len(body)), *self._last_words(part)]
         head = self._request is not None and self._request.method == b"HEAD"
         data = [] if head or not body else [h11.Data(data=body)]
         self.send(h11.Response(status_code=status, headers=fields), *data, h11.EndOfMessage())
+        self._release_call()
         self._answered()
 
     def _answered(self) -> None:
-        """Go on to the next request, or part."""
+        """Go on to the next request, or part. The answer is out: no failure here may take it back."""
+        try:
+            self._go_on_or_part()
+        except Exception:
+            log.exception("connection failed after an answer")
+            self._part_somehow()
+
+    def _part_somehow(self) -> None:
+        try:
+            self._part()
+        except Exception:
+            log.exception("cannot part from a client in order")
+            self.drop()
+
+    def _go_on_or_part(self) -> None:
         assert self.transport is not None
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not self._overran:
             self.http.start_next_cycle()
-            self._request = None
+            self._request, self._answer_out = None, False
+            self._unread_since = None  # it concerned the request before
             self._server.freed()
             super().resume()  # no effect where it was not paused
+            self._pass_over_blank_lines()
             if self.http.trailing_data[0]:
                 self._loop.call_soon(self.resume_reading)
         else:
             self._part()
 
+    def _pass_over_blank_lines(self) -> None:
+        """Those that came with the request before: h11 takes them for a bad request of their own."""
+        ahead = self.http.trailing_data[0]
+        if not ahead.startswith(b"\r"):
+            return
+        rest, self._blank = without_blank_lines(ahead)
+        if rest != ahead:
+            self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
+            if rest:
+                self.http.receive_data(rest)
+
     def _part(self) -> None:
         """Part after an answer: read and drop what still comes. Whatever the client has sent by then, a
         request ahead or the rest of a body, a close over unread bytes would reset the answer away.
@@ -629,6 +750,14 @@
             self._loop.call_later(LINGER_S, self._lingered, until)
 
 
+def without_blank_lines(data: bytes) -> tuple[bytes, bytes]:
+    """What follows the empty lines, which are to be passed over before a request; and half of one more,
+    where it ends in that."""
+    while data.startswith(b"\r\n"):
+        data = data[2:]
+    return (b"", data) if data == b"\r" else (data, b"")
+
+
 def _itself(client: _Client) -> _Client:
     return client
 
@@ -660,23 +789,36 @@
         """The call that a whole head, and a body at least begun, make. Rejected, where it cannot be taken."""
         call = self.checker.check(request, fields, body, client)
         if self.refusing:
-            raise Rejected(503, "shutting down", retry_after(self._come_again_us))
+            raise self.refusal()
         return call
 
+    def refusal(self) -> Rejected:
+        """Of whatever cannot be seen through any more."""
+        return Rejected(503, "shutting down", retry_after(self._come_again_us))
+
     async def listen(self, address: Address, shared: bool = False) -> int:
         """Returns the port, for an address whose port is 0. A shared one can be listened on once more."""
-        return self.take_over(socket.create_server(
-            (address.host, address.port), backlog=BACKLOG, reuse_port=shared))
+        return self.take_over(await listening(address, BACKLOG, shared))
 
     def take_over(self, listener: socket.socket) -> int:
         """Accept from a socket that listens already; returns its port."""
         self.listener = listener
         listener.setblocking(False)
-        # What is accepted inherits it; asyncio sets it only on a socket made with its protocol's number.
-        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._write_at_once()
         self.freed()
         return int(listener.getsockname()[1])
 
+    def _write_at_once(self) -> None:
+        """Small writes are not to be held back. What is accepted inherits it; asyncio sets it only on a
+        socket made with its protocol's number."""
+        if self.listener is None:
+            return
+        try:
+            self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as e:
+            log.warning("small writes are held back for now: %s", e.strerror)
+            asyncio.get_running_loop().call_later(STARVED_S, self._write_at_once)
+
     def limit(self, most: int, shared: bool) -> None:
         """So many connections at once from now on; those beyond it end in their own time. Where the listener
         is shared, what is not accepted here because of it is left to the other process."""
@@ -689,9 +831,9 @@
             self._accepting = True
             asyncio.get_running_loop().add_reader(self.listener, self._accept)
 
-    def _accept(self, most: int = ACCEPTS) -> None:
-        """Take some that wait. Beyond the limit the kernel holds them: accepting on without descriptors fails
-        for each one that waits, again and again."""
+    def _accept(self, most: int = ACCEPTS) -> bool:
+        """Take some that wait; whether nobody does any more. Beyond the limit the kernel holds them:
+        accepting on without descriptors fails for each one that waits, again and again."""
         assert self.listener is not None
         loop = asyncio.get_running_loop()
         resting = self._resting()
@@ -702,22 +844,25 @@
                 self._accepting = False
                 loop.remove_reader(self.listener)
                 loop.call_later(STARVED_S, self.freed)  # new ones that say nothing will make way by then
-                return
+                return False
             try:
-                sock, _address = self.listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                sock = accept(self.listener)
+            except BlockingIOError:
+                return True
+            except ConnectionAbortedError:
+                continue
             except OSError as e:
-                return self._starve(e)
+                self._starve(e)
+                return False
             self._starved = False
             if makes_way is not None:  # only now: before, nobody may have waited
                 makes_way.drop()
-            sock.setblocking(False)
             client = _Client(self)
             task: asyncio.Task[object] = loop.create_task(
                 loop.connect_accepted_socket(partial(_itself, client), sock))
             self._coming[task] = client
             task.add_done_callback(self._coming.pop)
+        return False
 
     def _starve(self, error: OSError) -> None:
         """Nothing to accept with. The kernel goes on saying that one waits: asked again at once, that would
@@ -785,20 +930,40 @@
         self.taker.give_up_all()
         # What has begun is not cut off here: if it must be, that is for whoever ordered the stop.
         while any(c.busy for c in self.connections) and loop.time() < began + STREAMS_S:
+            self._refuse_unfinished()
             await asyncio.sleep(POLL_S)
-        # Open to the end: closing it resets what has come in and is not accepted yet.
-        if self.listener is not None:
-            self._accept(BACKLOG)
-        self._close_listener()
         last = loop.time() + LAST_S
+        await self._accept_all(last)
+        self._close_listener()
         while (self.connections or self._coming) and loop.time() < last:
+            self._refuse_unfinished()
             await asyncio.sleep(POLL_S)
         self.stop()
 
+    async def _accept_all(self, last: float) -> None:
+        """Accept who waits, until nobody does: closing the listener resets what has come in and is not
+        accepted yet. Those beyond the limit come as the ones before them, refused, have left."""
+        loop = asyncio.get_running_loop()
+        while self.listener is not None and loop.time() < last:
+            if self._accept(BACKLOG):
+                return
+            self._refuse_unfinished()
+            await asyncio.sleep(POLL_S)
+
+    def _refuse_unfinished(self) -> None:
+        """Requests that nobody will be there to read to their end: each is owed its error while there is."""
+        for client in [c for c in self.connections if c.unfinished]:
+            client.refuse_unfinished()
+
     def stop(self) -> None:
+        """End all at once. From here on nothing is read: a request that comes now stays unread, and its
+        client asks elsewhere, while one that was read as the loop is torn down would be lost."""
         if self._emptying is not None:
             self._emptying.cancel()
         self._close_listener()
+        self._refuse_unfinished()
+        for client in list(self.connections):
+            client.cut_off()
 
     def _close_listener(self) -> None:
         if self.listener is not None:
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -9,10 +9,12 @@
 
 import h11
 import pytest
-from tests.loopback import Raw, World, member, post, world
+from tests.loopback import Raw, World, held_connects, member, post, world
+from tests.test_backends import quiet_is_over
 from tests.test_client_gone import assert_next_is_another, with_a_connection_kept
 
 from brasshead.interface import Action, Event, ListKind, RequestArrived, Send
+from lilacsill.backends import _Pooled
 
 LEAVES: dict[str, Callable[[Raw], None]] = {
     "FIN": Raw.close, "RST": Raw.reset, "half-close": lambda client: client.socket.shutdown(socket.SHUT_WR)}
@@ -227,3 +229,72 @@
             client.close()
 
     asyncio.run(run())
+
+
+@leaves
+def test_a_client_that_leaves_at_any_reading_of_the_clock_before_its_attempt_goes_out(
+        tmp_path: Path, how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            await with_a_connection_kept(w)
+            quiet_is_over(w.agent._backends)
+            now, send = w.agent._clock.now, _Pooled.send
+            readings, leave_at = 0, 0
+            readings_before_send: list[int] = []
+            client = await w.raw()
+
+            def held_up() -> int:
+                nonlocal readings
+                readings += 1
+                if readings == leave_at:
+                    LEAVES[how](client)
+                return now()
+
+            def sending(connection: _Pooled, *events: h11.Event) -> None:
+                readings_before_send.append(readings)
+                send(connection, *events)
+
+            with monkeypatch.context() as patch:
+                patch.setattr(w.agent._clock, "now", held_up)
+                patch.setattr(_Pooled, "send", sending)
+                await client.send(post())
+                await (await w.request()).answer()
+                assert b"HTTP/1.1 200" in await asyncio.get_running_loop().sock_recv(client.socket, 65536)
+                client.close()
+                quiet_is_over(w.agent._backends)
+                (most,) = readings_before_send
+                for leave_at in range(1, most + 1):
+                    client, readings = await w.raw(), 0
+                    await client.send(post())
+                    while readings < leave_at or len(w.server.connections) > 1 or w.server._coming:
+                        await asyncio.sleep(0)
+                    client.close()
+                assert len(readings_before_send) == 1
+            assert w.nothing_sent() and w.backends[0].connections == 1  # the kept connection is not spoilt
+
+    asyncio.run(run())
+
+
+def test_who_stops_in_a_large_body_while_its_connection_comes_up_is_let_go_in_time(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Within the 3 s that it is owed its error or its close, and not so long after the connection is up.
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            heard = held_connects(monkeypatch)
+            sending = asyncio.create_task(client.send(in_two_parts()[0]))
+            while not w.backends[0].connections:
+                await asyncio.sleep(0)
+            (connection,) = w.server.connections
+            while connection._upload is None:
+                await asyncio.sleep(0)
+            assert connection._unread is None  # while it is not read nothing is held against it
+            connection._began -= 2.0  # the connection takes so long to come up
+            heard.set()
+            while connection._unread is None:
+                await asyncio.sleep(0)
+            assert connection._unread.when() < connection._began + 3.0
+            await sending
+            client.close()
+
+    asyncio.run(run())
