--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import errno
 import os
 import random
@@ -24,6 +25,7 @@
 @contextmanager
 def at_most(descriptors: int) -> Iterator[None]:
     """For whoever is started meanwhile."""
+    gc.collect()  # sockets of the tests before, which would count among this process's own
     before = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, before[1]))
     try:
