A test's descriptor limit holds for the agent it starts, not for the tests' process

Root cause: at_most() lowered the soft limit of the tests' own process while it started the agent, and tests/test_disk_faults_durable.py had left some 460 lock files open there: stores that were opened for reading back (line 113 and its like) and folders of owners that were killed before they had a store were never closed. Change: start() takes the soft limit and sets it in the child alone; the durable tests close what they open. Assertions are unchanged. Ruled out: a leak in durable/ itself (Store.close closes its folder).

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -304,13 +304,20 @@
     return {**os.environ, "RELAY_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder)}
 
 
-async def start(folder: Path, doc: object, *faults: Fault) -> tuple[asyncio.subprocess.Process, int]:
-    """The agent as a process of its own, which meets these faults; returns when it listens."""
+async def start(
+        folder: Path, doc: object, *faults: Fault, descriptors: int | None = None
+) -> tuple[asyncio.subprocess.Process, int]:
+    """The agent as a process of its own, which meets these faults; returns when it listens.
+
+    descriptors: the soft limit of that process alone. Set on this one for a moment, it would also count what
+    the tests before have left open here.
+    """
     path = folder / "config.json"
     path.write_text(json.dumps(doc))
     module = "tests.fault_injection" if faults else "lilacsill"
+    limit = ["sh", "-c", f'ulimit -S -n {descriptors} && exec "$@"', "sh"] if descriptors else []
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", module, stderr=asyncio.subprocess.PIPE,
+        *limit, sys.executable, "-m", module, stderr=asyncio.subprocess.PIPE,
         env=environment(folder) | (in_environment(*faults) if faults else {}))
     assert process.stderr is not None
     while b"listens on" not in (line := await process.stderr.readline()):
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -2,14 +2,10 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import errno
 import os
 import random
-import resource
 import socket
-from collections.abc import Iterator
-from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -22,18 +18,6 @@
 from lilacsill.server import EXTRA
 
 
-@contextmanager
-def at_most(descriptors: int) -> Iterator[None]:
-    """For whoever is started meanwhile."""
-    gc.collect()  # sockets of the tests before, which would count among this process's own
-    before = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, before[1]))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, before)
-
-
 async def rest(port: int) -> Conversation:
     """A client that has asked once, and keeps its connection."""
     client = Conversation(*await asyncio.open_connection("127.0.0.1", port))
@@ -51,8 +35,7 @@
         backend = await Peer().start()
         doc = config_doc(address.getsockname()[1], [member("s0", backend.port)])
         doc["settings"]["registryMode"], doc["limits"]["sockets"] = "push", stated
-        with at_most(128):
-            process, port = await start(tmp_path, doc)
+        process, port = await start(tmp_path, doc, descriptors=128)
         assert process.stderr is not None
         logged = asyncio.create_task(process.stderr.read())  # or it would wait for its reader
         clients = [await rest(port) for _ in range(160)]
--- a/tests/test_disk_faults_durable.py
+++ b/tests/test_disk_faults_durable.py
@@ -5,6 +5,7 @@
 import fcntl
 import os
 from collections.abc import Iterator
+from contextlib import closing
 from pathlib import Path
 from random import Random
 
@@ -26,6 +27,12 @@
     return (recovered.snapshot.split(b",") if recovered.snapshot else []) + list(recovered.records)
 
 
+def words_in(path: Path) -> list[bytes]:
+    """What a process that starts on this folder recovers; it leaves the folder to the next."""
+    with closing(Store(Folder(path), "fleet", "agent")) as store:
+        return words_of(store.recovered)
+
+
 class Owner:
     """Writes words one by one; a word that was refused is given up, as a caller told "no" may do."""
 
@@ -114,7 +121,7 @@
         owner.run(open_once_the_disk_works(folder, owner, what)).close()
         assert all(text.endswith(f": {what}") or "begin a new generation" in text for text in owner.refused)
         assert owner.refused or set(plan.calls[plan.first - 1:plan.first]) == {"unlink"}
-        assert words_of(Store(Folder(folder), "fleet", "agent").recovered) == owner.acknowledged
+        assert words_in(folder) == owner.acknowledged
 
 
 def test_a_kill_in_each_call_leaves_all_that_was_acknowledged(
@@ -126,10 +133,12 @@
             plan = FaultPlan(number, kill=True, done_anyway=done)
             monkeypatch.setattr(durable_files, "os", FailingOs(plan))
             owner = Owner()
+            opened: list[Folder] = []
             with pytest.raises(Killed):
-                owner.run(Folder(folder))
-            if owner.store is not None:
-                owner.store.close()
+                opened.append(Folder(folder))
+                owner.run(opened[0])
+            for killed in opened:
+                killed.close()  # as the kernel does for a process that was killed
             monkeypatch.setattr(durable_files, "os", os)
             again = Store(Folder(folder), "fleet", "agent")
             words = words_of(again.recovered)
@@ -138,7 +147,7 @@
             again.append(b"more")
             again.commit()
             again.close()
-            assert words_of(Store(Folder(folder), "fleet", "agent").recovered) == [*words, b"more"]
+            assert words_in(folder) == [*words, b"more"]
 
 
 class UncertainDisk(ModelDisk):
@@ -274,7 +283,7 @@
             Store(unreadable, "fleet", "agent")
         unreadable.close()
         assert sorted(os.listdir(tmp_path)) == names
-    assert words_of(Store(Folder(tmp_path), "fleet", "agent").recovered) == WORDS
+    assert words_in(tmp_path) == WORDS
 
 
 def test_a_folder_whose_names_cannot_be_read_is_refused_in_one_line(tmp_path: Path) -> None:
@@ -310,7 +319,7 @@
     store.commit()
     assert open_descriptors() <= descriptors + 1
     store.close()
-    assert words_of(Store(Folder(tmp_path), "fleet", "agent").recovered) == [*WORDS, b"seven"]
+    assert words_in(tmp_path) == [*WORDS, b"seven"]
 
 
 def test_a_record_that_is_too_long_is_refused_without_holding_up_the_others(tmp_path: Path) -> None:
@@ -320,7 +329,7 @@
     store.append(b"seven")
     store.commit()
     store.close()
-    assert words_of(Store(Folder(tmp_path), "fleet", "agent").recovered) == [*WORDS, b"seven"]
+    assert words_in(tmp_path) == [*WORDS, b"seven"]
 
 
 def test_a_new_folder_is_named_on_disk_before_anything_is_acknowledged(
@@ -333,7 +342,7 @@
             synced.append(os.readlink(f"/proc/self/fd/{fd}"))
 
     monkeypatch.setattr(durable_files, "os", Recording(FaultPlan()))
-    Folder(tmp_path / "outer" / "inner")
+    Folder(tmp_path / "outer" / "inner").close()
     assert synced == [str(tmp_path), str(tmp_path / "outer")]
 
 
