Plant after-answer names what is there again; a test looks at each plant's names

Root cause: its code named _Reader and backend, which agent.py no longer has: the planted copy raised NameError in place of sending. Plants are text, and the test only compiled them. Change: the plant begins its attempt in attempt_ended, by the names there; the test has the linter look for undefined names in each planted file (it failed on the old plant).

--- a/faultlab/plants.py
+++ b/faultlab/plants.py
@@ -86,13 +86,13 @@
           "        return False\n        call, self._call = self._call, None\n"
           "        self._upload = self._source = None\n", "restless", "ended"),
     Plant("after-answer", "an attempt goes out after the final answer", "lilacsill/agent.py",
-          "            self._answer(number, 200, _kind(result.content_type), result.body)",
-          "            self._answer(number, 200, _kind(result.content_type), result.body)\n"
-          "            ask = held and Ask(held.call.method, held.call.target, held.call.headers,\n"
-          "                               held.call.body, _Reader(self, 0, 0))\n"
-          "            if ask:\n"
-          "                self._loop.call_later(0.2, self._backends.exchange, backend, ask, 1_000_000,\n"
-          "                                      lambda result: None)", "steady", "ended"),
+          "                self._answer_with(held, result)\n",
+          "                self._answer_with(held, result)\n"
+          "                call = held.call\n"
+          "                ask = Ask(call.method, call.target, call.headers, call.body,\n"
+          "                          left_us=call.left_us)\n"
+          "                self._loop.call_later(0.2, self._backends.exchange, attempt.backend, ask,\n"
+          "                                      1_000_000, lambda result: None)\n", "steady", "ended"),
     Plant("told", "servers are told of time that is not there", "lilacsill/backends.py",
           'headers.append((b"Request-Timeout-Ms", b"%d" % ',
           'headers.append((b"Request-Timeout-Ms", b"1%d" % ',
--- a/tests/test_faultlab_rig.py
+++ b/tests/test_faultlab_rig.py
@@ -109,11 +109,18 @@
     return folder
 
 
+def undefined_names(source: str) -> str:
+    """What the linter says of names that stand for nothing: code with one fails where it is run."""
+    ruff = [sys.executable, "-m", "ruff", "check", "--isolated", "--select", "F821,E9"]
+    return subprocess.run([*ruff, "--quiet", "-"], input=source, capture_output=True, text=True).stdout
+
+
 def test_each_plant_has_its_place_and_its_scenario(tmp_path: Path) -> None:
     for plant in plants.PLANTS:
         text = (ROOT / plant.file).read_text()
         assert text.count(plant.old) == 1, plant.name
-        compile(text.replace(plant.old, plant.new), plant.file, "exec")
+        planted = text.replace(plant.old, plant.new)
+        assert not undefined_names(planted), plant.name
         assert plant.scenario in shipped("faultlab")
     assert "one of repeat" in wrong("plants", "weeds")
     (tmp_path / "tree" / "lilacsill").mkdir(parents=True)
