Connections at rest: one timer outlasts many uses

Cause: Backends.hand_on set a timer for each rest of a connection, and Backends.take cancelled it milliseconds later (backends.py): of three timers that a request set one. Change: the timer stays over uses. When it runs out, what has been used since is watched on, until so long after its latest use, and what is in use gets a timer as it comes to rest. The time of retirement is the same.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -614,12 +614,16 @@
         if connection.reusable_at <= self.clock.now() and self._hand_over(connection):
             return
         backend = connection.member.backend.id
-        left_us = connection.idle_since + self._idle_us - self.clock.now()
-        connection.retire = asyncio.get_running_loop().call_later(
-            left_us / 1e6, self._retired, connection)
+        if connection.retire is None:
+            self._retire_in_time(connection)
         self._idle.setdefault(backend, []).append(connection)
         self._await_quiet(backend)
 
+    def _retire_in_time(self, connection: _Pooled) -> None:
+        left_us = connection.idle_since + self._idle_us - self.clock.now()
+        connection.retire = asyncio.get_running_loop().call_later(
+            max(0, left_us) / 1e6, self._retired, connection)
+
     def _hand_over(self, connection: _Pooled) -> bool:
         """Whether it is in use now, or of no use any more."""
         backend = connection.member.backend.id
@@ -695,8 +699,6 @@
         kept, now = self._idle.get(member.backend.id, []), self.clock.now()
         while (connection := _next_idle(kept, now)) is not None:
             kept.remove(connection)
-            if connection.retire is not None:
-                connection.retire.cancel()
             young = now - connection.idle_since < self._idle_us
             if young and member.same_process(connection.member) and connection.usable():
                 return connection
@@ -716,10 +718,14 @@
         self._offer(connection)
 
     def _retired(self, connection: _Pooled) -> None:
-        kept = self._idle.get(connection.member.backend.id, [])
-        if connection in kept:
-            kept.remove(connection)
-        self._discard(connection)
+        """One timer outlasts many uses: what has been used since it was set is not due yet."""
+        connection.retire = None
+        if connection not in self._idle.get(connection.member.backend.id, ()):
+            return  # in use; a new one is set as it comes to rest
+        if self.clock.now() < connection.idle_since + self._idle_us:
+            self._retire_in_time(connection)
+        else:
+            self._discard(connection)
 
     def _forget(self, backend: BackendId) -> None:
         self._quiet_periods.forget(backend)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -306,6 +306,52 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_a_connection_is_retired_by_its_latest_use_and_not_by_an_earlier_one(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        peer = await Peer().start()
+        b, time_us = backends(peer.port, idle_us=10_000), 1_000_000
+        monkeypatch.setattr(CLOCK, "now", lambda: time_us)
+        message = await served(b, peer)
+        ((connection,),) = b._idle.values()
+        for _ in range(2):  # its timer runs out, and by the clock it has only just come to rest
+            timer = connection.retire
+            assert timer is not None
+            while connection.retire is timer:
+                await asyncio.sleep(0)
+            assert not connection.closed and list(b._idle.values()) == [[connection]]
+        time_us += 60_000_000
+        await message.peer.ended()
+        assert connection.closed and not b._open
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def test_a_timer_that_runs_out_while_its_connection_is_in_use_leaves_it(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        peer = await Peer().start()
+        b, time_us = backends(peer.port, idle_us=10_000), 1_000_000
+        monkeypatch.setattr(CLOCK, "now", lambda: time_us)
+        await served(b, peer)
+        ((connection,),) = b._idle.values()
+        connection.reusable_at = 0
+        end = begin(b)
+        message = await peer.requests.get()
+        assert connection.exchange is not None
+        while connection.retire is not None:
+            await asyncio.sleep(0)
+        await message.answer()
+        assert (await end).outcome is Outcome.OK and peer.connections == 1
+        assert connection.retire is not None  # it rests again
+        time_us += 60_000_000
+        await message.peer.ended()
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
 @pytest.mark.parametrize("phase, up", [("DRAINING", 0), ("DELETED", 0), ("SERVING", 1_700_000_000_000)])
 def test_a_backend_that_drains_goes_or_restarts_loses_its_idle_connections(phase: str, up: int) -> None:
     async def run() -> None:
