Connection: its poll object is made once, not at each look at the kernel

Cause: each look at a connection made a poll object and registered the descriptor anew (Connection._kernel_says), twice a request. Change: it is made with the connection, and asks for POLLIN and POLLRDHUP always; who asks takes what concerns it. Both looks say the same as before with nothing, data, FIN, RST, half-close and an ended own sending.

--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -16,6 +16,7 @@
 HEADER_LIMIT = 32 * 1024  # bytes of request or status line and headers
 TCP_ESTABLISHED = 1  # the state that TCP_INFO begins with, see tcp(7)
 READ_BYTES = 64 * 1024  # at once: what a connection holds while the other side is slower is a few of these
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what poll(2) says once the peer has left
 LINGER_NOT = struct.pack("ii", 1, 0)  # struct linger: a close discards what is unsent and resets
 # One for all: what is read is handed on before the loop turns to the next connection.
 _read_buffer = bytearray(READ_BYTES)
@@ -40,7 +41,7 @@
     def __init__(self, role: type[h11.CLIENT] | type[h11.SERVER] = h11.CLIENT) -> None:
         self.http = h11.Connection(role, max_incomplete_event_size=HEADER_LIMIT)
         self.transport: asyncio.Transport | None = None
-        self._descriptor = -1  # of its socket, valid until the transport is closing
+        self._poll: select.poll | None = None  # watches its socket; valid until the transport is closing
         self.written = True  # the kernel has taken all bytes
         self.closed = False
         self.deaf = False  # what still comes in is dropped
@@ -67,7 +68,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        self._descriptor = transport.get_extra_info("socket").fileno()
+        self._poll = select.poll()
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         transport.set_write_buffer_limits(high=0)  # resume_writing then means: all is written
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -120,16 +122,15 @@
     def quiet(self) -> bool:
         """Whether the kernel has nothing to read for it, not even the peer's close."""
         try:
-            return self._kernel_says(select.POLLIN | select.POLLHUP) == 0
+            return self._kernel_says() == 0
         except OSError:  # no memory to look: what is not known to be idle is not taken for idle
             return False
 
     def left(self) -> bool:
         """Whether the peer has closed or reset it as far as the kernel knows, also behind bytes not yet read:
         a connection that is not being read does not show it by itself."""
-        gone = select.POLLRDHUP | select.POLLHUP | select.POLLERR
         try:
-            return bool(self._kernel_says(select.POLLRDHUP) & gone)
+            return bool(self._kernel_says() & GONE)
         except OSError:  # no memory to look
             return self._half_open()
 
@@ -143,12 +144,11 @@
             return False
         return bool(info[0] != TCP_ESTABLISHED)
 
-    def _kernel_says(self, asked: int) -> int:
-        if self.transport is None or self.transport.is_closing():
+    def _kernel_says(self) -> int:
+        """What poll(2) reports now: that something can be read, that the peer has left, or 0."""
+        if self._poll is None or self.transport is None or self.transport.is_closing():
             return select.POLLHUP
-        poll = select.poll()
-        poll.register(self._descriptor, asked)
-        said = poll.poll(0)
+        said = self._poll.poll(0)
         return said[0][1] if said else 0
 
     def pause(self) -> None:
