Headers are read from h11's list, not one by one

Cause: iterating h11's Headers calls Python code for each header, and fields_of (connection.py) did so for each request and answer. Change: it takes raw_items(), h11's documented list, and lowers the names.

--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -6,8 +6,8 @@
 import select
 import socket
 import struct
-from collections.abc import Iterable
 from contextlib import suppress
+from typing import Protocol
 
 import h11
 
@@ -25,9 +25,16 @@
 Fields = dict[bytes, bytes]
 
 
-def fields_of(headers: Iterable[tuple[bytes, bytes]]) -> Fields:
+class ParsedHeaders(Protocol):
+    """The headers of an event of h11."""
+
+    def raw_items(self) -> list[tuple[bytes, bytes]]:
+        """Names as they were sent, and values."""
+
+
+def fields_of(headers: ParsedHeaders) -> Fields:
     """Headers by their names in lower case; of several of one name the first."""
-    return dict(reversed(list(headers)))
+    return {name.lower(): value for name, value in reversed(headers.raw_items())}
 
 
 def header(fields: Fields, name: bytes) -> str | None:
