After an answer what was sent ahead is looked at once

Cause: _Client._go_on_or_part copied h11's buffer twice, once to pass over empty lines (server.py). Change: the second look uses what the first one left.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -719,22 +719,23 @@
             self._unread_since = None  # it concerned the request before
             self._server.freed()
             super().resume()  # no effect where it was not paused
-            self._pass_over_blank_lines()
-            if self.http.trailing_data[0]:
+            ahead = self.http.trailing_data[0]
+            if ahead.startswith(b"\r"):
+                ahead = self._without_blank_lines(ahead)
+            if ahead:
                 self._loop.call_soon(self.resume_reading)
         else:
             self._part()
 
-    def _pass_over_blank_lines(self) -> None:
-        """Those that came with the request before: h11 takes them for a bad request of their own."""
-        ahead = self.http.trailing_data[0]
-        if not ahead.startswith(b"\r"):
-            return
+    def _without_blank_lines(self, ahead: bytes) -> bytes:
+        """What follows the empty lines that came with the request before: h11 takes them for a bad request of
+        their own."""
         rest, self._blank = without_blank_lines(ahead)
         if rest != ahead:
             self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
             if rest:
                 self.http.receive_data(rest)
+        return rest
 
     def _part(self) -> None:
         """Part after an answer: read and drop what still comes. Whatever the client has sent by then, a
