An attempt whose connection has come up looks for its client once

Cause: Backends._hand_over asked Exchange.may_go, which looks for the client, and Exchange._put looked again in the same step (backends.py). Change: on hand-over only list and time are asked beforehand; the look that stays is the last one, behind the clock. Exchange.carry says whether it used the connection, so that one that its client's leaving left free is offered to the next in a loop, not by a call within the call. Two tests: one counts the looks, one has twice as many departed clients wait as calls may lie within each other. Measured: a dialed attempt looks twice, not three times: before the connect and as it goes out. One on a kept connection looks once, as before.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -210,7 +210,9 @@
             return self._end(Outcome.NOT_SENT)
         connection = self._backends.take(member)
         if connection is not None:
-            return self.carry(connection)
+            if not self.carry(connection):
+                self._backends.hand_on(connection)
+            return
         if not self.may_go():
             return
         if not self._backends.room():
@@ -225,11 +227,17 @@
         self._end(outcome)
 
     def may_go(self) -> bool:
-        """The one place where it is settled that an attempt may still go out. The list may have changed while
-        its connection came up, its time or that of repeats have run out, its client have left.
+        """Whether it may still wait for a connection; ends it where not. Its time or that of repeats may have
+        run out, its client have left, the list have changed.
         """
+        if self.in_time() and not self._wanted():
+            self._end(Outcome.NOT_SENT)
+        return not self.ended
+
+    def in_time(self) -> bool:
+        """The same but for its client, which is asked behind this, as the attempt is about to go out."""
         if not self.ended and (self._backends.ready(self._backend) is None
-                               or self._left_us() < LEAST_TOLD_US or not self._wanted()):
+                               or self._left_us() < LEAST_TOLD_US):
             self._end(Outcome.NOT_SENT)
         return not self.ended
 
@@ -240,14 +248,15 @@
             log.exception("cannot tell whether an attempt is still wanted")
             return False
 
-    def carry(self, connection: _Pooled) -> None:
-        """Go out on this connection."""
+    def carry(self, connection: _Pooled) -> bool:
+        """Go out on this connection, or end; whether that has used it, or it is as good as before."""
         try:
-            self._put(connection)
+            return self._put(connection)
         except Exception:
             if self._connection is None:  # nothing has gone out on it; it is not to be used again
                 connection.drop()
             self._failed()
+            return True
 
     def _failed(self) -> None:
         """For an exception in hand: whatever it is, the attempt must end, or its request gets no answer."""
@@ -262,12 +271,13 @@
             own_us -= now - self._began
         return own_us if self._ask.left_us is None else min(own_us, self._ask.left_us(now))
 
-    def _put(self, connection: _Pooled) -> None:
+    def _put(self, connection: _Pooled) -> bool:
         ask, body, headers = self._ask, self._ask.body, [(b"Host", HOST), *self._ask.headers]
         if ask.reader is not None:
             left_us = self._left_us()  # read anew: what runs between the check and here takes time too
             if left_us < LEAST_TOLD_US:
-                return self._hand_on_unused(connection)
+                self._end(Outcome.NOT_SENT)
+                return False
             headers.append((b"Request-Timeout-Ms", b"%d" % (left_us // 1000)))
         start = body if isinstance(body, bytes) else body.held()
         length = len(start) if isinstance(body, bytes) else body.length
@@ -279,24 +289,21 @@
         if start:
             events.append(h11.Data(data=start))
         if not self._wanted():  # asked behind the last look at the clock: the agent may be held up there
-            return self._hand_on_unused(connection)
+            self._end(Outcome.NOT_SENT)
+            return False
         self._connection, connection.exchange = connection, self
         if isinstance(body, bytes) or body.whole:
             connection.send(*events, h11.EndOfMessage())
             if connection.written:
                 self.on_written()
-            return
+            return True
         self._sending = True
         self._timer.cancel()
         self._watch_progress()
         connection.send(*events)
         if connection.written:
             body.flow(self)
-
-    def _hand_on_unused(self, connection: _Pooled) -> None:
-        """End without having gone out; the connection is as good as before."""
-        self._end(Outcome.NOT_SENT)
-        self._backends.hand_on(connection)
+        return True
 
     # A large body
 
@@ -634,8 +641,7 @@
                 return True
             exchange = next(iter(waiting))
             self.waits_no_more(backend, exchange)
-            if exchange.may_go():
-                exchange.carry(connection)
+            if exchange.in_time() and exchange.carry(connection):
                 return True
         return False
 
@@ -665,7 +671,8 @@
                 self._connect_if_short(member)
                 break
             self.waits_no_more(backend, exchange)
-            exchange.carry(connection)
+            if not exchange.carry(connection):
+                self.hand_on(connection)
         self._await_quiet(backend)
 
     def _connect_if_short(self, member: Member) -> None:
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import socket
+import sys
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
@@ -13,8 +14,9 @@
 from tests.test_backends import quiet_is_over
 from tests.test_client_gone import assert_next_is_another, with_a_connection_kept
 
-from brasshead.interface import Action, Event, ListKind, RequestArrived, Send
-from lilacsill.backends import _Pooled
+from brasshead.interface import Action, Event, ListKind, Outcome, RequestArrived, Send
+from lilacsill.backends import Ask, Exchange, Result, _Pooled
+from lilacsill.server import _Client
 
 LEAVES: dict[str, Callable[[Raw], None]] = {
     "FIN": Raw.close, "RST": Raw.reset, "half-close": lambda client: client.socket.shutdown(socket.SHUT_WR)}
@@ -275,6 +277,69 @@
     asyncio.run(run())
 
 
+def test_a_client_is_looked_for_once_as_its_attempt_goes_out(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.client()
+            heard, left, looks = held_connects(monkeypatch), _Client.left, 0
+
+            def counted(client: _Client) -> bool:
+                nonlocal looks
+                looks += 1
+                return left(client)
+
+            monkeypatch.setattr(_Client, "left", counted)
+            await client.write(post())
+            while not w.agent._backends._waiting:
+                await asyncio.sleep(0)
+            assert looks == 1  # before it has one more connection come up
+            heard.set()
+            await (await w.request()).answer()
+            assert (await client.read()).status == 200 and looks == 2
+            quiet_is_over(w.agent._backends)
+            await client.write(post())
+            await (await w.request()).answer()
+            assert (await client.read()).status == 200 and looks == 3
+            assert w.backends[0].connections == 1
+
+    asyncio.run(run())
+
+
+def test_a_new_connection_goes_to_the_first_who_waits_and_has_not_left(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # More of them than calls may lie within each other.
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client, backends = await w.raw(), w.agent._backends
+            heard, left = held_connects(monkeypatch), 0
+            await client.send(post())
+            while not backends._waiting:
+                await asyncio.sleep(0)
+            ends: list[Result] = []
+            waiting = backends._waiting["s0"]
+
+            def gone() -> bool:
+                nonlocal left
+                left += 1
+                return False
+
+            for _ in range(2 * sys.getrecursionlimit()):
+                ask = Ask("POST", "/api", [], reader=next(iter(waiting))._ask.reader, wanted=gone)
+                waiting[Exchange(backends, "s0", ask, 60_000_000, ends.append)] = None
+            first = next(iter(waiting))
+            waiting[first] = waiting.pop(first)  # behind all of them
+            heard.set()
+            await (await w.request()).answer()
+            assert b"HTTP/1.1 200" in await asyncio.get_running_loop().sock_recv(client.socket, 65536)
+            assert {end.outcome for end in ends} == {Outcome.NOT_SENT}
+            assert len(ends) == left == 2 * sys.getrecursionlimit()
+            assert w.backends[0].connections == 1
+            client.close()
+
+    asyncio.run(run())
+
+
 def test_who_stops_in_a_large_body_while_its_connection_comes_up_is_let_go_in_time(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     # Within the 3 s that it is owed its error or its close, and not so long after the connection is up.
