A connection that comes to rest reads the clock once

Cause: give_back, _offer and hand_on (backends.py) read the clock four times for one moment. Change: it is read once and passed on.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -211,7 +211,7 @@
         connection = self._backends.take(member)
         if connection is not None:
             if not self.carry(connection):
-                self._backends.hand_on(connection)
+                self._backends.hand_on(connection, self._backends.clock.now())
             return
         if not self.may_go():
             return
@@ -577,7 +577,7 @@
             outcome = Outcome.CONNECT_FAILED
         elif connection is not None and member.same_process(self.ready(backend)):
             outcome = Outcome.CONNECT_FAILED  # of one that is left: this connection was closed as it came up
-            self._offer(connection)
+            self._offer(connection, self.clock.now())
         elif connection is not None:
             self._discard(connection)
         # One that is left without a connection on its way has nothing more to wait for.
@@ -611,23 +611,23 @@
             if not waiting:
                 del self._waiting[backend]
 
-    def _offer(self, connection: _Pooled) -> None:
+    def _offer(self, connection: _Pooled, now: int) -> None:
         """It is free from now on."""
-        connection.idle_since = self.clock.now()
-        self.hand_on(connection)
+        connection.idle_since = now
+        self.hand_on(connection, now)
 
-    def hand_on(self, connection: _Pooled) -> None:
+    def hand_on(self, connection: _Pooled, now: int) -> None:
         """To the exchange that has waited longest and may still go out, else kept."""
-        if connection.reusable_at <= self.clock.now() and self._hand_over(connection):
+        if connection.reusable_at <= now and self._hand_over(connection):
             return
         backend = connection.member.backend.id
         if connection.retire is None:
-            self._retire_in_time(connection)
+            self._retire_in_time(connection, now)
         self._idle.setdefault(backend, []).append(connection)
         self._await_quiet(backend)
 
-    def _retire_in_time(self, connection: _Pooled) -> None:
-        left_us = connection.idle_since + self._idle_us - self.clock.now()
+    def _retire_in_time(self, connection: _Pooled, now: int) -> None:
+        left_us = connection.idle_since + self._idle_us - now
         connection.retire = asyncio.get_running_loop().call_later(
             max(0, left_us) / 1e6, self._retired, connection)
 
@@ -672,7 +672,7 @@
                 break
             self.waits_no_more(backend, exchange)
             if not exchange.carry(connection):
-                self.hand_on(connection)
+                self.hand_on(connection, self.clock.now())
         self._await_quiet(backend)
 
     def _connect_if_short(self, member: Member) -> None:
@@ -721,16 +721,18 @@
                 or not member.same_process(self.ready(member.backend.id))):
             return self._discard(connection)
         http.start_next_cycle()
-        connection.reusable_at = self.clock.now() + self._quiet_periods.of(member.backend.id)
-        self._offer(connection)
+        now = self.clock.now()
+        connection.reusable_at = now + self._quiet_periods.of(member.backend.id)
+        self._offer(connection, now)
 
     def _retired(self, connection: _Pooled) -> None:
         """One timer outlasts many uses: what has been used since it was set is not due yet."""
         connection.retire = None
         if connection not in self._idle.get(connection.member.backend.id, ()):
             return  # in use; a new one is set as it comes to rest
-        if self.clock.now() < connection.idle_since + self._idle_us:
-            self._retire_in_time(connection)
+        now = self.clock.now()
+        if now < connection.idle_since + self._idle_us:
+            self._retire_in_time(connection, now)
         else:
             self._discard(connection)
 
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -57,7 +57,7 @@
         self.backends, self.kernel = b, kernel
         self.connection = _Pooled(listing(1).members[0], b._discard)
         self.connection.connection_made(kernel)
-        b._offer(self.connection)
+        b._offer(self.connection, b.clock.now())
         self.ends: list[Result] = []
 
     def begin(self, ask: Ask = ASK) -> Exchange:
