One accept loop for clients and for the door

Need: the rule of what a failed accept means stood in two loops, and a change to one of them could miss the other. Cause: Server._accept and Acceptor._accept each accepted, passed over the aborted and stopped at a lack by themselves (server.py, listener.py). Change: accept_waiting accepts as long as one more may come, which is asked before each; the server's answer is _Admission, which also knows who makes way. A lack is the typed Lacking, raised by sockets.accept. What either does at a lack, or at its limit, is unchanged.

--- a/lilacsill/listener.py
+++ b/lilacsill/listener.py
@@ -6,9 +6,10 @@
 import logging
 import socket
 from collections.abc import Callable
+from enum import Enum, auto
 
 from .discovery import Address
-from .sockets import accept
+from .sockets import Lacking, accept
 
 log = logging.getLogger(__name__)
 
@@ -37,6 +38,30 @@
         await asyncio.sleep(LISTEN_AGAIN_S)
 
 
+class Waiting(Enum):
+    """Who still waits to be accepted."""
+
+    NOBODY = auto()
+    PERHAPS = auto()
+    NOT_ADMITTED = auto()
+
+
+def accept_waiting(listener: socket.socket, take_in: Callable[[socket.socket], None], most: int = ACCEPTS,
+                   may_come: Callable[[], bool] = lambda: True) -> Waiting:
+    """Accept those that wait, so many at most, as long as one more may come. Raises Lacking."""
+    for _ in range(most):
+        if not may_come():
+            return Waiting.NOT_ADMITTED
+        try:
+            sock = accept(listener)
+        except BlockingIOError:
+            return Waiting.NOBODY
+        except ConnectionAbortedError:
+            continue
+        take_in(sock)
+    return Waiting.PERHAPS
+
+
 class Acceptor:
     """Accepts all that come to a listening socket, each into a protocol of its own."""
 
@@ -60,19 +85,15 @@
         self._loop.add_reader(self._listener, self._accept)
 
     def _accept(self) -> None:
-        for _ in range(ACCEPTS):
-            try:
-                sock = accept(self._listener)
-            except BlockingIOError:
-                return
-            except ConnectionAbortedError:
-                continue
-            except OSError as e:
-                log.warning("cannot accept for now: %s", e.strerror)
-                self._loop.remove_reader(self._listener)
-                self._again = self._loop.call_later(STARVED_S, self._start)
-                return
-            task: asyncio.Task[object] = self._loop.create_task(
-                self._loop.connect_accepted_socket(self._protocol, sock))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        try:
+            accept_waiting(self._listener, self._take_in)
+        except Lacking as e:
+            log.warning("cannot accept for now: %s", e.strerror)
+            self._loop.remove_reader(self._listener)
+            self._again = self._loop.call_later(STARVED_S, self._start)
+
+    def _take_in(self, sock: socket.socket) -> None:
+        task: asyncio.Task[object] = self._loop.create_task(
+            self._loop.connect_accepted_socket(self._protocol, sock))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -18,8 +18,8 @@
 
 from .connection import HEADER_LIMIT, READ_BYTES, Connection, Fields, Headers, fields_of, header
 from .discovery import Address
-from .listener import ACCEPTS, STARVED_S, listening
-from .sockets import accept
+from .listener import ACCEPTS, STARVED_S, Waiting, accept_waiting, listening
+from .sockets import Lacking
 from .turns import unread_since
 
 log = logging.getLogger(__name__)
@@ -776,6 +776,25 @@
     return client
 
 
+class _Admission:
+    """Who may come in one go of accepting, and who makes way for them."""
+
+    def __init__(self, server: Server) -> None:
+        self._server, self._resting = server, server.resting()
+        self._makes_way: _Client | None = None
+
+    def may_come(self) -> bool:
+        """Whether one more may, because there is room or because another makes way."""
+        full = self._server.full()
+        self._makes_way = next(self._resting, None) if full else None
+        return not full or self._makes_way is not None or self._server.room_beyond()
+
+    def take_in(self, sock: socket.socket) -> None:
+        if self._makes_way is not None:  # only now: before, nobody may have waited
+            self._makes_way.drop()
+        self._server.take_in(sock)
+
+
 class Server:
     """Listens for the application."""
 
@@ -849,50 +868,52 @@
         """Take some that wait; whether nobody does any more. Beyond the limit the kernel holds them:
         accepting on without descriptors fails for each one that waits, again and again."""
         assert self.listener is not None
-        loop = asyncio.get_running_loop()
-        resting = self._resting()
-        for _ in range(most):
-            full = self._occupied() >= self._most
-            makes_way = next(resting, None) if full and not self._shared else None
-            if full and makes_way is None and not self._room_beyond():
-                self._accepting = False
-                loop.remove_reader(self.listener)
-                loop.call_later(STARVED_S, self.freed)  # new ones that say nothing will make way by then
-                return False
-            try:
-                sock = accept(self.listener)
-            except BlockingIOError:
-                return True
-            except ConnectionAbortedError:
-                continue
-            except OSError as e:
-                self._starve(e)
-                return False
-            self._starved = False
-            if makes_way is not None:  # only now: before, nobody may have waited
-                makes_way.drop()
-            client = _Client(self)
-            task: asyncio.Task[object] = loop.create_task(
-                loop.connect_accepted_socket(partial(_itself, client), sock))
-            self._coming[task] = client
-            task.add_done_callback(self._coming.pop)
-        return False
-
-    def _starve(self, error: OSError) -> None:
+        admission = _Admission(self)
+        try:
+            waiting = accept_waiting(self.listener, admission.take_in, most, admission.may_come)
+        except Lacking as e:
+            self._starve(e)
+            return False
+        if waiting is Waiting.NOT_ADMITTED:
+            self._pause_accepting()  # new ones that say nothing will make way by then
+        return waiting is Waiting.NOBODY
+
+    def take_in(self, sock: socket.socket) -> None:
+        """Serve who has been accepted."""
+        self._starved = False
+        loop, client = asyncio.get_running_loop(), _Client(self)
+        task: asyncio.Task[object] = loop.create_task(
+            loop.connect_accepted_socket(partial(_itself, client), sock))
+        self._coming[task] = client
+        task.add_done_callback(self._coming.pop)
+
+    def _starve(self, error: Lacking) -> None:
         """Nothing to accept with. The kernel goes on saying that one waits: asked again at once, that would
         take all the time there is.
         """
-        assert self.listener is not None
         if not self._starved:
             log.warning("cannot accept for now: %s", error.strerror)
-        self._starved, self._accepting = True, False
+        self._starved = True
+        self._pause_accepting()
+
+    def _pause_accepting(self) -> None:
+        """For a moment, or until a connection ends or falls idle."""
+        assert self.listener is not None
+        self._accepting = False
         loop = asyncio.get_running_loop()
         loop.remove_reader(self.listener)
         loop.call_later(STARVED_S, self.freed)
 
-    def _resting(self) -> Iterator[_Client]:
+    def full(self) -> bool:
+        """Whether as many are connected as may be at once."""
+        return self._occupied() >= self._most
+
+    def resting(self) -> Iterator[_Client]:
         """Those that may make way, the one that has rested longest first. Not who has just come: its request
-        is on the way, and a new connection that is closed unanswered counts as a refusal."""
+        is on the way, and a new connection that is closed unanswered counts as a refusal. Nobody, where
+        another process that listens has room."""
+        if self._shared:
+            return
         candidates = [c for c in self.connections if c.empty and not c.fresh]
         for client in sorted(candidates, key=lambda c: c.last):
             if client.idle:
@@ -902,7 +923,7 @@
         """Places taken. One on its way is among the connections before its way is over."""
         return len(self.connections) + sum(c.transport is None for c in self._coming.values())
 
-    def _room_beyond(self) -> bool:
+    def room_beyond(self) -> bool:
         """Whether one more may come where none makes way. Another process that listens has room for it."""
         return not self._shared and self._occupied() < self._most + EXTRA
 
--- a/lilacsill/sockets.py
+++ b/lilacsill/sockets.py
@@ -26,7 +26,7 @@
 
 
 class Lacking(OSError):
-    """This machine has nothing to make a connection with just now; no word on the server."""
+    """This machine has nothing to make or accept a connection with just now; no word on the other side."""
 
 
 class RetryingSocket:
@@ -106,14 +106,16 @@
 def accept(listener: socket.socket) -> socket.socket:
     """The connection that has waited longest, for a transport of asyncio.
 
-    BlockingIOError: nobody waits. ConnectionAbortedError: it was gone, and another may wait. Any other
-    OSError: there is nothing to accept with for now.
+    BlockingIOError: nobody waits. ConnectionAbortedError: it was gone, and another may wait. Lacking: there
+    is nothing to accept with for now.
     """
     try:
         sock, _address = listener.accept()
+    except BlockingIOError:
+        raise
     except OSError as e:
         if e.errno in GONE_BEFORE_ACCEPT:
             raise ConnectionAbortedError(e.errno, e.strerror) from None
-        raise
+        raise Lacking(e.errno, e.strerror) from None
     sock.setblocking(False)
     return retrying(sock)
