Which errno passes by itself for which call stands in one module

Need: a reader who asks whether an errno ends something had four places to look, under four names. Cause: sockets.SHORTAGE, event_loop.SHORTAGE, listener.PASSING and handover.LACK were made with their modules.

--- a/lilacsill/event_loop.py
+++ b/lilacsill/event_loop.py
@@ -6,7 +6,6 @@
 """
 from __future__ import annotations
 
-import errno
 import select
 import selectors
 from collections.abc import Mapping
@@ -14,7 +13,8 @@
 from selectors import EVENT_READ, EVENT_WRITE, SelectorKey
 from typing import Any
 
-SHORTAGE = (errno.ENOMEM, errno.ENOSPC)
+from .sockets import LACKING_TO_WATCH
+
 AGAIN_S = 0.02  # the longest wait while the kernel owes a registration
 # A closed or broken connection shows as either, whatever was asked for.
 READABLE, WRITABLE = ~select.EPOLLOUT, ~select.EPOLLIN
@@ -39,7 +39,7 @@
         try:
             self._epoll.register(fd, _mask(events))
         except OSError as e:
-            if e.errno not in SHORTAGE:
+            if e.errno not in LACKING_TO_WATCH:
                 raise
             self._behind.add(fd)
         key = self._keys[fd] = SelectorKey(fileobj, fd, events, data)
@@ -88,7 +88,7 @@
             except FileNotFoundError:
                 self._epoll.register(key.fd, _mask(key.events))
         except OSError as e:
-            if e.errno in SHORTAGE:
+            if e.errno in LACKING_TO_WATCH:
                 return
             self._behind.discard(key.fd)
             raise
--- a/lilacsill/handover.py
+++ b/lilacsill/handover.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import errno
 import json
 import logging
 import os
@@ -23,7 +22,7 @@
 
 from .discovery import Address
 from .listener import STARVED_S
-from .sockets import retrying
+from .sockets import LACKING_TO_HAND_OVER, retrying
 
 log = logging.getLogger(__name__)
 
@@ -32,8 +31,6 @@
 CONFIRM_S = 0.7  # a caller at the door waits 1 s
 STATE_LIMIT = 16 * 1024 * 1024
 LINE_LIMIT = 64 * 1024  # of a message on a link
-# unix(7), sendmsg(2): of the machine, for a moment.
-LACK = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN, errno.ETOOMANYREFS})
 LACKING_S = 0.02  # until the next try
 PATH_LIMIT = 107  # bytes of a Unix socket's address
 CREDENTIALS = struct.Struct("3i")  # pid, uid, gid
@@ -95,7 +92,7 @@
             return _inherit(path, until)
         except (OSError, ValueError, KeyError, TypeError, IndexError, _Strange) as e:
             # After a lack of a moment the other process may still be about to take back what it gave.
-            lacked = lacked or (isinstance(e, OSError) and e.errno in LACK)
+            lacked = lacked or (isinstance(e, OSError) and e.errno in LACKING_TO_HAND_OVER)
             if not lacked or time.monotonic() >= until:
                 log.warning("starts without the process at %s: %s", path, str(e) or type(e).__name__)
                 return None
@@ -159,7 +156,7 @@
         try:
             return socket.send_fds(sock, [data], [shared.fileno()])
         except OSError as e:
-            if e.errno not in LACK:
+            if e.errno not in LACKING_TO_HAND_OVER:
                 raise
         await asyncio.sleep(LACKING_S)
 
--- a/lilacsill/listener.py
+++ b/lilacsill/listener.py
@@ -2,25 +2,19 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import socket
 from collections.abc import Callable
 from enum import Enum, auto
 
 from .discovery import Address
-from .sockets import Lacking, accept
+from .sockets import LACKING_TO_LISTEN, Lacking, accept
 
 log = logging.getLogger(__name__)
 
 ACCEPTS = 32  # in one turn of the loop
 STARVED_S = 0.1  # without descriptors, or memory, until the next try
 LISTEN_S, LISTEN_AGAIN_S = 5.0, 0.1  # a start is given up when it could not listen for so long
-# bind(2), socket(2): another process is just letting go of the address, the machine is coming up, or short.
-PASSING = frozenset({
-    errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM,
-    errno.EAGAIN, errno.EINTR,
-})
 
 
 async def listening(address: Address, backlog: int, shared: bool = False) -> socket.socket:
@@ -31,7 +25,7 @@
         try:
             return socket.create_server((address.host, address.port), backlog=backlog, reuse_port=shared)
         except OSError as e:
-            if e.errno not in PASSING or loop.time() >= until:
+            if e.errno not in LACKING_TO_LISTEN or loop.time() >= until:
                 raise
             # Whoever starts the agent is told in one line, if it comes to that.
             log.debug("cannot listen on %s:%d yet: %s", address.host, address.port, e.strerror)
--- a/lilacsill/sockets.py
+++ b/lilacsill/sockets.py
@@ -1,8 +1,9 @@
 """Sockets whose calls fail for a moment: what an errno says, and what to do about it.
 
-The manual pages of Linux name two kinds of error that end nothing. A lack of memory, buffers, descriptors or
-ports is this machine's, and passes: the call is made again. And accept(2) hands on what befell a connection
-before it was accepted: that one is gone, the next may be in order.
+The manual pages of Linux name two kinds of error that end nothing. A lack of memory, buffers, descriptors
+or ports is this machine's, and passes: the call is made again; the tables below have the errnos of each call.
+And accept(2) hands on what befell a connection before it was accepted: that one is gone, the next may be in
+order.
 """
 from __future__ import annotations
 
@@ -22,7 +23,19 @@
     errno.ECONNABORTED, errno.ENETDOWN, errno.EPROTO, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET,
     errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.ECONNRESET, errno.EINTR,
 })
-SHORTAGE = frozenset({errno.ENOBUFS, errno.ENOMEM})  # of a transfer on a connection that is in order
+# send(2), recv(2), on a connection that is in order.
+LACKING_TO_TRANSFER = frozenset({errno.ENOBUFS, errno.ENOMEM})
+# epoll_ctl(2): ENOSPC is the limit of watches.
+LACKING_TO_WATCH = frozenset({errno.ENOMEM, errno.ENOSPC})
+# bind(2), socket(2): another process is just letting go of the address, the machine is coming up, or short.
+LACKING_TO_LISTEN = frozenset({
+    errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM,
+    errno.EAGAIN, errno.EINTR,
+})
+# unix(7), sendmsg(2): of a hand-over to the next process.
+LACKING_TO_HAND_OVER = frozenset({
+    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN, errno.ETOOMANYREFS,
+})
 
 
 class Lacking(OSError):
@@ -82,7 +95,7 @@
 
 
 def _not_now(error: OSError) -> OSError:
-    if error.errno in SHORTAGE:
+    if error.errno in LACKING_TO_TRANSFER:
         return BlockingIOError(errno.EAGAIN, error.strerror)
     return error
 
