A head is looked at once for each piece that comes

Cause: Connection._read_on called check_head before each event of h11; only before the first one can a head be ahead (connection.py). Change: it is called once, before the loop.

--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -56,7 +56,7 @@
     # What a role adds
 
     def check_head(self) -> None:
-        """A look at what h11 is to read next; raises h11.RemoteProtocolError."""
+        """A look at what has come, before h11 reads it; raises h11.RemoteProtocolError."""
 
     def on_event(self, event: h11.Event) -> None:
         """One event of the peer's message."""
@@ -114,9 +114,9 @@
         self.written = not self.transport.is_closing() and self.transport.get_write_buffer_size() == 0
 
     def _read_on(self) -> None:
-        """Hand on what has been received, as far as h11 lets it."""
+        """Hand on what has been received, as far as h11 lets it: at most to the end of one message."""
+        self.check_head()
         while not self.deaf:
-            self.check_head()
             event = self.http.next_event()
             # Not isinstance: h11's events are abstract classes, for which it costs more than all else here.
             if event is h11.NEED_DATA or event is h11.PAUSED or type(event) is h11.ConnectionClosed:
