Requests to servers: headers that h11 has parsed are not checked again

Cause: h11.Request ran two patterns over each header, of which the client's had been through the same patterns as they were read, and the others are constants and digits made here (Exchange._put, backends.py). Change: checked_request (connection.py) makes the event as h11's own parser does. Method, target, host and lengths are still checked by h11. Tests: the bytes are the same as of a checked event; names and values that h11 refuses never go on.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -14,7 +14,7 @@
 from brasshead.interface import Backend, BackendId, Outcome, State
 
 from .clock import Clock
-from .connection import Connection, Fields, Headers, fields_of, header
+from .connection import Connection, Fields, Headers, checked_request, fields_of, header
 from .discovery import Listing, Member
 from .quiet_period import LATENESS_MOST_US, QUIET_US, QuietPeriods
 from .sockets import Lacking, connecting
@@ -79,7 +79,7 @@
 
     method: str
     target: str
-    headers: Headers
+    headers: Headers  # as h11 has parsed them
     body: bytes | Body = b""
     reader: Reader | None = None  # None: a probe
     wanted: Callable[[], bool] = lambda: True  # asked last thing before it goes out: time has passed since
@@ -285,7 +285,7 @@
             headers.append((b"Transfer-Encoding", b"chunked"))
         elif length or ask.method == "POST":
             headers.append((b"Content-Length", b"%d" % length))
-        events: list[h11.Event] = [h11.Request(method=ask.method, target=ask.target, headers=headers)]
+        events: list[h11.Event] = [checked_request(ask.method, ask.target, headers)]
         if start:
             events.append(h11.Data(data=start))
         if not self._wanted():  # asked behind the last look at the clock: the agent may be held up there
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -42,6 +42,13 @@
     return None if value is None else value.decode("latin-1")
 
 
+def checked_request(method: str, target: str, headers: Headers) -> h11.Request:
+    """A request whose headers h11 has parsed before, or that are made here of constants and digits: h11 takes
+    its word for their names and values, as for those of its own parser."""
+    return h11.Request(
+        method=method.encode("ascii"), target=target.encode("ascii"), headers=headers, _parsed=True)
+
+
 class Connection(asyncio.BufferedProtocol):
     """Feeds bytes to h11 and hands its events on; knows whether all that was sent has been written."""
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -6,13 +6,14 @@
 import socket
 from collections.abc import Awaitable, Callable
 
+import h11
 import pytest
 from tests.loopback import Message, Peer, held_connects, member
 
 from brasshead.interface import Outcome
 from lilacsill.backends import Ask, Backends, Result, parse_report
 from lilacsill.clock import Clock
-from lilacsill.connection import Connection
+from lilacsill.connection import Connection, checked_request
 from lilacsill.discovery import Listing, ListingParser
 
 FIELDS = ("inflight", "queue", "util")
@@ -103,6 +104,20 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_a_request_reads_as_if_all_of_its_headers_had_been_checked() -> None:
+    headers = [(b"Host", b"origin.svc"), (b"request-id", b"9b1f"), (b"content-type", b"text/plain; q=\xe9"),
+               (b"Request-Timeout-Ms", b"29999"), (b"Content-Length", b"3")]
+    sent = h11.Connection(h11.CLIENT).send(checked_request("POST", "/api?obj=7f3a", headers))
+    assert sent == h11.Connection(h11.CLIENT).send(
+        h11.Request(method="POST", target="/api?obj=7f3a", headers=headers))
+    with pytest.raises(h11.LocalProtocolError):
+        checked_request("POST", "/api", headers[1:])  # without its host
+    with pytest.raises(h11.LocalProtocolError):
+        checked_request("POST", "/a pi", headers)
+    with pytest.raises(h11.LocalProtocolError):
+        checked_request("POST", "/api", [*headers, (b"Content-Length", b"4")])
+
+
 def test_refused_is_a_failed_connect() -> None:
     async def run() -> None:
         with socket.socket() as s:  # bound and not listening: every connection is refused
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -42,6 +42,9 @@
         post(drop=("Content-Length",), body=b"", X=f"a\r\n Content-Length: {len(post())}") + post(), 400),
     "a bare line feed in the head": (post(X="a\nContent-Length: 3"), 400),
     "a head of bare line feeds": (post().replace(b"\r\n", b"\n"), 400),
+    "a line within a header that goes on": (post(Request_Id="9b\r1f"), 400),
+    "a zero within a header that goes on": (post(Idempotency_Key="5c\x000f"), 400),
+    "a name that is none": (post().replace(b"Request-Id", b"Request Id"), 400),
     "body too large": (post(body=b"x" * (32 * 1024 * 1024 + 1)), 413),  # still being sent when it is answered
 }
 
