What is asked of a server, and how it ended, are named tuples

Cause: a frozen dataclass sets each field by a call of object.__setattr__, and each request makes one Ask and one Result (backends.py). Change: both are NamedTuple: typed and immutable as before. Tests that vary one use _replace.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -6,8 +6,7 @@
 import logging
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import h11
 
@@ -31,8 +30,7 @@
 STALL_S = 5.0  # a backend that takes or gives nothing for so long, while it could, has stopped
 
 
-@dataclass(slots=True, frozen=True)
-class Result:
+class Result(NamedTuple):
     """How an exchange ended."""
 
     outcome: Outcome
@@ -73,8 +71,7 @@
     def more(self, exchange: Exchange, data: bytes) -> None: ...
 
 
-@dataclass(slots=True, frozen=True)
-class Ask:
+class Ask(NamedTuple):
     """What is to be sent to a backend."""
 
     method: str
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -5,7 +5,6 @@
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import replace
 
 import pytest
 from tests.test_attempts_close import Kernel
@@ -90,7 +89,7 @@
         with wire() as w:
             w.kernel.left = 1  # after a short write
             reading = Reading()
-            w.begin(replace(ASK, reader=reading))
+            w.begin(ASK._replace(reader=reading))
             w.connection.data_received(answer)
             assert w.outcome() is outcome
             assert w.kernel.over and not w.idle() and not reading.began
@@ -117,7 +116,7 @@
 def test_a_head_during_a_large_body_and_its_end_after_it() -> None:
     async def run() -> None:
         with wire() as w:
-            exchange = w.begin(replace(ASK, body=LargeBody(8)))
+            exchange = w.begin(ASK._replace(body=LargeBody(8)))
             exchange.more(b"half")
             w.connection.data_received(OK[:-1])
             exchange.more(b"half")
@@ -149,7 +148,7 @@
         last_taken: bool, outcome: Outcome) -> None:
     async def run() -> None:
         with wire() as w:
-            exchange = w.begin(replace(ASK, body=LargeBody(4)))
+            exchange = w.begin(ASK._replace(body=LargeBody(4)))
             w.kernel.over = not last_taken
             exchange.more(b"last")
             w.kernel.over = True  # the reset has been read, and connection_lost comes in the next turn
--- a/tests/test_exchange_ends.py
+++ b/tests/test_exchange_ends.py
@@ -4,7 +4,6 @@
 import asyncio
 import errno
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -44,7 +43,7 @@
         where: str, end: Callable[[Exchange], None], monkeypatch: pytest.MonkeyPatch) -> None:
     async def run() -> None:
         with wire() as w:
-            exchange = w.begin(replace(ASK, body=LargeBody(8), reader=Reading()))
+            exchange = w.begin(ASK._replace(body=LargeBody(8), reader=Reading()))
             monkeypatch.setattr(LargeBody if where == "stop" else Exchange, where, breaks)
             end(exchange)
             assert w.outcome() in (Outcome.CANCELLED, Outcome.CONNECT_FAILED)
@@ -63,7 +62,7 @@
                 monkeypatch.setattr(Backends, "room", breaks)
             elif where == "usable":
                 monkeypatch.setattr(Connection, "quiet", breaks)
-            w.begin(replace(ASK, wanted=breaks) if where == "wanted" else ASK)
+            w.begin(ASK._replace(wanted=breaks) if where == "wanted" else ASK)
             assert w.outcome() is Outcome.NOT_SENT
 
     asyncio.run(run())
@@ -101,7 +100,7 @@
                 raise Broken
             return True
 
-        ends = [begin(b, replace(ASK, wanted=wanted)), begin(b)]
+        ends = [begin(b, ASK._replace(wanted=wanted)), begin(b)]
         await (await peer.requests.get()).answer()
         assert [(await end).outcome for end in ends] == [Outcome.NOT_SENT, Outcome.OK]
         await peer.stop()
@@ -114,7 +113,7 @@
         step: str, monkeypatch: pytest.MonkeyPatch) -> None:
     async def run() -> None:
         with wire() as w:
-            exchange = w.begin(replace(ASK, body=LargeBody(4), reader=Reading()))
+            exchange = w.begin(ASK._replace(body=LargeBody(4), reader=Reading()))
             if step == "more":
                 monkeypatch.setattr(Connection, "send", breaks)
                 exchange.more(b"last")
@@ -138,7 +137,7 @@
     async def run() -> None:
         with wire() as w:
             monkeypatch.setattr(Reading, where, breaks)
-            w.begin(replace(ASK, reader=Reading()))
+            w.begin(ASK._replace(reader=Reading()))
             w.connection.data_received(b"HTTP/1.1 200 OK\r\n" + length + b"\r\npart")
             w.connection.data_received(b"x" * 70_000)
             assert w.outcome() is Outcome.ERROR
@@ -162,7 +161,7 @@
 def test_odd_headers_end_an_exchange_or_are_passed_over(head: bytes, outcome: Outcome | None) -> None:
     async def run() -> None:
         with wire() as w:
-            w.begin(replace(ASK, reader=Reading()))
+            w.begin(ASK._replace(reader=Reading()))
             w.connection.data_received(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\ndone")
             if outcome is None:  # it never ends, and breaks off
                 assert not w.ends
