The longest quiet connection is found by a plain loop

Cause: _next_idle made a generator to take its first item (backends.py). Change: a loop that returns it.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -170,7 +170,10 @@
     for connection in reversed(kept):
         if connection.reusable_at <= now and now - connection.idle_since >= LATENESS_MOST_US:
             return connection
-    return next((connection for connection in kept if connection.reusable_at <= now), None)
+    for connection in kept:
+        if connection.reusable_at <= now:
+            return connection
+    return None
 
 
 class Exchange:
