--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -6,15 +6,14 @@
 import logging
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import h11
 
 from brasshead.interface import Backend, BackendId, Outcome, State
 
 from .clock import Clock
-from .connection import Connection, Fields, Headers, fields_of, header
+from .connection import Connection, Fields, Headers, checked_request, fields_of, header
 from .discovery import Listing, Member
 from .quiet_period import LATENESS_MOST_US, QUIET_US, QuietPeriods
 from .sockets import Lacking, connecting
@@ -31,8 +30,7 @@
 STALL_S = 5.0  # a backend that takes or gives nothing for so long, while it could, has stopped
 
 
-@dataclass(slots=True, frozen=True)
-class Result:
+class Result(NamedTuple):
     """How an exchange ended."""
 
     outcome: Outcome
@@ -73,13 +71,12 @@
     def more(self, exchange: Exchange, data: bytes) -> None: ...
 
 
-@dataclass(slots=True, frozen=True)
-class Ask:
+class Ask(NamedTuple):
     """What is to be sent to a backend."""
 
     method: str
     target: str
-    headers: Headers
+    headers: Headers  # as h11 has parsed them
     body: bytes | Body = b""
     reader: Reader | None = None  # None: a probe
     wanted: Callable[[], bool] = lambda: True  # asked last thing before it goes out: time has passed since
@@ -173,7 +170,10 @@
     for connection in reversed(kept):
         if connection.reusable_at <= now and now - connection.idle_since >= LATENESS_MOST_US:
             return connection
-    return next((connection for connection in kept if connection.reusable_at <= now), None)
+    for connection in kept:
+        if connection.reusable_at <= now:
+            return connection
+    return None
 
 
 class Exchange:
@@ -210,7 +210,9 @@
             return self._end(Outcome.NOT_SENT)
         connection = self._backends.take(member)
         if connection is not None:
-            return self.carry(connection)
+            if not self.carry(connection):
+                self._backends.hand_on(connection, self._backends.clock.now())
+            return
         if not self.may_go():
             return
         if not self._backends.room():
@@ -225,11 +227,17 @@
         self._end(outcome)
 
     def may_go(self) -> bool:
-        """The one place where it is settled that an attempt may still go out. The list may have changed while
-        its connection came up, its time or that of repeats have run out, its client have left.
+        """Whether it may still wait for a connection; ends it where not. Its time or that of repeats may have
+        run out, its client have left, the list have changed.
         """
+        if self.in_time() and not self._wanted():
+            self._end(Outcome.NOT_SENT)
+        return not self.ended
+
+    def in_time(self) -> bool:
+        """The same but for its client, which is asked behind this, as the attempt is about to go out."""
         if not self.ended and (self._backends.ready(self._backend) is None
-                               or self._left_us() < LEAST_TOLD_US or not self._wanted()):
+                               or self._left_us() < LEAST_TOLD_US):
             self._end(Outcome.NOT_SENT)
         return not self.ended
 
@@ -240,14 +248,15 @@
             log.exception("cannot tell whether an attempt is still wanted")
             return False
 
-    def carry(self, connection: _Pooled) -> None:
-        """Go out on this connection."""
+    def carry(self, connection: _Pooled) -> bool:
+        """Go out on this connection, or end; whether that has used it, or it is as good as before."""
         try:
-            self._put(connection)
+            return self._put(connection)
         except Exception:
             if self._connection is None:  # nothing has gone out on it; it is not to be used again
                 connection.drop()
             self._failed()
+            return True
 
     def _failed(self) -> None:
         """For an exception in hand: whatever it is, the attempt must end, or its request gets no answer."""
@@ -262,12 +271,13 @@
             own_us -= now - self._began
         return own_us if self._ask.left_us is None else min(own_us, self._ask.left_us(now))
 
-    def _put(self, connection: _Pooled) -> None:
+    def _put(self, connection: _Pooled) -> bool:
         ask, body, headers = self._ask, self._ask.body, [(b"Host", HOST), *self._ask.headers]
         if ask.reader is not None:
             left_us = self._left_us()  # read anew: what runs between the check and here takes time too
             if left_us < LEAST_TOLD_US:
-                return self._hand_on_unused(connection)
+                self._end(Outcome.NOT_SENT)
+                return False
             headers.append((b"Request-Timeout-Ms", b"%d" % (left_us // 1000)))
         start = body if isinstance(body, bytes) else body.held()
         length = len(start) if isinstance(body, bytes) else body.length
@@ -275,28 +285,25 @@
             headers.append((b"Transfer-Encoding", b"chunked"))
         elif length or ask.method == "POST":
             headers.append((b"Content-Length", b"%d" % length))
-        events: list[h11.Event] = [h11.Request(method=ask.method, target=ask.target, headers=headers)]
+        events: list[h11.Event] = [checked_request(ask.method, ask.target, headers)]
         if start:
             events.append(h11.Data(data=start))
         if not self._wanted():  # asked behind the last look at the clock: the agent may be held up there
-            return self._hand_on_unused(connection)
+            self._end(Outcome.NOT_SENT)
+            return False
         self._connection, connection.exchange = connection, self
         if isinstance(body, bytes) or body.whole:
             connection.send(*events, h11.EndOfMessage())
             if connection.written:
                 self.on_written()
-            return
+            return True
         self._sending = True
         self._timer.cancel()
         self._watch_progress()
         connection.send(*events)
         if connection.written:
             body.flow(self)
-
-    def _hand_on_unused(self, connection: _Pooled) -> None:
-        """End without having gone out; the connection is as good as before."""
-        self._end(Outcome.NOT_SENT)
-        self._backends.hand_on(connection)
+        return True
 
     # A large body
 
@@ -570,7 +577,7 @@
             outcome = Outcome.CONNECT_FAILED
         elif connection is not None and member.same_process(self.ready(backend)):
             outcome = Outcome.CONNECT_FAILED  # of one that is left: this connection was closed as it came up
-            self._offer(connection)
+            self._offer(connection, self.clock.now())
         elif connection is not None:
             self._discard(connection)
         # One that is left without a connection on its way has nothing more to wait for.
@@ -604,22 +611,26 @@
             if not waiting:
                 del self._waiting[backend]
 
-    def _offer(self, connection: _Pooled) -> None:
+    def _offer(self, connection: _Pooled, now: int) -> None:
         """It is free from now on."""
-        connection.idle_since = self.clock.now()
-        self.hand_on(connection)
+        connection.idle_since = now
+        self.hand_on(connection, now)
 
-    def hand_on(self, connection: _Pooled) -> None:
+    def hand_on(self, connection: _Pooled, now: int) -> None:
         """To the exchange that has waited longest and may still go out, else kept."""
-        if connection.reusable_at <= self.clock.now() and self._hand_over(connection):
+        if connection.reusable_at <= now and self._hand_over(connection):
             return
         backend = connection.member.backend.id
-        left_us = connection.idle_since + self._idle_us - self.clock.now()
-        connection.retire = asyncio.get_running_loop().call_later(
-            left_us / 1e6, self._retired, connection)
+        if connection.retire is None:
+            self._retire_in_time(connection, now)
         self._idle.setdefault(backend, []).append(connection)
         self._await_quiet(backend)
 
+    def _retire_in_time(self, connection: _Pooled, now: int) -> None:
+        left_us = connection.idle_since + self._idle_us - now
+        connection.retire = asyncio.get_running_loop().call_later(
+            max(0, left_us) / 1e6, self._retired, connection)
+
     def _hand_over(self, connection: _Pooled) -> bool:
         """Whether it is in use now, or of no use any more."""
         backend = connection.member.backend.id
@@ -630,8 +641,7 @@
                 return True
             exchange = next(iter(waiting))
             self.waits_no_more(backend, exchange)
-            if exchange.may_go():
-                exchange.carry(connection)
+            if exchange.in_time() and exchange.carry(connection):
                 return True
         return False
 
@@ -661,7 +671,8 @@
                 self._connect_if_short(member)
                 break
             self.waits_no_more(backend, exchange)
-            exchange.carry(connection)
+            if not exchange.carry(connection):
+                self.hand_on(connection, self.clock.now())
         self._await_quiet(backend)
 
     def _connect_if_short(self, member: Member) -> None:
@@ -695,8 +706,6 @@
         kept, now = self._idle.get(member.backend.id, []), self.clock.now()
         while (connection := _next_idle(kept, now)) is not None:
             kept.remove(connection)
-            if connection.retire is not None:
-                connection.retire.cancel()
             young = now - connection.idle_since < self._idle_us
             if young and member.same_process(connection.member) and connection.usable():
                 return connection
@@ -712,14 +721,20 @@
                 or not member.same_process(self.ready(member.backend.id))):
             return self._discard(connection)
         http.start_next_cycle()
-        connection.reusable_at = self.clock.now() + self._quiet_periods.of(member.backend.id)
-        self._offer(connection)
+        now = self.clock.now()
+        connection.reusable_at = now + self._quiet_periods.of(member.backend.id)
+        self._offer(connection, now)
 
     def _retired(self, connection: _Pooled) -> None:
-        kept = self._idle.get(connection.member.backend.id, [])
-        if connection in kept:
-            kept.remove(connection)
-        self._discard(connection)
+        """One timer outlasts many uses: what has been used since it was set is not due yet."""
+        connection.retire = None
+        if connection not in self._idle.get(connection.member.backend.id, ()):
+            return  # in use; a new one is set as it comes to rest
+        now = self.clock.now()
+        if now < connection.idle_since + self._idle_us:
+            self._retire_in_time(connection, now)
+        else:
+            self._discard(connection)
 
     def _forget(self, backend: BackendId) -> None:
         self._quiet_periods.forget(backend)
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -6,8 +6,8 @@
 import select
 import socket
 import struct
-from collections.abc import Iterable
 from contextlib import suppress
+from typing import Protocol
 
 import h11
 
@@ -16,6 +16,7 @@
 HEADER_LIMIT = 32 * 1024  # bytes of request or status line and headers
 TCP_ESTABLISHED = 1  # the state that TCP_INFO begins with, see tcp(7)
 READ_BYTES = 64 * 1024  # at once: what a connection holds while the other side is slower is a few of these
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # what poll(2) says once the peer has left
 LINGER_NOT = struct.pack("ii", 1, 0)  # struct linger: a close discards what is unsent and resets
 # One for all: what is read is handed on before the loop turns to the next connection.
 _read_buffer = bytearray(READ_BYTES)
@@ -24,9 +25,16 @@
 Fields = dict[bytes, bytes]
 
 
-def fields_of(headers: Iterable[tuple[bytes, bytes]]) -> Fields:
+class ParsedHeaders(Protocol):
+    """The headers of an event of h11."""
+
+    def raw_items(self) -> list[tuple[bytes, bytes]]:
+        """Names as they were sent, and values."""
+
+
+def fields_of(headers: ParsedHeaders) -> Fields:
     """Headers by their names in lower case; of several of one name the first."""
-    return dict(reversed(list(headers)))
+    return {name.lower(): value for name, value in reversed(headers.raw_items())}
 
 
 def header(fields: Fields, name: bytes) -> str | None:
@@ -34,13 +42,20 @@
     return None if value is None else value.decode("latin-1")
 
 
+def checked_request(method: str, target: str, headers: Headers) -> h11.Request:
+    """A request whose headers h11 has parsed before, or that are made here of constants and digits: h11 takes
+    its word for their names and values, as for those of its own parser."""
+    return h11.Request(
+        method=method.encode("ascii"), target=target.encode("ascii"), headers=headers, _parsed=True)
+
+
 class Connection(asyncio.BufferedProtocol):
     """Feeds bytes to h11 and hands its events on; knows whether all that was sent has been written."""
 
     def __init__(self, role: type[h11.CLIENT] | type[h11.SERVER] = h11.CLIENT) -> None:
         self.http = h11.Connection(role, max_incomplete_event_size=HEADER_LIMIT)
         self.transport: asyncio.Transport | None = None
-        self._descriptor = -1  # of its socket, valid until the transport is closing
+        self._poll: select.poll | None = None  # watches its socket; valid until the transport is closing
         self.written = True  # the kernel has taken all bytes
         self.closed = False
         self.deaf = False  # what still comes in is dropped
@@ -48,7 +63,7 @@
     # What a role adds
 
     def check_head(self) -> None:
-        """A look at what h11 is to read next; raises h11.RemoteProtocolError."""
+        """A look at what has come, before h11 reads it; raises h11.RemoteProtocolError."""
 
     def on_event(self, event: h11.Event) -> None:
         """One event of the peer's message."""
@@ -67,7 +82,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        self._descriptor = transport.get_extra_info("socket").fileno()
+        self._poll = select.poll()
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         transport.set_write_buffer_limits(high=0)  # resume_writing then means: all is written
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -105,9 +121,9 @@
         self.written = not self.transport.is_closing() and self.transport.get_write_buffer_size() == 0
 
     def _read_on(self) -> None:
-        """Hand on what has been received, as far as h11 lets it."""
+        """Hand on what has been received, as far as h11 lets it: at most to the end of one message."""
+        self.check_head()
         while not self.deaf:
-            self.check_head()
             event = self.http.next_event()
             # Not isinstance: h11's events are abstract classes, for which it costs more than all else here.
             if event is h11.NEED_DATA or event is h11.PAUSED or type(event) is h11.ConnectionClosed:
@@ -120,16 +136,15 @@
     def quiet(self) -> bool:
         """Whether the kernel has nothing to read for it, not even the peer's close."""
         try:
-            return self._kernel_says(select.POLLIN | select.POLLHUP) == 0
+            return self._kernel_says() == 0
         except OSError:  # no memory to look: what is not known to be idle is not taken for idle
             return False
 
     def left(self) -> bool:
         """Whether the peer has closed or reset it as far as the kernel knows, also behind bytes not yet read:
         a connection that is not being read does not show it by itself."""
-        gone = select.POLLRDHUP | select.POLLHUP | select.POLLERR
         try:
-            return bool(self._kernel_says(select.POLLRDHUP) & gone)
+            return bool(self._kernel_says() & GONE)
         except OSError:  # no memory to look
             return self._half_open()
 
@@ -143,12 +158,11 @@
             return False
         return bool(info[0] != TCP_ESTABLISHED)
 
-    def _kernel_says(self, asked: int) -> int:
-        if self.transport is None or self.transport.is_closing():
+    def _kernel_says(self) -> int:
+        """What poll(2) reports now: that something can be read, that the peer has left, or 0."""
+        if self._poll is None or self.transport is None or self.transport.is_closing():
             return select.POLLHUP
-        poll = select.poll()
-        poll.register(self._descriptor, asked)
-        said = poll.poll(0)
+        said = self._poll.poll(0)
         return said[0][1] if said else 0
 
     def pause(self) -> None:
--- a/lilacsill/listener.py
+++ b/lilacsill/listener.py
@@ -2,24 +2,19 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import socket
 from collections.abc import Callable
+from enum import Enum, auto
 
 from .discovery import Address
-from .sockets import accept
+from .sockets import LACKING_TO_LISTEN, Lacking, accept
 
 log = logging.getLogger(__name__)
 
 ACCEPTS = 32  # in one turn of the loop
 STARVED_S = 0.1  # without descriptors, or memory, until the next try
 LISTEN_S, LISTEN_AGAIN_S = 5.0, 0.1  # a start is given up when it could not listen for so long
-# bind(2), socket(2): another process is just letting go of the address, the machine is coming up, or short.
-PASSING = frozenset({
-    errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM,
-    errno.EAGAIN, errno.EINTR,
-})
 
 
 async def listening(address: Address, backlog: int, shared: bool = False) -> socket.socket:
@@ -30,13 +25,37 @@
         try:
             return socket.create_server((address.host, address.port), backlog=backlog, reuse_port=shared)
         except OSError as e:
-            if e.errno not in PASSING or loop.time() >= until:
+            if e.errno not in LACKING_TO_LISTEN or loop.time() >= until:
                 raise
             # Whoever starts the agent is told in one line, if it comes to that.
             log.debug("cannot listen on %s:%d yet: %s", address.host, address.port, e.strerror)
         await asyncio.sleep(LISTEN_AGAIN_S)
 
 
+class Waiting(Enum):
+    """Who still waits to be accepted."""
+
+    NOBODY = auto()
+    PERHAPS = auto()
+    NOT_ADMITTED = auto()
+
+
+def accept_waiting(listener: socket.socket, take_in: Callable[[socket.socket], None], most: int = ACCEPTS,
+                   may_come: Callable[[], bool] = lambda: True) -> Waiting:
+    """Accept those that wait, so many at most, as long as one more may come. Raises Lacking."""
+    for _ in range(most):
+        if not may_come():
+            return Waiting.NOT_ADMITTED
+        try:
+            sock = accept(listener)
+        except BlockingIOError:
+            return Waiting.NOBODY
+        except ConnectionAbortedError:
+            continue
+        take_in(sock)
+    return Waiting.PERHAPS
+
+
 class Acceptor:
     """Accepts all that come to a listening socket, each into a protocol of its own."""
 
@@ -60,19 +79,15 @@
         self._loop.add_reader(self._listener, self._accept)
 
     def _accept(self) -> None:
-        for _ in range(ACCEPTS):
-            try:
-                sock = accept(self._listener)
-            except BlockingIOError:
-                return
-            except ConnectionAbortedError:
-                continue
-            except OSError as e:
-                log.warning("cannot accept for now: %s", e.strerror)
-                self._loop.remove_reader(self._listener)
-                self._again = self._loop.call_later(STARVED_S, self._start)
-                return
-            task: asyncio.Task[object] = self._loop.create_task(
-                self._loop.connect_accepted_socket(self._protocol, sock))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        try:
+            accept_waiting(self._listener, self._take_in)
+        except Lacking as e:
+            log.warning("cannot accept for now: %s", e.strerror)
+            self._loop.remove_reader(self._listener)
+            self._again = self._loop.call_later(STARVED_S, self._start)
+
+    def _take_in(self, sock: socket.socket) -> None:
+        task: asyncio.Task[object] = self._loop.create_task(
+            self._loop.connect_accepted_socket(self._protocol, sock))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -6,13 +6,14 @@
 import socket
 from collections.abc import Awaitable, Callable
 
+import h11
 import pytest
 from tests.loopback import Message, Peer, held_connects, member
 
 from brasshead.interface import Outcome
 from lilacsill.backends import Ask, Backends, Result, parse_report
 from lilacsill.clock import Clock
-from lilacsill.connection import Connection
+from lilacsill.connection import Connection, checked_request
 from lilacsill.discovery import Listing, ListingParser
 
 FIELDS = ("inflight", "queue", "util")
@@ -103,6 +104,20 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_a_request_reads_as_if_all_of_its_headers_had_been_checked() -> None:
+    headers = [(b"Host", b"origin.svc"), (b"request-id", b"9b1f"), (b"content-type", b"text/plain; q=\xe9"),
+               (b"Request-Timeout-Ms", b"29999"), (b"Content-Length", b"3")]
+    sent = h11.Connection(h11.CLIENT).send(checked_request("POST", "/api?obj=7f3a", headers))
+    assert sent == h11.Connection(h11.CLIENT).send(
+        h11.Request(method="POST", target="/api?obj=7f3a", headers=headers))
+    with pytest.raises(h11.LocalProtocolError):
+        checked_request("POST", "/api", headers[1:])  # without its host
+    with pytest.raises(h11.LocalProtocolError):
+        checked_request("POST", "/a pi", headers)
+    with pytest.raises(h11.LocalProtocolError):
+        checked_request("POST", "/api", [*headers, (b"Content-Length", b"4")])
+
+
 def test_refused_is_a_failed_connect() -> None:
     async def run() -> None:
         with socket.socket() as s:  # bound and not listening: every connection is refused
@@ -306,6 +321,52 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
+def test_a_connection_is_retired_by_its_latest_use_and_not_by_an_earlier_one(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        peer = await Peer().start()
+        b, time_us = backends(peer.port, idle_us=10_000), 1_000_000
+        monkeypatch.setattr(CLOCK, "now", lambda: time_us)
+        message = await served(b, peer)
+        ((connection,),) = b._idle.values()
+        for _ in range(2):  # its timer runs out, and by the clock it has only just come to rest
+            timer = connection.retire
+            assert timer is not None
+            while connection.retire is timer:
+                await asyncio.sleep(0)
+            assert not connection.closed and list(b._idle.values()) == [[connection]]
+        time_us += 60_000_000
+        await message.peer.ended()
+        assert connection.closed and not b._open
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def test_a_timer_that_runs_out_while_its_connection_is_in_use_leaves_it(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        peer = await Peer().start()
+        b, time_us = backends(peer.port, idle_us=10_000), 1_000_000
+        monkeypatch.setattr(CLOCK, "now", lambda: time_us)
+        await served(b, peer)
+        ((connection,),) = b._idle.values()
+        connection.reusable_at = 0
+        end = begin(b)
+        message = await peer.requests.get()
+        assert connection.exchange is not None
+        while connection.retire is not None:
+            await asyncio.sleep(0)
+        await message.answer()
+        assert (await end).outcome is Outcome.OK and peer.connections == 1
+        assert connection.retire is not None  # it rests again
+        time_us += 60_000_000
+        await message.peer.ended()
+        await peer.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
 @pytest.mark.parametrize("phase, up", [("DRAINING", 0), ("DELETED", 0), ("SERVING", 1_700_000_000_000)])
 def test_a_backend_that_drains_goes_or_restarts_loses_its_idle_connections(phase: str, up: int) -> None:
     async def run() -> None:
