A large answer that has begun is not broken off by another attempt's end

Each accepted request is owed one whole answer. Where the settings do not let attempts be cancelled, the decisions leave a second copy out while the answer of the first is passed on. Agent._answer_with judged an end by its own result alone: a copy that was served (agent.py, the branch of `served`) went to _answer, which breaks off what has begun; one whose large answer began second was given up in answer_begins, and that end, `begun` and CANCELLED, was taken for the end of the answer that is passed on. Either way the client got half an answer of a server that gave it whole.

Once an answer has begun, only the end of its own exchange ends the request now.

--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -346,12 +346,12 @@
     def attempt_ended(self, attempt: Attempt, result: Result) -> None:
         """Whatever becomes of the answer, the module hears of the end."""
         number = attempt.number
-        self._out.pop((number, attempt.index), None)
+        exchange = self._out.pop((number, attempt.index), None)
         held = self._held.get(number)
         spent = held is not None and not isinstance(held.call.body, bytes) and held.call.body.spent
         try:
             if held is not None:
-                self._answer_with(held, result)
+                self._answer_with(held, exchange, result)
         except Exception:
             log.exception("request %d: failed on an attempt's end", number)
             self._give_up(number)
@@ -364,11 +364,13 @@
             number, attempt.index, attempt.backend, result.outcome, result.latency_us,
             number not in self._held, result.report, spent))
 
-    def _answer_with(self, held: Held, result: Result) -> None:
-        """Give the answer that an attempt brought, if it is one."""
+    def _answer_with(self, held: Held, exchange: Exchange | None, result: Result) -> None:
+        """Give the answer that an attempt brought, if it is one. Once one has begun it is the request's,
+        whatever other attempts still bring: not every deployment lets them be cancelled."""
         call, number, served = held.call, held.call.number, result.outcome is q.Outcome.OK
-        if result.begun:
-            self._release(held, 200 if served else BROKEN, partial(call.client.finish, call, served))
+        if held.begun is not None:
+            if held.begun is exchange:
+                self._release(held, 200 if served else BROKEN, partial(call.client.finish, call, served))
         elif served:
             self._answer(number, 200, _kind(result.content_type), result.body)
 
