Bytes behind a request that its client called its last no longer make it malformed

A proper request must get its answer. One with `Connection: close`, or of HTTP/1.0, that was in hand was given up and answered 400 as soon as its client sent anything more, an empty line included: h11 is then in MUST_CLOSE, and its next_event raises RemoteProtocolError ("got data when expecting EOF") where in DONE it says PAUSED. _Client.on_broken took that for an error of the request.

_Client._runs_ahead drops such bytes, as it drops what comes beyond AHEAD_LIMIT: the answer says close already.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -454,11 +454,13 @@
 
     def _runs_ahead(self, data: bytes) -> bool:
         """Whether a client has sent more than is kept for after its answer, which is then its last. It is
-        read on all the same: on a connection that is not, nobody sees the client leave.
+        read on all the same: on a connection that is not, nobody sees the client leave. Behind a request that
+        it called its last itself nothing is kept: h11 would take that for an error of the one in hand.
         """
         if not self._in_hand:
             return False
-        self._overran = self._overran or len(self.http.trailing_data[0]) + len(data) > AHEAD_LIMIT
+        too_much = len(self.http.trailing_data[0]) + len(data) > AHEAD_LIMIT
+        self._overran = self._overran or too_much or self.http.their_state is h11.MUST_CLOSE
         return self._overran
 
     def on_event(self, event: h11.Event) -> None:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -77,6 +77,38 @@
     asyncio.run(run())
 
 
+LAST_REQUESTS = {
+    "that asks to close": post(Connection="close"),
+    "of HTTP/1.0": post().replace(b"HTTP/1.1", b"HTTP/1.0"),
+    "that is large": post(Connection="close", body=b"x" * 100_000),
+}
+
+
+@pytest.mark.parametrize("request_", LAST_REQUESTS)
+@pytest.mark.parametrize("behind", [b"\r\n", post(), b"x" * (3 * AHEAD_LIMIT)])
+def test_what_comes_behind_a_last_request_does_not_spoil_it(
+        tmp_path: Path, request_: str, behind: bytes) -> None:
+    """Its client has said that it is the last: what still comes while it is in hand is nobody's request."""
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            await client.send(LAST_REQUESTS[request_])
+            got = await w.request()
+            (connection,) = w.server.connections
+            before = connection.last
+            await client.send(behind)
+            while connection.last == before:  # until it has been read
+                await asyncio.sleep(0)
+            assert w.agent._held  # and is still in hand
+            await got.answer(200, b"whole")
+            answer = await client.read_to_end()
+            assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"\r\n\r\nwhole")
+            client.close()
+            assert w.nothing_sent()
+
+    asyncio.run(run())
+
+
 def test_a_large_answer_that_the_kernel_still_holds(tmp_path: Path) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
