The search tells a wrong answer together with the story of whose it was

Of a wrong answer only the request that got it was told; which server answered the other one twice, and how late, could not be seen. tests/drawn_world.py: breaches adds the story of the request that the body names.

--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -803,6 +803,10 @@
     for request in list(record.requests.values()):
         for one in _judge(record, request):
             found += [one, *("    " + line for line in record.story(request.rid))]
+            other = request.body.partition(b" ")[0].decode("latin-1")
+            if one.startswith("wrong") and other in record.requests:
+                found.append(f"  its body was made for {other}:")
+                found += ["    " + line for line in record.story(other)]
     return found
 
 
