One second answer seen makes the agent rest all connections for longer

Servers that had answered twice before were trusted on: quiet_period.py gave a backend twice the lateness it had been seen at, so one at 2 ms told nothing of the next at 30 ms, one that came in the same read as the answer was not counted at all (Backends.give_back), and connections that rested by then kept their old time.

QuietPeriods now remembers who has answered twice, however soon: that backend's connections rest 0.2 s, the others' 0.1 s, for one fleet runs one program, until its process ends. The time is computed as it is asked for (_Pooled.reusable_at), so that it holds for connections that rest already. Nothing changes before the first.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -116,7 +116,7 @@
         self.member, self._discard = member, discard
         self.exchange: Exchange | None = None
         self.idle_since = 0
-        self.reusable_at = 0  # once it has been quiet for long enough; 0: it has not been used
+        self.answered = False  # it has carried a request and its answer
         self.unasked = False  # bytes have come while nothing was asked
         self._at_end = False
         self.retire: asyncio.TimerHandle | None = None
@@ -159,6 +159,10 @@
         else:
             self._discard(self)
 
+    def reusable_at(self, quiet_us: int) -> int:
+        """When it has been quiet for so long, if there is an answer that a second one may follow."""
+        return self.idle_since + quiet_us if self.answered else self.idle_since
+
     def usable(self) -> bool:
         """Idle and, as far as the kernel knows, open: one with anything to read was closed by the peer."""
         try:
@@ -167,13 +171,14 @@
             return False
 
 
-def _next_idle(kept: list[_Pooled], now: int) -> _Pooled | None:
+def _next_idle(kept: list[_Pooled], now: int, quiet_us: int) -> _Pooled | None:
     """The one to use again: of those past any late second answer the one used last, so that others grow old
     and are closed; else the one that has been quiet for the longest time."""
-    for connection in reversed(kept):
-        if connection.reusable_at <= now and now - connection.idle_since >= LATENESS_MOST_US:
+    free = [connection for connection in kept if connection.reusable_at(quiet_us) <= now]
+    for connection in reversed(free):
+        if now - connection.idle_since >= LATENESS_MOST_US:
             return connection
-    return next((connection for connection in kept if connection.reusable_at <= now), None)
+    return next(iter(free), None)
 
 
 class Exchange:
@@ -611,9 +616,10 @@
 
     def hand_on(self, connection: _Pooled) -> None:
         """To the exchange that has waited longest and may still go out, else kept."""
-        if connection.reusable_at <= self.clock.now() and self._hand_over(connection):
-            return
         backend = connection.member.backend.id
+        free_at = connection.reusable_at(self._quiet_periods.of(backend))
+        if free_at <= self.clock.now() and self._hand_over(connection):
+            return
         left_us = connection.idle_since + self._idle_us - self.clock.now()
         connection.retire = asyncio.get_running_loop().call_later(
             left_us / 1e6, self._retired, connection)
@@ -637,14 +643,15 @@
 
     def _free_soon(self, backend: BackendId) -> int:
         """How many idle connections may be used again within the usual quiet period."""
-        soon = self.clock.now() + QUIET_US
-        return sum(c.reusable_at <= soon for c in self._idle.get(backend, ()))
+        soon, quiet_us = self.clock.now() + QUIET_US, self._quiet_periods.of(backend)
+        return sum(c.reusable_at(quiet_us) <= soon for c in self._idle.get(backend, ()))
 
     def _await_quiet(self, backend: BackendId) -> None:
         """Look again when the next idle connection is quiet for long enough, if one is waited for."""
         kept = self._idle.get(backend)
         if kept and backend in self._waiting and backend not in self._quiet_timers:
-            left_us = max(0, min(c.reusable_at for c in kept) - self.clock.now())
+            quiet_us = self._quiet_periods.of(backend)
+            left_us = max(0, min(c.reusable_at(quiet_us) for c in kept) - self.clock.now())
             self._quiet_timers[backend] = asyncio.get_running_loop().call_later(
                 left_us / 1e6, self._quiet_enough, backend)
 
@@ -693,7 +700,8 @@
     def take(self, member: Member) -> _Pooled | None:
         """An idle connection that can be trusted, if there is one."""
         kept, now = self._idle.get(member.backend.id, []), self.clock.now()
-        while (connection := _next_idle(kept, now)) is not None:
+        quiet_us = self._quiet_periods.of(member.backend.id)
+        while (connection := _next_idle(kept, now, quiet_us)) is not None:
             kept.remove(connection)
             if connection.retire is not None:
                 connection.retire.cancel()
@@ -708,11 +716,13 @@
         http = connection.http
         over = http.our_state is h11.DONE and http.their_state is h11.DONE
         member = connection.member
+        if over and http.trailing_data[0]:
+            self._quiet_periods.unasked(member.backend.id, 0)
         if (connection.closed or not over or not connection.written or http.trailing_data[0]
                 or not member.same_process(self.ready(member.backend.id))):
             return self._discard(connection)
         http.start_next_cycle()
-        connection.reusable_at = self.clock.now() + self._quiet_periods.of(member.backend.id)
+        connection.answered = True
         self._offer(connection)
 
     def _retired(self, connection: _Pooled) -> None:
--- a/lilacsill/quiet_period.py
+++ b/lilacsill/quiet_period.py
@@ -9,29 +9,29 @@
 
 # Second answers come some milliseconds late. What the period costs in connections: docs/design.md.
 QUIET_US = 20_000
-# One that comes later still gives its backend a period of this many times its lateness.
-LATENESS_FACTOR = 2
 # Beyond it bytes that nobody asked for are no second answer, but for instance the notice of an idle time-out.
 LATENESS_MOST_US = 100_000
+# Of a backend that was seen to answer twice, however soon, and of the others, which may run the same program.
+SEEN_US, OTHERS_US = 2 * LATENESS_MOST_US, LATENESS_MOST_US
 
 
 class QuietPeriods:
-    """The quiet period of each backend, by the second answers that have come from it."""
+    """The quiet period of each backend, by the second answers that have come from it and from others."""
 
     def __init__(self) -> None:
-        self._longer: dict[BackendId, int] = {}
+        self._seen: set[BackendId] = set()
 
     def of(self, backend: BackendId) -> int:
         """In microseconds."""
-        return self._longer.get(backend, QUIET_US)
+        if not self._seen:
+            return QUIET_US
+        return SEEN_US if backend in self._seen else OTHERS_US
 
     def unasked(self, backend: BackendId, lateness_us: int) -> None:
         """Bytes have come from a backend so long after the answer before them."""
         if lateness_us <= LATENESS_MOST_US:
-            longest = max(self.of(backend), LATENESS_FACTOR * lateness_us)
-            if longest > QUIET_US:
-                self._longer[backend] = longest
+            self._seen.add(backend)
 
     def forget(self, backend: BackendId) -> None:
         """Its process has ended."""
-        self._longer.pop(backend, None)
+        self._seen.discard(backend)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -172,7 +172,7 @@
     """Idle connections have been quiet for long enough to be used again, with no turn of the loop."""
     for kept in b._idle.values():
         for connection in kept:
-            connection.reusable_at = 0
+            connection.answered = False
 
 
 async def served(b: Backends, peer: Peer) -> Message:
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -13,7 +13,7 @@
 from brasshead.interface import Outcome
 from lilacsill.backends import Ask, Backends, Result
 from lilacsill.clock import Clock
-from lilacsill.quiet_period import LATENESS_MOST_US, QUIET_US
+from lilacsill.quiet_period import LATENESS_MOST_US, OTHERS_US, QUIET_US, SEEN_US, QuietPeriods
 
 MS = 1_000
 AGAIN = Ask("POST", "/api", [(b"Request-Id", b"2")], b"job")
@@ -280,20 +280,75 @@
 
 
 @pytest.mark.parametrize("lateness_us, period_us", [
-    (QUIET_US // 2, QUIET_US), (50 * MS, 100 * MS), (LATENESS_MOST_US, 2 * LATENESS_MOST_US),
+    (0, SEEN_US), (QUIET_US // 2, SEEN_US), (50 * MS, SEEN_US), (LATENESS_MOST_US, SEEN_US),
     (LATENESS_MOST_US + 1, QUIET_US), (5_000 * MS, QUIET_US)])
-def test_a_backend_whose_second_answers_are_later_is_given_longer(lateness_us: int, period_us: int) -> None:
+def test_a_backend_that_has_answered_twice_is_given_longer(lateness_us: int, period_us: int) -> None:
     async def longer(pool: Pool) -> None:
         await unasked(pool, lateness_us)
-        first = await pool.serve()
-        pool.clock.time_us += period_us - 1
-        assert pool.backends.take(listing(pool.peer.port).members[0]) is None
-        pool.clock.time_us += 1
-        assert (await pool.serve()).peer is first.peer
+        await assert_quiet_for(pool, await pool.serve(), period_us)
 
     play(longer)
 
 
+async def assert_quiet_for(pool: Pool, last: Message, period_us: int) -> None:
+    """The connection of the last answer, which has just come, carries the next request after so long."""
+    pool.clock.time_us += period_us - 1
+    assert pool.backends.take(listing(pool.peer.port).members[0]) is None
+    pool.clock.time_us += 1
+    assert (await pool.serve()).peer is last.peer
+
+
+def test_two_answers_that_come_together_count_too() -> None:
+    async def together(pool: Pool) -> None:
+        end = pool.begin()
+        message = await pool.peer.requests.get()
+        await message.peer.write(2 * b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+        assert (await end).outcome is Outcome.OK
+        await assert_quiet_for(pool, await pool.serve(), SEEN_US)
+
+    play(together)
+
+
+def test_a_connection_that_rests_already_rests_for_longer() -> None:
+    async def rests(pool: Pool) -> None:
+        ends = [pool.begin(), pool.begin()]
+        twice, rested = [await pool.peer.requests.get() for _ in ends]
+        await rested.answer()
+        await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+        await twice.answer()
+        await asyncio.gather(*ends)
+        await twice.answer(200, b"second answer")
+        await twice.peer.ended()
+        await assert_quiet_for(pool, rested, SEEN_US)
+
+    play(rests)
+
+
+def test_the_others_are_given_longer_as_long_as_the_process_that_answered_twice_is_listed() -> None:
+    periods = QuietPeriods()
+    periods.unasked("s0", LATENESS_MOST_US)
+    assert (periods.of("s0"), periods.of("s1")) == (SEEN_US, OTHERS_US)
+    periods.forget("s1")
+    assert (periods.of("s0"), periods.of("s1")) == (SEEN_US, OTHERS_US)
+    periods.forget("s0")
+    assert (periods.of("s0"), periods.of("s1")) == (QUIET_US, QUIET_US)
+
+
+def test_half_an_answer_that_is_given_up_is_no_second_one() -> None:
+    async def given_up(pool: Pool) -> None:
+        ends: list[Result] = []
+        exchange = pool.backends.exchange("s", ASK, 60_000_000, ends.append)
+        message = await pool.peer.requests.get()
+        await message.peer.write(b"HTTP/1.1 200 OK\r\nContent-Le")
+        (connection,) = pool.backends._open
+        while not connection.http.trailing_data[0]:
+            await asyncio.sleep(0)
+        exchange.cancel()
+        await assert_quiet_for(pool, await pool.serve(), QUIET_US)
+
+    play(given_up)
+
+
 def test_a_new_process_starts_with_the_usual_period() -> None:
     async def new(pool: Pool) -> None:
         await unasked(pool, LATENESS_MOST_US)
