The search draws requests that say close, lines behind them, and attempts that may not be cancelled

Two faults that reading found, an answer broken off by another attempt's end and a 400 for what came behind a last request, no drawn world could bring about: tests/drawn_world.py always allowed cancelling, no client said Connection: close, and nobody sent an empty line behind a request.

--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -445,6 +445,8 @@
                  f"Request-Id: {request.rid}", f"Request-Class: {cls}", f"Request-Timeout-Ms: {patience_ms}"]
         if cls == KEYED:
             lines.append(f"Idempotency-Key: k{request.rid}")
+        if rng.random() < 0.1:
+            lines.append("Connection: close")
         request.large = size > 65_536
         body = b"x" * size
         if size and rng.random() < 0.3:
@@ -499,6 +501,8 @@
             request.how = ""
             try:
                 await self._send(conn, request, head, body)
+                if self.rng.random() < 0.1:
+                    await conn.send(b"\r\n")
                 await self._answer(conn, request)
             except OSError:
                 # The agent may have answered and parted in the middle of a body.
@@ -711,7 +715,7 @@
 def document(rng: random.Random, discovery: int, ports: list[int]) -> dict[str, Any]:
     doc = config_doc(discovery, [member(f"s{i}", port) for i, port in enumerate(ports)],
                      secondCopies=rng.random() < 0.5, probes=rng.random() < 0.3,
-                     connIdleUs=rng.choice([300_000, 5_000_000]))
+                     connIdleUs=rng.choice([300_000, 5_000_000]), cancel=rng.random() < 0.7)
     effects = {SAFE: "retryable", KEYED: "dedup", UNSAFE: "fragile"}
     doc["settings"]["profiles"] = [
         {"name": name, "aimUs": ms * 500, "deadlineUs": ms * 1000, "repeat": effects[name],
