The end of a client's sending behind bytes after its last request resets a begun answer

A client must not be able to take a broken answer for whole, nor a proper request be called malformed. Where a client of HTTP/1.0, or one that had said `Connection: close`, had sent anything behind its request and then ended its sending, Connection.eof_received fed the end to h11, whose MUST_CLOSE raises RemoteProtocolError over those bytes. _break_off then answered 400 in place of the failure, and closed an answer that had begun plainly: over HTTP/1.0, without a length, that passes for its end.

_Client.eof_received no longer asks h11 once the request is whole: on_end does what is owed.

--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -516,6 +516,13 @@
         malformed = isinstance(error, h11.RemoteProtocolError)
         self._break_off(400 if malformed else 500, "malformed request" if malformed else "internal error")
 
+    def eof_received(self) -> None:
+        if not self._in_hand:
+            return super().eof_received()
+        # Its request is whole: h11 has nothing to say of it, but would take what lies behind a last one for
+        # an error of it.
+        self.on_end()
+
     def on_end(self) -> None:
         self._end_for_departed()
 
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -259,13 +259,34 @@
     asyncio.run(run())
 
 
+LAST_REQUESTS = {"says close": post(Connection="close"), "1.0": post().replace(b"HTTP/1.1", b"HTTP/1.0")}
+
+
+@pytest.mark.parametrize("last", LAST_REQUESTS)
+def test_one_that_ends_its_sending_behind_a_line_after_its_last_request_gets_one_failure(
+        tmp_path: Path, last: str) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            await client.send(LAST_REQUESTS[last] + b"\r\n")
+            got = await w.request()
+            client.socket.shutdown(socket.SHUT_WR)
+            assert_one_failure(await client.read_to_end())
+            await got.peer.ended()
+            client.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("behind", [b"", b"\r\n"])
 @pytest.mark.parametrize("http", ["1.0", "1.1"])
-def test_a_begun_answer_is_reset_for_one_that_ends_its_sending(tmp_path: Path, http: str) -> None:
+def test_a_begun_answer_is_reset_for_one_that_ends_its_sending(
+        tmp_path: Path, http: str, behind: bytes) -> None:
     # A plain close would pass for the end of an answer without a length.
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.raw()
-            await client.send(post().replace(b"HTTP/1.1", f"HTTP/{http}".encode()))
+            await client.send(post().replace(b"HTTP/1.1", f"HTTP/{http}".encode()) + behind)
             got = await w.request()
             await got.peer.write(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 100_000)
             assert await asyncio.get_running_loop().sock_recv(client.socket, 1)
