A large body's last byte waits until what was sent behind it has been read

_pass_last_piece keeps the last piece until nothing is unread behind it, looking again each 10 ms, for 50 ms at most: who sends without end is served. A body whose backend does not take its pieces just now keeps it too.

--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -198,7 +198,11 @@
         except h11.RemoteProtocolError as e:
             self.deaf = True
             self.on_broken(e)
-        except Exception as e:  # a fault in one connection must not pass for the peer's leaving, nor vanish
-            log.exception("connection failed")
-            self.deaf = True
-            self.on_broken(e)
+        except Exception as e:
+            self.on_fault(e)
+
+    def on_fault(self, error: Exception) -> None:
+        """A fault in one connection must not pass for the peer's leaving, nor vanish."""
+        log.error("connection failed", exc_info=error)
+        self.deaf = True
+        self.on_broken(error)
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -27,6 +27,7 @@
 API, HEALTH = "/api", "/_health"
 WHOLE_BYTES = 64 * 1024  # a body up to this is taken whole, a larger one passed on as it comes
 BODY_LIMIT = 32 * 1024 * 1024
+BEHIND_S = 0.05  # a large body's last byte waits so long for what was sent behind it to be read
 AHEAD_LIMIT = 64 * 1024  # of what is kept while a request is in hand; beyond that what still comes is dropped
 TIMEOUT_LIMIT_MS = 24 * 3600 * 1000
 BACKLOG = 512
@@ -304,6 +305,7 @@
         self._upload: Upload | None = None  # the body, where it is large
         self._source: Source | None = None  # of an answer that is passed on as it comes
         self._answer_out = False  # some of an answer has been written
+        self._last_piece: asyncio.TimerHandle | None = None  # set while a large body's last byte waits
         self._overran = False  # it has sent too much ahead, and what came after has been dropped
         self._unread: asyncio.TimerHandle | None = None  # set while a request is waited for
         self._began = self._body_began = self.last = 0.0  # the request, its body, its latest piece
@@ -344,7 +346,8 @@
     @property
     def _in_hand(self) -> bool:
         """A request has come whole, and has no answer yet."""
-        return self._call is not None and (self._upload is None or self._upload.whole)
+        return self._call is not None and (
+            self._upload is None or self._upload.whole or self._last_piece is not None)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -398,7 +401,7 @@
 
     def resume(self) -> None:
         super().resume()
-        if self._upload is not None and not self._upload.whole and self._unread is None and not self.deaf:
+        if self._upload is not None and not self._in_hand and self._unread is None and not self.deaf:
             now = self._loop.time()
             self._body_began += now - self.last
             self.last = now
@@ -484,6 +487,8 @@
         """What has come of a large body goes on; how large it is may show only now."""
         if self._request is None or self.deaf or (self._call is not None and self._upload is None):
             return
+        if self._last_piece is not None:
+            return
         try:
             if self._upload is not None:
                 data, self._piece = self._piece, bytearray()
@@ -541,6 +546,7 @@
         """The call is no longer this client's; whether there was one, which is counted by whoever took it."""
         call, self._call = self._call, None
         self._upload = self._source = None
+        self._cancel_last_piece()
         if call is not None:
             self._server.taker.leave(call)
         return call is not None
@@ -575,14 +581,32 @@
         self._server.taker.take(self._call)
 
     def _complete_upload(self) -> None:
-        """The last piece of a large body has been read. A backend starts on a request with its last byte: it
-        must not get that for a client whose close lies right behind it."""
+        """The last piece of a large body has been read."""
+        self._pass_last_piece(self._loop.time() + BEHIND_S)
+
+    def _pass_last_piece(self, until: float) -> None:
+        """A backend starts on a request with its last byte: it must not get that for a client whose
+        close lies right behind it, or behind what was sent ahead, which is read first. Who sends on is not
+        waited for.
+        """
+        self._last_piece = None
+        if self._upload is None or self.deaf:
+            return
         if self.left():
             return self._end_for_departed()
+        if self._upload.halted or (self._loop.time() < until and not self.quiet()):
+            self._last_piece = self._loop.call_later(POLL_S, self._look_behind, until)
+            return
         self.on_read()
         if self._upload is not None:
             self._upload.end()
 
+    def _look_behind(self, until: float) -> None:
+        try:
+            self._pass_last_piece(until)
+        except Exception as e:
+            self.on_fault(e)
+
     # What goes back
 
     def _break_off(self, status: int, why: str, headers: Headers | None = None) -> None:
@@ -656,6 +680,12 @@
         """The call has its answer, or nobody is there to take one. Only after the writing: until then it is
         still to be failed, or left."""
         self._call = self._upload = self._source = None
+        self._cancel_last_piece()
+
+    def _cancel_last_piece(self) -> None:
+        if self._last_piece is not None:
+            self._last_piece.cancel()
+            self._last_piece = None
 
     def transmit(self, data: bytes) -> None:
         # What goes out before an answer, as 100 Continue, is no part of it.
--- a/tests/test_departed_uploads.py
+++ b/tests/test_departed_uploads.py
@@ -8,6 +8,8 @@
 import pytest
 from tests.loopback import Raw, World, held_connects, post, world
 
+from lilacsill.server import AHEAD_LIMIT
+
 LARGE = b"x" * 200_000
 HUGE = b"x" * 600_000  # more than the agent's side of the connection takes while nobody reads
 
@@ -45,15 +47,17 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("ahead", [b"", post(), b"x" * 10 * AHEAD_LIMIT],
+                         ids=["nothing ahead", "a request ahead", "much ahead"])
 @pytest.mark.parametrize("how", GOES)
 def test_no_attempt_is_whole_whose_client_left_before_it_began(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str, ahead: bytes) -> None:
     """The close lies behind what the agent does not read while no attempt takes the body."""
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.raw()
             heard = held_connects(monkeypatch)
-            await client.send(post(body=HUGE))
+            await client.send(post(body=HUGE) + ahead)
             while not w.backends[0].connections:
                 await asyncio.sleep(0)
             GOES[how](client)
@@ -65,3 +69,49 @@
             assert w.nothing_sent()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("ahead", [post(Request_Id="2"), b"x" * 3 * AHEAD_LIMIT], ids=["a request", "much"])
+def test_one_that_sends_ahead_of_its_answer_and_stays_is_served(tmp_path: Path, ahead: bytes) -> None:
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            await client.send(post(body=HUGE, Request_Id="1") + ahead)
+            first = await w.request()
+            assert first.headers["request-id"] == "1" and first.body == HUGE
+            await first.answer(200, b"first")
+            if len(ahead) < AHEAD_LIMIT:
+                second = await w.request()
+                assert second.headers["request-id"] == "2"
+                await second.answer(200, b"second", Connection="close")
+            while w.agent._held:
+                await asyncio.sleep(0)
+            client.socket.shutdown(1)
+            assert (await client.read_to_end()).count(b"HTTP/1.1 200") >= 1
+            client.close()
+
+    asyncio.run(run())
+
+
+def test_one_that_sends_without_end_behind_its_body_is_served(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whether it leaves cannot be known: it is not waited for."""
+    async def run() -> None:
+        async with world(tmp_path) as w:
+            client = await w.raw()
+            await client.send(post(body=HUGE)[:-1])
+            await until_read(w, len(HUGE) - 1)
+            (connection,) = w.server.connections
+            monkeypatch.setattr(connection, "quiet", lambda: False)
+
+            async def send_on() -> None:
+                while True:
+                    await client.send(b"x" * AHEAD_LIMIT)
+
+            sending = asyncio.create_task(send_on())
+            got = await w.request()
+            assert got.body.startswith(HUGE[:-1])
+            sending.cancel()
+            client.close()
+
+    asyncio.run(run())
