A second answer from a backend that is left out by then is not remembered

Backends.give_back counted one that came together with the answer also where the backend had been told gone or draining meanwhile. Its end is told once, and forgets what is remembered of it before: the mark stayed, and all connections rested for longer until a process of that name came and went.

Only a listed process is marked. test_late_answers: left_out_by_then, two cases that failed before.

--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -716,10 +716,11 @@
         http = connection.http
         over = http.our_state is h11.DONE and http.their_state is h11.DONE
         member = connection.member
-        if over and http.trailing_data[0]:
+        listed = member.same_process(self.ready(member.backend.id))
+        if listed and over and http.trailing_data[0]:
             self._quiet_periods.unasked(member.backend.id, 0)
         if (connection.closed or not over or not connection.written or http.trailing_data[0]
-                or not member.same_process(self.ready(member.backend.id))):
+                or not listed):
             return self._discard(connection)
         http.start_next_cycle()
         connection.answered = True
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -312,6 +312,21 @@
     play(together)
 
 
+@pytest.mark.parametrize("phase", ["DRAINING", "DELETED"])
+def test_two_answers_of_a_backend_that_is_left_out_by_then_do_not_count(phase: str) -> None:
+    """Its end has been told: nothing would end what it is remembered for."""
+    async def left_out(pool: Pool) -> None:
+        end = pool.begin()
+        message = await pool.peer.requests.get()
+        pool.backends.told(listing(pool.peer.port, phase))
+        await message.peer.write(2 * b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+        assert (await end).outcome is Outcome.OK
+        pool.backends.told(listing(pool.peer.port))
+        await assert_quiet_for(pool, await pool.serve(), QUIET_US)
+
+    play(left_out)
+
+
 def test_a_connection_that_rests_already_rests_for_longer() -> None:
     async def rests(pool: Pool) -> None:
         ends = [pool.begin(), pool.begin()]
