--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -187,7 +187,7 @@
     """Idle connections have been quiet for long enough to be used again, with no turn of the loop."""
     for kept in b._idle.values():
         for connection in kept:
-            connection.reusable_at = 0
+            connection.answered = False
 
 
 async def served(b: Backends, peer: Peer) -> Message:
@@ -351,7 +351,7 @@
         monkeypatch.setattr(CLOCK, "now", lambda: time_us)
         await served(b, peer)
         ((connection,),) = b._idle.values()
-        connection.reusable_at = 0
+        connection.answered = False  # no second answer is to be waited for
         end = begin(b)
         message = await peer.requests.get()
         assert connection.exchange is not None
