--- a/faultlab/plants.py
+++ b/faultlab/plants.py
@@ -86,8 +86,8 @@
           "        return False\n        call, self._call = self._call, None\n"
           "        self._upload = self._source = None\n", "restless", "ended"),
     Plant("after-answer", "an attempt goes out after the final answer", "lilacsill/agent.py",
-          "                self._answer_with(held, result)\n",
-          "                self._answer_with(held, result)\n"
+          "                self._answer_with(held, exchange, result)\n",
+          "                self._answer_with(held, exchange, result)\n"
           "                call = held.call\n"
           "                ask = Ask(call.method, call.target, call.headers, call.body,\n"
           "                          left_us=call.left_us)\n"
