--- a/brasshead/drill.py
+++ b/brasshead/drill.py
@@ -2,6 +2,7 @@
 
 Run as ``python -m brasshead.drill``. Bad input gives one plain line on standard error and exit status 2.
 """
+
 from __future__ import annotations
 
 import json
@@ -43,8 +44,14 @@
 SPAWN_CODE, DISCOVERY_CODE, PEER_CODE, CRASH_CODE, LIST_CODE, GIVE_IN_CODE = 10, 20, 90, 100, 110, 100
 
 OUTCOMES = {
-    0: q.Outcome.OK, 255: q.Outcome.ERROR, 254: q.Outcome.REJECTED, 253: q.Outcome.TIMEOUT,
-    252: q.Outcome.CONNECT_FAILED, 251: q.Outcome.RESET, 250: q.Outcome.CANCELLED, 249: q.Outcome.NOT_SENT,
+    0: q.Outcome.OK,
+    255: q.Outcome.ERROR,
+    254: q.Outcome.REJECTED,
+    253: q.Outcome.TIMEOUT,
+    252: q.Outcome.CONNECT_FAILED,
+    251: q.Outcome.RESET,
+    250: q.Outcome.CANCELLED,
+    249: q.Outcome.NOT_SENT,
 }
 STATES = {0: q.State.GONE, 1: q.State.READY, 2: q.State.DRAINING}
 LIST_KINDS = {0: q.ListKind.CACHED, 1: q.ListKind.DELTA, 2: q.ListKind.FULL, 4: q.ListKind.FAILED}
@@ -119,7 +126,7 @@
         instance, seed, offset, size = SPAWN.unpack_from(frame, at + 1)
         start = self.span(frame, tail, offset, size)
         try:
-            facts = json.loads(frame[start:start + size])
+            facts = json.loads(frame[start : start + size])
         except ValueError as e:
             raise WireError(f"settings: not JSON: {e}") from None
         if not isinstance(facts, dict):
@@ -135,13 +142,14 @@
         self.lists[number] = [
             q.Backend(b, STATES[state], zone, cell, kind, hint, started)
             for b, zone, kind, cell, state, hint, started in ENTRY.iter_unpack(
-                frame[start:start + entries * ENTRY_SIZE])
+                frame[start : start + entries * ENTRY_SIZE]
+            )
         ]
 
     def peer(self, frame: bytes, at: int, tail: int) -> q.PeerMessage:
         _, sender, offset, size = PEER.unpack_from(frame, at + 1)
         start = self.span(frame, tail, offset, size)
-        return q.PeerMessage(sender, frame[start:start + size])
+        return q.PeerMessage(sender, frame[start : start + size])
 
     def discovery(self, frame: bytes, at: int) -> q.BackendsChanged:
         _, _, number, kind_code = DISCOVERY.unpack_from(frame, at + 1)
@@ -183,7 +191,12 @@
 
 
 DECODERS: dict[int, Callable[[bytes, int], q.Event]] = {
-    30: _request, 40: _stream, 50: _ended, 60: _client_gone, 70: _timer, 80: _probed,
+    30: _request,
+    40: _stream,
+    50: _ended,
+    60: _client_gone,
+    70: _timer,
+    80: _probed,
 }
 
 
--- a/brasshead/interface.py
+++ b/brasshead/interface.py
@@ -3,6 +3,7 @@
 All times are integer microseconds on one monotonic clock that the caller passes in. A backend id may be any
 hashable value; it is handed back unmodified. Enumerations carry the field's usual names.
 """
+
 from __future__ import annotations
 
 from collections.abc import Hashable
@@ -95,8 +96,11 @@
         _need(self.window_us >= 0, "window_us", "must not be negative")
         _need(isfinite(self.worth) and self.worth >= 0, "worth", "must be finite and not negative")
         _need(0 <= self.late_worth <= 1, "late_worth", "must lie in 0..1")
-        _need(isfinite(self.aim_stretch) and self.aim_stretch >= 0, "aim_stretch",
-              "must be finite and not negative")
+        _need(
+            isfinite(self.aim_stretch) and self.aim_stretch >= 0,
+            "aim_stretch",
+            "must be finite and not negative",
+        )
 
 
 @dataclass(slots=True, frozen=True)
@@ -108,8 +112,11 @@
     share: float = 0.0
 
     def __post_init__(self) -> None:
-        _need(isfinite(self.quota_per_s) and self.quota_per_s >= 0, "quota_per_s",
-              "must be finite and not negative")
+        _need(
+            isfinite(self.quota_per_s) and self.quota_per_s >= 0,
+            "quota_per_s",
+            "must be finite and not negative",
+        )
 
 
 @dataclass(slots=True, frozen=True)
@@ -169,8 +176,11 @@
         _need(0 <= self.over_share_worth <= 1, "over_share_worth", "must lie in 0..1")
         _need(0 < self.start_fraction <= 1, "start_fraction", "must lie above 0 and at most at 1")
         _need(self.warm_up_us >= 0, "warm_up_us", "must not be negative")
-        _need(isfinite(self.fall_multiple) and self.fall_multiple > 0, "fall_multiple",
-              "must be finite and above 0")
+        _need(
+            isfinite(self.fall_multiple) and self.fall_multiple > 0,
+            "fall_multiple",
+            "must be finite and above 0",
+        )
         _need(self.fall_window_us > 0, "fall_window_us", "must be above 0")
 
     def check(self, e: RequestArrived, held: bool) -> None:
@@ -270,8 +280,16 @@
     payload: bytes
 
 
-Event = (BackendsChanged | RequestArrived | StreamStarted | AttemptEnded | ClientGone | TimerFired
-         | ProbeEnded | PeerMessage)
+Event = (
+    BackendsChanged
+    | RequestArrived
+    | StreamStarted
+    | AttemptEnded
+    | ClientGone
+    | TimerFired
+    | ProbeEnded
+    | PeerMessage
+)
 
 
 # Actions: what Balancer.handle returns, to be carried out in order.
--- a/brasshead/logic.py
+++ b/brasshead/logic.py
@@ -4,6 +4,7 @@
 cold-start budget (who may be sampled), load table and band choice (the Quantile process of Los and Sauerwald:
 two uniform samples, compared by band), attempt plan (time-out, retry, hedge).
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -16,9 +17,37 @@
 from zlib import crc32
 
 from .interface import (
-    NEVER_RAN, TOLD_US, Action, AttemptEnded, Backend, BackendId, BackendsChanged, Cancel, ClientGone,
-    Discovery, Effect, Event, Fail, Group, ListKind, Log, Outcome, PeerMessage, Probe, ProbeEnded, Refuse,
-    RequestArrived, RequestClass, Send, SetTimer, Settings, State, StreamStarted, Tell, TimerFired, Watch,
+    NEVER_RAN,
+    TOLD_US,
+    Action,
+    AttemptEnded,
+    Backend,
+    BackendId,
+    BackendsChanged,
+    Cancel,
+    ClientGone,
+    Discovery,
+    Effect,
+    Event,
+    Fail,
+    Group,
+    ListKind,
+    Log,
+    Outcome,
+    PeerMessage,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    RequestArrived,
+    RequestClass,
+    Send,
+    SetTimer,
+    Settings,
+    State,
+    StreamStarted,
+    Tell,
+    TimerFired,
+    Watch,
 )
 
 MS, SECOND = 1_000, 1_000_000
@@ -62,10 +91,40 @@
 class Server:
     """What this balancer knows of one backend."""
 
-    __slots__ = ("id", "zone", "cell", "hint", "state", "started_at", "open", "residue", "residue_at",
-                 "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at",
-                 "failing", "streak", "out_until", "out_us", "allowance", "asked_at", "askers",
-                 "pace", "service", "news_at", "luck", "streams", "reported", "beyond", "calls", "called")
+    __slots__ = (
+        "id",
+        "zone",
+        "cell",
+        "hint",
+        "state",
+        "started_at",
+        "open",
+        "residue",
+        "residue_at",
+        "others",
+        "heard_at",
+        "latency",
+        "load",
+        "samples",
+        "answered_at",
+        "ended_at",
+        "failing",
+        "streak",
+        "out_until",
+        "out_us",
+        "allowance",
+        "asked_at",
+        "askers",
+        "pace",
+        "service",
+        "news_at",
+        "luck",
+        "streams",
+        "reported",
+        "beyond",
+        "calls",
+        "called",
+    )
 
     def __init__(self, b: Backend, now: int, luck: float) -> None:
         self.id, self.luck = b.id, luck
@@ -104,12 +163,35 @@
 class Request:
     """A request this balancer has taken, until its answer is given and its attempts have ended."""
 
-    __slots__ = ("id", "cls", "number", "deadline", "aim_at", "gives_way", "sends", "out", "may_have_run",
-                 "tried", "done", "luck", "size", "work", "seen", "early", "pair", "silent", "pairs",
-                 "redrawn", "streamed", "begun", "copy")
-
-    def __init__(self, e: RequestArrived, cls: RequestClass, now: int, luck: float, size: float,
-                 work: float) -> None:
+    __slots__ = (
+        "id",
+        "cls",
+        "number",
+        "deadline",
+        "aim_at",
+        "gives_way",
+        "sends",
+        "out",
+        "may_have_run",
+        "tried",
+        "done",
+        "luck",
+        "size",
+        "work",
+        "seen",
+        "early",
+        "pair",
+        "silent",
+        "pairs",
+        "redrawn",
+        "streamed",
+        "begun",
+        "copy",
+    )
+
+    def __init__(
+        self, e: RequestArrived, cls: RequestClass, now: int, luck: float, size: float, work: float
+    ) -> None:
         self.id, self.cls, self.number = e.request, cls, e.request_class
         self.deadline = now + e.patience_us
         self.aim_at = min(now + cls.aim_us + int(cls.aim_stretch * e.cost_us), self.deadline)
@@ -131,8 +213,11 @@
     def may_refuse(self) -> bool:
         """A refusal says that trying again is harmless."""
         c = self.cls
-        return not self.may_have_run or c.effect is Effect.SAFE or (
-            c.effect is Effect.KEYED and c.group is Group.ALL)
+        return (
+            not self.may_have_run
+            or c.effect is Effect.SAFE
+            or (c.effect is Effect.KEYED and c.group is Group.ALL)
+        )
 
 
 @lru_cache(maxsize=4096)
@@ -285,16 +370,23 @@
         """What each class needs, and the mean request's time up to which it may crowd a server."""
         if typical:
             mean, prior = (sum(self.took) or 1.0) / (sum(self.expected) or 1.0), PRIOR * typical
-            self.of = [(took + prior) / (mean * expected + prior)
-                       for took, expected in zip(self.took, self.expected, strict=True)]
+            self.of = [
+                (took + prior) / (mean * expected + prior)
+                for took, expected in zip(self.took, self.expected, strict=True)
+            ]
         by_work = [c.worth / need for c, need in zip(self.classes, self.of, strict=True)]
         most = max(by_work) or 1.0
         # Where not all can be served, work goes where it is worth most: no class crowds the servers beyond
         # what those worth more for their work can bear, and the less it is worth, the less it may.
         self.bearable = [
-            max(mine / most, 1e-9) * min(c.aim_us / need for c, need, worth in zip(
-                self.classes, self.of, by_work, strict=True) if worth >= mine)
-            for mine in by_work]
+            max(mine / most, 1e-9)
+            * min(
+                c.aim_us / need
+                for c, need, worth in zip(self.classes, self.of, by_work, strict=True)
+                if worth >= mine
+            )
+            for mine in by_work
+        ]
 
 
 class Health:
@@ -529,8 +621,7 @@
         self.needs = Needs(settings)
         self.idle = IDLE / settings.siblings
         # Asking both samples of each request must be cheap, and there must be something to learn by it.
-        self.asks = (settings.can_probe and self.table.column >= 0
-                     and 2 * settings.prices.probe <= PROBE_SPEND)
+        self.asks = settings.can_probe and self.table.column >= 0 and 2 * settings.prices.probe <= PROBE_SPEND
         self.ask_us = int(ASK_SHARE * min(c.aim_us for c in settings.classes))
         price, self.tells = settings.prices.peer, 0  # peers told of each report
         if settings.can_tell and self.table.column >= 0:
@@ -550,9 +641,14 @@
         # the answer is given in the round after.
         self.margin = max(0, 2 * settings.tick_us - settings.answer_slack_us // 2)
         self.handlers: dict[type, Callable[[Any], None]] = {
-            BackendsChanged: self._backends, RequestArrived: self._arrived, AttemptEnded: self._ended,
-            StreamStarted: self._streaming, ClientGone: self._gone, TimerFired: self._timer,
-            ProbeEnded: self._probed, PeerMessage: self._told,
+            BackendsChanged: self._backends,
+            RequestArrived: self._arrived,
+            AttemptEnded: self._ended,
+            StreamStarted: self._streaming,
+            ClientGone: self._gone,
+            TimerFired: self._timer,
+            ProbeEnded: self._probed,
+            PeerMessage: self._told,
         }
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -566,8 +662,10 @@
 
     def avoided(self, now: int) -> int:
         """How many of the listed servers are left out now, for the list says so or for their health."""
-        return sum(s.state is not State.READY or not self.health.admits(s, now, self.table.typical)
-                   for s in self.servers.values())
+        return sum(
+            s.state is not State.READY or not self.health.admits(s, now, self.table.typical)
+            for s in self.servers.values()
+        )
 
     def _log(self, text: str) -> None:
         self.actions.append(Log(text))
@@ -721,9 +819,14 @@
         # A sample that answers goes before one that does not; if none does, the table decides.
         silent = r.silent if len(r.silent) < len(set(pair)) else []
         r.pair, r.silent = None, []
-        fit = [s for s in pair if s not in silent and self._may_go(r, s)
-               and self.cold.admits(s, self.now, r, self.asks, self.table.mean)  # it may be anew
-               and self._hopeful(r, s, limit, left, True)]
+        fit = [
+            s
+            for s in pair
+            if s not in silent
+            and self._may_go(r, s)
+            and self.cold.admits(s, self.now, r, self.asks, self.table.mean)  # it may be anew
+            and self._hopeful(r, s, limit, left, True)
+        ]
         if fit and self._left(r) > 0:
             return self._send(r, *self._lighter(r, (fit[0], fit[-1])))
         # What passes at the softer limit may fail at the later one: drawn on without a bound, it never ended.
@@ -731,7 +834,6 @@
             return self._advance(r)
         self._finish(r)
 
-
     # Sampling set and band choice
 
     def _pool(self, r: Request) -> list[Server]:
@@ -749,7 +851,8 @@
         if r.cls.effect is Effect.UNSAFE or self.now >= self._repeat_until(r):
             return False
         return r.cls.group is Group.ALL or (
-            s.zone == first.zone if r.cls.group is Group.ZONE else s.cell == first.cell)
+            s.zone == first.zone if r.cls.group is Group.ZONE else s.cell == first.cell
+        )
 
     def _repeat_until(self, r: Request) -> int:
         """When the time ends in which attempts of a keyed request may go out; 0: it has none. The first one's
@@ -766,8 +869,9 @@
         silence = (self.now - s.news_at) * r.luck * self.cold.warmth(s, self.now) if self.tells else 0
         if silence > 2 * max(FRESH_US, self.now - self.table.news_at):
             return False
-        return (self.cold.admits(s, self.now, r, self.asks, self.table.mean)
-                and self.health.admits(s, self.now, self.table.typical))
+        return self.cold.admits(s, self.now, r, self.asks, self.table.mean) and self.health.admits(
+            s, self.now, self.table.typical
+        )
 
     def _two(self, r: Request, pool: list[Server]) -> tuple[Server, Server] | None:
         """Two uniform samples with replacement among the servers that are fit for this request."""
@@ -775,8 +879,9 @@
         limit = self._limit(r)
         return self._two_within(r, pool, SOFTER * limit, False) or self._two_within(r, pool, limit, True)
 
-    def _two_within(self, r: Request, pool: list[Server], limit: float, last: bool
-                    ) -> tuple[Server, Server] | None:
+    def _two_within(
+        self, r: Request, pool: list[Server], limit: float, last: bool
+    ) -> tuple[Server, Server] | None:
         """Two such samples where the request's answer is predicted within a time."""
         random, n, left = self.rng.random, len(pool), r.aim_at - self.now
         fit: list[Server] = []
@@ -851,8 +956,9 @@
         # may be tried. Shared over the balancers, or they keep a jam up; failed attempts count as held. Where
         # that is less than one for each, for such a share of the requests: thirty balancers that each may try
         # every server on which they have nothing fill them all. A cold one has a budget of its own for that.
-        if own < min(1.0, self.idle) and (r.luck * 2**24 % 1.0 < self.idle
-                                          or self.cold.warmth(s, self.now) < 1.0):
+        if own < min(1.0, self.idle) and (
+            r.luck * 2**24 % 1.0 < self.idle or self.cold.warmth(s, self.now) < 1.0
+        ):
             return workable
         return predicted <= limit or (own < self.idle and predicted * need <= left)
 
@@ -944,8 +1050,12 @@
             self._cancel(r, but=e.attempt)
             s, _, load = r.out[e.attempt]
             s.open.pop((r.id, e.attempt), None)
-            self.table.ended(self.now, s, AttemptEnded(
-                r.id, e.attempt, s.id, Outcome.OK, e.latency_us, False, e.report), load)
+            self.table.ended(
+                self.now,
+                s,
+                AttemptEnded(r.id, e.attempt, s.id, Outcome.OK, e.latency_us, False, e.report),
+                load,
+            )
             s.streams[(r.id, e.attempt)] = self.now
 
     def _gone(self, e: ClientGone) -> None:
--- a/brasshead/memory.py
+++ b/brasshead/memory.py
@@ -1,4 +1,5 @@
 """What a balancer has learned, to be handed to the one that takes its place on the same clock."""
+
 from __future__ import annotations
 
 from typing import Any
@@ -6,8 +7,25 @@
 from .logic import Balancer
 
 # Not what is out, nor what the list says: the one ends where it began, the other is told anew.
-SERVER = ("luck", "others", "heard_at", "latency", "load", "samples", "answered_at", "ended_at", "failing",
-          "streak", "out_until", "out_us", "allowance", "residue", "residue_at", "service", "news_at")
+SERVER = (
+    "luck",
+    "others",
+    "heard_at",
+    "latency",
+    "load",
+    "samples",
+    "answered_at",
+    "ended_at",
+    "failing",
+    "streak",
+    "out_until",
+    "out_us",
+    "allowance",
+    "residue",
+    "residue_at",
+    "service",
+    "news_at",
+)
 TABLE = ("mean", "mean_hint", "mean_service", "news_at", "cost", "pace", "typical")
 COLD = ("answered", "fit")
 REPORTS = ("kept", "spread", "mean_others")  # these and the needs lack where an earlier version wrote
--- a/brasshead/settings.py
+++ b/brasshead/settings.py
@@ -1,4 +1,5 @@
 """The settings as a deployment states them in JSON, translated for the adapter and for the agent."""
+
 from __future__ import annotations
 
 from typing import Any
@@ -19,10 +20,15 @@
         report = facts.get("report", {})
         classes = tuple(
             q.RequestClass(
-                name=str(c["name"]), aim_us=int(c["aimUs"]), deadline_us=int(c["deadlineUs"]),
-                effect=EFFECTS[c["repeat"]], group=q.Group(c.get("dedupScope", "all")),
-                window_us=int(c.get("memorySpanUs", 0)), worth=float(c.get("value", 1.0)),
-                late_worth=float(c.get("lateWorth", 0.0)), aim_stretch=float(c.get("aimStretch") or 0.0),
+                name=str(c["name"]),
+                aim_us=int(c["aimUs"]),
+                deadline_us=int(c["deadlineUs"]),
+                effect=EFFECTS[c["repeat"]],
+                group=q.Group(c.get("dedupScope", "all")),
+                window_us=int(c.get("memorySpanUs", 0)),
+                worth=float(c.get("value", 1.0)),
+                late_worth=float(c.get("lateWorth", 0.0)),
+                aim_stretch=float(c.get("aimStretch") or 0.0),
             )
             for c in facts["profiles"]
         )
@@ -31,23 +37,34 @@
             for t in facts.get("tenants") or ()
         )
         return q.Settings(
-            classes=classes, tenants=tenants, zone=int(facts.get("zone", 0)), siblings=int(facts["siblings"]),
-            me=int(facts.get("me", 0)), can_tell=bool(allowed.get("peers")),
+            classes=classes,
+            tenants=tenants,
+            zone=int(facts.get("zone", 0)),
+            siblings=int(facts["siblings"]),
+            me=int(facts.get("me", 0)),
+            can_tell=bool(allowed.get("peers")),
             report_fields=tuple(report.get("columns") or ()) if report.get("source") != "off" else (),
             discovery=q.Discovery(facts["registryMode"]),
             ask_within_us=int(rules.get("askWithinUs") or 10_000_000),
-            can_cancel=bool(allowed["cancel"]), can_probe=bool(allowed["probes"]),
-            second_copies=bool(allowed["secondCopies"]), max_attempts=int(allowed["maxAttempts"]),
+            can_cancel=bool(allowed["cancel"]),
+            can_probe=bool(allowed["probes"]),
+            second_copies=bool(allowed["secondCopies"]),
+            max_attempts=int(allowed["maxAttempts"]),
             retry_after=bool(allowed.get("retryAfter")),
             max_retry_after_us=int(allowed.get("maxRetryAfterUs") or 0),
-            tick_us=int(facts["quantumUs"]), answer_slack_us=int(rules.get("graceToAnswerUs") or 0),
+            tick_us=int(facts["quantumUs"]),
+            answer_slack_us=int(rules.get("graceToAnswerUs") or 0),
             over_share_worth=float(facts.get("overShareWorth", 1.0)),
             capacity_hints=facts.get("weightKind", "off") != "off",
-            start_fraction=float(rules["startCapacity"]), warm_up_us=int(rules["warmUpUs"]),
-            fall_multiple=float(rules["fallMultiple"]), fall_window_us=int(rules["tipAfterUs"]),
+            start_fraction=float(rules["startCapacity"]),
+            warm_up_us=int(rules["warmUpUs"]),
+            fall_multiple=float(rules["fallMultiple"]),
+            fall_window_us=int(rules["tipAfterUs"]),
             prices=q.Prices(
-                cross_zone=float(prices.get("crossZone", 0.0)), waste=float(prices.get("waste", 0.0)),
-                late_fail=float(prices.get("lateFail", 0.0)), probe=float(prices.get("probe", 0.0)),
+                cross_zone=float(prices.get("crossZone", 0.0)),
+                waste=float(prices.get("waste", 0.0)),
+                late_fail=float(prices.get("lateFail", 0.0)),
+                probe=float(prices.get("probe", 0.0)),
                 peer=float(prices.get("peer", 0.0)),
             ),
         )
--- a/catalog/bench.py
+++ b/catalog/bench.py
@@ -1,4 +1,5 @@
 """What the list service costs, beside the least that could be: ratios and percentiles, all in one run."""
+
 from __future__ import annotations
 
 import asyncio
@@ -39,8 +40,7 @@
 
 
 def _put(name: str, cell: int = 0) -> Put:
-    return Put(member=Member(id=name, host_port="10.0.0.1:9000", locality="a", flavor="m",
-                             cell=cell))
+    return Put(member=Member(id=name, host_port="10.0.0.1:9000", locality="a", flavor="m", cell=cell))
 
 
 def _filled(folder: Path) -> Store:
@@ -96,14 +96,17 @@
     def adopt(*args: Any, real: Callable[..., None] = store.adopt) -> None:
         on_disk[0] = time.perf_counter()
         real(*args)
+
     vars(store)["adopt"] = adopt
     service = Service(store)
     server = CatalogServer(service)
     service.start()
     port = await server.listen(Address("127.0.0.1", 0))
     everyone = _All(WATCHERS)
-    watchers = [(await loop.create_connection(lambda: _Watcher(everyone.one), "127.0.0.1", port))[1]
-                for _ in range(WATCHERS)]
+    watchers = [
+        (await loop.create_connection(lambda: _Watcher(everyone.one), "127.0.0.1", port))[1]
+        for _ in range(WATCHERS)
+    ]
     bare: list[asyncio.Transport] = []
 
     class Bare(asyncio.Protocol):
@@ -138,11 +141,13 @@
     server.close()
     beside.close()
     await service.stop()
-    return [f"{WATCHERS} watchers, {MEMBERS} members, from on disk to the last one told, ms: "
-            + " ".join(f"p{p} {ours.get_value_at_percentile(p) / 1000:.1f}" for p in (50, 99)),
-            "  bare connections, the same bytes: "
-            + " ".join(f"p{p} {least.get_value_at_percentile(p) / 1000:.1f}" for p in (50, 99))
-            + f"; ratio of the medians {_ratio(ours, least):.2f}"]
+    return [
+        f"{WATCHERS} watchers, {MEMBERS} members, from on disk to the last one told, ms: "
+        + " ".join(f"p{p} {ours.get_value_at_percentile(p) / 1000:.1f}" for p in (50, 99)),
+        "  bare connections, the same bytes: "
+        + " ".join(f"p{p} {least.get_value_at_percentile(p) / 1000:.1f}" for p in (50, 99))
+        + f"; ratio of the medians {_ratio(ours, least):.2f}",
+    ]
 
 
 def _ratio(a: Any, b: Any) -> float:
@@ -163,14 +168,17 @@
                 asked = time.perf_counter()
                 await service.do(Command((_put(f"s-{n:08x}", cell=1),)))
                 took.record_value(int((time.perf_counter() - asked) * 1e6))
+
         await asyncio.gather(*(write() for _ in range(writers)))
         rate = service.committed / (time.perf_counter() - began)
         rates.setdefault(writers, []).append((rate, service.commits / service.committed, took))
         await service.stop()
     shared, single = (max(rates[n], key=lambda r: r[0]) for n in (WRITERS, 1))
-    return [f"{WRITERS} writers: {shared[0]:.0f} writes a second, {shared[1]:.2f} commits a write, "
-            f"p99 {shared[2].get_value_at_percentile(99) / 1000:.1f} ms",
-            f"  one writer, a commit each: {single[0]:.0f} a second; ratio {shared[0] / single[0]:.1f}"]
+    return [
+        f"{WRITERS} writers: {shared[0]:.0f} writes a second, {shared[1]:.2f} commits a write, "
+        f"p99 {shared[2].get_value_at_percentile(99) / 1000:.1f} ms",
+        f"  one writer, a commit each: {single[0]:.0f} a second; ratio {shared[0] / single[0]:.1f}",
+    ]
 
 
 def _life(folder: Path) -> list[str]:
@@ -193,10 +201,12 @@
     least = time.perf_counter()
     msgspec.json.decode(msgspec.json.encode([_put(f"s-{i:08x}") for i in range(MEMBERS)]))
     least = time.perf_counter() - least
-    return [f"{LIFE} changes: {marks[0]:.0f} MB after {FIRST}, {marks[1]:.0f} MB after all (ratio "
-            f"{marks[1] / marks[0]:.2f}), {size:.1f} MB on disk",
-            f"  a start after them, {MEMBERS} members: {took:.2f} s, {took / least:.0f} times what reading "
-            "them from JSON takes"]
+    return [
+        f"{LIFE} changes: {marks[0]:.0f} MB after {FIRST}, {marks[1]:.0f} MB after all (ratio "
+        f"{marks[1] / marks[0]:.2f}), {size:.1f} MB on disk",
+        f"  a start after them, {MEMBERS} members: {took:.2f} s, {took / least:.0f} times what reading "
+        "them from JSON takes",
+    ]
 
 
 def _resident_mb() -> float:
--- a/catalog/caller.py
+++ b/catalog/caller.py
@@ -1,4 +1,5 @@
 """Calls to the list service, as a person's commands make them."""
+
 from __future__ import annotations
 
 import http.client
@@ -21,8 +22,14 @@
     return f"{PATH}/{quote(member, safe='')}"
 
 
-def call(at: str, method: str, path: str, doc: object = None, timeout_s: float = TIMEOUT_S,
-         headers: Mapping[str, str] | None = None) -> str:
+def call(
+    at: str,
+    method: str,
+    path: str,
+    doc: object = None,
+    timeout_s: float = TIMEOUT_S,
+    headers: Mapping[str, str] | None = None,
+) -> str:
     """The body of a 200. Raises CallError."""
     try:
         address = parse_address(at)
--- a/catalog/cli.py
+++ b/catalog/cli.py
@@ -1,4 +1,5 @@
 """The list service's commands. Every error of a person is one line and exit status 2."""
+
 from __future__ import annotations
 
 import asyncio
@@ -20,8 +21,12 @@
 from .server import CatalogServer
 from .service import Service
 
-app = typer.Typer(no_args_is_help=True, pretty_exceptions_enable=False, rich_markup_mode=None,
-                  help="The list of who serves: kept on disk, told to all who watch.")
+app = typer.Typer(
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+    help="The list of who serves: kept on disk, told to all who watch.",
+)
 Folder = Annotated[Path, typer.Argument(metavar="DIR", help="The data directory of `serve`.")]
 At = Annotated[str, typer.Option(metavar="HOST:PORT", help="Where the service listens.")]
 
@@ -42,8 +47,10 @@
 
 
 @app.command()
-def serve(listen: Annotated[str, typer.Option(metavar="HOST:PORT")],
-          data: Annotated[Path, typer.Option(metavar="DIR", help="Made where it is not there.")]) -> None:
+def serve(
+    listen: Annotated[str, typer.Option(metavar="HOST:PORT")],
+    data: Annotated[Path, typer.Option(metavar="DIR", help="Made where it is not there.")],
+) -> None:
     """Serve the list until SIGTERM or Ctrl-C.
 
     Example: python -m catalog serve --listen 127.0.0.1:8500 --data data
@@ -55,10 +62,15 @@
 
 
 @app.command()
-def follow(listen: Annotated[str, typer.Option(metavar="HOST:PORT")],
-           source: Annotated[list[str] | None, typer.Option(
-               metavar="HOST:PORT", help="The list service, or another follower; several are tried in turn."
-           )] = None) -> None:
+def follow(
+    listen: Annotated[str, typer.Option(metavar="HOST:PORT")],
+    source: Annotated[
+        list[str] | None,
+        typer.Option(
+            metavar="HOST:PORT", help="The list service, or another follower; several are tried in turn."
+        ),
+    ] = None,
+) -> None:
     """Serve reads of another's list, on no disk, until SIGTERM or Ctrl-C.
 
     Example: python -m catalog follow --listen 127.0.0.2:8500 --source 127.0.0.1:8500
@@ -102,8 +114,11 @@
     try:
         port = await server.listen(address)
         logging.getLogger("catalog").info(
-            "follows %s; listens on %s:%d", " ".join(f"{a.host}:{a.port}" for a in sources),
-            address.host, port)
+            "follows %s; listens on %s:%d",
+            " ".join(f"{a.host}:{a.port}" for a in sources),
+            address.host,
+            port,
+        )
         replica.start()
         await stop.wait()
     finally:
@@ -119,8 +134,13 @@
     try:
         port = await server.listen(address)
         logging.getLogger("catalog").info(
-            "list %s, revision %d, %d members; listens on %s:%d", opened.identity, service.revision,
-            len(opened.state.entries), address.host, port)
+            "list %s, revision %d, %d members; listens on %s:%d",
+            opened.identity,
+            service.revision,
+            len(opened.state.entries),
+            address.host,
+            port,
+        )
         await stop.wait()
     finally:
         await service.stop()
@@ -148,8 +168,11 @@
         store.check(folder)
         opened = store.Store(folder)
         try:
-            doc = {"list": opened.identity, "revision": opened.state.revision,
-                   "entries": list(opened.state.entries.values())}
+            doc = {
+                "list": opened.identity,
+                "revision": opened.state.revision,
+                "entries": list(opened.state.entries.values()),
+            }
             typer.echo(msgspec.json.format(msgspec.json.encode(doc)).decode())
         finally:
             opened.close()
@@ -176,16 +199,32 @@
 
 
 @app.command()
-def put(member: Annotated[str, typer.Argument(metavar="ID")],
-        host_port: Annotated[str, typer.Argument(metavar="HOST:PORT")], at: At,
-        locality: str = "", flavor: str = "", cell: int = 0, size: float = 1.0, up_since_ms: int = 0,
-        ttl_ms: Annotated[int, typer.Option(help="0: no lease.")] = 0, start: int = 0) -> None:
+def put(
+    member: Annotated[str, typer.Argument(metavar="ID")],
+    host_port: Annotated[str, typer.Argument(metavar="HOST:PORT")],
+    at: At,
+    locality: str = "",
+    flavor: str = "",
+    cell: int = 0,
+    size: float = 1.0,
+    up_since_ms: int = 0,
+    ttl_ms: Annotated[int, typer.Option(help="0: no lease.")] = 0,
+    start: int = 0,
+) -> None:
     """List a member.
 
     Example: python -m catalog put s1 10.1.0.18:9000 --at 127.0.0.1:8500 --ttl-ms 10000
     """
-    doc = {"host_port": host_port, "locality": locality, "flavor": flavor, "cell": cell, "size": size,
-           "up_since_ms": up_since_ms, "ttl_ms": ttl_ms, "start": start}
+    doc = {
+        "host_port": host_port,
+        "locality": locality,
+        "flavor": flavor,
+        "cell": cell,
+        "size": size,
+        "up_since_ms": up_since_ms,
+        "ttl_ms": ttl_ms,
+        "start": start,
+    }
     with plain_errors():
         typer.echo(caller.call(at, "PUT", caller.member_path(member), doc))
 
--- a/catalog/core.py
+++ b/catalog/core.py
@@ -3,6 +3,7 @@
 The same commands in the same order give the same state and the same answers anywhere (Schneider 1990,
 state machine approach), so that what decides can be replicated and simulated as it runs.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
@@ -18,7 +19,7 @@
 FENCES_KEPT = 20_000  # of ids that are gone
 Name = Annotated[str, Meta(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9._:-]+$")]
 Ttl = Annotated[int, Meta(ge=100, le=86_400_000)]
-Start = Annotated[int, Meta(ge=0, lt=2 ** 53)]
+Start = Annotated[int, Meta(ge=0, lt=2**53)]
 Phase = Literal["SERVING", "DRAINING"]
 
 
@@ -29,10 +30,10 @@
     host_port: Annotated[str, Meta(min_length=3, max_length=260, pattern=r"^[^\s:]+:[0-9]{1,5}$")]
     locality: Annotated[str, Meta(max_length=64)] = ""
     flavor: Annotated[str, Meta(max_length=64)] = ""
-    cell: Annotated[int, Meta(ge=0, lt=2 ** 31)] = 0
+    cell: Annotated[int, Meta(ge=0, lt=2**31)] = 0
     phase: Phase = "SERVING"
     size: Annotated[float, Meta(gt=0, le=1e6)] = 1.0
-    up_since_ms: Annotated[int, Meta(ge=0, lt=2 ** 53)] = 0
+    up_since_ms: Annotated[int, Meta(ge=0, lt=2**53)] = 0
 
 
 class Entry(Struct, frozen=True, kw_only=True):
@@ -91,9 +92,13 @@
 
     __slots__ = ("revision", "entries", "answers", "fences", "digest")
 
-    def __init__(self, revision: int, entries: Mapping[str, Entry] | None = None,
-                 answers: Mapping[str, Answer] | None = None,
-                 fences: Mapping[str, int] | None = None) -> None:
+    def __init__(
+        self,
+        revision: int,
+        entries: Mapping[str, Entry] | None = None,
+        answers: Mapping[str, Answer] | None = None,
+        fences: Mapping[str, int] | None = None,
+    ) -> None:
         self.revision = revision
         self.entries = dict(entries or {})
         self.answers = dict(answers or {})  # by Idempotency-Key, the oldest first
@@ -283,5 +288,8 @@
 
 
 def whole_of(revision: int, entries: Mapping[str, Entry]) -> dict[str, object]:
-    return {"revision": revision, "complete": True,
-            "members": [form(entry.member) for entry in entries.values()]}
+    return {
+        "revision": revision,
+        "complete": True,
+        "members": [form(entry.member) for entry in entries.values()],
+    }
--- a/catalog/follower.py
+++ b/catalog/follower.py
@@ -4,6 +4,7 @@
 the leader, and never goes back while the list is the same one: what readers count on (docs/catalog.md) holds
 through any number of followers.
 """
+
 from __future__ import annotations
 
 import math
@@ -41,9 +42,14 @@
             if not isinstance(identity, str) or not identity:
                 raise ValueError("the source's list has no identity; it must be of `serve` or `follow`")
             entries = [(row["phase"] == "DELETED", _entry(row)) for row in doc["members"]]
-            return Heard(int(doc["revision"]), bool(doc["complete"]), (), identity,
-                         tuple(entry for gone, entry in entries if not gone),
-                         tuple(entry for gone, entry in entries if gone))
+            return Heard(
+                int(doc["revision"]),
+                bool(doc["complete"]),
+                (),
+                identity,
+                tuple(entry for gone, entry in entries if not gone),
+                tuple(entry for gone, entry in entries if gone),
+            )
         except (KeyError, TypeError, AttributeError, OverflowError, msgspec.ValidationError) as e:
             raise ValueError(f"list of members: {type(e).__name__} {e}") from None
 
@@ -71,7 +77,8 @@
         if heard.identity != self.identity:
             return False
         return heard.revision < self.revision or (
-            heard.complete and heard.revision == self.revision and _by_id(heard) != self.entries)
+            heard.complete and heard.revision == self.revision and _by_id(heard) != self.entries
+        )
 
     def take(self, heard: Heard) -> bool:
         """Go to the state of an answer; returns whether that is a new one.
--- a/catalog/leases.py
+++ b/catalog/leases.py
@@ -4,6 +4,7 @@
 no one. Where over a share of all leased would go within one ttl, expiry is held (Eureka's self-preservation,
 with its default threshold of 85 per cent of renewals): a network that is cut must not empty the list.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -93,5 +94,9 @@
         if self.held:
             return []
         # They stay due until the list says so: a write that fails is made again.
-        return [SetPhase(id=name, phase="DRAINING", start=self._leases[name].start, lapsed=True)
-                if name in fresh else Delete(id=name, start=self._leases[name].start) for name in due]
+        return [
+            SetPhase(id=name, phase="DRAINING", start=self._leases[name].start, lapsed=True)
+            if name in fresh
+            else Delete(id=name, start=self._leases[name].start)
+            for name in due
+        ]
--- a/catalog/replica.py
+++ b/catalog/replica.py
@@ -1,4 +1,5 @@
 """A follower in service: its source is watched by the platform's own calls, its readers are told. No HTTP."""
+
 from __future__ import annotations
 
 import asyncio
@@ -72,10 +73,16 @@
 
     def status(self) -> dict[str, object]:
         known = self.identity is not None
-        return {"role": "follower", "source": self.write_at(), "list": self.identity,
-                "revision": self.revision if known else None, "age_s": self.age_s() if known else None,
-                "members": len(self.copy.entries), "watchers": self.watchers,
-                "changes_kept": len(self.copy.history)}
+        return {
+            "role": "follower",
+            "source": self.write_at(),
+            "list": self.identity,
+            "revision": self.revision if known else None,
+            "age_s": self.age_s() if known else None,
+            "members": len(self.copy.entries),
+            "watchers": self.watchers,
+            "changes_kept": len(self.copy.history),
+        }
 
 
 class _Source(Discovery):
--- a/catalog/server.py
+++ b/catalog/server.py
@@ -1,4 +1,5 @@
 """The list over HTTP/1.1: reads as PROTOCOL has them, writes in JSON. h11 reads; answers go out whole."""
+
 from __future__ import annotations
 
 import asyncio
@@ -30,9 +31,18 @@
 NO_LIST = "there is no list here yet; ask another"
 BEHIND = "the list here is behind yours; ask another"
 BACKLOG = 2048
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 409: "Conflict",
-           412: "Precondition Failed", 413: "Content Too Large", 421: "Misdirected Request",
-           503: "Service Unavailable", 507: "Insufficient Storage"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    412: "Precondition Failed",
+    413: "Content Too Large",
+    421: "Misdirected Request",
+    503: "Service Unavailable",
+    507: "Insufficient Storage",
+}
 
 
 class PutBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -77,10 +87,20 @@
     """Raises msgspec.ValidationError on what no member can be."""
     if doc.id not in (None, name):
         raise _Wrong(400, f"id: is {doc.id}, the path says {name}; make them one")
-    fields = {f: getattr(doc, f) for f in ("host_port", "locality", "flavor", "cell", "phase", "size",
-                                           "up_since_ms")}
-    return msgspec.convert({"do": "put", "member": {"id": name, **fields}, "ttl_ms": doc.ttl_ms,
-                            "start": doc.start, "if_revision": doc.if_revision}, Put)
+    fields = {
+        f: getattr(doc, f)
+        for f in ("host_port", "locality", "flavor", "cell", "phase", "size", "up_since_ms")
+    }
+    return msgspec.convert(
+        {
+            "do": "put",
+            "member": {"id": name, **fields},
+            "ttl_ms": doc.ttl_ms,
+            "start": doc.start,
+            "if_revision": doc.if_revision,
+        },
+        Put,
+    )
 
 
 class CatalogServer:
@@ -96,7 +116,8 @@
     async def listen(self, address: Address) -> int:
         """Returns the port, for an address whose port is 0."""
         self._listener = await asyncio.get_running_loop().create_server(
-            lambda: _Conn(self), address.host, address.port, backlog=BACKLOG)
+            lambda: _Conn(self), address.host, address.port, backlog=BACKLOG
+        )
         return int(self._listener.sockets[0].getsockname()[1])
 
     def listens(self) -> bool:
@@ -219,11 +240,13 @@
             return self._do((put_of(name, msgspec.json.decode(self._body, type=PutBody)),))
         if method == "PUT" and act == "phase":
             doc = msgspec.json.decode(self._body, type=PhaseBody)
-            return self._do((SetPhase(id=name, phase=doc.phase, start=doc.start,
-                                      if_revision=doc.if_revision),))
+            return self._do(
+                (SetPhase(id=name, phase=doc.phase, start=doc.start, if_revision=doc.if_revision),)
+            )
         if method == "DELETE" and not act:
-            return self._do((Delete(id=name, start=_number(query, "start"),
-                                    if_revision=_number(query, "if_revision")),))
+            return self._do(
+                (Delete(id=name, start=_number(query, "start"), if_revision=_number(query, "if_revision")),)
+            )
         if method == "POST" and act == "renew":
             renewal = msgspec.json.decode(self._body or b"{}", type=RenewBody)
             return self._spawn(service.renew(name, renewal.start))
@@ -298,8 +321,10 @@
         keep = "close" not in last.lower() and self.http.their_state is h11.DONE
         again = f"Retry-After: {AGAIN_S}\r\n" if status == 503 else ""
         ending = "" if keep else "Connection: close\r\n"
-        head = (f"HTTP/1.1 {status} {REASONS.get(status, 'Error')}\r\nContent-Type: application/json\r\n"
-                f"Content-Length: {len(body)}\r\n{more}{again}{ending}\r\n")
+        head = (
+            f"HTTP/1.1 {status} {REASONS.get(status, 'Error')}\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n{more}{again}{ending}\r\n"
+        )
         self.transport.write(head.encode() + body)
         self.written = self.transport.get_write_buffer_size() == 0
         if not self.written:
--- a/catalog/service.py
+++ b/catalog/service.py
@@ -1,4 +1,5 @@
 """The list in service: commands that share a commit, leases that run, watchers that are told. No HTTP."""
+
 from __future__ import annotations
 
 import asyncio
@@ -87,7 +88,8 @@
             else:
                 index, doc = None, self._whole()
             self._encoded[index] = msgspec.json.encode(
-                {"revision": self.revision, "list": self.identity, **doc})
+                {"revision": self.revision, "list": self.identity, **doc}
+            )
         return self._encoded[index]
 
     def _told(self) -> None:
@@ -178,8 +180,9 @@
                 await self._come.wait()
         self._come.clear()
 
-    async def _commit(self, loop: asyncio.AbstractEventLoop,
-                      taken: list[tuple[Command, asyncio.Future[Answer]]]) -> None:
+    async def _commit(
+        self, loop: asyncio.AbstractEventLoop, taken: list[tuple[Command, asyncio.Future[Answer]]]
+    ) -> None:
         commands = [command for command, _ in taken]
         try:
             state, answers, changes = await loop.run_in_executor(self._writer, self.store.commit, commands)
@@ -238,8 +241,11 @@
                     what = "drains" if isinstance(write, SetPhase) else "is gone"
                     log.warning("%s has not renewed its lease and %s", write.id, what)
             if self.leases.held and not held:
-                log.error("leases are held: more than a network's share of %d would run out at once; "
-                          "look for what keeps them from renewing", len(self.leases))
+                log.error(
+                    "leases are held: more than a network's share of %d would run out at once; "
+                    "look for what keeps them from renewing",
+                    len(self.leases),
+                )
             elif held and not self.leases.held:
                 log.warning("leases run again")
 
@@ -252,7 +258,14 @@
         return whole(self.store.state)
 
     def status(self) -> dict[str, object]:
-        return {"list": self.store.identity, "revision": self.revision,
-                "members": len(self.store.state.entries), "leased": len(self.leases),
-                "leases_held": self.leases.held, "watchers": self.watchers,
-                "changes_kept": len(self.store.history), "commits": self.commits, "writes": self.committed}
+        return {
+            "list": self.store.identity,
+            "revision": self.revision,
+            "members": len(self.store.state.entries),
+            "leased": len(self.leases),
+            "leases_held": self.leases.held,
+            "watchers": self.watchers,
+            "changes_kept": len(self.store.history),
+            "commits": self.commits,
+            "writes": self.committed,
+        }
--- a/catalog/store.py
+++ b/catalog/store.py
@@ -2,6 +2,7 @@
 
 WAL with synchronous=FULL: a commit has been synced when it returns (https://sqlite.org/wal.html, 3).
 """
+
 from __future__ import annotations
 
 import contextlib
@@ -55,10 +56,19 @@
 
 PRIMARY = 0xFF  # mask of the primary code in SQLite's extended result codes
 # Result codes that do not indicate damaged data (https://sqlite.org/rescode.html).
-PASSING = frozenset({
-    sqlite3.SQLITE_IOERR, sqlite3.SQLITE_FULL, sqlite3.SQLITE_CANTOPEN, sqlite3.SQLITE_READONLY,
-    sqlite3.SQLITE_PERM, sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED, sqlite3.SQLITE_NOMEM,
-    sqlite3.SQLITE_PROTOCOL})
+PASSING = frozenset(
+    {
+        sqlite3.SQLITE_IOERR,
+        sqlite3.SQLITE_FULL,
+        sqlite3.SQLITE_CANTOPEN,
+        sqlite3.SQLITE_READONLY,
+        sqlite3.SQLITE_PERM,
+        sqlite3.SQLITE_BUSY,
+        sqlite3.SQLITE_LOCKED,
+        sqlite3.SQLITE_NOMEM,
+        sqlite3.SQLITE_PROTOCOL,
+    }
+)
 
 
 def _may_pass(error: sqlite3.Error) -> bool:
@@ -104,8 +114,10 @@
             self._db = connect(str(self.path), isolation_level=None, check_same_thread=False)
             mode = self._db.execute("pragma journal_mode=wal").fetchone()[0]
             if mode != "wal":  # SQLite keeps the old mode without an error
-                raise Unavailable(f"{self.path}: the write-ahead log cannot be made ({mode} stays); "
-                                  "mend the disk and start again")
+                raise Unavailable(
+                    f"{self.path}: the write-ahead log cannot be made ({mode} stays); "
+                    "mend the disk and start again"
+                )
             self._db.execute("pragma synchronous=full")
             if fresh or not self._db.execute("select count(*) from sqlite_master").fetchone()[0]:
                 self._make()
@@ -125,9 +137,15 @@
         db.execute("begin immediate")
         for statement in TABLES.split(";"):
             db.execute(statement)
-        db.executemany("insert into meta values (?, ?)", [
-            ("format", str(FORMAT)), ("list", secrets.token_hex(8)), ("revision", str(revision)),
-            ("digest", f"{0:032x}")])
+        db.executemany(
+            "insert into meta values (?, ?)",
+            [
+                ("format", str(FORMAT)),
+                ("list", secrets.token_hex(8)),
+                ("revision", str(revision)),
+                ("digest", f"{0:032x}"),
+            ],
+        )
         db.execute("commit")
 
     @property
@@ -141,13 +159,19 @@
         _check_integrity(db, "quick_check(1)", self.path)
         meta = dict(db.execute("select key, value from meta"))
         if meta.get("format") != str(FORMAT):
-            raise Damaged(f"{self.path}: is of format {meta.get('format')}, this program's is {FORMAT}; "
-                          "use the program that wrote it")
+            raise Damaged(
+                f"{self.path}: is of format {meta.get('format')}, this program's is {FORMAT}; "
+                "use the program that wrote it"
+            )
         try:
-            entries = {name: msgspec.msgpack.decode(doc, type=Entry)
-                       for name, doc in db.execute("select id, doc from entries")}
-            answers = {key: msgspec.msgpack.decode(doc, type=Answer)
-                       for key, doc in db.execute("select key, doc from answers order by place")}
+            entries = {
+                name: msgspec.msgpack.decode(doc, type=Entry)
+                for name, doc in db.execute("select id, doc from entries")
+            }
+            answers = {
+                key: msgspec.msgpack.decode(doc, type=Answer)
+                for key, doc in db.execute("select key, doc from answers order by place")
+            }
             fences = dict(db.execute("select id, start from fences order by place"))
             self.state = State(int(meta["revision"]), entries, answers, fences)
             self.identity, digest = meta["list"], int(meta["digest"], 16)
@@ -182,25 +206,37 @@
             self._write(state, changes, given, fences)
         return state, answers, changes
 
-    def _write(self, state: State, changes: Sequence[Change], given: Sequence[tuple[str, Answer]],
-               fences: dict[str, int]) -> None:
+    def _write(
+        self,
+        state: State,
+        changes: Sequence[Change],
+        given: Sequence[tuple[str, Answer]],
+        fences: dict[str, int],
+    ) -> None:
         db, encode = self.db, msgspec.msgpack.encode
         try:
             db.execute("begin immediate")
             for change in changes:
-                db.executemany("insert or replace into entries values (?, ?)",
-                               [(e.member.id, encode(e)) for e in change.put])
+                db.executemany(
+                    "insert or replace into entries values (?, ?)",
+                    [(e.member.id, encode(e)) for e in change.put],
+                )
                 db.executemany("delete from entries where id = ?", [(e.member.id,) for e in change.gone])
                 db.execute("insert into history values (?, ?)", (change.revision, encode(change)))
             for key, answer in given:
                 db.execute("insert into answers (key, doc) values (?, ?)", (key, encode(answer)))
             if len(state.answers) < len(self.state.answers) + len(given):
-                db.execute("delete from answers where place not in "
-                           "(select place from answers order by place desc limit ?)", (len(state.answers),))
+                db.execute(
+                    "delete from answers where place not in "
+                    "(select place from answers order by place desc limit ?)",
+                    (len(state.answers),),
+                )
             if state.fences != fences:
                 self._write_fences(state)
-            db.executemany("update meta set value = ? where key = ?", [
-                (str(state.revision), "revision"), (f"{state.digest:032x}", "digest")])
+            db.executemany(
+                "update meta set value = ? where key = ?",
+                [(str(state.revision), "revision"), (f"{state.digest:032x}", "digest")],
+            )
             if self._drop_to:
                 db.execute("delete from history where revision <= ?", (self._drop_to,))
             db.execute("commit")
@@ -228,10 +264,14 @@
 
     def _write_fences(self, state: State) -> None:
         old = self.state.fences
-        self.db.executemany("delete from fences where id = ?",
-                            [(name,) for name, start in old.items() if state.fences.get(name) != start])
-        self.db.executemany("insert into fences (id, start) values (?, ?)",
-                            [(name, start) for name, start in state.fences.items() if old.get(name) != start])
+        self.db.executemany(
+            "delete from fences where id = ?",
+            [(name,) for name, start in old.items() if state.fences.get(name) != start],
+        )
+        self.db.executemany(
+            "insert into fences (id, start) values (?, ?)",
+            [(name, start) for name, start in state.fences.items() if old.get(name) != start],
+        )
 
     def adopt(self, state: State, changes: Sequence[Change]) -> None:
         """What commit returned is what readers see from now on.
@@ -263,7 +303,8 @@
     except BlockingIOError:
         os.close(fd)
         raise Unavailable(
-            f"{folder}: another process has it open; end that or give another directory") from None
+            f"{folder}: another process has it open; end that or give another directory"
+        ) from None
     except OSError as e:
         os.close(fd)
         raise Unavailable(f"{folder}: {e.strerror}; give a directory that can be locked") from None
@@ -282,8 +323,10 @@
     try:
         _check_integrity(store.db, "integrity_check", store.path)
         state = store.state
-        return [f"list {store.identity}, revision {state.revision}, {len(state.entries)} members, "
-                f"{len(store.history)} changes kept, digest {state.digest:032x}"]
+        return [
+            f"list {store.identity}, revision {state.revision}, {len(state.entries)} members, "
+            f"{len(store.history)} changes kept, digest {state.digest:032x}"
+        ]
     except sqlite3.Error as e:
         raise Unavailable(f"{store.path}: {e}; mend the disk and try again") from None
     finally:
@@ -335,8 +378,10 @@
 @contextlib.contextmanager
 def _copied(source: Path, to: Path) -> Iterator[sqlite3.Connection]:
     """Copy a list into a single file, open for changes until the context ends."""
-    with contextlib.closing(sqlite3.connect(f"file:{source}?mode=ro", uri=True)) as db, \
-            contextlib.closing(sqlite3.connect(to)) as copy:
+    with (
+        contextlib.closing(sqlite3.connect(f"file:{source}?mode=ro", uri=True)) as db,
+        contextlib.closing(sqlite3.connect(to)) as copy,
+    ):
         db.backup(copy)
         mode = copy.execute("pragma journal_mode=delete").fetchone()[0]
         if mode != "delete":  # a part of it would stay in another file
@@ -376,7 +421,8 @@
             finish_restore(folder)
         except OSError as e:
             raise Unavailable(
-                f"{folder}: {e.strerror}; mend the disk, and the next start finishes the restore") from None
+                f"{folder}: {e.strerror}; mend the disk, and the next start finishes the restore"
+            ) from None
         return said
     except OSError as e:
         raise Unavailable(f"{folder}: {e.strerror}; mend the disk and try again") from None
@@ -396,8 +442,10 @@
             revision = first_revision(time.time() if unix_s is None else unix_s, above)
             with copy:
                 copy.execute("delete from history")  # of the other list: who watched that one starts anew
-                copy.executemany("update meta set value = ? where key = ?", [
-                    (str(revision), "revision"), (secrets.token_hex(8), "list")])
+                copy.executemany(
+                    "update meta set value = ? where key = ?",
+                    [(str(revision), "revision"), (secrets.token_hex(8), "list")],
+                )
         said = check(made)[0]
         if (made / f"{FILE}-wal").exists():  # the final checkpoint failed
             raise Unavailable(f"{made}: the write-ahead log stays; mend the disk and try again")
@@ -424,8 +472,10 @@
     be behind them, and a backup is older than what was given after it."""
     highest = 0
     for path in (folder / FILE, *folder.glob(f"{ASIDE}*/{FILE}")):
-        with contextlib.suppress(sqlite3.Error, TypeError, ValueError), \
-                contextlib.closing(sqlite3.connect(f"file:{path}?mode=ro", uri=True)) as db:
+        with (
+            contextlib.suppress(sqlite3.Error, TypeError, ValueError),
+            contextlib.closing(sqlite3.connect(f"file:{path}?mode=ro", uri=True)) as db,
+        ):
             row = db.execute("select value from meta where key = 'revision'").fetchone()
             highest = max(highest, int(row[0]))
     return highest
--- a/durable/files.py
+++ b/durable/files.py
@@ -1,4 +1,5 @@
 """File system access for durable state, as an interface that tests can replace, and its implementation."""
+
 from __future__ import annotations
 
 import contextlib
@@ -105,7 +106,7 @@
     def append(self, name: str, data: bytes) -> None:
         view = memoryview(data)
         while view:
-            view = view[os.write(self._open[name], view):]
+            view = view[os.write(self._open[name], view) :]
 
     def sync(self, name: str) -> None:
         os.fsync(self._open[name])
--- a/durable/frames.py
+++ b/durable/frames.py
@@ -1,4 +1,5 @@
 """The file format: checksummed frames, the first of which is a header that identifies the owner."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -52,7 +53,7 @@
             raise Damage(f"offset {at}: no frame begins here")
         if end > len(data):
             raise Damage(f"offset {at}: half a frame")
-        payload = data[at + FRAME.size:end]
+        payload = data[at + FRAME.size : end]
         if _checksum(kind, payload) != checksum:
             raise Damage(f"offset {at}: checksum is not that of the data")
         yield at, kind, payload
--- a/durable/store.py
+++ b/durable/store.py
@@ -6,6 +6,7 @@
 to: a start recovers and begins a new generation. So a journal torn by a crash is never continued, and a
 failed fsync is never retried on the same file: its pages are in an unknown state then (PostgreSQL, 2018).
 """
+
 from __future__ import annotations
 
 import contextlib
@@ -137,8 +138,11 @@
 
     def _recover(self) -> Recovered:
         notes: list[str] = []
-        found = {name: self._read(name, notes) for name in self._names()
-                 if name.startswith(("snapshot-", "journal-"))}
+        found = {
+            name: self._read(name, notes)
+            for name in self._names()
+            if name.startswith(("snapshot-", "journal-"))
+        }
         numbers = sorted({n for name in found if (n := _number(name)) is not None}, reverse=True)
         self._generation = max(numbers, default=0)
         for n in numbers:
@@ -148,8 +152,9 @@
             if snapshot.damage or len(snapshot.payloads) != 1:
                 notes.append(f"snapshot-{n}: is not whole; the one before it is used")
                 continue
-            journals = [found[name] for m in reversed(numbers)
-                        if m >= n and (name := f"journal-{m}") in found]
+            journals = [
+                found[name] for m in reversed(numbers) if m >= n and (name := f"journal-{m}") in found
+            ]
             records = _concatenate(snapshot.head.first, journals, notes)
             self._last_good, self._record_count = n, snapshot.head.first + len(records)
             return Recovered(snapshot.payloads[0], tuple(records), tuple(notes))
@@ -195,16 +200,27 @@
         if kind != HEAD or f"{head.kind}-{head.generation}" != name:
             raise Damage("offset 0: is another file's head")
         if (head.format, head.version) != (FORMAT, VERSION):
-            raise Refused(f"{name}: is {head.format} {head.version}, this program's is {FORMAT} {VERSION}; "
-                          "use the program that wrote it, or another folder")
+            raise Refused(
+                f"{name}: is {head.format} {head.version}, this program's is {FORMAT} {VERSION}; "
+                "use the program that wrote it, or another folder"
+            )
         if (head.fleet, head.name) != (self._fleet, self._name):
-            raise Refused(f"{name}: belongs to {head.name} of {head.fleet}, not to {self._name} of "
-                          f"{self._fleet}; give each its own folder")
+            raise Refused(
+                f"{name}: belongs to {head.name} of {head.fleet}, not to {self._name} of "
+                f"{self._fleet}; give each its own folder"
+            )
         return head
 
     def _head(self, kind: str, generation: int) -> bytes:
-        doc = {"format": FORMAT, "version": VERSION, "kind": kind, "fleet": self._fleet, "name": self._name,
-               "generation": generation, "first": self._record_count}
+        doc = {
+            "format": FORMAT,
+            "version": VERSION,
+            "kind": kind,
+            "fleet": self._fleet,
+            "name": self._name,
+            "generation": generation,
+            "first": self._record_count,
+        }
         return frame(HEAD, msgspec.json.encode(doc))
 
     def _remove_below(self, generation: int) -> None:
@@ -225,12 +241,16 @@
         if journal is None:
             continue
         if count <= journal.head.first < count + len(records):
-            notes.append(f"journal-{journal.head.generation}: goes on from record {journal.head.first}; what "
-                         "stands behind that in the one before was refused, and is left out")
-            del records[journal.head.first - count:]
+            notes.append(
+                f"journal-{journal.head.generation}: goes on from record {journal.head.first}; what "
+                "stands behind that in the one before was refused, and is left out"
+            )
+            del records[journal.head.first - count :]
         if journal.head.first != count + len(records):
-            notes.append(f"journal-{journal.head.generation}: goes on from record {journal.head.first}, but "
-                         f"{count + len(records)} are there; it is left out")
+            notes.append(
+                f"journal-{journal.head.generation}: goes on from record {journal.head.first}, but "
+                f"{count + len(records)} are there; it is left out"
+            )
             break
         records += journal.payloads
     return records
--- a/faultlab/addresses.py
+++ b/faultlab/addresses.py
@@ -1,4 +1,5 @@
 """Where everything in a rig is to be found: one block 127.B.0.0/16 of loopback, held by one rig at a time."""
+
 from __future__ import annotations
 
 import errno
--- a/faultlab/agents.py
+++ b/faultlab/agents.py
@@ -1,4 +1,5 @@
 """The agents of a run: their processes and lives, their doors, and what they hold at the end."""
+
 from __future__ import annotations
 
 import asyncio
@@ -62,9 +63,10 @@
         if rig.list_service is not None:  # it gives all agents the same addresses
             members = [{**m, "host_port": rig.block.server(int(str(m["id"])[1:]))} for m in members]
         known = {"revision": FIRST_REVISION, "complete": True, "members": members}
-        seed = int(rig.rng.integers(1, 2 ** 52))
-        doc = agent_config.document(rig.s, rig.block, i, rig.day.agents[i].zone, seed,
-                                    self.discovery[i], known)
+        seed = int(rig.rng.integers(1, 2**52))
+        doc = agent_config.document(
+            rig.s, rig.block, i, rig.day.agents[i].zone, seed, self.discovery[i], known
+        )
         self.folder(i).mkdir(parents=True, exist_ok=True)
         new = self.folder(i) / "config.new"
         new.write_bytes(msgspec.json.format(msgspec.json.encode(doc)))
@@ -84,11 +86,15 @@
             self.skew_file(i).write_text("0")
         life = rig.life(name)
         env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
-        env |= {"RELAY_NAME": name, "RELAY_LISTEN": rig.block.agent(i),
-                "RELAY_DISCOVERY": rig.block.asks(i, self.discovery[i]),
-                "RELAY_CONFIG": str(self.folder(i) / "config.json"),
-                "RELAY_CONTROL": rig.block.door(i, life), "TMPDIR": str(self.kept(i)),
-                SKEW_FILE: str(self.skew_file(i))}
+        env |= {
+            "RELAY_NAME": name,
+            "RELAY_LISTEN": rig.block.agent(i),
+            "RELAY_DISCOVERY": rig.block.asks(i, self.discovery[i]),
+            "RELAY_CONFIG": str(self.folder(i) / "config.json"),
+            "RELAY_CONTROL": rig.block.door(i, life),
+            "TMPDIR": str(self.kept(i)),
+            SKEW_FILE: str(self.skew_file(i)),
+        }
         words = rig.folder / "logs" / f"{name}.log"
         child = await rig.starter.start(name, life, tethered(self._command), words, env, rig.order.tree)
         rig.children.append(child)
@@ -100,6 +106,7 @@
                 self.up[i].remove(child)
             if not self.up[i] and i < len(rig.relays):
                 await rig.relays[i].order(relay.Up("clients", [], False))
+
         rig.watch(child, ended)
         return child
 
@@ -111,8 +118,10 @@
         while not await door.healthy(self._rig.block.agent(i)):
             if not child.alive:
                 if child.life == 0:
-                    raise Failed(f"a{i}: ended with {child.process.returncode} before it was ready "
-                                 f"({child.last_words()}); see {child.log}")
+                    raise Failed(
+                        f"a{i}: ended with {child.process.returncode} before it was ready "
+                        f"({child.last_words()}); see {child.log}"
+                    )
                 return  # the checkers will say so
             if now_us() - began > READY_S * 1e6:
                 raise Failed(f"a{i}: not ready after {READY_S:g} s; see {child.log}")
@@ -147,8 +156,9 @@
         """Fetch the figures of all, all day."""
         while True:
             due = time.monotonic() + POLL_S
-            await asyncio.gather(*(
-                self.call(i, "INFO", child) for i, up in enumerate(self.up) for child in up))
+            await asyncio.gather(
+                *(self.call(i, "INFO", child) for i, up in enumerate(self.up) for child in up)
+            )
             self._look_at_processors()
             await asyncio.sleep(max(0.0, due - time.monotonic()))
 
@@ -175,7 +185,7 @@
         """A traceback is a fault of the agent's, whatever came of it."""
         lines = (self._rig.folder / "logs" / f"a{i}.log").read_text(errors="replace").splitlines()
         starts = [n for n, line in enumerate(lines) if line.startswith("Traceback")]
-        first = next((line for n in starts[:1] for line in lines[n + 1:] if not line.startswith(" ")), "")
+        first = next((line for n in starts[:1] for line in lines[n + 1 :] if not line.startswith(" ")), "")
         self._rig.write(Logged(t=now_us(), who=f"a{i}", tracebacks=len(starts), first=first))
 
     def _look_at_processors(self) -> None:
--- a/faultlab/checkers/answers.py
+++ b/faultlab/checkers/answers.py
@@ -1,4 +1,5 @@
 """Every request taken gets one final answer in time, and none that no server made (rule 1; TERMS)."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -68,7 +69,8 @@
             why = "no server answered it"
             if made:
                 why = "another answer" if any(g.whole for g in made) else "its server spoilt the answer"
-            yield Breach("integrity", end.t, agent,
-                         f"request {x.rid}: served with what no server made for it ({why})")
+            yield Breach(
+                "integrity", end.t, agent, f"request {x.rid}: served with what no server made for it ({why})"
+            )
     if 400 <= end.status < 500 and end.status != 429 and not corrupted and not hindered:
         yield Breach("answered", end.t, agent, f"request {x.rid}: a proper request was answered {end.status}")
--- a/faultlab/checkers/attempts.py
+++ b/faultlab/checkers/attempts.py
@@ -1,4 +1,5 @@
 """No attempt begins for a request that is over, and none is told more time than its client has left."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -20,8 +21,12 @@
     if x.departed is not None and x.departed.how.startswith("upload"):
         # Where a large body is passed on as it comes, an attempt may begin; it counts with its last byte.
         for got in case.got[x.rid]:
-            yield Breach("ended", got.t, x.asked.agent, f"request {x.rid}: {got.who} had it whole, though "
-                         "its client left before its last byte")
+            yield Breach(
+                "ended",
+                got.t,
+                x.asked.agent,
+                f"request {x.rid}: {got.who} had it whole, though its client left before its last byte",
+            )
         return
     for sent in case.sent[x.rid]:
         yield from _one(case, x, sent)
@@ -36,8 +41,13 @@
     left_us = _left_us(x, sent)
     told_too_much = sent.timeout_ms * 1000 > left_us + TOLD_SLACK_US
     if told_too_much and not case.hindered(x.asked.agent, x.askings[0].t, sent.t):
-        yield Breach("told", sent.t, x.asked.agent, f"{where} with {sent.timeout_ms} ms told to it, "
-                     f"while its client had {left_us / 1000:.0f} ms left")
+        yield Breach(
+            "told",
+            sent.t,
+            x.asked.agent,
+            f"{where} with {sent.timeout_ms} ms told to it, "
+            f"while its client had {left_us / 1000:.0f} ms left",
+        )
 
 
 def _over(x: Exchange) -> tuple[int, str] | None:
@@ -54,8 +64,10 @@
     """The agent stood still, or nothing passed between it and its clients, up to just before."""
     agent = x.asked.agent
     struck = [*case.frozen(agent), *case.faults(agent, ("link", "half_open"), "clients")]
-    return any(w.meets(begin - AFTER_DEPARTURE_US, t - AFTER_HOLD_UP_US) and w.end + AFTER_HOLD_UP_US > t
-               for w in struck)
+    return any(
+        w.meets(begin - AFTER_DEPARTURE_US, t - AFTER_HOLD_UP_US) and w.end + AFTER_HOLD_UP_US > t
+        for w in struck
+    )
 
 
 def _left_us(x: Exchange, sent: h.Sent) -> int:
--- a/faultlab/checkers/case.py
+++ b/faultlab/checkers/case.py
@@ -1,4 +1,5 @@
 """A history, arranged for those who judge it."""
+
 from __future__ import annotations
 
 from collections import defaultdict
@@ -10,7 +11,7 @@
 from .. import history as h
 from ..scenario import LabScenario
 
-END_OF_TIME = 2 ** 62
+END_OF_TIME = 2**62
 GONE = ("DRAINING", "DELETED")
 
 
@@ -83,8 +84,13 @@
 class Case:
     """One run: its scenario, and its events by what is asked of them."""
 
-    def __init__(self, scenario: LabScenario, servers: dict[str, tuple[str, int]], begin: int,
-                 events: Sequence[h.AnyEvent]) -> None:
+    def __init__(
+        self,
+        scenario: LabScenario,
+        servers: dict[str, tuple[str, int]],
+        begin: int,
+        events: Sequence[h.AnyEvent],
+    ) -> None:
         self.scenario, self.places, self.begin, self.events = scenario, servers, begin, events
         self.end = max((e.t for e in events), default=begin)
         self.lives: dict[str, list[Life]] = defaultdict(list)
@@ -181,9 +187,14 @@
     def faults(self, agent: str, kinds: Iterable[str], path: str = "", server: str = "") -> list[Window]:
         """Windows of these kinds that struck this agent, on that path, towards that server."""
         wanted = frozenset(kinds)
-        return [w for w, agents, servers, on in self.windows
-                if w.kind in wanted and agent in agents and (not path or on == path)
-                and (not server or not servers or server in servers)]
+        return [
+            w
+            for w, agents, servers, on in self.windows
+            if w.kind in wanted
+            and agent in agents
+            and (not path or on == path)
+            and (not server or not servers or server in servers)
+        ]
 
     def windows_of(self, agent: str) -> list[Window]:
         """All that struck the agent or its paths."""
--- a/faultlab/checkers/effects.py
+++ b/faultlab/checkers/effects.py
@@ -1,4 +1,5 @@
 """No effect is repeated, and none that may have happened is called refused (rule 2)."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -36,8 +37,12 @@
     if end is not None and refused and (c.effect == "unsafe" or c.group != "all"):
         before = [a for a in ran if a.t < end.t]
         if before:
-            yield Breach("effect", end.t, x.asked.agent,
-                         f"request {x.rid} of {c.name}: refused, though {before[0].who} may have run it")
+            yield Breach(
+                "effect",
+                end.t,
+                x.asked.agent,
+                f"request {x.rid} of {c.name}: refused, though {before[0].who} may have run it",
+            )
 
 
 def _group(case: Case, group: str, attempt: h.Got) -> str | int:
--- a/faultlab/checkers/lists.py
+++ b/faultlab/checkers/lists.py
@@ -1,4 +1,5 @@
 """What was told of the list is held to: drains, bans, cold starts; and it is asked for (rules 3, 4)."""
+
 from __future__ import annotations
 
 from bisect import bisect_right
@@ -46,8 +47,11 @@
 def _view(case: Case, agent: str) -> View:
     """From what discovery wrote; a process that starts from nothing has been told nothing."""
     view = View()
-    starts = [life.begun for life in case.lives[agent]
-              if not any(o.begun < life.begun < o.ended for o in case.lives[agent])]
+    starts = [
+        life.begun
+        for life in case.lives[agent]
+        if not any(o.begun < life.begun < o.ended for o in case.lives[agent])
+    ]
     steps: list[tuple[int, h.Told | None]] = [(t, None) for t in starts]
     steps += [(heard, told) for told in case.told[agent] for heard in _heard(case, agent, told)]
     steps += [(told.t, told) for told in _counting_as_told(case, agent)]
@@ -70,8 +74,14 @@
     """
     if not any(w.meets(told.t, told.t) for w in case.faults(agent, PATHS, "discovery")):
         return [told.t]
-    return [call.t for call in case.called[agent] if call.t >= told.t and call.who == told.who
-            and call.index is not None and call.index >= told.revision][:1]
+    return [
+        call.t
+        for call in case.called[agent]
+        if call.t >= told.t
+        and call.who == told.who
+        and call.index is not None
+        and call.index >= told.revision
+    ][:1]
 
 
 def _unheard(case: Case, agent: str) -> list[Window]:
@@ -82,8 +92,11 @@
 def _disturbed(case: Case, agent: str, begin: int, end: int) -> bool:
     """Whether the agent could not have asked discovery, or not have heard it, or stood still."""
     windows = _unheard(case, agent)
-    windows += [w for w, _, _, _ in case.windows
-                if w.kind in ("lists", "reload") or (w.detail.get("of") == "discovery")]
+    windows += [
+        w
+        for w, _, _, _ in case.windows
+        if w.kind in ("lists", "reload") or (w.detail.get("of") == "discovery")
+    ]
     windows += _at_followers(case)
     up = any(life.ready <= begin and life.ended > end and life.stop > end for life in case.lives[agent])
     return not up or any(w.meets(begin, end) for w in windows)
@@ -93,9 +106,11 @@
     """While followers of the list service, it, or the way to it were struck, and until all have moved on."""
     if not case.scenario.followers:
         return []
-    return [Window(w.begin, w.end + ELSEWHERE_US, w.kind, w.number, w.detail)
-            for w, _, _, path in case.windows
-            if path == "leader" or w.detail.get("of") in ("discovery", "followers")]
+    return [
+        Window(w.begin, w.end + ELSEWHERE_US, w.kind, w.number, w.detail)
+        for w, _, _, path in case.windows
+        if path == "leader" or w.detail.get("of") in ("discovery", "followers")
+    ]
 
 
 def _moved(case: Case) -> bool:
@@ -118,11 +133,20 @@
     found = []
     for change in _changes(case):
         until = change.t + COUNTS_AS_TOLD_US
-        heard = any(change.t <= told.t <= until and told.revision >= change.revision
-                    for told in case.told[agent])
+        heard = any(
+            change.t <= told.t <= until and told.revision >= change.revision for told in case.told[agent]
+        )
         if not heard and until < case.end and not _disturbed(case, agent, change.t, until):
-            found.append(h.Told(t=until, who="d0", agent=agent, revision=change.revision, complete=False,
-                                members=change.members))
+            found.append(
+                h.Told(
+                    t=until,
+                    who="d0",
+                    agent=agent,
+                    revision=change.revision,
+                    complete=False,
+                    members=change.members,
+                )
+            )
     return found
 
 
@@ -133,10 +157,17 @@
     """
     if case.scenario.list_service:
         return []
-    return [Breach("stale", told.t, agent,
-                   f"change {told.revision} of the list was not asked for within "
-                   f"{COUNTS_AS_TOLD_US / 1e6:g} s")
-            for agent in case.lives if agent.startswith("a") for told in _counting_as_told(case, agent)]
+    return [
+        Breach(
+            "stale",
+            told.t,
+            agent,
+            f"change {told.revision} of the list was not asked for within {COUNTS_AS_TOLD_US / 1e6:g} s",
+        )
+        for agent in case.lives
+        if agent.startswith("a")
+        for told in _counting_as_told(case, agent)
+    ]
 
 
 def _members(case: Case, agent: str, view: View) -> list[Breach]:
@@ -150,15 +181,23 @@
             continue
         begin = call.asked - FIGURES_AGE_US
         low, high = view.index(begin), view.index(call.t)
-        if low < 0 or not all(view.sure[low:high + 1]) or up[0].ready > begin:
+        if low < 0 or not all(view.sure[low : high + 1]) or up[0].ready > begin:
             continue
         if any(w.end > view.times[high] - SLACK_US and w.begin < call.t for w in troubled):
             continue  # what was told may not have been heard
-        counts = {sum(phase != "DELETED" for phase, _ in state.values())
-                  for state in view.states[low:high + 1]}
+        counts = {
+            sum(phase != "DELETED" for phase, _ in state.values()) for state in view.states[low : high + 1]
+        }
         if told not in counts:
-            found.append(Breach("stale", call.t, agent, f"INFO says members {told}, the list told has "
-                                f"{' or '.join(str(n) for n in sorted(counts))}"))
+            found.append(
+                Breach(
+                    "stale",
+                    call.t,
+                    agent,
+                    f"INFO says members {told}, the list told has "
+                    f"{' or '.join(str(n) for n in sorted(counts))}",
+                )
+            )
     return found
 
 
@@ -183,8 +222,14 @@
             links = case.faults(got.agent, ("link",), "servers", got.who)
             delayed = any(w.meets(since, got.t) for w in links)
             if got.began > since + grace and not delayed:
-                found.append(Breach("drain", got.began, got.agent, f"request {rid}: sent to {got.who} "
-                                    f"{(got.began - since) / 1e6:.2f} s after it {why}"))
+                found.append(
+                    Breach(
+                        "drain",
+                        got.began,
+                        got.agent,
+                        f"request {rid}: sent to {got.who} {(got.began - since) / 1e6:.2f} s after it {why}",
+                    )
+                )
     return found
 
 
@@ -201,13 +246,19 @@
 def _bans(case: Case, agent: str) -> dict[str, list[tuple[int, int]]]:
     """From the yes to the call that puts it back, or to the end of the agent's last process."""
     found: dict[str, list[tuple[int, int]]] = defaultdict(list)
-    ends = sorted(life.ended for life in case.lives[agent]
-                  if not any(o.begun < life.ended < o.ended for o in case.lives[agent]))
+    ends = sorted(
+        life.ended
+        for life in case.lives[agent]
+        if not any(o.begun < life.ended < o.ended for o in case.lives[agent])
+    )
     for call in case.door[agent]:
         word, _, server = call.call.partition(" ")
         if word == "DETACH" and call.answer.startswith("OK"):
-            end = min([c.asked for c in case.door[agent] if c.call == f"ATTACH {server}" and c.asked > call.t]
-                      + [e for e in ends if e > call.t], default=END_OF_TIME)
+            end = min(
+                [c.asked for c in case.door[agent] if c.call == f"ATTACH {server}" and c.asked > call.t]
+                + [e for e in ends if e > call.t],
+                default=END_OF_TIME,
+            )
             found[server].append((call.t, end))
     return found
 
@@ -221,8 +272,15 @@
         known = sum(work for agent, t, work in e.pressure if _knew(case, agent, e.who, started, t))
         total = sum(work for _, _, work in e.pressure)
         if total and known / total >= TOO_MUCH:
-            found.append(Breach("cold", e.t, e.who, f"fell over, cold, under {total / 1e6:.2f} s of work, "
-                                f"{known / total:.0%} of it from agents that knew"))
+            found.append(
+                Breach(
+                    "cold",
+                    e.t,
+                    e.who,
+                    f"fell over, cold, under {total / 1e6:.2f} s of work, "
+                    f"{known / total:.0%} of it from agents that knew",
+                )
+            )
     return found
 
 
@@ -258,8 +316,9 @@
         owed = in_force.get(e.revision, state)
         if state != owed:
             wrong = sorted(set(owed.items()) ^ set(state.items()))
-            found.append(Breach("list", e.t, e.who,
-                                f"has at {e.revision} what was not in force: {wrong[:3]}"))
+            found.append(
+                Breach("list", e.t, e.who, f"has at {e.revision} what was not in force: {wrong[:3]}")
+            )
     return found
 
 
--- a/faultlab/checkers/presence.py
+++ b/faultlab/checkers/presence.py
@@ -1,4 +1,5 @@
 """Agents know how many of them live: soon after a change exactly, and no fewer for lost datagrams."""
+
 from __future__ import annotations
 
 from bisect import bisect_right
@@ -65,5 +66,9 @@
         if low > living + off or high < living - off:
             yield Breach("present", call.t, agent, f"INFO says {low} to {high} agents live, {living} do")
         elif not quiet.lossy(call.t) and (low < living - off or high > living + off):
-            yield Breach("present", call.t, agent, f"INFO says {low} to {high} agents live; {living} do, and "
-                         f"have for {KNOWN_US / 1e6:g} s")
+            yield Breach(
+                "present",
+                call.t,
+                agent,
+                f"INFO says {low} to {high} agents live; {living} do, and have for {KNOWN_US / 1e6:g} s",
+            )
--- a/faultlab/checkers/processes.py
+++ b/faultlab/checkers/processes.py
@@ -1,4 +1,5 @@
 """No process ends by itself, overstays SIGTERM or keeps what it no longer needs; its door is true."""
+
 from __future__ import annotations
 
 from collections import Counter
@@ -41,8 +42,14 @@
     if any(w.meets(life.stop, life.ended) for w in case.frozen(agent) if w.kind != "killed"):
         return []
     if life.ended - life.stop > life.kill_us - OVERSTAYED_US and life.status == -9:
-        return [Breach("crash", life.ended, agent, f"process {life.number} had not ended "
-                       f"{life.kill_us / 1e6:g} s after SIGTERM")]
+        return [
+            Breach(
+                "crash",
+                life.ended,
+                agent,
+                f"process {life.number} had not ended {life.kill_us / 1e6:g} s after SIGTERM",
+            )
+        ]
     if life.status != 0:
         what = f"process {life.number} ended with {life.status} on SIGTERM"
         return [Breach("crash", life.ended, agent, what)]
@@ -52,7 +59,8 @@
 def _met_a_spoilt_file(case: Case, agent: str, life: Life) -> bool:
     """It has refused to start from a file that nobody can read, as it should."""
     return life.status == BAD_CONFIGURATION and any(
-        w.detail.get("spoilt") and w.meets(life.begun, life.begun) for w in case.faults(agent, ("reload",)))
+        w.detail.get("spoilt") and w.meets(life.begun, life.begun) for w in case.faults(agent, ("reload",))
+    )
 
 
 def _descriptors(case: Case, agent: str) -> list[Breach]:
@@ -60,14 +68,24 @@
     before = [e.count for e in counts if e.when == "ready"]
     if not before:
         return []
-    return [Breach("descriptors", e.t, agent, f"process {e.life} held {e.count} descriptors at the end, "
-                   f"{min(before)} when it was ready")
-            for e in counts if e.when == "end" and e.count > min(before) + SPARE_DESCRIPTORS]
+    return [
+        Breach(
+            "descriptors",
+            e.t,
+            agent,
+            f"process {e.life} held {e.count} descriptors at the end, {min(before)} when it was ready",
+        )
+        for e in counts
+        if e.when == "end" and e.count > min(before) + SPARE_DESCRIPTORS
+    ]
 
 
 def _log(case: Case, agent: str) -> list[Breach]:
-    return [Breach("traceback", e.t, agent, f"{e.tracebacks} tracebacks in its log, the first: {e.first}")
-            for e in case.events if isinstance(e, h.Logged) and e.who == agent and e.tracebacks]
+    return [
+        Breach("traceback", e.t, agent, f"{e.tracebacks} tracebacks in its log, the first: {e.first}")
+        for e in case.events
+        if isinstance(e, h.Logged) and e.who == agent and e.tracebacks
+    ]
 
 
 def _door(case: Case, agent: str) -> list[Breach]:
@@ -107,8 +125,11 @@
             told = int(figures.get(f"agent.{name}.{c.name}", "-1"))
             slack = max(COUNT_SLACK, COUNT_SHARE * seen[name]) + unsure
             if abs(told - seen[name]) > slack:
-                found.append(Breach("door", last.t, agent, f"INFO says {name}.{c.name} {told}, clients saw "
-                                    f"{seen[name]}"))
+                found.append(
+                    Breach(
+                        "door", last.t, agent, f"INFO says {name}.{c.name} {told}, clients saw {seen[name]}"
+                    )
+                )
     return found
 
 
@@ -132,6 +153,9 @@
         said = [e.status for e in looks if e.t <= judged]
         yes = not said or said[-1] == 200  # the front takes it for well until it hears a no
         if yes == lame:
-            found.append(Breach("health", judged, agent, f"after {act.call} /_health says "
-                                f"{'yes' if yes else 'no'} still"))
+            found.append(
+                Breach(
+                    "health", judged, agent, f"after {act.call} /_health says {'yes' if yes else 'no'} still"
+                )
+            )
     return found
--- a/faultlab/children.py
+++ b/faultlab/children.py
@@ -1,4 +1,5 @@
 """The rig's processes: started, asked for their readiness, told what to do, and never left behind."""
+
 from __future__ import annotations
 
 import asyncio
@@ -63,8 +64,16 @@
     def __init__(self) -> None:
         self._turn = asyncio.Lock()
 
-    async def start(self, name: str, life: int, command: Sequence[str], log: Path, env: Mapping[str, str],
-                    folder: Path, orders: bool = False) -> Child:
+    async def start(
+        self,
+        name: str,
+        life: int,
+        command: Sequence[str],
+        log: Path,
+        env: Mapping[str, str],
+        folder: Path,
+        orders: bool = False,
+    ) -> Child:
         """A process that writes to a file; with orders, its standard input and output are the rig's.
 
         No function runs between fork and exec, which would need a fork instead of vfork(2).
@@ -73,8 +82,15 @@
         async with self._turn:
             with log.open("ab") as words:
                 process = await asyncio.create_subprocess_exec(
-                    *command, stdin=pipe, stdout=pipe if orders else words, stderr=words, env=dict(env),
-                    cwd=folder, start_new_session=True, limit=2 ** 20)
+                    *command,
+                    stdin=pipe,
+                    stdout=pipe if orders else words,
+                    stderr=words,
+                    env=dict(env),
+                    cwd=folder,
+                    start_new_session=True,
+                    limit=2**20,
+                )
             await asyncio.sleep(0)
         return Child(name, life, process, log)
 
--- a/faultlab/cli.py
+++ b/faultlab/cli.py
@@ -1,4 +1,5 @@
 """The rig's commands. Exit status 0: all rules held; 1: one broke; 2: wrong use; 3: the rig was late."""
+
 from __future__ import annotations
 
 import shutil
@@ -25,13 +26,28 @@
 from .scale.slopes import Run
 from .scenario import PACKAGE, calmed, load
 
-app = typer.Typer(no_args_is_help=True, pretty_exceptions_enable=False, rich_markup_mode=None,
-                  help="Copies of the agent as processes on loopback, faults between them, and checkers.")
+app = typer.Typer(
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+    help="Copies of the agent as processes on loopback, faults between them, and checkers.",
+)
 out, err = Console(width=None), Console(stderr=True)
 
-ERRORS = (ScenarioError, NoRoom, Failed, history.HistoryError, play.Occupied, DiskFault,
-          report.ReportError, soaking.SoakError, shrinking.ShrinkError, loadtest.LoadError,
-          plants.PlantError, runs.ScaleError)
+ERRORS = (
+    ScenarioError,
+    NoRoom,
+    Failed,
+    history.HistoryError,
+    play.Occupied,
+    DiskFault,
+    report.ReportError,
+    soaking.SoakError,
+    shrinking.ShrinkError,
+    loadtest.LoadError,
+    plants.PlantError,
+    runs.ScaleError,
+)
 Seed = Annotated[int, typer.Option(min=0, help="Draws the day and its faults.")]
 Tree = Annotated[Path, typer.Option(help="The checkout whose agent is run, by its deploy/balancer.toml.")]
 Folder = Annotated[Path, typer.Argument(metavar="DIR", help="What `run -o` wrote.")]
@@ -54,8 +70,15 @@
 
 
 def progress_bar() -> Progress:
-    return Progress(TextColumn("{task.description}"), BarColumn(), TaskProgressColumn(), TimeElapsedColumn(),
-                    console=err, transient=True, disable=not err.is_terminal)
+    return Progress(
+        TextColumn("{task.description}"),
+        BarColumn(),
+        TaskProgressColumn(),
+        TimeElapsedColumn(),
+        console=err,
+        transient=True,
+        disable=not err.is_terminal,
+    )
 
 
 def say(text: str) -> None:
@@ -70,9 +93,12 @@
     if not v.counts:
         say(v.lateness)
     f = v.figures
-    say(f"{f.requests} requests: " + ", ".join(f"{n} {end}" for end, n in f.ends.items())
+    say(
+        f"{f.requests} requests: "
+        + ", ".join(f"{n} {end}" for end, n in f.ends.items())
         + f"; worth {f.worth:.3f}; {f.attempts} attempts; served in ms from when due: "
-        + " ".join(f"{name} {us / 1000:.0f}" for name, us in f.latency_us.items()))
+        + " ".join(f"{name} {us / 1000:.0f}" for name, us in f.latency_us.items())
+    )
     say(f"processor time: agents {v.usage_s['agents']:.1f} s, the rig {v.usage_s['rig']:.1f} s")
 
 
@@ -87,14 +113,19 @@
 
 
 @app.command()
-def run(name: Annotated[str, typer.Argument(metavar="SCENARIO", help="Shipped, a file, or drawn-SEED.")],
-        seed: Seed = 1,
-        for_: Annotated[float | None, typer.Option("--for", min=1, help="Seconds of clients; faults beyond "
-                                                   "them are left out.")] = None,
-        output: Annotated[Path | None, typer.Option("-o", help="Keep history and logs here.")] = None,
-        calm: Annotated[bool, typer.Option("--calm", help="Leave all faults out: the same day, to compare."
-                                           )] = False,
-        tree: Tree = Path(".")) -> None:
+def run(
+    name: Annotated[str, typer.Argument(metavar="SCENARIO", help="Shipped, a file, or drawn-SEED.")],
+    seed: Seed = 1,
+    for_: Annotated[
+        float | None,
+        typer.Option("--for", min=1, help="Seconds of clients; faults beyond them are left out."),
+    ] = None,
+    output: Annotated[Path | None, typer.Option("-o", help="Keep history and logs here.")] = None,
+    calm: Annotated[
+        bool, typer.Option("--calm", help="Leave all faults out: the same day, to compare.")
+    ] = False,
+    tree: Tree = Path("."),
+) -> None:
     """Play one scenario and judge it. Without -o what it wrote is kept only where a rule broke.
 
     Example: python -m faultlab run pause-one --seed 3 -o logs/pause
@@ -105,12 +136,20 @@
             say(line)
         with progress_bar() as bar:
             task = bar.add_task(name, total=1.0)
-            played = play.play(Path(name).stem, span, seed, output, tree, for_,
-                               lambda share: bar.update(task, completed=share))
+            played = play.play(
+                Path(name).stem,
+                span,
+                seed,
+                output,
+                tree,
+                for_,
+                lambda share: bar.update(task, completed=share),
+            )
         tell(played)
         if output is not None or played.status == play.BROKE:
-            typer.echo(f"history and logs in {played.folder}: python -m faultlab report {played.folder}",
-                       err=True)
+            typer.echo(
+                f"history and logs in {played.folder}: python -m faultlab report {played.folder}", err=True
+            )
         else:
             shutil.rmtree(played.folder, ignore_errors=True)
     raise typer.Exit(played.status)
@@ -130,11 +169,17 @@
 
 
 @app.command()
-def soak(seeds: Annotated[str, typer.Option(metavar="A..B", help="Seeds of drawn scenarios.")] = "1..1000",
-         for_: Annotated[float, typer.Option("--for", metavar="MINUTES", min=0.1)] = 30.0,
-         output: Annotated[Path, typer.Option("-o", help="Rows, and the run that broke a rule; the same "
-                                              "command goes on where it was cut off.")] = Path("logs/soak"),
-         tree: Tree = Path(".")) -> None:
+def soak(
+    seeds: Annotated[str, typer.Option(metavar="A..B", help="Seeds of drawn scenarios.")] = "1..1000",
+    for_: Annotated[float, typer.Option("--for", metavar="MINUTES", min=0.1)] = 30.0,
+    output: Annotated[
+        Path,
+        typer.Option(
+            "-o", help="Rows, and the run that broke a rule; the same command goes on where it was cut off."
+        ),
+    ] = Path("logs/soak"),
+    tree: Tree = Path("."),
+) -> None:
     """Play drawn scenarios, one after the other, until a rule breaks or the time is over.
 
     Example: python -m faultlab soak --seeds 1..40 --for 10
@@ -157,8 +202,11 @@
 
 
 @app.command()
-def shrink(folder: Folder, tree: Tree = Path("."),
-           tries: Annotated[int, typer.Option(min=1, help="Runs at most.")] = 40) -> None:
+def shrink(
+    folder: Folder,
+    tree: Tree = Path("."),
+    tries: Annotated[int, typer.Option(min=1, help="Runs at most.")] = 40,
+) -> None:
     """Find fewer and shorter faults that still break the rule that a run broke.
 
     Example: python -m faultlab shrink logs/soak/drawn-17
@@ -175,8 +223,9 @@
 
 
 @app.command("plants")
-def plants_(names: Annotated[list[str] | None, typer.Argument(metavar="[PLANT]...")] = None,
-            tree: Tree = Path(".")) -> None:
+def plants_(
+    names: Annotated[list[str] | None, typer.Argument(metavar="[PLANT]...")] = None, tree: Tree = Path(".")
+) -> None:
     """Plant faults in a copy of the agent, one at a time, and see that each is found.
 
     Example: python -m faultlab plants repeat ban
@@ -191,9 +240,10 @@
 
 
 @app.command("report")
-def report_(folder: Folder,
-            output: Annotated[Path | None, typer.Option("-o", help="The file; report.html in DIR otherwise.")
-                              ] = None) -> None:
+def report_(
+    folder: Folder,
+    output: Annotated[Path | None, typer.Option("-o", help="The file; report.html in DIR otherwise.")] = None,
+) -> None:
     """One HTML file of a run, which opens without a network: lanes of the processes, faults, rates, times.
 
     Example: python -m faultlab report logs/pause
@@ -204,15 +254,16 @@
 
 
 @app.command("load")
-def load_(address: Annotated[str, typer.Argument(metavar="HOST:PORT")],
-          rate: Annotated[float, typer.Option(min=0.1, help="Requests a second (Poisson).")] = 20.0,
-          for_: Annotated[float, typer.Option("--for", min=0.1, max=3600, help="Seconds.")] = 10.0,
-          cls: Annotated[str, typer.Option("--class", help="Request-Class.")] = "reading-view",
-          effect: Annotated[str, typer.Option(help="How the class may be repeated: safe, keyed, unsafe.")
-                            ] = "safe",
-          timeout_ms: Annotated[float, typer.Option(min=1)] = 2000.0,
-          retries: Annotated[int, typer.Option(min=1, max=10, help="Retries after a refusal.")] = 1,
-          seed: Seed = 1) -> None:
+def load_(
+    address: Annotated[str, typer.Argument(metavar="HOST:PORT")],
+    rate: Annotated[float, typer.Option(min=0.1, help="Requests a second (Poisson).")] = 20.0,
+    for_: Annotated[float, typer.Option("--for", min=0.1, max=3600, help="Seconds.")] = 10.0,
+    cls: Annotated[str, typer.Option("--class", help="Request-Class.")] = "reading-view",
+    effect: Annotated[str, typer.Option(help="How the class may be repeated: safe, keyed, unsafe.")] = "safe",
+    timeout_ms: Annotated[float, typer.Option(min=1)] = 2000.0,
+    retries: Annotated[int, typer.Option(min=1, max=10, help="Retries after a refusal.")] = 1,
+    seed: Seed = 1,
+) -> None:
     """The load client alone, against an agent here: open loop, time from when each request was due.
 
     Example: python -m faultlab load 127.0.0.1:9000 --rate 50 --for 20
@@ -231,18 +282,30 @@
 
 
 @app.command()
-def scale(only: Annotated[list[str] | None, typer.Option(metavar="NAME", help="These measurements alone.")
-                          ] = None,
-          sizes: Annotated[str | None, typer.Option(metavar="N,N,...", help="Sizes of the fleet, from "
-                                                    "small to large.", show_default=runs.SIZES)] = None,
-          output: Annotated[Path | None, typer.Option("-o", help="Write the figures here, as JSON.")] = None,
-          check: Annotated[bool, typer.Option("--check", help="Say which lines of docs/CAPACITY.md no longer "
-                                              "follow from the figures; then the exit status is 1.")] = False,
-          small: Annotated[bool, typer.Option("--small", help="Shortened: tries the tool itself.")] = False,
-          from_: Annotated[Path | None, typer.Option("--from", metavar="JSON", help="Figures that -o wrote, "
-                                                     "instead of measuring.")] = None,
-          charts: Annotated[Path | None, typer.Option(metavar="DIR", help="Draw the charts there, as SVG.")
-                            ] = None) -> None:
+def scale(
+    only: Annotated[list[str] | None, typer.Option(metavar="NAME", help="These measurements alone.")] = None,
+    sizes: Annotated[
+        str | None,
+        typer.Option(
+            metavar="N,N,...", help="Sizes of the fleet, from small to large.", show_default=runs.SIZES
+        ),
+    ] = None,
+    output: Annotated[Path | None, typer.Option("-o", help="Write the figures here, as JSON.")] = None,
+    check: Annotated[
+        bool,
+        typer.Option(
+            "--check",
+            help="Say which lines of docs/CAPACITY.md no longer "
+            "follow from the figures; then the exit status is 1.",
+        ),
+    ] = False,
+    small: Annotated[bool, typer.Option("--small", help="Shortened: tries the tool itself.")] = False,
+    from_: Annotated[
+        Path | None,
+        typer.Option("--from", metavar="JSON", help="Figures that -o wrote, instead of measuring."),
+    ] = None,
+    charts: Annotated[Path | None, typer.Option(metavar="DIR", help="Draw the charts there, as SVG.")] = None,
+) -> None:
     """Scale tests: what each role costs by the size of the fleet, as slopes through what was measured.
 
     Example: python -m faultlab scale -o scale.json --check
--- a/faultlab/disk.py
+++ b/faultlab/disk.py
@@ -1,4 +1,5 @@
 """Faults of what a process keeps on disk. Each is undone by what `spoil` returns, where it can be."""
+
 from __future__ import annotations
 
 import array
@@ -79,6 +80,7 @@
     def undo() -> None:
         with contextlib.suppress(ProcessLookupError):
             resource.prlimit(pid, resource.RLIMIT_FSIZE, before)
+
     return undo
 
 
--- a/faultlab/door.py
+++ b/faultlab/door.py
@@ -1,4 +1,5 @@
 """Calls at an agent's door, as operators make them."""
+
 from __future__ import annotations
 
 import asyncio
--- a/faultlab/drawn.py
+++ b/faultlab/drawn.py
@@ -1,4 +1,5 @@
 """Drawn scenarios for soaks: which faults, when and on whom, follows from the seed alone."""
+
 from __future__ import annotations
 
 from typing import Any
@@ -13,8 +14,18 @@
 PREFIX = "drawn-"
 LENGTH_S = 20.0
 FIRST_S, LAST_S = 2.0, 15.0
-SPOILT = ("cut_off", "garbage", "two_lengths", "endless", "second", "reset", "half_reset", "half_hang",
-          "no_length", "no_length_reset")
+SPOILT = (
+    "cut_off",
+    "garbage",
+    "two_lengths",
+    "endless",
+    "second",
+    "reset",
+    "half_reset",
+    "half_hang",
+    "no_length",
+    "no_length_reset",
+)
 OFTEN = ("spoilt", "hold_up", "short_idle", "slow_accept", "restless", "short_time", "bad_clients", "kill")
 STEPS = ("none", "pause_old", "kill_old", "cut_off", "kill_new")
 
@@ -37,15 +48,22 @@
         {"what": "reset", "path": path, "when": _draw(rng, "now", "before", "after")},
         {"what": "half_open", "path": path},
         {"what": "pause", "of": _draw(rng, "agents", "servers", "discovery")},
-        {"what": "kill", "of": _draw(rng, "agents", "servers", "discovery"),
-         "keep": bool(rng.random() < 0.5)},
+        {
+            "what": "kill",
+            "of": _draw(rng, "agents", "servers", "discovery"),
+            "keep": bool(rng.random() < 0.5),
+        },
         {"what": "kill", "signal": "TERM"},
         {"what": "descriptors", "spare": int(rng.integers(8))},
         {"what": "busy", "share": 0.5},
         {"what": "lists", "how": _draw(rng, "silent", "partial", "late", "older")},
         {"what": "reload", "spoilt": bool(rng.random() < 0.5)},
-        {"what": "upgrade", "strike": _draw(rng, *STEPS), "after_ms": float(rng.integers(20, 900)),
-         "detach_first": int(rng.integers(2))},
+        {
+            "what": "upgrade",
+            "strike": _draw(rng, *STEPS),
+            "after_ms": float(rng.integers(20, 900)),
+            "detach_first": int(rng.integers(2)),
+        },
         {"what": "lame_duck", "deaf_front": bool(rng.random() < 0.5)},
         {"what": "detach", "servers": 0.2},
         {"what": "spoilt", "how": _draw(rng, *SPOILT)},
@@ -53,8 +71,12 @@
         {"what": "hold_up"},
         {"what": "short_idle", "idle_ms": float(rng.integers(1, 120))},
         {"what": "slow_accept"},
-        {"what": "restless", "part": _draw(rng, 0.2, 0.5), "again": bool(rng.random() < 0.5),
-         "within_ms": _draw(rng, 5.0, 100.0, 400.0)},
+        {
+            "what": "restless",
+            "part": _draw(rng, 0.2, 0.5),
+            "again": bool(rng.random() < 0.5),
+            "within_ms": _draw(rng, 5.0, 100.0, 400.0),
+        },
         {"what": "short_time", "time_ms": _draw(rng, 5.0, 50.0, 200.0)},
         {"what": "bad_clients", "per_s": _draw(rng, 3.0, 20.0)},
     ]
@@ -64,8 +86,16 @@
     fault = kinds[int(rng.integers(len(kinds)))]
     if fault["what"] != "lists":
         fault["agents"] = some
-    strikes_servers = fault["what"] in ("link", "reset", "half_open", "pause", "kill", "spoilt", "short_idle",
-                                        "slow_accept")
+    strikes_servers = fault["what"] in (
+        "link",
+        "reset",
+        "half_open",
+        "pause",
+        "kill",
+        "spoilt",
+        "short_idle",
+        "slow_accept",
+    )
     if strikes_servers and fault.get("path", fault.get("of", "servers")) == "servers":
         fault["servers"] = servers
     return fault
@@ -74,8 +104,12 @@
 def draw(seed: int) -> Span:
     """Two to six agents, one to six faults, some at once, and often a replacement of servers under them."""
     rng = np.random.Generator(np.random.PCG64(seed))
-    tables: dict[str, Any] = {"about": f"drawn scenario {seed}", "run": {"length_s": LENGTH_S}, "fault": [],
-                              "fleet": {"agents": int(rng.integers(2, 7))}}
+    tables: dict[str, Any] = {
+        "about": f"drawn scenario {seed}",
+        "run": {"length_s": LENGTH_S},
+        "fault": [],
+        "fleet": {"agents": int(rng.integers(2, 7))},
+    }
     for _ in range(int(rng.integers(1, 7))):
         begin = round(float(rng.uniform(FIRST_S, LAST_S - 1)), 2)
         length = round(float(rng.uniform(0.3, min(6.0, LENGTH_S - 4 - begin))), 2)
--- a/faultlab/faultacts.py
+++ b/faultlab/faultacts.py
@@ -1,4 +1,5 @@
 """Carries out the schedule: each kind of fault, how it begins and how it ends."""
+
 from __future__ import annotations
 
 import asyncio
@@ -33,13 +34,26 @@
         self._undo: dict[tuple[int, str], Callable[[], None]] = {}
         self._underway: set[asyncio.Task[None]] = set()
         self._kinds: dict[type, Callable[[Act, Any], Coroutine[Any, Any, None]]] = {
-            faults.Link: self._link, faults.Reset: self._reset, faults.HalfOpen: self._half_open,
-            faults.Pause: self._pause, faults.Kill: self._kill, faults.Descriptors: self._descriptors,
-            faults.Busy: self._busy, faults.UnixTime: self._unix_time, faults.Disk: self._disk,
-            faults.Lists: self._lists, faults.Reload: self._reload, faults.Upgrade: self._upgrade,
-            faults.LameDuck: self._lame_duck, faults.Detach: self._detach, faults.Spoilt: self._spoilt,
-            faults.Lie: self._lie, faults.HoldUp: self._hold_up, faults.ShortIdle: self._short_idle,
-            faults.SlowAccept: self._slow_accept, **dict.fromkeys(faults.HABITS, self._habit),
+            faults.Link: self._link,
+            faults.Reset: self._reset,
+            faults.HalfOpen: self._half_open,
+            faults.Pause: self._pause,
+            faults.Kill: self._kill,
+            faults.Descriptors: self._descriptors,
+            faults.Busy: self._busy,
+            faults.UnixTime: self._unix_time,
+            faults.Disk: self._disk,
+            faults.Lists: self._lists,
+            faults.Reload: self._reload,
+            faults.Upgrade: self._upgrade,
+            faults.LameDuck: self._lame_duck,
+            faults.Detach: self._detach,
+            faults.Spoilt: self._spoilt,
+            faults.Lie: self._lie,
+            faults.HoldUp: self._hold_up,
+            faults.ShortIdle: self._short_idle,
+            faults.SlowAccept: self._slow_accept,
+            **dict.fromkeys(faults.HABITS, self._habit),
         }
 
     async def carry_out(self, act: Act) -> None:
@@ -78,14 +92,23 @@
         share = max((fault.lacks for fault in reloads), default=0.0)
         n = len(self._rig.day.servers)
         order = self._rig.rng.permutation(n).tolist()
-        self._rig.lacking = set(order[:round(share * n)])
+        self._rig.lacking = set(order[: round(share * n)])
 
     def _note(self, act: Act, on: bool | None = None) -> None:
         detail = msgspec.to_builtins(act.fault) if act.fault is not None else dict(act.values)
-        self._rig.write(Fault(
-            t=now_us(), who="rig", kind=act.what, on=act.on if on is None else on, number=act.number,
-            agents=[f"a{i}" for i in act.agents], servers=[f"s{j}" for j in act.servers],
-            path=str(getattr(act.fault, "path", "")), detail=detail))
+        self._rig.write(
+            Fault(
+                t=now_us(),
+                who="rig",
+                kind=act.what,
+                on=act.on if on is None else on,
+                number=act.number,
+                agents=[f"a{i}" for i in act.agents],
+                servers=[f"s{j}" for j in act.servers],
+                path=str(getattr(act.fault, "path", "")),
+                detail=detail,
+            )
+        )
 
     # Servers, as the emulator's troubles have them
 
@@ -116,8 +139,11 @@
         rig = self._rig
         if fault.path == "peers":
             if rig.datagrams is not None:
-                await rig.datagrams.order(datagrams.Shape(act.number, fault, list(act.agents)) if act.on
-                                          else datagrams.Clear(act.number))
+                await rig.datagrams.order(
+                    datagrams.Shape(act.number, fault, list(act.agents))
+                    if act.on
+                    else datagrams.Clear(act.number)
+                )
             return
         names = [f"s{j}" for j in act.servers]
         order = relay.Shape(act.number, fault, names) if act.on else relay.Clear(act.number)
@@ -135,13 +161,15 @@
 
     async def _reset(self, act: Act, fault: faults.Reset) -> None:
         names = [f"s{j}" for j in act.servers]
-        await self._at_relays(act, relay.Break(act.number, fault.path, names, fault.when) if act.on
-                              else relay.Clear(act.number))
+        await self._at_relays(
+            act, relay.Break(act.number, fault.path, names, fault.when) if act.on else relay.Clear(act.number)
+        )
 
     async def _half_open(self, act: Act, fault: faults.HalfOpen) -> None:
         names = [f"s{j}" for j in act.servers]
-        await self._at_relays(act, relay.Break(act.number, fault.path, names, "half") if act.on
-                              else relay.Clear(act.number))
+        await self._at_relays(
+            act, relay.Break(act.number, fault.path, names, "half") if act.on else relay.Clear(act.number)
+        )
 
     # Processes
 
@@ -177,10 +205,20 @@
         while loop.time() < until:
             stopped = self._struck(act, "agents")
             for on, number, wait_s in (
-                    (True, signal.SIGSTOP, fault.longest_ms / 1000 * rig.rng.uniform(0.2, 1.0)),
-                    (False, signal.SIGCONT, fault.every_ms / 1000)):
-                rig.write(Fault(t=now_us(), who="rig", kind="pause", on=on, number=act.number, agents=struck,
-                                detail={"of": "agents"}))
+                (True, signal.SIGSTOP, fault.longest_ms / 1000 * rig.rng.uniform(0.2, 1.0)),
+                (False, signal.SIGCONT, fault.every_ms / 1000),
+            ):
+                rig.write(
+                    Fault(
+                        t=now_us(),
+                        who="rig",
+                        kind="pause",
+                        on=on,
+                        number=act.number,
+                        agents=struck,
+                        detail={"of": "agents"},
+                    )
+                )
                 for child in stopped:
                     child.signal(number)
                 await asyncio.sleep(wait_s)
@@ -210,8 +248,11 @@
             if rig.list_service is None:
                 await rig.start_discovery(0)
             else:
-                await (rig.list_service.start_follower(fault.follower) if fault.of == "followers"
-                       else rig.list_service.start())
+                await (
+                    rig.list_service.start_follower(fault.follower)
+                    if fault.of == "followers"
+                    else rig.list_service.start()
+                )
             await self._discovery_up(fault, True)
 
     async def _discovery_up(self, fault: faults.Kill, up: bool) -> None:
@@ -254,6 +295,7 @@
                 burner.kill()
                 if child.alive:
                     os.sched_setaffinity(child.pid, cores)
+
             self._undo[key] = undo
 
     async def _unix_time(self, act: Act, fault: faults.UnixTime) -> None:
@@ -308,8 +350,9 @@
     async def _lame_duck(self, act: Act, fault: faults.LameDuck) -> None:
         for i in act.agents:
             await self._rig.clients[i].order(clients.Front(fault.deaf_front and act.on))
-        await asyncio.gather(*(
-            self._rig.agents.call(i, "LAMEDUCK" if act.on else "REJOIN") for i in act.agents))
+        await asyncio.gather(
+            *(self._rig.agents.call(i, "LAMEDUCK" if act.on else "REJOIN") for i in act.agents)
+        )
 
     async def _detach(self, act: Act, fault: faults.Detach) -> None:
         rig = self._rig
@@ -400,4 +443,5 @@
         if child.alive:
             with contextlib.suppress(ProcessLookupError):
                 resource.prlimit(child.pid, resource.RLIMIT_NOFILE, before)
+
     return undo
--- a/faultlab/faults_schema.py
+++ b/faultlab/faults_schema.py
@@ -3,6 +3,7 @@
 `at_s` and `len_s` are seconds of the run's clock. `agents` and `servers` are shares; which ones are struck
 follows from scenario and seed. A share of 0 strikes none, any other at least one.
 """
+
 from __future__ import annotations
 
 from typing import Annotated, Literal
@@ -144,8 +145,18 @@
     """Some servers answer with what is no answer."""
 
     servers: Share = 0.2
-    how: Literal["cut_off", "garbage", "two_lengths", "endless", "second", "reset", "half_reset", "half_hang",
-                 "no_length", "no_length_reset"] = "cut_off"
+    how: Literal[
+        "cut_off",
+        "garbage",
+        "two_lengths",
+        "endless",
+        "second",
+        "reset",
+        "half_reset",
+        "half_hang",
+        "no_length",
+        "no_length_reset",
+    ] = "cut_off"
     part: Share = 0.3  # of their answers
 
 
@@ -193,8 +204,29 @@
     """
 
 
-AnyFault = (Link | Reset | HalfOpen | Pause | Kill | Descriptors | Busy | UnixTime | Disk | Lists | Reload
-            | Upgrade | LameDuck | Detach | Spoilt | Lie | HoldUp | ShortIdle | SlowAccept | Restless
-            | ShortTime | BadClients)
+AnyFault = (
+    Link
+    | Reset
+    | HalfOpen
+    | Pause
+    | Kill
+    | Descriptors
+    | Busy
+    | UnixTime
+    | Disk
+    | Lists
+    | Reload
+    | Upgrade
+    | LameDuck
+    | Detach
+    | Spoilt
+    | Lie
+    | HoldUp
+    | ShortIdle
+    | SlowAccept
+    | Restless
+    | ShortTime
+    | BadClients
+)
 HABITS = (Restless, ShortTime, BadClients)  # of clients
 Habit = Restless | ShortTime | BadClients
--- a/faultlab/figures.py
+++ b/faultlab/figures.py
@@ -1,4 +1,5 @@
 """What a run comes to: requests by their end, worth, and time counted from when each was due."""
+
 from __future__ import annotations
 
 from collections import Counter
@@ -29,8 +30,12 @@
 
 
 def percentiles(times: Any) -> dict[str, int]:
-    return {"p50": times.get_value_at_percentile(50), "p90": times.get_value_at_percentile(90),
-            "p99": times.get_value_at_percentile(99), "max": times.get_max_value()}
+    return {
+        "p50": times.get_value_at_percentile(50),
+        "p90": times.get_value_at_percentile(90),
+        "p99": times.get_value_at_percentile(99),
+        "max": times.get_max_value(),
+    }
 
 
 def figures(case: Case) -> Figures:
@@ -53,6 +58,10 @@
                 ends[first] = "refused" if refused else "failed"
     counted = Counter(ends.values())
     total = sum(possible.values())
-    return Figures(len(possible), {name: counted[name] for name in ("served", "refused", "failed")},
-                   sum(earned.values()) / total if total else 0.0, percentiles(times),
-                   sum(len(some) for some in case.got.values()))
+    return Figures(
+        len(possible),
+        {name: counted[name] for name in ("served", "refused", "failed")},
+        sum(earned.values()) / total if total else 0.0,
+        percentiles(times),
+        sum(len(some) for some in case.got.values()),
+    )
--- a/faultlab/history.py
+++ b/faultlab/history.py
@@ -3,6 +3,7 @@
 All parts append to one file, each event by one write, so that lines of several processes never mix (POSIX,
 write with O_APPEND). Times are microseconds of CLOCK_MONOTONIC, which is one for all processes of a machine.
 """
+
 from __future__ import annotations
 
 import os
@@ -259,9 +260,37 @@
     cpu_us: int
 
 
-AnyEvent = (Begun | Ready | Ended | Stop | Fault | Asked | Answered | Unanswered | Departed | Surplus | Sent
-            | Unreached | Resent | Got | Turned | Gave | Left | Fell | Listed | Called | Told | Heard | Kept
-            | Door | Health | Open | Logged | Late | Usage)
+AnyEvent = (
+    Begun
+    | Ready
+    | Ended
+    | Stop
+    | Fault
+    | Asked
+    | Answered
+    | Unanswered
+    | Departed
+    | Surplus
+    | Sent
+    | Unreached
+    | Resent
+    | Got
+    | Turned
+    | Gave
+    | Left
+    | Fell
+    | Listed
+    | Called
+    | Told
+    | Heard
+    | Kept
+    | Door
+    | Health
+    | Open
+    | Logged
+    | Late
+    | Usage
+)
 
 
 class HistoryError(Exception):
--- a/faultlab/listservice.py
+++ b/faultlab/listservice.py
@@ -1,4 +1,5 @@
 """The project's own list service in the place of discovery's stand-in, and who writes to it."""
+
 from __future__ import annotations
 
 import asyncio
@@ -60,8 +61,9 @@
 
     async def put_all(self) -> None:
         """What serves at the start, in one batch."""
-        writes = [{"do": "put", "member": self._member(j), "ttl_ms": TTL_MS}
-                  for j in sorted(self._rig.entries)]
+        writes = [
+            {"do": "put", "member": self._member(j), "ttl_ms": TTL_MS} for j in sorted(self._rig.entries)
+        ]
         answer = await self._until_yes("POST", "/catalog/batch", {"writes": writes}, self._key())
         self._listed(answer, sorted(self._rig.entries))
 
@@ -94,25 +96,44 @@
         for k in range(1 + self._rig.s.followers):
             doc = await self._until_yes("GET", PATH, None, "", self._rig.block.discovery(k), revision)
             revision = doc["revision"]
-            self._rig.write(Kept(t=now_us(), who=f"d{k}", revision=revision,
-                                 members=[(m["id"], m["phase"]) for m in doc["members"]]))
+            self._rig.write(
+                Kept(
+                    t=now_us(),
+                    who=f"d{k}",
+                    revision=revision,
+                    members=[(m["id"], m["phase"]) for m in doc["members"]],
+                )
+            )
 
     def _member(self, j: int) -> dict[str, Any]:
         entry = self._rig.entries[j]
-        return {"id": entry.id, "host_port": self._rig.block.server(j), "locality": entry.locality,
-                "flavor": entry.flavor, "cell": entry.cell, "up_since_ms": entry.up_since_ms}
+        return {
+            "id": entry.id,
+            "host_port": self._rig.block.server(j),
+            "locality": entry.locality,
+            "flavor": entry.flavor,
+            "cell": entry.cell,
+            "up_since_ms": entry.up_since_ms,
+        }
 
     def _listed(self, answer: dict[str, Any], numbers: list[int]) -> None:
         entries = [self._rig.entries[j] for j in numbers]
-        self._rig.write(Listed(t=now_us(), who="d0", revision=answer["revision"],
-                               members=[(e.id, e.phase, e.up_since_ms) for e in entries]))
+        self._rig.write(
+            Listed(
+                t=now_us(),
+                who="d0",
+                revision=answer["revision"],
+                members=[(e.id, e.phase, e.up_since_ms) for e in entries],
+            )
+        )
 
     def _key(self) -> str:
         self._writes += 1
         return f"write-{self._writes}"
 
-    async def _until_yes(self, method: str, path: str, doc: object, key: str, at: str = "",
-                         least: int = 0) -> dict[str, Any]:
+    async def _until_yes(
+        self, method: str, path: str, doc: object, key: str, at: str = "", least: int = 0
+    ) -> dict[str, Any]:
         """The same call until it is answered, from that revision on; its key makes that one write."""
         until = now_us() + int(WRITE_S * 1e6)
         while now_us() < until:
@@ -122,8 +143,9 @@
             await asyncio.sleep(AGAIN_S)
         raise Failed(f"{at or self._at}: {method} {path} found no answer for {WRITE_S:g} s; see logs/d0.log")
 
-    async def _call(self, method: str, path: str, doc: object, key: str,
-                    at: str = "") -> dict[str, Any] | None:
+    async def _call(
+        self, method: str, path: str, doc: object, key: str, at: str = ""
+    ) -> dict[str, Any] | None:
         """None where there is no yes."""
         headers = {"Idempotency-Key": key} if key else {}
         try:
--- a/faultlab/loadtest.py
+++ b/faultlab/loadtest.py
@@ -1,4 +1,5 @@
 """The load client alone, against any agent on this machine."""
+
 from __future__ import annotations
 
 import asyncio
@@ -92,12 +93,29 @@
     arrivals, at = [], 0.0
     while (at := at + rng.expovariate(options.rate)) < options.seconds:
         arrivals.append(Arrival(int(at * 1e6), 0, rng.randrange(1, 300), WORK_US))
-    c = Class(name=options.cls, share=1.0, work_ms=1.0, aim_ms=options.timeout_ms,
-              deadline_ms=options.timeout_ms, effect=options.effect)  # type: ignore[arg-type]
-    load = Load(ClientsPart(
-        name="load", history="", agent="", address=options.address, classes=[c], arrivals=arrivals,
-        clients=Clients(retries=options.retries, try_share=1.0), max_retry_after_ms=2000.0, front=False,
-        seed=options.seed), measured)
+    c = Class(
+        name=options.cls,
+        share=1.0,
+        work_ms=1.0,
+        aim_ms=options.timeout_ms,
+        deadline_ms=options.timeout_ms,
+        effect=options.effect,  # type: ignore[arg-type]
+    )
+    load = Load(
+        ClientsPart(
+            name="load",
+            history="",
+            agent="",
+            address=options.address,
+            classes=[c],
+            arrivals=arrivals,
+            clients=Clients(retries=options.retries, try_share=1.0),
+            max_retry_after_ms=2000.0,
+            front=False,
+            seed=options.seed,
+        ),
+        measured,
+    )
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGINT, stop.set)
--- a/faultlab/parts/burner.py
+++ b/faultlab/parts/burner.py
@@ -1,4 +1,5 @@
 """A busy neighbour: takes a share of one core, in turns of ten milliseconds."""
+
 from __future__ import annotations
 
 import contextlib
--- a/faultlab/parts/clients.py
+++ b/faultlab/parts/clients.py
@@ -1,4 +1,5 @@
 """The clients of one agent: open loop, patient for so long, with retries that belong to their first try."""
+
 from __future__ import annotations
 
 import asyncio
@@ -31,8 +32,14 @@
 LEAVINGS, MOMENTS = ("close", "half_close", "reset"), ("waiting", "uploading", "ahead")
 UPLOADS = (3_000, 60_000, 200_000)  # bytes of a body that its client does not send to its end
 AHEAD = (b"GET /api HTTP/1.1\r\nHos", b"x" * 30_000, b"x" * 300_000)
-BAD = (b"\x16\x03\x01 no HTTP\r\n\r\n", b"GET /api HTTP/1.1\r\nHos", b"POST /api HTTP/1.1\r\n\r\n", b"\r\n",
-       b"GET /api HTTP/1.1\r\nHost: origin.svc\r\n\r\n", b"x" * 200_000)
+BAD = (
+    b"\x16\x03\x01 no HTTP\r\n\r\n",
+    b"GET /api HTTP/1.1\r\nHos",
+    b"POST /api HTTP/1.1\r\n\r\n",
+    b"\r\n",
+    b"GET /api HTTP/1.1\r\nHost: origin.svc\r\n\r\n",
+    b"x" * 200_000,
+)
 BAD_STAYS_S = 4.0
 
 HabitT = TypeVar("HabitT", bound=faults.Habit)
@@ -247,8 +254,13 @@
     def _come(self, arrival: Arrival, due: int) -> None:
         self._counted += 1
         c = self.plan.classes[arrival.cls]
-        first = First(f"{self.plan.name}-{self._counted}", arrival, due, due + int(c.deadline_ms * 1000),
-                      self.random.random() < self.plan.clients.honour)
+        first = First(
+            f"{self.plan.name}-{self._counted}",
+            arrival,
+            due,
+            due + int(c.deadline_ms * 1000),
+            self.random.random() < self.plan.clients.honour,
+        )
         self.open += 1
         self._spawn(self._serve(first))
         self._next()
@@ -269,8 +281,12 @@
                         return
                     continue
                 refused = reply.status in REFUSED
-                harmless = refused or reply.how == "unreachable" or c.effect == "safe" or (
-                    c.effect == "keyed" and c.group == "all")
+                harmless = (
+                    refused
+                    or reply.how == "unreachable"
+                    or c.effect == "safe"
+                    or (c.effect == "keyed" and c.group == "all")
+                )
                 if reply.status == 200 or first.tries > clients.retries or not harmless:
                     return
                 wait_s = clients.backoff_ms / 1000 if clients.backoff == "fixed" or not refused else 0.0
@@ -285,9 +301,12 @@
         rid = request_id(first.name, first.tries, arrival.work_us, arrival.key)
         method = self._methods[c.effect]
         body = b"x" * (64 + arrival.work_us % 1024) if method == "POST" else b""
-        headers = [(b"Host", b"origin.svc"), (b"Request-Id", rid.encode()),
-                   (b"Request-Class", c.name.encode()),
-                   (b"Request-Timeout-Ms", b"%d" % (patience_us // 1000))]
+        headers = [
+            (b"Host", b"origin.svc"),
+            (b"Request-Id", rid.encode()),
+            (b"Request-Class", c.name.encode()),
+            (b"Request-Timeout-Ms", b"%d" % (patience_us // 1000)),
+        ]
         if first.tries > 1:
             headers.append((b"Client-Retry", b"1"))
         if c.effect == "keyed":
@@ -319,18 +338,38 @@
             again = True
         self._keep(conn)
         if reply.status:
-            self.book.write(Answered(t=now_us(), who=self.plan.name, rid=rid, status=reply.status,
-                                     digest=digest(reply.body), bytes=len(reply.body)))
+            self.book.write(
+                Answered(
+                    t=now_us(),
+                    who=self.plan.name,
+                    rid=rid,
+                    status=reply.status,
+                    digest=digest(reply.body),
+                    bytes=len(reply.body),
+                )
+            )
         else:
             self.book.write(Unanswered(t=now_us(), who=self.plan.name, rid=rid, how=reply.how))
         self._note_surplus(conn, rid)
         return reply
 
     def _note_asked(self, first: First, rid: str, patience_us: int, conn: Conn, fresh: bool) -> None:
-        self.book.write(Asked(
-            t=now_us(), who=self.plan.name, rid=rid, first=first.name, cls=first.arrival.cls,
-            agent=self.plan.agent, due=first.due, patience_us=patience_us, conn=conn.number,
-            opened=conn.opened, fresh=fresh, port=conn.port))
+        self.book.write(
+            Asked(
+                t=now_us(),
+                who=self.plan.name,
+                rid=rid,
+                first=first.name,
+                cls=first.arrival.cls,
+                agent=self.plan.agent,
+                due=first.due,
+                patience_us=patience_us,
+                conn=conn.number,
+                opened=conn.opened,
+                fresh=fresh,
+                port=conn.port,
+            )
+        )
 
     def _note_surplus(self, conn: Conn, rid: str) -> None:
         conn.answered = rid
@@ -353,8 +392,17 @@
             return patience_us
         return min(patience_us, max(1000, int(short.time_ms) * 1000))
 
-    async def _leave_early(self, first: First, rid: str, method: str, target: str, headers: Headers,
-                           body: bytes, patience_us: int, habit: faults.Restless) -> Reply:
+    async def _leave_early(
+        self,
+        first: First,
+        rid: str,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        patience_us: int,
+        habit: faults.Restless,
+    ) -> Reply:
         """A try whose client goes before its answer; what comes in spite of that is not read."""
         when = habit.when if habit.when != "any" else self.random.choice(MOMENTS)
         how = told = habit.how if habit.how != "any" else self.random.choice(LEAVINGS)
--- a/faultlab/parts/datagrams.py
+++ b/faultlab/parts/datagrams.py
@@ -1,4 +1,5 @@
 """Stands between agents that tell one another things by datagrams (PROTOCOL, Between agents)."""
+
 from __future__ import annotations
 
 import asyncio
@@ -119,7 +120,7 @@
             copies += bool(link.duplicate and chance.random() < link.duplicate)
             if data and link.corrupt and chance.random() < link.corrupt:
                 at = chance.randrange(len(data))
-                data = data[:at] + bytes([data[at] ^ (1 << chance.randrange(8))]) + data[at + 1:]
+                data = data[:at] + bytes([data[at] ^ (1 << chance.randrange(8))]) + data[at + 1 :]
         earlier = self._kept.pop((a, b), None)
         if earlier is None and any(link.reorder and chance.random() < link.reorder for link in links):
             self._kept[a, b] = data
@@ -140,13 +141,19 @@
         if a not in self.liars:
             return data
         self._lies += 1
-        huge = 2 ** 32 - 1
-        facts = [Fact(other, r._replace(status=Status.DEAD, incarnation=huge if self._lies % 3 == 0
-                                        else r.incarnation))
-                 for other, r in self._spoke.items() if other != a]
-        seq = (m.seq + 2 ** 31) % 2 ** 32 if m.kind is Kind.PING else m.seq
-        return self._wire.pack(Message(m.kind, m.sender, m.start, huge, seq, m.about, m.digest,
-                                       tuple(facts[:FACTS])))
+        huge = 2**32 - 1
+        facts = [
+            Fact(
+                other,
+                r._replace(status=Status.DEAD, incarnation=huge if self._lies % 3 == 0 else r.incarnation),
+            )
+            for other, r in self._spoke.items()
+            if other != a
+        ]
+        seq = (m.seq + 2**31) % 2**32 if m.kind is Kind.PING else m.seq
+        return self._wire.pack(
+            Message(m.kind, m.sender, m.start, huge, seq, m.about, m.digest, tuple(facts[:FACTS]))
+        )
 
     def _send(self, a: int, b: int, data: bytes) -> None:
         try:
--- a/faultlab/parts/discovery.py
+++ b/faultlab/parts/discovery.py
@@ -1,4 +1,5 @@
 """A stand-in for discovery: the whole list, watches, and wrong answers (PROTOCOL, Discovery)."""
+
 from __future__ import annotations
 
 import asyncio
@@ -51,9 +52,16 @@
 
 def member_json(entry: Entry, block: Block, agent: int) -> dict[str, object]:
     """A member in PROTOCOL's form, as this agent sees it."""
-    return {"id": entry.id, "host_port": block.sees(agent, entry.number), "locality": entry.locality,
-            "flavor": entry.flavor, "cell": entry.cell, "phase": entry.phase, "size": 1.0,
-            "up_since_ms": entry.up_since_ms}
+    return {
+        "id": entry.id,
+        "host_port": block.sees(agent, entry.number),
+        "locality": entry.locality,
+        "flavor": entry.flavor,
+        "cell": entry.cell,
+        "phase": entry.phase,
+        "size": 1.0,
+        "up_since_ms": entry.up_since_ms,
+    }
 
 
 class Discovery:
@@ -96,8 +104,14 @@
             self._listener.close()
 
     def _listed(self, entries: list[Entry]) -> None:
-        self.book.write(Listed(t=now_us(), who=self.plan.name, revision=self.revision,
-                               members=[(e.id, e.phase, e.up_since_ms) for e in entries]))
+        self.book.write(
+            Listed(
+                t=now_us(),
+                who=self.plan.name,
+                revision=self.revision,
+                members=[(e.id, e.phase, e.up_since_ms) for e in entries],
+            )
+        )
 
     @property
     def revision(self) -> int:
@@ -116,7 +130,7 @@
         if index is None or not self.plan.revision <= index < view:
             return True, list(self.lists[view - self.plan.revision].values())
         latest: dict[str, Entry] = {}
-        for step in self.changes[index + 1 - self.plan.revision:view + 1 - self.plan.revision]:
+        for step in self.changes[index + 1 - self.plan.revision : view + 1 - self.plan.revision]:
             latest.update((e.id, e) for e in step)
         return False, list(latest.values())
 
@@ -165,8 +179,9 @@
         except ValueError:
             return self._write(400, b"index and wait are whole numbers\n")
         d = self._discovery
-        d.book.write(Called(t=now_us(), who=d.plan.name, agent=self._agent, index=self._index,
-                            wait_ms=wait_ms))
+        d.book.write(
+            Called(t=now_us(), who=d.plan.name, agent=self._agent, index=self._index, wait_ms=wait_ms)
+        )
         self._waits, self._until = True, self._loop.time() + wait_ms / 1000
         self._end = self._loop.call_later(wait_ms / 1000, self.look)
         self.look()
@@ -188,18 +203,30 @@
         d = self._discovery
         if self.closed:
             return
-        body = msgspec.json.encode({
-            "revision": revision, "complete": complete,
-            "members": [member_json(e, d.plan.block, self._number) for e in entries]})
+        body = msgspec.json.encode(
+            {
+                "revision": revision,
+                "complete": complete,
+                "members": [member_json(e, d.plan.block, self._number) for e in entries],
+            }
+        )
         whole = d.mode.how != "partial"
-        d.book.write(Told(t=now_us(), who=d.plan.name, agent=self._agent, revision=revision,
-                          complete=complete, whole=whole,
-                          members=[(e.id, e.phase, e.up_since_ms) for e in entries]))
+        d.book.write(
+            Told(
+                t=now_us(),
+                who=d.plan.name,
+                agent=self._agent,
+                revision=revision,
+                complete=complete,
+                whole=whole,
+                members=[(e.id, e.phase, e.up_since_ms) for e in entries],
+            )
+        )
         if whole:
             return self._write(200, body)
         assert self.transport is not None
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
-        self.transport.write(head + body[:len(body) // 2])
+        self.transport.write(head + body[: len(body) // 2])
         self.transport.close()
 
     def _write(self, status: int, body: bytes) -> None:
--- a/faultlab/parts/part.py
+++ b/faultlab/parts/part.py
@@ -1,4 +1,5 @@
 """What the rig's processes have in common: a plan, orders, a place in the history, and punctuality."""
+
 from __future__ import annotations
 
 import asyncio
@@ -83,7 +84,7 @@
     gc.collect()
     gc.freeze()
     loop = asyncio.get_running_loop()
-    reader = asyncio.StreamReader(limit=2 ** 26)
+    reader = asyncio.StreamReader(limit=2**26)
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     print(msgspec.json.encode({"ready": os.getpid()}).decode(), flush=True)
     watch = loop.create_task(punctual(book.name, book))
--- a/faultlab/parts/relay.py
+++ b/faultlab/parts/relay.py
@@ -1,4 +1,5 @@
 """Stands on every path of one agent over TCP, and does what it is told to what passes there."""
+
 from __future__ import annotations
 
 import asyncio
@@ -230,22 +231,34 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                 sock.close()
 
-
     def _unreached(self, sock: socket.socket) -> None:
         relay = self.relay
         if self.route.path == "clients":
             with contextlib.suppress(OSError):  # it may have gone by itself
-                relay.book.write(Unreached(t=now_us(), who=relay.plan.name, agent=relay.plan.agent,
-                                           port=int(sock.getpeername()[1])))
+                relay.book.write(
+                    Unreached(
+                        t=now_us(),
+                        who=relay.plan.name,
+                        agent=relay.plan.agent,
+                        port=int(sock.getpeername()[1]),
+                    )
+                )
 
     def note_attempt(self, data: bytes) -> None:
         """An attempt begins where its head is in this piece: an agent writes a head in one."""
         relay, request = self.relay, ATTEMPT.search(data)
         if request is not None and self.route.path == "servers":
             told = TOLD.search(data)
-            relay.book.write(Sent(
-                t=now_us(), who=relay.plan.name, rid=request[1].decode("latin-1"), agent=relay.plan.agent,
-                server=self.route.server, timeout_ms=int(told[1]) if told is not None else 0))
+            relay.book.write(
+                Sent(
+                    t=now_us(),
+                    who=relay.plan.name,
+                    rid=request[1].decode("latin-1"),
+                    agent=relay.plan.agent,
+                    server=self.route.server,
+                    timeout_ms=int(told[1]) if told is not None else 0,
+                )
+            )
 
 
 class Pair:
@@ -324,7 +337,7 @@
                 due, late = due + late, 2 * late  # each loss doubles the wait (RFC 6298, 5.5)
             if link.corrupt and chance.random() < link.corrupt:
                 at = chance.randrange(len(data))
-                data = data[:at] + bytes([data[at] ^ (1 << chance.randrange(8))]) + data[at + 1:]
+                data = data[:at] + bytes([data[at] ^ (1 << chance.randrange(8))]) + data[at + 1 :]
         if self._queue:
             due = max(due, self._queue[-1][0])  # TCP keeps the order
         self._held += len(data)
@@ -370,9 +383,9 @@
             if not data:
                 self._half_close()
                 continue
-            piece = data[:max(PIECE_BYTES, int(rate / 20))] if rate else data
+            piece = data[: max(PIECE_BYTES, int(rate / 20))] if rate else data
             if len(piece) < len(data):
-                self._queue.appendleft((due, data[len(piece):]))
+                self._queue.appendleft((due, data[len(piece) :]))
             if rate:
                 self._free_at = max(now, self._free_at) + len(piece) / rate
             self._held -= len(piece)
--- a/faultlab/parts/server.py
+++ b/faultlab/parts/server.py
@@ -1,4 +1,5 @@
 """A stand-in meter server: HTTP around the emulator's model of service, on the real clock."""
+
 from __future__ import annotations
 
 import asyncio
@@ -121,8 +122,9 @@
         loop = asyncio.get_running_loop()
         stream = streams_for(f"{self.plan.name} {self.life}", self.plan.seed)
         self.stream = stream("life")
-        self.model = Server(self.plan.name, self.plan.plan, self.day, RealTimeline(loop), self.stream,
-                            self.plan.mean_work)
+        self.model = Server(
+            self.plan.name, self.plan.plan, self.day, RealTimeline(loop), self.stream, self.plan.mean_work
+        )
         if self.plan.cold:
             self.model.start()
         host, port = split(self.plan.listen)
@@ -220,8 +222,9 @@
         work, self.work = self.work, None
         if work is not None:
             self._server.model.withdraw(work)
-            self._server.book.write(Left(t=now_us(), who=self._server.plan.name, rid=work.rid,
-                                         life=self._server.life))
+            self._server.book.write(
+                Left(t=now_us(), who=self._server.plan.name, rid=work.rid, life=self._server.life)
+            )
         if self.transport is not None:
             self.transport.close()
 
@@ -255,8 +258,17 @@
         cost = cost_of(rid)
         if cost is None:
             return self._answer(404 if not rid else 400, [], b"no such request\n")
-        server.book.write(Got(t=now_us(), who=server.plan.name, rid=rid, life=server.life, agent=self.agent,
-                              began=self._began, conn=self.number))
+        server.book.write(
+            Got(
+                t=now_us(),
+                who=server.plan.name,
+                rid=rid,
+                life=server.life,
+                agent=self.agent,
+                began=self._began,
+                conn=self.number,
+            )
+        )
         if model.silent:
             return
         work_us, key = cost
@@ -275,13 +287,22 @@
         """The model has ended it."""
         self.work = None
         server = self._server
-        body = b"failed\n" if error else answer_body(
-            work.rid, server.plan.name, server.life, work.attempt)
+        body = b"failed\n" if error else answer_body(work.rid, server.plan.name, server.life, work.attempt)
         status = 500 if error else 200
         spoilt = not error and server.stream.uniform() < server.spoil.part
         whole = not spoilt or server.spoil.how in WHOLE
-        server.book.write(Gave(t=now_us(), who=server.plan.name, rid=work.rid, life=server.life,
-                               status=status, digest=digest(body), whole=whole, bytes=len(body)))
+        server.book.write(
+            Gave(
+                t=now_us(),
+                who=server.plan.name,
+                rid=work.rid,
+                life=server.life,
+                status=status,
+                digest=digest(body),
+                whole=whole,
+                bytes=len(body),
+            )
+        )
         if spoilt:
             self._spoil(server.spoil.how, body)
         else:
@@ -310,11 +331,11 @@
             self._loop.call_later(late_s, self._write_raw, SECOND)
             return
         self.deaf = True
-        half = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body[:len(body) // 2]
+        half = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body[: len(body) // 2]
         if how == "half_hang":
             return self._write_raw(half)
         if how in ("reset", "half_reset", "no_length_reset"):
-            said = {"reset": b"", "half_reset": half, "no_length_reset": NO_LENGTH + body[:len(body) // 2]}
+            said = {"reset": b"", "half_reset": half, "no_length_reset": NO_LENGTH + body[: len(body) // 2]}
             self._write_raw(said[how])
             self._loop.call_later(RESET_S if said[how] else 0, self._reset)
             return
@@ -323,8 +344,11 @@
         elif how == "garbage":
             self.transport.write(b"HTTP/1.1 2OO fine\r\nContent-Length\r\n\r\n" + body)
         elif how == "two_lengths":
-            self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body)
-                                 + b"Transfer-Encoding: chunked\r\n\r\n" + body)
+            self.transport.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body)
+                + b"Transfer-Encoding: chunked\r\n\r\n"
+                + body
+            )
         elif how == "cut_off":
             self._write_raw(half)
         else:
--- a/faultlab/parts/skewed_agent.py
+++ b/faultlab/parts/skewed_agent.py
@@ -1,4 +1,5 @@
 """The agent with a wall clock that is off: what is replaced is the source of time of lilacsill/clock.py."""
+
 from __future__ import annotations
 
 import os
--- a/faultlab/parts/tether.py
+++ b/faultlab/parts/tether.py
@@ -1,4 +1,5 @@
 """Becomes another program that dies with the rig, whatever ends the rig (prctl(2), PR_SET_PDEATHSIG)."""
+
 from __future__ import annotations
 
 import ctypes
--- a/faultlab/parts/wire.py
+++ b/faultlab/parts/wire.py
@@ -1,4 +1,5 @@
 """What clients and stand-in servers agree on beside the protocol: the cost of a request, and its answer."""
+
 from __future__ import annotations
 
 from zlib import crc32
--- a/faultlab/plants.py
+++ b/faultlab/plants.py
@@ -1,4 +1,5 @@
 """Faults planted in a copy of the agent, to see that the rig finds them: each with the scenario that does."""
+
 from __future__ import annotations
 
 import shutil
@@ -43,65 +44,156 @@
 
 ANSWER = "    def answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None:\n"
 PLANTS = (
-    Plant("repeat", "an attempt repeated that may not be", "brasshead/logic.py",
-          "        if r.cls.effect is Effect.UNSAFE or self.now >=", "        if self.now >=",
-          "resets", "effect"),
-    Plant("drain", "a drain ignored", "lilacsill/discovery.py",
-          '"DRAINING": State.DRAINING', '"DRAINING": State.READY', "pause-one", "drain"),
-    Plant("cut-answer", "an answer cut off and passed on as whole", "lilacsill/backends.py",
-          "    def on_end(self) -> None:\n        self._end(self._lost())",
-          "    def on_end(self) -> None:\n"
-          "        self._end(Outcome.OK if self._status == 200 else self._lost())",
-          "spoilt", "integrity"),
-    Plant("wake-up", "a wake-up lost: a watch that broke is not begun again", "lilacsill/agent.py",
-          "            self._loop.call_later(wait_s, self._discovery.watch, self._listed)\n", "",
-          "discovery-wrong", "stale"),
-    Plant("descriptor", "a descriptor leaked with each connection that is given up", "lilacsill/backends.py",
-          "        self._open.discard(connection)\n        connection.drop()",
-          "        self._open.discard(connection)\n        if connection.transport is not None:\n"
-          '            connection.transport.get_extra_info("socket").dup().detach()\n'
-          "        connection.drop()",
-          "steady", "descriptors"),
-    Plant("stale-list", "a stale list kept: a whole list takes nothing out", "lilacsill/bans.py",
-          "        if listing.complete:\n            self._members.clear()\n", "",
-          "discovery-disagrees", "stale"),
-    Plant("wrong-answer", "an answer given to another request", "lilacsill/agent.py",
-          "            self._answer(number, 200, _kind(result.content_type), result.body)",
-          "            self._before, body = result.body, getattr(self, '_before', result.body)\n"
-          "            self._answer(number, 200, _kind(result.content_type), body)", "steady", "integrity"),
-    Plant("no-answer", "a failed request gets no answer", "lilacsill/server.py", ANSWER,
-          ANSWER + "        if status == 502:\n            self._call = None\n            return\n",
-          "short-time", "answered"),
-    Plant("half-answer", "one answer in some breaks off", "lilacsill/server.py", ANSWER,
-          ANSWER + "        if len(body) % 16 == 0 and self._call is call and self.transport is not None:\n"
-          "            self._call = None\n"
-          "            self.transport.write(b'HTTP/1.1 200 OK\\r\\nContent-Length: 9\\r\\n\\r\\nhalf')\n"
-          "            return self.transport.close()\n", "steady", "answered"),
-    Plant("two-answers", "a second answer behind the first", "lilacsill/server.py", ANSWER,
-          ANSWER + "        if self._call is call and self.transport is not None:\n"
-          "            more = b'HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n'\n"
-          "            self._loop.call_soon(self.transport.write, more)\n", "steady", "answered"),
-    Plant("departed", "a client that has left is not missed", "lilacsill/server.py",
-          "        call, self._call = self._call, None\n        self._upload = self._source = None\n",
-          "        return False\n        call, self._call = self._call, None\n"
-          "        self._upload = self._source = None\n", "restless", "ended"),
-    Plant("after-answer", "an attempt goes out after the final answer", "lilacsill/agent.py",
-          "                self._answer_with(held, exchange, result)\n",
-          "                self._answer_with(held, exchange, result)\n"
-          "                call = held.call\n"
-          "                ask = Ask(call.method, call.target, call.headers, call.body,\n"
-          "                          left_us=call.left_us)\n"
-          "                self._loop.call_later(0.2, self._backends.exchange, attempt.backend, ask,\n"
-          "                                      1_000_000, lambda result: None)\n", "steady", "ended"),
-    Plant("told", "servers are told of time that is not there", "lilacsill/backends.py",
-          'headers.append((b"Request-Timeout-Ms", b"%d" % ',
-          'headers.append((b"Request-Timeout-Ms", b"1%d" % ',
-          "steady", "told"),
-    Plant("ban", "a ban dropped over an upgrade", "lilacsill/bans.py",
-          '"banned": sorted(self._banned)', '"banned": []', "upgrade", "drain"),
-    Plant("copy", "a second copy sent where none may be", "brasshead/logic.py",
-          "and self.table.typical and self.settings.second_copies:", "and self.table.typical:",
-          "one-copy", "copies"),
+    Plant(
+        "repeat",
+        "an attempt repeated that may not be",
+        "brasshead/logic.py",
+        "        if r.cls.effect is Effect.UNSAFE or self.now >=",
+        "        if self.now >=",
+        "resets",
+        "effect",
+    ),
+    Plant(
+        "drain",
+        "a drain ignored",
+        "lilacsill/discovery.py",
+        '"DRAINING": State.DRAINING',
+        '"DRAINING": State.READY',
+        "pause-one",
+        "drain",
+    ),
+    Plant(
+        "cut-answer",
+        "an answer cut off and passed on as whole",
+        "lilacsill/backends.py",
+        "    def on_end(self) -> None:\n        self._end(self._lost())",
+        "    def on_end(self) -> None:\n"
+        "        self._end(Outcome.OK if self._status == 200 else self._lost())",
+        "spoilt",
+        "integrity",
+    ),
+    Plant(
+        "wake-up",
+        "a wake-up lost: a watch that broke is not begun again",
+        "lilacsill/agent.py",
+        "            self._loop.call_later(wait_s, self._discovery.watch, self._listed)\n",
+        "",
+        "discovery-wrong",
+        "stale",
+    ),
+    Plant(
+        "descriptor",
+        "a descriptor leaked with each connection that is given up",
+        "lilacsill/backends.py",
+        "        self._open.discard(connection)\n        connection.drop()",
+        "        self._open.discard(connection)\n        if connection.transport is not None:\n"
+        '            connection.transport.get_extra_info("socket").dup().detach()\n'
+        "        connection.drop()",
+        "steady",
+        "descriptors",
+    ),
+    Plant(
+        "stale-list",
+        "a stale list kept: a whole list takes nothing out",
+        "lilacsill/bans.py",
+        "        if listing.complete:\n            self._members.clear()\n",
+        "",
+        "discovery-disagrees",
+        "stale",
+    ),
+    Plant(
+        "wrong-answer",
+        "an answer given to another request",
+        "lilacsill/agent.py",
+        "            self._answer(number, 200, _kind(result.content_type), result.body)",
+        "            self._before, body = result.body, getattr(self, '_before', result.body)\n"
+        "            self._answer(number, 200, _kind(result.content_type), body)",
+        "steady",
+        "integrity",
+    ),
+    Plant(
+        "no-answer",
+        "a failed request gets no answer",
+        "lilacsill/server.py",
+        ANSWER,
+        ANSWER + "        if status == 502:\n            self._call = None\n            return\n",
+        "short-time",
+        "answered",
+    ),
+    Plant(
+        "half-answer",
+        "one answer in some breaks off",
+        "lilacsill/server.py",
+        ANSWER,
+        ANSWER + "        if len(body) % 16 == 0 and self._call is call and self.transport is not None:\n"
+        "            self._call = None\n"
+        "            self.transport.write(b'HTTP/1.1 200 OK\\r\\nContent-Length: 9\\r\\n\\r\\nhalf')\n"
+        "            return self.transport.close()\n",
+        "steady",
+        "answered",
+    ),
+    Plant(
+        "two-answers",
+        "a second answer behind the first",
+        "lilacsill/server.py",
+        ANSWER,
+        ANSWER + "        if self._call is call and self.transport is not None:\n"
+        "            more = b'HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n'\n"
+        "            self._loop.call_soon(self.transport.write, more)\n",
+        "steady",
+        "answered",
+    ),
+    Plant(
+        "departed",
+        "a client that has left is not missed",
+        "lilacsill/server.py",
+        "        call, self._call = self._call, None\n        self._upload = self._source = None\n",
+        "        return False\n        call, self._call = self._call, None\n"
+        "        self._upload = self._source = None\n",
+        "restless",
+        "ended",
+    ),
+    Plant(
+        "after-answer",
+        "an attempt goes out after the final answer",
+        "lilacsill/agent.py",
+        "                self._answer_with(held, exchange, result)\n",
+        "                self._answer_with(held, exchange, result)\n"
+        "                call = held.call\n"
+        "                ask = Ask(call.method, call.target, call.headers, call.body,\n"
+        "                          left_us=call.left_us)\n"
+        "                self._loop.call_later(0.2, self._backends.exchange, attempt.backend, ask,\n"
+        "                                      1_000_000, lambda result: None)\n",
+        "steady",
+        "ended",
+    ),
+    Plant(
+        "told",
+        "servers are told of time that is not there",
+        "lilacsill/backends.py",
+        'headers.append((b"Request-Timeout-Ms", b"%d" % ',
+        'headers.append((b"Request-Timeout-Ms", b"1%d" % ',
+        "steady",
+        "told",
+    ),
+    Plant(
+        "ban",
+        "a ban dropped over an upgrade",
+        "lilacsill/bans.py",
+        '"banned": sorted(self._banned)',
+        '"banned": []',
+        "upgrade",
+        "drain",
+    ),
+    Plant(
+        "copy",
+        "a second copy sent where none may be",
+        "brasshead/logic.py",
+        "and self.table.typical and self.settings.second_copies:",
+        "and self.table.typical:",
+        "one-copy",
+        "copies",
+    ),
 )
 
 
@@ -121,8 +213,10 @@
     path = to / plant.file
     text = path.read_text(encoding="utf-8")
     if text.count(plant.old) != 1:
-        raise PlantError(f"{plant.file}: the place of plant {plant.name} is there {text.count(plant.old)} "
-                         "times; mend it in faultlab/plants.py")
+        raise PlantError(
+            f"{plant.file}: the place of plant {plant.name} is there {text.count(plant.old)} "
+            "times; mend it in faultlab/plants.py"
+        )
     path.write_text(text.replace(plant.old, plant.new), encoding="utf-8")
 
 
--- a/faultlab/play.py
+++ b/faultlab/play.py
@@ -1,4 +1,5 @@
 """Runs as commands use them: into a directory that appears only when it is whole, with its verdict."""
+
 from __future__ import annotations
 
 import asyncio
@@ -55,8 +56,15 @@
     return [name for name in names if stat.S_ISSOCK((Path(folder) / name).lstat().st_mode)]
 
 
-def play(name: str, span: Span, seed: int, folder: Path | None, tree: Path, length_s: float | None = None,
-         progress: Callable[[float], None] = lambda share: None) -> Played:
+def play(
+    name: str,
+    span: Span,
+    seed: int,
+    folder: Path | None,
+    tree: Path,
+    length_s: float | None = None,
+    progress: Callable[[float], None] = lambda share: None,
+) -> Played:
     """One run and its verdict. Without a folder it goes to a temporary one, which is the caller's to remove.
 
     Raises Occupied, children.Failed, addresses.NoRoom; on these, and on Ctrl-C, nothing is left of it.
--- a/faultlab/report.py
+++ b/faultlab/report.py
@@ -1,4 +1,5 @@
 """One HTML file of a run that opens without a network: lanes of processes, faults, rates and times."""
+
 from __future__ import annotations
 
 import base64
@@ -110,8 +111,11 @@
 
 
 def _times(ax: Axes, case: Case) -> None:
-    points = [(case.seconds(x.asked.t), (x.end.t - x.asked.due) / 1000) for x in case.exchanges.values()
-              if isinstance(x.end, h.Answered) and x.end.status == 200]
+    points = [
+        (case.seconds(x.asked.t), (x.end.t - x.asked.due) / 1000)
+        for x in case.exchanges.values()
+        if isinstance(x.end, h.Answered) and x.end.status == 200
+    ]
     ax.plot([t for t, _ in points], [ms for _, ms in points], ".", markersize=2)
     ax.set_yscale("log")
     ax.set_ylabel("ms from when due")
@@ -121,19 +125,31 @@
     def safe(text: object) -> str:
         return html.escape(str(text))
 
-    rows = "".join(f"<tr><td>{safe(b.rule)}</td><td>{case.seconds(b.t):.3f}</td><td>{safe(b.who)}</td>"
-                   f"<td>{safe(b.what)}</td></tr>" for b in v.breaches[:100])
+    rows = "".join(
+        f"<tr><td>{safe(b.rule)}</td><td>{case.seconds(b.t):.3f}</td><td>{safe(b.who)}</td>"
+        f"<td>{safe(b.what)}</td></tr>"
+        for b in v.breaches[:100]
+    )
     broken = f"<table><tr><th>rule</th><th>s</th><th>at</th><th>seen</th></tr>{rows}</table>" if rows else ""
     f = v.figures
-    figures = "".join(f"<tr><td>{safe(name)}</td><td>{safe(value)}</td></tr>" for name, value in [
-        ("requests", f.requests), *f.ends.items(), ("worth", f"{f.worth:.3f}"), ("attempts", f.attempts),
-        *((f"{name}, ms from when due", f"{us / 1000:.1f}") for name, us in f.latency_us.items()),
-        *((f"processor s, {who}", f"{s:.1f}") for who, s in v.usage_s.items())])
+    figures = "".join(
+        f"<tr><td>{safe(name)}</td><td>{safe(value)}</td></tr>"
+        for name, value in [
+            ("requests", f.requests),
+            *f.ends.items(),
+            ("worth", f"{f.worth:.3f}"),
+            ("attempts", f.attempts),
+            *((f"{name}, ms from when due", f"{us / 1000:.1f}") for name, us in f.latency_us.items()),
+            *((f"processor s, {who}", f"{s:.1f}") for who, s in v.usage_s.items()),
+        ]
+    )
     verdict_lines = "".join(f"<p>{safe(line)}</p>" for line in [*v.lines(case), v.lateness])
     schedule = safe("\n".join(run.schedule) or "no fault")
     title = f"{safe(run.name)}, seed {run.seed}"
-    return (f"<!doctype html><html lang=en><meta charset=utf-8><title>{title}</title>"
-            f"<style>{STYLE}</style><h1>{title}</h1><p>{safe(run.scenario.about)}</p>"
-            f"{verdict_lines}<img alt='lanes, rates and times' src='data:image/png;base64,{picture}'>"
-            f"<h2>Figures</h2><table>{figures}</table><h2>Schedule</h2><pre>{schedule}</pre>"
-            f"{'<h2>Breaches</h2>' if broken else ''}{broken}</html>\n")
+    return (
+        f"<!doctype html><html lang=en><meta charset=utf-8><title>{title}</title>"
+        f"<style>{STYLE}</style><h1>{title}</h1><p>{safe(run.scenario.about)}</p>"
+        f"{verdict_lines}<img alt='lanes, rates and times' src='data:image/png;base64,{picture}'>"
+        f"<h2>Figures</h2><table>{figures}</table><h2>Schedule</h2><pre>{schedule}</pre>"
+        f"{'<h2>Breaches</h2>' if broken else ''}{broken}</html>\n"
+    )
--- a/faultlab/rig.py
+++ b/faultlab/rig.py
@@ -1,4 +1,5 @@
 """One run: the processes of a scenario, the faults when they are due, and an end that leaves none."""
+
 from __future__ import annotations
 
 import asyncio
@@ -133,6 +134,7 @@
 
     def watch(self, child: Child, then: Callable[[int], Coroutine[Any, Any, None]] | None = None) -> None:
         """Write down the end of a process; a part of the rig that ends by itself ends the run."""
+
         async def wait() -> None:
             status = await child.process.wait()
             self.write(Ended(t=now_us(), who=child.name, life=child.life, status=status, asked=child.asked))
@@ -145,13 +147,15 @@
         self._waiters.add(task)
         task.add_done_callback(self._waiters.discard)
 
-    async def part(self, name: str, module: str, make: Callable[[int], msgspec.Struct],
-                   unix: int = 0) -> PartChild:
+    async def part(
+        self, name: str, module: str, make: Callable[[int], msgspec.Struct], unix: int = 0
+    ) -> PartChild:
         """A process of faultlab.parts, once it serves."""
         life = self.life(name)
         words = self.folder / "logs" / f"{name}.log"
         child = await self.starter.start(
-            name, life, part_command(module), words, {**os.environ, **PART_ENV}, HOME, orders=True)
+            name, life, part_command(module), words, {**os.environ, **PART_ENV}, HOME, orders=True
+        )
         self.children.append(child)
         began = now_us()
         self.write(Begun(t=began, who=name, life=life, pid=child.pid, unix_ms=unix))
@@ -176,13 +180,26 @@
 
         def make(life: int) -> server.ServerPart:
             return server.ServerPart(
-                **self.common(f"s{j}"), listen=self.block.server(j), life=life, cold=cold,
-                seed=self.order.seed, scenario=self.s, plan=plan, mean_work=self.day.mean_work,
-                callers={ip: name for ip, (name, _) in self.callers().items()})
+                **self.common(f"s{j}"),
+                listen=self.block.server(j),
+                life=life,
+                cold=cold,
+                seed=self.order.seed,
+                scenario=self.s,
+                plan=plan,
+                mean_work=self.day.mean_work,
+                callers={ip: name for ip, (name, _) in self.callers().items()},
+            )
+
         self.servers[j] = await self.part(f"s{j}", "server", make, unix=started)
         self.entries[j] = discovery.Entry(
-            id=f"s{j}", number=j, locality=self.s.fleet.zones[plan.zone], flavor=plan.kind.name,
-            cell=plan.cell, up_since_ms=started)
+            id=f"s{j}",
+            number=j,
+            locality=self.s.fleet.zones[plan.zone],
+            flavor=plan.kind.name,
+            cell=plan.cell,
+            up_since_ms=started,
+        )
         await self._reachable(j, True)
 
     async def stop_server(self, j: int) -> None:
@@ -201,25 +218,40 @@
         entry = self.entries[j] = msgspec.structs.replace(self.entries[j], phase=phase)
         if self.list_service is not None:
             return await self.list_service.set(j, phase)
-        await asyncio.gather(*(
-            d.order(discovery.Change([entry]))
-            for k, d in enumerate(self.discoveries) if k == 0 or j not in self.lacking))
+        await asyncio.gather(
+            *(
+                d.order(discovery.Change([entry]))
+                for k, d in enumerate(self.discoveries)
+                if k == 0 or j not in self.lacking
+            )
+        )
 
     def later(self, seconds: float, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
         async def wait() -> None:
             await asyncio.sleep(seconds)
             await work()
+
         self.spawn(wait())
 
     async def start_discovery(self, k: int) -> None:
         """The first address has the whole list; the other may lack some of it, and counts by itself."""
+
         def make(life: int) -> discovery.DiscoveryPart:
-            entries = [e for j, e in sorted(self.entries.items())
-                       if e.phase != "DELETED" and (k == 0 or j not in self.lacking)]
+            entries = [
+                e
+                for j, e in sorted(self.entries.items())
+                if e.phase != "DELETED" and (k == 0 or j not in self.lacking)
+            ]
             first = discovery.FIRST_REVISION if k == 0 else OTHER_REVISION
             return discovery.DiscoveryPart(
-                **self.common(f"d{k}"), listen=self.block.discovery(k), block=self.block,
-                callers=self.callers(), members=entries, revision=first + 100 * life)
+                **self.common(f"d{k}"),
+                listen=self.block.discovery(k),
+                block=self.block,
+                callers=self.callers(),
+                members=entries,
+                revision=first + 100 * life,
+            )
+
         part = await self.part(f"d{k}", "discovery", make)
         if k < len(self.discoveries):
             self.discoveries[k] = part
@@ -281,8 +313,13 @@
         if any(act.what == "reload" for act in self.acts):
             await self.start_discovery(1)
         if self.s.allow.peers:
-            self.datagrams = await self.part("u0", "datagrams", lambda life: datagrams.DatagramsPart(
-                **self.common("u0"), block=self.block, agents=len(agents), seed=self.order.seed))
+            self.datagrams = await self.part(
+                "u0",
+                "datagrams",
+                lambda life: datagrams.DatagramsPart(
+                    **self.common("u0"), block=self.block, agents=len(agents), seed=self.order.seed
+                ),
+            )
         self.clients = list(await asyncio.gather(*(self._clients(i) for i in agents)))
         await asyncio.gather(*(self.agents.start(i) for i in agents))
         gc.collect()
@@ -308,12 +345,23 @@
     async def _relay(self, i: int) -> None:
         b = self.block
         routes = [relay.Route(path="clients", at=b.front(i), to=b.agent(i), source=b.caller(i))]
-        routes += [relay.Route(path="discovery", server=f"d{k}", at=b.asks(i, k), to=b.discovery(k),
-                               source=b.caller(i)) for k in range(max(2, 1 + self.s.followers))]
-        routes += [relay.Route(path="servers", server=f"s{j}", at=b.sees(i, j), to=b.server(j),
-                               source=b.caller(i)) for j in range(len(self.plans))]
-        part = await self.part(f"r{i}", "relay", lambda life: relay.RelayPart(
-            **self.common(f"r{i}"), agent=f"a{i}", routes=routes, seed=self.order.seed * 1000 + i))
+        routes += [
+            relay.Route(
+                path="discovery", server=f"d{k}", at=b.asks(i, k), to=b.discovery(k), source=b.caller(i)
+            )
+            for k in range(max(2, 1 + self.s.followers))
+        ]
+        routes += [
+            relay.Route(path="servers", server=f"s{j}", at=b.sees(i, j), to=b.server(j), source=b.caller(i))
+            for j in range(len(self.plans))
+        ]
+        part = await self.part(
+            f"r{i}",
+            "relay",
+            lambda life: relay.RelayPart(
+                **self.common(f"r{i}"), agent=f"a{i}", routes=routes, seed=self.order.seed * 1000 + i
+            ),
+        )
         self.relays.append(part)
         self.relays.sort(key=lambda p: int(p.child.name[1:]))
         late = [f"s{j}" for j in range(len(self.day.servers), len(self.plans))]
@@ -323,25 +371,48 @@
     async def _leader_relay(self) -> None:
         """Between the list service and its followers."""
         b = self.block
-        routes = [relay.Route(path="leader", at=b.leader(k), to=b.discovery(0), source=b.follower(k))
-                  for k in range(self.s.followers)]
-        self.leader_relay = await self.part("q0", "relay", lambda life: relay.RelayPart(
-            **self.common("q0"), routes=routes, seed=self.order.seed))
+        routes = [
+            relay.Route(path="leader", at=b.leader(k), to=b.discovery(0), source=b.follower(k))
+            for k in range(self.s.followers)
+        ]
+        self.leader_relay = await self.part(
+            "q0",
+            "relay",
+            lambda life: relay.RelayPart(**self.common("q0"), routes=routes, seed=self.order.seed),
+        )
 
     async def _clients(self, i: int) -> PartChild:
         a = self.day.arrivals
         mine = (a.agent == i).nonzero()[0].tolist()
         arrivals = [Arrival(int(a.at[n]), int(a.cls[n]), int(a.key[n]), int(a.work[n])) for n in mine]
-        return await self.part(f"c{i}", "clients", lambda life: ClientsPart(
-            **self.common(f"c{i}"), agent=f"a{i}", address=self.block.front(i), classes=list(self.s.cls),
-            clients=self.s.clients, arrivals=arrivals, seed=self.order.seed * 1000 + i,
-            front=any(act.what == "lame_duck" for act in self.acts),
-            max_retry_after_ms=self.s.allow.max_retry_after_ms))
+        return await self.part(
+            f"c{i}",
+            "clients",
+            lambda life: ClientsPart(
+                **self.common(f"c{i}"),
+                agent=f"a{i}",
+                address=self.block.front(i),
+                classes=list(self.s.cls),
+                clients=self.s.clients,
+                arrivals=arrivals,
+                seed=self.order.seed * 1000 + i,
+                front=any(act.what == "lame_duck" for act in self.acts),
+                max_retry_after_ms=self.s.allow.max_retry_after_ms,
+            ),
+        )
 
     def _describe(self, begin: int, end: int) -> None:
         servers = {f"s{j}": (self.s.fleet.zones[p.zone], p.cell) for j, p in enumerate(self.plans)}
-        made = RunFile(name=self.order.name, seed=self.order.seed, block=self.block.block, begin_us=begin,
-                       end_us=end, scenario=self.s, servers=servers, schedule=[a.line() for a in self.acts])
+        made = RunFile(
+            name=self.order.name,
+            seed=self.order.seed,
+            block=self.block.block,
+            begin_us=begin,
+            end_us=end,
+            scenario=self.s,
+            servers=servers,
+            schedule=[a.line() for a in self.acts],
+        )
         (self.folder / "run.json").write_bytes(msgspec.json.format(msgspec.json.encode(made)))
 
     async def _show(self, begin: int, length: int) -> None:
--- a/faultlab/scale/agentcost.py
+++ b/faultlab/scale/agentcost.py
@@ -1,4 +1,5 @@
 """What a list of so many members costs one agent: memory, processor time, bytes, and the decisions' share."""
+
 from __future__ import annotations
 
 import asyncio
@@ -147,32 +148,48 @@
     return [*_slopes(costs["push"], ""), *_slopes(costs["ask"], "_ask"), *_alone_slopes(alone)]
 
 
-async def _all(folder: Path, sizes: list[int], s: LabScenario, effort: Effort, run: Run
-               ) -> tuple[dict[Mode, dict[int, Costs]], dict[int, Alone]]:
+async def _all(
+    folder: Path, sizes: list[int], s: LabScenario, effort: Effort, run: Run
+) -> tuple[dict[Mode, dict[int, Costs]], dict[int, Alone]]:
     block, held = take_block()
     costs: dict[Mode, dict[int, Costs]] = {mode: {} for mode in MODES}
     starter = Starter()
     try:
         async with AsyncExitStack() as stack:
             which = [(mode, n) for mode in MODES for n in sizes]
-            told = dict(zip(which, await process.together(
-                _one(stack, starter, folder, block, s, mode, n, i) for i, (mode, n) in enumerate(which)),
-                strict=True))
-            run.say(f"{len(told)} agents, {', '.join(map(str, sizes))} members each way; idle for "
-                    f"{effort.rest_s:g} s")
+            told = dict(
+                zip(
+                    which,
+                    await process.together(
+                        _one(stack, starter, folder, block, s, mode, n, i)
+                        for i, (mode, n) in enumerate(which)
+                    ),
+                    strict=True,
+                )
+            )
+            run.say(
+                f"{len(told)} agents, {', '.join(map(str, sizes))} members each way; idle for "
+                f"{effort.rest_s:g} s"
+            )
             rests = await _rest(list(told.values()), effort.rest_s)
             for ((mode, n), one), rest in zip(told.items(), rests, strict=True):
                 costs[mode][n] = Costs(
-                    memory_mb=one.agent.proc.resident_mb(), rest=rest,
-                    change=await one.changes(effort.changes), zone=await one.zone(effort.repeats),
-                    one_by_one=await one.one_by_one(), whole=await one.whole(effort.repeats))
+                    memory_mb=one.agent.proc.resident_mb(),
+                    rest=rest,
+                    change=await one.changes(effort.changes),
+                    zone=await one.zone(effort.repeats),
+                    one_by_one=await one.one_by_one(),
+                    whole=await one.whole(effort.repeats),
+                )
                 run.say(f"{mode}, {n} members: {_told(costs[mode][n])}")
         # Nothing else runs now: what follows is of this process.
         alone = {n: _alone(s, told["push", n].host, effort) for n in sizes}
         for n, found in alone.items():
-            run.say(f"{n} members: one turn for the whole list {found.whole.all_ms:.2f} ms, for a change "
-                    f"{found.change.all_ms:.2f} ms; decisions {found.decided.mean_us:.0f} us a request, "
-                    f"cutoffs {found.decided.rebuild_ms:.2f} ms")
+            run.say(
+                f"{n} members: one turn for the whole list {found.whole.all_ms:.2f} ms, for a change "
+                f"{found.change.all_ms:.2f} ms; decisions {found.decided.mean_us:.0f} us a request, "
+                f"cutoffs {found.decided.rebuild_ms:.2f} ms"
+            )
     finally:
         held.close()
     return costs, alone
@@ -184,15 +201,29 @@
     changed = {**known["members"][0], "phase": "DRAINING"}
     answer = msgspec.json.encode({"revision": known["revision"] + 1, "complete": False, "members": [changed]})
     with by_itself():
-        return Alone(take_in(doc, host.whole_answer(), effort.repeats), take_in(doc, answer, effort.repeats),
-                     decide(doc, effort.requests))
-
-
-async def _one(stack: AsyncExitStack, starter: Starter, folder: Path, block: Block, s: LabScenario,
-               mode: Mode, n: int, number: int) -> Told:
+        return Alone(
+            take_in(doc, host.whole_answer(), effort.repeats),
+            take_in(doc, answer, effort.repeats),
+            decide(doc, effort.requests),
+        )
+
+
+async def _one(
+    stack: AsyncExitStack,
+    starter: Starter,
+    folder: Path,
+    block: Block,
+    s: LabScenario,
+    mode: Mode,
+    n: int,
+    number: int,
+) -> Told:
     zones, kind = tuple(s.fleet.zones), s.kind[0].name
-    host = await stack.enter_async_context(listed(
-        folder / f"list{number}", block.discovery(number), n, lambda i: members_at(block, i), zones, kind))
+    host = await stack.enter_async_context(
+        listed(
+            folder / f"list{number}", block.discovery(number), n, lambda i: members_at(block, i), zones, kind
+        )
+    )
     doc = process.document(s, block.agent(number), host.address, host.known(), mode)
     agent = await stack.enter_async_context(process.started(starter, folder, f"a{number}", doc))
     await host.heard()
@@ -230,9 +261,11 @@
 
 
 def _told(c: Costs) -> str:
-    return (f"{c.memory_mb:.1f} MB, idle {100 * c.rest.share:.3f}% and {c.rest.bytes_s:.0f} bytes a second; "
-            f"a change {c.change.cpu_ms:.2f} ms, a zone {c.zone.cpu_ms:.2f} ms at once and "
-            f"{c.one_by_one.cpu_ms:.1f} ms one by one, all {c.whole.cpu_ms:.1f} ms")
+    return (
+        f"{c.memory_mb:.1f} MB, idle {100 * c.rest.share:.3f}% and {c.rest.bytes_s:.0f} bytes a second; "
+        f"a change {c.change.cpu_ms:.2f} ms, a zone {c.zone.cpu_ms:.2f} ms at once and "
+        f"{c.one_by_one.cpu_ms:.1f} ms one by one, all {c.whole.cpu_ms:.1f} ms"
+    )
 
 
 def _slope(name: str, unit: str, values: dict[int, float], note: str = "") -> Slope:
@@ -242,6 +275,7 @@
 
 def _slopes(costs: dict[int, Costs], suffix: str) -> list[Slope]:
     """A suffix where changes are asked for."""
+
     def of(name: str, unit: str, value: Any, note: str = "") -> Slope:
         return _slope(f"agent.{name}{suffix}", unit, {n: value(c) for n, c in costs.items()}, note)
 
@@ -262,6 +296,7 @@
 
 def _alone_slopes(alone: dict[int, Alone]) -> list[Slope]:
     """Processor time in this process, where nothing else is in it."""
+
     def of(name: str, unit: str, value: Any, note: str) -> Slope:
         return _slope(name, unit, {n: value(a) for n, a in alone.items()}, note)
 
@@ -278,8 +313,16 @@
         of("agent.change_roster_ms", "ms", lambda a: a.change.roster_ms, change + "Roster.told"),
         of("decisions.change_ms", "ms", lambda a: a.change.balancer_ms, change + "Balancer.handle"),
         of("decisions.request_us", "us", lambda a: a.decided.mean_us, "the mean, rebuilt cutoffs included"),
-        of("decisions.request_between_us", "us", lambda a: a.decided.between_us,
-           "the median: the cutoffs as they are"),
-        of("decisions.rebuild_ms", "ms", lambda a: a.decided.rebuild_ms,
-           "Balancer._index in one turn, every n/4 picks and after each change"),
+        of(
+            "decisions.request_between_us",
+            "us",
+            lambda a: a.decided.between_us,
+            "the median: the cutoffs as they are",
+        ),
+        of(
+            "decisions.rebuild_ms",
+            "ms",
+            lambda a: a.decided.rebuild_ms,
+            "Balancer._index in one turn, every n/4 picks and after each change",
+        ),
     ]
--- a/faultlab/scale/agentcost_decisions.py
+++ b/faultlab/scale/agentcost_decisions.py
@@ -1,4 +1,5 @@
 """The decisions, and what a whole list costs in one turn: in this process, without sockets."""
+
 from __future__ import annotations
 
 import gc
@@ -88,8 +89,9 @@
     return Turn(*(median(values) for values in zip(*map(msgspec.structs.astuple, turns), strict=True)))
 
 
-def _turn(parser: ListingParser, balancer: Balancer, roster: Roster, backends: Backends, answer: bytes,
-          now: int) -> Turn:
+def _turn(
+    parser: ListingParser, balancer: Balancer, roster: Roster, backends: Backends, answer: bytes, now: int
+) -> Turn:
     json_ms, doc = _ms(lambda: json.loads(answer))
     parser_ms, listing = _ms(lambda: parser.parse(doc))
     assert isinstance(listing, Listing)
@@ -125,8 +127,9 @@
     return Decided(sum(times) / len(times) / 1e3, median(times) / 1e3, median(rebuilds) / 1e6)
 
 
-def _one(balancer: Balancer, now: int, number: int, index: int, patience_us: int,
-         report: tuple[float, ...]) -> int:
+def _one(
+    balancer: Balancer, now: int, number: int, index: int, patience_us: int, report: tuple[float, ...]
+) -> int:
     """Events in until the request has its answer; ns of processor."""
     began = time.thread_time_ns()
     actions = balancer.handle(now, q.RequestArrived(number, index, patience_us))
--- a/faultlab/scale/agentcost_lists.py
+++ b/faultlab/scale/agentcost_lists.py
@@ -1,4 +1,5 @@
 """The real list service in the tool's own process, with so many members, and what its one reader had."""
+
 from __future__ import annotations
 
 import asyncio
@@ -87,15 +88,22 @@
 
 
 @asynccontextmanager
-async def listed(folder: Path, address: str, count: int, place: Callable[[int], str],
-                 zones: tuple[str, ...], kind: str) -> AsyncIterator[ListHost]:
+async def listed(
+    folder: Path, address: str, count: int, place: Callable[[int], str], zones: tuple[str, ...], kind: str
+) -> AsyncIterator[ListHost]:
     """A list of so many members at the addresses that `place` gives, spread over the zones."""
     service = Service(Store(folder))
     server = CatalogServer(service)
     service.start()
     try:
-        puts = tuple(Put(member=Member(id=name(i), host_port=place(i), locality=zones[i % len(zones)],
-                                       flavor=kind, cell=i % 4)) for i in range(count))
+        puts = tuple(
+            Put(
+                member=Member(
+                    id=name(i), host_port=place(i), locality=zones[i % len(zones)], flavor=kind, cell=i % 4
+                )
+            )
+            for i in range(count)
+        )
         answer = await service.do(Command(puts))
         if answer.status != 200:
             raise Failed(f"{address}: the list was not taken: {answer.said}")
--- a/faultlab/scale/agentcost_process.py
+++ b/faultlab/scale/agentcost_process.py
@@ -1,4 +1,5 @@
 """One real agent as `run` starts it, in a process of its own, and what /proc says of it."""
+
 from __future__ import annotations
 
 import asyncio
@@ -49,11 +50,20 @@
 
 def document(s: LabScenario, listen: str, discovery: str, known: dict[str, Any], mode: str = "push") -> Any:
     """RELAY_CONFIG of one agent among as many as there are members (the plan has an agent for each)."""
-    settings = {**agent_config.settings(s, 0, 0), "siblings": max(1, len(known["members"])),
-                "registryMode": mode}
-    return {"name": "scale", "listen": listen, "discovery": discovery, "seed": f"{SEED:x}",
-            "limits": {"cores": 1.0, "memory_mb": agent_config.MEMORY_MB, "sockets": agent_config.SOCKETS},
-            "known": known, "settings": settings}
+    settings = {
+        **agent_config.settings(s, 0, 0),
+        "siblings": max(1, len(known["members"])),
+        "registryMode": mode,
+    }
+    return {
+        "name": "scale",
+        "listen": listen,
+        "discovery": discovery,
+        "seed": f"{SEED:x}",
+        "limits": {"cores": 1.0, "memory_mb": agent_config.MEMORY_MB, "sockets": agent_config.SOCKETS},
+        "known": known,
+        "settings": settings,
+    }
 
 
 @asynccontextmanager
--- a/faultlab/scale/charts.py
+++ b/faultlab/scale/charts.py
@@ -1,4 +1,5 @@
 """The charts of docs/CAPACITY.md, as SVG: the same figures give the same bytes."""
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -17,8 +18,16 @@
 STYLE: Any = {"svg.hashsalt": "capacity", "svg.fonttype": "none", "font.size": 8.0}
 RATIOS, ADDED = "ratios.svg", "added.svg"
 SHOWN = (  # of the lines with a limit, one of each kind
-    "call.added_p99", "agent.memory", "agent.processor_zone_singly", "agent.processor_region_singly",
-    "agent.bytes_region_singly", "agent.bytes_whole", "list.zone_singly", "list.storm", "list.restart")
+    "call.added_p99",
+    "agent.memory",
+    "agent.processor_zone_singly",
+    "agent.processor_region_singly",
+    "agent.bytes_region_singly",
+    "agent.bytes_whole",
+    "list.zone_singly",
+    "list.storm",
+    "list.restart",
+)
 
 
 def draw(measured: Sequence[Measured], folder: Path) -> list[Path]:
@@ -46,11 +55,17 @@
     axes.axhline(1.0, color="black", lw=0.8)
     for size, word in ((plan.TODAY, "today"), (plan.SERVERS, "plan")):
         axes.axvline(size, color="grey", lw=0.8, ls=":")
-        axes.text(size, 0.02, f"{word}, {size:,} ", transform=axes.get_xaxis_transform(), color="grey",
-                  ha="right")
-    axes.set(xscale="log", yscale="log", xlim=(10, 1.05 * plan.SERVERS),
-             xlabel="servers, each with its agent",
-             ylabel="figure / the plan's limit", title="Beyond 1 a line of the plan is exceeded")
+        axes.text(
+            size, 0.02, f"{word}, {size:,} ", transform=axes.get_xaxis_transform(), color="grey", ha="right"
+        )
+    axes.set(
+        xscale="log",
+        yscale="log",
+        xlim=(10, 1.05 * plan.SERVERS),
+        xlabel="servers, each with its agent",
+        ylabel="figure / the plan's limit",
+        title="Beyond 1 a line of the plan is exceeded",
+    )
     _legend(axes)
 
 
@@ -61,13 +76,32 @@
             slope = known.get(f"call.added_{part}_ms_{rate}")
             if isinstance(slope, Slope) and slope.points:
                 points = sorted(slope.points, key=lambda p: p.size)
-                axes.plot([p.size for p in points], [p.value for p in points], style, marker="o", ms=3,
-                          color=colour, lw=1.2, label=f"{part}, {rate} calls/s")
+                axes.plot(
+                    [p.size for p in points],
+                    [p.value for p in points],
+                    style,
+                    marker="o",
+                    ms=3,
+                    color=colour,
+                    lw=1.2,
+                    label=f"{part}, {rate} calls/s",
+                )
     axes.axhline(plan.ADDED_P99_MS, color="black", lw=0.8)
-    axes.text(0.99, plan.ADDED_P99_MS, f"{plan.ADDED_P99_MS} ms, 99 in 100: the plan", ha="right",
-              va="bottom", transform=axes.get_yaxis_transform())
-    axes.set(xscale="log", yscale="log", xlabel="members of the agent's list", ylabel="ms added to a call",
-             title="Open loop, through the agent less the direct way")
+    axes.text(
+        0.99,
+        plan.ADDED_P99_MS,
+        f"{plan.ADDED_P99_MS} ms, 99 in 100: the plan",
+        ha="right",
+        va="bottom",
+        transform=axes.get_yaxis_transform(),
+    )
+    axes.set(
+        xscale="log",
+        yscale="log",
+        xlabel="members of the agent's list",
+        ylabel="ms added to a call",
+        title="Open loop, through the agent less the direct way",
+    )
     _legend(axes)
 
 
--- a/faultlab/scale/deep.py
+++ b/faultlab/scale/deep.py
@@ -4,6 +4,7 @@
 process with a listener for each member of each depth: of one call only one depth is at work at a time. What
 they cost themselves shows by the same chain without agents, in alternating blocks.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -70,12 +71,17 @@
     try:
         async with AsyncExitStack() as stack:
             standin = await stack.enter_async_context(part(starter, folder, "standin"))
-            await standin.ready(StandInPlan(
-                levels=[[split(p) for p in places] for places in levels],
-                agents=[split(block.agent(depth)) for depth in range(most)],
-                report=list(s.report.fields), request=onward))
-            await process.together(_agent(stack, starter, folder, s, block, depth, places)
-                                   for depth, places in enumerate(levels))
+            await standin.ready(
+                StandInPlan(
+                    levels=[[split(p) for p in places] for places in levels],
+                    agents=[split(block.agent(depth)) for depth in range(most)],
+                    report=list(s.report.fields),
+                    request=onward,
+                )
+            )
+            await process.together(
+                _agent(stack, starter, folder, s, block, depth, places) for depth, places in enumerate(levels)
+            )
             client = await stack.enter_async_context(part(starter, folder, "client"))
             found = {}
             for depth in effort.depths:
@@ -87,18 +93,33 @@
     return found
 
 
-async def _agent(stack: AsyncExitStack, starter: Starter, folder: Path, s: LabScenario, block: Block,
-                 depth: int, places: list[str]) -> None:
-    host = await stack.enter_async_context(listed(
-        folder / f"list{depth}", block.discovery(depth), len(places), places.__getitem__,
-        tuple(s.fleet.zones), s.kind[0].name))
+async def _agent(
+    stack: AsyncExitStack,
+    starter: Starter,
+    folder: Path,
+    s: LabScenario,
+    block: Block,
+    depth: int,
+    places: list[str],
+) -> None:
+    host = await stack.enter_async_context(
+        listed(
+            folder / f"list{depth}",
+            block.discovery(depth),
+            len(places),
+            places.__getitem__,
+            tuple(s.fleet.zones),
+            s.kind[0].name,
+        )
+    )
     doc = process.document(s, block.agent(depth), host.address, host.known())
     await stack.enter_async_context(process.started(starter, folder, f"a{depth}", doc))
     await host.heard()
 
 
-async def _chain(client: Part, block: Block, first: list[str], s: LabScenario, depth: int, effort: Effort,
-                 rng: Random) -> Deep:
+async def _chain(
+    client: Part, block: Block, first: list[str], s: LabScenario, depth: int, effort: Effort, rng: Random
+) -> Deep:
     found = Deep()
 
     def target(by: str, places: list[str]) -> Target:
@@ -119,8 +140,9 @@
 
 
 def _told(deep: Deep) -> str:
-    return "; ".join(f"{p} {deep.added_ms(p):.2f} ms added to {deep.direct.ms(p):.2f} ms"
-                     for p in ("p50", "p99"))
+    return "; ".join(
+        f"{p} {deep.added_ms(p):.2f} ms added to {deep.direct.ms(p):.2f} ms" for p in ("p50", "p99")
+    )
 
 
 def _slopes(found: dict[int, Deep]) -> list[Measured]:
@@ -130,6 +152,11 @@
 
     least = min(min(d.direct.calls, d.agents.calls) for d in found.values())
     note = f"difference of the percentiles of {least} calls or more each way, {RATE:g} a second"
-    return [slope for p in ("p50", "p99") for slope in (
-        of(f"added_{p}", lambda d, p=p: d.added_ms(p), note),
-        of(f"direct_{p}", lambda d, p=p: d.direct.ms(p), "the chain without agents: the stand-ins' own"))]
+    return [
+        slope
+        for p in ("p50", "p99")
+        for slope in (
+            of(f"added_{p}", lambda d, p=p: d.added_ms(p), note),
+            of(f"direct_{p}", lambda d, p=p: d.direct.ms(p), "the chain without agents: the stand-ins' own"),
+        )
+    ]
--- a/faultlab/scale/fleet.py
+++ b/faultlab/scale/fleet.py
@@ -7,6 +7,7 @@
 It is an upper bound; the service's processor time for it is the lower one. A process of the tool that had to
 wait for a processor is late (fleet_turns.py), and the run does not count.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -30,19 +31,28 @@
     "one_p99_ms": ("ms", "one member changed: 99 in 100 of all agents' times over all changes"),
     "one_bytes": ("bytes an agent", "one member changed"),
     "one_service_ms": ("ms", "one member changed: the service's processor time, a mean of all changes"),
-    "one_decided_ms": ("ms", f"one member changed: until the last of {DECIDING} agents with decisions, "
-                       "all in one process, has taken it in"),
-    "one_readers_busy_ms": ("ms", "one member changed: the longest turn of a process of readers, whose own "
-                            "work it is"),
+    "one_decided_ms": (
+        "ms",
+        f"one member changed: until the last of {DECIDING} agents with decisions, "
+        "all in one process, has taken it in",
+    ),
+    "one_readers_busy_ms": (
+        "ms",
+        "one member changed: the longest turn of a process of readers, whose own work it is",
+    ),
     "zone_last_ms": ("ms", "a twelfth of the members changed in one batch: until the last agent has it"),
     "zone_bytes": ("bytes an agent", "a twelfth of the members changed in one batch"),
     "zone_service_ms": ("ms", "the same: the service's processor time"),
-    "zone_single_last_ms": ("ms", "a twelfth of the members, one revision each, from the first write to the "
-                            "last agent"),
+    "zone_single_last_ms": (
+        "ms",
+        "a twelfth of the members, one revision each, from the first write to the last agent",
+    ),
     "zone_single_said_ms": ("ms", "the same, from the first write to the last yes"),
     "zone_single_bytes": ("bytes an agent", "the same"),
-    "zone_single_answers": ("answers an agent", "the same: what came while an agent was not waiting is told "
-                            "together"),
+    "zone_single_answers": (
+        "answers an agent",
+        "the same: what came while an agent was not waiting is told together",
+    ),
     "zone_single_service_ms": ("ms", "the same: the service's processor time"),
     "region_last_ms": ("ms", "a fifth of the members changed in one batch: until the last agent has it"),
     "region_bytes": ("bytes an agent", "a fifth of the members changed in one batch"),
@@ -65,8 +75,11 @@
     "joined_bytes": ("bytes an agent", "the same, since the cut"),
     "joined_wholes": ("whole lists", "the same: how many were told to those agents together"),
     "joined_service_ms": ("ms", "the same: the service's processor time"),
-    "leases_service_cores": ("cores", "leases of all members renewed: the service's share of a processor, "
-                             "with all agents' watches beside it"),
+    "leases_service_cores": (
+        "cores",
+        "leases of all members renewed: the service's share of a processor, "
+        "with all agents' watches beside it",
+    ),
     "leases_answers": ("answers a second", "the same"),
     "leases_p50_ms": ("ms", "the same: from when a renewal was due to its answer"),
     "leases_p99_ms": ("ms", "the same"),
@@ -77,8 +90,11 @@
     "service_mb_bare": ("MB", "the service's memory before the first watch"),
 }
 FIGURES = {
-    "pause_last_ms": ("ms", "the service paused, a change just before and after: from its going on until the "
-                      "last agent is current"),
+    "pause_last_ms": (
+        "ms",
+        "the service paused, a change just before and after: from its going on until the "
+        "last agent is current",
+    ),
     "pause_bytes": ("bytes an agent", "the same, pause included"),
     "pause_wholes": ("whole lists", "the same: how many were told to all agents together"),
     "pause_failed": ("watches", "the same: calls that failed and were made again"),
@@ -106,19 +122,28 @@
     found = {size: await _one_size(size, times, run, size == sizes[-1]) for size in sizes}
     for name, (unit, note) in SLOPES.items():
         points = tuple(Point(size, found[size][name]) for size in sizes)
-        made.append(Slope(name=f"fleet.{name}", unit=unit, per=PER, points=points,
-                          note=_with(note, name, times)))
+        made.append(
+            Slope(name=f"fleet.{name}", unit=unit, per=PER, points=points, note=_with(note, name, times))
+        )
     for name, (unit, note) in FIGURES.items():
         paused = f", paused {times.pause_s:g} s" if name.startswith("pause") else ""
-        made.append(Figure(name=f"fleet.{name}", unit=unit, value=found[sizes[-1]][name],
-                           note=f"{note}; {sizes[-1]} agents{paused}"))
+        made.append(
+            Figure(
+                name=f"fleet.{name}",
+                unit=unit,
+                value=found[sizes[-1]][name],
+                note=f"{note}; {sizes[-1]} agents{paused}",
+            )
+        )
     return made
 
 
 def _with(note: str, name: str, times: Times) -> str:
     if name.startswith("joined"):
-        return (f"{note}; cut for {times.cut_s:g} s, {times.longest_cut_s:g} s at the largest size, in place "
-                f"of five minutes, with {times.cut_changes} changes, as five minutes of 12,000 a day have")
+        return (
+            f"{note}; cut for {times.cut_s:g} s, {times.longest_cut_s:g} s at the largest size, in place "
+            f"of five minutes, with {times.cut_changes} changes, as five minutes of 12,000 a day have"
+        )
     if name.startswith("leases"):
         return f"{note}; ttl {times.ttl_s:g} s, renewed each third of it"
     return note
