--- a/faultlab/scale/fleet_lab.py
+++ b/faultlab/scale/fleet_lab.py
@@ -1,4 +1,5 @@
 """What a scale test of the list service runs: the service as its own process, hollow agents, a writer."""
+
 from __future__ import annotations
 
 import asyncio
@@ -37,8 +38,9 @@
     """Processor time of a process's threads so far, in ns where the system counts it so (Documentation/
     scheduler/sched-stats.rst), else to 10 ms (proc(5), stat)."""
     try:
-        return sum(int(task.read_text().split()[0]) for task in Path(f"/proc/{pid}/task").glob("*/schedstat")
-                   ) / 1e9 or _ticks_s(pid)
+        return sum(
+            int(task.read_text().split()[0]) for task in Path(f"/proc/{pid}/task").glob("*/schedstat")
+        ) / 1e9 or _ticks_s(pid)
     except OSError:  # a thread ended meanwhile
         return _ticks_s(pid)
 
@@ -54,9 +56,15 @@
 
 def member(n: int, phase: str = "SERVING") -> dict[str, Any]:
     """One of the fleet; nobody connects to its address."""
-    return {"id": f"meter-{n:05d}", "host_port": f"10.{n // 250 % 250}.{n % 250}.17:9000",
-            "locality": f"zone-{n % ZONES}", "flavor": "standard", "cell": n // 16, "phase": phase,
-            "up_since_ms": 1_700_000_000_000 + n}
+    return {
+        "id": f"meter-{n:05d}",
+        "host_port": f"10.{n // 250 % 250}.{n % 250}.17:9000",
+        "locality": f"zone-{n % ZONES}",
+        "flavor": "standard",
+        "cell": n // 16,
+        "phase": phase,
+        "up_since_ms": 1_700_000_000_000 + n,
+    }
 
 
 class Caller:
@@ -72,10 +80,12 @@
         try:
             async with asyncio.timeout(CALL_S):
                 if self._open is None:
-                    self._open = await asyncio.open_connection(*split(self._at), limit=2 ** 26)
+                    self._open = await asyncio.open_connection(*split(self._at), limit=2**26)
                 reader, writer = self._open
-                writer.write(f"{method} {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n"
-                             .encode() + body)
+                writer.write(
+                    f"{method} {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+                    + body
+                )
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 length = int(head.lower().partition("content-length: ")[2].split("\r\n")[0])
                 answer = await reader.readexactly(length)
@@ -118,17 +128,36 @@
 
     # Processes
 
-    async def child(self, name: str, command: Sequence[str], env: dict[str, str] | None = None,
-                    orders: bool = False) -> Child:
-        made = await self.starter.start(name, 0, tethered(command), self.folder / f"{name}.log",
-                                        {**os.environ, **(env or {})}, HOME, orders=orders)
+    async def child(
+        self, name: str, command: Sequence[str], env: dict[str, str] | None = None, orders: bool = False
+    ) -> Child:
+        made = await self.starter.start(
+            name,
+            0,
+            tethered(command),
+            self.folder / f"{name}.log",
+            {**os.environ, **(env or {})},
+            HOME,
+            orders=orders,
+        )
         self.children.append(made)
         return made
 
     async def serve(self) -> None:
         """Start the service, on the data that is there; returns once it answers."""
-        self.service = await self.child("catalog", [sys.executable, "-m", "catalog", "serve", "--listen",
-                                                    self.at, "--data", str(self.folder / "data")])
+        self.service = await self.child(
+            "catalog",
+            [
+                sys.executable,
+                "-m",
+                "catalog",
+                "serve",
+                "--listen",
+                self.at,
+                "--data",
+                str(self.folder / "data"),
+            ],
+        )
         until = time.monotonic() + UP_S
         while time.monotonic() < until and self.service.alive:
             with contextlib.suppress(OSError):
@@ -163,15 +192,17 @@
         config = self.config(name, at or self.at)
         child = await self.child(name, [sys.executable, "-m", "faultlab.scale.hollow"], orders=True)
         made = Crowds(child)
-        await made.ready(Plan(config=str(config), name=name, agents=agents, deciding=deciding,
-                              seed=crc32(name.encode())))
+        await made.ready(
+            Plan(config=str(config), name=name, agents=agents, deciding=deciding, seed=crc32(name.encode()))
+        )
         return made
 
     async def populate(self, shares: Sequence[int], deciding: int) -> None:
         """Processes with so many followers each, and one with agents that also decide."""
         *self.crowds, self.deciding = await asyncio.gather(
             *(self.crowd(f"crowd{n}", share) for n, share in enumerate(shares)),
-            self.crowd("deciding", deciding, deciding=True))
+            self.crowd("deciding", deciding, deciding=True),
+        )
 
     def tool_mb(self) -> float:
         """Memory of all processes of the test. Raises Failed where that is over half of the machine's."""
--- a/faultlab/scale/fleet_like_real.py
+++ b/faultlab/scale/fleet_like_real.py
@@ -5,6 +5,7 @@
 a process of `python -m lilacsill` as for a hollow agent. It is late by the agent's turn from taking in to
 asking (tens of microseconds) and by the tap's own turn, which `tap_busy_ms` bounds: the same for both.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -125,9 +126,12 @@
     try:
         await _start_real(lab, taps["real"].at, count)
         processes = min(MOST_PROCESSES, count)
-        crowds = await asyncio.gather(*(
-            lab.crowd(f"like{n}", count // processes + (n < count % processes), True, taps["hollow"].at)
-            for n in range(processes)))
+        crowds = await asyncio.gather(
+            *(
+                lab.crowd(f"like{n}", count // processes + (n < count % processes), True, taps["hollow"].at)
+                for n in range(processes)
+            )
+        )
         await asyncio.gather(*(crowd.ask(Start(0.1), Seen) for crowd in crowds))
         return await _measure(lab, taps, times, run)
     finally:
@@ -141,14 +145,24 @@
         kept = lab.folder / f"tmp{i}"
         kept.mkdir()
         at = lab.block.agent(i)
-        child = await lab.child(f"real{i}", [sys.executable, "-m", "lilacsill"], {
-            "RELAY_CONFIG": str(config), "RELAY_LISTEN": at, "RELAY_DISCOVERY": discovery,
-            "RELAY_NAME": f"real{i}", "RELAY_CONTROL": lab.block.door(i, 0), "TMPDIR": str(kept)})
+        child = await lab.child(
+            f"real{i}",
+            [sys.executable, "-m", "lilacsill"],
+            {
+                "RELAY_CONFIG": str(config),
+                "RELAY_LISTEN": at,
+                "RELAY_DISCOVERY": discovery,
+                "RELAY_NAME": f"real{i}",
+                "RELAY_CONTROL": lab.block.door(i, 0),
+                "TMPDIR": str(kept),
+            },
+        )
         until = time.monotonic() + READY_S
         while not await door.healthy(at):
             if not child.alive or time.monotonic() > until:
                 raise Failed(f"real{i}: not ready ({child.last_words()})")
             await asyncio.sleep(LOOK_S)
+
     await asyncio.gather(*(one(i) for i in range(count)))
 
 
@@ -164,8 +178,9 @@
         for tap in taps.values():
             tap.received = 0
         revision = await lab.phase([last], phase)
-        return {kind: [(at - began) / 1e6 for at in await tap.all(revision, count)]
-                for kind, tap in taps.items()}
+        return {
+            kind: [(at - began) / 1e6 for at in await tap.all(revision, count)] for kind, tap in taps.items()
+        }
 
     await change("DRAINING")
     await change("SERVING")
@@ -188,15 +203,30 @@
                 child.signal(signal.SIGTERM)
     made = []
     for what, unit, of in (
-            ("change_ms", "ms", {k: statistics.median(v) for k, v in each.items()}),
-            ("change_last_ms", "ms", {k: statistics.median(v) for k, v in lasts.items()}),
-            ("change_bytes", "bytes", {k: statistics.median(v) for k, v in sizes.items()}),
-            ("restart_ms", "ms", restarts)):
+        ("change_ms", "ms", {k: statistics.median(v) for k, v in each.items()}),
+        ("change_last_ms", "ms", {k: statistics.median(v) for k, v in lasts.items()}),
+        ("change_bytes", "bytes", {k: statistics.median(v) for k, v in sizes.items()}),
+        ("restart_ms", "ms", restarts),
+    ):
         note = f"{count} real {of['real']:.4g} {unit}, {count} hollow {of['hollow']:.4g} {unit}"
-        made += [Figure(name=f"hollow.like_real.{what}.{kind}", unit=unit, value=of[kind], note=note)
-                 for kind in ("real", "hollow")]
-        made.append(Figure(name=f"hollow.like_real.{what}.ratio", unit="hollow / real",
-                           value=of["hollow"] / max(1e-9, of["real"]), note=note))
-    made.append(Figure(name="hollow.like_real.tap_busy_ms", unit="ms", value=busy_ms,
-                       note="the longest turn of the taps' process: by at most this a moment was read late"))
+        made += [
+            Figure(name=f"hollow.like_real.{what}.{kind}", unit=unit, value=of[kind], note=note)
+            for kind in ("real", "hollow")
+        ]
+        made.append(
+            Figure(
+                name=f"hollow.like_real.{what}.ratio",
+                unit="hollow / real",
+                value=of["hollow"] / max(1e-9, of["real"]),
+                note=note,
+            )
+        )
+    made.append(
+        Figure(
+            name="hollow.like_real.tap_busy_ms",
+            unit="ms",
+            value=busy_ms,
+            note="the longest turn of the taps' process: by at most this a moment was read late",
+        )
+    )
     return made
--- a/faultlab/scale/fleet_orders.py
+++ b/faultlab/scale/fleet_orders.py
@@ -1,4 +1,5 @@
 """What the scale tests' parent says to its hollow processes, and what these answer: JSON lines over pipes."""
+
 from __future__ import annotations
 
 from msgspec import Struct, field
--- a/faultlab/scale/fleet_relay.py
+++ b/faultlab/scale/fleet_relay.py
@@ -2,6 +2,7 @@
 
 `python -m faultlab.scale.fleet_relay` is that process, led over its pipes.
 """
+
 from __future__ import annotations
 
 import asyncio
--- a/faultlab/scale/fleet_steps.py
+++ b/faultlab/scale/fleet_steps.py
@@ -1,4 +1,5 @@
 """The measurements at one size of the fleet, one after the other, each against the same service."""
+
 from __future__ import annotations
 
 import asyncio
@@ -58,9 +59,11 @@
 
     def late(self) -> list[str]:
         """Why the figures do not count, a line for each of what was measured."""
-        return [f"{self.lab.size} agents, {what}: {max(times)[1]} was without a processor for "
-                f"{max(times)[0]:.0f} ms" + (f", and {len(times) - 1} times more" if len(times) > 1 else "")
-                for what, times in self._late.items()]
+        return [
+            f"{self.lab.size} agents, {what}: {max(times)[1]} was without a processor for "
+            f"{max(times)[0]:.0f} ms" + (f", and {len(times) - 1} times more" if len(times) > 1 else "")
+            for what, times in self._late.items()
+        ]
 
     async def _begin(self) -> int:
         await self.lab.clear()
@@ -75,31 +78,40 @@
     async def _until(self, what: str, began_ns: int, revision: int, whole: bool = False) -> Saw:
         lab, order = self.lab, Until(revision, LIMIT_S, whole)
         seen = await asyncio.gather(*(c.ask(order, Seen, LIMIT_S + 10) for c in lab.everyone))
-        crowds = seen[:len(lab.crowds)]
+        crowds = seen[: len(lab.crowds)]
         arrived = [at for s in crowds for at in s.arrived]
         missing = sum(at == 0 for s in seen for at in s.arrived)
         if missing:
             self.run.late.append(f"{lab.size} agents, {what}: {missing} had not heard after {LIMIT_S:g} s")
         lost = [(s.lost_ms, c.child.name) for c, s in zip(lab.everyone, seen, strict=True)]
         self._note_late(what, lost)
-        return Saw(arrived=[(at - began_ns) / 1e6 for at in arrived if at] or [LIMIT_S * 1000],
-                   decided=[(at - began_ns) / 1e6 for s in seen[len(crowds):] for at in s.taken if at],
-                   bytes=sum(b for s in seen for b in s.received) / lab.size,
-                   total=sum(b for s in seen for b in s.received),
-                   wholes=sum(s.wholes for s in seen), changes=sum(s.changes for s in seen),
-                   failed=sum(s.failed for s in seen), busy_ms=max(s.busy_ms for s in crowds))
+        return Saw(
+            arrived=[(at - began_ns) / 1e6 for at in arrived if at] or [LIMIT_S * 1000],
+            decided=[(at - began_ns) / 1e6 for s in seen[len(crowds) :] for at in s.taken if at],
+            bytes=sum(b for s in seen for b in s.received) / lab.size,
+            total=sum(b for s in seen for b in s.received),
+            wholes=sum(s.wholes for s in seen),
+            changes=sum(s.changes for s in seen),
+            failed=sum(s.failed for s in seen),
+            busy_ms=max(s.busy_ms for s in crowds),
+        )
 
     # The steps
 
     async def all(self, longest: bool) -> dict[str, float]:
         lab, t = self.lab, self.times
         steps: list[tuple[str, Callable[[], Coroutine[Any, Any, None]]]] = [
-            ("all connect", self.connect), ("at rest", self.rest), ("one member", self.one),
-            ("zone and region", self.many), ("zone, one by one", self.one_by_one),
-            ("whole lists", self.storm), ("restart", self.restart),
+            ("all connect", self.connect),
+            ("at rest", self.rest),
+            ("one member", self.one),
+            ("zone and region", self.many),
+            ("zone, one by one", self.one_by_one),
+            ("whole lists", self.storm),
+            ("restart", self.restart),
             *([(f"paused {t.pause_s:g} s", self.pause)] if longest else []),
             ("region cut off", partial(self.cut, t.longest_cut_s if longest else t.cut_s)),
-            ("leases", self.leases)]
+            ("leases", self.leases),
+        ]
         for name, work in steps:
             began = time.monotonic()
             await work()
@@ -151,10 +163,14 @@
             cpu.append(await self._service_ms())
             busy.append(saw.busy_ms)
         self.values |= {
-            "one_last_ms": statistics.median(lasts), "one_last_worst_ms": max(lasts),
-            "one_p99_ms": float(np.percentile(everyone, 99)), "one_bytes": statistics.median(sizes),
-            "one_service_ms": statistics.mean(cpu), "one_decided_ms": statistics.median(decided),
-            "one_readers_busy_ms": statistics.median(busy)}
+            "one_last_ms": statistics.median(lasts),
+            "one_last_worst_ms": max(lasts),
+            "one_p99_ms": float(np.percentile(everyone, 99)),
+            "one_bytes": statistics.median(sizes),
+            "one_service_ms": statistics.mean(cpu),
+            "one_decided_ms": statistics.median(decided),
+            "one_readers_busy_ms": statistics.median(busy),
+        }
 
     async def many(self) -> None:
         """A zone's and a region's worth of members, in one batch."""
@@ -166,9 +182,11 @@
                 revision = await self.lab.phase(numbers, ("DRAINING", "SERVING")[n % 2])
                 saws.append(await self._until(name, began, revision))
                 cpu.append(await self._service_ms())
-            self.values |= {f"{name}_last_ms": statistics.median(s.last for s in saws),
-                            f"{name}_bytes": statistics.median(s.bytes for s in saws),
-                            f"{name}_service_ms": statistics.mean(cpu)}
+            self.values |= {
+                f"{name}_last_ms": statistics.median(s.last for s in saws),
+                f"{name}_bytes": statistics.median(s.bytes for s in saws),
+                f"{name}_service_ms": statistics.mean(cpu),
+            }
 
     async def one_by_one(self) -> None:
         """As leases run out: each a revision, the next as soon as the one before is on disk."""
@@ -178,9 +196,13 @@
             revision = await self._set(number, "DRAINING")
         said_ms = (time.monotonic_ns() - began) / 1e6
         saw = await self._until("zone, one by one", began, revision)
-        self.values |= {"zone_single_last_ms": saw.last, "zone_single_said_ms": said_ms,
-                        "zone_single_bytes": saw.bytes, "zone_single_service_ms": await self._service_ms(),
-                        "zone_single_answers": saw.changes / self.lab.size}
+        self.values |= {
+            "zone_single_last_ms": saw.last,
+            "zone_single_said_ms": said_ms,
+            "zone_single_bytes": saw.bytes,
+            "zone_single_service_ms": await self._service_ms(),
+            "zone_single_answers": saw.changes / self.lab.size,
+        }
         revision = await self.lab.phase(numbers, "SERVING")
         await self._until("zone back", began, revision)
         await self.lab.settled()
@@ -198,10 +220,12 @@
             saws.append(await self._until("whole lists", began, 1, whole=True))
             cpu.append(await self._service_ms())
             await self._told_of_one("whole lists")
-        self.values |= {"storm_last_ms": statistics.median(s.last for s in saws),
-                        "storm_total_mb": statistics.median(s.total / 1e6 for s in saws),
-                        "storm_service_ms": statistics.mean(cpu),
-                        "storm_failed": statistics.mean(s.failed for s in saws)}
+        self.values |= {
+            "storm_last_ms": statistics.median(s.last for s in saws),
+            "storm_total_mb": statistics.median(s.total / 1e6 for s in saws),
+            "storm_service_ms": statistics.mean(cpu),
+            "storm_failed": statistics.mean(s.failed for s in saws),
+        }
 
     async def restart(self) -> None:
         """Killed and started on the same data, under all who watch; a change as soon as it answers."""
@@ -213,10 +237,14 @@
         lab.look()
         self._cpu = 0.0
         saw = await self._until("restart", began, await self._set(1, "DRAINING"))
-        self.values |= {"restart_up_ms": up_ms, "restart_last_ms": saw.last - up_ms,
-                        "restart_bytes": saw.bytes, "restart_wholes": saw.wholes,
-                        "restart_service_ms": await self._service_ms(),
-                        "restart_longest_turn_ms": lab.longest_ms}
+        self.values |= {
+            "restart_up_ms": up_ms,
+            "restart_last_ms": saw.last - up_ms,
+            "restart_bytes": saw.bytes,
+            "restart_wholes": saw.wholes,
+            "restart_service_ms": await self._service_ms(),
+            "restart_longest_turn_ms": lab.longest_ms,
+        }
         await self._set(1, "SERVING")
         await lab.settled()
 
@@ -232,9 +260,14 @@
         began = time.monotonic_ns()
         lab.service.signal(signal.SIGCONT)
         saw = await self._until("paused", began, await self._set(2, "SERVING"))
-        self.values |= {"pause_last_ms": saw.last, "pause_bytes": saw.bytes, "pause_wholes": saw.wholes,
-                        "pause_failed": saw.failed, "pause_service_ms": await self._service_ms(),
-                        "pause_longest_turn_ms": lab.longest_ms}
+        self.values |= {
+            "pause_last_ms": saw.last,
+            "pause_bytes": saw.bytes,
+            "pause_wholes": saw.wholes,
+            "pause_failed": saw.failed,
+            "pause_service_ms": await self._service_ms(),
+            "pause_longest_turn_ms": lab.longest_ms,
+        }
 
     async def cut(self, span_s: float) -> None:
         """Nothing passes between the service and a fifth of its readers, and nothing says so."""
@@ -257,9 +290,13 @@
             seen = await crowd.ask(order, Seen, LIMIT_S + 10)
             await self._until("region joined", began, revision)
             joined = [(at - began) / 1e6 for at in seen.arrived if at] or [LIMIT_S * 1000]
-            self.values |= {"joined_last_ms": max(joined), "joined_p50_ms": statistics.median(joined),
-                            "joined_bytes": sum(seen.received) / count, "joined_wholes": seen.wholes,
-                            "joined_service_ms": (processor_s(lab.pid) - cpu) * 1000}
+            self.values |= {
+                "joined_last_ms": max(joined),
+                "joined_p50_ms": statistics.median(joined),
+                "joined_bytes": sum(seen.received) / count,
+                "joined_wholes": seen.wholes,
+                "joined_service_ms": (processor_s(lab.pid) - cpu) * 1000,
+            }
             await self._set(3, "SERVING")
             await crowd.ask(Move(lab.at, count / self.times.connects), Seen)
             await self._told_of_one("region back")
@@ -278,12 +315,15 @@
         span_s, cpu = (time.monotonic_ns() - began) / 1e9, processor_s(lab.pid) - self._cpu
         took = [ms for m in made for ms in m.took_ms] or [0.0]
         self._note_late("leases", [(m.lost_ms, c.child.name) for c, m in zip(lab.crowds, made, strict=True)])
-        self.values |= {"all_last_ms": saw.last, "all_bytes": saw.bytes,
-                        "leases_service_cores": cpu / span_s,
-                        "leases_answers": len(took) / span_s,
-                        "leases_p50_ms": float(np.percentile(took, 50)),
-                        "leases_p99_ms": float(np.percentile(took, 99)),
-                        "leases_refused": float(sum(m.refused + m.unanswered for m in made))}
+        self.values |= {
+            "all_last_ms": saw.last,
+            "all_bytes": saw.bytes,
+            "leases_service_cores": cpu / span_s,
+            "leases_answers": len(took) / span_s,
+            "leases_p50_ms": float(np.percentile(took, 50)),
+            "leases_p99_ms": float(np.percentile(took, 99)),
+            "leases_refused": float(sum(m.refused + m.unanswered for m in made)),
+        }
 
 
 def shares(size: int, processes: int, deciding: int) -> Sequence[int]:
@@ -291,4 +331,3 @@
     region = max(1, size // REGION)
     left, others = size - deciding - region, max(1, processes - 1)
     return [region, *(left // others + (i < left % others) for i in range(others))]
-
--- a/faultlab/scale/fleet_times.py
+++ b/faultlab/scale/fleet_times.py
@@ -1,4 +1,5 @@
 """How often and how long the measurements of the list service are made, in full and in small."""
+
 from __future__ import annotations
 
 import msgspec
@@ -21,5 +22,15 @@
     real: int = 30  # agents beside as many hollow ones
 
 
-SMALL = Times(changes=3, batches=2, storms=1, idle_s=0.3, cut_s=0.2, longest_cut_s=0.2, cut_changes=3,
-              pause_s=0.3, renew_s=0.6, real=2)
+SMALL = Times(
+    changes=3,
+    batches=2,
+    storms=1,
+    idle_s=0.3,
+    cut_s=0.2,
+    longest_cut_s=0.2,
+    cut_changes=3,
+    pause_s=0.3,
+    renew_s=0.6,
+    real=2,
+)
--- a/faultlab/scale/fleet_turns.py
+++ b/faultlab/scale/fleet_turns.py
@@ -1,4 +1,5 @@
 """Whether a process of the tool had its turns in time, and what kept it from them."""
+
 from __future__ import annotations
 
 import asyncio
--- a/faultlab/scale/hollow.py
+++ b/faultlab/scale/hollow.py
@@ -1,6 +1,7 @@
 """Hollow agents: the real list client, list, decisions and rules of the agent, many to a process, with no
 application and no door. `python -m faultlab.scale.hollow` is one process of them, led over its pipes.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -22,7 +23,13 @@
 from lilacsill.clock import Clock
 from lilacsill.config import Config, load
 from lilacsill.discovery import (
-    PUSH_WAIT_MS, Address, Discovery, Listing, ListingParser, Call, parse_address,
+    PUSH_WAIT_MS,
+    Address,
+    Discovery,
+    Listing,
+    ListingParser,
+    Call,
+    parse_address,
 )
 from lilacsill.figures import Figures
 
@@ -54,8 +61,13 @@
 class CountedDiscovery(Discovery):
     """The agent's list client, which counts bytes and knows when the last of them came."""
 
-    def __init__(self, addresses: tuple[Address, ...], parser: ListingParser, connect_s: float,
-                 same: SameAnswers | None) -> None:
+    def __init__(
+        self,
+        addresses: tuple[Address, ...],
+        parser: ListingParser,
+        connect_s: float,
+        same: SameAnswers | None,
+    ) -> None:
         super().__init__(addresses, parser, None, connect_s, PUSH_WAIT_MS)
         self._same = same
         self.received = self.came_ns = 0
@@ -63,10 +75,12 @@
     async def _connected(self, call: Call | None) -> Call:
         got = await super()._connected(call)
         if got is not call:
+
             def counted(nbytes: int, real: Any = got.buffer_updated) -> None:
                 self.received += nbytes
                 self.came_ns = time.monotonic_ns()
                 real(nbytes)
+
             vars(got)["buffer_updated"] = counted
         return got
 
@@ -85,12 +99,20 @@
     def __init__(self, config: Config, clock: Clock, seed: int, crowd: Crowd) -> None:
         settings = config.settings
         figures = Figures([c.name for c in settings.classes])
-        backends = Backends(clock, settings.report_fields, config.connect_timeout_us, config.conn_idle_us,
-                            CONNECTIONS, figures.written)
-        self.list_client = CountedDiscovery(config.discovery, config.parser, config.connect_timeout_us / 1e6,
-                                            crowd.same)
-        super().__init__(Balancer(settings, seed), clock, backends, self.list_client, figures,
-                         config.drain_grace_us / 1e6)
+        backends = Backends(
+            clock,
+            settings.report_fields,
+            config.connect_timeout_us,
+            config.conn_idle_us,
+            CONNECTIONS,
+            figures.written,
+        )
+        self.list_client = CountedDiscovery(
+            config.discovery, config.parser, config.connect_timeout_us / 1e6, crowd.same
+        )
+        super().__init__(
+            Balancer(settings, seed), clock, backends, self.list_client, figures, config.drain_grace_us / 1e6
+        )
         self._crowd = crowd
         self.seen: list[tuple[int, bool, int, int]] = []  # revision, whole, arrived, taken in
 
@@ -168,14 +190,25 @@
         when = [self._when(a) for a in self.agents]
         turns = self.turns
         return msgspec.structs.replace(
-            self.seen, arrived=[a for a, _ in when], taken=[t for _, t in when],
+            self.seen,
+            arrived=[a for a, _ in when],
+            taken=[t for _, t in when],
             received=[a.list_client.received for a in self.agents],
-            lost_ms=turns.lost_ms, busy_ms=turns.busy_ms, cpu_s=turns.cpu_s)
+            lost_ms=turns.lost_ms,
+            busy_ms=turns.busy_ms,
+            cpu_s=turns.cpu_s,
+        )
 
     def _when(self, agent: HollowAgent) -> tuple[int, int]:
         revision, whole = self._wanted
-        return next(((arrived, taken) for had, complete, arrived, taken in agent.seen
-                     if had >= revision and complete >= whole), (0, 0))
+        return next(
+            (
+                (arrived, taken)
+                for had, complete, arrived, taken in agent.seen
+                if had >= revision and complete >= whole
+            ),
+            (0, 0),
+        )
 
     async def carry_out(self, order: Order) -> msgspec.Struct:
         if isinstance(order, Start):
@@ -201,8 +234,10 @@
     step, began = order.every_s / max(1, len(order.ids)), loop.time()
 
     async def one(name: str, due: float) -> None:
-        request = (f"POST {member_path(name)}/renew HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
-                   "Content-Length: 0\r\n\r\n")
+        request = (
+            f"POST {member_path(name)}/renew HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+            "Content-Length: 0\r\n\r\n"
+        )
         writer = None
         try:
             async with asyncio.timeout(CALL_S):
@@ -230,7 +265,7 @@
     """Until standard input ends: it never outlives who leads it."""
     clock, turns = Clock(), Turns()
     crowd = Crowd(plan, load({"RELAY_CONFIG": plan.config}, clock), clock, turns)
-    loop, reader = asyncio.get_running_loop(), asyncio.StreamReader(limit=2 ** 24)
+    loop, reader = asyncio.get_running_loop(), asyncio.StreamReader(limit=2**24)
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     gc.collect()
     gc.freeze()
--- a/faultlab/scale/latency.py
+++ b/faultlab/scale/latency.py
@@ -4,6 +4,7 @@
 address of its own, all of them in one stand-in. Both ways carry the same request; the direct one goes over
 kept connections.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -141,14 +142,24 @@
     try:
         async with AsyncExitStack() as stack:
             standin = await stack.enter_async_context(part(starter, folder, "standin"))
-            await standin.ready(StandInPlan(levels=[[split(p) for p in places]], agents=[],
-                                            report=list(s.report.fields), request=""))
+            await standin.ready(
+                StandInPlan(
+                    levels=[[split(p) for p in places]], agents=[], report=list(s.report.fields), request=""
+                )
+            )
             client = await stack.enter_async_context(part(starter, folder, "client"))
             direct = Target(places=[split(p) for p in places[:DIRECT]], request=head, name="direct")
             field = Field(client, standin, direct, run)
-            agents = dict(zip(sizes, await process.together(
-                _agent(stack, starter, folder, s, block.agent(i), block.discovery(i), places[:n])
-                for i, n in enumerate(sizes)), strict=True))
+            agents = dict(
+                zip(
+                    sizes,
+                    await process.together(
+                        _agent(stack, starter, folder, s, block.agent(i), block.discovery(i), places[:n])
+                        for i, n in enumerate(sizes)
+                    ),
+                    strict=True,
+                )
+            )
             shared = Tally()
             low = {n: Way(agent, head, shared) for n, agent in agents.items()}
             await field.alternate(list(low.values()), RATE, plan.low)
@@ -162,11 +173,19 @@
     return {RATE: low, RATE * MORE: high}
 
 
-async def _agent(stack: AsyncExitStack, starter: Starter, folder: Path, s: LabScenario, listen: str,
-                 discovery: str, places: list[str]) -> process.Agent:
+async def _agent(
+    stack: AsyncExitStack,
+    starter: Starter,
+    folder: Path,
+    s: LabScenario,
+    listen: str,
+    discovery: str,
+    places: list[str],
+) -> process.Agent:
     n = len(places)
-    host = await stack.enter_async_context(listed(
-        folder / f"list{n}", discovery, n, places.__getitem__, tuple(s.fleet.zones), s.kind[0].name))
+    host = await stack.enter_async_context(
+        listed(folder / f"list{n}", discovery, n, places.__getitem__, tuple(s.fleet.zones), s.kind[0].name)
+    )
     doc = process.document(s, listen, discovery, host.known())
     agent = await stack.enter_async_context(process.started(starter, folder, f"a{n}", doc))
     await host.heard()
@@ -176,9 +195,11 @@
 def _say(run: Run, rate: int, ways: dict[int, Way]) -> None:
     for n, way in ways.items():
         added = " ".join(f"{name} {way.added_ms(name):.2f}" for name in PERCENTILES)
-        run.say(f"{rate} calls a second, {n} members: added {added} ms, {way.cpu_ms:.2f} ms of processor a "
-                f"call, {way.calls.calls} calls, {way.connections} connections opened; direct p50 "
-                f"{way.direct.ms('p50'):.2f} ms")
+        run.say(
+            f"{rate} calls a second, {n} members: added {added} ms, {way.cpu_ms:.2f} ms of processor a "
+            f"call, {way.calls.calls} calls, {way.connections} connections opened; direct p50 "
+            f"{way.direct.ms('p50'):.2f} ms"
+        )
 
 
 def _slopes(rate: int, ways: dict[int, Way]) -> list[Slope]:
@@ -190,9 +211,18 @@
     slopes = []
     for p in PERCENTILES:
         note = f"difference of the percentiles of {least} calls or more each way"
-        slopes += [of(f"added_{p}_ms", "ms", lambda w, p=p: w.added_ms(p), note),
-                   of(f"agent_{p}_ms", "ms", lambda w, p=p: w.calls.ms(p), "through the agent"),
-                   of(f"direct_{p}_ms", "ms", lambda w, p=p: w.direct.ms(p), "over kept connections")]
-    return [*slopes, of("cpu_ms", "ms", lambda w: w.cpu_ms, "the agent's processor a call"),
-            of("connections", "a call", lambda w: w.connections / max(1, w.calls.calls),
-               "opened to servers by the agent")]
+        slopes += [
+            of(f"added_{p}_ms", "ms", lambda w, p=p: w.added_ms(p), note),
+            of(f"agent_{p}_ms", "ms", lambda w, p=p: w.calls.ms(p), "through the agent"),
+            of(f"direct_{p}_ms", "ms", lambda w, p=p: w.direct.ms(p), "over kept connections"),
+        ]
+    return [
+        *slopes,
+        of("cpu_ms", "ms", lambda w: w.cpu_ms, "the agent's processor a call"),
+        of(
+            "connections",
+            "a call",
+            lambda w: w.connections / max(1, w.calls.calls),
+            "opened to servers by the agent",
+        ),
+    ]
--- a/faultlab/scale/latency_client.py
+++ b/faultlab/scale/latency_client.py
@@ -5,6 +5,7 @@
 latency counts from the intended moment: nothing is omitted while an answer is awaited (Tene's coordinated
 omission). Ends with its standard input.
 """
+
 from __future__ import annotations
 
 import gc
@@ -152,7 +153,7 @@
         if message is None:
             conn.socket.close()
             return
-        del conn.got[:message[1]]
+        del conn.got[: message[1]]
         self._spare[conn.place].append(conn)
 
 
--- a/faultlab/scale/latency_parts.py
+++ b/faultlab/scale/latency_parts.py
@@ -1,4 +1,5 @@
 """The client and the stand-in servers as processes, and what both ways of a call are told."""
+
 from __future__ import annotations
 
 import os
@@ -53,9 +54,11 @@
     cls = next((c for c in s.cls if c.effect == "unsafe"), None)
     if cls is None:
         raise Failed(f"{process.SCENARIO}: has no class that is unsafe to repeat; the calls are made of one")
-    return (f"POST {target} HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: {{rid}}\r\n"
-            f"Request-Class: {cls.name}\r\nRequest-Timeout-Ms: {cls.deadline_ms:.0f}\r\n"
-            "Content-Length: 0\r\n\r\n")
+    return (
+        f"POST {target} HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: {{rid}}\r\n"
+        f"Request-Class: {cls.name}\r\nRequest-Timeout-Ms: {cls.deadline_ms:.0f}\r\n"
+        "Content-Length: 0\r\n\r\n"
+    )
 
 
 def arrivals(rng: Random, rates: Iterable[tuple[int, float]], seconds: float) -> list[Arrival]:
--- a/faultlab/scale/latency_standin.py
+++ b/faultlab/scale/latency_standin.py
@@ -3,6 +3,7 @@
 `python -m faultlab.scale.latency_standin`: its plan is the first line of standard input; it ends with that.
 The target of a request says how much deeper the call goes, and by which way: `/api?obj=1&deeper=4&by=agent`.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -66,7 +67,7 @@
         self._got += data
         message = whole_message(self._got)
         if message is not None:
-            del self._got[:message[1]]
+            del self._got[: message[1]]
             self._end(message[0].startswith(b"HTTP/1.1 200"))
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/faultlab/scale/lateness.py
+++ b/faultlab/scale/lateness.py
@@ -1,4 +1,5 @@
 """What counts of a measurement in which the tool was late: the points of the steps in which it was not."""
+
 from __future__ import annotations
 
 import re
@@ -14,13 +15,24 @@
 # Which names a step's figures begin with. Steps that only bring all to the next one are nobody's figure.
 STEPS: dict[str, tuple[str, ...]] = {
     "one member": ("fleet.one_", "replicas.one_", "replicas.leader_", "replicas.follower_"),
-    "zone": ("fleet.zone_last", "fleet.zone_bytes", "fleet.zone_service"), "region": ("fleet.region_",),
-    "zone, one by one": ("fleet.zone_single",), "whole lists": ("fleet.storm_", "fleet.whole_"),
-    "restart": ("fleet.restart_",), "paused": ("fleet.pause_",), "region joined": ("fleet.joined_",),
-    "all members": ("fleet.all_",), "leases": ("fleet.leases_",),
-    "without": ("replicas.before_",), "last change": ("replicas.last_change",), "gone": ("replicas.after_",),
+    "zone": ("fleet.zone_last", "fleet.zone_bytes", "fleet.zone_service"),
+    "region": ("fleet.region_",),
+    "zone, one by one": ("fleet.zone_single",),
+    "whole lists": ("fleet.storm_", "fleet.whole_"),
+    "restart": ("fleet.restart_",),
+    "paused": ("fleet.pause_",),
+    "region joined": ("fleet.joined_",),
+    "all members": ("fleet.all_",),
+    "leases": ("fleet.leases_",),
+    "without": ("replicas.before_",),
+    "last change": ("replicas.last_change",),
+    "gone": ("replicas.after_",),
     "back": ("replicas.back_",),
-    "connected": (), "relayed": (), "zone back": (), "region back": (), "moved": (),
+    "connected": (),
+    "relayed": (),
+    "zone back": (),
+    "region back": (),
+    "moved": (),
 }
 ALL = ""  # every name begins with it
 
--- a/faultlab/scale/membership.py
+++ b/faultlab/scale/membership.py
@@ -1,4 +1,5 @@
 """Membership by the size of the fleet, in virtual time with the agents' own core (`fleetsim.members`)."""
+
 from __future__ import annotations
 
 import gc
@@ -98,7 +99,9 @@
             del fleet
     made: list[Measured] = [
         Slope(name=f"membership.{name}", unit=unit, per="members", points=tuple(at[name]), note=note)
-        for name, (unit, note) in UNITS.items() if at[name]]
+        for name, (unit, note) in UNITS.items()
+        if at[name]
+    ]
     return made + beyond
 
 
@@ -114,10 +117,20 @@
 
 
 def _beyond(what: str, size: int, death: Death) -> list[Figure]:
-    return [Figure(name=f"membership.{what}_death_looked_s.{size}", unit="s", value=death.looked_s,
-                   note=f"{size} members: no further look, though fewer than {KNOWN:.0%} of pairs knew"),
-            Figure(name=f"membership.{what}_death_looked_share.{size}", unit="share", value=death.share,
-                   note=f"{size} members: the share of pairs that knew by then")]
+    return [
+        Figure(
+            name=f"membership.{what}_death_looked_s.{size}",
+            unit="s",
+            value=death.looked_s,
+            note=f"{size} members: no further look, though fewer than {KNOWN:.0%} of pairs knew",
+        ),
+        Figure(
+            name=f"membership.{what}_death_looked_share.{size}",
+            unit="share",
+            value=death.share,
+            note=f"{size} members: the share of pairs that knew by then",
+        ),
+    ]
 
 
 def _number(text: str) -> float:
--- a/faultlab/scale/page.py
+++ b/faultlab/scale/page.py
@@ -4,6 +4,7 @@
 stands between `<!--=KEY-->` and `<!--/-->`, and is that of the table's line with that key; with
 `<!--=breaks:KEY-->` it is the size at which the line breaks.
 """
+
 from __future__ import annotations
 
 import re
@@ -37,7 +38,6 @@
 KEY = re.compile(r"\| *`([^`]+)` *\|")
 
 
-
 class PageError(Exception):
     """The page, or what is to fill it, is not as it should be; the text is one line."""
 
@@ -146,8 +146,10 @@
 def _judge(line: Line, page: Said, known: dict[str, Measured]) -> list[str]:
     key, now = line.key, worked(line, known)
     if (page.unit, page.tolerance) != (line.unit, tolerance(line)):
-        return [f"{key}: the page has unit {page.unit} and tolerance {page.tolerance}, and it is {line.unit} "
-                f"and {tolerance(line)}"]
+        return [
+            f"{key}: the page has unit {page.unit} and tolerance {page.tolerance}, and it is {line.unit} "
+            f"and {tolerance(line)}"
+        ]
     if now.value is None and page.figure is None:
         return []
     if now.value is None:
@@ -155,8 +157,10 @@
     if page.figure is None:
         return [f"{key}: the page has no figure; {said(now)} follows now"]
     if not within(line, page.figure, now.value):
-        return [f"{key}: the page says {said(Worked(line, page.figure))}; {said(now)} follows now (tolerance "
-                f"{tolerance(line)})"]
+        return [
+            f"{key}: the page says {said(Worked(line, page.figure))}; {said(now)} follows now (tolerance "
+            f"{tolerance(line)})"
+        ]
     if page.verdict != (expected := Worked(line, page.figure).verdict):
         return [f"{key}: the page says {page.verdict}, by its figure: {expected}"]
     breaks = breaks_of(line, known)
@@ -172,8 +176,11 @@
         return [] if line is not None else [f"{key}: stands in the text and is no key"]
     if breaks:
         fits = text == found[key].breaks
-        return [] if fits else [f"{key}: the text says that it breaks at {text}, and the table at "
-                                f"{found[key].breaks}"]
+        return (
+            []
+            if fits
+            else [f"{key}: the text says that it breaks at {text}, and the table at {found[key].breaks}"]
+        )
     figure = found[key].figure
     fits = text in (NOT_KNOWN, NOT_MEASURED) if figure is None else text == said(Worked(line, figure))
     return [] if fits else [f"{key}: the text says {text}, and not the table's figure"]
--- a/faultlab/scale/plan.py
+++ b/faultlab/scale/plan.py
@@ -1,4 +1,5 @@
 """The operators' plan, and how a figure at its size is worked out from slopes: pure arithmetic."""
+
 from __future__ import annotations
 
 import math
--- a/faultlab/scale/registry.py
+++ b/faultlab/scale/registry.py
@@ -1,4 +1,5 @@
 """All measurements by name. Each is a module with `measure(sizes, run)`, loaded when it is wanted."""
+
 from __future__ import annotations
 
 from collections.abc import Sequence
@@ -28,6 +29,7 @@
     except ModuleNotFoundError as e:
         if e.name != f"{__package__}.{name}":
             raise
-        raise UnknownMeasurement(f"--only {name}: this checkout has no faultlab/scale/{name}.py; "
-                                 "leave it out or merge it") from None
+        raise UnknownMeasurement(
+            f"--only {name}: this checkout has no faultlab/scale/{name}.py; leave it out or merge it"
+        ) from None
     return found
--- a/faultlab/scale/replicas.py
+++ b/faultlab/scale/replicas.py
@@ -4,6 +4,7 @@
 processes over sockets, as many as the machine has processors for. What a region sees that is cut off is what
 all see here: a follower whose source is silent.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -27,16 +28,26 @@
 PARTS = max(2, min(REGIONS, ((os.cpu_count() or 4) - 2) // 2))  # of the fleet, each with a follower
 PER = f"agents that watch, and as many members; {PARTS} followers"
 UNITS = {
-    "before_share": ("share", "no followers, the service killed: of the agents that then ask for a whole "
-                     f"list, those that have it {IN_FORCE_S:g} s later"),
+    "before_share": (
+        "share",
+        "no followers, the service killed: of the agents that then ask for a whole "
+        f"list, those that have it {IN_FORCE_S:g} s later",
+    ),
     "after_share": ("share", "the same, at followers"),
-    "after_last_ms": ("ms", "the same, at followers: all ask at once, until the last has it (the limit where "
-                      "it has not)"),
-    "last_change_share": ("share", "a change, the service killed right after its yes: agents at followers "
-                          f"that have it {IN_FORCE_S:g} s later"),
+    "after_last_ms": (
+        "ms",
+        "the same, at followers: all ask at once, until the last has it (the limit where it has not)",
+    ),
+    "last_change_share": (
+        "share",
+        "a change, the service killed right after its yes: agents at followers "
+        f"that have it {IN_FORCE_S:g} s later",
+    ),
     "one_last_ms": ("ms", "one member changed: until the last agent at a follower has it, median"),
-    "back_last_ms": ("ms", "the service started again and a change: from its yes until the last agent at a "
-                     "follower has it"),
+    "back_last_ms": (
+        "ms",
+        "the service started again and a change: from its yes until the last agent at a follower has it",
+    ),
     "follower_mb": ("MB", "memory of the largest follower, with its agents watching"),
     "follower_cores": ("of a core", "the busiest follower at rest, with its agents watching"),
     "leader_cores": ("of a core", "the service at rest, with followers alone watching"),
@@ -64,23 +75,35 @@
     """Raises Failed, NoRoom, OSError."""
     times = SMALL if run.small else Times()
     found = {size: asyncio.run(_one_size(size, times, run)) for size in sorted(sizes)}
-    return [Slope(name=f"replicas.{name}", unit=unit, per=PER, note=note,
-                  points=tuple(Point(size, values[name]) for size, values in found.items()))
-            for name, (unit, note) in UNITS.items()]
+    return [
+        Slope(
+            name=f"replicas.{name}",
+            unit=unit,
+            per=PER,
+            note=note,
+            points=tuple(Point(size, values[name]) for size, values in found.items()),
+        )
+        for name, (unit, note) in UNITS.items()
+    ]
 
 
 async def _one_size(size: int, times: Times, run: Run) -> dict[str, float]:
     began = time.monotonic()
     async with lab(size) as made:
-        made.crowds = list(await asyncio.gather(*(
-            made.crowd(f"crowd{n}", size // PARTS + (n < size % PARTS)) for n in range(PARTS))))
+        made.crowds = list(
+            await asyncio.gather(
+                *(made.crowd(f"crowd{n}", size // PARTS + (n < size % PARTS)) for n in range(PARTS))
+            )
+        )
         steps = _Steps(made, times, run)
         await steps.without()
         await steps.followed()
         await steps.gone()
         made.tool_mb()
-    run.late += [f"{size} agents, {what}: a process of the tool was without a processor for {ms:.0f} ms"
-                 for what, ms in steps.late.items()]
+    run.late += [
+        f"{size} agents, {what}: a process of the tool was without a processor for {ms:.0f} ms"
+        for what, ms in steps.late.items()
+    ]
     run.say(f"  {size} agents: {time.monotonic() - began:.1f} s")
     return steps.values
 
@@ -106,13 +129,19 @@
         """The service is back, followers beside it; all move to theirs and are told of changes."""
         await self.lab.serve()
         for n, at in enumerate(self.followers):
-            child = await self.lab.child(f"follower{n}", [
-                sys.executable, "-m", "catalog", "follow", "--listen", at, "--source", self.lab.at])
+            child = await self.lab.child(
+                f"follower{n}",
+                [sys.executable, "-m", "catalog", "follow", "--listen", at, "--source", self.lab.at],
+            )
             self.pids.append(child.pid)
             await self._answers(at)
         began = await self._begin()
-        await asyncio.gather(*(crowd.ask(Move(at, self.times.spread_s), Answer)
-                               for crowd, at in zip(self.lab.crowds, self.followers, strict=True)))
+        await asyncio.gather(
+            *(
+                crowd.ask(Move(at, self.times.spread_s), Answer)
+                for crowd, at in zip(self.lab.crowds, self.followers, strict=True)
+            )
+        )
         await self._all_heard("moved", began, await self.lab.phase([0], "DRAINING"))
         lasts = []
         for n in range(self.times.changes):
@@ -124,9 +153,12 @@
         await asyncio.sleep(self.times.rest_s)
         span_s = time.monotonic() - since
         leader, *busy = ((processor_s(pid) - b) / span_s for pid, b in zip(pids, before, strict=True))
-        self.values |= {"one_last_ms": statistics.median(lasts), "leader_cores": leader,
-                        "follower_cores": max(busy),
-                        "follower_mb": max(resident_mb(pid) for pid in self.pids)}
+        self.values |= {
+            "one_last_ms": statistics.median(lasts),
+            "leader_cores": leader,
+            "follower_cores": max(busy),
+            "follower_mb": max(resident_mb(pid) for pid in self.pids),
+        }
 
     async def gone(self) -> None:
         """The service is killed right after its yes; then all ask their followers anew; then it is back."""
@@ -135,14 +167,17 @@
         await self.lab.kill()
         self.values["last_change_share"] = (await self._heard("last change", began, revision)).share
         began = await self._begin()
-        await asyncio.gather(*(crowd.ask(Move(at, 0.0), Answer)
-                               for crowd, at in zip(self.lab.crowds, self.followers, strict=True)))
+        await asyncio.gather(
+            *(
+                crowd.ask(Move(at, 0.0), Answer)
+                for crowd, at in zip(self.lab.crowds, self.followers, strict=True)
+            )
+        )
         heard = await self._heard("gone", began, revision, whole=True)
         await self.lab.serve()
         began = await self._begin()
         back_ms = await self._all_heard("back", began, await self.lab.phase([1], "SERVING"))
-        self.values |= {"after_share": heard.share, "after_last_ms": heard.last_ms,
-                        "back_last_ms": back_ms}
+        self.values |= {"after_share": heard.share, "after_last_ms": heard.last_ms, "back_last_ms": back_ms}
 
     # Parts
 
@@ -157,12 +192,14 @@
         """In ms; where one has not heard the run does not count."""
         heard = await self._heard(what, began_ns, revision, limit_s=IN_FORCE_S)
         if heard.share < 1:
-            self.run.late.append(f"{self.lab.size} agents, {what}: {1 - heard.share:.1%} had not heard after "
-                                 f"{IN_FORCE_S:g} s")
+            self.run.late.append(
+                f"{self.lab.size} agents, {what}: {1 - heard.share:.1%} had not heard after {IN_FORCE_S:g} s"
+            )
         return heard.last_ms
 
-    async def _heard(self, what: str, began_ns: int, revision: int, whole: bool = False,
-                     limit_s: float = 0.0) -> Heard:
+    async def _heard(
+        self, what: str, began_ns: int, revision: int, whole: bool = False, limit_s: float = 0.0
+    ) -> Heard:
         limit_s = limit_s or self.times.limit_s
         order = Until(revision, limit_s, whole)
         seen = await asyncio.gather(*(c.ask(order, Answer, limit_s + 30) for c in self.lab.crowds))
--- a/faultlab/scale/runs.py
+++ b/faultlab/scale/runs.py
@@ -1,4 +1,5 @@
 """A run of the measurements: its words, its JSON, and what is made of figures that were measured."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Sequence
@@ -68,8 +69,9 @@
     return sizes
 
 
-def measure(names: Sequence[str], sizes: Sequence[int], run: Run,
-            keep: Callable[[Result], None] = lambda result: None) -> Result:
+def measure(
+    names: Sequence[str], sizes: Sequence[int], run: Run, keep: Callable[[Result], None] = lambda result: None
+) -> Result:
     """One measurement after the other; keep is called with what there is after each.
 
     Raises ScaleError, and what the measurements raise.
@@ -89,9 +91,14 @@
         for found in made:
             for line in lines(found):
                 run.say(line)
-        result.taken.append(Taken(name=name, late=run.late[before:],
-                                  slopes=[m for m in made if isinstance(m, Slope)],
-                                  figures=[m for m in made if isinstance(m, Figure)]))
+        result.taken.append(
+            Taken(
+                name=name,
+                late=run.late[before:],
+                slopes=[m for m in made if isinstance(m, Slope)],
+                figures=[m for m in made if isinstance(m, Figure)],
+            )
+        )
         keep(result)
     return result
 
@@ -139,6 +146,7 @@
     except ModuleNotFoundError as e:
         if e.name != f"{__package__}.{module}":
             raise
-        raise ScaleError(f"this checkout has no faultlab/scale/{module}.py; leave the option out or merge it"
-                         ) from None
+        raise ScaleError(
+            f"this checkout has no faultlab/scale/{module}.py; leave the option out or merge it"
+        ) from None
     return found
--- a/faultlab/scale/slopes.py
+++ b/faultlab/scale/slopes.py
@@ -1,4 +1,5 @@
 """Figures by size, as they were measured, and the straight line through them where there is one."""
+
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
--- a/faultlab/scale/tables.py
+++ b/faultlab/scale/tables.py
@@ -1,4 +1,5 @@
 """The tables of docs/CAPACITY.md, as they follow from measured figures."""
+
 from __future__ import annotations
 
 import re
@@ -11,8 +12,9 @@
 
 Known = dict[str, Measured]
 
-HEAD = ("| key | what | limit | figure | unit | ratio | verdict | breaks at | tolerance | worked out as "
-        "| from |")
+HEAD = (
+    "| key | what | limit | figure | unit | ratio | verdict | breaks at | tolerance | worked out as | from |"
+)
 COLUMNS = HEAD.count("|") - 1
 SLOPE_HEAD = "| slope | unit | per | points | line | off the line | measured | to the plan |"
 SLOPE_COLUMNS = SLOPE_HEAD.count("|") - 1
@@ -75,8 +77,19 @@
     if line.limit is not None:
         limit = number(line.limit, line.unit)
         ratio = "-" if w.ratio in (None, plan.NO_BOUND) else f"{w.ratio:.2g}"
-    cells = (f"`{line.key}`", line.what, limit, figure, line.unit, ratio, w.verdict, breaks, tolerance(line),
-             line.words, source)
+    cells = (
+        f"`{line.key}`",
+        line.what,
+        limit,
+        figure,
+        line.unit,
+        ratio,
+        w.verdict,
+        breaks,
+        tolerance(line),
+        line.words,
+        source,
+    )
     return "| " + " | ".join(cells) + " |\n"
 
 
@@ -92,6 +105,7 @@
         found = sorted((worked(line, known) for line in LINES if wanted(line)), key=_rank)
         rows = "".join(_row(w, known) for w in found)
         return f"{HEAD}\n{'| --- ' * COLUMNS}|\n{rows}"
+
     return made
 
 
@@ -117,8 +131,13 @@
     elif isinstance(m, Figure):
         cells = [f"`{name}`", m.unit, "the largest size", number(m.value), "-", "-", "one size", "-"]
     else:
-        cells = [f"`{name}`", m.unit, m.per, "; ".join(f"{p.size}: {number(p.value)}" for p in m.points),
-                 *_straight(m)]
+        cells = [
+            f"`{name}`",
+            m.unit,
+            m.per,
+            "; ".join(f"{p.size}: {number(p.value)}" for p in m.points),
+            *_straight(m),
+        ]
     return "| " + " | ".join(cells) + " |\n"
 
 
--- a/faultlab/scenario.py
+++ b/faultlab/scenario.py
@@ -1,4 +1,5 @@
 """Scenarios of the rig: the emulator's, with faults, at a size that real processes carry."""
+
 from __future__ import annotations
 
 from pathlib import Path
@@ -15,8 +16,15 @@
 PACKAGE = "faultlab"
 MOST_AGENTS, MOST_SERVERS = 20, 30
 # What the rig plays of the emulator's troubles; the others are faults here: a split is a link that is cut.
-PLAYED = (emulated.Neighbour, emulated.Burst, emulated.HeavyTail, emulated.SharedSlow, emulated.BadServers,
-          emulated.Replacement, emulated.ZoneLost)
+PLAYED = (
+    emulated.Neighbour,
+    emulated.Burst,
+    emulated.HeavyTail,
+    emulated.SharedSlow,
+    emulated.BadServers,
+    emulated.Replacement,
+    emulated.ZoneLost,
+)
 
 
 class LabScenario(scenario.Scenario, frozen=True):
@@ -51,18 +59,23 @@
 def _check(name: str, span: scenario.Span) -> None:
     """What the rig cannot play is said before anything starts."""
     high = cast(LabScenario, span.high)
-    for what, n, most in (("agents", high.fleet.agents, MOST_AGENTS),
-                          ("servers", high.fleet.servers, MOST_SERVERS)):
+    for what, n, most in (
+        ("agents", high.fleet.agents, MOST_AGENTS),
+        ("servers", high.fleet.servers, MOST_SERVERS),
+    ):
         if n > most:
             raise ScenarioError(f"{name}: fleet.{what}: {n} is more than the rig carries; write {most}")
     for i, trouble in enumerate(high.trouble):
         if not isinstance(trouble, PLAYED):
             kind = type(trouble).__struct_config__.tag
             raise ScenarioError(f"{name}: trouble[{i}].what: the rig does not play `{kind}`; write a fault")
-    if high.list_service and any(getattr(f, "path", "") == "servers" or isinstance(f, Lists | Reload)
-                                 for f in high.fault):
-        raise ScenarioError(f"{name}: list_service: goes with no fault on the path to servers, nor of the "
-                            "stand-in's lists; take those out")
+    if high.list_service and any(
+        getattr(f, "path", "") == "servers" or isinstance(f, Lists | Reload) for f in high.fault
+    ):
+        raise ScenarioError(
+            f"{name}: list_service: goes with no fault on the path to servers, nor of the "
+            "stand-in's lists; take those out"
+        )
     if high.followers and not high.list_service:
         raise ScenarioError(f"{name}: followers: need list_service = true; write that too")
     for f in high.fault:
@@ -77,8 +90,10 @@
         raise ScenarioError(f"{name}: fault `lie`: needs membership = true; write that too")
     for i, fault in enumerate(high.fault):
         if fault.at_s + fault.len_s > high.run.length_s:
-            raise ScenarioError(f"{name}: fault[{i}]: ends after the run; lower at_s or len_s, or raise "
-                                f"run.length_s from {high.run.length_s:g}")
+            raise ScenarioError(
+                f"{name}: fault[{i}]: ends after the run; lower at_s or len_s, or raise "
+                f"run.length_s from {high.run.length_s:g}"
+            )
 
 
 def settle(span: scenario.Span, seed: int, length_s: float | None = None) -> tuple[draw.Day, LabScenario]:
@@ -98,6 +113,8 @@
 
 def calmed(span: scenario.Span) -> scenario.Span:
     """The same days without their faults; what is drawn for them does not follow from these."""
-    low, high = (msgspec.structs.replace(s, fault=[]) for s in (cast(LabScenario, span.low),
-                                                                cast(LabScenario, span.high)))
+    low, high = (
+        msgspec.structs.replace(s, fault=[])
+        for s in (cast(LabScenario, span.low), cast(LabScenario, span.high))
+    )
     return scenario.Span(low, high)
--- a/faultlab/schedule.py
+++ b/faultlab/schedule.py
@@ -1,4 +1,5 @@
 """The schedule of a run: what begins and ends when, and whom it strikes, from scenario and seed alone."""
+
 from __future__ import annotations
 
 import math
@@ -35,11 +36,15 @@
         shown = {}
         if self.on and self.fault is not None:
             defaults = type(self.fault)(at_s=self.fault.at_s)
-            shown = {f.name: getattr(self.fault, f.name) for f in msgspec.structs.fields(self.fault)
-                     if f.name not in ("at_s", "len_s", "agents", "servers")
-                     and getattr(self.fault, f.name) != getattr(defaults, f.name)}
-        detail = " ".join(f"{k}={v:g}" if isinstance(v, float) else f"{k}={v}"
-                          for k, v in {**shown, **self.values}.items())
+            shown = {
+                f.name: getattr(self.fault, f.name)
+                for f in msgspec.structs.fields(self.fault)
+                if f.name not in ("at_s", "len_s", "agents", "servers")
+                and getattr(self.fault, f.name) != getattr(defaults, f.name)
+            }
+        detail = " ".join(
+            f"{k}={v:g}" if isinstance(v, float) else f"{k}={v}" for k, v in {**shown, **self.values}.items()
+        )
         word = self.what if self.on else f"{self.what} ends"
         return f"{self.at_us / 1e6:7.3f} s  {word:<18} {' '.join(who)}  {detail}".rstrip()
 
@@ -47,7 +52,7 @@
 def _some(stream: Stream, count: int, part: float) -> tuple[int, ...]:
     """A share of so many things, at least one where it is not 0."""
     order = stream.rng.permutation(count).tolist()
-    return tuple(sorted(order[:max(1, round(part * count))])) if part > 0 else ()
+    return tuple(sorted(order[: max(1, round(part * count))])) if part > 0 else ()
 
 
 def make(day: Day, scenario: LabScenario, seed: int) -> list[Act]:
@@ -78,8 +83,8 @@
     agents = _some(stream, len(day.agents), fault.agents) if strikes_agents else ()
     part = getattr(fault, "servers", 0.0)
     on_servers = isinstance(
-        fault, faults.Detach | faults.Spoilt | faults.ShortIdle | faults.SlowAccept) or "servers" in (
-        getattr(fault, "of", ""), getattr(fault, "path", ""))
+        fault, faults.Detach | faults.Spoilt | faults.ShortIdle | faults.SlowAccept
+    ) or "servers" in (getattr(fault, "of", ""), getattr(fault, "path", ""))
     servers = _some(stream, len(day.servers), part) if on_servers else ()
     if isinstance(fault, faults.Lists):
         agents = ()
@@ -105,8 +110,10 @@
         return [set_(begin, every, True, slower=t.size), set_(end, every, False, slower=1.0)]
     if isinstance(t, emulated.BadServers):
         some = _some(stream, len(day.servers), t.part)
-        return [set_(begin, some, True, errors=t.errors, slower=t.slower, silent=t.silent),
-                set_(end, some, False, errors=0.0, slower=1.0, silent=False)]
+        return [
+            set_(begin, some, True, errors=t.errors, slower=t.slower, silent=t.silent),
+            set_(end, some, False, errors=0.0, slower=1.0, silent=False),
+        ]
     if isinstance(t, emulated.Neighbour):
         return _neighbour(number, t, _some(stream, len(day.servers), t.part), stream)
     if isinstance(t, emulated.ZoneLost):
@@ -118,9 +125,11 @@
         acts = []
         for i, j in enumerate(leaving):
             at = begin + (end - begin) * i // len(leaving)
-            acts += [Act(at, number, "drain", True, (), (j,)),
-                     Act(at, number, "add", True, (), (added + i,), None, {"like": j}),
-                     Act(at + int(t.drain_s * 1e6), number, "stop", True, (), (j,))]
+            acts += [
+                Act(at, number, "drain", True, (), (j,)),
+                Act(at, number, "add", True, (), (added + i,), None, {"like": j}),
+                Act(at + int(t.drain_s * 1e6), number, "stop", True, (), (j,)),
+            ]
         return acts
     return []  # bursts and heavy tails are in the arrivals already
 
--- a/faultlab/shrinking.py
+++ b/faultlab/shrinking.py
@@ -1,4 +1,5 @@
 """Fewer and shorter faults that still break a rule: delta debugging (Zeller and Hildebrandt 2002)."""
+
 from __future__ import annotations
 
 import shutil
@@ -68,17 +69,23 @@
 def smaller(s: LabScenario) -> Iterator[tuple[str, LabScenario]]:
     for i, fault in enumerate(s.fault):
         tag = fault.__struct_config__.tag
-        yield f"without {tag} at {fault.at_s:g} s", msgspec.structs.replace(
-            s, fault=s.fault[:i] + s.fault[i + 1:])
+        yield (
+            f"without {tag} at {fault.at_s:g} s",
+            msgspec.structs.replace(s, fault=s.fault[:i] + s.fault[i + 1 :]),
+        )
     for i, trouble in enumerate(s.trouble):
         tag = trouble.__struct_config__.tag
-        yield f"without {tag} at {trouble.at_s:g} s", msgspec.structs.replace(
-            s, trouble=s.trouble[:i] + s.trouble[i + 1:])
+        yield (
+            f"without {tag} at {trouble.at_s:g} s",
+            msgspec.structs.replace(s, trouble=s.trouble[:i] + s.trouble[i + 1 :]),
+        )
     for i, fault in enumerate(s.fault):
         if fault.len_s >= 2 * SHORTEST_S:
             shorter = msgspec.structs.replace(fault, len_s=fault.len_s / 2)
-            yield (f"{fault.__struct_config__.tag} at {fault.at_s:g} s for {shorter.len_s:.2f} s",
-                   msgspec.structs.replace(s, fault=s.fault[:i] + [shorter] + s.fault[i + 1:]))
+            yield (
+                f"{fault.__struct_config__.tag} at {fault.at_s:g} s for {shorter.len_s:.2f} s",
+                msgspec.structs.replace(s, fault=s.fault[:i] + [shorter] + s.fault[i + 1 :]),
+            )
 
 
 def _breaks(s: LabScenario, seed: int, rule: str, tree: Path) -> bool:
--- a/faultlab/soaking.py
+++ b/faultlab/soaking.py
@@ -1,4 +1,5 @@
 """Drawn scenarios one after the other, with a row for each, so that a soak can be cut off and go on."""
+
 from __future__ import annotations
 
 import os
@@ -35,8 +36,9 @@
     return low, high
 
 
-def soak(first: int, last: int, seconds: float, output: Path, tree: Path
-         ) -> Iterator[tuple[Row, play.Played | None]]:
+def soak(
+    first: int, last: int, seconds: float, output: Path, tree: Path
+) -> Iterator[tuple[Row, play.Played | None]]:
     """Each seed's row, with its run where it was played now. Ends after the first that broke a rule."""
     output.mkdir(parents=True, exist_ok=True)
     done = {row.seed: row for row in _rows(output / ROWS)}
--- a/faultlab/verdict.py
+++ b/faultlab/verdict.py
@@ -1,4 +1,5 @@
 """The verdict on a run, from its directory alone."""
+
 from __future__ import annotations
 
 from collections import Counter
@@ -13,8 +14,15 @@
 from .figures import Figures, figures
 from .rig import RunFile
 
-CHECKERS = (answers.check, attempts.check, effects.check, copies.check, lists.check, presence.check,
-            processes.check)
+CHECKERS = (
+    answers.check,
+    attempts.check,
+    effects.check,
+    copies.check,
+    lists.check,
+    presence.check,
+    processes.check,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,8 +52,11 @@
             return ["all rules held"]
         counted = Counter(b.rule for b in self.breaches)
         firsts = {b.rule: b for b in reversed(self.breaches)}  # they are in the order of their times
-        return [f"rule broken: {rule}, {n} times; first at {case.seconds(firsts[rule].t):.3f} s, "
-                f"{firsts[rule].who}: {firsts[rule].what}" for rule, n in counted.items()]
+        return [
+            f"rule broken: {rule}, {n} times; first at {case.seconds(firsts[rule].t):.3f} s, "
+            f"{firsts[rule].who}: {firsts[rule].what}"
+            for rule, n in counted.items()
+        ]
 
 
 def read(folder: Path) -> tuple[RunFile, Case]:
@@ -67,14 +78,24 @@
     for e in case.events:
         if isinstance(e, h.Usage):
             usage["agents" if e.who.startswith("a") else "rig"] += e.cpu_us / 1e6
-    return Verdict(sorted(breaches, key=lambda b: b.t), late.late_us if late else 0, late.who if late else "",
-                   figures(case), usage)
+    return Verdict(
+        sorted(breaches, key=lambda b: b.t),
+        late.late_us if late else 0,
+        late.who if late else "",
+        figures(case),
+        usage,
+    )
 
 
 def _late(case: Case) -> list[h.Late]:
     """While clients were served; a part that was paused or killed on purpose was not late."""
+
     def paused(e: h.Late) -> bool:
-        return any(w.kind == "pause" and (e.who in servers or (e.who.startswith("d") and
-                                                              w.detail.get("of") == "discovery"))
-                   and w.meets(e.t - e.late_us, e.t) for w, _, servers, _ in case.windows)
+        return any(
+            w.kind == "pause"
+            and (e.who in servers or (e.who.startswith("d") and w.detail.get("of") == "discovery"))
+            and w.meets(e.t - e.late_us, e.t)
+            for w, _, servers, _ in case.windows
+        )
+
     return [e for e in case.events if isinstance(e, h.Late) and e.t >= case.begin and not paused(e)]
--- a/faultlab/watchers.py
+++ b/faultlab/watchers.py
@@ -1,4 +1,5 @@
 """Readers of the list service and its followers, by the agent's own client: what each was told, and where."""
+
 from __future__ import annotations
 
 import logging
@@ -33,8 +34,10 @@
         self._words = words
         count = 1 + rig.s.followers
         at = [parse_address(rig.block.discovery(k)) for k in range(count)]
-        self._all = [Discovery(tuple(at[n:] + at[:n]), self._parser, None, CONNECT_S, PUSH_WAIT_MS)
-                     for n in range(count)]
+        self._all = [
+            Discovery(tuple(at[n:] + at[:n]), self._parser, None, CONNECT_S, PUSH_WAIT_MS)
+            for n in range(count)
+        ]
 
     def start(self) -> None:
         for n, watcher in enumerate(self._all):
@@ -49,6 +52,13 @@
     def _told(self, n: int, listing: Listing | None) -> None:
         if listing is not None:
             members = [self._parser.form(member) for member in listing.members]
-            self._rig.write(Heard(t=now_us(), who=f"w{n}", revision=listing.revision,
-                                  complete=listing.complete, identity=listing.identity or "",
-                                  members=[(str(m["id"]), str(m["phase"])) for m in members]))
+            self._rig.write(
+                Heard(
+                    t=now_us(),
+                    who=f"w{n}",
+                    revision=listing.revision,
+                    complete=listing.complete,
+                    identity=listing.identity or "",
+                    members=[(str(m["id"]), str(m["phase"])) for m in members],
+                )
+            )
--- a/fleetsim/__main__.py
+++ b/fleetsim/__main__.py
@@ -1,4 +1,5 @@
 """python -m fleetsim"""
+
 from . import cli_members  # noqa: F401  (its commands are registered by the import)
 from .cli import app
 
--- a/fleetsim/account.py
+++ b/fleetsim/account.py
@@ -1,4 +1,5 @@
 """What a run was worth: the goal, the worst window, the worst class and the prices, as BRIEF counts them."""
+
 from __future__ import annotations
 
 from array import array
@@ -75,9 +76,9 @@
         last = int(self.scenario.run.length_s)
         result = []
         for i in range(max(1, last - n + 1)):
-            asked, firsts = sum(self.asked[i:i + n]), sum(self.firsts_at[i:i + n])
+            asked, firsts = sum(self.asked[i : i + n]), sum(self.firsts_at[i : i + n])
             if asked > 0:
-                served, refused = sum(self.got[i:i + n]) / asked, sum(self.refusals[i:i + n])
+                served, refused = sum(self.got[i : i + n]) / asked, sum(self.refusals[i : i + n])
                 result.append((served, refused / max(1, firsts), i))
         return result
 
@@ -87,8 +88,9 @@
         asked = sum(self.asked)
         whole = sum(self.got) / asked if asked else 0.0
         window, window_refused, window_at = min(self._windows(), default=(0.0, 0.0, 0))
-        classes = [got / asked if asked else 1.0
-                   for got, asked in zip(self.class_got, self.class_asked, strict=True)]
+        classes = [
+            got / asked if asked else 1.0 for got, asked in zip(self.class_got, self.class_asked, strict=True)
+        ]
         prices = {
             "price_cross_zone": s.prices.cross_zone * self.crossings / firsts,
             "price_waste": s.prices.waste * self.wasted_work / max(1.0, self.offered_work),
@@ -98,12 +100,19 @@
         }
         goal = s.goal.whole * whole + s.goal.worst_window * window + s.goal.worst_class * min(classes)
         row: dict[str, Any] = {
-            "goal": round(goal - sum(prices.values()), 6), "whole": round(whole, 6),
-            "worst_window": round(window, 6), "worst_window_at_s": window_at,
-            "worst_window_refused": round(window_refused, 6), "worst_class": round(min(classes), 6),
-            "first_tries": self.firsts, "tries": self.tries, "attempts": self.attempts,
-            "in_time": round(self.in_time / firsts, 6), "late": round(self.late / firsts, 6),
-            "refused": round(self.refused / firsts, 6), "failed": round(self.failed / firsts, 6),
+            "goal": round(goal - sum(prices.values()), 6),
+            "whole": round(whole, 6),
+            "worst_window": round(window, 6),
+            "worst_window_at_s": window_at,
+            "worst_window_refused": round(window_refused, 6),
+            "worst_class": round(min(classes), 6),
+            "first_tries": self.firsts,
+            "tries": self.tries,
+            "attempts": self.attempts,
+            "in_time": round(self.in_time / firsts, 6),
+            "late": round(self.late / firsts, 6),
+            "refused": round(self.refused / firsts, 6),
+            "failed": round(self.failed / firsts, 6),
             **{name: round(value, 6) for name, value in prices.items()},
         }
         for c, share in zip(s.cls, classes, strict=True):
--- a/fleetsim/agents.py
+++ b/fleetsim/agents.py
@@ -1,4 +1,5 @@
 """An agent's process: carries out what its policy decides, by connections, timers and messages."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -55,9 +56,16 @@
         self.lists_until = 0  # lists come in order
         self.revision = 0
         self.acts: dict[type, Callable[[Any], None]] = {
-            q.Send: self._send, q.Refuse: self._refuse, q.Fail: self._fail, q.Cancel: self._cancel,
-            q.SetTimer: self._timer, q.Probe: self._probe, q.Tell: self._tell, q.Watch: self._watch,
-            q.Fetch: self._fetch, q.Log: self._log,
+            q.Send: self._send,
+            q.Refuse: self._refuse,
+            q.Fail: self._fail,
+            q.Cancel: self._cancel,
+            q.SetTimer: self._timer,
+            q.Probe: self._probe,
+            q.Tell: self._tell,
+            q.Watch: self._watch,
+            q.Fetch: self._fetch,
+            q.Log: self._log,
         }
         self._idle_us = int(world.s.connections.idle_s * 1e6)
         world.engine.at(world.engine.now + self._idle_us, self._sweep)
@@ -89,8 +97,11 @@
         self.tries[t.id] = t
         if self.world.trace is not None:
             self.world.trace.arrived(self, t)
-        self.hand(q.RequestArrived(t.id, first.cls, t.until - self.world.engine.now, 0, first.key, 0,
-                                   first.tries > 1))
+        self.hand(
+            q.RequestArrived(
+                t.id, first.cls, t.until - self.world.engine.now, 0, first.key, 0, first.tries > 1
+            )
+        )
 
     def gone(self, t: Try) -> None:
         """The client left, or its time is over: the policy is told, and owes nothing more."""
@@ -136,8 +147,11 @@
             return
         number, t.sends = t.sends, t.sends + 1
         if not t.open or t.sends > world.s.allow.max_attempts or now >= t.until:
-            self.soon(self.hand, q.AttemptEnded(t.id, number, server.id, Outcome.NOT_SENT, 0, not t.open),
-                      at=now + 1)
+            self.soon(
+                self.hand,
+                q.AttemptEnded(t.id, number, server.id, Outcome.NOT_SENT, 0, not t.open),
+                at=now + 1,
+            )
             return
         c = world.classes[t.first.cls]
         told = self.told.get(server.id)
@@ -166,8 +180,11 @@
         else:
             settings = world.s.connections
             patience = int(settings.connect_timeout_ms * 1000)
-            if cut or (not server.up and server.id in world.dead) or (
-                    server.up and server.connections >= server.max_connections):
+            if (
+                cut
+                or (not server.up and server.id in world.dead)
+                or (server.up and server.connections >= server.max_connections)
+            ):
                 world.engine.at(now + patience, self.over, attempt, Outcome.CONNECT_FAILED)
                 return
             if not server.up:
--- a/fleetsim/checker.py
+++ b/fleetsim/checker.py
@@ -1,4 +1,5 @@
 """The four rules (WIRE, four things never to do) held against the truth; requests lost or run twice."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -9,8 +10,12 @@
 from .servers import Server
 
 ANSWERED, REPEATED, DRAINED, PUSHED_OVER, MALFORMED = (
-    "every request answered", "no repeated effect", "orderly draining", "orderly fail-back",
-    "malformed action")
+    "every request answered",
+    "no repeated effect",
+    "orderly draining",
+    "orderly fail-back",
+    "malformed action",
+)
 KNOWING = 2 / 3  # of the pressure from agents who knew of the start: then the rule is broken
 
 
@@ -25,8 +30,16 @@
         self.broken[rule] = self.broken.get(rule, 0) + 1
         self.first.setdefault(rule, f"{now / 1e6:.3f} s: {what}")
 
-    def sent(self, now: int, try_: Try, server: Server, c: RequestClass, told_at: int | None, grace: int,
-             second_copies: bool) -> None:
+    def sent(
+        self,
+        now: int,
+        try_: Try,
+        server: Server,
+        c: RequestClass,
+        told_at: int | None,
+        grace: int,
+        second_copies: bool,
+    ) -> None:
         """An attempt leaves; told_at is when the agent was told that the server drains or is gone."""
         if not try_.may_send_to(server, now, c):
             self.report(REPEATED, now, f"request {try_.id} ({c.name}) sent again to {server.id}")
--- a/fleetsim/cli.py
+++ b/fleetsim/cli.py
@@ -1,4 +1,5 @@
 """The emulator's commands. Every error of a person is one line and exit status 2."""
+
 from __future__ import annotations
 
 import os
@@ -19,12 +20,22 @@
 from .trace import Trace
 from .world import World
 
-app = typer.Typer(no_args_is_help=True, pretty_exceptions_enable=False, help="A fleet in virtual time: what "
-                  "agents decide, and why, against baselines.", rich_markup_mode=None)
+app = typer.Typer(
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    help="A fleet in virtual time: what agents decide, and why, against baselines.",
+    rich_markup_mode=None,
+)
 out, err = Console(width=None if sys.stdout.isatty() else 200), Console(stderr=True)
 
-ERRORS = (scenario.ScenarioError, registry.UnknownPolicy, ours.SettingError, sweep.SweepError,
-          comparing.CompareError, why.TraceError)
+ERRORS = (
+    scenario.ScenarioError,
+    registry.UnknownPolicy,
+    ours.SettingError,
+    sweep.SweepError,
+    comparing.CompareError,
+    why.TraceError,
+)
 Scenarios = Annotated[list[str], typer.Argument(help="Names of shipped scenarios, or .toml files.")]
 Policies = Annotated[list[str], typer.Option("--policy", "-p", help="A policy; may be given several times.")]
 
@@ -56,8 +67,15 @@
 
 
 def progress_bar() -> Progress:
-    return Progress(TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(),
-                    TimeRemainingColumn(), console=err, transient=True, disable=not err.is_terminal)
+    return Progress(
+        TextColumn("{task.description}"),
+        BarColumn(),
+        MofNCompleteColumn(),
+        TimeRemainingColumn(),
+        console=err,
+        transient=True,
+        disable=not err.is_terminal,
+    )
 
 
 @app.command("list")
@@ -72,12 +90,13 @@
 
 
 @app.command()
-def run(name: Annotated[str, typer.Argument(metavar="SCENARIO")],
-        policy: Annotated[str, typer.Option("--policy", "-p")] = "ours",
-        seed: Annotated[int, typer.Option(min=0)] = 1,
-        trace: Annotated[Path | None, typer.Option(help="Record every decision in this file.")] = None,
-        set_: Annotated[list[str] | None, typer.Option("--set", help="NAME=NUMBER in the decisions.")] = None,
-        ) -> None:
+def run(
+    name: Annotated[str, typer.Argument(metavar="SCENARIO")],
+    policy: Annotated[str, typer.Option("--policy", "-p")] = "ours",
+    seed: Annotated[int, typer.Option(min=0)] = 1,
+    trace: Annotated[Path | None, typer.Option(help="Record every decision in this file.")] = None,
+    set_: Annotated[list[str] | None, typer.Option("--set", help="NAME=NUMBER in the decisions.")] = None,
+) -> None:
     """Play one day and print its figures.
 
     Example: python -m fleetsim run neighbour --seed 3 --trace day.trace
@@ -102,16 +121,28 @@
 
 
 @app.command("sweep")
-def sweep_(names: Scenarios, policy: Policies = ["ours", "two-choices", "random"],  # noqa: B006
-           seeds: Annotated[int, typer.Option(min=1)] = 20,
-           first_seed: Annotated[int, typer.Option(min=0)] = 1,
-           set_: Annotated[list[str] | None, typer.Option(
-               "--set", help="NAME=NUMBER in the decisions, several joined by commas; each option is one "
-               "more variant beside the decisions as they are.")] = None,
-           output: Annotated[Path | None, typer.Option("-o", help="Keep the rows here (JSON Lines); the same "
-                                                       "command goes on where it was cut off.")] = None,
-           base: Annotated[str | None, typer.Option(help="What the others are compared against.")] = None,
-           jobs: Annotated[int, typer.Option(min=1)] = os.cpu_count() or 1) -> None:
+def sweep_(
+    names: Scenarios,
+    policy: Policies = ["ours", "two-choices", "random"],  # noqa: B006
+    seeds: Annotated[int, typer.Option(min=1)] = 20,
+    first_seed: Annotated[int, typer.Option(min=0)] = 1,
+    set_: Annotated[
+        list[str] | None,
+        typer.Option(
+            "--set",
+            help="NAME=NUMBER in the decisions, several joined by commas; each option is one "
+            "more variant beside the decisions as they are.",
+        ),
+    ] = None,
+    output: Annotated[
+        Path | None,
+        typer.Option(
+            "-o", help="Keep the rows here (JSON Lines); the same command goes on where it was cut off."
+        ),
+    ] = None,
+    base: Annotated[str | None, typer.Option(help="What the others are compared against.")] = None,
+    jobs: Annotated[int, typer.Option(min=1)] = os.cpu_count() or 1,
+) -> None:
     """Play scenarios with several policies over seeds, and compare them in pairs.
 
     Example: python -m fleetsim sweep neighbour -p ours -p two-choices -p random --seeds 8
@@ -129,16 +160,22 @@
         show(comparing.table(rows, base))
         broken = next((row for row in rows if row["broken"]), None)
         if broken is not None:
-            out.print(f"first broken rule: {broken['scenario']}, {broken['policy']}, seed {broken['seed']}: "
-                      f"{broken['broken']}", highlight=False, markup=False)
+            out.print(
+                f"first broken rule: {broken['scenario']}, {broken['policy']}, seed {broken['seed']}: "
+                f"{broken['broken']}",
+                highlight=False,
+                markup=False,
+            )
         if output:
             typer.echo(f"{len(rows)} rows in {output}", err=True)
 
 
 @app.command("compare")
-def compare_(files: Annotated[list[Path], typer.Argument(help="Files that `sweep -o` wrote.")],
-             base: Annotated[str | None, typer.Option(help="What the others are compared against.")] = None,
-             figure: Annotated[str, typer.Option(help="The column to compare by.")] = "goal") -> None:
+def compare_(
+    files: Annotated[list[Path], typer.Argument(help="Files that `sweep -o` wrote.")],
+    base: Annotated[str | None, typer.Option(help="What the others are compared against.")] = None,
+    figure: Annotated[str, typer.Option(help="The column to compare by.")] = "goal",
+) -> None:
     """Compare the rows of one or several sweeps, also of several versions of the decisions.
 
     Example: python -m fleetsim compare before.jsonl after.jsonl --figure worst_window
@@ -149,11 +186,12 @@
 
 
 @app.command("why")
-def why_(file: Annotated[Path, typer.Argument(metavar="TRACE")],
-         request: Annotated[int | None, typer.Argument(help="A client's request; without it, a summary.")
-                            ] = None,
-         from_s: Annotated[float, typer.Option(min=0)] = 0.0,
-         to_s: Annotated[float, typer.Option()] = float("inf")) -> None:
+def why_(
+    file: Annotated[Path, typer.Argument(metavar="TRACE")],
+    request: Annotated[int | None, typer.Argument(help="A client's request; without it, a summary.")] = None,
+    from_s: Annotated[float, typer.Option(min=0)] = 0.0,
+    to_s: Annotated[float, typer.Option()] = float("inf"),
+) -> None:
     """Why a request was refused or repeated; without a number, why all of them were.
 
     Example: python -m fleetsim why day.trace 1234
@@ -165,11 +203,9 @@
             return
         tables = why.summary(file, from_s, to_s)
         out.print("Tries given up. `feasible`: a listed server would have answered a mean request in time.")
-        show([["class", "of", "because", "tries", "share", "feasible", "e.g. request"],
-              *tables["given_up"]])
+        show([["class", "of", "because", "tries", "share", "feasible", "e.g. request"], *tables["given_up"]])
         out.print("\nPredicted time to an answer over the true one, of answers that came.")
-        show([["class", "answers", "a tenth under", "median", "a tenth over"],
-              *tables["prediction"]])
+        show([["class", "answers", "a tenth under", "median", "a tenth over"], *tables["prediction"]])
 
 
 @app.command()
--- a/fleetsim/clients.py
+++ b/fleetsim/clients.py
@@ -1,4 +1,5 @@
 """Clients: open-loop arrivals, patience, and retries that belong to their first try."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -32,8 +33,14 @@
         a, start = self.world.day.arrivals, self.world.start
         for low in range(0, len(a.at), BLOCK):
             part = slice(low, low + BLOCK)
-            rows = zip(a.at[part].tolist(), a.agent[part].tolist(), a.cls[part].tolist(),
-                       a.key[part].tolist(), a.work[part].tolist(), strict=True)
+            rows = zip(
+                a.at[part].tolist(),
+                a.agent[part].tolist(),
+                a.cls[part].tolist(),
+                a.key[part].tolist(),
+                a.work[part].tolist(),
+                strict=True,
+            )
             for i, (at, agent, cls, key, work) in enumerate(rows):
                 heeds = self.stream.uniform() < self.settings.honour
                 yield start + at, First(low + i + 1, cls, start + at, key, work, agent, heeds)
@@ -93,13 +100,19 @@
         """Come again where it is harmless (WIRE, what clients do), or give up."""
         world, c = self.world, self.world.classes[first.cls]
         first.refused = how == "refused"
-        harmless = how in ("refused", "unreachable") or c.effect is Effect.SAFE or (
-            c.effect is Effect.KEYED and c.group is Group.ALL)
+        harmless = (
+            how in ("refused", "unreachable")
+            or c.effect is Effect.SAFE
+            or (c.effect is Effect.KEYED and c.group is Group.ALL)
+        )
         if not harmless or first.tries > self.retries:
             self._end(first, False)
             return
-        wait = int(self.settings.backoff_ms * 1000) if (
-            self.settings.backoff == "fixed" or how == "unreachable") else 0
+        wait = (
+            int(self.settings.backoff_ms * 1000)
+            if (self.settings.backoff == "fixed" or how == "unreachable")
+            else 0
+        )
         if how == "refused" and first.heeds:
             wait = max(wait, min(retry_after, int(world.s.allow.max_retry_after_ms * 1000)))
         over = first.at + c.deadline_us  # its client waits no longer than this, whatever it was advised
--- a/fleetsim/compare.py
+++ b/fleetsim/compare.py
@@ -1,4 +1,5 @@
 """Policies side by side: paired over seeds, with confidence intervals."""
+
 from __future__ import annotations
 
 from collections import defaultdict
@@ -55,8 +56,23 @@
     base = base if base is not None else labels[0]
     if base not in labels:
         raise CompareError(f"--base {base}: not among the rows; there are {', '.join(labels)}")
-    lines = [["scenario", "policy", "seeds", figure, f"against {base}", "95% interval", "served", "refused",
-              "late", "failed", "p50 ms", "p99 ms", "broken"]]
+    lines = [
+        [
+            "scenario",
+            "policy",
+            "seeds",
+            figure,
+            f"against {base}",
+            "95% interval",
+            "served",
+            "refused",
+            "late",
+            "failed",
+            "p50 ms",
+            "p99 ms",
+            "broken",
+        ]
+    ]
     for (scenario, name), mine in groups.items():
         theirs = groups.get((scenario, base), {})
         common = sorted(set(mine) & set(theirs))
@@ -70,13 +86,23 @@
             for column, value in row.items():
                 if column.startswith("latency_"):
                     latency.decode_and_add(value)
-        lines.append([
-            scenario, name, str(len(mine)), f"{_mean(all_of, figure):.3f}", against, interval,
-            f"{_mean(all_of, 'whole'):.3f}", f"{_mean(all_of, 'refused'):.1%}",
-            f"{_mean(all_of, 'late'):.1%}", f"{_mean(all_of, 'failed'):.1%}",
-            f"{latency.get_value_at_percentile(50) / 1000:.0f}",
-            f"{latency.get_value_at_percentile(99) / 1000:.0f}",
-            str(sum(row["rules_broken"] > 0 for row in all_of) or "-")])
+        lines.append(
+            [
+                scenario,
+                name,
+                str(len(mine)),
+                f"{_mean(all_of, figure):.3f}",
+                against,
+                interval,
+                f"{_mean(all_of, 'whole'):.3f}",
+                f"{_mean(all_of, 'refused'):.1%}",
+                f"{_mean(all_of, 'late'):.1%}",
+                f"{_mean(all_of, 'failed'):.1%}",
+                f"{latency.get_value_at_percentile(50) / 1000:.0f}",
+                f"{latency.get_value_at_percentile(99) / 1000:.0f}",
+                str(sum(row["rules_broken"] > 0 for row in all_of) or "-"),
+            ]
+        )
     return lines
 
 
--- a/fleetsim/cost.py
+++ b/fleetsim/cost.py
@@ -1,4 +1,5 @@
 """What the emulator itself costs: processor time a request, of the model and of the decisions it drives."""
+
 from __future__ import annotations
 
 from statistics import median
@@ -17,8 +18,11 @@
     agents, servers = size
     low = scenario.load("calm-mass").low
     s = msgspec.structs.replace(
-        low, fleet=msgspec.structs.replace(low.fleet, agents=agents, servers=servers), trouble=[],
-        run=msgspec.structs.replace(low.run, length_s=seconds))
+        low,
+        fleet=msgspec.structs.replace(low.fleet, agents=agents, servers=servers),
+        trouble=[],
+        run=msgspec.structs.replace(low.run, length_s=seconds),
+    )
     world = World(scenario.Span(s, s), 1, registry.policy("ours"), timed=True)
     before = process_time_ns()
     row = world.run()
@@ -37,6 +41,13 @@
     lines = [["agents x servers", "model us", "decisions us", "model / decisions", "against 10 x 10"]]
     for size in SIZES:
         model, decisions = median(a for a, _ in spent[size]), median(b for _, b in spent[size])
-        lines.append([f"{size[0]} x {size[1]}", f"{model:.1f}",
-                      f"{decisions:.1f}", f"{model / decisions:.2f}", f"{(model + decisions) / small:.2f}"])
+        lines.append(
+            [
+                f"{size[0]} x {size[1]}",
+                f"{model:.1f}",
+                f"{decisions:.1f}",
+                f"{model / decisions:.2f}",
+                f"{(model + decisions) / small:.2f}",
+            ]
+        )
     return lines
--- a/fleetsim/counted.py
+++ b/fleetsim/counted.py
@@ -3,6 +3,7 @@
 It is what knowing the number is worth at most, each use by itself: no membership could tell it as exactly,
 or as soon.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -19,8 +20,9 @@
 class Counted(Balancer):
     """idle: what all agents together may hold at a server on a guess; turns: their calls for lists."""
 
-    def __init__(self, settings: q.Settings, seed: int, alive: Callable[[], int],
-                 uses: tuple[str, ...]) -> None:
+    def __init__(
+        self, settings: q.Settings, seed: int, alive: Callable[[], int], uses: tuple[str, ...]
+    ) -> None:
         super().__init__(settings, seed)
         self._alive, self._uses = alive, uses
 
@@ -38,4 +40,5 @@
 def maker(uses: tuple[str, ...]) -> MakePolicy:
     def make(world: World, settings: q.Settings, seed: int) -> Counted:
         return Counted(settings, seed, lambda: sum(h is not None and h.alive for h in world.hosts), uses)
+
     return make
--- a/fleetsim/discovery.py
+++ b/fleetsim/discovery.py
@@ -1,4 +1,5 @@
 """The server list: what runs, drains or is gone, told late, pushed or asked for."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
@@ -75,7 +76,7 @@
         if behind > 8:
             host.lists(ListKind.FULL, list(self.published[revision][0].values()), revision)
             return
-        changes = [e for _, due in self.published[host.revision + 1:revision + 1] for e in due]
+        changes = [e for _, due in self.published[host.revision + 1 : revision + 1] for e in due]
         host.lists(ListKind.DELTA, changes, revision)
 
     def welcome(self, host: Host, revision: int, first: bool) -> None:
--- a/fleetsim/draw.py
+++ b/fleetsim/draw.py
@@ -1,4 +1,5 @@
 """One day out of a scenario: every range drawn by the seed, and the day's servers, agents and arrivals."""
+
 from __future__ import annotations
 
 import math
@@ -40,9 +41,13 @@
 def _settled(low: Any, high: Any, stream: Stream) -> Any:
     """A number drawn between the ends of each range, in the order of the schema."""
     if isinstance(low, msgspec.Struct):
-        return msgspec.structs.replace(low, **{
-            f.name: _settled(getattr(low, f.name), getattr(high, f.name), stream)
-            for f in msgspec.structs.fields(low)})
+        return msgspec.structs.replace(
+            low,
+            **{
+                f.name: _settled(getattr(low, f.name), getattr(high, f.name), stream)
+                for f in msgspec.structs.fields(low)
+            },
+        )
     if isinstance(low, list):
         return [_settled(a, b, stream) for a, b in zip(low, high, strict=True)]
     if low == high or isinstance(low, str):
@@ -69,8 +74,10 @@
     """Zones in turn; the traffic is spread unevenly over zones and over agents."""
     zones = len(day.fleet.zones)
     pull = [stream.factor(day.fleet.zone_skew) for _ in range(zones)]
-    return [AgentPlan(i % zones, pull[i % zones] * stream.factor(day.fleet.agent_skew))
-            for i in range(day.fleet.agents)]
+    return [
+        AgentPlan(i % zones, pull[i % zones] * stream.factor(day.fleet.agent_skew))
+        for i in range(day.fleet.agents)
+    ]
 
 
 def _servers(day: Scenario, stream: Stream) -> list[ServerPlan]:
@@ -98,13 +105,13 @@
     if day.load.swing > 0:
         wave = max(1, int(day.load.swing_ms * 1000 / BIN_US))
         swings = [rate.factor(day.load.swing) for _ in range(len(edges) // wave + 1)]
-        level *= np.repeat(swings, wave)[:len(edges)]
+        level *= np.repeat(swings, wave)[: len(edges)]
     for t in day.trouble:
         if isinstance(t, Burst):
             level *= _burst(t, edges)
     counts = rate.rng.poisson(level)
     total = int(counts.sum())
-    at = np.sort(np.repeat(edges, counts) + rate.rng.integers(0, BIN_US, total))[:day.run.max_requests]
+    at = np.sort(np.repeat(edges, counts) + rate.rng.integers(0, BIN_US, total))[: day.run.max_requests]
     total = len(at)
     what = stream("requests").rng
     shares = np.array([c.share for c in day.cls])
@@ -134,14 +141,19 @@
     if c.dist == "fixed" or c.cv <= 0:
         return np.full(n, mean)
     if c.dist == "pareto":
-        alpha = 1 + math.sqrt(1 + 1 / c.cv ** 2)  # the shape with this coefficient of variation
+        alpha = 1 + math.sqrt(1 + 1 / c.cv**2)  # the shape with this coefficient of variation
         return np.asarray(mean * (alpha - 1) / alpha * (1 + rng.pareto(alpha, n)))
-    variance = math.log1p(c.cv ** 2)
+    variance = math.log1p(c.cv**2)
     return rng.lognormal(math.log(mean) - variance / 2, math.sqrt(variance), n)
 
 
-def _heavy(day: Scenario, at: NDArray[np.int64], cls: NDArray[np.int64], work: NDArray[np.float64],
-           rng: np.random.Generator) -> None:
+def _heavy(
+    day: Scenario,
+    at: NDArray[np.int64],
+    cls: NDArray[np.int64],
+    work: NDArray[np.float64],
+    rng: np.random.Generator,
+) -> None:
     for t in day.trouble:
         if isinstance(t, HeavyTail):
             victim = int(rng.integers(len(day.cls)))
--- a/fleetsim/engine.py
+++ b/fleetsim/engine.py
@@ -1,4 +1,5 @@
 """The clock of the emulator: calls in the order of their time, and of their making where times are equal."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
--- a/fleetsim/explore.py
+++ b/fleetsim/explore.py
@@ -6,6 +6,7 @@
 goes back and nobody knows what was never said (safety); from a share of them all faults end and time runs
 as it should, and then the living must come to agree within a bounded time (liveness).
 """
+
 from __future__ import annotations
 
 import pickle
@@ -82,8 +83,13 @@
 
 NONE = Faults(0, 0, 0, 0, 0)
 WORLDS = {
-    "crash": NONE._replace(crashes=1), "pause": NONE._replace(pauses=1), "split": NONE._replace(splits=1),
-    "loss": NONE._replace(losses=2, copies=1), "liar": NONE._replace(liar=0, losses=1), "all": Faults()}
+    "crash": NONE._replace(crashes=1),
+    "pause": NONE._replace(pauses=1),
+    "split": NONE._replace(splits=1),
+    "loss": NONE._replace(losses=2, copies=1),
+    "liar": NONE._replace(liar=0, losses=1),
+    "all": Faults(),
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,12 +175,25 @@
             m._news.clear()
         return self._state(tuple(pickle.dumps(m) for m in members), (), self.faults)
 
-    def _state(self, members: tuple[bytes | None, ...], air: tuple[tuple[int, Message], ...], faults: Faults
-               ) -> State:
+    def _state(
+        self, members: tuple[bytes | None, ...], air: tuple[tuple[int, Message], ...], faults: Faults
+    ) -> State:
         forms = tuple(None if m is None else self._form(m) for m in members)
         seqs = {i: form[0] for i, form in enumerate(forms) if form is not None}
-        flying = sorted((to, m.kind, m.sender, m.start, m.incarnation, _relative(to, m, seqs), m.about,
-                         m.digest, tuple((f.member, f.record) for f in m.facts)) for to, m in air)
+        flying = sorted(
+            (
+                to,
+                m.kind,
+                m.sender,
+                m.start,
+                m.incarnation,
+                _relative(to, m, seqs),
+                m.about,
+                m.digest,
+                tuple((f.member, f.record) for f in m.facts),
+            )
+            for to, m in air
+        )
         key = hash((tuple(form and form[1:] for form in forms), tuple(flying), faults))
         return State(members, air, faults, key)
 
@@ -196,32 +215,48 @@
             if len(state.air) <= AIR:
                 yield f"the timer of {i} fires", self._do(state, i, state.air, lambda m: m.tick(m.next_at))
             if faults.crashes:
-                yield f"{i} crashes", self._with(
-                    state, i, None, state.air, faults._replace(crashes=faults.crashes - 1))
+                yield (
+                    f"{i} crashes",
+                    self._with(state, i, None, state.air, faults._replace(crashes=faults.crashes - 1)),
+                )
             if faults.pauses and faults.stopped < 0:
-                yield f"{i} stands still", self._state(state.members, state.air, faults._replace(
-                    pauses=faults.pauses - 1, stopped=i))
+                yield (
+                    f"{i} stands still",
+                    self._state(
+                        state.members, state.air, faults._replace(pauses=faults.pauses - 1, stopped=i)
+                    ),
+                )
             if faults.splits and faults.apart < 0:
-                yield f"{i} is cut off", self._state(state.members, state.air, faults._replace(
-                    splits=faults.splits - 1, apart=i))
+                yield (
+                    f"{i} is cut off",
+                    self._state(state.members, state.air, faults._replace(splits=faults.splits - 1, apart=i)),
+                )
         if faults.apart >= 0:
-            yield f"{faults.apart} is back on the network", self._state(
-                state.members, state.air, faults._replace(apart=-1))
+            yield (
+                f"{faults.apart} is back on the network",
+                self._state(state.members, state.air, faults._replace(apart=-1)),
+            )
         if faults.stopped >= 0 and state.members[faults.stopped] is not None:
             yield f"{faults.stopped} goes on", self._resumed(state)
         for n, (to, message) in enumerate(state.air):
-            rest = state.air[:n] + state.air[n + 1:]
+            rest = state.air[:n] + state.air[n + 1 :]
             said = f"{message.kind.name} from {message.sender} to {to}"
             if state.members[to] is None:
                 yield f"{said} finds nobody", self._state(state.members, rest, faults)
             elif to != faults.stopped:
                 yield f"{said} arrives", self._do(state, to, rest, partial(_hears, message))
             if faults.losses:
-                yield f"{said} is lost", self._state(
-                    state.members, rest, faults._replace(losses=faults.losses - 1))
+                yield (
+                    f"{said} is lost",
+                    self._state(state.members, rest, faults._replace(losses=faults.losses - 1)),
+                )
             if faults.copies:
-                yield f"{said} comes twice", self._state(
-                    state.members, (*state.air, (to, message)), faults._replace(copies=faults.copies - 1))
+                yield (
+                    f"{said} comes twice",
+                    self._state(
+                        state.members, (*state.air, (to, message)), faults._replace(copies=faults.copies - 1)
+                    ),
+                )
 
     def _resumed(self, state: State) -> State:
         """Its clock has gone on, and its timers are late."""
@@ -233,12 +268,18 @@
         late = self._with(state, i, pickle.dumps(member), state.air, state.faults._replace(stopped=-1))
         return self._do(late, i, late.air, lambda m: m.tick(m._now))
 
-    def _with(self, state: State, i: int, data: bytes | None, air: tuple[tuple[int, Message], ...],
-              faults: Faults) -> State:
-        return self._state(state.members[:i] + (data,) + state.members[i + 1:], air, faults)
-
-    def _do(self, state: State, i: int, air: tuple[tuple[int, Message], ...],
-            event: Callable[[Membership], list[Action]]) -> State:
+    def _with(
+        self, state: State, i: int, data: bytes | None, air: tuple[tuple[int, Message], ...], faults: Faults
+    ) -> State:
+        return self._state(state.members[:i] + (data,) + state.members[i + 1 :], air, faults)
+
+    def _do(
+        self,
+        state: State,
+        i: int,
+        air: tuple[tuple[int, Message], ...],
+        event: Callable[[Membership], list[Action]],
+    ) -> State:
         data = state.members[i]
         assert data is not None
         member: Membership = pickle.loads(data)
@@ -270,7 +311,8 @@
     def _settles(self, state: State) -> None:
         """The living agree within a bounded time on who lives and who does not, and go on agreeing."""
         members: dict[int, Membership] = {
-            i: pickle.loads(data) for i, data in enumerate(state.members) if data is not None}
+            i: pickle.loads(data) for i, data in enumerate(state.members) if data is not None
+        }
         honest = {i for i in members if i != state.faults.liar}
         shift = {i: -m._now + (STOOD_US if i == state.faults.stopped else 0) for i, m in members.items()}
         queue = [(0, n, to, message) for n, (to, message) in enumerate(state.air)]
@@ -322,28 +364,66 @@
 
 def _form(m: Membership) -> tuple[object, ...]:
     now, probe = m._now, m._probe
-    under_way = None if probe is None else (
-        probe.member, probe.seq - m._seq, probe.began - now, probe.asked, probe.vouched)
-    errands = tuple(sorted((seq - m._seq, e.origin, e.member, e.nack_at - now)
-                           for seq, e in m._errands.items()))
-    peers = tuple((j, p.claims.first, p.claims.second, frozenset(p.accusers), p.told,
-                   (p.began - now, p.until - now, p.warned, p.warn_at - now) if j in m._suspected else 0)
-                  for j, p in m.peers.items())
+    under_way = (
+        None
+        if probe is None
+        else (probe.member, probe.seq - m._seq, probe.began - now, probe.asked, probe.vouched)
+    )
+    errands = tuple(
+        sorted((seq - m._seq, e.origin, e.member, e.nack_at - now) for seq, e in m._errands.items())
+    )
+    peers = tuple(
+        (
+            j,
+            p.claims.first,
+            p.claims.second,
+            frozenset(p.accusers),
+            p.told,
+            (p.began - now, p.until - now, p.warned, p.warn_at - now) if j in m._suspected else 0,
+        )
+        for j, p in m.peers.items()
+    )
     news = tuple((told, j) for told, _, j in sorted(m._news) if m.peers[j].told == told)
-    own = (m.health, m.silent, m._next - now, max(0, m._differs_until - now), m._fill_at, m._since_dead,
-           m._acknowledged, frozenset(m._accused_by), m._mine.first, m._mine.second)
+    own = (
+        m.health,
+        m.silent,
+        m._next - now,
+        max(0, m._differs_until - now),
+        m._fill_at,
+        m._since_dead,
+        m._acknowledged,
+        frozenset(m._accused_by),
+        m._mine.first,
+        m._mine.second,
+    )
     records = tuple((j, p.record) for j, p in m.peers.items())
-    return (m._seq, records, (m.start, m.incarnation), own, under_way, errands, peers, news, tuple(m._round),
-            tuple(m._dead_round))
+    return (
+        m._seq,
+        records,
+        (m.start, m.incarnation),
+        own,
+        under_way,
+        errands,
+        peers,
+        news,
+        tuple(m._round),
+        tuple(m._dead_round),
+    )
 
 
 def _agree(members: dict[int, Membership], honest: set[int]) -> bool:
-    return all((m.status(j) is Status.ALIVE) if j in members else m.status(j) is Status.DEAD
-               for i, m in members.items() if i in honest for j in m.peers)
+    return all(
+        (m.status(j) is Status.ALIVE) if j in members else m.status(j) is Status.DEAD
+        for i, m in members.items()
+        if i in honest
+        for j in m.peers
+    )
 
 
 def _views(members: dict[int, Membership]) -> str:
     def word(status: Status | None) -> str:
         return "unknown" if status is None else status.name.lower()
-    return "; ".join(f"{i} holds " + ", ".join(f"{j} {word(m.status(j))}" for j in m.peers)
-                     for i, m in members.items())
+
+    return "; ".join(
+        f"{i} holds " + ", ".join(f"{j} {word(m.status(j))}" for j in m.peers) for i, m in members.items()
+    )
--- a/fleetsim/members.py
+++ b/fleetsim/members.py
@@ -1,4 +1,5 @@
 """Membership of whole fleets in virtual time, by the core of the agents: rounds, bytes, false deaths."""
+
 from __future__ import annotations
 
 import gc
@@ -119,8 +120,11 @@
 
     fleet.run(BOOT_US / fleet.timing.period_us)
     yield until("all start at once", Status.ALIVE, every)
-    yield Row("  datagrams and bytes a member for it", size,
-              f"{fleet.datagrams / size:.0f}, {fleet.bytes / size:.0f}")
+    yield Row(
+        "  datagrams and bytes a member for it",
+        size,
+        f"{fleet.datagrams / size:.0f}, {fleet.bytes / size:.0f}",
+    )
     fleet.run(SETTLE_PERIODS)
     before = fleet.bytes
     fleet.run(SETTLE_PERIODS)
@@ -131,13 +135,16 @@
     fleet.kill([0])
     yield until("one dies", Status.DEAD, [0])
     first, last = (pick(at for at, _, of in fleet.deaths if of == 0) for pick in (min, max))
-    yield Row("  from the first who knows to the last; log2 n", size,
-              f"{(last - first) / fleet.timing.period_us:.1f}; {math.log2(size):.1f}")
+    yield Row(
+        "  from the first who knows to the last; log2 n",
+        size,
+        f"{(last - first) / fleet.timing.period_us:.1f}; {math.log2(size):.1f}",
+    )
     yield Row("  seconds from the death to the first who knows", size, f"{(first - began) / 1e6:.1f}")
     fleet.start(0)
     fleet.periods_until(Status.ALIVE, [0], most)
     fleet.run(SETTLE_PERIODS)
-    lost = every[:int(0.7 * size)]
+    lost = every[: int(0.7 * size)]
     fleet.kill(lost)
     yield until("seven in ten die at once", Status.DEAD, lost)
     for i in lost:
@@ -155,8 +162,11 @@
             fleet.run(minutes * 60e6 / fleet.timing.period_us)
             told = len({(at // 5_000_000, of) for at, _, of in fleet.deaths})
             hours = minutes / 60
-            yield Row(f"false deaths an hour, {loss:.0%} loss, {said} local health", size,
-                      f"{told / hours:.0f}, each believed by {len(fleet.deaths) / max(1, told):.1f}")
+            yield Row(
+                f"false deaths an hour, {loss:.0%} loss, {said} local health",
+                size,
+                f"{told / hours:.0f}, each believed by {len(fleet.deaths) / max(1, told):.1f}",
+            )
 
 
 def memory(size: int, seed: int) -> Row:
@@ -167,8 +177,9 @@
     member.begin(0)
     for teller in (1, 2, 3):
         for first in range(1, size, FACTS):
-            facts = tuple(Fact(j, Record(7 + j, 0, Status.ALIVE))
-                          for j in range(first, min(size, first + FACTS)))
+            facts = tuple(
+                Fact(j, Record(7 + j, 0, Status.ALIVE)) for j in range(first, min(size, first + FACTS))
+            )
             member.heard(1 + teller, Message(Kind.ACK, teller, 7 + teller, 0, 0, 0, 0, facts))
     gc.collect()
     held, _ = tracemalloc.get_traced_memory()
--- a/fleetsim/network.py
+++ b/fleetsim/network.py
@@ -1,4 +1,5 @@
 """Delays between zones, and which zones cannot hear one another."""
+
 from __future__ import annotations
 
 import math
@@ -12,7 +13,7 @@
 
     def __init__(self, settings: Network, stream: Stream) -> None:
         self.same, self.cross = settings.same_ms * 1000, settings.cross_ms * 1000
-        variance = math.log1p(settings.jitter ** 2)
+        variance = math.log1p(settings.jitter**2)
         self._sigma, self._shift = math.sqrt(variance), variance / 2
         self.loss, self.reset = settings.loss, settings.reset
         self.stream = stream
--- a/fleetsim/ours.py
+++ b/fleetsim/ours.py
@@ -2,6 +2,7 @@
 
 Nothing of them is copied: a part is switched off by a subclass or by a setting, all else is the real code.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -139,9 +140,17 @@
 
 
 PARTS: dict[str, type[Balancer]] = {
-    "admission": WithoutAdmission, "giveway": WithoutGiveWay, "bearable": WithoutBearable,
-    "health": WithoutHealth, "cold": WithoutCold, "pace": WithoutPace, "asking": WithoutAsking,
-    "peers": WithoutPeers, "copies": WithoutCopies, "needs": WithoutNeeds, "doubt": WithoutDoubt,
+    "admission": WithoutAdmission,
+    "giveway": WithoutGiveWay,
+    "bearable": WithoutBearable,
+    "health": WithoutHealth,
+    "cold": WithoutCold,
+    "pace": WithoutPace,
+    "asking": WithoutAsking,
+    "peers": WithoutPeers,
+    "copies": WithoutCopies,
+    "needs": WithoutNeeds,
+    "doubt": WithoutDoubt,
     "softer": WithoutSofter,
 }
 
@@ -152,8 +161,11 @@
 
 def constants() -> dict[str, float]:
     """The numbers at the head of brasshead/logic.py, by name."""
-    return {name: value for name, value in vars(logic).items()
-            if name.isupper() and isinstance(value, int | float) and not isinstance(value, bool)}
+    return {
+        name: value
+        for name, value in vars(logic).items()
+        if name.isupper() and isinstance(value, int | float) and not isinstance(value, bool)
+    }
 
 
 def parse_settings(texts: list[str]) -> dict[str, float]:
@@ -166,8 +178,9 @@
         try:
             result[name] = int(value) if isinstance(known[name], int) else float(value)
         except ValueError:
-            raise SettingError(f"--set {text}: {value!r} is no number of that kind; "
-                               f"it stands at {known[name]}") from None
+            raise SettingError(
+                f"--set {text}: {value!r} is no number of that kind; it stands at {known[name]}"
+            ) from None
     return result
 
 
--- a/fleetsim/policies.py
+++ b/fleetsim/policies.py
@@ -4,6 +4,7 @@
 attempt may take what the client has left; a failed one is repeated while the retry budget holds (a token
 bucket of a tenth of the requests, as in Finagle's RetryBudget documentation) and the rules allow it.
 """
+
 from __future__ import annotations
 
 import math
@@ -47,8 +48,12 @@
         self.budget = RETRY_BURST
         self.actions: list[q.Action] = []
         self.handlers: dict[type, Callable[[Any], None]] = {
-            q.BackendsChanged: self._backends, q.RequestArrived: self._arrived, q.AttemptEnded: self._ended,
-            q.ClientGone: self._gone, q.TimerFired: self._timer}
+            q.BackendsChanged: self._backends,
+            q.RequestArrived: self._arrived,
+            q.AttemptEnded: self._ended,
+            q.ClientGone: self._gone,
+            q.TimerFired: self._timer,
+        }
 
     def handle(self, now: int, event: q.Event) -> list[q.Action]:
         self.now, self.actions = now, []
@@ -108,7 +113,8 @@
         if r.cls.effect is Effect.UNSAFE or self.now >= sent + r.cls.window_us - 2 * self.settings.tick_us:
             return False
         return r.cls.group is Group.ALL or (
-            b.zone == first.zone if r.cls.group is Group.ZONE else b.cell == first.cell)
+            b.zone == first.zone if r.cls.group is Group.ZONE else b.cell == first.cell
+        )
 
     def _ended(self, e: q.AttemptEnded) -> None:
         r = self.requests.get(e.request)
@@ -209,7 +215,7 @@
     """
 
     def pick(self, among: list[q.Backend], key: int) -> q.Backend:
-        mark = key or int(self.rng.random() * 2 ** 32)
+        mark = key or int(self.rng.random() * 2**32)
         most = BOUND * (1 + sum(self.own.get(b.id, 0) for b in among)) / len(among)
         ranked = sorted(among, key=lambda b: crc32(f"{mark} {b.id}".encode()))
         return next((b for b in ranked if self.own.get(b.id, 0) + 1 <= max(1.0, most)), ranked[0])
--- a/fleetsim/registry.py
+++ b/fleetsim/registry.py
@@ -1,4 +1,5 @@
 """Policies by name, as the command line and the rows of a sweep name them."""
+
 from __future__ import annotations
 
 import brasshead.interface as q
@@ -11,8 +12,13 @@
 from .trace import Tracing
 from .world import MakePolicy, World
 
-BASELINES = {"random": UniformRandom, "round-robin": RoundRobin, "two-choices": TwoChoices,
-             "peak-ewma": PeakEwma, "bounded-hash": BoundedHash}
+BASELINES = {
+    "random": UniformRandom,
+    "round-robin": RoundRobin,
+    "two-choices": TwoChoices,
+    "peak-ewma": PeakEwma,
+    "bounded-hash": BoundedHash,
+}
 COUNTED = {"ours-counted": counted.USES, **{f"ours-counted-{use}": (use,) for use in counted.USES}}
 NAMES = ("ours", *(f"ours-{part}" for part in PARTS), *COUNTED, *BASELINES, "least-loaded")
 
@@ -42,6 +48,7 @@
         made = watched(settings, seed)
         world.trace.follow(made, settings.me)
         return made
+
     return make
 
 
@@ -51,4 +58,5 @@
         if not world.answers(server, settings.zone):
             return float("inf")
         return (server.held + 1) / max(1e-9, server.capacity())
+
     return LeastLoaded(settings, seed, load)
--- a/fleetsim/requests.py
+++ b/fleetsim/requests.py
@@ -1,4 +1,5 @@
 """A client's request, its tries, and the attempts that an agent makes for a try."""
+
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
@@ -50,20 +51,35 @@
         first = self.may_have_run[0]
         if now > first.sent_at + c.window_us:
             return False
-        return c.group is Group.ALL or (server.zone == first.server.zone if c.group is Group.ZONE
-                                        else server.cell == first.server.cell)
+        return c.group is Group.ALL or (
+            server.zone == first.server.zone if c.group is Group.ZONE else server.cell == first.server.cell
+        )
 
     def may_refuse(self, c: RequestClass) -> bool:
         """Rule 2 for the answer that tells the client to come again."""
-        return not self.may_have_run or c.effect is Effect.SAFE or (
-            c.effect is Effect.KEYED and c.group is Group.ALL)
+        return (
+            not self.may_have_run
+            or c.effect is Effect.SAFE
+            or (c.effect is Effect.KEYED and c.group is Group.ALL)
+        )
 
 
 class Attempt:
     """One sending of a try to one server; what the server works on."""
 
-    __slots__ = ("try_", "number", "server", "sent_at", "work", "key", "mark", "place", "ended", "informed",
-                 "asked")
+    __slots__ = (
+        "try_",
+        "number",
+        "server",
+        "sent_at",
+        "work",
+        "key",
+        "mark",
+        "place",
+        "ended",
+        "informed",
+        "asked",
+    )
 
     def __init__(self, try_: Try, number: int, server: Server, now: int, work: float, key: int) -> None:
         self.try_, self.number, self.server, self.sent_at = try_, number, server, now
--- a/fleetsim/scenario.py
+++ b/fleetsim/scenario.py
@@ -1,4 +1,5 @@
 """Scenarios: TOML files by a schema, with ranges that a seed draws from."""
+
 from __future__ import annotations
 
 import tomllib
@@ -116,7 +117,8 @@
 
 class Report(Part, frozen=True):
     fields: list[Literal["util", "inflight", "eps"]] = msgspec.field(
-        default_factory=lambda: ["util", "inflight"])
+        default_factory=lambda: ["util", "inflight"]
+    )
     period_ms: Positive = 900.0
     delay_ms: NonNegative = 240.0
     noise: NonNegative = 0.04
--- a/fleetsim/servers.py
+++ b/fleetsim/servers.py
@@ -5,6 +5,7 @@
 virtual work (as in weighted fair queueing's virtual time; Parekh and Gallager 1993): `given` is the work each
 job has had since the server began, and a job ends when `given` reaches its mark.
 """
+
 from __future__ import annotations
 
 import math
@@ -52,8 +53,9 @@
 class Server:
     """One process on one machine; a new process under the same id is the same object, started again."""
 
-    def __init__(self, id: str, plan: ServerPlan, day: Scenario, engine: Timeline, stream: Stream,
-                 mean_work: float) -> None:
+    def __init__(
+        self, id: str, plan: ServerPlan, day: Scenario, engine: Timeline, stream: Stream, mean_work: float
+    ) -> None:
         self.id, self.plan, self.kind, self.zone, self.cell = id, plan, plan.kind, plan.zone, plan.cell
         self.engine, self.stream, self.day = engine, stream, day
         self.cores = plan.kind.cores
@@ -157,9 +159,11 @@
         while self.samples and self.samples[0][0] + delay <= self.engine.now:
             _, util, held = self.samples.popleft()
             noise = self.day.report.noise
-            values = {"util": util * (1 + noise * self.stream.normal()),
-                      "inflight": held * (1 + noise * self.stream.normal()),
-                      "eps": 0.0}  # errors are rare here, and the decisions do not look at their rate
+            values = {
+                "util": util * (1 + noise * self.stream.normal()),
+                "inflight": held * (1 + noise * self.stream.normal()),
+                "eps": 0.0,
+            }  # errors are rare here, and the decisions do not look at their rate
             self.report = tuple(max(0.0, values[f]) for f in self.day.report.fields)
         return self.report
 
--- a/fleetsim/sources.py
+++ b/fleetsim/sources.py
@@ -1,4 +1,5 @@
 """Where a scenario comes from: by its name, from TOML, or from a drawn day in JSON."""
+
 from __future__ import annotations
 
 from . import dayfile, scenario
--- a/fleetsim/streams.py
+++ b/fleetsim/streams.py
@@ -1,4 +1,5 @@
 """Random numbers for one part of the world, drawn in blocks: a scalar from numpy costs more than its use."""
+
 from __future__ import annotations
 
 import math
@@ -53,7 +54,9 @@
 
     They are spawned as numpy's SeedSequence advises: independent, and not by adding to a seed.
     """
+
     def stream(part: str) -> Stream:
         key = (crc32(name.encode()), crc32(part.encode()))
         return Stream(np.random.Generator(np.random.PCG64(np.random.SeedSequence(seed, spawn_key=key))))
+
     return stream
--- a/fleetsim/sweep.py
+++ b/fleetsim/sweep.py
@@ -1,4 +1,5 @@
 """Many runs: scenario x policy x settings x seeds over worker processes, a row each, in the plan's order."""
+
 from __future__ import annotations
 
 import hashlib
@@ -39,8 +40,9 @@
         return (self.scenario, self.policy, settings, str(self.seed), scenario_digest, decisions)
 
 
-def plans(scenarios: list[str], policies: list[str], settings: list[tuple[str, ...]], first_seed: int,
-          seeds: int) -> list[Plan]:
+def plans(
+    scenarios: list[str], policies: list[str], settings: list[tuple[str, ...]], first_seed: int, seeds: int
+) -> list[Plan]:
     """All combinations, seed after seed, so that what is cut off can be compared too.
 
     Raises ScenarioError, UnknownPolicy and SettingError before anything is played.
@@ -53,8 +55,11 @@
         ours.parse_settings(list(texts))
     combinations = itertools.product(scenarios, range(first_seed, first_seed + seeds), policies, settings)
     # Constants of our decisions change nothing in a baseline: it is played once.
-    return [Plan(name, policy, texts, seed) for name, seed, policy, texts in combinations
-            if policy.startswith("ours") or texts == settings[0]]
+    return [
+        Plan(name, policy, texts, seed)
+        for name, seed, policy, texts in combinations
+        if policy.startswith("ours") or texts == settings[0]
+    ]
 
 
 def decisions_digest() -> str:
@@ -73,9 +78,16 @@
     with ours.constants_set(ours.parse_settings(list(plan.settings))):
         world = World(span, plan.seed, registry.policy(plan.policy))
         row = world.run()
-    return {"fleetsim_sweep": VERSION, "scenario": plan.scenario, "policy": plan.policy,
-            "settings": " ".join(plan.settings), "seed": plan.seed,
-            "scenario_digest": scenario_digest(span), "decisions": decisions_digest(), **row}
+    return {
+        "fleetsim_sweep": VERSION,
+        "scenario": plan.scenario,
+        "policy": plan.policy,
+        "settings": " ".join(plan.settings),
+        "seed": plan.seed,
+        "scenario_digest": scenario_digest(span),
+        "decisions": decisions_digest(),
+        **row,
+    }
 
 
 def run(todo: list[Plan], path: Path | None, jobs: int) -> Iterator[dict[str, Any]]:
@@ -104,8 +116,9 @@
             yield row
     except TerminatedWorkerError:
         where = f"finished rows are in {path}, the same command goes on" if path else "name a file with -o"
-        raise SweepError(f"a worker process died, perhaps for want of memory: use fewer --jobs; {where}"
-                         ) from None
+        raise SweepError(
+            f"a worker process died, perhaps for want of memory: use fewer --jobs; {where}"
+        ) from None
     finally:
         if file is not None:
             file.close()
@@ -119,8 +132,14 @@
 
 
 def row_key(row: dict[str, Any]) -> tuple[str, ...]:
-    return (row["scenario"], row["policy"], row["settings"], str(row["seed"]), row["scenario_digest"],
-            row["decisions"])
+    return (
+        row["scenario"],
+        row["policy"],
+        row["settings"],
+        str(row["seed"]),
+        row["scenario_digest"],
+        row["decisions"],
+    )
 
 
 def read(path: Path, mend: bool = False) -> list[dict[str, Any]]:
@@ -131,8 +150,9 @@
     try:
         text = path.read_bytes()
     except OSError as e:
-        raise SweepError(f"{path}: cannot be read ({e.strerror}); name a file that `sweep -o` wrote"
-                         ) from None
+        raise SweepError(
+            f"{path}: cannot be read ({e.strerror}); name a file that `sweep -o` wrote"
+        ) from None
     whole, _, rest = text.rpartition(b"\n")
     rows = []
     for number, line in enumerate(whole.split(b"\n") if whole else (), 1):
@@ -141,8 +161,10 @@
         except msgspec.DecodeError:
             raise SweepError(f"{path}: line {number}: is no row of a sweep; take the line out") from None
         if row.get("fleetsim_sweep") != VERSION:
-            raise SweepError(f"{path}: line {number}: a row of version {row.get('fleetsim_sweep')}, this "
-                             f"program writes {VERSION}; name another file")
+            raise SweepError(
+                f"{path}: line {number}: a row of version {row.get('fleetsim_sweep')}, this "
+                f"program writes {VERSION}; name another file"
+            )
         rows.append(row)
     if rest and mend:
         if not rows and not rest.startswith(b'{"fleetsim_sweep"'):
--- a/fleetsim/trace.py
+++ b/fleetsim/trace.py
@@ -3,6 +3,7 @@
 One JSON object a line. The first is a header; then `arrived`, `decided`, `ended` (an attempt), `concluded` (a
 try) and `log`, in the order of the run's clock (us from its start). Only runs that ask for it are recorded.
 """
+
 from __future__ import annotations
 
 from pathlib import Path
@@ -34,9 +35,16 @@
 
     def watch(self, world: World) -> None:
         self.world = world
-        self._write({"fleetsim_trace": VERSION, **self._about, "classes": [c.name for c in world.s.cls],
-                     "aims_ms": [c.aim_ms for c in world.s.cls],
-                     "agents": len(world.day.agents), "servers": len(world.day.servers)})
+        self._write(
+            {
+                "fleetsim_trace": VERSION,
+                **self._about,
+                "classes": [c.name for c in world.s.cls],
+                "aims_ms": [c.aim_ms for c in world.s.cls],
+                "agents": len(world.day.agents),
+                "servers": len(world.day.servers),
+            }
+        )
 
     def follow(self, balancer: Balancer, agent: int) -> None:
         """Have a balancer of class Tracing say what it does."""
@@ -52,21 +60,50 @@
 
     def note(self, event: str, agent: int, request: int, **what: Any) -> None:
         assert self.world is not None
-        self._write({"t": self.world.engine.now - self.world.start, "event": event, "agent": agent,
-                     "request": request, **what})
+        self._write(
+            {
+                "t": self.world.engine.now - self.world.start,
+                "event": event,
+                "agent": agent,
+                "request": request,
+                **what,
+            }
+        )
 
     def arrived(self, host: Host, t: Try) -> None:
-        self.note("arrived", host.index, t.id, cls=t.first.cls, try_=t.first.tries, key=t.first.key,
-                  work_ms=t.first.work / 1000, patience_ms=(t.until - host.world.engine.now) / 1000)
+        self.note(
+            "arrived",
+            host.index,
+            t.id,
+            cls=t.first.cls,
+            try_=t.first.tries,
+            key=t.first.key,
+            work_ms=t.first.work / 1000,
+            patience_ms=(t.until - host.world.engine.now) / 1000,
+        )
 
     def attempt_ended(self, host: Host, attempt: Attempt, outcome: str, took: int) -> None:
-        self.note("ended", host.index, attempt.try_.id, cls=attempt.try_.first.cls, attempt=attempt.number,
-                  server=attempt.server.id, outcome=outcome, took_ms=took / 1000,
-                  asked_ms=attempt.asked / 1000)
+        self.note(
+            "ended",
+            host.index,
+            attempt.try_.id,
+            cls=attempt.try_.first.cls,
+            attempt=attempt.number,
+            server=attempt.server.id,
+            outcome=outcome,
+            took_ms=took / 1000,
+            asked_ms=attempt.asked / 1000,
+        )
 
     def concluded(self, host: Host, t: Try, how: str) -> None:
-        self.note("concluded", host.index, t.id, cls=t.first.cls, how=how,
-                  since_first_ms=(host.world.engine.now - t.first.at) / 1000)
+        self.note(
+            "concluded",
+            host.index,
+            t.id,
+            cls=t.first.cls,
+            how=how,
+            since_first_ms=(host.world.engine.now - t.first.at) / 1000,
+        )
 
     def logged(self, host: Host, text: str) -> None:
         self.note("log", host.index, 0, text=text)
@@ -79,8 +116,10 @@
             return {"true_held": server.held, "true_ms": None}
         # Shared by all in work once there are more of them than cores.
         alone = world.day.mean_work * server.cores / max(1e-9, server.capacity())
-        return {"true_held": server.held,
-                "true_ms": round(alone * max(1.0, (server.held + 1) / server.cores) / 1000, 1)}
+        return {
+            "true_held": server.held,
+            "true_ms": round(alone * max(1.0, (server.held + 1) / server.cores) / 1000, 1),
+        }
 
 
 class Tracing(Balancer):
@@ -102,9 +141,18 @@
 
     def _say(self, r: Request, act: str, **what: Any) -> None:
         self.acted = act
-        self.trace.note("decided", self.agent, r.id, act=act, cls=self.settings.classes.index(r.cls),
-                        retry=r.gives_way, left_ms=(r.aim_at - self.now) / 1000, ready=len(self.ready),
-                        looked=list(self.looked.values()), **what)
+        self.trace.note(
+            "decided",
+            self.agent,
+            r.id,
+            act=act,
+            cls=self.settings.classes.index(r.cls),
+            retry=r.gives_way,
+            left_ms=(r.aim_at - self.now) / 1000,
+            ready=len(self.ready),
+            looked=list(self.looked.values()),
+            **what,
+        )
 
     def _look(self, r: Request, s: Server) -> dict[str, Any]:
         seen = self.looked.get(str(s.id))
@@ -112,12 +160,16 @@
             others = self.table.others(s, self.now)
             own = s.own(self.now)
             seen = self.looked[str(s.id)] = {
-                "server": str(s.id), "own": round(own, 2), "others": round(others, 2),
-                "pace_ms": round(s.pace / 1000, 2), "warmth": round(self.cold.warmth(s, self.now), 3),
+                "server": str(s.id),
+                "own": round(own, 2),
+                "others": round(others, 2),
+                "pace_ms": round(s.pace / 1000, 2),
+                "warmth": round(self.cold.warmth(s, self.now), 3),
                 "age_ms": (self.now - s.heard_at) // 1000 if s.heard_at else None,
                 "predicted_ms": round((own + others + r.size) * s.pace * self._need(r) / 1000, 1),
                 "verdict": "tried" if s in r.tried else "fit",
-                **self.trace.truth(str(s.id), self.settings.zone)}
+                **self.trace.truth(str(s.id), self.settings.zone),
+            }
         return seen
 
     def _admits(self, r: Request, s: Server) -> bool:
@@ -160,14 +212,32 @@
         number = r.sends
         super()._send(r, s, load)
         predicted = load * s.pace * self._need(r)
-        self._say(r, "send", server=str(s.id), attempt=number, predicted_ms=round(predicted / 1000, 1),
-                  **self.trace.truth(str(s.id), self.settings.zone))
+        self._say(
+            r,
+            "send",
+            server=str(s.id),
+            attempt=number,
+            predicted_ms=round(predicted / 1000, 1),
+            **self.trace.truth(str(s.id), self.settings.zone),
+        )
 
     def _finish(self, r: Request) -> None:
-        best = min((t["true_ms"] for s in self.ready
-                    if (t := self.trace.truth(str(s.id), self.settings.zone))["true_ms"] is not None),
-                   default=None)
-        self._say(r, "refuse" if r.may_refuse() else "fail", best_true_ms=best, sends=r.sends,
-                  pace_ms=round(self.table.pace / 1000, 2), typical_ms=round(self.table.typical / 1000, 1),
-                  budget=round(self.budget, 2), headroom=logic.HEADROOM)
+        best = min(
+            (
+                t["true_ms"]
+                for s in self.ready
+                if (t := self.trace.truth(str(s.id), self.settings.zone))["true_ms"] is not None
+            ),
+            default=None,
+        )
+        self._say(
+            r,
+            "refuse" if r.may_refuse() else "fail",
+            best_true_ms=best,
+            sends=r.sends,
+            pace_ms=round(self.table.pace / 1000, 2),
+            typical_ms=round(self.table.typical / 1000, 1),
+            budget=round(self.budget, 2),
+            headroom=logic.HEADROOM,
+        )
         super()._finish(r)
--- a/fleetsim/troubles.py
+++ b/fleetsim/troubles.py
@@ -1,4 +1,5 @@
 """What goes wrong: each kind of trouble_schema's troubles put onto the engine."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -20,10 +21,15 @@
     def __init__(self, world: World, stream: Stream) -> None:
         self.world, self.stream = world, stream
         apply: dict[type, Callable[[Any, int, int], None]] = {
-            schema.Neighbour: self._neighbour, schema.AgentRoll: self._agent_roll,
-            schema.SharedSlow: self._shared_slow, schema.ZoneLost: self._zone_lost, schema.Split: self._split,
-            schema.Replacement: self._replacement, schema.LateLists: self._late_lists,
-            schema.BadServers: self._bad_servers, schema.Herd: self._herd,
+            schema.Neighbour: self._neighbour,
+            schema.AgentRoll: self._agent_roll,
+            schema.SharedSlow: self._shared_slow,
+            schema.ZoneLost: self._zone_lost,
+            schema.Split: self._split,
+            schema.Replacement: self._replacement,
+            schema.LateLists: self._late_lists,
+            schema.BadServers: self._bad_servers,
+            schema.Herd: self._herd,
         }
         for t in world.s.trouble:
             if type(t) in apply:
@@ -36,7 +42,7 @@
     def _some(self, things: list[Any], part: float) -> list[Any]:
         """A share of them, at least one, in an order of its own."""
         order = self.stream.rng.permutation(len(things)).tolist()
-        return [things[i] for i in order[:max(1, round(part * len(things)))]]
+        return [things[i] for i in order[: max(1, round(part * len(things)))]]
 
     def _neighbour(self, t: schema.Neighbour, start: int, end: int) -> None:
         for s in self._some(list(self.world.servers.values()), t.part):
@@ -71,7 +77,7 @@
     def _agent_roll(self, t: schema.AgentRoll, start: int, end: int) -> None:
         agents = self._some(list(range(len(self.world.hosts))), t.part)
         size = max(1, round(t.batch * len(self.world.hosts)))
-        batches = [agents[i:i + size] for i in range(0, len(agents), size)]
+        batches = [agents[i : i + size] for i in range(0, len(agents), size)]
         for i, batch in enumerate(batches):
             at = start + (end - start) * i // len(batches)
             for index in batch:
--- a/fleetsim/troubles_schema.py
+++ b/fleetsim/troubles_schema.py
@@ -2,6 +2,7 @@
 
 `at_s` and `len_s` say when, by the run's clock; `part` is always a share of the servers or the agents.
 """
+
 from __future__ import annotations
 
 from typing import ClassVar
@@ -93,5 +94,16 @@
     part: Share
 
 
-Trouble = (Neighbour | Burst | HeavyTail | AgentRoll | SharedSlow | ZoneLost | Split | Replacement
-           | LateLists | BadServers | Herd)
+Trouble = (
+    Neighbour
+    | Burst
+    | HeavyTail
+    | AgentRoll
+    | SharedSlow
+    | ZoneLost
+    | Split
+    | Replacement
+    | LateLists
+    | BadServers
+    | Herd
+)
--- a/fleetsim/units.py
+++ b/fleetsim/units.py
@@ -1,4 +1,5 @@
 """The kinds of number that a scenario's keys take; in a file each may be a range [low, high] instead."""
+
 from __future__ import annotations
 
 from typing import Annotated
--- a/fleetsim/why.py
+++ b/fleetsim/why.py
@@ -1,4 +1,5 @@
 """Answers from a trace: the story of one request, why requests were refused, how good predictions were."""
+
 from __future__ import annotations
 
 from collections import Counter, defaultdict
@@ -24,13 +25,16 @@
         file = path.open("rb")
         header = decode(file.readline())
     except OSError as e:
-        raise TraceError(f"{path}: cannot be read ({e.strerror}); name a file that `run --trace` wrote"
-                         ) from None
+        raise TraceError(
+            f"{path}: cannot be read ({e.strerror}); name a file that `run --trace` wrote"
+        ) from None
     except msgspec.DecodeError:
         raise TraceError(f"{path}: line 1: is no trace; name a file that `run --trace` wrote") from None
     if header.get("fleetsim_trace") != VERSION:
-        raise TraceError(f"{path}: line 1: a trace of version {header.get('fleetsim_trace')}, this program "
-                         f"reads {VERSION}; record the run again")
+        raise TraceError(
+            f"{path}: line 1: a trace of version {header.get('fleetsim_trace')}, this program "
+            f"reads {VERSION}; record the run again"
+        )
 
     def events() -> Iterator[dict[str, Any]]:
         with file:
@@ -38,8 +42,10 @@
                 try:
                     yield decode(line)
                 except msgspec.DecodeError:
-                    raise TraceError(f"{path}: line {number}: cut off or damaged; record the run again"
-                                     ) from None
+                    raise TraceError(
+                        f"{path}: line {number}: cut off or damaged; record the run again"
+                    ) from None
+
     return header, events()
 
 
@@ -59,18 +65,24 @@
 
 def _words(header: dict[str, Any], e: dict[str, Any]) -> str:
     if e["event"] == "arrived":
-        return (f"try {e['try_']} of {header['classes'][e['cls']]}, {e['work_ms']:.0f} ms of work, "
-                f"patience {e['patience_ms']:.0f} ms, key {e['key']}")
+        return (
+            f"try {e['try_']} of {header['classes'][e['cls']]}, {e['work_ms']:.0f} ms of work, "
+            f"patience {e['patience_ms']:.0f} ms, key {e['key']}"
+        )
     if e["event"] == "ended":
         return f"attempt {e['attempt']} at {e['server']}: {e['outcome']} after {e['took_ms']:.0f} ms"
     if e["event"] == "concluded":
         return f"{e['how']}, {e['since_first_ms']:.0f} ms after the first try came"
     if e["act"] == "send":
-        return (f"sent to {e['server']} (attempt {e['attempt']}), predicted {e['predicted_ms']:.0f} ms, "
-                f"{_ms(e['true_ms'])} as things stood; {e['left_ms']:.0f} ms to the aim")
+        return (
+            f"sent to {e['server']} (attempt {e['attempt']}), predicted {e['predicted_ms']:.0f} ms, "
+            f"{_ms(e['true_ms'])} as things stood; {e['left_ms']:.0f} ms to the aim"
+        )
     if e["act"] in ("refuse", "fail"):
-        return (f"{e['act'].removesuffix('e')}ed: {because(e)}; the best server would have taken "
-                f"{_ms(e['best_true_ms'])}, {e['left_ms']:.0f} ms to the aim")
+        return (
+            f"{e['act'].removesuffix('e')}ed: {because(e)}; the best server would have taken "
+            f"{_ms(e['best_true_ms'])}, {e['left_ms']:.0f} ms to the aim"
+        )
     return f"{e['act']}: {e['ready']} servers ready, {e['left_ms']:.0f} ms to the aim"
 
 
@@ -79,9 +91,11 @@
 
 
 def _server(s: dict[str, Any]) -> str:
-    text = (f"{s['server']:>5}: {s['verdict']:7} saw {s['own']:g} own + {s['others']:g} others, "
-            f"{'never heard' if s['age_ms'] is None else str(s['age_ms']) + ' ms old'}; "
-            f"true {s['true_held']}; predicted {s['predicted_ms']:.0f} ms at {s['pace_ms']:.0f} ms each")
+    text = (
+        f"{s['server']:>5}: {s['verdict']:7} saw {s['own']:g} own + {s['others']:g} others, "
+        f"{'never heard' if s['age_ms'] is None else str(s['age_ms']) + ' ms old'}; "
+        f"true {s['true_held']}; predicted {s['predicted_ms']:.0f} ms at {s['pace_ms']:.0f} ms each"
+    )
     if s.get("limit_ms") is not None:
         text += f", limit {s['limit_ms']:.0f} ms"
     if "band" in s:
@@ -99,8 +113,10 @@
         return "no server listed"
     if not verdicts:
         return "its time was over"
-    return " and ".join(f"{'most' if 2 * n > sum(verdicts.values()) else 'some'} {verdict}"
-                        for verdict, n in verdicts.most_common(2))
+    return " and ".join(
+        f"{'most' if 2 * n > sum(verdicts.values()) else 'some'} {verdict}"
+        for verdict, n in verdicts.most_common(2)
+    )
 
 
 def summary(path: Path, from_s: float = 0.0, to_s: float = float("inf")) -> dict[str, list[list[str]]]:
@@ -128,8 +144,18 @@
             said = predicted.pop((e["request"], e["attempt"]), 0.0)
             if said > 0:
                 ratios[header["classes"][e["cls"]]].append(said / max(0.1, e["took_ms"]))
-    given_up = [[cls, of, why, str(n), f"{n / max(1, tries[cls]):.1%}", f"{feasible[cls, of, why] / n:.0%}",
-                 str(examples[cls, of, why])] for (cls, of, why), n in reasons.most_common()]
+    given_up = [
+        [
+            cls,
+            of,
+            why,
+            str(n),
+            f"{n / max(1, tries[cls]):.1%}",
+            f"{feasible[cls, of, why] / n:.0%}",
+            str(examples[cls, of, why]),
+        ]
+        for (cls, of, why), n in reasons.most_common()
+    ]
     shown = []
     for cls, values in sorted(ratios.items()):
         values.sort()
--- a/fleetsim/world.py
+++ b/fleetsim/world.py
@@ -1,4 +1,5 @@
 """One run: a day, a policy in every agent, and all that they meet."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -31,8 +32,9 @@
 class World:
     """All parts of a run, and the acts that concern several of them."""
 
-    def __init__(self, scenario: Span, seed: int, make: MakePolicy, trace: Trace | None = None,
-                 timed: bool = False) -> None:
+    def __init__(
+        self, scenario: Span, seed: int, make: MakePolicy, trace: Trace | None = None, timed: bool = False
+    ) -> None:
         self.day: Day = draw(scenario, seed)
         self.s = s = self.day.scenario
         stream = streams_for(s.about, seed)
@@ -66,23 +68,43 @@
 
     def _class(self, c: Any) -> q.RequestClass:
         return q.RequestClass(
-            c.name, int(c.aim_ms * 1000), int(c.deadline_ms * 1000),
-            q.Effect(c.effect), q.Group(c.group), int(c.window_ms * 1000), c.worth, c.late_worth)
+            c.name,
+            int(c.aim_ms * 1000),
+            int(c.deadline_ms * 1000),
+            q.Effect(c.effect),
+            q.Group(c.group),
+            int(c.window_ms * 1000),
+            c.worth,
+            c.late_worth,
+        )
 
     def settings(self, index: int) -> q.Settings:
         """What an agent is told at its start."""
         s, allow = self.s, self.s.allow
         return q.Settings(
-            self.classes, zone=self.day.agents[index].zone, siblings=len(self.day.agents), me=index,
-            report_fields=tuple(s.report.fields), discovery=q.Discovery(s.discovery.mode),
-            can_cancel=allow.cancel, can_probe=allow.probes, can_tell=allow.peers,
-            second_copies=allow.second_copies, max_attempts=allow.max_attempts, retry_after=allow.retry_after,
-            max_retry_after_us=int(allow.max_retry_after_ms * 1000), tick_us=self.tick,
-            answer_slack_us=self.slack, start_fraction=s.rules.start_fraction,
-            warm_up_us=int(s.rules.warm_s * 1e6), fall_multiple=s.rules.fall_multiple,
+            self.classes,
+            zone=self.day.agents[index].zone,
+            siblings=len(self.day.agents),
+            me=index,
+            report_fields=tuple(s.report.fields),
+            discovery=q.Discovery(s.discovery.mode),
+            can_cancel=allow.cancel,
+            can_probe=allow.probes,
+            can_tell=allow.peers,
+            second_copies=allow.second_copies,
+            max_attempts=allow.max_attempts,
+            retry_after=allow.retry_after,
+            max_retry_after_us=int(allow.max_retry_after_ms * 1000),
+            tick_us=self.tick,
+            answer_slack_us=self.slack,
+            start_fraction=s.rules.start_fraction,
+            warm_up_us=int(s.rules.warm_s * 1e6),
+            fall_multiple=s.rules.fall_multiple,
             fall_window_us=int(s.rules.fall_ms * 1000),
-            prices=q.Prices(s.prices.cross_zone, s.prices.waste, s.prices.late_fail, s.prices.probe,
-                            s.prices.peer))
+            prices=q.Prices(
+                s.prices.cross_zone, s.prices.waste, s.prices.late_fail, s.prices.probe, s.prices.peer
+            ),
+        )
 
     def run(self, progress: Callable[[float], None] | None = None) -> dict[str, Any]:
         """Play the day to its end; returns the row of its figures.
@@ -100,10 +122,13 @@
                 progress(i / steps)
         self.checker.closed(self.engine.now, self.clients.open)
         broken = self.checker.broken
-        return {**self.account.row(), "rules_broken": sum(broken.values()),
-                "broken": "; ".join(f"{rule}: {n} ({self.checker.first[rule]})"
-                                    for rule, n in broken.items()),
-                "events": self.engine.events, "restarts": self.account.restarts}
+        return {
+            **self.account.row(),
+            "rules_broken": sum(broken.values()),
+            "broken": "; ".join(f"{rule}: {n} ({self.checker.first[rule]})" for rule, n in broken.items()),
+            "events": self.engine.events,
+            "restarts": self.account.restarts,
+        }
 
     def decide(self, policy: Policy, event: q.Event) -> list[q.Action]:
         if not self.timed:
@@ -163,7 +188,7 @@
     def start_agent(self, index: int) -> None:
         if self.hosts[index] is not None:
             return
-        seed = int(self.seeds.uniform() * 2 ** 52)
+        seed = int(self.seeds.uniform() * 2**52)
         policy = self.make(self, self.settings(index), seed)
         host = self.hosts[index] = Host(self, index, policy)
         first, self.started[index] = not self.started[index], True
--- a/lilacsill/__main__.py
+++ b/lilacsill/__main__.py
@@ -2,6 +2,7 @@
 
 Stops in order on SIGTERM; on SIGHUP takes up the address of discovery that the file then names.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -48,16 +49,29 @@
 def assemble(config: Config, clock: Clock, figures: Figures) -> tuple[Agent, Server]:
     """The parts, wired; nothing has started yet."""
     settings, most = config.settings, most_connections(config.sockets, 1)
-    backends = Backends(clock, settings.report_fields, config.connect_timeout_us, config.conn_idle_us, most,
-                        figures.written)
+    backends = Backends(
+        clock, settings.report_fields, config.connect_timeout_us, config.conn_idle_us, most, figures.written
+    )
     # Who says whether it can serve must have heard discovery itself: then the whole list comes first.
     pushed = settings.discovery is PushOrAsk.PUSH
     revision = None if pushed or config.control is not None else config.known.revision
-    discovery = Discovery(config.discovery, config.parser, revision, config.connect_timeout_us / 1e6,
-                          PUSH_WAIT_MS if pushed else ASK_WAIT_MS)
+    discovery = Discovery(
+        config.discovery,
+        config.parser,
+        revision,
+        config.connect_timeout_us / 1e6,
+        PUSH_WAIT_MS if pushed else ASK_WAIT_MS,
+    )
     losses = Losses(Random(config.seed)) if config.hold_missing else None
-    agent = Agent(Balancer(settings, config.seed), clock, backends, discovery, figures,
-                  config.drain_grace_us / 1e6, losses)
+    agent = Agent(
+        Balancer(settings, config.seed),
+        clock,
+        backends,
+        discovery,
+        figures,
+        config.drain_grace_us / 1e6,
+        losses,
+    )
     return agent, Server(settings, agent, most)
 
 
--- a/lilacsill/agent.py
+++ b/lilacsill/agent.py
@@ -1,4 +1,5 @@
 """The agent: the only caller of the decision module, which carries out what it decides."""
+
 from __future__ import annotations
 
 import asyncio
@@ -91,8 +92,16 @@
 class Agent:
     """Hands events to the module one at a time, in order of arrival, and carries out its actions."""
 
-    def __init__(self, balancer: Balancer, clock: Clock, backends: Backends, discovery: Discovery,
-                 figures: Figures, drain_grace_s: float, losses: Losses | None = None) -> None:
+    def __init__(
+        self,
+        balancer: Balancer,
+        clock: Clock,
+        backends: Backends,
+        discovery: Discovery,
+        figures: Figures,
+        drain_grace_s: float,
+        losses: Losses | None = None,
+    ) -> None:
         # Where changes come by themselves, the module never asks: it is the agent that keeps the watch.
         self._pushes = balancer.settings.discovery is q.Discovery.PUSH
         self._balancer, self._clock = balancer, clock
@@ -114,8 +123,14 @@
         self.fresh = False  # discovery has been heard
         self._heard = False  # the list is what discovery said, to this process or the one before it
         self._carriers: dict[type, Callable[[Any], None]] = {
-            q.Send: self._send, q.Refuse: self._refuse, q.Fail: self._fail, q.Cancel: self._cancel,
-            q.SetTimer: self._set_timer, q.Probe: self._probe, q.Watch: self._watch, q.Fetch: self._fetch,
+            q.Send: self._send,
+            q.Refuse: self._refuse,
+            q.Fail: self._fail,
+            q.Cancel: self._cancel,
+            q.SetTimer: self._set_timer,
+            q.Probe: self._probe,
+            q.Watch: self._watch,
+            q.Fetch: self._fetch,
             q.Log: self._log,
         }
 
@@ -148,8 +163,11 @@
     def state(self) -> dict[str, Any]:
         """What another process goes on from."""
         parser = self._discovery.parser
-        return {"roster": self._roster.state(parser.form), "starts": parser.starts.state(),
-                "memory": memory.take(self._balancer)}
+        return {
+            "roster": self._roster.state(parser.form),
+            "starts": parser.starts.state(),
+            "memory": memory.take(self._balancer),
+        }
 
     def move(self, discovery: tuple[Address, ...]) -> None:
         self._discovery.move(discovery)
@@ -161,8 +179,14 @@
         heard = self._discovery.heard_at
         age_ms = -1 if heard is None else int((self._loop.time() - heard) * 1000)
         unlisted = None if self._losses is None else len(self._losses)
-        return Levels(taken, len(self._roster), self._balancer.avoided(self._clock.now()), age_ms, unlisted,
-                      None if self.peers is None else self.peers.levels())
+        return Levels(
+            taken,
+            len(self._roster),
+            self._balancer.avoided(self._clock.now()),
+            age_ms,
+            unlisted,
+            None if self.peers is None else self.peers.levels(),
+        )
 
     def detach(self, backend: str, vouched: bool = False) -> None:
         """Send nothing new to a backend, whatever discovery says. LookupError if it never was listed."""
@@ -191,9 +215,18 @@
         body = call.body
         if not isinstance(body, bytes):
             body.on_whole = partial(self._whole, held)
-        self._post(q.RequestArrived(
-            call.number, call.request_class, left_us, call.tenant, call.key, call.cost_us,
-            call.is_retry, streamed=not isinstance(body, bytes)))
+        self._post(
+            q.RequestArrived(
+                call.number,
+                call.request_class,
+                left_us,
+                call.tenant,
+                call.key,
+                call.cost_us,
+                call.is_retry,
+                streamed=not isinstance(body, bytes),
+            )
+        )
 
     def _whole(self, held: Held) -> None:
         """From its last byte on a request has the time that its client gives it."""
@@ -206,7 +239,8 @@
         if held.overdue is not None:
             held.overdue.cancel()
         held.overdue = self._loop.call_later(
-            max(0, after_us) / 1e6 + OVERDUE_S, self._overdue, held.call.number)
+            max(0, after_us) / 1e6 + OVERDUE_S, self._overdue, held.call.number
+        )
 
     def leave(self, call: Call) -> None:
         held = self._held.get(call.number)
@@ -325,8 +359,9 @@
         held.attempts.append(attempt)
         if a.request not in self._held:  # answered since the module decided this, or its client has gone
             return attempt.end(Result(q.Outcome.NOT_SENT, 0))
-        ask = Ask(call.method, call.target, call.headers, call.body, attempt,
-                  partial(self._wanted, a), call.left_us)
+        ask = Ask(
+            call.method, call.target, call.headers, call.body, attempt, partial(self._wanted, a), call.left_us
+        )
         try:
             exchange = self._backends.exchange(a.backend, ask, a.timeout_us, attempt.end)
         except Exception:
@@ -360,9 +395,18 @@
                 self._missing_answered(str(attempt.backend), result)
         except Exception:
             log.exception("could not say whether %s is still there", attempt.backend)
-        self._post(q.AttemptEnded(
-            number, attempt.index, attempt.backend, result.outcome, result.latency_us,
-            number not in self._held, result.report, spent))
+        self._post(
+            q.AttemptEnded(
+                number,
+                attempt.index,
+                attempt.backend,
+                result.outcome,
+                result.latency_us,
+                number not in self._held,
+                result.report,
+                spent,
+            )
+        )
 
     def _answer_with(self, held: Held, exchange: Exchange | None, result: Result) -> None:
         """Give the answer that an attempt brought, if it is one. Once one has begun it is the request's,
@@ -374,8 +418,9 @@
         elif served:
             self._answer(number, 200, _kind(result.content_type), result.body)
 
-    def answer_begins(self, attempt: Attempt, exchange: Exchange, content_type: bytes | None,
-                      length: int | None) -> None:
+    def answer_begins(
+        self, attempt: Attempt, exchange: Exchange, content_type: bytes | None, length: int | None
+    ) -> None:
         """A large answer comes; the first of a request's is the one."""
         held = self._held.get(attempt.number)
         if held is None or held.begun is not None:
@@ -457,8 +502,11 @@
         self._heard = True
         listing = losses.take(before, listing)
         if len(losses) > held:
-            log.warning("the list lost %d of %d backends at once: they are let go in steps while they answer",
-                        len(losses) - held, len(before))
+            log.warning(
+                "the list lost %d of %d backends at once: they are let go in steps while they answer",
+                len(losses) - held,
+                len(before),
+            )
         return listing
 
     def _hold(self, losses: Losses) -> None:
@@ -485,8 +533,9 @@
 
     def _let_go(self, members: list[Member]) -> None:
         if members:
-            log.warning("backends that the list lacks are let go: %s",
-                        ", ".join(str(m.backend.id) for m in members))
+            log.warning(
+                "backends that the list lacks are let go: %s", ", ".join(str(m.backend.id) for m in members)
+            )
             self._tell(q.ListKind.DELTA, self._roster.told(self._roster.change(members)))
 
     def _tell(self, kind: q.ListKind, listing: Listing) -> None:
--- a/lilacsill/backends.py
+++ b/lilacsill/backends.py
@@ -1,4 +1,5 @@
 """The backends' side: connections kept for reuse, attempts and probes, and how each of them ended."""
+
 from __future__ import annotations
 
 import asyncio
@@ -181,8 +182,14 @@
 class Exchange:
     """One attempt or probe. Ends exactly once, with a Result."""
 
-    def __init__(self, backends: Backends, backend: BackendId, ask: Ask, timeout_us: int,
-                 done: Callable[[Result], None]) -> None:
+    def __init__(
+        self,
+        backends: Backends,
+        backend: BackendId,
+        ask: Ask,
+        timeout_us: int,
+        done: Callable[[Result], None],
+    ) -> None:
         self._backends, self._backend, self._ask, self._done = backends, backend, ask, done
         self._loop = asyncio.get_running_loop()
         self._timeout_us = timeout_us
@@ -238,8 +245,9 @@
 
     def in_time(self) -> bool:
         """The same but for its client, which is asked behind this, as the attempt is about to go out."""
-        if not self.ended and (self._backends.ready(self._backend) is None
-                               or self._left_us() < LEAST_TOLD_US):
+        if not self.ended and (
+            self._backends.ready(self._backend) is None or self._left_us() < LEAST_TOLD_US
+        ):
             self._end(Outcome.NOT_SENT)
         return not self.ended
 
@@ -476,10 +484,16 @@
             log.exception("an attempt did not end in good order")
             if self._connection is not None:
                 self._connection.drop()
-        self._done(Result(
-            outcome, self.latency_us, self.report(), bytes(self._body),
-            self._headers.get(b"content-type"), self._begun_us >= 0,
-        ))
+        self._done(
+            Result(
+                outcome,
+                self.latency_us,
+                self.report(),
+                bytes(self._body),
+                self._headers.get(b"content-type"),
+                self._begun_us >= 0,
+            )
+        )
 
     def _release(self, outcome: Outcome) -> None:
         """Let go of its timers, its place among those that wait, its body and its connection."""
@@ -499,8 +513,15 @@
 class Backends:
     """The backends of the list, and the idle connections to them."""
 
-    def __init__(self, clock: Clock, report_fields: tuple[str, ...], connect_timeout_us: int,
-                 conn_idle_us: int, most: int, written: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        report_fields: tuple[str, ...],
+        connect_timeout_us: int,
+        conn_idle_us: int,
+        most: int,
+        written: Callable[[], None],
+    ) -> None:
         self.clock, self.report_fields = clock, report_fields
         self.written = written  # to be told of each request, not probe, of which the last byte has gone out
         self._connect_s = connect_timeout_us / 1e6
@@ -535,8 +556,9 @@
         member = self._members.get(backend)
         return member if member is not None and member.backend.state is State.READY else None
 
-    def exchange(self, backend: BackendId, ask: Ask, timeout_us: int,
-                 done: Callable[[Result], None]) -> Exchange:
+    def exchange(
+        self, backend: BackendId, ask: Ask, timeout_us: int, done: Callable[[Result], None]
+    ) -> Exchange:
         exchange = Exchange(self, backend, ask, timeout_us, done)
         exchange.start()
         return exchange
@@ -632,7 +654,8 @@
     def _retire_in_time(self, connection: _Pooled, now: int) -> None:
         left_us = connection.idle_since + self._idle_us - now
         connection.retire = asyncio.get_running_loop().call_later(
-            max(0, left_us) / 1e6, self._retired, connection)
+            max(0, left_us) / 1e6, self._retired, connection
+        )
 
     def _hand_over(self, connection: _Pooled) -> bool:
         """Whether it is in use now, or of no use any more."""
@@ -660,7 +683,8 @@
             quiet_us = self._quiet_periods.of(backend)
             left_us = max(0, min(c.reusable_at(quiet_us) for c in kept) - self.clock.now())
             self._quiet_timers[backend] = asyncio.get_running_loop().call_later(
-                left_us / 1e6, self._quiet_enough, backend)
+                left_us / 1e6, self._quiet_enough, backend
+            )
 
     def _quiet_enough(self, backend: BackendId) -> None:
         """Hand out what is quiet for long enough by now; connect for those whom that leaves without any."""
@@ -725,8 +749,7 @@
         listed = member.same_process(self.ready(member.backend.id))
         if listed and over and http.trailing_data[0]:
             self._quiet_periods.unasked(member.backend.id, 0)
-        if (connection.closed or not over or not connection.written or http.trailing_data[0]
-                or not listed):
+        if connection.closed or not over or not connection.written or http.trailing_data[0] or not listed:
             return self._discard(connection)
         http.start_next_cycle()
         connection.answered = True
--- a/lilacsill/bans.py
+++ b/lilacsill/bans.py
@@ -1,4 +1,5 @@
 """The list of backends as discovery has it, and the bans that operators lay over it."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -38,7 +39,7 @@
             else:
                 self._members[name] = member
         past = [name for name in self._listed if name not in self._members]
-        for name in past[:max(0, len(past) - KEPT)]:
+        for name in past[: max(0, len(past) - KEPT)]:
             del self._listed[name]
         return replace(listing, members=tuple(self._overlaid(m) for m in listing.members))
 
@@ -53,9 +54,13 @@
     def state(self, form: Callable[[Member], dict[str, Any]]) -> dict[str, Any]:
         """All of it in JSON's terms, for another process; the list in discovery's form, without the bans."""
         return {
-            "list": {"revision": self._revision, "complete": True,
-                     "members": [form(m) for m in self._members.values()]},
-            "listed": list(self._listed), "banned": sorted(self._banned),
+            "list": {
+                "revision": self._revision,
+                "complete": True,
+                "members": [form(m) for m in self._members.values()],
+            },
+            "listed": list(self._listed),
+            "banned": sorted(self._banned),
         }
 
     def resume(self, state: dict[str, Any], listing: Listing) -> Listing:
--- a/lilacsill/clock.py
+++ b/lilacsill/clock.py
@@ -1,4 +1,5 @@
 """The one clock: monotonic, in integer microseconds. Wall-clock times enter here, and nowhere else."""
+
 from __future__ import annotations
 
 import time
--- a/lilacsill/config.py
+++ b/lilacsill/config.py
@@ -1,4 +1,5 @@
 """RELAY_CONFIG as typed values."""
+
 from __future__ import annotations
 
 import json
@@ -98,8 +99,14 @@
     peers = tuple(parse_address(text) for text in doc["peers"])
     if len(peers) != siblings:
         raise ValueError(f"peers: {len(peers)} addresses for {siblings} agents")
-    return PeersConfig(parse_address(doc["peer_listen"]), peers, int(facts.get("me", 0)), fleet, key.encode(),
-                       float(facts.get("prices", {}).get("peer", 0.0)))
+    return PeersConfig(
+        parse_address(doc["peer_listen"]),
+        peers,
+        int(facts.get("me", 0)),
+        fleet,
+        key.encode(),
+        float(facts.get("prices", {}).get("peer", 0.0)),
+    )
 
 
 def _config(doc: dict[str, Any], env: Mapping[str, str], clock: Clock) -> Config:
--- a/lilacsill/connection.py
+++ b/lilacsill/connection.py
@@ -1,4 +1,5 @@
 """One TCP connection that speaks HTTP/1.1 through h11; what is common to all three roles of the agent."""
+
 from __future__ import annotations
 
 import asyncio
@@ -46,7 +47,8 @@
     """A request whose headers h11 has parsed before, or that are made here of constants and digits: h11 takes
     its word for their names and values, as for those of its own parser."""
     return h11.Request(
-        method=method.encode("ascii"), target=target.encode("ascii"), headers=headers, _parsed=True)
+        method=method.encode("ascii"), target=target.encode("ascii"), headers=headers, _parsed=True
+    )
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -196,7 +198,8 @@
         if self.transport is not None and not self.transport.is_closing():
             with suppress(OSError):  # the peer may have reset it already
                 self.transport.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT
+                )
 
     def resume_reading(self) -> None:
         """Hand on what came in while the message before it was in hand."""
--- a/lilacsill/control.py
+++ b/lilacsill/control.py
@@ -1,4 +1,5 @@
 """The door for operators: one call a connection, one line long, answered and closed."""
+
 from __future__ import annotations
 
 import asyncio
@@ -88,9 +89,13 @@
             raise Refused("empty call")
         call, args = words[0], words[1:]
         on_server: dict[str, Callable[[str], Coroutine[Any, Any, None]]] = {
-            "DETACH": self._acts.detach, "ATTACH": self._acts.attach}
+            "DETACH": self._acts.detach,
+            "ATTACH": self._acts.attach,
+        }
         on_agent: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
-            "LAMEDUCK": self._acts.lameduck, "REJOIN": self._acts.rejoin}
+            "LAMEDUCK": self._acts.lameduck,
+            "REJOIN": self._acts.rejoin,
+        }
         if call in on_server:
             if len(args) != 1:
                 raise Refused(f"{call} takes one id")
--- a/lilacsill/discovery.py
+++ b/lilacsill/discovery.py
@@ -1,4 +1,5 @@
 """The list of backends: its form, and the watch that keeps it up to date."""
+
 from __future__ import annotations
 
 import asyncio
@@ -58,8 +59,11 @@
 
     def same_process(self, other: Member | None) -> bool:
         """Whether a connection to the one leads to the other."""
-        return other is self or (other is not None and self.address == other.address
-                                 and self.backend.started_at == other.backend.started_at)
+        return other is self or (
+            other is not None
+            and self.address == other.address
+            and self.backend.started_at == other.backend.started_at
+        )
 
 
 @dataclass(slots=True, frozen=True)
@@ -103,10 +107,13 @@
                 self.starts.whole_list(str(m["id"]) for m in rows)
             members = tuple(self._member(m) for m in rows)
             if not complete:
-                self.starts.change([str(m.backend.id) for m in members],
-                                   [str(m.backend.id) for m in members if m.backend.state is State.GONE])
-            return Listing(int(doc["revision"]), complete, members,
-                           identity if isinstance(identity, str) else None)
+                self.starts.change(
+                    [str(m.backend.id) for m in members],
+                    [str(m.backend.id) for m in members if m.backend.state is State.GONE],
+                )
+            return Listing(
+                int(doc["revision"]), complete, members, identity if isinstance(identity, str) else None
+            )
         except (KeyError, TypeError, AttributeError, OverflowError) as e:
             raise ValueError(f"list of backends: {type(e).__name__} {e}") from None
 
@@ -115,17 +122,25 @@
         b = member.backend
         phase = next(name for name, state in STATES.items() if state is b.state)
         return {
-            "id": str(b.id), "host_port": f"{member.address.host}:{member.address.port}", "phase": phase,
+            "id": str(b.id),
+            "host_port": f"{member.address.host}:{member.address.port}",
+            "phase": phase,
             "locality": next((name for name, i in self._zones.items() if i == b.zone), None),
             "flavor": next((name for name, i in self._kinds.items() if i == b.kind), None),
-            "cell": b.cell, "size": b.capacity_hint, "up_since_ms": member.up_since_ms,
+            "cell": b.cell,
+            "size": b.capacity_hint,
+            "up_since_ms": member.up_since_ms,
         }
 
     def _member(self, m: Any) -> Member:
         name, up_since_ms = str(m["id"]), int(m.get("up_since_ms") or 0)
         backend = Backend(
-            name, STATES[m["phase"]], self._zones.get(m.get("locality"), 0), int(m.get("cell") or 0),
-            self._kinds.get(m.get("flavor"), 0), float(m.get("size") or 1.0),
+            name,
+            STATES[m["phase"]],
+            self._zones.get(m.get("locality"), 0),
+            int(m.get("cell") or 0),
+            self._kinds.get(m.get("flavor"), 0),
+            float(m.get("size") or 1.0),
             self.starts.started_at(name, up_since_ms),
         )
         return Member(backend, parse_address(m["host_port"]), up_since_ms)
@@ -193,8 +208,14 @@
 
     keeps_on = False  # with one address too, where a watch would else be said to have broken
 
-    def __init__(self, addresses: tuple[Address, ...], parser: ListingParser, revision: int | None,
-                 connect_s: float, wait_ms: int) -> None:
+    def __init__(
+        self,
+        addresses: tuple[Address, ...],
+        parser: ListingParser,
+        revision: int | None,
+        connect_s: float,
+        wait_ms: int,
+    ) -> None:
         self._addresses, self.parser = addresses, parser
         self._connect_s = min(connect_s, CONNECT_MOST_S)
         self._wait_ms = wait_ms
@@ -306,8 +327,12 @@
         back = behind or (self._revision is not None and listing.revision < self._revision)
         other = self._identity is not None and listing.identity != self._identity
         if back or other:
-            log.warning("the list %s: revision %s after %s", "is another one" if other else "went back",
-                        listing.revision, self._revision)
+            log.warning(
+                "the list %s: revision %s after %s",
+                "is another one" if other else "went back",
+                listing.revision,
+                self._revision,
+            )
         wanted = (back or other) and not listing.complete
         self._revision, self._identity = None if wanted else listing.revision, listing.identity
         if not wanted:
@@ -329,9 +354,13 @@
             return False
         if self._disputed != self._latest:
             self._disputed = self._latest
-            log.error("%s:%d went back and is not followed: %s; what was told stays until it is ahead again "
-                      "or has another list (`catalog restore` makes one)",
-                      self.address.host, self.address.port, e)
+            log.error(
+                "%s:%d went back and is not followed: %s; what was told stays until it is ahead again "
+                "or has another list (`catalog restore` makes one)",
+                self.address.host,
+                self.address.port,
+                e,
+            )
         return True
 
     def _leaves(self, age_s: int) -> bool:
@@ -390,8 +419,9 @@
         finally:
             if call is not None:
                 call.drop()
-        if listing is not None and (self._behind(listing) or (
-                self._revision is not None and listing.revision < self._revision)):
+        if listing is not None and (
+            self._behind(listing) or (self._revision is not None and listing.revision < self._revision)
+        ):
             log.warning("a whole list of revision %s came after %s", listing.revision, self._revision)
             listing = None  # the watch has told what is newer
         if listing is not None:
--- a/lilacsill/event_loop.py
+++ b/lilacsill/event_loop.py
@@ -4,6 +4,7 @@
 read the connection or listener in question, or lose what it was about to write. Here the registration stands,
 and is carried out as soon as the kernel allows it.
 """
+
 from __future__ import annotations
 
 import select
--- a/lilacsill/figures.py
+++ b/lilacsill/figures.py
@@ -1,4 +1,5 @@
 """What the agent counts, and the text in which operators read it."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
@@ -46,8 +47,11 @@
 
     def text(self, levels: Levels) -> str:
         """One figure a line: counts as ``c``, levels as ``g``."""
-        lines = [f"{PREFIX}.{end}.{name}:{counts[i]}|c"
-                 for end, counts in self._ends.items() for i, name in enumerate(self._classes)]
+        lines = [
+            f"{PREFIX}.{end}.{name}:{counts[i]}|c"
+            for end, counts in self._ends.items()
+            for i, name in enumerate(self._classes)
+        ]
         lines += [
             f"{PREFIX}.upstream_requests:{self._upstream_requests}|c",
             f"{PREFIX}.config_reloads:{self._config_reloads}|c",
--- a/lilacsill/handover.py
+++ b/lilacsill/handover.py
@@ -4,6 +4,7 @@
 of state together with the listening socket of the clients: nothing that waits in its queue is lost when the
 first process closes its own copy. The connection stays as a link for what operators ask at either door.
 """
+
 from __future__ import annotations
 
 import asyncio
--- a/lilacsill/listener.py
+++ b/lilacsill/listener.py
@@ -1,4 +1,5 @@
 """Listening sockets: made through errors of a moment, and accepted from through others."""
+
 from __future__ import annotations
 
 import asyncio
@@ -40,8 +41,12 @@
     NOT_ADMITTED = auto()
 
 
-def accept_waiting(listener: socket.socket, take_in: Callable[[socket.socket], None], most: int = ACCEPTS,
-                   may_come: Callable[[], bool] = lambda: True) -> Waiting:
+def accept_waiting(
+    listener: socket.socket,
+    take_in: Callable[[socket.socket], None],
+    most: int = ACCEPTS,
+    may_come: Callable[[], bool] = lambda: True,
+) -> Waiting:
     """Accept those that wait, so many at most, as long as one more may come. Raises Lacking."""
     for _ in range(most):
         if not may_come():
@@ -88,6 +93,7 @@
 
     def _take_in(self, sock: socket.socket) -> None:
         task: asyncio.Task[object] = self._loop.create_task(
-            self._loop.connect_accepted_socket(self._protocol, sock))
+            self._loop.connect_accepted_socket(self._protocol, sock)
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/lilacsill/losses.py
+++ b/lilacsill/losses.py
@@ -14,6 +14,7 @@
 Whatever discovery says, it is so after eleven seconds. (Eureka's self-preservation is the published relative;
 it holds for ever, which keeps the dead.) Without a clock, a socket or a random source of its own.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
@@ -45,8 +46,8 @@
 
     def to_ask(self) -> list[str]:
         """Whom to probe now; each once."""
-        asked = [name for name in self._unasked[-self._step:] if name in self._held]
-        del self._unasked[-self._step:]
+        asked = [name for name in self._unasked[-self._step :] if name in self._held]
+        del self._unasked[-self._step :]
         return asked
 
     def take(self, before: Mapping[str, Member], listing: Listing) -> Listing:
@@ -74,7 +75,7 @@
 
     def step(self) -> list[Member]:
         """STEP_S have passed; whom to let go now."""
-        return self._let_go(list(self._held)[:self._step])
+        return self._let_go(list(self._held)[: self._step])
 
     def _let_go(self, names: Iterable[str]) -> list[Member]:
         members = [self._held.pop(name) for name in names]
--- a/lilacsill/operators.py
+++ b/lilacsill/operators.py
@@ -1,4 +1,5 @@
 """What operators ask at the door, carried out by those who own it, in each process that is this agent."""
+
 from __future__ import annotations
 
 import logging
--- a/lilacsill/peers.py
+++ b/lilacsill/peers.py
@@ -4,6 +4,7 @@
 and nothing is queued. A probe that the budget held back is as if this process had stood still: nobody is
 blamed.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -87,8 +88,12 @@
             made = self._bound()
         except OSError as e:
             if not self.counts["binds_failed"]:
-                log.warning("peers cannot be heard at %s:%d yet: %s", self._config.listen.host,
-                            self._config.listen.port, e.strerror)
+                log.warning(
+                    "peers cannot be heard at %s:%d yet: %s",
+                    self._config.listen.host,
+                    self._config.listen.port,
+                    e.strerror,
+                )
             self.counts["binds_failed"] += 1
             self._timer = self._loop.call_later(BIND_AGAIN_S, self.start)
             return
@@ -131,11 +136,14 @@
         living, counts = self.living(), self.counts
         dropped = sum(n for name, n in counts.items() if name.startswith("dropped"))
         return {
-            "agents_alive": (living.low, "g"), "agents_possible": (living.high, "g"),
+            "agents_alive": (living.low, "g"),
+            "agents_possible": (living.high, "g"),
             "agents_heard_age_ms": (living.age_us // 1000, "g"),
             "agents_local_health": (self.core.health, "g"),
-            "peers_sent": (counts["sent"], "c"), "peers_sent_bytes": (counts["sent_bytes"], "c"),
-            "peers_received": (counts["received"], "c"), "peers_dropped": (dropped, "c"),
+            "peers_sent": (counts["sent"], "c"),
+            "peers_sent_bytes": (counts["sent_bytes"], "c"),
+            "peers_received": (counts["received"], "c"),
+            "peers_dropped": (dropped, "c"),
             "peers_held_back": (counts["held_back"], "c"),
         }
 
--- a/lilacsill/quiet_period.py
+++ b/lilacsill/quiet_period.py
@@ -3,6 +3,7 @@
 HTTP/1.1 names no request in an answer: a second answer to one request that arrives once the next one has gone
 out on the connection cannot be told from that one's own. It can be told as long as nothing has been asked.
 """
+
 from __future__ import annotations
 
 from brasshead.interface import BackendId
--- a/lilacsill/server.py
+++ b/lilacsill/server.py
@@ -1,4 +1,5 @@
 """The application's side: requests read and checked, answers written."""
+
 from __future__ import annotations
 
 import asyncio
@@ -38,8 +39,9 @@
 STUCK_S = 60.0  # a client that takes nothing of its answer for so long has stopped
 POLL_S = 0.01  # while the last requests end
 # Written as it stands where h11 may be in any state.
-PLAIN_FAILURE = (b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\nConnection: close\r\n\r\n"
-                 b"failed\n")
+PLAIN_FAILURE = (
+    b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\nConnection: close\r\n\r\nfailed\n"
+)
 LAST_S = 0.3  # for what has come in by the end: read, refused, and its refusal taken
 COME_AGAIN_US = 500_000  # a client turned away by a stop: by then another process serves, or will soon
 # From connecting, or from a request's first byte. Whoever stops is owed an error within 3 s, while an honest
@@ -232,9 +234,17 @@
             raise Rejected(400, "Idempotency-Key does not fit the class")
         target = origin_form(request.target)
         return Call(
-            method, target, [(k, fields[k]) for k in FORWARDED if k in fields],
-            body, index, self._tenant(fields), self._patience_us(fields), _key(target),
-            _work_hint(header(fields, b"work-hint")), fields.get(b"client-retry") == b"1", client,
+            method,
+            target,
+            [(k, fields[k]) for k in FORWARDED if k in fields],
+            body,
+            index,
+            self._tenant(fields),
+            self._patience_us(fields),
+            _key(target),
+            _work_hint(header(fields, b"work-hint")),
+            fields.get(b"client-retry") == b"1",
+            client,
             client.sent_us,
         )
 
@@ -346,7 +356,8 @@
     def _in_hand(self) -> bool:
         """A request has come whole, and has no answer yet."""
         return self._call is not None and (
-            self._upload is None or self._upload.whole or self._last_piece is not None)
+            self._upload is None or self._upload.whole or self._last_piece is not None
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -426,7 +437,7 @@
             return
         data = self.http.trailing_data[0]
         end = HEAD_END.search(data)
-        if end is not None and is_ambiguous(data[:end.end()]):
+        if end is not None and is_ambiguous(data[: end.end()]):
             raise h11.RemoteProtocolError("bare line feed or folded line in the head")
 
     def _feed(self, data: bytes | None) -> None:
@@ -922,7 +933,8 @@
         self._starved = False
         loop, client = asyncio.get_running_loop(), _Client(self)
         task: asyncio.Task[object] = loop.create_task(
-            loop.connect_accepted_socket(partial(_itself, client), sock))
+            loop.connect_accepted_socket(partial(_itself, client), sock)
+        )
         self._coming[task] = client
         task.add_done_callback(self._coming.pop)
 
--- a/lilacsill/sockets.py
+++ b/lilacsill/sockets.py
@@ -5,6 +5,7 @@
 And accept(2) hands on what befell a connection before it was accepted: that one is gone, the next may be in
 order.
 """
+
 from __future__ import annotations
 
 import errno
@@ -14,28 +15,62 @@
 
 # connect(2), of the call itself: ports, routes and memory are this machine's. The same errno as the end of a
 # connect under way is what the network says of the server.
-LACKING_TO_CONNECT = frozenset({
-    errno.EAGAIN, errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.ENOBUFS, errno.ENOMEM, errno.ENETDOWN,
-    errno.ENETUNREACH,
-})
+LACKING_TO_CONNECT = frozenset(
+    {
+        errno.EAGAIN,
+        errno.EADDRNOTAVAIL,
+        errno.EADDRINUSE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+    }
+)
 # accept(2): of one connection that waited; the others are not concerned.
-GONE_BEFORE_ACCEPT = frozenset({
-    errno.ECONNABORTED, errno.ENETDOWN, errno.EPROTO, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET,
-    errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.ECONNRESET, errno.EINTR,
-})
+GONE_BEFORE_ACCEPT = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.ENETDOWN,
+        errno.EPROTO,
+        errno.ENOPROTOOPT,
+        errno.EHOSTDOWN,
+        errno.ENONET,
+        errno.EHOSTUNREACH,
+        errno.EOPNOTSUPP,
+        errno.ENETUNREACH,
+        errno.ETIMEDOUT,
+        errno.ECONNRESET,
+        errno.EINTR,
+    }
+)
 # send(2), recv(2), on a connection that is in order.
 LACKING_TO_TRANSFER = frozenset({errno.ENOBUFS, errno.ENOMEM})
 # epoll_ctl(2): ENOSPC is the limit of watches.
 LACKING_TO_WATCH = frozenset({errno.ENOMEM, errno.ENOSPC})
 # bind(2), socket(2): another process is just letting go of the address, the machine is coming up, or short.
-LACKING_TO_LISTEN = frozenset({
-    errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM,
-    errno.EAGAIN, errno.EINTR,
-})
+LACKING_TO_LISTEN = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EAGAIN,
+        errno.EINTR,
+    }
+)
 # unix(7), sendmsg(2): of a hand-over to the next process.
-LACKING_TO_HAND_OVER = frozenset({
-    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN, errno.ETOOMANYREFS,
-})
+LACKING_TO_HAND_OVER = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EAGAIN,
+        errno.ETOOMANYREFS,
+    }
+)
 
 
 class Lacking(OSError):
--- a/lilacsill/starts.py
+++ b/lilacsill/starts.py
@@ -12,6 +12,7 @@
 Starts are remembered for as long as the server is listed and for some time after: a whole list may leave out
 a server that drains, and one that returns unchanged is the same process and as old as before.
 """
+
 from __future__ import annotations
 
 import logging
@@ -101,15 +102,19 @@
 
     def state(self) -> dict[str, Any]:
         """All of it in JSON's terms."""
-        return {"lacking_us": self._lacking_us,
-                "runs": {name: list(runs.items()) for name, runs in self._known.items()}}
+        return {
+            "lacking_us": self._lacking_us,
+            "runs": {name: list(runs.items()) for name, runs in self._known.items()},
+        }
 
     def resume(self, state: Any) -> None:
         """Go on from another's state; without it, and with a line in the log, where it cannot be read."""
         now = self._clock.now()
         try:
-            runs = {str(name): {int(up_since_ms): int(at) for up_since_ms, at in pairs}
-                    for name, pairs in state["runs"].items()}
+            runs = {
+                str(name): {int(up_since_ms): int(at) for up_since_ms, at in pairs}
+                for name, pairs in state["runs"].items()
+            }
             lacking_us = None if state["lacking_us"] is None else int(state["lacking_us"])
             if max([lacking_us or 0, *(at for each in runs.values() for at in each.values())]) > now:
                 raise ValueError("of another machine's clock")
--- a/lilacsill/turns.py
+++ b/lilacsill/turns.py
@@ -3,6 +3,7 @@
 A turn that takes long, as one in which a large list is read, leaves requests unread in the kernel, while
 their clients' time runs.
 """
+
 from __future__ import annotations
 
 import asyncio
--- a/membership/core.py
+++ b/membership/core.py
@@ -12,6 +12,7 @@
 
 Times are integer microseconds of any monotonic clock that the caller passes in; ages never leave the process.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
@@ -32,8 +33,8 @@
 WARN_OFTEN, WARN_SELDOM = 4, 4  # a suspect is told each period, and after so many times each so many periods
 FACTS = 17  # in one message: what 256 bytes hold
 DIFFERS_PERIODS = 2  # so long old news fills messages after another's digest was not this one's
-SEQ = 2 ** 32
-MOST = 2 ** 32 - 1  # an incarnation
+SEQ = 2**32
+MOST = 2**32 - 1  # an incarnation
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,13 +90,14 @@
 class Membership:
     """One member. Hand it what happens; carry out the actions it returns in order."""
 
-    def __init__(self, me: int, size: int, start: int, random: Callable[[], float],
-                 timing: Timing = TIMING) -> None:
+    def __init__(
+        self, me: int, size: int, start: int, random: Callable[[], float], timing: Timing = TIMING
+    ) -> None:
         """me: this one's number; start: above that of every earlier process of this number; random: draws
         uniformly from [0, 1)."""
         if not 0 <= me < size or size > 0xFFFF:
             raise ValueError(f"me must lie in 0..size - 1, and size at 65535 at most: {me}, {size}")
-        if not 0 < start < 2 ** 48:
+        if not 0 < start < 2**48:
             raise ValueError(f"start must lie above 0 and below 2**48: {start}")
         self.me, self.size, self.start, self.timing = me, size, start, timing
         self.incarnation = 0
@@ -263,8 +265,9 @@
     def _say(self, to: int, kind: Kind, seq: int, about: int = 0, outdated: bool = False) -> None:
         """outdated: the other is not the latest process of its name known here, and is told so."""
         facts = self._facts(to, outdated)
-        self._actions.append(Send(to, Message(
-            kind, self.me, self.start, self.incarnation, seq, about, self._digest, facts)))
+        self._actions.append(
+            Send(to, Message(kind, self.me, self.start, self.incarnation, seq, about, self._digest, facts))
+        )
 
     def _facts(self, to: int, outdated: bool) -> tuple[Fact, ...]:
         """What the other must hear of itself first, then the news told least often."""
@@ -323,7 +326,7 @@
         if sure.start > self.start:
             # Two know a later process of this name. If nobody has taken this one for what it is, the clock
             # that gave its start went back, and it goes above; else it is the older one, and gives way.
-            if self._acknowledged or sure.start >= 2 ** 48 - 1:
+            if self._acknowledged or sure.start >= 2**48 - 1:
                 self.superseded = self.silent = True
                 return
             self._rename(sure.start + 1, 0)
--- a/membership/messages.py
+++ b/membership/messages.py
@@ -1,4 +1,5 @@
 """What members say to one another, and what the core wants done. No bytes here: `wire.py` has their form."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
--- a/membership/record.py
+++ b/membership/record.py
@@ -8,6 +8,7 @@
 said it: of the two largest claims of distinct tellers, what both bear out. One liar therefore moves nothing
 by itself, whatever numbers it names; two could.
 """
+
 from __future__ import annotations
 
 from enum import IntEnum
--- a/membership/wire.py
+++ b/membership/wire.py
@@ -5,6 +5,7 @@
 before, keyed where the fleet has a key. Without one they still tell a spoilt byte. Whatever does not fit
 this form in full is dropped: nothing is half believed.
 """
+
 from __future__ import annotations
 
 from hashlib import blake2b
@@ -40,8 +41,19 @@
     def pack(self, m: Message) -> bytes:
         """At most 256 bytes; facts beyond those that fit are left out."""
         facts = m.facts[:FACTS]
-        data = HEAD.pack(VERSION, self._tag, m.kind, m.sender, m.start >> 32, m.start & 0xFFFFFFFF,
-                         m.incarnation, m.seq, m.about, m.digest, len(facts))
+        data = HEAD.pack(
+            VERSION,
+            self._tag,
+            m.kind,
+            m.sender,
+            m.start >> 32,
+            m.start & 0xFFFFFFFF,
+            m.incarnation,
+            m.seq,
+            m.about,
+            m.digest,
+            len(facts),
+        )
         for fact in facts:
             r = fact.record
             data += FACT.pack(fact.member, r.start >> 32, r.start & 0xFFFFFFFF, r.incarnation, r.status)
@@ -65,7 +77,7 @@
         if kind not in KINDS or sender >= self._size or about >= self._size or not start:
             raise Unreadable("value")
         facts = []
-        for member, fact_high, fact_low, of, status in FACT.iter_unpack(data[HEAD.size:end]):
+        for member, fact_high, fact_low, of, status in FACT.iter_unpack(data[HEAD.size : end]):
             if member >= self._size or status not in STATUSES:
                 raise Unreadable("value")
             facts.append(Fact(member, Record(fact_high << 32 | fact_low, of, STATUSES[status])))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,2 +1,3 @@
 """What holds for every run of the tests."""
+
 pytest_plugins = ["tests.known_red"]
--- a/tests/disk_faults.py
+++ b/tests/disk_faults.py
@@ -1,4 +1,5 @@
 """System calls of a disk that fail: the k-th once, from there on for a while, or with the process killed."""
+
 from __future__ import annotations
 
 import contextlib
@@ -61,8 +62,14 @@
     @contextlib.contextmanager
     def installed(self) -> Iterator[None]:
         """In the module itself, for code that comes to it by pathlib and shutil."""
-        calls = {"fsync": self.fsync, "rename": self.replace, "replace": self.replace, "unlink": self.unlink,
-                 "mkdir": self.mkdir, "rmdir": self.rmdir}
+        calls = {
+            "fsync": self.fsync,
+            "rename": self.replace,
+            "replace": self.replace,
+            "unlink": self.unlink,
+            "mkdir": self.mkdir,
+            "rmdir": self.rmdir,
+        }
         with contextlib.ExitStack() as stack:
             for name, call in calls.items():
                 stack.enter_context(mock.patch.object(os, name, call))
@@ -74,7 +81,7 @@
     def write(self, fd: int, data: bytes | memoryview) -> int:
         if not self._plan.fails("write"):
             return os.write(fd, data)
-        os.write(fd, data[:len(data) // 2])
+        os.write(fd, data[: len(data) // 2])
         raise self._plan.failure()
 
     def fsync(self, fd: int) -> None:
--- a/tests/disk_model.py
+++ b/tests/disk_model.py
@@ -3,6 +3,7 @@
 After Pillai et al., "All File Systems Are Not Created Equal" (OSDI 2014): appended bytes and names go to disk
 on their own and in any order, until a sync of the file, or of the folder, puts them there.
 """
+
 from __future__ import annotations
 
 import errno
@@ -24,10 +25,12 @@
         """Each piece that was not synced is there, missing (then zeros stand before a later one), or torn."""
         found = {self.synced}
         for present in itertools.product((False, True), repeat=len(self.pending)):
-            pieces = [piece if there else bytes(len(piece)) for piece, there in zip(self.pending, present,
-                                                                                   strict=True)]
+            pieces = [
+                piece if there else bytes(len(piece))
+                for piece, there in zip(self.pending, present, strict=True)
+            ]
             last = max((i for i, there in enumerate(present) if there), default=-1)
-            before = self.synced + b"".join(pieces[:max(0, last)])
+            before = self.synced + b"".join(pieces[: max(0, last)])
             if last >= 0:
                 found |= {before + pieces[last][:cut] for cut in tears(pieces[last])}
         return sorted(found)
@@ -104,8 +107,10 @@
     def drawn(self, chance: Random) -> dict[str, bytes]:
         """One of them."""
         names = self._names(tuple(chance.random() < 0.5 for _ in self.pending_names))
-        return {name: chance.choice(inode.may_be(lambda piece: [chance.randint(0, len(piece)), len(piece)]))
-                for name, inode in names.items()}
+        return {
+            name: chance.choice(inode.may_be(lambda piece: [chance.randint(0, len(piece)), len(piece)]))
+            for name, inode in names.items()
+        }
 
     def _names(self, kept: tuple[bool, ...]) -> dict[str, Inode]:
         names = dict(self.synced_names)
