--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -6,6 +6,7 @@
 
     python -m tests.drawn_world 1..200          # seeds to play; prints what broke, and how
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -46,8 +47,20 @@
 HELD_S, APART_S = 0.13, 0.6  # hold-ups of the agent: the longest, and from one to the next
 LOOK_S = 0.01
 LATE_S = 0.03  # a loop that had its turn later than this measures itself
-SPOILS = ["half", "500", "no_length", "no_length_reset", "chunked", "second", "garbage", "interim", "pieces",
-          "closing", "large", "large_cut"]
+SPOILS = [
+    "half",
+    "500",
+    "no_length",
+    "no_length_reset",
+    "chunked",
+    "second",
+    "garbage",
+    "interim",
+    "pieces",
+    "closing",
+    "large",
+    "large_cut",
+]
 RESET = struct.pack("ii", 1, 0)
 
 
@@ -100,8 +113,11 @@
     def story(self, rid: str) -> list[str]:
         """All that was noted of a request, and of what struck anyone, in order."""
         begin = min((t for t, of, _ in self.notes if of == rid), default=0.0)
-        return [f"{(t - begin) * 1000:8.1f} ms  {what}" for t, of, what in sorted(self.notes)
-                if of == rid or (not of and begin - 0.3 < t < begin + 2)]
+        return [
+            f"{(t - begin) * 1000:8.1f} ms  {what}"
+            for t, of, what in sorted(self.notes)
+            if of == rid or (not of and begin - 0.3 < t < begin + 2)
+        ]
 
     def log(self, what: str) -> None:
         self.logged.append(what)
@@ -119,6 +135,7 @@
 
 # Servers
 
+
 class StandIn:
     """A server that does with each request what its dice say."""
 
@@ -137,8 +154,9 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
         await self.accepts.wait()
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError,
-                                 TimeoutError):
+        with contextlib.suppress(
+            asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError, TimeoutError
+        ):
             while True:
                 idle = self.rng.uniform(0.01, 0.3) if self.mood == "closes" else 60.0
                 async with asyncio.timeout(idle):
@@ -186,7 +204,9 @@
             return await self._answer(rid, writer)
         if self.mood == "resets":
             self.record.note(rid, f"{self.name}: reset")
-            return self._reset(writer, b"" if rng.random() < 0.5 else self._whole(rid)[:rng.randrange(1, 60)])
+            return self._reset(
+                writer, b"" if rng.random() < 0.5 else self._whole(rid)[: rng.randrange(1, 60)]
+            )
         kind = rng.choice(SPOILS)
         return await self._spoil(rid, kind if self.knobs.allows(kind) else "500", writer)
 
@@ -200,8 +220,9 @@
         body = self._make(rid, size)
         return b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n" % (headers.encode(), len(body)) + body
 
-    async def _answer(self, rid: str, writer: asyncio.StreamWriter, status: int = 200, headers: str = ""
-                      ) -> bool:
+    async def _answer(
+        self, rid: str, writer: asyncio.StreamWriter, status: int = 200, headers: str = ""
+    ) -> bool:
         if status == 200:
             writer.write(self._whole(rid, headers))
         else:
@@ -224,7 +245,7 @@
             return await self._answer(rid, writer, status=500)
         if kind == "half":
             whole = self._whole(rid)
-            writer.write(whole[:rng.randrange(1, len(whole))])
+            writer.write(whole[: rng.randrange(1, len(whole))])
             if rng.random() < 0.3:
                 await asyncio.sleep(rng.uniform(0, 1))
             return False
@@ -239,7 +260,7 @@
             body = self._make(rid)
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             for byte in range(0, len(body), 7):
-                part = body[byte:byte + 7]
+                part = body[byte : byte + 7]
                 writer.write(b"%x\r\n%s\r\n" % (len(part), part))
                 if rng.random() < 0.2:
                     await asyncio.sleep(0.005)
@@ -270,7 +291,7 @@
             await writer.drain()
             return True
         if kind == "large_cut":
-            writer.write(self._whole(rid, size=200_000)[:-rng.choice([1, 50_000, 150_000])])
+            writer.write(self._whole(rid, size=200_000)[: -rng.choice([1, 50_000, 150_000])])
             await asyncio.sleep(rng.uniform(0, 0.1))
             return self._reset(writer, b"") if rng.random() < 0.5 else False
         return await self._answer(rid, writer)
@@ -312,8 +333,13 @@
                     await self.changed.wait()
                 while self.silent:
                     await asyncio.sleep(0.05)
-                body = json.dumps({"revision": self.revision, "complete": True,
-                                   "members": [m for m in self.members if m["phase"] != "DELETED"]}).encode()
+                body = json.dumps(
+                    {
+                        "revision": self.revision,
+                        "complete": True,
+                        "members": [m for m in self.members if m["phase"] != "DELETED"],
+                    }
+                ).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
                 await writer.drain()
         writer.close()
@@ -321,6 +347,7 @@
 
 # Clients
 
+
 class ClientConnection:
     """A bare socket to the agent, read by answers."""
 
@@ -357,8 +384,8 @@
                 while len(self._buffer) < int(fields["content-length"]):
                     if not await self._more():
                         raise ValueError
-                body = bytes(self._buffer[:int(fields["content-length"])])
-                del self._buffer[:len(body)]
+                body = bytes(self._buffer[: int(fields["content-length"])])
+                del self._buffer[: len(body)]
             else:
                 while await self._more():
                     pass
@@ -373,12 +400,12 @@
             while b"\r\n" not in self._buffer:
                 if not await self._more():
                     raise ValueError
-            size = int(self._buffer[:self._buffer.index(b"\r\n")], 16)
+            size = int(self._buffer[: self._buffer.index(b"\r\n")], 16)
             end = self._buffer.index(b"\r\n") + 2 + size + 2
             while len(self._buffer) < end:
                 if not await self._more():
                     raise ValueError
-            body += self._buffer[end - size - 2:end - 2]
+            body += self._buffer[end - size - 2 : end - 2]
             del self._buffer[:end]
             if not size:
                 return bytes(body)
@@ -441,8 +468,13 @@
         patience_ms = rng.choice([DEADLINES_MS[cls], DEADLINES_MS[cls], 200, 60, 5])
         request = Request(f"{self.name}-{self.count}", cls, patience_ms / 1000, story)
         size = 0 if cls == SAFE else rng.choice([0, 3, 3000, 65_536, 70_000, 250_000])
-        lines = [f"{'GET' if cls == SAFE else 'POST'} /api?obj=7f HTTP/1.1", "Host: origin.svc",
-                 f"Request-Id: {request.rid}", f"Request-Class: {cls}", f"Request-Timeout-Ms: {patience_ms}"]
+        lines = [
+            f"{'GET' if cls == SAFE else 'POST'} /api?obj=7f HTTP/1.1",
+            "Host: origin.svc",
+            f"Request-Id: {request.rid}",
+            f"Request-Class: {cls}",
+            f"Request-Timeout-Ms: {patience_ms}",
+        ]
         if cls == KEYED:
             lines.append(f"Idempotency-Key: k{request.rid}")
         if rng.random() < 0.1:
@@ -477,7 +509,8 @@
     async def _next(self) -> None:
         story = self.rng.choices(
             ["patient", "leaves", "leaves_upload", "sends_ahead", "ahead_and_leaves", "half_line", "bad"],
-            [10, 5, 2, 2, 2, 1, 1])[0]
+            [10, 5, 2, 2, 2, 1, 1],
+        )[0]
         if story == "patient":
             await self._patient()
         elif story == "sends_ahead":
@@ -548,7 +581,7 @@
             request.patience_s += sum(r.patience_s for r, _, _ in made[:number])
             await self._answer(conn, request)
             if self.conn is not conn:
-                for later, _, _ in made[number + 1:]:
+                for later, _, _ in made[number + 1 :]:
                     del self.record.requests[later.rid]
                 return
 
@@ -592,8 +625,16 @@
 
     async def _bad(self, story: str) -> None:
         conn = await self._connected(fresh=True)
-        said = self.rng.choice([b"GET /api HTTP/1.1\r\nHos", b"\x00\x01garbage\r\n\r\n", b"POST /ap",
-                                b"GET /api HTTP/1.1\r\nHost: a\r\n\r\n", b"x" * 100_000, b"\r\n"])
+        said = self.rng.choice(
+            [
+                b"GET /api HTTP/1.1\r\nHos",
+                b"\x00\x01garbage\r\n\r\n",
+                b"POST /ap",
+                b"GET /api HTTP/1.1\r\nHost: a\r\n\r\n",
+                b"x" * 100_000,
+                b"\r\n",
+            ]
+        )
         with contextlib.suppress(OSError):
             await conn.send(said)
             if self.rng.random() < 0.3:
@@ -604,6 +645,7 @@
 
 # The agent's side
 
+
 class AgentThread:
     """The assembled agent on a loop of its own."""
 
@@ -617,8 +659,10 @@
     def _main(self) -> None:
         asyncio.set_event_loop(self.loop)
         self.loop.set_exception_handler(
-            lambda _, context: self.record.log(f"unhandled {context.get('message')} "
-                                               f"{context.get('exception')!r}"))
+            lambda _, context: self.record.log(
+                f"unhandled {context.get('message')} {context.get('exception')!r}"
+            )
+        )
         with tempfile.TemporaryDirectory() as folder:
             clock = Clock()
             config = load_config(Path(folder), self.doc, clock)
@@ -629,6 +673,7 @@
                 self.agent.start(config.known)
                 self.port = await self.server.listen(Address("127.0.0.1", 0))
                 self.watch = asyncio.create_task(self._punctual())
+
             self.loop.run_until_complete(begin())
         self.ready.set()
         self.loop.run_forever()
@@ -688,39 +733,61 @@
         headers = dict(first.headers) if isinstance(first, h11.Request) else {}
         rid = headers.get(b"request-id", b"").decode()
         if isinstance(self, backends._Pooled) and rid:
-            record.note(rid, f"attempt to {self.member.backend.id}, port "
-                        f"{self.transport.get_extra_info('sockname')[1] if self.transport else 0}")
-            record.attempts[rid].append(Attempt(rid, time.monotonic(),
-                                                int(headers[b"request-timeout-ms"]) / 1000,
-                                                self.member.address.port))
+            record.note(
+                rid,
+                f"attempt to {self.member.backend.id}, port "
+                f"{self.transport.get_extra_info('sockname')[1] if self.transport else 0}",
+            )
+            record.attempts[rid].append(
+                Attempt(
+                    rid,
+                    time.monotonic(),
+                    int(headers[b"request-timeout-ms"]) / 1000,
+                    self.member.address.port,
+                )
+            )
         send(self, *events)
 
     def noted_receive(self: server._Client, data: bytes) -> None:
         at = 0
         while (at := data.find(b"Request-Id: ", at)) >= 0:
             at += 12
-            record.read.add(data[at:data.find(b"\r", at)].decode())
+            record.read.add(data[at : data.find(b"\r", at)].decode())
         receive(self, data)
 
     handler = Handler(record)
     logging.getLogger("lilacsill").addHandler(handler)
     try:
-        with (mock.patch.object(connection.Connection, "send", noted_send),
-              mock.patch.object(server._Client, "data_received", noted_receive)):
+        with (
+            mock.patch.object(connection.Connection, "send", noted_send),
+            mock.patch.object(server._Client, "data_received", noted_receive),
+        ):
             yield
     finally:
         logging.getLogger("lilacsill").removeHandler(handler)
 
 
 def document(rng: random.Random, discovery: int, ports: list[int]) -> dict[str, Any]:
-    doc = config_doc(discovery, [member(f"s{i}", port) for i, port in enumerate(ports)],
-                     secondCopies=rng.random() < 0.5, probes=rng.random() < 0.3,
-                     connIdleUs=rng.choice([300_000, 5_000_000]), cancel=rng.random() < 0.7)
+    doc = config_doc(
+        discovery,
+        [member(f"s{i}", port) for i, port in enumerate(ports)],
+        secondCopies=rng.random() < 0.5,
+        probes=rng.random() < 0.3,
+        connIdleUs=rng.choice([300_000, 5_000_000]),
+        cancel=rng.random() < 0.7,
+    )
     effects = {SAFE: "retryable", KEYED: "dedup", UNSAFE: "fragile"}
     doc["settings"]["profiles"] = [
-        {"name": name, "aimUs": ms * 500, "deadlineUs": ms * 1000, "repeat": effects[name],
-         "value": 1.0, **({"dedupScope": "all", "memorySpanUs": 400_000} if name == KEYED else {})}
-        for name, ms in DEADLINES_MS.items()]
+        {
+            "name": name,
+            "aimUs": ms * 500,
+            "deadlineUs": ms * 1000,
+            "repeat": effects[name],
+            "value": 1.0,
+            **({"dedupScope": "all", "memorySpanUs": 400_000} if name == KEYED else {}),
+        }
+        for name, ms in DEADLINES_MS.items()
+    ]
     doc["settings"]["tenants"] = []
     doc["limits"]["sockets"] = rng.choice([1024, 1024, 84])  # ten connections on either side
     doc["settings"]["registryMode"] = rng.choice(["ask", "push"])
@@ -739,8 +806,10 @@
     # The stand-ins' own broken connections are what was drawn.
     asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
-    servers = [StandIn(f"s{i}", random.Random(f"{seed} s{i}"), record, knobs)
-               for i in range(rng.choice([1, 2, 3, 5]))]
+    servers = [
+        StandIn(f"s{i}", random.Random(f"{seed} s{i}"), record, knobs)
+        for i in range(rng.choice([1, 2, 3, 5]))
+    ]
     for one in servers:
         await one.start()
     discovery = Discovery([member(one.name, one.port) for one in servers])
@@ -750,8 +819,10 @@
     await asyncio.to_thread(agent.ready.wait)
     watch = asyncio.create_task(punctual(record))
     until = time.monotonic() + LENGTH_S
-    actors = [ClientActor(f"c{i}", random.Random(f"{seed} c{i}"), record, agent.port)
-              for i in range(rng.choice([1, 3, 8, 20]))]
+    actors = [
+        ClientActor(f"c{i}", random.Random(f"{seed} c{i}"), record, agent.port)
+        for i in range(rng.choice([1, 3, 8, 20]))
+    ]
     stops = knobs.allows("stop") and rng.random() < 0.3
     tasks = [asyncio.create_task(actor.run(until + (2.5 if stops else 0))) for actor in actors]
     tasks.append(asyncio.create_task(trouble(rng, agent, servers, discovery, until, knobs)))
@@ -768,8 +839,14 @@
     discovery.server.close()
 
 
-async def trouble(rng: random.Random, agent: AgentThread, servers: list[StandIn], discovery: Discovery,
-                  until: float, knobs: Knobs) -> None:
+async def trouble(
+    rng: random.Random,
+    agent: AgentThread,
+    servers: list[StandIn],
+    discovery: Discovery,
+    until: float,
+    knobs: Knobs,
+) -> None:
     held = 0.0
     while time.monotonic() < until:
         await asyncio.sleep(rng.uniform(0.02, 0.3))
@@ -802,6 +879,7 @@
 
 # What must hold
 
+
 def breaches(record: Record) -> list[str]:
     found = [f"log: {entry[-900:]}" for entry in record.logged]
     for request in list(record.requests.values()):
@@ -816,8 +894,9 @@
 
 def _held_after(record: Record, t: float) -> float:
     """For how long the agent stood still from then on: what it cannot have seen."""
-    return max((end - max(begin, t) for begin, end in record.held if begin <= t + AFTER_S and end > t),
-               default=0.0)
+    return max(
+        (end - max(begin, t) for begin, end in record.held if begin <= t + AFTER_S and end > t), default=0.0
+    )
 
 
 def _judge(record: Record, r: Request) -> Iterator[str]:
@@ -843,8 +922,9 @@
         if r.gone is not None and whole and a.at > r.gone + AFTER_S + _held_after(record, r.gone):
             yield f"after departure: {name}, attempt {number} {a.at - r.gone:.3f} s later"
         if r.gone is None and r.ended is not None and a.at > r.ended + ANSWERED_S:
-            yield (f"after its end: {name} ({r.status or r.how}), attempt {number} "
-                   f"{a.at - r.ended:.3f} s later")
+            yield (
+                f"after its end: {name} ({r.status or r.how}), attempt {number} {a.at - r.ended:.3f} s later"
+            )
         left = r.patience_s - max(0.0, a.at - r.asked)
         if a.told_s > max(left, 0.0) + TOLD_SLACK_S:
             yield f"told: {name}, attempt {number} was told {a.told_s:.3f} s, {left:.3f} s were left"
--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -26,6 +26,7 @@
 on connecting. A transfer that is cut short is real, as far as it goes. Python itself calls again after EINTR
 (PEP 475); it is raised here all the same, as the harder case.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -45,14 +46,28 @@
 from weakref import WeakValueDictionary
 
 ENVIRONMENT = "TEST_FAULTS"
-CALLS = frozenset({
-    "socket", "bind", "listen", "accept", "connect", "recv", "send", "recvfrom", "sendto", "shutdown",
-    "setsockopt", "getsockopt", "getsockname", "getpeername",
-    "so_error",  # what a connect under way ends with
-    "poll",  # of a select.poll object
-    "epoll_ctl",  # a descriptor added to the event loop's selector, or changed there
-    "epoll_wait",
-})
+CALLS = frozenset(
+    {
+        "socket",
+        "bind",
+        "listen",
+        "accept",
+        "connect",
+        "recv",
+        "send",
+        "recvfrom",
+        "sendto",
+        "shutdown",
+        "setsockopt",
+        "getsockopt",
+        "getsockname",
+        "getpeername",
+        "so_error",  # what a connect under way ends with
+        "poll",  # of a select.poll object
+        "epoll_ctl",  # a descriptor added to the event loop's selector, or changed there
+        "epoll_wait",
+    }
+)
 # The kernel connects on, and the caller is to wait for it.
 CONNECT_GOES_ON = (errno.EINTR, errno.EINPROGRESS)
 
@@ -339,6 +354,7 @@
 
 # A process of its own
 
+
 def in_environment(*faults: Fault) -> dict[str, str]:
     """What to add to the environment of an agent that is to meet them."""
     root = str(Path(__file__).resolve().parents[1])
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,5 @@
 """A small driver for module tests: no clock, no network."""
+
 from __future__ import annotations
 
 from typing import Any, TypeVar
@@ -34,8 +35,14 @@
 class Drive:
     """One balancer with its clock, its pending timers and the actions it has returned."""
 
-    def __init__(self, cls: RequestClass = SAFE, servers: int = 4, seed: int = 1,
-                 others: tuple[RequestClass, ...] = (), **settings: Any) -> None:
+    def __init__(
+        self,
+        cls: RequestClass = SAFE,
+        servers: int = 4,
+        seed: int = 1,
+        others: tuple[RequestClass, ...] = (),
+        **settings: Any,
+    ) -> None:
         self.settings = Settings(classes=(cls, *others), tick_us=MS, **settings)
         self.balancer = Balancer(self.settings, seed)
         self.now = SECOND
@@ -62,8 +69,14 @@
         self.requests += 1
         return self.requests, self.event(RequestArrived(self.requests, cls, patience_us, tenant))
 
-    def end(self, send: Send, outcome: Outcome, took_us: int = 20 * MS, attempt: int | None = None,
-            report: tuple[float, ...] = ()) -> list[Action]:
+    def end(
+        self,
+        send: Send,
+        outcome: Outcome,
+        took_us: int = 20 * MS,
+        attempt: int | None = None,
+        report: tuple[float, ...] = (),
+    ) -> list[Action]:
         n = self.attempts[send.request] if attempt is None else attempt
         done = outcome is Outcome.OK
         return self.event(AttemptEnded(send.request, n, send.backend, outcome, took_us, done, report))
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -4,6 +4,7 @@
 `TEST | CAUSE | ISSUE`, TEST as pytest names it (tests/test_x.py::test_y). A test that is named and passes
 fails the run, and so does a name that no test has: what is mended leaves the list.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -1,4 +1,5 @@
 """Scripted peers on loopback, and an agent between them. The system picks the ports; tests wait on events."""
+
 from __future__ import annotations
 
 import asyncio
@@ -33,26 +34,64 @@
 def settings(**allowed: Any) -> dict[str, Any]:
     """Settings as a deployment states them; probes are off unless asked for."""
     return {
-        "allowed": {"cancel": True, "connIdleUs": 5_000_000, "connectTimeoutUs": 250_000, "maxAttempts": 5,
-                    "peers": False, "probes": False, "retryAfter": True, "maxRetryAfterUs": 2_000_000,
-                    "secondCopies": False, **allowed},
+        "allowed": {
+            "cancel": True,
+            "connIdleUs": 5_000_000,
+            "connectTimeoutUs": 250_000,
+            "maxAttempts": 5,
+            "peers": False,
+            "probes": False,
+            "retryAfter": True,
+            "maxRetryAfterUs": 2_000_000,
+            "secondCopies": False,
+            **allowed,
+        },
         "profiles": [
-            {"name": KEYED, "aimUs": 20_000_000, "deadlineUs": 30_000_000, "repeat": "dedup",
-             "dedupScope": "all", "memorySpanUs": 15_000_000, "value": 10.0},
-            {"name": UNSAFE, "aimUs": 20_000_000, "deadlineUs": 30_000_000, "repeat": "fragile",
-             "value": 3.0},
+            {
+                "name": KEYED,
+                "aimUs": 20_000_000,
+                "deadlineUs": 30_000_000,
+                "repeat": "dedup",
+                "dedupScope": "all",
+                "memorySpanUs": 15_000_000,
+                "value": 10.0,
+            },
+            {
+                "name": UNSAFE,
+                "aimUs": 20_000_000,
+                "deadlineUs": 30_000_000,
+                "repeat": "fragile",
+                "value": 3.0,
+            },
         ],
         "tenants": [{"name": "norvalle", "quotaPerS": 0.0, "share": 1.0}],
         "report": {"columns": ["inflight", "queue", "util"], "source": "inline"},
-        "rules": {"startCapacity": 0.13, "warmUpUs": 24_000_000, "fallMultiple": 2.5, "tipAfterUs": 3_000_000,
-                  "graceToAnswerUs": 5000},
-        "siblings": 1, "registryMode": "ask", "quantumUs": 1000, "localities": ["a"], "skus": ["m"],
+        "rules": {
+            "startCapacity": 0.13,
+            "warmUpUs": 24_000_000,
+            "fallMultiple": 2.5,
+            "tipAfterUs": 3_000_000,
+            "graceToAnswerUs": 5000,
+        },
+        "siblings": 1,
+        "registryMode": "ask",
+        "quantumUs": 1000,
+        "localities": ["a"],
+        "skus": ["m"],
     }
 
 
 def member(name: str, port: int, phase: str = "SERVING", up: int = 0) -> dict[str, Any]:
-    return {"id": name, "host_port": f"127.0.0.1:{port}", "locality": "a", "flavor": "m", "cell": 1,
-            "phase": phase, "size": 1.0, "up_since_ms": up}
+    return {
+        "id": name,
+        "host_port": f"127.0.0.1:{port}",
+        "locality": "a",
+        "flavor": "m",
+        "cell": 1,
+        "phase": phase,
+        "size": 1.0,
+        "up_since_ms": up,
+    }
 
 
 @dataclass
@@ -178,11 +217,23 @@
         self.server.close()
 
 
-def post(cls: str = KEYED, body: bytes = b"job", timeout_ms: str = "30000", drop: tuple[str, ...] = (),
-         path: str = "/api?obj=7f3a", **headers: str) -> bytes:
+def post(
+    cls: str = KEYED,
+    body: bytes = b"job",
+    timeout_ms: str = "30000",
+    drop: tuple[str, ...] = (),
+    path: str = "/api?obj=7f3a",
+    **headers: str,
+) -> bytes:
     """A request of the application; headers by name with _ for -."""
-    fields = {"Host": "origin.svc", "Request-Id": "9b1f", "Request-Class": cls, "Tenant": "norvalle",
-              "Request-Timeout-Ms": timeout_ms, "Content-Length": str(len(body))}
+    fields = {
+        "Host": "origin.svc",
+        "Request-Id": "9b1f",
+        "Request-Class": cls,
+        "Tenant": "norvalle",
+        "Request-Timeout-Ms": timeout_ms,
+        "Content-Length": str(len(body)),
+    }
     if cls == KEYED:
         fields["Idempotency-Key"] = "5c0f"
     fields |= {k.replace("_", "-"): v for k, v in headers.items()}
@@ -191,9 +242,15 @@
 
 
 def config_doc(discovery: int, members: list[dict[str, Any]], **allowed: Any) -> dict[str, Any]:
-    return {"name": "n1", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery}", "seed": "8c1f",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings(**allowed),
-            "known": {"revision": 41, "complete": True, "members": members}}
+    return {
+        "name": "n1",
+        "listen": "127.0.0.1:0",
+        "discovery": f"127.0.0.1:{discovery}",
+        "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "settings": settings(**allowed),
+        "known": {"revision": 41, "complete": True, "members": members},
+    }
 
 
 @dataclass
@@ -252,9 +309,15 @@
 
 
 @contextlib.asynccontextmanager
-async def world(folder: Path, backends: int = 1, most: int | None = None, mode: str = "ask",
-                hold_missing: bool = False, drain_grace_us: int = 1_000_000,
-                **allowed: Any) -> AsyncIterator[World]:
+async def world(
+    folder: Path,
+    backends: int = 1,
+    most: int | None = None,
+    mode: str = "ask",
+    hold_missing: bool = False,
+    drain_grace_us: int = 1_000_000,
+    **allowed: Any,
+) -> AsyncIterator[World]:
     """Everything up and listening; all of it ends with the block."""
     discovery = await Peer().start()
     peers = [await Peer().start() for _ in range(backends)]
@@ -290,8 +353,9 @@
     """Connects come up in the kernel, and the loop hears of it only when the event is set."""
     heard, whole = asyncio.Event(), asyncio.SelectorEventLoop.sock_connect
 
-    async def sock_connect(loop: asyncio.SelectorEventLoop, sock: socket.socket,
-                           address: tuple[str, int]) -> None:
+    async def sock_connect(
+        loop: asyncio.SelectorEventLoop, sock: socket.socket, address: tuple[str, int]
+    ) -> None:
         await whole(loop, sock, address)
         await heard.wait()
 
@@ -305,7 +369,7 @@
 
 
 async def start(
-        folder: Path, doc: object, *faults: Fault, descriptors: int | None = None
+    folder: Path, doc: object, *faults: Fault, descriptors: int | None = None
 ) -> tuple[asyncio.subprocess.Process, int]:
     """The agent as a process of its own, which meets these faults; returns when it listens.
 
@@ -317,8 +381,13 @@
     module = "tests.fault_injection" if faults else "lilacsill"
     limit = ["sh", "-c", f'ulimit -S -n {descriptors} && exec "$@"', "sh"] if descriptors else []
     process = await asyncio.create_subprocess_exec(
-        *limit, sys.executable, "-m", module, stderr=asyncio.subprocess.PIPE,
-        env=environment(folder) | (in_environment(*faults) if faults else {}))
+        *limit,
+        sys.executable,
+        "-m",
+        module,
+        stderr=asyncio.subprocess.PIPE,
+        env=environment(folder) | (in_environment(*faults) if faults else {}),
+    )
     assert process.stderr is not None
     while b"listens on" not in (line := await process.stderr.readline()):
         assert line, "ended before it listened"
--- a/tests/sqlite_faults.py
+++ b/tests/sqlite_faults.py
@@ -3,6 +3,7 @@
 SQLite's own structures are copied and patched (https://sqlite.org/c3ref/vfs.html, c3ref/io_methods.html), so
 that the library which the program uses is the one under test, with its locks and its shared memory.
 """
+
 from __future__ import annotations
 
 import contextlib
@@ -37,9 +38,17 @@
 class Methods(ctypes.Structure):
     """sqlite3_io_methods, version 3."""
 
-    _fields_ = [("version", c_int), ("close", CLOSE), ("read", READ), ("write", WRITE),
-                ("truncate", TRUNCATE), ("sync", SYNC), *((f"other{n}", c_void_p) for n in range(7)),
-                ("map_shared", MAP_SHARED), *((f"later{n}", c_void_p) for n in range(5))]
+    _fields_ = [
+        ("version", c_int),
+        ("close", CLOSE),
+        ("read", READ),
+        ("write", WRITE),
+        ("truncate", TRUNCATE),
+        ("sync", SYNC),
+        *((f"other{n}", c_void_p) for n in range(7)),
+        ("map_shared", MAP_SHARED),
+        *((f"later{n}", c_void_p) for n in range(5)),
+    ]
 
 
 class File(ctypes.Structure):
@@ -51,9 +60,17 @@
 class FileSystem(ctypes.Structure):
     """sqlite3_vfs, version 3."""
 
-    _fields_ = [("version", c_int), ("file_size", c_int), ("longest_path", c_int), ("following", c_void_p),
-                ("name", c_char_p), ("data", c_void_p), ("open", OPEN), ("delete", DELETE),
-                *((f"other{n}", c_void_p) for n in range(14))]
+    _fields_ = [
+        ("version", c_int),
+        ("file_size", c_int),
+        ("longest_path", c_int),
+        ("following", c_void_p),
+        ("name", c_char_p),
+        ("data", c_void_p),
+        ("open", OPEN),
+        ("delete", DELETE),
+        *((f"other{n}", c_void_p) for n in range(14)),
+    ]
 
 
 Operation = tuple[str, str, int, bytes]  # what was done, to which file, offset or size, data
@@ -188,7 +205,7 @@
         elif fate == "torn":
             for start in range(0, len(data), SECTOR):
                 if chance.random() < 0.5:
-                    _put(files, (what, name, offset + start, data[start:start + SECTOR]))
+                    _put(files, (what, name, offset + start, data[start : start + SECTOR]))
 
     for operation in operations:
         what, name, _, _ = operation
@@ -215,7 +232,7 @@
         return
     if len(held) < offset + len(data):
         held.extend(bytes(offset + len(data) - len(held)))
-    held[offset:offset + len(data)] = data
+    held[offset : offset + len(data)] = data
 
 
 assert sqlite3.sqlite_version_info >= (3, 7, 6)  # the structures above are of that version or later
--- a/tests/system_calls.py
+++ b/tests/system_calls.py
@@ -1,5 +1,6 @@
 """What the matrix of failing system calls has in common: requests told apart by their bodies, answered by
 servers that say them back, and the descriptors of this process counted before and after."""
+
 from __future__ import annotations
 
 import asyncio
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,4 +1,5 @@
 """The wire: bad input is told plainly; the same events give the same bytes whatever the process."""
+
 from __future__ import annotations
 
 import json
@@ -14,9 +15,13 @@
 ROOT = Path(__file__).parent.parent
 FACTS: dict[str, Any] = {
     "allowed": {"cancel": True, "probes": False, "secondCopies": True, "maxAttempts": 4},
-    "siblings": 2, "zone": 0,
-    "profiles": [{"name": "a", "aimUs": 500000, "deadlineUs": 2000000, "repeat": "retryable"}], "unknown": 1,
-    "registryMode": "push", "quantumUs": 5000, "report": {"columns": ["inflight"], "source": "inline"},
+    "siblings": 2,
+    "zone": 0,
+    "profiles": [{"name": "a", "aimUs": 500000, "deadlineUs": 2000000, "repeat": "retryable"}],
+    "unknown": 1,
+    "registryMode": "push",
+    "quantumUs": 5000,
+    "report": {"columns": ["inflight"], "source": "inline"},
     "rules": {"startCapacity": 0.2, "warmUpUs": 10_000_000, "fallMultiple": 3.0, "tipAfterUs": 1_000_000},
 }
 
@@ -76,7 +81,7 @@
     both = replies(together.stdout)
     for i in (0, 1):
         alone = replies(run(script([i])).stdout)
-        assert alone == [both[i], *both[2 + i::2]]
+        assert alone == [both[i], *both[2 + i :: 2]]
     assert any(reply[8:9] == b"\x0a" for reply in both)  # sends were made
 
 
@@ -93,7 +98,9 @@
     "records do not fit": (struct.pack(">QII", 1, 16, 2), b"do not fit"),
     "unknown code": (frame(1, [spawn(0, FACTS_BYTES), struct.pack(">BH", 99, 0)], FACTS_BYTES), b"code 99"),
     "unknown list": (
-        frame(1, [spawn(0, FACTS_BYTES), struct.pack(">BHQBB", 20, 0, 1, 3, 2)], FACTS_BYTES), b"list 3"),
+        frame(1, [spawn(0, FACTS_BYTES), struct.pack(">BHQBB", 20, 0, 1, 3, 2)], FACTS_BYTES),
+        b"list 3",
+    ),
     "not running": (frame(1, [request(5, 1)]), b"instance 5"),
     "beyond the tail": (frame(1, [spawn(0, FACTS_BYTES)]), b"beyond the tail"),
     "not JSON": (frame(1, [spawn(0, b"{")], b"{"), b"not JSON"),
@@ -102,7 +109,9 @@
     "out of range": (frame(1, [spawn(0, RANGE)], RANGE), b"start_fraction"),
     "unknown outcome": (frame(1, [spawn(0, FACTS_BYTES), ended(0, 77)], FACTS_BYTES), b"bad value 77"),
     "note beyond the tail": (
-        frame(1, [spawn(0, FACTS_BYTES), struct.pack(">BHHII", 90, 0, 1, 9999, 4)], FACTS_BYTES), b"beyond"),
+        frame(1, [spawn(0, FACTS_BYTES), struct.pack(">BHHII", 90, 0, 1, 9999, 4)], FACTS_BYTES),
+        b"beyond",
+    ),
     "over-long frame": (struct.pack(">QII", 1, 1 << 31, 0) + b"x" * 50, b"ends"),
     "key lacks": (frame(1, [spawn(0, LACKING)], LACKING), b"rules"),
 }
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,4 +1,5 @@
 """The agent between scripted peers: answers given once, attempts by the rules, faults contained."""
+
 from __future__ import annotations
 
 import asyncio
@@ -66,7 +67,8 @@
 
 @pytest.mark.parametrize("cls, status", [(KEYED, 200), (UNSAFE, 502)])
 def test_what_may_have_run_is_repeated_only_where_repeats_are_dropped(
-        tmp_path: Path, cls: str, status: int) -> None:
+    tmp_path: Path, cls: str, status: int
+) -> None:
     async def run() -> None:
         async with world(tmp_path, backends=3) as w:
             assert await outcome_of_reset(w, cls) == status
@@ -133,7 +135,8 @@
 
 
 def test_a_fault_of_the_module_costs_one_request_at_most(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     whole = Balancer.handle
     failed: list[Event] = []
 
@@ -157,10 +160,14 @@
 
 
 def test_a_request_that_the_module_forgets_is_answered_all_the_same(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     whole = Balancer.handle
-    monkeypatch.setattr(Balancer, "handle", lambda self, now, event: (
-        [] if isinstance(event, RequestArrived) else whole(self, now, event)))
+    monkeypatch.setattr(
+        Balancer,
+        "handle",
+        lambda self, now, event: [] if isinstance(event, RequestArrived) else whole(self, now, event),
+    )
 
     async def run() -> None:
         async with world(tmp_path) as w:
@@ -171,7 +178,8 @@
 
 
 def test_an_action_that_ends_at_once_does_not_re_enter_the_module(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     whole, depth, deepest = Balancer.handle, [0], [0]
 
     def handle(self: Balancer, now: int, event: Event) -> list[Any]:
@@ -180,6 +188,7 @@
         return actions
 
     from lilacsill.agent import Agent
+
     handled = Agent._handle
 
     def agent_handle(self: Agent, event: Event) -> None:
--- a/tests/test_answers_without_length.py
+++ b/tests/test_answers_without_length.py
@@ -1,4 +1,5 @@
 """An answer whose length nobody told is not begun before it is whole: a server may yet break it off."""
+
 from __future__ import annotations
 
 import asyncio
@@ -32,13 +33,13 @@
 def reset(got: Message) -> None:
     """With an RST, which is no end of an answer."""
     got.peer.writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
     got.peer.reset()
 
 
 @begun
-def test_one_that_breaks_off_is_asked_for_again(
-        tmp_path: Path, how: str) -> None:
+def test_one_that_breaks_off_is_asked_for_again(tmp_path: Path, how: str) -> None:
     async def run() -> None:
         async with world(tmp_path, backends=2) as w:
             client = await w.ask(post())
@@ -52,7 +53,8 @@
 
 @begun
 def test_one_that_breaks_off_and_may_not_be_asked_for_again_is_a_whole_failure(
-        tmp_path: Path, how: str) -> None:
+    tmp_path: Path, how: str
+) -> None:
     async def run() -> None:
         async with world(tmp_path, backends=2) as w:
             client = await w.ask(post(UNSAFE))
@@ -65,8 +67,7 @@
 
 
 @begun
-def test_one_that_never_ends_is_a_whole_failure_when_its_time_is_up(
-        tmp_path: Path, how: str) -> None:
+def test_one_that_never_ends_is_a_whole_failure_when_its_time_is_up(tmp_path: Path, how: str) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.ask(post(UNSAFE, timeout_ms="200"))
--- a/tests/test_attempts_close.py
+++ b/tests/test_attempts_close.py
@@ -1,4 +1,5 @@
 """Attempts at the moment in which something else happens to their connection, their member or their time."""
+
 from __future__ import annotations
 
 import asyncio
@@ -8,7 +9,15 @@
 
 import pytest
 from tests.loopback import (
-    KEYED, UNSAFE, Conversation, Peer, World, held_connects, member, post, world,
+    KEYED,
+    UNSAFE,
+    Conversation,
+    Peer,
+    World,
+    held_connects,
+    member,
+    post,
+    world,
 )
 from tests.test_backends import ASK, CLOCK, backends, begin, listing, quiet_is_over, served
 
@@ -34,8 +43,11 @@
         end = begin(b)
         while not peer.connections:
             await asyncio.sleep(0)
-        b.told(ListingParser(CLOCK, ("a",), ("m",)).parse({"revision": 2, "complete": True, "members": [
-            member(heir, peer.port, up=1_700_000_000_000)]}))
+        b.told(
+            ListingParser(CLOCK, ("a",), ("m",)).parse(
+                {"revision": 2, "complete": True, "members": [member(heir, peer.port, up=1_700_000_000_000)]}
+            )
+        )
         heard.set()
         assert (await end).outcome is Outcome.NOT_SENT
         assert peer.requests.empty() and not b._idle
@@ -65,8 +77,10 @@
         self.over = True
 
 
-@pytest.mark.parametrize("left, then_written, outcome", [
-    (0, False, Outcome.RESET), (1, False, Outcome.CONNECT_FAILED), (1, True, Outcome.RESET)])
+@pytest.mark.parametrize(
+    "left, then_written, outcome",
+    [(0, False, Outcome.RESET), (1, False, Outcome.CONNECT_FAILED), (1, True, Outcome.RESET)],
+)
 def test_a_reset_around_the_last_byte(left: int, then_written: bool, outcome: Outcome) -> None:
     async def run() -> None:
         b = backends(1)
@@ -254,7 +268,8 @@
 
 @pytest.mark.parametrize("cls, status, again", [(KEYED, 200, True), (UNSAFE, 502, False)])
 def test_a_backend_that_closes_just_as_a_request_goes_out(
-        tmp_path: Path, cls: str, status: int, again: bool) -> None:
+    tmp_path: Path, cls: str, status: int, again: bool
+) -> None:
     async def run() -> None:
         async with world(tmp_path, backends=1) as w:
             client, backend = await resting(w)
@@ -283,7 +298,8 @@
 
 
 def test_nothing_goes_out_twice_where_its_connection_and_another_come_up(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             ends, exchange = asyncio.Queue[Result](), w.agent._backends.exchange
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,4 +1,5 @@
 """How an exchange with a backend ends, by the protocol's table, and which connections are used again."""
+
 from __future__ import annotations
 
 import asyncio
@@ -40,7 +41,8 @@
 
 @pytest.mark.parametrize("lacking", [errno.EMFILE, errno.EADDRNOTAVAIL])
 def test_what_this_process_lacks_for_a_connection_is_not_the_backends_fault(
-        lacking: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    lacking: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # Without descriptors an agent left out one server after the other as ill.
     def none(*_: object) -> socket.socket:
         raise OSError(lacking, "none left")
@@ -82,17 +84,28 @@
     return lambda m: m.answer(status, b"", **headers)
 
 
-@pytest.mark.parametrize("then, outcome", [
-    (answers(200), Outcome.OK), (answers(500), Outcome.ERROR), (answers(503), Outcome.ERROR),
-    (answers(400), Outcome.ERROR), (answers(500, Not_Started="1"), Outcome.ERROR),
-    (answers(503, Not_Started="0"), Outcome.ERROR), (answers(503, Not_Started="1"), Outcome.REJECTED),
-    (answers(504, Not_Started="1"), Outcome.REJECTED), (cut_short, Outcome.RESET), (reset, Outcome.RESET),
-    (close, Outcome.RESET), (two_lengths, Outcome.ERROR),
-    (illegible(b"what?\r\n\r\n"), Outcome.ERROR), (illegible(b"HTTP/1.1 2x0 OK\r\n\r\n"), Outcome.ERROR),
-    (illegible(OK + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"), Outcome.ERROR),
-    (illegible(OK + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"), Outcome.ERROR),
-    (illegible(OK + b"X: " + b"x" * 70_000), Outcome.ERROR),
-])
+@pytest.mark.parametrize(
+    "then, outcome",
+    [
+        (answers(200), Outcome.OK),
+        (answers(500), Outcome.ERROR),
+        (answers(503), Outcome.ERROR),
+        (answers(400), Outcome.ERROR),
+        (answers(500, Not_Started="1"), Outcome.ERROR),
+        (answers(503, Not_Started="0"), Outcome.ERROR),
+        (answers(503, Not_Started="1"), Outcome.REJECTED),
+        (answers(504, Not_Started="1"), Outcome.REJECTED),
+        (cut_short, Outcome.RESET),
+        (reset, Outcome.RESET),
+        (close, Outcome.RESET),
+        (two_lengths, Outcome.ERROR),
+        (illegible(b"what?\r\n\r\n"), Outcome.ERROR),
+        (illegible(b"HTTP/1.1 2x0 OK\r\n\r\n"), Outcome.ERROR),
+        (illegible(OK + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n"), Outcome.ERROR),
+        (illegible(OK + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"), Outcome.ERROR),
+        (illegible(OK + b"X: " + b"x" * 70_000), Outcome.ERROR),
+    ],
+)
 def test_outcomes_after_the_last_byte(then: Callable[[Message], Awaitable[None]], outcome: Outcome) -> None:
     async def run() -> None:
         peer = await Peer().start()
@@ -105,11 +118,17 @@
 
 
 def test_a_request_reads_as_if_all_of_its_headers_had_been_checked() -> None:
-    headers = [(b"Host", b"origin.svc"), (b"request-id", b"9b1f"), (b"content-type", b"text/plain; q=\xe9"),
-               (b"Request-Timeout-Ms", b"29999"), (b"Content-Length", b"3")]
+    headers = [
+        (b"Host", b"origin.svc"),
+        (b"request-id", b"9b1f"),
+        (b"content-type", b"text/plain; q=\xe9"),
+        (b"Request-Timeout-Ms", b"29999"),
+        (b"Content-Length", b"3"),
+    ]
     sent = h11.Connection(h11.CLIENT).send(checked_request("POST", "/api?obj=7f3a", headers))
     assert sent == h11.Connection(h11.CLIENT).send(
-        h11.Request(method="POST", target="/api?obj=7f3a", headers=headers))
+        h11.Request(method="POST", target="/api?obj=7f3a", headers=headers)
+    )
     with pytest.raises(h11.LocalProtocolError):
         checked_request("POST", "/api", headers[1:])  # without its host
     with pytest.raises(h11.LocalProtocolError):
@@ -322,7 +341,8 @@
 
 
 def test_a_connection_is_retired_by_its_latest_use_and_not_by_an_earlier_one(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def run() -> None:
         peer = await Peer().start()
         b, time_us = backends(peer.port, idle_us=10_000), 1_000_000
@@ -344,7 +364,8 @@
 
 
 def test_a_timer_that_runs_out_while_its_connection_is_in_use_leaves_it(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def run() -> None:
         peer = await Peer().start()
         b, time_us = backends(peer.port, idle_us=10_000), 1_000_000
@@ -398,8 +419,11 @@
         peer, other = await Peer().start(), await Peer().start()
         b = backends(peer.port, most=1)
         message = await served(b, peer)
-        b.told(ListingParser(CLOCK, (), ()).parse(
-            {"revision": 2, "complete": False, "members": [member("t", other.port)]}))
+        b.told(
+            ListingParser(CLOCK, (), ()).parse(
+                {"revision": 2, "complete": False, "members": [member("t", other.port)]}
+            )
+        )
         end: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
         b.exchange("t", ASK, 60_000_000, end.set_result)
         await message.peer.ended()
@@ -411,11 +435,21 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
-@pytest.mark.parametrize("text, report", [
-    ("inflight=7,queue=2,util=0.61", (7.0, 2.0, 0.61)), ("util=1,queue=1,inflight=3,new=9", (3.0, 1.0, 1.0)),
-    ("inflight=7,queue=2", ()), ("inflight=many,queue=2,util=0", ()), ("inflight=nan,queue=2,util=0", ()),
-    ("inflight=-1,queue=0,util=0", ()), ("inflight=inf,queue=0,util=0", ()), ("", ()), (None, ()), ("x", ()),
-])
+@pytest.mark.parametrize(
+    "text, report",
+    [
+        ("inflight=7,queue=2,util=0.61", (7.0, 2.0, 0.61)),
+        ("util=1,queue=1,inflight=3,new=9", (3.0, 1.0, 1.0)),
+        ("inflight=7,queue=2", ()),
+        ("inflight=many,queue=2,util=0", ()),
+        ("inflight=nan,queue=2,util=0", ()),
+        ("inflight=-1,queue=0,util=0", ()),
+        ("inflight=inf,queue=0,util=0", ()),
+        ("", ()),
+        (None, ()),
+        ("x", ()),
+    ],
+)
 def test_a_bad_report_is_no_report(text: str | None, report: tuple[float, ...]) -> None:
     assert parse_report(text, FIELDS) == report
 
--- a/tests/test_blank_lines.py
+++ b/tests/test_blank_lines.py
@@ -1,4 +1,5 @@
 """Empty lines between requests: passed over, wherever they come."""
+
 from __future__ import annotations
 
 import asyncio
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -1,4 +1,5 @@
 """Bodies too large to hold: passed on as they come, both ways, in every form that HTTP/1.1 has for them."""
+
 from __future__ import annotations
 
 import asyncio
@@ -18,8 +19,8 @@
 
 
 def chunked(body: bytes, size: int = 50_000, trailer: bytes = b"") -> bytes:
-    pieces = [body[i:i + size] for i in range(0, len(body), size)]
-    return b"".join(b"%x;ext=\"1\"\r\n%b\r\n" % (len(p), p) for p in pieces) + b"0\r\n" + trailer + b"\r\n"
+    pieces = [body[i : i + size] for i in range(0, len(body), size)]
+    return b"".join(b'%x;ext="1"\r\n%b\r\n' % (len(p), p) for p in pieces) + b"0\r\n" + trailer + b"\r\n"
 
 
 async def read_chunks(reader: asyncio.StreamReader) -> bytes:
@@ -40,6 +41,7 @@
 async def raw_backend(serve: Callable[[Conversation], Awaitable[None]], folder: Path) -> AsyncIterator[World]:
     """An agent whose only backend is this conversation, over and over."""
     async with world(folder) as w:
+
         async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
                 await serve(Conversation(reader, writer))
@@ -52,7 +54,8 @@
 
 
 async def served(
-        w: World, request: bytes, answer: bytes, then_close: bool = False) -> tuple[Conversation, Message]:
+    w: World, request: bytes, answer: bytes, then_close: bool = False
+) -> tuple[Conversation, Message]:
     """A client that has asked, once its backend has written the answer."""
     client = await w.ask(request)
     got = await w.request()
@@ -64,11 +67,17 @@
 
 ANSWERS = {
     "by its length": (b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LARGE) + LARGE, False),
-    "by chunks": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                  + chunked(LARGE, trailer=b"Server-Note: x\r\n"), False),
+    "by chunks": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + chunked(LARGE, trailer=b"Server-Note: x\r\n"),
+        False,
+    ),
     "by its end": (b"HTTP/1.1 200 OK\r\n\r\n" + LARGE, True),
-    "behind 1xx": (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
-                   b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LARGE) + LARGE, False),
+    "behind 1xx": (
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LARGE) + LARGE,
+        False,
+    ),
 }
 
 
@@ -102,10 +111,11 @@
         async with world(tmp_path) as w:
             client = await w.ask(post())
             got = await w.request()
-            answer = (b"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n"
-                      + chunked(b"steel" * 40, size=13, trailer=b"T: 1\r\n"))
+            answer = b"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n" + chunked(
+                b"steel" * 40, size=13, trailer=b"T: 1\r\n"
+            )
             for i in range(0, len(answer), size):
-                await got.peer.write(answer[i:i + size])
+                await got.peer.write(answer[i : i + size])
             message = await client.read()
             assert (message.status, message.body) == (200, b"steel" * 40)
 
@@ -113,7 +123,8 @@
 
 
 def test_a_large_answer_begins_before_it_is_whole_and_nothing_cuts_it(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.ask(post(timeout_ms="300"))  # its time is over long before the answer is
@@ -135,8 +146,9 @@
         async with world(tmp_path) as w:
             client = await w.ask(post())
             got = await w.request()
-            await got.peer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                                 b"11170\r\n" + b"x" * 70_000 + b"\r\n")
+            await got.peer.write(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + b"x" * 70_000 + b"\r\n"
+            )
             assert "200" in (await read_head(client))[""]
             (held,) = w.agent._held.values()
             assert held.begun is not None
@@ -146,12 +158,16 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize("head, piece", [
-    (b"Content-Length: 1000000\r\n", b"x" * 100_000),
-    (b"Transfer-Encoding: chunked\r\n", b"186a0\r\n" + b"x" * 100_000 + b"\r\n"),
-])
+@pytest.mark.parametrize(
+    "head, piece",
+    [
+        (b"Content-Length: 1000000\r\n", b"x" * 100_000),
+        (b"Transfer-Encoding: chunked\r\n", b"186a0\r\n" + b"x" * 100_000 + b"\r\n"),
+    ],
+)
 def test_a_client_can_tell_that_a_broken_answer_is_not_whole(
-        tmp_path: Path, head: bytes, piece: bytes) -> None:
+    tmp_path: Path, head: bytes, piece: bytes
+) -> None:
     async def run() -> None:
         async with world(tmp_path, backends=2) as w:
             client, got = await served(w, post(), b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + piece)
@@ -231,11 +247,14 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize("cls, sent, status", [
-    (KEYED, 0, 503),  # the backend breaks off before it has all: it never ran
-    (UNSAFE, 0, 503),
-    (UNSAFE, 1, 502),  # after its last byte: it may have
-])
+@pytest.mark.parametrize(
+    "cls, sent, status",
+    [
+        (KEYED, 0, 503),  # the backend breaks off before it has all: it never ran
+        (UNSAFE, 0, 503),
+        (UNSAFE, 1, 502),  # after its last byte: it may have
+    ],
+)
 def test_what_was_passed_on_is_not_sent_again(tmp_path: Path, cls: str, sent: int, status: int) -> None:
     attempts = 0
 
@@ -286,7 +305,8 @@
 
 
 def test_a_body_beyond_the_limit_never_becomes_a_request(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(server_module, "BODY_LIMIT", 500_000)
     broken: asyncio.Queue[bool] = asyncio.Queue()
 
@@ -317,7 +337,8 @@
 
 @pytest.mark.parametrize("sent", [post(body=LARGE)[:-1], upload("chunks")[:-3], post()[:-1]])
 def test_who_stops_in_a_body_gets_an_error_and_it_never_becomes_a_request(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: bytes) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: bytes
+) -> None:
     monkeypatch.setattr(server_module, "DECIDED_S", 0.2)
     monkeypatch.setattr(server_module, "STOPPED_S", 0.1)
     monkeypatch.setattr(server_module, "SILENT_S", 0.3)
@@ -342,16 +363,19 @@
         assert limits.BODY_START_S + 64_000 * now / limits.BODY_RATE > now
 
 
-@pytest.mark.parametrize("request_", [
-    post().replace(b"POST /api", b"POST http://origin.svc:80/api"),
-    b"\r\n\r\n" + post(),
-])
+@pytest.mark.parametrize(
+    "request_",
+    [
+        post().replace(b"POST /api", b"POST http://origin.svc:80/api"),
+        b"\r\n\r\n" + post(),
+    ],
+)
 def test_other_forms_of_a_request(tmp_path: Path, request_: bytes) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.client()
             for i in range(len(request_)):
-                await client.write(request_[i:i + 1])
+                await client.write(request_[i : i + 1])
             got = await w.request()
             assert got.first == "POST /api?obj=7f3a HTTP/1.1" and got.body == b"job"
             await got.answer()
--- a/tests/test_catalog_core.py
+++ b/tests/test_catalog_core.py
@@ -1,4 +1,5 @@
 """The list as a state machine: writes that hold together, fences, what a watcher sees, leases."""
+
 from __future__ import annotations
 
 from typing import Any
@@ -24,9 +25,14 @@
 
 WRITES: st.SearchStrategy[Write] = st.one_of(
     st.builds(put, st.sampled_from(NAMES), st.integers(0, 2), cell=st.integers(0, 3)),
-    st.builds(SetPhase, id=st.sampled_from(NAMES), phase=st.sampled_from(["SERVING", "DRAINING"]),
-              start=st.none() | st.integers(0, 2)),
-    st.builds(Delete, id=st.sampled_from(NAMES), start=st.none() | st.integers(0, 2)))
+    st.builds(
+        SetPhase,
+        id=st.sampled_from(NAMES),
+        phase=st.sampled_from(["SERVING", "DRAINING"]),
+        start=st.none() | st.integers(0, 2),
+    ),
+    st.builds(Delete, id=st.sampled_from(NAMES), start=st.none() | st.integers(0, 2)),
+)
 
 
 def test_a_batch_holds_as_a_whole_or_not_at_all() -> None:
@@ -67,7 +73,8 @@
 @settings(derandomize=True, max_examples=150, deadline=None)
 @given(st.lists(st.lists(WRITES, min_size=1, max_size=3), max_size=25), st.data())
 def test_a_client_sees_only_states_in_force_and_never_an_older_one(
-        batches: list[list[Write]], data: st.DataObject) -> None:
+    batches: list[list[Write]], data: st.DataObject
+) -> None:
     """Through any sequence of watches, reconnects and whole lists, with a history of any bound."""
     state = State(100)
     history = History(data.draw(st.integers(0, 6)), data.draw(st.sampled_from([200, 10_000])))
@@ -113,6 +120,7 @@
 
 # Leases
 
+
 def leased(count: int, ttl_ms: int = 1000) -> Leases:
     leases = Leases()
     leases.listed(Entry(member=Member(id=f"s{i}", host_port="a:1"), ttl_ms=ttl_ms) for i in range(count))
@@ -166,7 +174,8 @@
         renewing = tuple(f"s{i}" for i in range(1, 20))
         writes, _ = run(leases, 4, at, renewing)
         assert [w for w in writes if isinstance(w, SetPhase)] == [
-            SetPhase(id="s0", phase="DRAINING", start=0, lapsed=True)]
+            SetPhase(id="s0", phase="DRAINING", start=0, lapsed=True)
+        ]
 
 
 def test_many_do_not_slip_out_one_after_the_other_within_a_ttl() -> None:
--- a/tests/test_catalog_replica.py
+++ b/tests/test_catalog_replica.py
@@ -1,4 +1,5 @@
 """Followers of the list service as state machines: no reader's list goes back, and what is old says so."""
+
 from __future__ import annotations
 
 import json
@@ -97,6 +98,7 @@
 @given(st.data())
 def test_a_reader_that_moves_between_followers_and_leader_never_goes_back(data: st.DataObject) -> None:
     """Over any sequence of writes, restores, syncs, restarts of followers and moves of readers."""
+
     def bounds() -> History:
         return History(data.draw(st.integers(0, 4)), data.draw(st.sampled_from([200, 10_000])))
 
@@ -132,7 +134,8 @@
         assert isinstance(follower, Replica)
         sync(follower, leader)
         assert whole(leader.state) == follower.copy.whole() or follower.copy.disputed(
-            HeardParser().parse(ask(leader, None, None)))
+            HeardParser().parse(ask(leader, None, None))
+        )
         for reader in readers:
             reader.asks(follower)
             assert reader.has == phases(leader.state)
@@ -178,11 +181,15 @@
     assert (told["list"], told["revision"], told["complete"], told["members"]) == ("y", 51, True, [])
 
 
-@pytest.mark.parametrize("change", [
-    lambda doc: doc | {"revision": 100}, lambda doc: doc | {"members": []},
-    lambda doc: doc | {"revision": 100, "complete": False},
-    lambda doc: doc | {"complete": False, "list": "y"},
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda doc: doc | {"revision": 100},
+        lambda doc: doc | {"members": []},
+        lambda doc: doc | {"revision": 100, "complete": False},
+        lambda doc: doc | {"complete": False, "list": "y"},
+    ],
+)
 def test_an_answer_that_leads_back_or_on_from_nothing_is_not_taken(change: Any) -> None:
     leader, node = Leader(History(9, 10_000)), replica()
     leader.write(put("a"))
@@ -216,7 +223,8 @@
 
 
 def test_a_whole_list_is_encoded_once_for_all_who_are_behind_the_history(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     encoded: list[object] = []
     leader = Leader(History(1, 10_000))
     for name in ("a", "b", "c"):
@@ -225,6 +233,7 @@
     def encode(doc: object) -> bytes:
         encoded.append(doc)
         return msgspec.msgpack.encode(doc)
+
     monkeypatch.setattr(msgspec.json, "encode", encode)
     assert len({leader.answer(index, "x") for index in (None, 1, 2, 100, 900)}) == len(encoded) == 1
 
@@ -241,13 +250,21 @@
     assert listing(Change(revision=32))["members"] == []
 
 
-@pytest.mark.parametrize("spoil", [
-    lambda doc: [], lambda doc: {}, lambda doc: {k: v for k, v in doc.items() if k != "list"},
-    lambda doc: doc | {"list": ""}, lambda doc: doc | {"list": 7}, lambda doc: doc | {"revision": None},
-    lambda doc: doc | {"members": [{}]}, lambda doc: doc | {"members": {"a": 1}},
-    lambda doc: doc | {"members": [doc["members"][0] | {"phase": "WELL"}]},
-    lambda doc: doc | {"members": [doc["members"][0] | {"host_port": "nowhere"}]},
-])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda doc: [],
+        lambda doc: {},
+        lambda doc: {k: v for k, v in doc.items() if k != "list"},
+        lambda doc: doc | {"list": ""},
+        lambda doc: doc | {"list": 7},
+        lambda doc: doc | {"revision": None},
+        lambda doc: doc | {"members": [{}]},
+        lambda doc: doc | {"members": {"a": 1}},
+        lambda doc: doc | {"members": [doc["members"][0] | {"phase": "WELL"}]},
+        lambda doc: doc | {"members": [doc["members"][0] | {"host_port": "nowhere"}]},
+    ],
+)
 def test_what_is_no_list_services_answer_is_refused(spoil: Any) -> None:
     leader = Leader(History(9, 10_000))
     leader.write(put("a"))
--- a/tests/test_catalog_replica_agent.py
+++ b/tests/test_catalog_replica_agent.py
@@ -1,4 +1,5 @@
 """The agent beside followers: its list never goes back, an old one says so, and a fresher is looked for."""
+
 from __future__ import annotations
 
 import asyncio
@@ -29,8 +30,9 @@
 
     def __init__(self, peers: list[Peer]) -> None:
         self.peers, self.told = peers, asyncio.Queue[Listing | None]()
-        self.discovery = Discovery(self.addresses(*range(len(peers))), ListingParser(Clock(), ("a",), ("m",)),
-                                   None, 9.0, 20_000)
+        self.discovery = Discovery(
+            self.addresses(*range(len(peers))), ListingParser(Clock(), ("a",), ("m",)), None, 9.0, 20_000
+        )
 
     def addresses(self, *numbers: int) -> tuple[Address, ...]:
         return tuple(Address("127.0.0.1", self.peers[n].port) for n in numbers)
@@ -100,7 +102,8 @@
 
 
 def test_one_address_whose_list_went_back_is_asked_for_all_of_it_until_it_is_ahead(
-        caplog: pytest.LogCaptureFixture) -> None:
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     async def run() -> None:
         async with watching(1) as w:
             await w.tell(0, answer(50, "a"))
--- a/tests/test_catalog_replica_process.py
+++ b/tests/test_catalog_replica_process.py
@@ -1,4 +1,5 @@
 """`follow` as a process: its settings, and real processes that end and come back."""
+
 from __future__ import annotations
 
 import asyncio
@@ -23,7 +24,10 @@
         named = [word for source in sources for word in ("--source", source)]
         self.process = subprocess.Popen(
             [sys.executable, "-m", "catalog", "follow", "--listen", "127.0.0.1:0", *named],
-            cwd=ROOT, stderr=subprocess.PIPE, text=True)
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
         assert self.process.stderr is not None
         line = self.process.stderr.readline()
         assert "follows " + " ".join(sources) in line, line
@@ -61,13 +65,16 @@
     asyncio.run(asyncio.wait_for(run(), 120))
 
 
-@pytest.mark.parametrize(("args", "says"), [
-    (["--listen", "x", "--source", "a:1"], "--listen x: is no address; write HOST:PORT"),
-    (["--listen", "a:1"], "--source: name whom it is to follow, HOST:PORT"),
-    (["--listen", "a:1", "--source", "b"], "--source b: is no address; write HOST:PORT"),
-    (["--listen", "a:1", "--source", "b:2", "--source", "a:1"], "--source a:1: is its own address"),
-    (["--listen", "a:1", "--source", "b:2", "--source", "b:2"], "--source b:2: is named twice"),
-])
+@pytest.mark.parametrize(
+    ("args", "says"),
+    [
+        (["--listen", "x", "--source", "a:1"], "--listen x: is no address; write HOST:PORT"),
+        (["--listen", "a:1"], "--source: name whom it is to follow, HOST:PORT"),
+        (["--listen", "a:1", "--source", "b"], "--source b: is no address; write HOST:PORT"),
+        (["--listen", "a:1", "--source", "b:2", "--source", "a:1"], "--source a:1: is its own address"),
+        (["--listen", "a:1", "--source", "b:2", "--source", "b:2"], "--source b:2: is named twice"),
+    ],
+)
 def test_wrong_settings_are_one_line(args: list[str], says: str) -> None:
     result = CliRunner().invoke(app, ["follow", *args])
     assert result.exit_code == 2 and says in result.stderr and result.stderr.count("\n") == 1
--- a/tests/test_catalog_replica_rig.py
+++ b/tests/test_catalog_replica_rig.py
@@ -1,4 +1,5 @@
 """Followers in the rig: what its checkers say of their readers, and scenarios that cannot be played."""
+
 from __future__ import annotations
 
 from pathlib import Path
@@ -26,10 +27,23 @@
     return made
 
 
-def heard(made: Story, revision: int, *members: tuple[str, str], complete: bool = False, who: str = "w0",
-          identity: str = "x") -> None:
-    made.add(h.Heard, 1000 + len(made.events), who, revision=revision, identity=identity, complete=complete,
-             members=list(members))
+def heard(
+    made: Story,
+    revision: int,
+    *members: tuple[str, str],
+    complete: bool = False,
+    who: str = "w0",
+    identity: str = "x",
+) -> None:
+    made.add(
+        h.Heard,
+        1000 + len(made.events),
+        who,
+        revision=revision,
+        identity=identity,
+        complete=complete,
+        members=list(members),
+    )
 
 
 def broken(made: Story) -> list[str]:
@@ -45,12 +59,16 @@
     assert broken(made) == []
 
 
-@pytest.mark.parametrize(("revision", "members", "says"), [
-    (42, [("s0", "SERVING"), ("s2", "SERVING")], "was told revision 42 after 43"),
-    (43, [("s0", "SERVING"), ("s1", "SERVING"), ("s2", "DRAINING")], "has at 43 what was not in force"),
-])
+@pytest.mark.parametrize(
+    ("revision", "members", "says"),
+    [
+        (42, [("s0", "SERVING"), ("s2", "SERVING")], "was told revision 42 after 43"),
+        (43, [("s0", "SERVING"), ("s1", "SERVING"), ("s2", "DRAINING")], "has at 43 what was not in force"),
+    ],
+)
 def test_a_readers_list_that_goes_back_or_never_was_breaks_the_rule(
-        revision: int, members: list[tuple[str, str]], says: str) -> None:
+    revision: int, members: list[tuple[str, str]], says: str
+) -> None:
     made = story()
     heard(made, 43, ("s0", "SERVING"), ("s2", "DRAINING"), complete=True)
     assert broken(made) == []
@@ -58,13 +76,19 @@
     assert len(broken(made)) == 1 and says in broken(made)[0]
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    ("followers = 2", "followers: need list_service = true"),
-    ("list_service = true\nfollowers = 3", "followers"),
-    ("[[fault]]\nwhat = 'link'\npath = 'leader'\nat_s = 1", "needs followers = 1"),
-    ("list_service = true\nfollowers = 1\n[[fault]]\nwhat = 'kill'\nof = 'followers'\nfollower = 1\nat_s = 1",
-     "needs followers = 2"),
-])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("followers = 2", "followers: need list_service = true"),
+        ("list_service = true\nfollowers = 3", "followers"),
+        ("[[fault]]\nwhat = 'link'\npath = 'leader'\nat_s = 1", "needs followers = 1"),
+        (
+            "list_service = true\nfollowers = 1\n[[fault]]\nwhat = 'kill'\nof = 'followers'\nfollower = 1\n"
+            "at_s = 1",
+            "needs followers = 2",
+        ),
+    ],
+)
 def test_followers_that_are_not_there_are_one_line(tmp_path: Path, text: str, says: str) -> None:
     path = tmp_path / "s.toml"
     path.write_text(f'base = "{ROOT}/faultlab/scenarios/_lab.toml"\nabout = "x"\n{text}\n')
@@ -81,7 +105,15 @@
 
 def test_the_scenario_strikes_leader_followers_and_the_way_between() -> None:
     day, s = settle(load("followers"), 1)
-    kinds = [(a.what, getattr(a.fault, "of", "") or getattr(a.fault, "path", ""))
-             for a in schedule.make(day, s, 1) if a.fault is not None and a.on]
-    assert set(kinds) == {("kill", "discovery"), ("kill", "followers"), ("pause", "followers"),
-                          ("link", "leader"), ("pause", "discovery")}
+    kinds = [
+        (a.what, getattr(a.fault, "of", "") or getattr(a.fault, "path", ""))
+        for a in schedule.make(day, s, 1)
+        if a.fault is not None and a.on
+    ]
+    assert set(kinds) == {
+        ("kill", "discovery"),
+        ("kill", "followers"),
+        ("pause", "followers"),
+        ("link", "leader"),
+        ("pause", "discovery"),
+    }
--- a/tests/test_catalog_replica_service.py
+++ b/tests/test_catalog_replica_service.py
@@ -1,4 +1,5 @@
 """Followers over loopback: what they serve while sources come, go, stand still and disagree."""
+
 from __future__ import annotations
 
 import asyncio
@@ -39,7 +40,7 @@
 
 
 async def reader(port: int) -> Reader:
-    return Reader(*await asyncio.open_connection("127.0.0.1", port, limit=2 ** 24))
+    return Reader(*await asyncio.open_connection("127.0.0.1", port, limit=2**24))
 
 
 class Copy:
@@ -72,8 +73,14 @@
 
 
 def answer(revision: int, *names: str, complete: bool = True, identity: str = "x") -> bytes:
-    return json.dumps({"revision": revision, "list": identity, "complete": complete,
-                       "members": [member(name, 80) for name in names]}).encode()
+    return json.dumps(
+        {
+            "revision": revision,
+            "list": identity,
+            "complete": complete,
+            "members": [member(name, 80) for name in names],
+        }
+    ).encode()
 
 
 async def asked(peer: Peer) -> tuple[Message, str]:
@@ -104,9 +111,16 @@
             told = json.loads(data)
             assert "age" not in fields and told["age_s"] >= 0 and told["list"] == first["list"]
             assert (told["role"], told["source"], told["revision"], told["members"]) == (
-                "follower", f"127.0.0.1:{one.port}", revision + 1, 1)
-            for method, path, doc in (("PUT", f"{MEMBERS}/s2", body()), ("POST", "/catalog/batch", {}),
-                                      ("DELETE", f"{MEMBERS}/s1", None)):
+                "follower",
+                f"127.0.0.1:{one.port}",
+                revision + 1,
+                1,
+            )
+            for method, path, doc in (
+                ("PUT", f"{MEMBERS}/s2", body()),
+                ("POST", "/catalog/batch", {}),
+                ("DELETE", f"{MEMBERS}/s1", None),
+            ):
                 status, said = await near.call(method, path, doc)
                 assert status == 421 and said["error"].endswith(f"write to 127.0.0.1:{one.port}")
 
@@ -176,7 +190,8 @@
 
 
 def test_a_source_that_comes_back_older_is_not_followed_until_it_is_ahead_or_another(
-        caplog: pytest.LogCaptureFixture) -> None:
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     async def run() -> None:
         source = await Peer().start()
         async with follower(source.port) as f:
@@ -201,7 +216,10 @@
                 await f.at(48)
                 _, fields, told = await r.read("?index=47&list=x")
                 assert {m["id"]: m["phase"] for m in told["members"]} == {
-                    "a": "DELETED", "old": "SERVING", "b": "SERVING"}
+                    "a": "DELETED",
+                    "old": "SERVING",
+                    "b": "SERVING",
+                }
                 assert int(fields["age"]) < 30
                 call, _ = await asked(source)
                 await call.answer(200, answer(3, "new", identity="y"))  # and one restored
@@ -239,6 +257,7 @@
 
 def test_a_follower_that_stood_still_tells_how_long_with_its_first_answer() -> None:
     """Its source's answer and a reader's call have come meanwhile and lie unread."""
+
     async def run() -> None:
         source = await Peer().start()
         async with follower(source.port) as f:
@@ -318,8 +337,13 @@
 
 
 def agent(told: asyncio.Queue[Listing | None], *ports: int) -> Discovery:
-    made = Discovery(tuple(Address("127.0.0.1", p) for p in ports), ListingParser(Clock(), ("a",), ("m",)),
-                     None, 1.0, 20_000)
+    made = Discovery(
+        tuple(Address("127.0.0.1", p) for p in ports),
+        ListingParser(Clock(), ("a",), ("m",)),
+        None,
+        1.0,
+        20_000,
+    )
     made.watch(told.put_nowait)
     return made
 
--- a/tests/test_catalog_service.py
+++ b/tests/test_catalog_service.py
@@ -1,4 +1,5 @@
 """The list service over HTTP: reads that the agent knows, writes, watches, and processes that are killed."""
+
 from __future__ import annotations
 
 import asyncio
@@ -60,7 +61,7 @@
         self.clients: list[Client] = []
 
     async def client(self) -> Client:
-        made = Client(*await asyncio.open_connection("127.0.0.1", self.port, limit=2 ** 24))
+        made = Client(*await asyncio.open_connection("127.0.0.1", self.port, limit=2**24))
         self.clients.append(made)
         return made
 
@@ -140,25 +141,29 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize(("method", "path", "doc", "status", "says"), [
-    ("PUT", "/s1", {"host_port": "nowhere"}, 400, "host_port"),
-    ("PUT", "/s1", {}, 400, "host_port"),
-    ("PUT", "/s1", {"host_port": "a:1", "phase": "GONE"}, 400, "phase"),
-    ("PUT", "/s1", {"host_port": "a:1", "colour": 1}, 400, "colour"),
-    ("PUT", "/s1", {"host_port": "a:1", "id": "s2"}, 400, "the path says s1"),
-    ("PUT", "/s1", b"{", 400, "no JSON"),
-    ("PUT", "/s%20", {"host_port": "a:1"}, 400, ""),
-    ("PUT", "/s1", {"host_port": "a:1", "if_revision": 1}, 412, "the list is at revision"),
-    ("PUT", "/s1/phase", {"phase": "DRAINING"}, 404, "s1: not listed"),
-    ("POST", "/s1/renew", {}, 404, "s1: not listed"),
-    ("DELETE", "/s1?start=x", None, 400, "start: is no whole number"),
-    ("DELETE", "/s1", None, 404, "s1: not listed"),
-    ("PATCH", "/s1", {}, 405, "PATCH"),
-    ("GET", "?index=-1", None, 400, "index: is no whole number"),
-    ("GET", "/s1/more", None, 404, "no such path"),
-])
+@pytest.mark.parametrize(
+    ("method", "path", "doc", "status", "says"),
+    [
+        ("PUT", "/s1", {"host_port": "nowhere"}, 400, "host_port"),
+        ("PUT", "/s1", {}, 400, "host_port"),
+        ("PUT", "/s1", {"host_port": "a:1", "phase": "GONE"}, 400, "phase"),
+        ("PUT", "/s1", {"host_port": "a:1", "colour": 1}, 400, "colour"),
+        ("PUT", "/s1", {"host_port": "a:1", "id": "s2"}, 400, "the path says s1"),
+        ("PUT", "/s1", b"{", 400, "no JSON"),
+        ("PUT", "/s%20", {"host_port": "a:1"}, 400, ""),
+        ("PUT", "/s1", {"host_port": "a:1", "if_revision": 1}, 412, "the list is at revision"),
+        ("PUT", "/s1/phase", {"phase": "DRAINING"}, 404, "s1: not listed"),
+        ("POST", "/s1/renew", {}, 404, "s1: not listed"),
+        ("DELETE", "/s1?start=x", None, 400, "start: is no whole number"),
+        ("DELETE", "/s1", None, 404, "s1: not listed"),
+        ("PATCH", "/s1", {}, 405, "PATCH"),
+        ("GET", "?index=-1", None, 400, "index: is no whole number"),
+        ("GET", "/s1/more", None, 404, "no such path"),
+    ],
+)
 def test_what_cannot_be_done_is_answered_with_the_reason(
-        tmp_path: Path, method: str, path: str, doc: object, status: int, says: str) -> None:
+    tmp_path: Path, method: str, path: str, doc: object, status: int, says: str
+) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             c = await w.client()
@@ -196,15 +201,17 @@
                 c.ask("PUT", f"{MEMBERS}/s{i}", body())
             answers = [await c.answer() for c in clients]
             assert {status for status, _ in answers} == {200}
-            assert sorted(a["revision"] for _, a in answers) == list(range(w.service.revision - 39,
-                                                                           w.service.revision + 1))
+            assert sorted(a["revision"] for _, a in answers) == list(
+                range(w.service.revision - 39, w.service.revision + 1)
+            )
             assert w.service.commits < 40
 
     asyncio.run(run())
 
 
 def test_a_lease_that_ran_out_is_brought_back_by_a_renewal_and_one_by_hand_is_not(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(acting, "TURN_US", 1000)
 
     async def run() -> None:
@@ -231,8 +238,11 @@
     async def run() -> None:
         async with world(tmp_path) as w:
             c = await w.client()
-            await c.call("POST", "/catalog/batch", {"writes": [
-                {"do": "put", "member": {"id": f"s{i}", **body()}} for i in range(1000)]})
+            await c.call(
+                "POST",
+                "/catalog/batch",
+                {"writes": [{"do": "put", "member": {"id": f"s{i}", **body()}} for i in range(1000)]},
+            )
             watchers = [await w.client() for _ in range(50)]
             for one in watchers:
                 one.ask("GET", f"{MEMBERS}?index={w.service.revision}&wait=50000")
@@ -241,14 +251,17 @@
             def listing(change: Change) -> dict[str, object]:
                 encoded.append(change)
                 return core.listing(change)
+
             monkeypatch.setattr(acting, "listing", listing)
             await c.call("PUT", f"{MEMBERS}/s7/phase", {"phase": "DRAINING"})
             answers = [await one.answer() for one in watchers]
             assert all(len(told["members"]) == 1 for _, told in answers) and len(encoded) == 1
             # All come back at once, each behind by one: changes again, not whole lists.
             await c.call("PUT", f"{MEMBERS}/s8/phase", {"phase": "DRAINING"})
-            again = [await one.call("GET", f"{MEMBERS}?index={answers[0][1]['revision']}&wait=50000")
-                     for one in watchers]
+            again = [
+                await one.call("GET", f"{MEMBERS}?index={answers[0][1]['revision']}&wait=50000")
+                for one in watchers
+            ]
             assert all(not told["complete"] and len(told["members"]) == 1 for _, told in again)
             assert len(encoded) == 2
 
@@ -256,16 +269,24 @@
 
 
 def test_a_reader_that_does_not_take_its_answer_is_cut_off_and_others_are_not(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(serving, "TAKE_S", 0.05)
 
     async def run() -> None:
         async with world(tmp_path) as w:
             c, slow = await w.client(), await w.client()
             for n in range(8):
-                await c.call("POST", "/catalog/batch", {"writes": [
-                    {"do": "put", "member": {"id": f"s{n}-{i}", **body(), "locality": "x" * 60}}
-                    for i in range(2000)]})
+                await c.call(
+                    "POST",
+                    "/catalog/batch",
+                    {
+                        "writes": [
+                            {"do": "put", "member": {"id": f"s{n}-{i}", **body(), "locality": "x" * 60}}
+                            for i in range(2000)
+                        ]
+                    },
+                )
             slow.writer.transport.pause_reading()  # type: ignore[attr-defined]
             for _ in range(6):  # more than the buffers between them hold
                 slow.ask("GET", MEMBERS)
@@ -279,11 +300,24 @@
 
 # The service as a process
 
+
 class Process:
     def __init__(self, folder: Path, port: int = 0) -> None:
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "catalog", "serve", "--listen", f"127.0.0.1:{port}",
-             "--data", str(folder)], cwd=ROOT, stderr=subprocess.PIPE, text=True)
+            [
+                sys.executable,
+                "-m",
+                "catalog",
+                "serve",
+                "--listen",
+                f"127.0.0.1:{port}",
+                "--data",
+                str(folder),
+            ],
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
         assert self.process.stderr is not None
         line = self.process.stderr.readline()
         assert "listens on" in line, line
@@ -334,7 +368,8 @@
 
 
 def test_a_full_disk_refuses_writes_while_reads_go_on_until_there_is_room(
-        tmp_path: Path, processes: list[Process]) -> None:
+    tmp_path: Path, processes: list[Process]
+) -> None:
     async def run() -> None:
         processes.append(Process(tmp_path))
         c = await _client(processes[0].at)
--- a/tests/test_catalog_store.py
+++ b/tests/test_catalog_store.py
@@ -1,4 +1,5 @@
 """The list on disk: every yes outlasts a power cut, damage is refused, a backup is another list."""
+
 from __future__ import annotations
 
 import os
@@ -94,7 +95,7 @@
             return
         if len(held) < at + len(data):
             held.extend(bytes(at + len(data) - len(held)))
-        held[at:at + len(data)] = data
+        held[at : at + len(data)] = data
 
     for op in ops:
         what, name, _, _ = op
@@ -115,7 +116,7 @@
         elif fate == "torn":
             for start in range(0, len(data), SECTOR):
                 if chance.random() < 0.5:
-                    put_down((what, name, at + start, data[start:start + SECTOR]))
+                    put_down((what, name, at + start, data[start : start + SECTOR]))
     return {name: bytes(data) for name, data in files.items()}
 
 
@@ -133,8 +134,10 @@
     promised: list[tuple[int, int]] = [(len(ops), opened.state.revision)]  # ops done, revision said yes to
     states = {opened.state.revision: opened.state.digest}
     for n in range(30):
-        group = [Command((put(f"s{n}-{i}", cell=n), put(f"t{n}-{i}")), f"key {n}-{i}")
-                 for i in range(chance.randrange(1, 4))]
+        group = [
+            Command((put(f"s{n}-{i}", cell=n), put(f"t{n}-{i}")), f"key {n}-{i}")
+            for i in range(chance.randrange(1, 4))
+        ]
         if n % 5 == 4:
             group.append(Command((Delete(id=f"s{n - 1}-0"), put(f"u{n}"))))
         assert set(commit(opened, *group)) == {200}
@@ -221,7 +224,7 @@
     else:
         data = bytearray(path.read_bytes())
         data[data.find(b"10.0.0.1:80")] ^= 1
-        spoilt = {"no list": b"not a list", "cut": bytes(data[:len(data) // 2]), "byte": bytes(data)}
+        spoilt = {"no list": b"not a list", "cut": bytes(data[: len(data) // 2]), "byte": bytes(data)}
         path.write_bytes(spoilt[how])
     mend = "use the program that wrote it" if how == "format" else "restore a backup"
     with pytest.raises(Damaged, match=mend):
@@ -268,4 +271,4 @@
     opened.close()
     store.backup(tmp_path / "data", tmp_path / "saved")
     store.restore(tmp_path / "data", tmp_path / "saved", unix_s=1.0)
-    assert Store(tmp_path / "data").state.revision == revision + 2 ** store.SHIFT
+    assert Store(tmp_path / "data").state.revision == revision + 2**store.SHIFT
--- a/tests/test_catalog_trials.py
+++ b/tests/test_catalog_trials.py
@@ -1,4 +1,5 @@
 """The list service and agents as processes, in the cases that are hard for them."""
+
 from __future__ import annotations
 
 import asyncio
@@ -66,8 +67,12 @@
     doc["settings"]["registryMode"] = "push"
     (folder / "config.json").write_text(json.dumps(doc))
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "lilacsill", stderr=asyncio.subprocess.PIPE,
-        env={**os.environ, "RELAY_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder)})
+        sys.executable,
+        "-m",
+        "lilacsill",
+        stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, "RELAY_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder)},
+    )
     try:
         made = Running(process, 0)
         made._door = int((await made.says("takes calls on")).rpartition(":")[2])
@@ -105,7 +110,8 @@
 
 
 def test_a_service_that_stood_still_for_two_ttls_lets_nobody_go(
-        tmp_path: Path, processes: list[Process]) -> None:
+    tmp_path: Path, processes: list[Process]
+) -> None:
     """How long that is another service tells, of which the same member expires meanwhile."""
     ttl_ms = 1500  # a slow machine renews within it too
 
@@ -130,15 +136,19 @@
 
 
 def test_of_two_processes_that_claim_one_id_the_later_has_it(
-        tmp_path: Path, processes: list[Process]) -> None:
+    tmp_path: Path, processes: list[Process]
+) -> None:
     async def run() -> None:
         processes.append(Process(tmp_path))
         older, later = await _client(processes[0].at), await _client(processes[0].at)
         assert (await older.call("PUT", f"{MEMBERS}/s1", body(80, start=7, ttl_ms=60_000)))[0] == 200
         status, said = await later.call("PUT", f"{MEMBERS}/s1", body(81, start=8, ttl_ms=60_000))
         assert status == 200
-        for method, path, doc in (("PUT", "", body(80, start=7)), ("POST", "/renew", {"start": 7}),
-                                  ("PUT", "/phase", {"phase": "DRAINING", "start": 7})):
+        for method, path, doc in (
+            ("PUT", "", body(80, start=7)),
+            ("POST", "/renew", {"start": 7}),
+            ("PUT", "/phase", {"phase": "DRAINING", "start": 7}),
+        ):
             assert (await older.call(method, f"{MEMBERS}/s1{path}", doc))[0] == 409
         assert (await later.call("POST", f"{MEMBERS}/s1/renew", {"start": 8}))[0] == 200
         assert processes[0].end() == -signal.SIGKILL
@@ -153,10 +163,16 @@
 
 
 def test_a_directory_that_cannot_be_written_or_is_anothers_is_refused_in_one_line(
-        tmp_path: Path, processes: list[Process]) -> None:
+    tmp_path: Path, processes: list[Process]
+) -> None:
     def refused(folder: Path) -> str:
-        done = subprocess.run([sys.executable, "-m", "catalog", "serve", "--listen", "127.0.0.1:0",
-                               "--data", str(folder)], cwd=ROOT, capture_output=True, text=True, timeout=60)
+        done = subprocess.run(
+            [sys.executable, "-m", "catalog", "serve", "--listen", "127.0.0.1:0", "--data", str(folder)],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         assert done.returncode == 2 and done.stderr.count("\n") == 1
         return done.stderr
 
@@ -204,8 +220,10 @@
 
 
 def test_a_list_that_lost_most_is_let_go_in_steps_by_agents_that_hold_it(
-        tmp_path: Path, processes: list[Process]) -> None:
+    tmp_path: Path, processes: list[Process]
+) -> None:
     """A service that comes up with another list: an empty directory in the place of the full one."""
+
     async def run() -> None:
         servers = [await Peer().start() for _ in range(4)]
         processes.append(Process(tmp_path / "full"))
--- a/tests/test_catalog_wall_clock.py
+++ b/tests/test_catalog_wall_clock.py
@@ -1,4 +1,5 @@
 """The list service under a wall clock that is wrong or stepped: revisions only grow, leases are whole."""
+
 from __future__ import annotations
 
 import asyncio
@@ -63,7 +64,8 @@
 @pytest.mark.parametrize("born_off_s", [0, *STEPS_S])
 @pytest.mark.parametrize("step_s", STEPS_S)
 def test_revisions_go_on_after_a_step_and_a_restart(
-        tmp_path: Path, machine: Machine, born_off_s: int, step_s: int) -> None:
+    tmp_path: Path, machine: Machine, born_off_s: int, step_s: int
+) -> None:
     machine.off_s = born_off_s
     opened = Store(tmp_path)
     highest = write(opened, "a", "b")
@@ -78,7 +80,8 @@
 
 @pytest.mark.parametrize("step_s", STEPS_S)
 def test_every_restore_is_above_what_the_lists_before_it_gave(
-        tmp_path: Path, machine: Machine, step_s: int) -> None:
+    tmp_path: Path, machine: Machine, step_s: int
+) -> None:
     """The same backup more than once, with a clock that is behind the list."""
     data, saved, given = tmp_path / "data", tmp_path / "saved", 0
     opened = Store(data)
@@ -114,7 +117,8 @@
 
 
 def test_what_lies_there_and_cannot_be_read_keeps_no_backup_from_being_restored(
-        tmp_path: Path, machine: Machine) -> None:
+    tmp_path: Path, machine: Machine
+) -> None:
     data, saved = tmp_path / "data", tmp_path / "saved"
     opened = Store(data)
     revision = opened.state.revision
@@ -130,6 +134,7 @@
 @pytest.mark.parametrize("step_s", STEPS_S)
 def test_who_knew_a_lost_list_gets_all_of_the_new_one(tmp_path: Path, machine: Machine, step_s: int) -> None:
     """Nothing is left to go above; the identity tells them apart, whichever revision is the higher."""
+
     async def run() -> None:
         opened = Store(tmp_path / "data")
         index, identity = write(opened, "a"), opened.identity
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -1,4 +1,5 @@
 """A client that leaves in the middle of its own request: the last byte of an attempt never follows it."""
+
 from __future__ import annotations
 
 import asyncio
@@ -19,7 +20,10 @@
 from lilacsill.server import _Client
 
 LEAVES: dict[str, Callable[[Raw], None]] = {
-    "FIN": Raw.close, "RST": Raw.reset, "half-close": lambda client: client.socket.shutdown(socket.SHUT_WR)}
+    "FIN": Raw.close,
+    "RST": Raw.reset,
+    "half-close": lambda client: client.socket.shutdown(socket.SHUT_WR),
+}
 leaves = pytest.mark.parametrize("how", LEAVES)
 BODY = b"x" * 160_000
 FIRST_PART = 100_000  # of the body: more than what the agent takes whole
@@ -97,7 +101,8 @@
 @leaves
 @pytest.mark.parametrize("parts", [in_two_parts, in_chunks])
 def test_the_end_of_a_large_body_is_not_passed_on_for_a_client_that_has_left(
-        tmp_path: Path, how: str, parts: Callable[[], tuple[bytes, bytes]]) -> None:
+    tmp_path: Path, how: str, parts: Callable[[], tuple[bytes, bytes]]
+) -> None:
     async def run() -> None:
         async with world(tmp_path, backends=0) as w, slow_server(w) as server:
             client, (first, rest) = await w.raw(), parts()
@@ -120,7 +125,8 @@
 
 @leaves
 def test_a_client_is_seen_leaving_while_the_end_of_its_body_waits_for_the_server(
-        tmp_path: Path, how: str) -> None:
+    tmp_path: Path, how: str
+) -> None:
     async def run() -> None:
         async with world(tmp_path, backends=0) as w, slow_server(w) as server:
             client, (first, rest) = await w.raw(), in_two_parts()
@@ -149,13 +155,16 @@
 
 
 GIVEN_UP: dict[str, Callable[[World, Raw], None]] = {
-    "client gone": lambda w, client: client.close(), "answered": lambda w, client: w.agent.give_up_all()}
+    "client gone": lambda w, client: client.close(),
+    "answered": lambda w, client: w.agent.give_up_all(),
+}
 
 
 @pytest.mark.parametrize("body", [BODY[:60_000], BODY], ids=["taken whole", "passed on"])
 @pytest.mark.parametrize("why", GIVEN_UP)
 def test_what_the_kernel_holds_of_an_attempt_that_is_given_up_never_arrives(
-        tmp_path: Path, why: str, body: bytes) -> None:
+    tmp_path: Path, why: str, body: bytes
+) -> None:
     async def run() -> None:
         async with world(tmp_path, backends=0) as w, slow_server(w) as server:
             client = await w.raw()
@@ -179,7 +188,8 @@
 @leaves
 @pytest.mark.parametrize("body", [b"job", b"x" * 150_000], ids=["taken whole", "passed on"])
 def test_a_client_that_leaves_while_its_first_attempt_is_decided(
-        tmp_path: Path, how: str, body: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, how: str, body: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # An agent may be held up between reading its clock and writing: the look that counts is the last one.
     async def run() -> None:
         async with world(tmp_path) as w:
@@ -205,7 +215,8 @@
 
 @leaves
 def test_a_client_that_leaves_while_the_time_for_repeats_is_looked_at(
-        tmp_path: Path, how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             await with_a_connection_kept(w)
@@ -235,7 +246,8 @@
 
 @leaves
 def test_a_client_that_leaves_at_any_reading_of_the_clock_before_its_attempt_goes_out(
-        tmp_path: Path, how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             await with_a_connection_kept(w)
@@ -278,7 +290,8 @@
 
 
 def test_a_client_is_looked_for_once_as_its_attempt_goes_out(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.client()
@@ -307,7 +320,8 @@
 
 
 def test_a_new_connection_goes_to_the_first_who_waits_and_has_not_left(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # More of them than calls may lie within each other.
     async def run() -> None:
         async with world(tmp_path) as w:
@@ -341,7 +355,8 @@
 
 
 def test_who_stops_in_a_large_body_while_its_connection_comes_up_is_let_go_in_time(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # Within the 3 s that it is owed its error or its close, and not so long after the connection is up.
     async def run() -> None:
         async with world(tmp_path) as w:
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -1,4 +1,5 @@
 """A client that leaves while its request waits: nothing goes out any more, whatever the request waits for."""
+
 from __future__ import annotations
 
 import asyncio
@@ -45,7 +46,8 @@
 @goes
 @pytest.mark.parametrize("sent", SENT)
 def test_while_its_connection_comes_up(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: str, how: str) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: str, how: str
+) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.raw()
@@ -246,7 +248,8 @@
 
 @pytest.mark.parametrize("upload", [False, True], ids=["taken whole", "passed on"])
 def test_one_that_ends_its_sending_right_behind_its_request_gets_one_failure(
-        tmp_path: Path, upload: bool) -> None:
+    tmp_path: Path, upload: bool
+) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.raw()
@@ -264,7 +267,8 @@
 
 @pytest.mark.parametrize("last", LAST_REQUESTS)
 def test_one_that_ends_its_sending_behind_a_line_after_its_last_request_gets_one_failure(
-        tmp_path: Path, last: str) -> None:
+    tmp_path: Path, last: str
+) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.raw()
@@ -281,7 +285,8 @@
 @pytest.mark.parametrize("behind", [b"", b"\r\n"])
 @pytest.mark.parametrize("http", ["1.0", "1.1"])
 def test_a_begun_answer_is_reset_for_one_that_ends_its_sending(
-        tmp_path: Path, http: str, behind: bytes) -> None:
+    tmp_path: Path, http: str, behind: bytes
+) -> None:
     # A plain close would pass for the end of an answer without a length.
     async def run() -> None:
         async with world(tmp_path) as w:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -1,4 +1,5 @@
 """The client reads its whole answer, whatever of its own is unread as the agent closes the connection."""
+
 from __future__ import annotations
 
 import asyncio
@@ -87,8 +88,10 @@
 @pytest.mark.parametrize("request_", LAST_REQUESTS)
 @pytest.mark.parametrize("behind", [b"\r\n", post(), b"x" * (3 * AHEAD_LIMIT)])
 def test_what_comes_behind_a_last_request_does_not_spoil_it(
-        tmp_path: Path, request_: str, behind: bytes) -> None:
+    tmp_path: Path, request_: str, behind: bytes
+) -> None:
     """Its client has said that it is the last: what still comes while it is in hand is nobody's request."""
+
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.raw()
@@ -171,7 +174,8 @@
 
 
 def test_a_reset_between_the_answer_and_the_end_of_sending(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
     # It came out of the end of an attempt, which the decisions then never heard of.
     def gone(_: object) -> None:
         raise OSError(errno.ENOTCONN, "not connected")
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -1,4 +1,5 @@
 """What thirty balancers together send to a cold server: its budget, and what is put down to chance."""
+
 from __future__ import annotations
 
 import heapq
@@ -13,14 +14,29 @@
 from tests.helpers import MS, SECOND
 
 from brasshead.interface import (
-    Action, AttemptEnded, Backend, BackendsChanged, Effect, Event, ListKind, Outcome, Refuse,
-    RequestArrived, RequestClass, Send, Settings, SetTimer, TimerFired,
+    Action,
+    AttemptEnded,
+    Backend,
+    BackendsChanged,
+    Effect,
+    Event,
+    ListKind,
+    Outcome,
+    Refuse,
+    RequestArrived,
+    RequestClass,
+    Send,
+    Settings,
+    SetTimer,
+    TimerFired,
 )
 from brasshead.logic import Balancer, ColdBudget
 
 BALANCERS, SERVICE_S, QUEUE, TRIP_US, END_S = 30, 0.05, 20, MS, 4.0
-CLASSES = (RequestClass("safe", 500 * MS, 2 * SECOND),
-           RequestClass("unsafe", 500 * MS, 2 * SECOND, Effect.UNSAFE))
+CLASSES = (
+    RequestClass("safe", 500 * MS, 2 * SECOND),
+    RequestClass("unsafe", 500 * MS, 2 * SECOND, Effect.UNSAFE),
+)
 PATIENT = tuple(replace(c, aim_us=1_500 * MS, deadline_us=4 * SECOND) for c in CLASSES)
 
 
@@ -75,15 +91,31 @@
 class Fleet:
     """Balancers with uneven traffic, warm servers, and cold ones that all are told of as a burst begins."""
 
-    def __init__(self, seed: int, warm: int, cold: int, slots: int, load: float, burst: float,
-                 agents: int = BALANCERS, queue: int = QUEUE, classes: tuple[RequestClass, ...] = CLASSES,
-                 work: tuple[float, float] = (1.0, 1.0), told_us: int = 50 * MS, **settings: Any) -> None:
+    def __init__(
+        self,
+        seed: int,
+        warm: int,
+        cold: int,
+        slots: int,
+        load: float,
+        burst: float,
+        agents: int = BALANCERS,
+        queue: int = QUEUE,
+        classes: tuple[RequestClass, ...] = CLASSES,
+        work: tuple[float, float] = (1.0, 1.0),
+        told_us: int = 50 * MS,
+        **settings: Any,
+    ) -> None:
         self.agents, self.room, self.work_of, self.told_us = agents, queue, work, told_us
         self.rng, self.now, self.queue, self.count = Random(seed), SECOND, list[Any](), 0
         self.refused = 0
-        given: dict[str, Any] = {"report_fields": ("inflight",), "fall_multiple": 2.5,
-                                 "fall_window_us": 1_500 * MS, "start_fraction": 0.15,
-                                 "warm_up_us": 20 * SECOND}
+        given: dict[str, Any] = {
+            "report_fields": ("inflight",),
+            "fall_multiple": 2.5,
+            "fall_window_us": 1_500 * MS,
+            "start_fraction": 0.15,
+            "warm_up_us": 20 * SECOND,
+        }
         self.told = Settings(classes=classes, siblings=agents, tick_us=MS, **(given | settings))
         self.balancers = [Balancer(self.told, 1000 * seed + i) for i in range(agents)]
         self.requests, self.attempts = [0] * agents, [dict[int, int]() for _ in self.balancers]
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -3,6 +3,7 @@
 The budget of a window is N + 2 x root of N + 2 requests of mean work, N + 3 x root of N + 3 where N is under
 30, with N = fall_multiple x the server's capacity at the window's start x the window.
 """
+
 from __future__ import annotations
 
 from typing import Any
@@ -13,8 +14,15 @@
 
 from brasshead.interface import Backend, Outcome, Send
 
-JAM: dict[str, Any] = {"warm": 5, "cold": 1, "slots": 8, "load": 0.8, "burst": 4.0, "queue": 1_000,
-                       "classes": PATIENT}
+JAM: dict[str, Any] = {
+    "warm": 5,
+    "cold": 1,
+    "slots": 8,
+    "load": 0.8,
+    "burst": 4.0,
+    "queue": 1_000,
+    "classes": PATIENT,
+}
 BURST: dict[str, Any] = {"warm": 8, "cold": 1, "slots": 4, "load": 0.6, "burst": 4.0}
 FLEETS: dict[str, tuple[tuple[int, ...], dict[str, Any]]] = {
     "jam": ((1, 2, 5, 30, 200), JAM),
@@ -40,8 +48,9 @@
     # Requests were refused by the hundred while four cold servers were sent 0.12 to 0.23 of N in the mean.
     shares = []
     for seed in (1, 2):
-        fleet = Fleet(seed, warm=4, cold=4, slots=1, load=0.8, burst=2.5, agents=agents,
-                      fall_multiple=multiple)
+        fleet = Fleet(
+            seed, warm=4, cold=4, slots=1, load=0.8, burst=2.5, agents=agents, fall_multiple=multiple
+        )
         meters = fleet.run()
         assert fleet.refused > 0
         assert max(meter.most_of_budget() for meter in meters) <= 1.0
@@ -54,8 +63,15 @@
     # All warm servers are full, so that every request sees the cold one.
     sent = 0
     for seed in range(200):
-        d = Drive(servers=9, seed=seed, siblings=200, start_fraction=0.1, warm_up_us=1000 * SECOND,
-                  fall_multiple=2.5, report_fields=("inflight",))
+        d = Drive(
+            servers=9,
+            seed=seed,
+            siblings=200,
+            start_fraction=0.1,
+            warm_up_us=1000 * SECOND,
+            fall_multiple=2.5,
+            report_fields=("inflight",),
+        )
         d.serve(10, 100 * MS)
         d.list(Backend("new", started_at=d.now))
         for _ in range(20):
--- a/tests/test_copies_end.py
+++ b/tests/test_copies_end.py
@@ -1,4 +1,5 @@
 """Two attempts of one request that both bring an answer: the client gets the one that began, to its end."""
+
 from __future__ import annotations
 
 import asyncio
@@ -25,6 +26,7 @@
 @pytest.mark.parametrize("status", [200, 500])
 def test_a_copy_that_ends_leaves_a_large_answer_that_has_begun(tmp_path: Path, status: int) -> None:
     """Where attempts may not be cancelled the other one goes on, and ends in the midst of the answer."""
+
     async def run() -> None:
         async with world(tmp_path, backends=2, secondCopies=True, cancel=False) as w:
             client = await w.ask(post())
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -1,4 +1,5 @@
 """The time that an attempt tells its backend is no more than its client has left when it goes out."""
+
 from __future__ import annotations
 
 import asyncio
@@ -48,7 +49,8 @@
 
 @pytest.mark.parametrize("body", [SMALL, LARGE])
 def test_the_wait_for_a_connection_is_told_off(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, clock: type[SteppedClock], body: bytes) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, clock: type[SteppedClock], body: bytes
+) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.client()
@@ -63,7 +65,8 @@
 
 
 def test_a_hold_up_between_the_decision_and_the_attempt_is_told_off(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, clock: type[SteppedClock]) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, clock: type[SteppedClock]
+) -> None:
     whole = Backends.exchange
 
     def exchange(self: Backends, *args: Any) -> Any:
@@ -80,8 +83,7 @@
     asyncio.run(run())
 
 
-def test_a_repeat_is_told_what_is_left_after_the_first(
-        tmp_path: Path, clock: type[SteppedClock]) -> None:
+def test_a_repeat_is_told_what_is_left_after_the_first(tmp_path: Path, clock: type[SteppedClock]) -> None:
     async def run() -> None:
         async with world(tmp_path, backends=2) as w:
             await w.ask(post(KEYED))
@@ -96,8 +98,8 @@
 @pytest.mark.parametrize("left_us", [999, 0, -SECOND])
 @pytest.mark.parametrize("cls", [KEYED, UNSAFE])
 def test_with_no_time_left_nothing_goes_out_and_the_client_is_told_at_once(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, clock: type[SteppedClock], cls: str,
-        left_us: int) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, clock: type[SteppedClock], cls: str, left_us: int
+) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.client()
@@ -115,8 +117,7 @@
     asyncio.run(run())
 
 
-def test_a_request_sent_ahead_has_waited_since_it_came(
-        tmp_path: Path, clock: type[SteppedClock]) -> None:
+def test_a_request_sent_ahead_has_waited_since_it_came(tmp_path: Path, clock: type[SteppedClock]) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             await w.ask(post() + post(Request_Id="ahead"))
@@ -140,7 +141,8 @@
 
 
 def test_a_body_that_a_backend_does_not_take_costs_its_client_no_more_than_its_time(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # All of it may lie in the kernel, written, while the agent reads nothing: then its time runs.
     monkeypatch.setattr(backends_module, "STALL_S", 3600.0)
 
@@ -167,7 +169,8 @@
 
 
 def test_a_body_that_waited_unread_has_the_time_since_the_agent_stopped_reading(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, clock: type[SteppedClock]) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, clock: type[SteppedClock]
+) -> None:
     timers: list[float] = []
 
     async def run() -> None:
@@ -192,7 +195,8 @@
 
 
 def test_a_request_behind_a_large_one_is_dated_by_itself(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(server_module, "READ_BYTES", 1)  # no read tells that all that had come is read
 
     async def run() -> None:
@@ -210,7 +214,8 @@
 
 
 def test_a_slow_client_has_its_whole_time_from_its_last_byte(
-        tmp_path: Path, clock: type[SteppedClock]) -> None:
+    tmp_path: Path, clock: type[SteppedClock]
+) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             client, request = await w.client(), post(body=LARGE)
--- a/tests/test_departed_uploads.py
+++ b/tests/test_departed_uploads.py
@@ -1,4 +1,5 @@
 """A client that sends all of a large body and leaves: its close comes behind bytes that are not read yet."""
+
 from __future__ import annotations
 
 import asyncio
@@ -23,14 +24,16 @@
 
 async def until_read(w: World, size: int) -> None:
     """So much of the body has been read, and its attempt is out."""
-    while not any(c._received == size and c._upload is not None and c._upload.spent
-                  for c in w.server.connections):
+    while not any(
+        c._received == size and c._upload is not None and c._upload.spent for c in w.server.connections
+    ):
         await asyncio.sleep(0)
 
 
 @pytest.mark.parametrize("how", GOES)
 def test_the_last_byte_of_a_body_is_not_passed_on_for_who_has_left(tmp_path: Path, how: str) -> None:
     """An attempt counts from its last byte: with this one held back the server never has it whole."""
+
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.raw()
@@ -47,12 +50,15 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize("ahead", [b"", post(), b"x" * 10 * AHEAD_LIMIT],
-                         ids=["nothing ahead", "a request ahead", "much ahead"])
+@pytest.mark.parametrize(
+    "ahead", [b"", post(), b"x" * 10 * AHEAD_LIMIT], ids=["nothing ahead", "a request ahead", "much ahead"]
+)
 @pytest.mark.parametrize("how", GOES)
 def test_no_attempt_is_whole_whose_client_left_before_it_began(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str, ahead: bytes) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str, ahead: bytes
+) -> None:
     """The close lies behind what the agent does not read while no attempt takes the body."""
+
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.raw()
@@ -94,8 +100,10 @@
 
 
 def test_one_that_sends_without_end_behind_its_body_is_served(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Whether it leaves cannot be known: it is not waited for."""
+
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.raw()
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -1,4 +1,5 @@
 """Idle clients take all the descriptors they can get while discovery is down: its return is heard."""
+
 from __future__ import annotations
 
 import asyncio
@@ -62,7 +63,8 @@
 
 
 def test_a_call_that_finds_no_descriptor_is_made_again_as_any_other(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(random, "random", lambda: 0.0)
 
     async def run() -> None:
@@ -95,4 +97,3 @@
             assert w.server._most + EXTRA + w.agent._backends._most + DESCRIPTORS_APART // 2 <= 256
 
     asyncio.run(run())
-
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,5 @@
 """The list of backends: the watch goes on, breaks once, and is never believed when it makes no sense."""
+
 from __future__ import annotations
 
 import asyncio
@@ -54,13 +55,25 @@
 GOOD = member("s", 9)
 
 
-@pytest.mark.parametrize("answer", [
-    b"", b"{", b"[]", b"7", b"{}", body(42, [{}]), body(42, [GOOD | {"phase": "WELL"}]),
-    body(42, [GOOD, GOOD | {"host_port": "nowhere"}]), body(42, [GOOD | {"host_port": "a:99999"}]),
-    body(42, [GOOD | {"up_since_ms": "x"}]), body(42, [GOOD | {"up_since_ms": [1]}]),
-    b'{"revision":null,"complete":true,"members":[]}', b'{"revision":1,"complete":true,"members":{"a":1}}',
-    b"\xff\xfe",
-])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"7",
+        b"{}",
+        body(42, [{}]),
+        body(42, [GOOD | {"phase": "WELL"}]),
+        body(42, [GOOD, GOOD | {"host_port": "nowhere"}]),
+        body(42, [GOOD | {"host_port": "a:99999"}]),
+        body(42, [GOOD | {"up_since_ms": "x"}]),
+        body(42, [GOOD | {"up_since_ms": [1]}]),
+        b'{"revision":null,"complete":true,"members":[]}',
+        b'{"revision":1,"complete":true,"members":{"a":1}}',
+        b"\xff\xfe",
+    ],
+)
 def test_an_answer_that_makes_no_sense_is_a_failed_call(answer: bytes) -> None:
     async def run() -> None:
         peer, told = await Peer().start(), asyncio.Queue[Listing | None]()
@@ -99,6 +112,7 @@
 
     async def sleep(seconds: float) -> None:
         waits.append(seconds)
+
     monkeypatch.setattr("lilacsill.discovery.asyncio.sleep", sleep)
 
     async def run() -> None:
@@ -125,7 +139,8 @@
 
 @pytest.mark.parametrize(("revision", "identity"), [(40, "x"), (43, "y"), (43, None)])
 def test_changes_to_a_list_that_went_back_or_is_another_are_asked_for_as_a_whole(
-        revision: int, identity: str | None, caplog: pytest.LogCaptureFixture) -> None:
+    revision: int, identity: str | None, caplog: pytest.LogCaptureFixture
+) -> None:
     async def run() -> None:
         peer, told = await Peer().start(), asyncio.Queue[Listing | None]()
         discovery = asks(peer)
@@ -172,7 +187,8 @@
 
 
 def test_a_pushed_watch_that_keeps_breaking_is_renewed_with_backoff_and_jitter(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     waits: list[float] = []
 
     class Loop:
--- a/tests/test_disk_faults_backup.py
+++ b/tests/test_disk_faults_backup.py
@@ -1,4 +1,5 @@
 """Backup, restore and check on a disk that fails: the list before or the one after, and one line of error."""
+
 from __future__ import annotations
 
 import contextlib
@@ -122,7 +123,8 @@
 
 
 def test_a_backup_that_fails_leaves_nothing_and_one_that_is_killed_nothing_by_halves(
-        lists: Lists, tmp_path: Path) -> None:
+    lists: Lists, tmp_path: Path
+) -> None:
     live = Store(lists.make())
     folder = live.path.parent
     counted = FaultPlan()
@@ -174,9 +176,11 @@
 @pytest.mark.parametrize("command", ["serve", "check", "dump", "backup", "restore"])
 def test_a_command_on_a_disk_that_fails_says_one_line(lists: Lists, command: str, error: int) -> None:
     data = lists.make()
-    arguments = {"serve": ["serve", "--listen", "127.0.0.1:0", "--data", str(data)],
-                 "backup": ["backup", str(data), str(lists.folder / f"to-{error}")],
-                 "restore": ["restore", str(data), str(lists.backup)]}.get(command, [command, str(data)])
+    arguments = {
+        "serve": ["serve", "--listen", "127.0.0.1:0", "--data", str(data)],
+        "backup": ["backup", str(data), str(lists.folder / f"to-{error}")],
+        "restore": ["restore", str(data), str(lists.backup)],
+    }.get(command, [command, str(data)])
     plan = FaultPlan(1, 10_000, error)
     with failing(plan, reads=True):
         result = CliRunner().invoke(app, arguments)
--- a/tests/test_disk_faults_catalog.py
+++ b/tests/test_disk_faults_catalog.py
@@ -1,4 +1,5 @@
 """The list's file on a disk that fails: what was acknowledged is kept, what was not is refused."""
+
 from __future__ import annotations
 
 import errno
@@ -122,8 +123,18 @@
     with FailingFileSystem(writer.plan).installed():
         writer.run()
         writer.close()
-    kinds = {"create wal", "write wal", "sync wal", "write database", "sync database", "truncate database",
-             "write journal", "sync journal", "delete journal", "extend shm"}
+    kinds = {
+        "create wal",
+        "write wal",
+        "sync wal",
+        "write database",
+        "sync database",
+        "truncate database",
+        "write journal",
+        "sync journal",
+        "delete journal",
+        "extend shm",
+    }
     assert kinds <= set(writer.plan.calls) and len(writer.acknowledged) == len(GROUPS)
     return writer.plan.calls
 
@@ -136,7 +147,8 @@
 
 
 def test_each_call_that_fails_is_refused_plainly_and_nothing_acknowledged_is_lost(
-        tmp_path: Path, calls: list[str]) -> None:
+    tmp_path: Path, calls: list[str]
+) -> None:
     for number, plan in enumerate(plans(calls)):
         writer = Writer(tmp_path / str(number), plan)
         disk = FailingFileSystem(plan)
@@ -172,7 +184,8 @@
 
 
 def test_a_power_cut_after_each_call_that_failed_leaves_all_that_was_acknowledged(
-        tmp_path: Path, calls: list[str]) -> None:
+    tmp_path: Path, calls: list[str]
+) -> None:
     """Of what a sync that failed was to write any part may be there, whatever was synced after it."""
     chance = Random(3)
     for number in range(calls.index("create wal") + 1, len(calls) + 1):
@@ -207,6 +220,7 @@
 
 def test_a_refused_commit_is_gone_for_good_once_the_disk_works(tmp_path: Path) -> None:
     """A sync that failed leaves the whole commit in the file, where a start would find it."""
+
     class FailsSync(FaultPlan):
         on = False
 
@@ -246,8 +260,10 @@
 
 
 def test_a_start_whose_directory_cannot_be_synced_is_refused(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """SQLite passes over that error when it creates its log, and the log's name may be lost."""
+
     def fail(path: Path) -> None:
         raise OSError(errno.EIO, os.strerror(errno.EIO))
 
@@ -259,7 +275,8 @@
 
 
 def test_a_directory_that_cannot_be_locked_is_not_said_to_be_anothers(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     def no_locks(fd: int, operation: int) -> None:
         raise OSError(errno.ENOLCK, os.strerror(errno.ENOLCK))
 
--- a/tests/test_disk_faults_durable.py
+++ b/tests/test_disk_faults_durable.py
@@ -1,4 +1,5 @@
 """Durable state on a disk that fails: what was acknowledged is kept, what was not is refused."""
+
 from __future__ import annotations
 
 import errno
@@ -80,7 +81,7 @@
     def check(self, words: list[bytes]) -> None:
         kept = len(self.acknowledged)
         assert words[:kept] == self.acknowledged
-        assert words[kept:] == self.in_doubt[:len(words) - kept]
+        assert words[kept:] == self.in_doubt[: len(words) - kept]
 
 
 def calls_of_a_good_run(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> list[str]:
@@ -111,7 +112,8 @@
 
 
 def test_each_call_that_fails_is_refused_plainly_and_nothing_acknowledged_is_lost(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     calls = calls_of_a_good_run(tmp_path, monkeypatch)
     assert {"create", "write", "fsync", "rename", "unlink"} == set(calls) and len(calls) > 40
     for number, plan in enumerate(plans(calls)):
@@ -120,12 +122,13 @@
         what = os.strerror(plan.error)
         owner.run(open_once_the_disk_works(folder, owner, what)).close()
         assert all(text.endswith(f": {what}") or "begin a new generation" in text for text in owner.refused)
-        assert owner.refused or set(plan.calls[plan.first - 1:plan.first]) == {"unlink"}
+        assert owner.refused or set(plan.calls[plan.first - 1 : plan.first]) == {"unlink"}
         assert words_in(folder) == owner.acknowledged
 
 
 def test_a_kill_in_each_call_leaves_all_that_was_acknowledged(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     calls = calls_of_a_good_run(tmp_path, monkeypatch)
     for number in range(1, len(calls) + 1):
         for done in (False, True):
@@ -189,7 +192,7 @@
         try:
             super().append(name, data)
         except OSError:
-            self.inodes[name].pending.append(data[:len(data) // 2])
+            self.inodes[name].pending.append(data[: len(data) // 2])
             raise
         self._raise_if_done_anyway()
 
@@ -233,6 +236,7 @@
         def cut(number: int, what: str, disk: UncertainDisk = disk, owner: Owner = owner) -> None:
             for _ in range(2):
                 owner.check(words_of(Store(ModelDisk(disk.drawn(chance)), "fleet", "agent").recovered))
+
         disk.before = cut
         owner.run(disk)
         cut(0, "")
@@ -249,6 +253,7 @@
     def fail_sync(number: int, what: str) -> None:
         if what == "sync":
             raise OSError(errno.EIO, os.strerror(errno.EIO))
+
     disk.before = fail_sync
     store.append(b"refused")
     with pytest.raises(NotWritten):
@@ -265,6 +270,7 @@
 
 def test_a_file_that_cannot_be_read_now_is_not_taken_for_one_that_is_damaged(tmp_path: Path) -> None:
     """An error of reading may pass; what is on disk must be neither left out nor written over."""
+
     class Unreadable(Folder):
         name = ""
 
@@ -297,7 +303,8 @@
 
 @pytest.mark.parametrize("call", ["write", "fsync", "rename"])
 def test_a_disk_that_fails_for_long_costs_neither_descriptors_nor_files(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str
+) -> None:
     class FailsAlways(FaultPlan):
         on = False
 
@@ -333,7 +340,8 @@
 
 
 def test_a_new_folder_is_named_on_disk_before_anything_is_acknowledged(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """A folder whose own name is not synced may be gone after a power cut, with all that is in it."""
     synced: list[str] = []
 
@@ -347,7 +355,8 @@
 
 
 def test_a_folder_that_cannot_be_locked_is_not_said_to_be_anothers(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     def no_locks(fd: int, operation: int) -> None:
         raise OSError(errno.ENOLCK, os.strerror(errno.ENOLCK))
 
--- a/tests/test_disk_faults_service.py
+++ b/tests/test_disk_faults_service.py
@@ -1,4 +1,5 @@
 """The list service on a disk that fails: plain refusals, reads go on, writes again once the disk works."""
+
 from __future__ import annotations
 
 import asyncio
@@ -51,7 +52,8 @@
 
 @pytest.mark.parametrize("call", ["write wal", "sync wal"])
 def test_writes_are_refused_plainly_and_reads_go_on_until_the_disk_works(
-        tmp_path: Path, caplog: pytest.LogCaptureFixture, call: str) -> None:
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, call: str
+) -> None:
     switch = Switch(call)
 
     async def work() -> None:
@@ -80,7 +82,8 @@
 
 
 def test_what_was_refused_is_gone_from_the_disk_though_nobody_writes_again(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(serving, "SETTLE_S", 0.0)
     switch = Switch("sync wal")
 
@@ -101,7 +104,8 @@
 
 
 def test_a_lease_that_runs_out_while_the_disk_fails_is_written_once_it_works(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(serving, "TURN_US", 1000)
     switch, refused = Switch("sync wal"), asyncio.Event()
 
@@ -133,7 +137,8 @@
 
 @pytest.mark.parametrize("first", [SetPhase(id="s0", phase="DRAINING", lapsed=True), Delete(id="s0")])
 def test_a_lease_renewed_while_another_is_written_is_not_ended_after_all(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, first: SetPhase | Delete) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, first: SetPhase | Delete
+) -> None:
     """With a slow or failing disk the list of those that ran out grows old while it is worked through."""
     begun, go_on = asyncio.Event(), threading.Event()
 
--- a/tests/test_drawn_world.py
+++ b/tests/test_drawn_world.py
@@ -1,4 +1,5 @@
 """The search in one process: its judge sees each way to lose a request, and a few of its worlds hold."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -29,8 +30,9 @@
 def story() -> tuple[Record, Request]:
     """One request, served as it should be."""
     record = Record()
-    request = record.requests["r"] = Request("r", UNSAFE, 0.5, "patient", asked=10.0, ended=10.1, status=200,
-                                             body=b"r s0 1 ")
+    request = record.requests["r"] = Request(
+        "r", UNSAFE, 0.5, "patient", asked=10.0, ended=10.1, status=200, body=b"r s0 1 "
+    )
     record.attempts["r"].append(Attempt("r", 10.01, 0.49, 1))
     record.made["r"].add(b"r s0 1 ")
     record.ran["r"].append(10.02)
@@ -84,9 +86,17 @@
 
 
 PLANTED: dict[Callable[[Record, Request], None], str] = {
-    no_answer: "lost", closed: "lost", half: "lost", late: "lost", anothers: "wrong",
-    after_departure: "after departure", after_answer: "after its end", told_too_much: "told",
-    ran_twice: "duplicate", refused_after_it_ran: "refused", logged: "log",
+    no_answer: "lost",
+    closed: "lost",
+    half: "lost",
+    late: "lost",
+    anothers: "wrong",
+    after_departure: "after departure",
+    after_answer: "after its end",
+    told_too_much: "told",
+    ran_twice: "duplicate",
+    refused_after_it_ran: "refused",
+    logged: "log",
 }
 
 
@@ -116,8 +126,7 @@
     """A body of which the last byte is lacking."""
     answer = server._Client.answer
 
-    def shorter(self: server._Client, call: server.Call, status: int, headers: Headers,
-                body: bytes) -> None:
+    def shorter(self: server._Client, call: server.Call, status: int, headers: Headers, body: bytes) -> None:
         answer(self, call, status, headers, body[:-1])
 
     with mock.patch.object(server._Client, "answer", shorter):
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -1,4 +1,5 @@
 """Durable state: after a cut anywhere every yes is there, damage is found, and others' files are refused."""
+
 from __future__ import annotations
 
 import errno
@@ -59,8 +60,8 @@
         """Recovery ends; every yes is there, in order, and nothing that was never written."""
         found = ModelDisk(disk)
         words = state_of(opened(found).recovered)
-        assert words[:len(self.said)] == self.said
-        assert words[len(self.said):] == self.maybe[:len(words) - len(self.said)]
+        assert words[: len(self.said)] == self.said
+        assert words[len(self.said) :] == self.maybe[: len(words) - len(self.said)]
         return found
 
 
@@ -78,6 +79,7 @@
         def before(n: int, _: str, stop: int = stop, one: Life = one, disk: ModelDisk = disk) -> None:
             if n == stop:
                 look(one, disk)
+
         disk.before = before
         one.run(HISTORY, frozenset({1}))
     return total.calls
@@ -97,8 +99,10 @@
             def second(n: int, what: str, again: ModelDisk = again, words: list[bytes] = words) -> None:
                 for twice in again.cut(lambda piece: [0, len(piece)]):
                     assert state_of(opened(ModelDisk(twice)).recovered) == words
+
             again.before = second
             begin(opened(again))
+
     assert at_each_call(Life, look) > 20
     assert seen[0] > 500
 
@@ -106,8 +110,9 @@
 def test_drawn_histories_with_cuts_at_drawn_places() -> None:
     chance = Random(7)
     for _ in range(DRAWN // CUTS):
-        commits = [[b"%d-%d" % (n, i) for i in range(chance.randint(1, 4))]
-                   for n in range(chance.randint(1, 12))]
+        commits = [
+            [b"%d-%d" % (n, i) for i in range(chance.randint(1, 4))] for n in range(chance.randint(1, 12))
+        ]
         rotate = frozenset(n for n in range(len(commits)) if chance.random() < 0.3)
         disk = ModelDisk()
         life = Life(disk)
@@ -117,6 +122,7 @@
             if n == stop:
                 for _ in range(CUTS):
                     life.check(disk.drawn(chance))
+
         disk.before = before
         life.run(commits, rotate)
         life.check({name: disk.read(name) for name in disk.names()})
@@ -131,17 +137,19 @@
     assert len(whole) == 4  # two generations
     for name, data in whole.items():
         for at in range(len(data)):
-            spoilt = data[:at] + bytes([data[at] ^ 1 << bit]) + data[at + 1:]
+            spoilt = data[:at] + bytes([data[at] ^ 1 << bit]) + data[at + 1 :]
             recovered = opened(ModelDisk(whole | {name: spoilt})).recovered
             assert any(note.startswith(f"{name}: ") and "offset" in note for note in recovered.notes)
             words = state_of(recovered)
-            assert words == life.said[:len(words)]
+            assert words == life.said[: len(words)]
             if name.startswith("snapshot"):
                 assert words == life.said  # the other generation has it all
 
 
-@pytest.mark.parametrize(("fleet", "name", "says"), [
-    ("g", "a0", "belongs to a0 of f, not to a0 of g"), ("f", "a1", "belongs to a0 of f, not to a1 of f")])
+@pytest.mark.parametrize(
+    ("fleet", "name", "says"),
+    [("g", "a0", "belongs to a0 of f, not to a0 of g"), ("f", "a1", "belongs to a0 of f, not to a1 of f")],
+)
 def test_anothers_files_are_refused_and_left_as_they_are(fleet: str, name: str, says: str) -> None:
     disk = ModelDisk()
     begin(opened(disk))
@@ -168,6 +176,7 @@
     def fails(_: int, call: str) -> None:
         if call == what:
             raise OSError(errno.EIO, "Input/output error")
+
     disk.before = fails
     s.append(b"one")
     with pytest.raises(NotWritten, match="journal-1: Input/output error"):
@@ -227,7 +236,8 @@
 @settings(derandomize=True, max_examples=300)
 @given(st.binary(max_size=300), st.lists(st.tuples(st.integers(0, 255), st.binary(max_size=20)), max_size=5))
 def test_frames_are_read_as_written_and_bytes_from_anyone_are_damage(
-        junk: bytes, written: list[tuple[int, bytes]]) -> None:
+    junk: bytes, written: list[tuple[int, bytes]]
+) -> None:
     data = b"".join(frame(kind, payload) for kind, payload in written)
     assert [(kind, payload) for _, kind, payload in frames(data)] == written
     if junk:
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -1,4 +1,5 @@
 """Answers that come before the last byte of their request has been written, and what a break means then."""
+
 from __future__ import annotations
 
 import asyncio
@@ -77,13 +78,17 @@
         yield Wire(backends(1), Kernel(ours))
 
 
-@pytest.mark.parametrize("answer, outcome", [
-    (OK, Outcome.ERROR),  # no server made it for this request
-    (NOT_STARTED, Outcome.REJECTED), (ERROR, Outcome.ERROR),
-    (b"HTTP/1.1 200 OK\r\n\r\n", Outcome.ERROR),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (ANSWER_BYTES + 1), Outcome.ERROR),
-    (b"what?\r\n\r\n", Outcome.CONNECT_FAILED),
-])
+@pytest.mark.parametrize(
+    "answer, outcome",
+    [
+        (OK, Outcome.ERROR),  # no server made it for this request
+        (NOT_STARTED, Outcome.REJECTED),
+        (ERROR, Outcome.ERROR),
+        (b"HTTP/1.1 200 OK\r\n\r\n", Outcome.ERROR),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (ANSWER_BYTES + 1), Outcome.ERROR),
+        (b"what?\r\n\r\n", Outcome.CONNECT_FAILED),
+    ],
+)
 def test_an_answer_before_the_last_byte_is_written(answer: bytes, outcome: Outcome) -> None:
     async def run() -> None:
         with wire() as w:
@@ -145,7 +150,8 @@
 
 @pytest.mark.parametrize("last_taken, outcome", [(True, Outcome.RESET), (False, Outcome.CONNECT_FAILED)])
 def test_a_reset_as_a_large_body_ends_may_have_run_where_its_last_byte_was_taken(
-        last_taken: bool, outcome: Outcome) -> None:
+    last_taken: bool, outcome: Outcome
+) -> None:
     async def run() -> None:
         with wire() as w:
             exchange = w.begin(ASK._replace(body=LargeBody(4)))
--- a/tests/test_exchange_ends.py
+++ b/tests/test_exchange_ends.py
@@ -1,4 +1,5 @@
 """An exchange ends with one Result, whatever fails; its connection is used again only in good order."""
+
 from __future__ import annotations
 
 import asyncio
@@ -40,7 +41,8 @@
 @pytest.mark.parametrize("where", ["stop", "resume"])
 @pytest.mark.parametrize("end", [Exchange.cancel, Exchange._timed_out])
 def test_a_fault_in_the_body_or_the_transport_as_an_exchange_ends_leaves_its_result(
-        where: str, end: Callable[[Exchange], None], monkeypatch: pytest.MonkeyPatch) -> None:
+    where: str, end: Callable[[Exchange], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def run() -> None:
         with wire() as w:
             exchange = w.begin(ASK._replace(body=LargeBody(8), reader=Reading()))
@@ -54,7 +56,8 @@
 
 @pytest.mark.parametrize("where", ["usable", "wanted", "room"])
 def test_a_fault_before_an_exchange_goes_out_ends_it_unsent(
-        where: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    where: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def run() -> None:
         with wire() as w:
             if where == "room":
@@ -69,7 +72,8 @@
 
 
 def test_a_connection_that_the_kernel_cannot_be_asked_about_is_not_used(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     def no_memory(_: object) -> bool:
         raise OSError(errno.ENOMEM, "no memory to poll with")
 
@@ -110,7 +114,8 @@
 
 @pytest.mark.parametrize("step", ["more", "all_sent", "on_written"])
 def test_a_fault_while_a_large_body_goes_on_ends_its_exchange(
-        step: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    step: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def run() -> None:
         with wire() as w:
             exchange = w.begin(ASK._replace(body=LargeBody(4), reader=Reading()))
@@ -133,7 +138,8 @@
 @pytest.mark.parametrize("where", ["begin", "more"])
 @pytest.mark.parametrize("length", [b"", b"Content-Length: 80000\r\n"])
 def test_a_fault_in_who_reads_an_answer_ends_its_exchange(
-        where: str, length: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    where: str, length: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def run() -> None:
         with wire() as w:
             monkeypatch.setattr(Reading, where, breaks)
@@ -149,15 +155,20 @@
 NINES = b"9" * 5000
 
 
-@pytest.mark.parametrize("head, outcome", [
-    (b"Content-Length: " + NINES, Outcome.ERROR), (b"Content-Length: 4, 5", Outcome.ERROR),
-    (b"Content-Length: -4", Outcome.ERROR), (b"Content-Length: 99999999999999999999", None),
-    (b"Content-Length: 4\r\nServer-Load: inflight=" + NINES + b",queue=0,util=0", Outcome.OK),
-    (b"Content-Length: 4\r\nServer-Load: inflight=1e999,queue=-0,util=\xff", Outcome.OK),
-    (b"Content-Length: 4\r\nServer-Load: ,,=,inflight", Outcome.OK),
-    (b"Content-Length: 4\r\nContent-Type: \xff\xfe", Outcome.OK),
-    (b"Content-Length: 4\r\nNot-Started: \xff", Outcome.OK),
-])
+@pytest.mark.parametrize(
+    "head, outcome",
+    [
+        (b"Content-Length: " + NINES, Outcome.ERROR),
+        (b"Content-Length: 4, 5", Outcome.ERROR),
+        (b"Content-Length: -4", Outcome.ERROR),
+        (b"Content-Length: 99999999999999999999", None),
+        (b"Content-Length: 4\r\nServer-Load: inflight=" + NINES + b",queue=0,util=0", Outcome.OK),
+        (b"Content-Length: 4\r\nServer-Load: inflight=1e999,queue=-0,util=\xff", Outcome.OK),
+        (b"Content-Length: 4\r\nServer-Load: ,,=,inflight", Outcome.OK),
+        (b"Content-Length: 4\r\nContent-Type: \xff\xfe", Outcome.OK),
+        (b"Content-Length: 4\r\nNot-Started: \xff", Outcome.OK),
+    ],
+)
 def test_odd_headers_end_an_exchange_or_are_passed_over(head: bytes, outcome: Outcome | None) -> None:
     async def run() -> None:
         with wire() as w:
@@ -178,8 +189,13 @@
         with wire() as w:
             exchange = w.begin()
             w.connection.data_received(OK)
-            for again in (exchange.cancel, exchange._timed_out, exchange.on_end, exchange.on_broken,
-                          exchange.all_sent):
+            for again in (
+                exchange.cancel,
+                exchange._timed_out,
+                exchange.on_end,
+                exchange.on_broken,
+                exchange.all_sent,
+            ):
                 again()
             exchange.unconnected(Outcome.NOT_SENT)
             assert w.outcome() is Outcome.OK and w.idle() == [w.connection] and not w.kernel.over
@@ -190,17 +206,24 @@
 CLOSES = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\ndone"
 
 
-@pytest.mark.parametrize("answer, outcome, again", [
-    (OK, Outcome.OK, True), (ERROR, Outcome.ERROR, True),
-    (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n" + OK, Outcome.OK, True),
-    (b"HTTP/1.1 204 None\r\n\r\n", Outcome.ERROR, True),
-    (CLOSES, Outcome.OK, False), (CLOSES + b"beyond", Outcome.OK, False), (OK + b"beyond", Outcome.OK, False),
-    (b"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\ndone", Outcome.OK, False),
-    (b"HTTP/1.1 101 Other\r\n\r\n", Outcome.ERROR, False),
-    (OK + b"HTTP/1.1 408 Idle\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", Outcome.OK, False),
-])
+@pytest.mark.parametrize(
+    "answer, outcome, again",
+    [
+        (OK, Outcome.OK, True),
+        (ERROR, Outcome.ERROR, True),
+        (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n" + OK, Outcome.OK, True),
+        (b"HTTP/1.1 204 None\r\n\r\n", Outcome.ERROR, True),
+        (CLOSES, Outcome.OK, False),
+        (CLOSES + b"beyond", Outcome.OK, False),
+        (OK + b"beyond", Outcome.OK, False),
+        (b"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\ndone", Outcome.OK, False),
+        (b"HTTP/1.1 101 Other\r\n\r\n", Outcome.ERROR, False),
+        (OK + b"HTTP/1.1 408 Idle\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", Outcome.OK, False),
+    ],
+)
 def test_a_connection_is_used_again_after_a_whole_answer_alone(
-        answer: bytes, outcome: Outcome, again: bool) -> None:
+    answer: bytes, outcome: Outcome, again: bool
+) -> None:
     async def run() -> None:
         with wire() as w:
             w.begin()
@@ -211,9 +234,15 @@
     asyncio.run(run())
 
 
-@pytest.mark.parametrize("notice", [
-    b"HTTP/1.1 408 Idle\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 100 Continue\r\n\r\n",
-    b"HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", b"\r\n"])
+@pytest.mark.parametrize(
+    "notice",
+    [
+        b"HTTP/1.1 408 Idle\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n",
+        b"\r\n",
+    ],
+)
 def test_word_on_an_idle_connection_is_no_answer(notice: bytes) -> None:
     async def run() -> None:
         with wire() as w:
@@ -226,11 +255,17 @@
 
 
 @pytest.mark.parametrize("got", [b"", b"HTTP/1.1 2", OK[:-1], b"HTTP/1.1 200 OK\r\n\r\ndone"])
-@pytest.mark.parametrize("end, outcome", [
-    (Exchange.cancel, Outcome.CANCELLED), (Exchange._timed_out, Outcome.TIMEOUT),
-    (Exchange.on_end, Outcome.RESET)])
+@pytest.mark.parametrize(
+    "end, outcome",
+    [
+        (Exchange.cancel, Outcome.CANCELLED),
+        (Exchange._timed_out, Outcome.TIMEOUT),
+        (Exchange.on_end, Outcome.RESET),
+    ],
+)
 def test_the_connection_of_an_attempt_that_was_given_up_is_closed(
-        got: bytes, end: Callable[[Exchange], None], outcome: Outcome) -> None:
+    got: bytes, end: Callable[[Exchange], None], outcome: Outcome
+) -> None:
     async def run() -> None:
         with wire() as w:
             exchange = w.begin()
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -1,4 +1,5 @@
 """Every interleaving of a small world: the core holds, planted errors are found, each with its story."""
+
 from __future__ import annotations
 
 import pytest
@@ -25,8 +26,9 @@
     assert report.reached > report.states == 150 and report.settled == 8 and not report.whole
 
 
-@pytest.mark.parametrize(("core", "world"), [
-    ("not-raised", "loss"), ("death-wins", "split"), ("hearsay", "liar")])
+@pytest.mark.parametrize(
+    ("core", "world"), [("not-raised", "loss"), ("death-wins", "split"), ("hearsay", "liar")]
+)
 def test_a_planted_error_is_found_and_its_way_told(core: str, world: str) -> None:
     report = explore(core, world, 500)
     assert "periods after the last fault" in report.broken
@@ -44,6 +46,7 @@
     def command(*args: str) -> tuple[int, str]:
         result = CliRunner().invoke(app, args)
         return result.exit_code, result.output
+
     status, text = command("explore", "crash", "--states", "30")
     assert status == 0 and "crash: 30 states explored" in text
     status, text = command("explore", "liar", "--core", "hearsay", "--states", "30")
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,4 +1,5 @@
 """One small test for each failure found by measuring."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -10,8 +11,19 @@
 
 from brasshead.logic import NOTE, RETRY_BURST, RETRY_SHARE, Request, Server
 from brasshead.interface import (
-    Backend, ListKind, Outcome, Prices, Probe, ProbeEnded, Refuse, RequestArrived, RequestClass, Send, State,
-    PeerMessage, Tell,
+    Backend,
+    ListKind,
+    Outcome,
+    Prices,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    RequestArrived,
+    RequestClass,
+    Send,
+    State,
+    PeerMessage,
+    Tell,
 )
 
 
@@ -242,8 +254,9 @@
     # ibarra big-2: with whole credits, earned at 1/n a request, no quiet balancer ever sent to a cold server.
     sent = 0
     for seed in range(400):
-        d = Drive(servers=9, seed=seed, siblings=400, start_fraction=0.5, warm_up_us=20 * SECOND,
-                  fall_multiple=4.0)
+        d = Drive(
+            servers=9, seed=seed, siblings=400, start_fraction=0.5, warm_up_us=20 * SECOND, fall_multiple=4.0
+        )
         d.list(Backend("new", started_at=d.now))
         sent += only(d.request()[1], Send)[0].backend == "new"
     assert 10 <= sent <= 40  # of 400, with a tenth of the fleet at half its strength
@@ -278,8 +291,14 @@
     for served in (True, False):
         sent[served] = 0
         for seed in range(200):
-            d = Drive(servers=9, seed=seed, siblings=400, start_fraction=0.5, warm_up_us=100 * SECOND,
-                      fall_multiple=4.0)
+            d = Drive(
+                servers=9,
+                seed=seed,
+                siblings=400,
+                start_fraction=0.5,
+                warm_up_us=100 * SECOND,
+                fall_multiple=4.0,
+            )
             for _ in range(30):
                 for s in only(d.request()[1], Send):
                     d.end(s, Outcome.OK if served else Outcome.TIMEOUT, 20 * MS)
@@ -396,8 +415,17 @@
 
 def test_in_a_jam_cold_servers_still_get_their_part() -> None:
     # join+vast: with one luck for all cold servers a request drew sixteen servers but one chance at most.
-    d, cold = Drive(servers=20, seed=3, start_fraction=0.5, warm_up_us=1000 * SECOND, fall_multiple=4.0,
-                    report_fields=("inflight",)), 0
+    d, cold = (
+        Drive(
+            servers=20,
+            seed=3,
+            start_fraction=0.5,
+            warm_up_us=1000 * SECOND,
+            fall_multiple=4.0,
+            report_fields=("inflight",),
+        ),
+        0,
+    )
     d.serve(50)
     d.list(*(Backend(f"new{i}", started_at=d.now) for i in range(20)))
     warm = [s for s in d.balancer.servers.values() if not s.started_at]
@@ -450,8 +478,17 @@
 def test_few_full_servers_do_not_keep_cold_ones_idle() -> None:
     # upgrade+hand: two warm servers were full, so that hardly a draw of them fitted; seven cold ones, at up
     # to half of their strength, held one request or none while over half of all requests were refused.
-    d, cold = Drive(servers=2, seed=3, start_fraction=0.5, warm_up_us=1000 * SECOND, fall_multiple=2.5,
-                    report_fields=("inflight",)), 0
+    d, cold = (
+        Drive(
+            servers=2,
+            seed=3,
+            start_fraction=0.5,
+            warm_up_us=1000 * SECOND,
+            fall_multiple=2.5,
+            report_fields=("inflight",),
+        ),
+        0,
+    )
     d.serve(50)
     d.list(*(Backend(f"new{i}", started_at=d.now) for i in range(4)))
     for _ in range(400):
@@ -502,8 +539,13 @@
     # it was known to be, and 18 to 32% of the answers came late.
     aim, sent = 400 * MS, 0
     for seed in range(30):
-        d = Drive(RequestClass("late", aim, 800 * MS), servers=12, seed=seed, siblings=30,
-                  report_fields=("inflight",))
+        d = Drive(
+            RequestClass("late", aim, 800 * MS),
+            servers=12,
+            seed=seed,
+            siblings=30,
+            report_fields=("inflight",),
+        )
         full(d, 3.0, aim)
         sent += sum(len(only(d.request(800 * MS)[1], Send)) for _ in range(10))
     assert 30 <= sent <= 8 * 12
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -1,4 +1,5 @@
 """The helper that makes system calls fail: it does what its tests rely on, and nothing once it is left."""
+
 from __future__ import annotations
 
 import asyncio
@@ -131,8 +132,8 @@
         with pytest.raises(OSError):
             socket.socket()
         assert socket.socket is FaultySocket
-    assert before == (
-        socket.socket, select.poll, selectors.EpollSelector._selector_cls)  # type: ignore[attr-defined]
+    after = socket.socket, select.poll, selectors.EpollSelector._selector_cls  # type: ignore[attr-defined]
+    assert before == after
     with pytest.raises(ValueError):
         Fault("write")
 
@@ -140,8 +141,10 @@
 def test_an_agent_in_this_process_meets_them(tmp_path: Path) -> None:
     async def run(faults: Faults) -> None:
         async with world(tmp_path) as w:
-            each_byte = [faults.short(call, 1, side=Side.ACCEPTED, port=w.port, times=None)
-                         for call in ("recv", "send")]
+            each_byte = [
+                faults.short(call, 1, side=Side.ACCEPTED, port=w.port, times=None)
+                for call in ("recv", "send")
+            ]
             client = await w.ask(post())
             await (await w.request()).answer(200, b"done")
             answer = await client.read()
--- a/tests/test_faultlab_checkers.py
+++ b/tests/test_faultlab_checkers.py
@@ -1,4 +1,5 @@
 """Checkers of the rig: each rule held by a history, and broken by the smallest change of it."""
+
 from __future__ import annotations
 
 from pathlib import Path
@@ -51,8 +52,9 @@
     def add(self, kind: type[Any], t: int, who: str, /, **fields: Any) -> None:
         self.events.append(kind(t=t, who=who, **fields))
 
-    def told(self, t: int, revision: int, members: list[tuple[str, str, int]],
-             complete: bool = False) -> None:
+    def told(
+        self, t: int, revision: int, members: list[tuple[str, str, int]], complete: bool = False
+    ) -> None:
         self.add(h.Told, t, "d0", agent="a0", revision=revision, complete=complete, members=members)
 
     def listed(self, t: int, revision: int, *members: tuple[str, str, int]) -> None:
@@ -61,8 +63,21 @@
     def asked(self, t: int, cls: str = SAFE, patience: int = S, fresh: bool = False, port: int = 0) -> str:
         self.rids += 1
         rid = f"r{self.rids}"
-        self.add(h.Asked, t, "c0", rid=rid, first=rid, cls=CLASSES.index(cls), agent="a0", due=t,
-                 patience_us=patience, conn=1, opened=t - 5, fresh=fresh, port=port)
+        self.add(
+            h.Asked,
+            t,
+            "c0",
+            rid=rid,
+            first=rid,
+            cls=CLASSES.index(cls),
+            agent="a0",
+            due=t,
+            patience_us=patience,
+            conn=1,
+            opened=t - 5,
+            fresh=fresh,
+            port=port,
+        )
         return rid
 
     def sent(self, t: int, rid: str, server: str = "s0", told: int = 0) -> None:
@@ -71,8 +86,9 @@
     def got(self, t: int, rid: str, server: str = "s0", life: int = 0) -> None:
         self.add(h.Got, t, server, rid=rid, life=life, agent="a0", began=t - 2, conn=1)
 
-    def gave(self, t: int, rid: str, server: str = "s0", digest: str = "d", whole: bool = True,
-             size: int = 0) -> None:
+    def gave(
+        self, t: int, rid: str, server: str = "s0", digest: str = "d", whole: bool = True, size: int = 0
+    ) -> None:
         self.add(h.Gave, t, server, rid=rid, life=0, status=200, digest=digest, whole=whole, bytes=size)
 
     def answered(self, t: int, rid: str, status: int = 200, digest: str = "d") -> None:
@@ -85,11 +101,29 @@
         self.answered(t + 30, rid)
         return rid
 
-    def fault(self, begin: int, end: int, kind: str, path: str = "", servers: tuple[str, ...] = (),
-              agents: tuple[str, ...] = ("a0",), **detail: Any) -> None:
+    def fault(
+        self,
+        begin: int,
+        end: int,
+        kind: str,
+        path: str = "",
+        servers: tuple[str, ...] = (),
+        agents: tuple[str, ...] = ("a0",),
+        **detail: Any,
+    ) -> None:
         for t, on in ((begin, True), (end, False)):
-            self.add(h.Fault, t, "rig", kind=kind, on=on, number=0, agents=list(agents),
-                     servers=list(servers), path=path, detail=detail)
+            self.add(
+                h.Fault,
+                t,
+                "rig",
+                kind=kind,
+                on=on,
+                number=0,
+                agents=list(agents),
+                servers=list(servers),
+                path=path,
+                detail=detail,
+            )
 
     def door(self, t: int, call: str, answer: str, took: int = 100) -> None:
         self.add(h.Door, t, "a0", life=0, call=call, answer=answer, asked=t - took)
@@ -119,6 +153,7 @@
 
 # Answers
 
+
 def test_an_answer_is_lost_half_a_second_after_its_time() -> None:
     for late, broken in ((499_000, set()), (501_000, {"answered"})):
         story = Story()
@@ -147,8 +182,12 @@
 
 def test_an_answer_cut_off_is_the_agents_fault_where_its_server_went_on() -> None:
     """Where its server spoilt it too, unless it was too large to be held until it was whole."""
-    for whole, size, broken in ((True, 10, {"answered"}), (False, 65_536, {"answered"}),
-                                (False, 65_537, set()), (True, 65_537, {"answered"})):
+    for whole, size, broken in (
+        (True, 10, {"answered"}),
+        (False, 65_536, {"answered"}),
+        (False, 65_537, set()),
+        (True, 65_537, {"answered"}),
+    ):
         story = Story()
         rid = story.asked(S)
         story.got(S + 10, rid)
@@ -157,11 +196,20 @@
         assert story.end(60 * S).rules() == broken
 
 
-@pytest.mark.parametrize(("fresh", "excuse", "broken"), [
-    (True, "", {"answered"}), (False, "", {"answered"}), (True, "unreached", set()),
-    (True, "another's unreached", {"answered"}), (True, "descriptors", set()),
-    (False, "descriptors", {"answered"}), (True, "server paused", {"answered"}),
-    (True, "server killed", {"answered"}), (True, "another client left", {"answered"})])
+@pytest.mark.parametrize(
+    ("fresh", "excuse", "broken"),
+    [
+        (True, "", {"answered"}),
+        (False, "", {"answered"}),
+        (True, "unreached", set()),
+        (True, "another's unreached", {"answered"}),
+        (True, "descriptors", set()),
+        (False, "descriptors", {"answered"}),
+        (True, "server paused", {"answered"}),
+        (True, "server killed", {"answered"}),
+        (True, "another client left", {"answered"}),
+    ],
+)
 def test_no_connection_is_closed_unanswered(fresh: bool, excuse: str, broken: set[str]) -> None:
     story = Story()
     rid = story.asked(S, fresh=fresh, port=7)
@@ -205,10 +253,12 @@
 
 # Attempts
 
+
 @pytest.mark.parametrize("how", ["close", "half_close", "reset", "gave_up"])
 @pytest.mark.parametrize(("after", "broken"), [(100_000, set()), (100_001, {"ended"})])
 def test_no_attempt_begins_over_a_tenth_of_a_second_after_its_client_left(
-        how: str, after: int, broken: set[str]) -> None:
+    how: str, after: int, broken: set[str]
+) -> None:
     """The first as little as a retry or a hedged request."""
     for attempts in (1, 2):
         story = Story()
@@ -258,9 +308,19 @@
     assert not broken(S, 2 * S, "link", "clients", delay_ms=200.0)
 
 
-@pytest.mark.parametrize(("after", "told", "broken"), [
-    (10_000, 990, set()), (10_000, 1140, set()), (10_000, 1141, {"told"}), (900_000, 251, {"told"}),
-    (1_200_000, 150, set()), (1_200_000, 151, {"told"}), (-100_000, 1150, set()), (-100_000, 1151, {"told"})])
+@pytest.mark.parametrize(
+    ("after", "told", "broken"),
+    [
+        (10_000, 990, set()),
+        (10_000, 1140, set()),
+        (10_000, 1141, {"told"}),
+        (900_000, 251, {"told"}),
+        (1_200_000, 150, set()),
+        (1_200_000, 151, {"told"}),
+        (-100_000, 1150, set()),
+        (-100_000, 1151, {"told"}),
+    ],
+)
 def test_an_attempt_is_told_no_more_than_its_client_has_left(after: int, told: int, broken: set[str]) -> None:
     """A large body's attempt may begin before the request's last byte."""
     story = Story()
@@ -301,9 +361,12 @@
 
 def test_who_was_stopped_owes_an_answer_to_what_reached_it() -> None:
     """At whatever time after SIGTERM, but for what is written as the process ends."""
-    for after, closed, broken in ((600_000, S, {"answered"}), (800_000, S, {"answered"}),
-                                  (3 * S - 100_001, 3 * S - 1, {"answered"}),
-                                  (3 * S - 100_000, 3 * S + 10, set())):
+    for after, closed, broken in (
+        (600_000, S, {"answered"}),
+        (800_000, S, {"answered"}),
+        (3 * S - 100_001, 3 * S - 1, {"answered"}),
+        (3 * S - 100_000, 3 * S + 10, set()),
+    ):
         story = Story()
         story.add(h.Stop, S, "a0", life=0, kill_us=3_700_000)
         rid = story.asked(S + after)
@@ -314,6 +377,7 @@
 
 # Effects
 
+
 def test_an_unsafe_request_goes_out_again_only_after_a_no() -> None:
     for turned, broken in ((True, set()), (False, {"effect"})):
         story = Story()
@@ -329,8 +393,11 @@
 
 def test_a_keyed_request_stays_within_its_group_and_time() -> None:
     window = int(next(c for c in DAY.cls if c.name == KEYED).window_ms * 1000)
-    for server, after, broken in (("s1", 100, set()), ("s2", 100, {"effect"}),
-                                  ("s1", window + 60_000, {"effect"})):
+    for server, after, broken in (
+        ("s1", 100, set()),
+        ("s2", 100, {"effect"}),
+        ("s1", window + 60_000, {"effect"}),
+    ):
         story = Story()
         rid = story.asked(S, KEYED, patience=20 * S)
         story.got(S + 10, rid, "s0")
@@ -351,12 +418,21 @@
         assert story.end(60 * S).rules() == broken
 
 
-@pytest.mark.parametrize(("allowed", "after", "end", "broken"), [
-    (False, 60_000, "gave", set()), (False, 60_000, "left", set()), (False, 60_000, "turned", set()),
-    (False, 60_000, "", {"copies"}), (True, 60_000, "", set()), (False, 40_000, "late", set()),
-    (False, 40_000, "too late", {"copies"})])
+@pytest.mark.parametrize(
+    ("allowed", "after", "end", "broken"),
+    [
+        (False, 60_000, "gave", set()),
+        (False, 60_000, "left", set()),
+        (False, 60_000, "turned", set()),
+        (False, 60_000, "", {"copies"}),
+        (True, 60_000, "", set()),
+        (False, 40_000, "late", set()),
+        (False, 40_000, "too late", {"copies"}),
+    ],
+)
 def test_a_second_copy_goes_out_only_where_it_may(
-        allowed: bool, after: int, end: str, broken: set[str]) -> None:
+    allowed: bool, after: int, end: str, broken: set[str]
+) -> None:
     allow = msgspec.structs.replace(DAY.allow, second_copies=allowed)
     story = Story(msgspec.structs.replace(DAY, allow=allow))
     rid = story.asked(S)
@@ -403,6 +479,7 @@
 
 # Lists
 
+
 def test_nothing_new_goes_to_a_server_a_second_after_its_drain_was_told() -> None:
     for after, broken in ((S + 40_000, set()), (S + 60_000, {"drain"})):
         story = Story()
@@ -466,8 +543,12 @@
 
 
 def test_the_figure_of_members_is_that_of_a_list_in_force() -> None:
-    for figure, at, broken in ((3, 2 * S, set()), (2, 2 * S, {"stale"}),
-                               (2, 5 * S, set()), (3, 5 * S, {"stale"})):
+    for figure, at, broken in (
+        (3, 2 * S, set()),
+        (2, 2 * S, {"stale"}),
+        (2, 5 * S, set()),
+        (3, 5 * S, {"stale"}),
+    ):
         story = Story()
         story.listed(3 * S, 42, ("s0", "DELETED", 0))
         story.told(3 * S + 5, 42, [("s0", "DELETED", 0)])
@@ -488,10 +569,14 @@
 
 # Processes
 
-@pytest.mark.parametrize(("ended", "broken"), [
-    ({"t": 2 * S, "status": 1, "asked": False}, {"crash"}),
-    ({"t": 2 * S, "status": -9, "asked": True}, set()),
-])
+
+@pytest.mark.parametrize(
+    ("ended", "broken"),
+    [
+        ({"t": 2 * S, "status": 1, "asked": False}, {"crash"}),
+        ({"t": 2 * S, "status": -9, "asked": True}, set()),
+    ],
+)
 def test_a_process_ends_only_when_told(ended: dict[str, Any], broken: set[str]) -> None:
     story = Story()
     story.add(h.Ended, ended.pop("t"), "a0", life=0, **ended)
@@ -529,11 +614,16 @@
         assert story.end(60 * S).rules() == broken
 
 
-@pytest.mark.parametrize(("call", "answer", "took", "broken"), [
-    ("PING", "OK\n", 900_000, set()), ("PING", "OK\n", 1_100_000, {"door"}),
-    ("PING", "", 1_500_000, {"door"}),
-    ("INFO", "agent.pending:0|g\n", 100, {"door"}), ("DETACH s0", "ERR no\n", 100, {"door"}),
-])
+@pytest.mark.parametrize(
+    ("call", "answer", "took", "broken"),
+    [
+        ("PING", "OK\n", 900_000, set()),
+        ("PING", "OK\n", 1_100_000, {"door"}),
+        ("PING", "", 1_500_000, {"door"}),
+        ("INFO", "agent.pending:0|g\n", 100, {"door"}),
+        ("DETACH s0", "ERR no\n", 100, {"door"}),
+    ],
+)
 def test_the_door_answers_in_time_and_in_form(call: str, answer: str, took: int, broken: set[str]) -> None:
     story = Story()
     story.door(5 * S, call, answer, took)
@@ -545,15 +635,17 @@
         story = Story()
         for _ in range(10):
             story.served(S)
-        figures = "".join(f"agent.{name}.{c}:{told if (name, c) == ('completed', SAFE) else 0}|c\n"
-                          for name in ("completed", "rejected", "failed") for c in CLASSES)
+        figures = "".join(
+            f"agent.{name}.{c}:{told if (name, c) == ('completed', SAFE) else 0}|c\n"
+            for name in ("completed", "rejected", "failed")
+            for c in CLASSES
+        )
         story.door(50 * S, "INFO", f"{figures}agent.members:3|g\nEND\n")
         assert story.end(60 * S).rules() == broken
 
 
 def test_an_emptied_agent_says_no_until_it_is_back() -> None:
-    for no, yes, broken in ((3 * S, 12 * S, set()), (8 * S, 12 * S, {"health"}),
-                            (3 * S, 14 * S, {"health"})):
+    for no, yes, broken in ((3 * S, 12 * S, set()), (8 * S, 12 * S, {"health"}), (3 * S, 14 * S, {"health"})):
         story = Story()
         story.door(2 * S, "LAMEDUCK", "OK\n")
         story.add(h.Health, no, "a0", status=503)
@@ -564,6 +656,7 @@
 
 # Who is there
 
+
 def fleet(*up: str) -> Story:
     """Agents that tell one another; a0 and these."""
     story = Story(msgspec.structs.replace(DAY, membership=True))
@@ -581,8 +674,10 @@
 K = presence.KNOWN_US
 
 
-@pytest.mark.parametrize(("low", "high", "broken"), [
-    (3, 3, set()), (2, 3, {"present"}), (3, 4, {"present"}), (2, 2, {"present"}), (4, 4, {"present"})])
+@pytest.mark.parametrize(
+    ("low", "high", "broken"),
+    [(3, 3, set()), (2, 3, {"present"}), (3, 4, {"present"}), (2, 2, {"present"}), (4, 4, {"present"})],
+)
 def test_agents_know_how_many_live(low: int, high: int, broken: set[str]) -> None:
     story = fleet("a1", "a2")
     says(story, 10 + K + 2000, low, high)
@@ -592,16 +687,35 @@
     assert early.rules() == set()
 
 
-@pytest.mark.parametrize(("kind", "detail", "count", "broken"), [
-    ("link", {"cut": True}, (1, 1), set()), ("link", {"loss": 0.3}, (1, 3), set()),
-    ("link", {"loss": 0.3}, (1, 2), {"present"}), ("link", {"loss": 0.3}, (4, 4), {"present"}),
-    ("pause", {"of": "agents"}, (1, 1), set()), ("pause", {"of": "servers"}, (1, 1), {"present"}),
-    ("lie", {}, (2, 4), set()), ("lie", {}, (1, 3), {"present"}), ("lie", {}, (1, 1), {"present"})])
+@pytest.mark.parametrize(
+    ("kind", "detail", "count", "broken"),
+    [
+        ("link", {"cut": True}, (1, 1), set()),
+        ("link", {"loss": 0.3}, (1, 3), set()),
+        ("link", {"loss": 0.3}, (1, 2), {"present"}),
+        ("link", {"loss": 0.3}, (4, 4), {"present"}),
+        ("pause", {"of": "agents"}, (1, 1), set()),
+        ("pause", {"of": "servers"}, (1, 1), {"present"}),
+        ("lie", {}, (2, 4), set()),
+        ("lie", {}, (1, 3), {"present"}),
+        ("lie", {}, (1, 1), {"present"}),
+    ],
+)
 def test_what_strikes_agents_or_their_datagrams_excuses_what_it_may(
-        kind: str, detail: dict[str, Any], count: tuple[int, int], broken: set[str]) -> None:
+    kind: str, detail: dict[str, Any], count: tuple[int, int], broken: set[str]
+) -> None:
     story = fleet("a1", "a2")
-    story.add(h.Fault, 2 * K, "rig", kind=kind, on=True, number=0, agents=["a1"], detail=detail,
-              path="peers" if kind == "link" else "")
+    story.add(
+        h.Fault,
+        2 * K,
+        "rig",
+        kind=kind,
+        on=True,
+        number=0,
+        agents=["a1"],
+        detail=detail,
+        path="peers" if kind == "link" else "",
+    )
     says(story, 3 * K, *count)
     says(story, 3 * K, 1, 1, agent="a1") if kind == "lie" else None
     assert story.rules() == broken
@@ -617,6 +731,7 @@
 
 # Verdicts and histories
 
+
 def test_a_late_rig_does_not_count_but_one_paused_on_purpose_does() -> None:
     for paused in (False, True):
         story = Story()
@@ -632,8 +747,9 @@
     story.asked(2 * S)
     case = story.end(60 * S).case()
     lines = verdict.judge(case).lines(case)
-    assert lines == [f"rule broken: answered, 2 times; first at 2.500 s, a0: request {first}: "
-                     "no answer to the end"]
+    assert lines == [
+        f"rule broken: answered, 2 times; first at 2.500 s, a0: request {first}: no answer to the end"
+    ]
 
 
 def test_time_counts_from_when_a_request_was_due_and_worth_falls_with_it() -> None:
@@ -650,17 +766,33 @@
 
 
 EVENTS = st.one_of(
-    st.builds(h.Got, t=st.integers(0, 2 ** 50), who=st.text(max_size=5), rid=st.text(max_size=9),
-              life=st.integers(0, 9), agent=st.text(max_size=3), began=st.integers(0, 2 ** 50),
-              conn=st.integers(0, 99)),
-    st.builds(h.Door, t=st.integers(0, 2 ** 50), who=st.text(max_size=5), life=st.integers(0, 9),
-              call=st.text(max_size=20), answer=st.text(max_size=50), asked=st.integers(0, 2 ** 50)))
+    st.builds(
+        h.Got,
+        t=st.integers(0, 2**50),
+        who=st.text(max_size=5),
+        rid=st.text(max_size=9),
+        life=st.integers(0, 9),
+        agent=st.text(max_size=3),
+        began=st.integers(0, 2**50),
+        conn=st.integers(0, 99),
+    ),
+    st.builds(
+        h.Door,
+        t=st.integers(0, 2**50),
+        who=st.text(max_size=5),
+        life=st.integers(0, 9),
+        call=st.text(max_size=20),
+        answer=st.text(max_size=50),
+        asked=st.integers(0, 2**50),
+    ),
+)
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
 @given(st.lists(EVENTS, max_size=20), st.integers(0, 40))
 def test_a_history_is_read_as_it_was_written_and_may_end_in_the_middle(
-        tmp_path_factory: pytest.TempPathFactory, events: list[Any], cut: int) -> None:
+    tmp_path_factory: pytest.TempPathFactory, events: list[Any], cut: int
+) -> None:
     path = Path(tmp_path_factory.mktemp("history")) / "history.jsonl"
     path.touch()
     writer = h.Writer(path)
@@ -669,7 +801,7 @@
     writer.close()
     assert h.read(path) == sorted(events, key=lambda e: e.t)
     data = path.read_bytes()
-    path.write_bytes(data[:max(0, len(data) - cut)])
+    path.write_bytes(data[: max(0, len(data) - cut)])
     whole = path.read_bytes().count(b"\n")
     assert h.read(path) == sorted(events[:whole], key=lambda e: e.t)
 
--- a/tests/test_faultlab_clients.py
+++ b/tests/test_faultlab_clients.py
@@ -1,4 +1,5 @@
 """The rig's clients: what they note of an agent that says too much, and how they leave."""
+
 from __future__ import annotations
 
 import asyncio
@@ -60,9 +61,18 @@
 async def clients(agent: Agent, book: Book, count: int = 3) -> AsyncIterator[Load]:
     scenario = load("steady").low
     arrivals = [Arrival(1000 * n, 0, 1, 500) for n in range(count)]
-    plan = ClientsPart(name="c0", history="", agent="a0", address=f"127.0.0.1:{await agent.start()}",
-                       classes=list(scenario.cls), clients=scenario.clients, arrivals=arrivals,
-                       max_retry_after_ms=0.0, front=False, seed=1)
+    plan = ClientsPart(
+        name="c0",
+        history="",
+        agent="a0",
+        address=f"127.0.0.1:{await agent.start()}",
+        classes=list(scenario.cls),
+        clients=scenario.clients,
+        arrivals=arrivals,
+        max_retry_after_ms=0.0,
+        front=False,
+        seed=1,
+    )
     made = Load(plan, book)
     await made.start()
     async with asyncio.timeout(30):  # a hang fails the test; nothing is timed by this
@@ -110,8 +120,9 @@
     async def run() -> None:
         book, agent = Book(), Agent()
         async with clients(agent, book, count=1) as made:
-            await made.order(Habit(0, faults.Restless(at_s=0.0, part=1.0, how=how, when="waiting",
-                                                      within_ms=1.0)))
+            await made.order(
+                Habit(0, faults.Restless(at_s=0.0, part=1.0, how=how, when="waiting", within_ms=1.0))
+            )
             await play(made, book, count=1)
             (left,) = book.of(h.Departed)
             assert left.how == how and not book.of(h.Answered)
--- a/tests/test_faultlab_relay.py
+++ b/tests/test_faultlab_relay.py
@@ -1,4 +1,5 @@
 """The relay of the rig: what a fault does to a connection, and what does not pass it."""
+
 from __future__ import annotations
 
 import asyncio
@@ -36,6 +37,7 @@
     async def start(self) -> int:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             self.came.put_nowait((reader, writer))
+
         self.server = await asyncio.start_server(serve, "127.0.0.1", 0)
         return int(self.server.sockets[0].getsockname()[1])
 
@@ -50,8 +52,7 @@
 async def relay() -> AsyncIterator[tuple[Relay, Far, int]]:
     far = Far()
     to, at = await far.start(), free_port()
-    route = Route(path="servers", server="s0", at=f"127.0.0.1:{at}", to=f"127.0.0.1:{to}",
-                  source="127.0.0.1")
+    route = Route(path="servers", server="s0", at=f"127.0.0.1:{at}", to=f"127.0.0.1:{to}", source="127.0.0.1")
     made = Relay(RelayPart(name="r0", history="", routes=[route], seed=1), Nothing())
     await made.start()
     try:
@@ -62,8 +63,9 @@
         far.server.close()
 
 
-async def pair(far: Far, at: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, asyncio.StreamReader,
-                                           asyncio.StreamWriter]:
+async def pair(
+    far: Far, at: int
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, asyncio.StreamReader, asyncio.StreamWriter]:
     near = await asyncio.open_connection("127.0.0.1", at)
     return *near, *await far.came.get()
 
@@ -84,6 +86,7 @@
             first, other = (near_out, far_in) if close_first == "near" else (far_out, near_in)
             first.write_eof()
             assert await other.read() == b""
+
     asyncio.run(run())
 
 
@@ -104,6 +107,7 @@
                 await r.order(Clear(1))
                 assert await far_in.readexactly(4) == b"late"
                 await coming  # the kernel asks again
+
     asyncio.run(run())
 
 
@@ -122,6 +126,7 @@
                     await near_in.read(1)
             await r.order(Clear(1))
             assert await near_in.readexactly(4) == b"back"
+
     asyncio.run(run())
 
 
@@ -134,6 +139,7 @@
             assert await far_in.readexactly(7) == b"request"
             with pytest.raises(ConnectionResetError):
                 await near_in.read()
+
     asyncio.run(run())
 
 
@@ -147,6 +153,7 @@
                 await near_in.read()
             with pytest.raises(ConnectionResetError):
                 assert await far_in.read() == b""
+
     asyncio.run(run())
 
 
@@ -167,6 +174,7 @@
             await r.order(Clear(1))
             with pytest.raises(ConnectionResetError):
                 await near_in.read()
+
     asyncio.run(run())
 
 
@@ -178,6 +186,7 @@
                 await asyncio.open_connection("127.0.0.1", at)
             await r.order(Up("servers", ["s0"], True))
             await pair(far, at)
+
     asyncio.run(run())
 
 
@@ -188,7 +197,7 @@
             await r.order(shape(delay_ms=5.0, spread_ms=5.0, loss=0.3, bytes_per_s=20_000.0))
             sent = b"".join(b"%04d" % i for i in range(500))
             for i in range(0, len(sent), 100):
-                near_out.write(sent[i:i + 100])
+                near_out.write(sent[i : i + 100])
                 await near_out.drain()
             assert await far_in.readexactly(len(sent)) == sent
             await r.order(Clear(1))
@@ -196,17 +205,21 @@
             near_out.write(b"\0" * 64)
             got = await far_in.readexactly(64)
             assert sum(bin(byte).count("1") for byte in got) == 1
+
     asyncio.run(run())
 
 
 def test_datagrams_are_cut_doubled_and_put_out_of_order() -> None:
     async def run(**fault: Any) -> list[bytes]:
         loop, block = asyncio.get_running_loop(), Block(60, free_port())
-        part = datagrams.Datagrams(datagrams.DatagramsPart(
-            name="u0", history="", block=block, agents=2, seed=1), Nothing())
+        part = datagrams.Datagrams(
+            datagrams.DatagramsPart(name="u0", history="", block=block, agents=2, seed=1), Nothing()
+        )
         await part.start()
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as hears, \
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sends:
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as hears,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sends,
+        ):
             hears.setblocking(False)
             hears.bind((f"127.{block.block}.1.2", block.port))
             sends.bind((f"127.{block.block}.1.1", block.port))
@@ -234,8 +247,9 @@
 
 
 def test_a_split_cuts_only_between_those_struck_and_the_others() -> None:
-    part = datagrams.Datagrams(datagrams.DatagramsPart(
-        name="u0", history="", block=Block(64, 20_000), agents=4, seed=1), Nothing())
+    part = datagrams.Datagrams(
+        datagrams.DatagramsPart(name="u0", history="", block=Block(64, 20_000), agents=4, seed=1), Nothing()
+    )
     link = Link(at_s=0.0, path="peers", cut=True, split=True)
     part.faults[1] = datagrams.Shape(1, link, [0, 1])
     cut = {(a, b) for a in range(4) for b in range(4) if a != b and part._links(a, b)}
@@ -243,8 +257,9 @@
 
 
 def test_a_liar_says_that_the_others_are_dead_and_nobody_else_does() -> None:
-    part = datagrams.Datagrams(datagrams.DatagramsPart(
-        name="u0", history="", block=Block(64, 20_000), agents=3, seed=1), Nothing())
+    part = datagrams.Datagrams(
+        datagrams.DatagramsPart(name="u0", history="", block=Block(64, 20_000), agents=3, seed=1), Nothing()
+    )
     wire = Wire(FLEET, 3, KEY.encode())
     truth = [wire.pack(Message(Kind.PING, i, 100 + i, i, 7)) for i in range(3)]
     assert [part._heard(i, data) for i, data in enumerate(truth)] == truth
@@ -254,5 +269,5 @@
     assert {fact.member for fact in lies[0].facts} == {1, 2}
     assert all(fact.record.status is Status.DEAD for lie in lies for fact in lie.facts)
     assert {fact.record.incarnation for fact in lies[0].facts} == {1, 2}
-    assert {fact.record.incarnation for fact in lies[2].facts} == {2 ** 32 - 1}
-    assert lies[0].incarnation == 2 ** 32 - 1 and lies[0].seq == 7 + 2 ** 31
+    assert {fact.record.incarnation for fact in lies[2].facts} == {2**32 - 1}
+    assert lies[0].incarnation == 2**32 - 1 and lies[0].seq == 7 + 2**31
--- a/tests/test_faultlab_rig.py
+++ b/tests/test_faultlab_rig.py
@@ -1,4 +1,5 @@
 """The rig as a whole: schedules, what cannot be played, hard cases of its processes, one short scenario."""
+
 from __future__ import annotations
 
 import asyncio
@@ -37,6 +38,7 @@
 
 # Schedules
 
+
 def test_the_schedule_follows_from_scenario_and_seed_alone() -> None:
     names = shipped("faultlab")
     assert len(names) >= 15
@@ -44,12 +46,27 @@
         lines = {seed: play.schedule_lines(load(name), seed, None, Path(), ROOT) for seed in (1, 2)}
         assert lines[1] == play.schedule_lines(load(name), 1, None, Path(), ROOT)
     kinds = {type(fault).__name__ for name in names for fault in settle(load(name), 1)[1].fault}
-    assert {"Link", "Reset", "HalfOpen", "Pause", "Kill", "Descriptors", "Busy", "UnixTime", "Lists",
-            "Reload", "Upgrade", "LameDuck", "Detach", "Spoilt", "Lie"} <= kinds
+    assert {
+        "Link",
+        "Reset",
+        "HalfOpen",
+        "Pause",
+        "Kill",
+        "Descriptors",
+        "Busy",
+        "UnixTime",
+        "Lists",
+        "Reload",
+        "Upgrade",
+        "LameDuck",
+        "Detach",
+        "Spoilt",
+        "Lie",
+    } <= kinds
 
 
 @settings(derandomize=True, max_examples=40, deadline=None)
-@given(st.integers(0, 10 ** 6))
+@given(st.integers(0, 10**6))
 def test_drawn_scenarios_end_within_their_run(seed: int) -> None:
     day, s = settle(drawn.draw(seed), seed)
     acts = schedule.make(day, s, seed)
@@ -71,15 +88,22 @@
 
 # Wrong use
 
-@pytest.mark.parametrize(("text", "says"), [
-    ("[[fault]]\nwhat = 'storm'\nat_s = 1", "fault[0].what: invalid value 'storm'"),
-    ("[[fault]]\nwhat = 'pause'\nat_s = 9\nlen_s = 9", "fault[0]: ends after the run"),
-    ("[[fault]]\nwhat = 'link'\nat_s = 1\nloss = 2", "fault[0].loss: expected `float` <= 1.0"),
-    ("[[trouble]]\nwhat = 'herd'\nat_s = 1\nlen_s = 1\npart = 0.5", "does not play `herd`; write a fault"),
-    ("[[fault]]\nwhat = 'lie'\nat_s = 1", "fault `lie`: needs membership = true"),
-    ("membership = true", "membership: needs allow.peers = true"),
-    ("[fleet]\nagents = 21", "fleet.agents: 21 is more than the rig carries; write 20"),
-])
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("[[fault]]\nwhat = 'storm'\nat_s = 1", "fault[0].what: invalid value 'storm'"),
+        ("[[fault]]\nwhat = 'pause'\nat_s = 9\nlen_s = 9", "fault[0]: ends after the run"),
+        ("[[fault]]\nwhat = 'link'\nat_s = 1\nloss = 2", "fault[0].loss: expected `float` <= 1.0"),
+        (
+            "[[trouble]]\nwhat = 'herd'\nat_s = 1\nlen_s = 1\npart = 0.5",
+            "does not play `herd`; write a fault",
+        ),
+        ("[[fault]]\nwhat = 'lie'\nat_s = 1", "fault `lie`: needs membership = true"),
+        ("membership = true", "membership: needs allow.peers = true"),
+        ("[fleet]\nagents = 21", "fleet.agents: 21 is more than the rig carries; write 20"),
+    ],
+)
 def test_a_scenario_that_cannot_be_played_is_one_line(tmp_path: Path, text: str, says: str) -> None:
     path = tmp_path / "s.toml"
     path.write_text(f'base = "{ROOT}/faultlab/scenarios/_lab.toml"\nabout = "x"\n{text}\n')
@@ -131,6 +155,7 @@
 
 # Addresses, disks, processes
 
+
 def test_two_rigs_hold_blocks_of_their_own_and_go_round_a_taken_port(monkeypatch: pytest.MonkeyPatch) -> None:
     with socket.socket() as everywhere:
         everywhere.bind(("0.0.0.0", 0))
@@ -144,8 +169,10 @@
 
 
 def test_a_process_whose_rig_is_killed_ends_even_when_it_is_paused() -> None:
-    code = ("import subprocess, sys, time; from faultlab.children import tethered; "
-            "p = subprocess.Popen(tethered(['sleep', '600'])); print(p.pid, flush=True); time.sleep(600)")
+    code = (
+        "import subprocess, sys, time; from faultlab.children import tethered; "
+        "p = subprocess.Popen(tethered(['sleep', '600'])); print(p.pid, flush=True); time.sleep(600)"
+    )
     rig = subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE, cwd=ROOT, text=True)
     assert rig.stdout is not None
     with rig.stdout:
@@ -163,6 +190,7 @@
                 asyncio.get_running_loop().add_reader(ended, done.set)
                 async with asyncio.timeout(30):
                     await done.wait()
+
             asyncio.run(wait())
         finally:
             os.close(ended)
@@ -188,13 +216,16 @@
 
 
 def test_a_full_disk_takes_nothing_until_there_is_room(tmp_path: Path) -> None:
-    code = ("import signal, sys; signal.signal(signal.SIGXFSZ, signal.SIG_IGN)\n"
-            "for line in sys.stdin:\n"
-            "    try:\n        with open(line.strip(), 'w') as f: f.write('x')\n"
-            "        print('yes', flush=True)\n"
-            "    except OSError: print('no', flush=True)\n")
-    with subprocess.Popen([sys.executable, "-c", code], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-                          text=True) as writer:
+    code = (
+        "import signal, sys; signal.signal(signal.SIGXFSZ, signal.SIG_IGN)\n"
+        "for line in sys.stdin:\n"
+        "    try:\n        with open(line.strip(), 'w') as f: f.write('x')\n"
+        "        print('yes', flush=True)\n"
+        "    except OSError: print('no', flush=True)\n"
+    )
+    with subprocess.Popen(
+        [sys.executable, "-c", code], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+    ) as writer:
         said = []
 
         def write() -> None:
@@ -202,6 +233,7 @@
             writer.stdin.write(f"{tmp_path / 'x'}\n")
             writer.stdin.flush()
             said.append(writer.stdout.readline().strip())
+
         write()
         room = disk.fill(writer.pid)
         write()
@@ -210,10 +242,13 @@
     assert said == ["yes", "no", "yes"]
 
 
-@pytest.mark.parametrize(("run", "says"), [
-    ("exec false", "before it was ready"),
-    ("echo out of order >&2; exit 3", "ended with 3 before it was ready (out of order)"),
-])
+@pytest.mark.parametrize(
+    ("run", "says"),
+    [
+        ("exec false", "before it was ready"),
+        ("echo out of order >&2; exit 3", "ended with 3 before it was ready (out of order)"),
+    ],
+)
 def test_an_agent_that_ends_at_once_is_named_with_its_last_words(tmp_path: Path, run: str, says: str) -> None:
     with pytest.raises(Failed) as error:
         play.play("x", load("steady"), 1, tmp_path / "run", _tree(tmp_path / "t", run), SHORT_S)
@@ -226,9 +261,22 @@
     name = f"end-{number}-{os.getpid()}"
     (tmp_path / f"{name}.toml").write_text(f'base = "{ROOT}/faultlab/scenarios/_lab.toml"\nabout = "x"\n')
     rig = subprocess.Popen(
-        [sys.executable, "-m", "faultlab", "run", str(tmp_path / f"{name}.toml"), "-o", str(tmp_path / "run"),
-         "--tree", str(_tree(tmp_path / "t", "echo up >&2; exec sleep 600"))],
-        cwd=ROOT, stderr=subprocess.PIPE, stdout=subprocess.DEVNULL, text=True)
+        [
+            sys.executable,
+            "-m",
+            "faultlab",
+            "run",
+            str(tmp_path / f"{name}.toml"),
+            "-o",
+            str(tmp_path / "run"),
+            "--tree",
+            str(_tree(tmp_path / "t", "echo up >&2; exec sleep 600")),
+        ],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        stdout=subprocess.DEVNULL,
+        text=True,
+    )
     while not (logs := [p for p in play.place().glob(f"faultlab-{name}-*/logs/a0.log") if p.read_text()]):
         assert rig.poll() is None
     rig.send_signal(number)
@@ -255,6 +303,7 @@
 
 # One scenario, with the agent as it is
 
+
 def test_a_short_scenario_holds_and_is_judged_the_same_twice(tmp_path: Path) -> None:
     folder = tmp_path / "run"
     path = tmp_path / "short.toml"
--- a/tests/test_fleetsim_model.py
+++ b/tests/test_fleetsim_model.py
@@ -1,4 +1,5 @@
 """The emulator's model: what a server, a day and the checker do, each against a figure worked out by hand."""
+
 from __future__ import annotations
 
 from dataclasses import replace
@@ -118,8 +119,9 @@
 
 def test_reports_are_as_old_as_their_delay_and_tell_what_was_held() -> None:
     s = day(slots_per_core=4.0)
-    s = msgspec.structs.replace(s, report=msgspec.structs.replace(
-        s.report, period_ms=100.0, delay_ms=50.0, noise=0.0))
+    s = msgspec.structs.replace(
+        s, report=msgspec.structs.replace(s.report, period_ms=100.0, delay_ms=50.0, noise=0.0)
+    )
     engine = Engine(1_000)
     one = server(engine, s)
     for _ in range(3):
@@ -150,9 +152,16 @@
     return checker.broken
 
 
-@pytest.mark.parametrize(("kind", "zone", "later", "broken"), [
-    ("safe", 1, 9_000, False), ("unsafe", 0, 0, True), ("keyed", 0, 900, False), ("keyed", 1, 900, True),
-    ("keyed", 0, 1_100, True)])
+@pytest.mark.parametrize(
+    ("kind", "zone", "later", "broken"),
+    [
+        ("safe", 1, 9_000, False),
+        ("unsafe", 0, 0, True),
+        ("keyed", 0, 900, False),
+        ("keyed", 1, 900, True),
+        ("keyed", 0, 1_100, True),
+    ],
+)
 def test_the_checker_knows_what_may_be_repeated(kind: str, zone: int, later: int, broken: bool) -> None:
     assert sent_twice(kind, zone, later) == ({REPEATED: 1} if broken else {})
 
--- a/tests/test_fleetsim_tools.py
+++ b/tests/test_fleetsim_tools.py
@@ -1,4 +1,5 @@
 """The emulator as a person meets it: files, commands, errors, interrupted sweeps, questions to a trace."""
+
 from __future__ import annotations
 
 import json
@@ -36,21 +37,35 @@
     names = scenario.shipped()
     assert len(names) >= 12
     kinds = {type(t).__name__ for name in names for t in scenario.load(name).low.trouble}
-    assert {"Neighbour", "Burst", "HeavyTail", "AgentRoll", "SharedSlow", "Herd", "ZoneLost", "Split",
-            "Replacement", "LateLists", "BadServers"} <= kinds
-
-
-@pytest.mark.parametrize(("text", "says"), [
-    ("about = ", "is no TOML"),
-    ("[load]\nshare = [0.9, 0.5]", "load.share: range [0.9, 0.5] is upside down; write [0.5, 0.9]"),
-    ("[load]\nshare = 0", "load.share: expected `float` > 0.0"),
-    ("[load]\nspeed = 3", "load: has unknown field `speed`"),
-    ("[[trouble]]\nwhat = 'flood'", "trouble[0].what: invalid value 'flood'"),
-    ("[fleet]\nzones = ['a']\n[[trouble]]\nwhat = 'split'\nat_s = 1\nlen_s = 1", "[0]: needs two zones"),
-    ("[fleet]\nagents = 1.5", "fleet.agents: expected `int`"),
-    ("base = 'nowhere.toml'", "nowhere.toml: cannot be read"),
-    ("base = 'bad.toml'", "name one another in a circle"),
-])
+    assert {
+        "Neighbour",
+        "Burst",
+        "HeavyTail",
+        "AgentRoll",
+        "SharedSlow",
+        "Herd",
+        "ZoneLost",
+        "Split",
+        "Replacement",
+        "LateLists",
+        "BadServers",
+    } <= kinds
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("about = ", "is no TOML"),
+        ("[load]\nshare = [0.9, 0.5]", "load.share: range [0.9, 0.5] is upside down; write [0.5, 0.9]"),
+        ("[load]\nshare = 0", "load.share: expected `float` > 0.0"),
+        ("[load]\nspeed = 3", "load: has unknown field `speed`"),
+        ("[[trouble]]\nwhat = 'flood'", "trouble[0].what: invalid value 'flood'"),
+        ("[fleet]\nzones = ['a']\n[[trouble]]\nwhat = 'split'\nat_s = 1\nlen_s = 1", "[0]: needs two zones"),
+        ("[fleet]\nagents = 1.5", "fleet.agents: expected `int`"),
+        ("base = 'nowhere.toml'", "nowhere.toml: cannot be read"),
+        ("base = 'bad.toml'", "name one another in a circle"),
+    ],
+)
 def test_a_bad_scenario_gets_one_line_that_names_file_and_place(tmp_path: Path, text: str, says: str) -> None:
     base = scenario.path_of("calm").parent / "_branch.toml"
     path = tmp_path / "bad.toml"
@@ -61,13 +76,18 @@
     assert len(result.output.strip().splitlines()) == 1
 
 
-@pytest.mark.parametrize(("args", "says"), [
-    (["run", "nosuch"], "no such scenario"), (["run", "calm", "--policy", "best"], "no such policy"),
-    (["run", "calm", "--set", "HEADWAY=1"], "no constant HEADWAY"),
-    (["sweep", "calm", "--set", "HEADROOM=much"], "is no number of that kind"),
-    (["why", "pyproject.toml"], "is no trace"), (["compare", "pyproject.toml"], "is no row of a sweep"),
-    (["compare", "nosuch.jsonl"], "cannot be read"),
-])
+@pytest.mark.parametrize(
+    ("args", "says"),
+    [
+        (["run", "nosuch"], "no such scenario"),
+        (["run", "calm", "--policy", "best"], "no such policy"),
+        (["run", "calm", "--set", "HEADWAY=1"], "no constant HEADWAY"),
+        (["sweep", "calm", "--set", "HEADROOM=much"], "is no number of that kind"),
+        (["why", "pyproject.toml"], "is no trace"),
+        (["compare", "pyproject.toml"], "is no row of a sweep"),
+        (["compare", "nosuch.jsonl"], "cannot be read"),
+    ],
+)
 def test_a_bad_word_gets_one_line(args: list[str], says: str) -> None:
     result = CliRunner().invoke(app, args)
     assert result.exit_code == 2 and says in result.output
@@ -136,5 +156,6 @@
 def test_a_trace_changes_nothing_of_the_run(small: str, tmp_path: Path) -> None:
     plain = CliRunner().invoke(app, ["run", small])
     traced = CliRunner().invoke(app, ["run", small, "--trace", str(tmp_path / "t")])
-    assert [line for line in traced.output.splitlines() if not line.startswith("trace in")
-            ] == plain.output.splitlines()
+    assert [
+        line for line in traced.output.splitlines() if not line.startswith("trace in")
+    ] == plain.output.splitlines()
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -1,4 +1,5 @@
 """Clients that send much and go, or say nothing, many at once: their cost is bounded, others are served."""
+
 from __future__ import annotations
 
 import asyncio
@@ -39,8 +40,9 @@
                 while len(w.server.connections) < 20:
                     await asyncio.sleep(0)
                 await asyncio.wait(sending, timeout=0.05)
-                assert all(len(c.http.trailing_data[0]) <= AHEAD_LIMIT + len(post())
-                           for c in w.server.connections)
+                assert all(
+                    len(c.http.trailing_data[0]) <= AHEAD_LIMIT + len(post()) for c in w.server.connections
+                )
                 for task, client in zip(sending, flood, strict=True):
                     task.cancel()
                     client.reset()
@@ -94,8 +96,7 @@
     asyncio.run(run())
 
 
-def test_many_that_say_nothing_keep_nobody_waiting(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_many_that_say_nothing_keep_nobody_waiting(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     # Until the first of them was let go, nobody more was accepted; and then the next of them was.
     monkeypatch.setattr("lilacsill.server.EXTRA", 0)
     monkeypatch.setattr("lilacsill.server.FIRST_S", 0.01)
@@ -112,7 +113,8 @@
 
 
 def test_who_stays_beyond_the_limit_costs_no_busy_loop(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr("lilacsill.server.EXTRA", 0)
 
     async def run() -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,4 +1,5 @@
 """Replacing the process: two real ones on one address, and what a start meets at the path."""
+
 from __future__ import annotations
 
 import asyncio
@@ -166,8 +167,10 @@
 
 
 def test_a_handover_that_breaks_off_leaves_the_first_to_be_found_as_before(
-        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
     """As where the first stood still until the second had gone on without it."""
+
     class Owner:
         def __init__(self) -> None:
             self.broken = True
@@ -291,7 +294,8 @@
 
 
 def test_an_act_that_the_next_process_does_not_confirm_in_time_is_not_said_to_hold(
-        tmp_path: Path, unhurried: None, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, unhurried: None, monkeypatch: pytest.MonkeyPatch
+) -> None:
     listener = socket.create_server(("127.0.0.1", 0))
     monkeypatch.setattr(handover, "CONFIRM_S", 0.0)
 
@@ -341,15 +345,29 @@
         other.close()
 
 
-@pytest.mark.parametrize("kind, said", [
-    ("a file", None), ("a folder", None), ("a dead one's", None), ("silent", None), ("strange", b""),
-    ("strange", b"hello\n"), ("strange", b"[]\n"), ("strange", b'{"lilacsill":0}\n'),
-    ("strange", b'{"lilacsill":1,"state":{}}\n'), ("strange", b"\xff\n"),
-    ("strange", b'{"lilacsill":1,"state":{"ros'),  # killed half way
-])
+@pytest.mark.parametrize(
+    "kind, said",
+    [
+        ("a file", None),
+        ("a folder", None),
+        ("a dead one's", None),
+        ("silent", None),
+        ("strange", b""),
+        ("strange", b"hello\n"),
+        ("strange", b"[]\n"),
+        ("strange", b'{"lilacsill":0}\n'),
+        ("strange", b'{"lilacsill":1,"state":{}}\n'),
+        ("strange", b"\xff\n"),
+        ("strange", b'{"lilacsill":1,"state":{"ros'),  # killed half way
+    ],
+)
 def test_what_is_no_predecessor_is_done_without(
-        tmp_path: Path, kind: str, said: bytes | None, monkeypatch: pytest.MonkeyPatch,
-        caplog: pytest.LogCaptureFixture) -> None:
+    tmp_path: Path,
+    kind: str,
+    said: bytes | None,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     monkeypatch.setattr(handover, "GREET_S", 0.2 if kind == "silent" else 20.0)
     path = tmp_path / "x.sock"
     sock = left_behind(path, kind)
@@ -367,7 +385,8 @@
 
 
 def test_without_a_place_to_keep_anything_it_starts_all_the_same(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
     def none() -> str:
         raise FileNotFoundError("no usable temporary directory")
 
@@ -383,7 +402,8 @@
 
 @pytest.mark.parametrize("control, status", [("nowhere", 2), ("127.0.0.1:99999", 2), ("taken", 1)])
 def test_a_door_that_cannot_be_opened_is_one_line_and_a_failed_start(
-        tmp_path: Path, control: str, status: int) -> None:
+    tmp_path: Path, control: str, status: int
+) -> None:
     async def run() -> None:
         with socket.socket() as taken:
             taken.bind(("127.0.0.1", 0))
@@ -392,8 +412,12 @@
             path = tmp_path / "config.json"
             path.write_text(json.dumps(config_doc(1, []) | {"control": address}))
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lilacsill", stderr=asyncio.subprocess.PIPE,
-                env={**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(tmp_path)})
+                sys.executable,
+                "-m",
+                "lilacsill",
+                stderr=asyncio.subprocess.PIPE,
+                env={**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(tmp_path)},
+            )
             _, err = await process.communicate()
             assert process.returncode == status
             assert err.startswith(b"lilacsill: ") and err.count(b"\n") == 1, err
@@ -429,8 +453,13 @@
     for name, server in new.balancer.servers.items():
         assert server.latency == old.balancer.servers[name].latency
     unreadable: list[Any] = [
-        {}, [], {**kept, "table": []}, {**kept, "needs": ["x"]}, {**kept, "reports": [1.0]},
-        {**kept, "servers": {"s0": ["x"] * len(memory.SERVER)}}]
+        {},
+        [],
+        {**kept, "table": []},
+        {**kept, "needs": ["x"]},
+        {**kept, "reports": [1.0]},
+        {**kept, "servers": {"s0": ["x"] * len(memory.SERVER)}},
+    ]
     for broken in unreadable:
         with pytest.raises(ValueError, match="cannot be read"):
             memory.give(new.balancer, broken)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,4 +1,5 @@
 """What CI passes over: just the tests that KNOWN-RED.txt names, as long as they fail."""
+
 from __future__ import annotations
 
 import subprocess
@@ -21,8 +22,13 @@
     (folder / "pyproject.toml").write_text('[tool.pytest.ini_options]\ntestpaths = ["tests"]\n')
     if known is not None:
         (folder / "KNOWN-RED.txt").write_text(known)
-    return subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *args], cwd=folder,
-                          capture_output=True, text=True, check=False)
+    return subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *args],
+        cwd=folder,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
 
 
 def test_without_the_file_a_failure_fails(tmp_path: Path) -> None:
@@ -36,17 +42,25 @@
     assert "known red, passed over: tests/test_some.py::test_bad: a cause (issue 31)" in run.stdout
 
 
-@pytest.mark.parametrize(("known", "status", "said"), [
-    ("tests/test_some.py::test_good | a cause | 31", 1, "XPASS(strict)"),
-    (f"{BAD}\ntests/test_some.py::test_gone | a cause | 31", 4, "test_gone is no test"),
-    ("tests/test_some.py::test_bad[1] | a cause | 31", 4, "test_bad[1] is none of that test's cases"),
-    ("tests/test_gone.py::test_bad | a cause | 31", 4, "test_gone.py::test_bad is no test; take"),
-    ("tests/test_some.py::test_bad", 4, "KNOWN-RED.txt:1: write TEST | CAUSE | ISSUE"),
-    (f"{BAD}\n{BAD}", 4, "KNOWN-RED.txt:2: tests/test_some.py::test_bad is named twice"),
-    ("\n".join(f"tests/test_some.py::test_bad[{i}] | a cause | 31" for i in range(4)), 4, "names 4 tests"),
-])
+@pytest.mark.parametrize(
+    ("known", "status", "said"),
+    [
+        ("tests/test_some.py::test_good | a cause | 31", 1, "XPASS(strict)"),
+        (f"{BAD}\ntests/test_some.py::test_gone | a cause | 31", 4, "test_gone is no test"),
+        ("tests/test_some.py::test_bad[1] | a cause | 31", 4, "test_bad[1] is none of that test's cases"),
+        ("tests/test_gone.py::test_bad | a cause | 31", 4, "test_gone.py::test_bad is no test; take"),
+        ("tests/test_some.py::test_bad", 4, "KNOWN-RED.txt:1: write TEST | CAUSE | ISSUE"),
+        (f"{BAD}\n{BAD}", 4, "KNOWN-RED.txt:2: tests/test_some.py::test_bad is named twice"),
+        (
+            "\n".join(f"tests/test_some.py::test_bad[{i}] | a cause | 31" for i in range(4)),
+            4,
+            "names 4 tests",
+        ),
+    ],
+)
 def test_what_passes_or_is_not_there_fails_the_run(
-        tmp_path: Path, known: str, status: int, said: str) -> None:
+    tmp_path: Path, known: str, status: int, said: str
+) -> None:
     run = play(tmp_path, known)
     assert run.returncode == status and said in run.stdout + run.stderr
     assert "Traceback" not in run.stderr
@@ -57,8 +71,14 @@
     assert run.returncode == 0, run.stdout
 
 
-@pytest.mark.parametrize(("known", "status"), [
-    (None, 1), (BAD, 0), ("tests/test_some.py::test_good | a cause | 31", 1),
-    ("tests/test_some.py::test_gone | a cause | 31", 4)])
+@pytest.mark.parametrize(
+    ("known", "status"),
+    [
+        (None, 1),
+        (BAD, 0),
+        ("tests/test_some.py::test_good | a cause | 31", 1),
+        ("tests/test_some.py::test_gone | a cause | 31", 4),
+    ],
+)
 def test_several_processes_give_the_same_verdict(tmp_path: Path, known: str | None, status: int) -> None:
     assert play(tmp_path, known, "-n", "2").returncode == status
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -1,4 +1,5 @@
 """A server's second answer that comes after the next request could have gone out on its connection."""
+
 from __future__ import annotations
 
 import asyncio
@@ -67,7 +68,8 @@
 @pytest.mark.parametrize("lateness_us", [0, 45 * MS])
 @pytest.mark.parametrize("status, headers", SECOND_ANSWERS)
 def test_a_late_second_answer_is_not_the_next_requests(
-        status: int, headers: dict[str, str], lateness_us: int) -> None:
+    status: int, headers: dict[str, str], lateness_us: int
+) -> None:
     async def late(pool: Pool) -> None:
         first = await pool.serve()
         pool.clock.time_us += lateness_us
@@ -84,7 +86,8 @@
 
 @pytest.mark.parametrize("status, headers", SECOND_ANSWERS)
 def test_a_late_second_answer_is_not_that_of_a_request_that_waits_for_a_connection(
-        status: int, headers: dict[str, str], monkeypatch: pytest.MonkeyPatch) -> None:
+    status: int, headers: dict[str, str], monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def late(pool: Pool) -> None:
         end = pool.begin()
         first = await pool.peer.requests.get()
@@ -108,7 +111,8 @@
 @pytest.mark.parametrize("cls", [KEYED, UNSAFE])
 @pytest.mark.parametrize("status, headers", SECOND_ANSWERS)
 def test_a_client_gets_no_answer_that_was_made_for_another(
-        tmp_path: Path, cls: str, status: int, headers: dict[str, str]) -> None:
+    tmp_path: Path, cls: str, status: int, headers: dict[str, str]
+) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             w.agent._backends.clock = ManualClock()
@@ -131,7 +135,8 @@
 
 
 def test_a_request_goes_out_on_a_connection_that_is_quiet_before_its_own_is_up(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def soon(pool: Pool) -> None:
         first = await pool.serve()
         held_connects(monkeypatch)
@@ -150,7 +155,8 @@
 
 @pytest.mark.parametrize("quiet_us, the_latest", [(QUIET_US, False), (LATENESS_MOST_US, True)])
 def test_of_those_quiet_for_long_the_latest_is_used_else_the_one_quiet_for_longest(
-        quiet_us: int, the_latest: bool) -> None:
+    quiet_us: int, the_latest: bool
+) -> None:
     async def quiet(pool: Pool) -> None:
         ends = [pool.begin(), pool.begin()]
         early, late = [await pool.peer.requests.get() for _ in ends]
@@ -209,7 +215,8 @@
 
 
 def test_a_connect_that_fails_leaves_those_who_wait_for_one_that_is_quiet_soon(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def fails(pool: Pool) -> None:
         waits, first = await left_to_wait(pool, monkeypatch)
         pool.clock.time_us += QUIET_US
@@ -223,7 +230,8 @@
 
 @pytest.mark.parametrize("room", [True, False])
 def test_who_waited_for_one_that_closes_gets_another_or_is_not_sent(
-        room: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    room: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def closes(pool: Pool) -> None:
         waits, first = await left_to_wait(pool, monkeypatch)
         if not room:
@@ -238,7 +246,8 @@
 
 @pytest.mark.parametrize("phase", ["DRAINING", "DELETED"])
 def test_nothing_goes_to_a_backend_that_is_left_out_while_its_connection_is_to_be_quiet(
-        phase: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    phase: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def drains(pool: Pool) -> None:
         waits, _ = await left_to_wait(pool, monkeypatch)
         pool.backends.told(listing(pool.peer.port, phase))
@@ -282,9 +291,17 @@
     await message.peer.ended()
 
 
-@pytest.mark.parametrize("lateness_us, period_us", [
-    (0, SEEN_US), (QUIET_US // 2, SEEN_US), (50 * MS, SEEN_US), (LATENESS_MOST_US, SEEN_US),
-    (LATENESS_MOST_US + 1, QUIET_US), (5_000 * MS, QUIET_US)])
+@pytest.mark.parametrize(
+    "lateness_us, period_us",
+    [
+        (0, SEEN_US),
+        (QUIET_US // 2, SEEN_US),
+        (50 * MS, SEEN_US),
+        (LATENESS_MOST_US, SEEN_US),
+        (LATENESS_MOST_US + 1, QUIET_US),
+        (5_000 * MS, QUIET_US),
+    ],
+)
 def test_a_backend_that_has_answered_twice_is_given_longer(lateness_us: int, period_us: int) -> None:
     async def longer(pool: Pool) -> None:
         await unasked(pool, lateness_us)
@@ -315,6 +332,7 @@
 @pytest.mark.parametrize("phase", ["DRAINING", "DELETED"])
 def test_two_answers_of_a_backend_that_is_left_out_by_then_do_not_count(phase: str) -> None:
     """Its end has been told: nothing would end what it is remembered for."""
+
     async def left_out(pool: Pool) -> None:
         end = pool.begin()
         message = await pool.peer.requests.get()
--- a/tests/test_late_turns.py
+++ b/tests/test_late_turns.py
@@ -1,4 +1,5 @@
 """What waited in the kernel while the loop was busy has waited: its time runs."""
+
 from __future__ import annotations
 
 import asyncio
@@ -36,7 +37,8 @@
 
 
 def test_what_the_selector_waited_for_has_just_come(
-        now: list[float], monkeypatch: pytest.MonkeyPatch) -> None:
+    now: list[float], monkeypatch: pytest.MonkeyPatch
+) -> None:
     selector = TurnSelector()
 
     def select(self: Any, timeout: float | None = None) -> list[Any]:
@@ -67,7 +69,8 @@
 
 @pytest.mark.parametrize("sent", ["with the connection", "later"])
 def test_a_request_that_came_with_its_connection_has_waited_since(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: str) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: str
+) -> None:
     whole = Server._accept
 
     def accept(self: Server, most: int = 1) -> None:
