--- a/faultlab/faultacts.py
+++ b/faultlab/faultacts.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from . import disk, faults_schema as faults
+from . import disk
+from . import faults_schema as faults
 from .children import HOME, Child, part_command, tethered
 from .history import Fault, Ready, now_us
 from .parts import clients, datagrams, discovery, relay, server
--- a/faultlab/report.py
+++ b/faultlab/report.py
@@ -12,7 +12,8 @@
 
 import numpy as np
 
-from . import history as h, verdict
+from . import history as h
+from . import verdict
 from .checkers.case import END_OF_TIME, Case, Window
 from .rig import RunFile
 
--- a/faultlab/scale/hollow.py
+++ b/faultlab/scale/hollow.py
@@ -25,10 +25,10 @@
 from lilacsill.discovery import (
     PUSH_WAIT_MS,
     Address,
+    Call,
     Discovery,
     Listing,
     ListingParser,
-    Call,
     parse_address,
 )
 from lilacsill.figures import Figures
--- a/faultlab/scale/page.py
+++ b/faultlab/scale/page.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-
 from . import charts, plan, runs, tables
 from .lines import LINES
 from .plan import Line, Worked, by_name, worked
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -28,7 +28,6 @@
 from unittest import mock
 
 import h11
-from tests.loopback import LOAD, config_doc, load_config, member
 
 from lilacsill import backends, connection, server
 from lilacsill.__main__ import assemble
@@ -36,6 +35,7 @@
 from lilacsill.discovery import Address
 from lilacsill.figures import Figures
 from lilacsill.turns import TurnLoop
+from tests.loopback import LOAD, config_doc, load_config, member
 
 SAFE, KEYED, UNSAFE = "read", "keyed", "order"
 DEADLINES_MS = {SAFE: 700, KEYED: 900, UNSAFE: 500}
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,7 +4,6 @@
 
 from typing import Any, TypeVar
 
-from brasshead.logic import Balancer
 from brasshead.interface import (
     Action,
     AttemptEnded,
@@ -21,6 +20,7 @@
     Settings,
     TimerFired,
 )
+from brasshead.logic import Balancer
 
 A = TypeVar("A")
 MS, SECOND = 1_000, 1_000_000
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -15,7 +15,6 @@
 from typing import Any
 
 import pytest
-from tests.fault_injection import Fault, in_environment
 
 from lilacsill.__main__ import assemble
 from lilacsill.agent import Agent
@@ -26,6 +25,7 @@
 from lilacsill.figures import Figures
 from lilacsill.operators import Operators
 from lilacsill.server import Server
+from tests.fault_injection import Fault, in_environment
 
 KEYED, UNSAFE = "registro-servicio", "vale-almacen"
 LOAD = b"inflight=0,queue=0,util=0.1"
--- a/tests/sqlite_faults.py
+++ b/tests/sqlite_faults.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import _sqlite3
 import contextlib
 import ctypes
 import errno
@@ -16,7 +17,6 @@
 from random import Random
 from typing import Any
 
-import _sqlite3
 from tests.disk_faults import FaultPlan
 
 FULL, CANNOT_OPEN = 13, 14
--- a/tests/system_calls.py
+++ b/tests/system_calls.py
@@ -13,11 +13,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from lilacsill.turns import TurnLoop
 from tests.fault_injection import Faults, injected
 from tests.loopback import KEYED, Message, Peer, Raw, World, post
 
-from lilacsill.turns import TurnLoop
-
 WHILE = 3  # calls that fail in a row, where one fails "for a while"
 
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 import pytest
-from tests.loopback import KEYED, UNSAFE, World, post, world
-from tests.test_backends import quiet_is_over
-from tests.test_late_answers import ManualClock
 
 from brasshead.interface import Event, RequestArrived
 from brasshead.logic import Balancer
+from tests.loopback import KEYED, UNSAFE, World, post, world
+from tests.test_backends import quiet_is_over
+from tests.test_late_answers import ManualClock
 
 
 def test_a_request_goes_on_unchanged_and_connections_are_kept(tmp_path: Path) -> None:
--- a/tests/test_answers_without_length.py
+++ b/tests/test_answers_without_length.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import pytest
+
 from tests.loopback import UNSAFE, Message, World, post, world
 
 BEGUN = {
--- a/tests/test_attempts_close.py
+++ b/tests/test_attempts_close.py
@@ -8,6 +8,10 @@
 from pathlib import Path
 
 import pytest
+
+from brasshead.interface import Outcome
+from lilacsill.backends import Ask, Result, _Pooled
+from lilacsill.discovery import ListingParser
 from tests.loopback import (
     KEYED,
     UNSAFE,
@@ -21,10 +25,6 @@
 )
 from tests.test_backends import ASK, CLOCK, backends, begin, listing, quiet_is_over, served
 
-from brasshead.interface import Outcome
-from lilacsill.backends import Ask, Result, _Pooled
-from lilacsill.discovery import ListingParser
-
 NO_LENGTH = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart"
 
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -9,13 +9,13 @@
 
 import h11
 import pytest
-from tests.loopback import Message, Peer, held_connects, member
 
 from brasshead.interface import Outcome
 from lilacsill.backends import Ask, Backends, Result, parse_report
 from lilacsill.clock import Clock
 from lilacsill.connection import Connection, checked_request
 from lilacsill.discovery import Listing, ListingParser
+from tests.loopback import Message, Peer, held_connects, member
 
 FIELDS = ("inflight", "queue", "util")
 ASK = Ask("POST", "/api", [(b"Request-Id", b"1")], b"job")
--- a/tests/test_blank_lines.py
+++ b/tests/test_blank_lines.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+
 from tests.loopback import post, world
 
 BLANK = {"one": b"\r\n", "two": b"\r\n\r\n", "half of one": b"\r"}
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 
 import pytest
-from tests.loopback import KEYED, UNSAFE, Conversation, Message, World, post, world
-from tests.test_operators import figures
 
 from lilacsill import server as server_module
+from tests.loopback import KEYED, UNSAFE, Conversation, Message, World, post, world
+from tests.test_operators import figures
 
 MB = 1024 * 1024
 LARGE = bytes(range(256)) * 4096  # 1 MiB
--- a/tests/test_catalog_replica.py
+++ b/tests/test_catalog_replica.py
@@ -10,13 +10,13 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from tests.test_catalog_core import WRITES, phases, put
 
 from catalog.core import Change, Delete, History, SetPhase, State, Write, listing, whole
 from catalog.follower import Age, Follower, Heard, HeardParser
 from catalog.replica import Replica
 from catalog.service import Readers
 from lilacsill.discovery import Address
+from tests.test_catalog_core import WRITES, phases, put
 
 Told = dict[str, str]
 
--- a/tests/test_catalog_replica_agent.py
+++ b/tests/test_catalog_replica_agent.py
@@ -8,10 +8,10 @@
 from collections.abc import AsyncIterator, Iterator
 
 import pytest
-from tests.loopback import Message, Peer, member
 
 from lilacsill.clock import Clock
 from lilacsill.discovery import OLD_S, Address, Discovery, Listing, ListingParser
+from tests.loopback import Message, Peer, member
 
 
 @pytest.fixture(autouse=True)
--- a/tests/test_catalog_replica_process.py
+++ b/tests/test_catalog_replica_process.py
@@ -10,11 +10,11 @@
 from pathlib import Path
 
 import pytest
-from tests.test_catalog_replica_service import Reader
-from tests.test_catalog_service import MEMBERS, ROOT, Process, body, processes
 from typer.testing import CliRunner
 
 from catalog.cli import app
+from tests.test_catalog_replica_service import Reader
+from tests.test_catalog_service import MEMBERS, ROOT, Process, body, processes
 
 __all__ = ["processes"]
 
--- a/tests/test_catalog_replica_rig.py
+++ b/tests/test_catalog_replica_rig.py
@@ -6,15 +6,15 @@
 
 import msgspec
 import pytest
-from tests.test_faultlab_checkers import Story, scenario
-from tests.test_faultlab_rig import ROOT, wrong
 
 from faultlab import history as h
 from faultlab import schedule
-from faultlab.agent_config import document
 from faultlab.addresses import Block
+from faultlab.agent_config import document
 from faultlab.checkers import lists
 from faultlab.scenario import load, settle
+from tests.test_faultlab_checkers import Story, scenario
+from tests.test_faultlab_rig import ROOT, wrong
 
 DAY = msgspec.structs.replace(scenario(), list_service=True, followers=2)
 
--- a/tests/test_catalog_replica_service.py
+++ b/tests/test_catalog_replica_service.py
@@ -11,13 +11,13 @@
 from typing import Any
 
 import pytest
-from tests.loopback import Message, Peer, member
-from tests.test_catalog_service import MEMBERS, Client, body, world
 
 from catalog.replica import Replica
 from catalog.server import CatalogServer
 from lilacsill.clock import Clock
 from lilacsill.discovery import Address, Discovery, Listing, ListingParser
+from tests.loopback import Message, Peer, member
+from tests.test_catalog_service import MEMBERS, Client, body, world
 
 
 @pytest.fixture(autouse=True)
--- a/tests/test_catalog_service.py
+++ b/tests/test_catalog_service.py
@@ -14,7 +14,6 @@
 from typing import Any
 
 import pytest
-from tests.loopback import member
 from typer.testing import CliRunner
 
 from catalog import core
@@ -28,6 +27,7 @@
 from faultlab import disk
 from lilacsill.clock import Clock
 from lilacsill.discovery import Address, Discovery, Listing, ListingParser
+from tests.loopback import member
 
 ROOT = Path(__file__).parent.parent
 MEMBERS = "/catalog/members"
--- a/tests/test_catalog_store.py
+++ b/tests/test_catalog_store.py
@@ -10,11 +10,11 @@
 
 import apsw
 import pytest
-from tests.test_catalog_core import put
 
 from catalog import store
 from catalog.core import Delete
 from catalog.store import Command, Damaged, NotWritten, Store
+from tests.test_catalog_core import put
 
 SECTOR = 512
 Op = tuple[str, str, int, bytes]  # what, file, offset or size, data
--- a/tests/test_catalog_trials.py
+++ b/tests/test_catalog_trials.py
@@ -15,11 +15,11 @@
 from typing import Any
 
 import pytest
-from tests.loopback import Peer, config_doc, member
-from tests.test_catalog_service import MEMBERS, ROOT, Client, Process, _client, body
 
 from catalog.store import FILE, backup, restore
 from lilacsill.discovery import ANSWER_BYTES
+from tests.loopback import Peer, config_doc, member
+from tests.test_catalog_service import MEMBERS, ROOT, Client, Process, _client, body
 
 
 @pytest.fixture
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -11,13 +11,13 @@
 
 import h11
 import pytest
-from tests.loopback import Raw, World, held_connects, member, post, world
-from tests.test_backends import quiet_is_over
-from tests.test_client_gone import assert_next_is_another, with_a_connection_kept
 
 from brasshead.interface import Action, Event, ListKind, Outcome, RequestArrived, Send
 from lilacsill.backends import Ask, Exchange, Result, _Pooled
 from lilacsill.server import _Client
+from tests.loopback import Raw, World, held_connects, member, post, world
+from tests.test_backends import quiet_is_over
+from tests.test_client_gone import assert_next_is_another, with_a_connection_kept
 
 LEAVES: dict[str, Callable[[Raw], None]] = {
     "FIN": Raw.close,
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -8,10 +8,10 @@
 from pathlib import Path
 
 import pytest
-from tests.loopback import Peer, Raw, World, held_connects, member, post, world
 
 from brasshead.interface import ListKind, Send
 from lilacsill.server import AHEAD_LIMIT
+from tests.loopback import Peer, Raw, World, held_connects, member, post, world
 
 # The first two leave the connection not read, so that nothing there shows its close.
 SENT = {
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -8,9 +8,9 @@
 from pathlib import Path
 
 import pytest
-from tests.loopback import World, post, world
 
 from lilacsill.server import AHEAD_LIMIT, EmptyTimes
+from tests.loopback import World, post, world
 
 UNREAD = {
     "a request sent ahead": post(),
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import pytest
-from tests.helpers import MS, SECOND
 
 from brasshead.interface import (
     Action,
@@ -26,11 +25,12 @@
     RequestArrived,
     RequestClass,
     Send,
-    Settings,
     SetTimer,
+    Settings,
     TimerFired,
 )
 from brasshead.logic import Balancer, ColdBudget
+from tests.helpers import MS, SECOND
 
 BALANCERS, SERVICE_S, QUEUE, TRIP_US, END_S = 30, 0.05, 20, MS, 4.0
 CLASSES = (
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -9,10 +9,10 @@
 from typing import Any
 
 import pytest
-from tests.helpers import MS, SECOND, Drive, only
-from tests.test_cold_fleet import END_S, PATIENT, Fleet
 
 from brasshead.interface import Backend, Outcome, Send
+from tests.helpers import MS, SECOND, Drive, only
+from tests.test_cold_fleet import END_S, PATIENT, Fleet
 
 JAM: dict[str, Any] = {
     "warm": 5,
--- a/tests/test_copies_end.py
+++ b/tests/test_copies_end.py
@@ -6,10 +6,10 @@
 from pathlib import Path
 
 import pytest
-from tests.loopback import Message, World, post, world
 
 from brasshead.interface import Send
 from lilacsill.backends import ANSWER_BYTES
+from tests.loopback import Message, World, post, world
 
 LARGE = b"l" * (3 * ANSWER_BYTES)
 
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -9,12 +9,12 @@
 from typing import Any
 
 import pytest
-from tests.loopback import KEYED, UNSAFE, Message, World, held_connects, post, world
 
 from lilacsill import backends as backends_module
 from lilacsill import server as server_module
 from lilacsill.backends import Backends
 from lilacsill.clock import Clock
+from tests.loopback import KEYED, UNSAFE, Message, World, held_connects, post, world
 
 MS, SECOND = 1_000, 1_000_000
 PATIENCE_MS = 30_000
--- a/tests/test_departed_uploads.py
+++ b/tests/test_departed_uploads.py
@@ -7,9 +7,9 @@
 from pathlib import Path
 
 import pytest
-from tests.loopback import Raw, World, held_connects, post, world
 
 from lilacsill.server import AHEAD_LIMIT
+from tests.loopback import Raw, World, held_connects, post, world
 
 LARGE = b"x" * 200_000
 HUGE = b"x" * 600_000  # more than the agent's side of the connection takes while nobody reads
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -11,12 +11,12 @@
 from typing import Any
 
 import pytest
-from tests.loopback import Conversation, Peer, config_doc, member, start, world
-from tests.test_list_silence import HEALTH, body, watch_of
 
 from brasshead.interface import State
 from lilacsill.__main__ import DESCRIPTORS_APART
 from lilacsill.server import EXTRA
+from tests.loopback import Conversation, Peer, config_doc, member, start, world
+from tests.test_list_silence import HEALTH, body, watch_of
 
 
 async def rest(port: int) -> Conversation:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,10 +8,10 @@
 from typing import Any
 
 import pytest
-from tests.loopback import Peer, member, post, world
 
 from lilacsill.clock import Clock
 from lilacsill.discovery import Address, Discovery, Listing, ListingParser, parse_addresses
+from tests.loopback import Peer, member, post, world
 
 
 def body(revision: int, members: list[dict[str, Any]], complete: bool = False) -> bytes:
--- a/tests/test_disk_faults_catalog.py
+++ b/tests/test_disk_faults_catalog.py
@@ -13,13 +13,13 @@
 from typing import Any
 
 import pytest
-from tests.disk_faults import ERRORS, FOR_A_WHILE, FaultPlan
-from tests.sqlite_faults import FailingFileSystem, after_power_cut
-from tests.test_catalog_core import put
 
 from catalog import store
 from catalog.core import Delete
 from catalog.store import Command, Damaged, NotWritten, Store, Unavailable
+from tests.disk_faults import ERRORS, FOR_A_WHILE, FaultPlan
+from tests.sqlite_faults import FailingFileSystem, after_power_cut
+from tests.test_catalog_core import put
 
 MOST_TRIES = 20
 CHECKPOINT_PAGES = 8  # so few that the run has several checkpoints
--- a/tests/test_disk_faults_durable.py
+++ b/tests/test_disk_faults_durable.py
@@ -11,13 +11,13 @@
 from random import Random
 
 import pytest
-from tests.disk_faults import ERRORS, FOR_A_WHILE, FailingOs, FaultPlan, Killed, open_descriptors
-from tests.disk_model import Inode, ModelDisk
 
 from durable import files as durable_files
 from durable.files import Files, Folder, Refused
 from durable.frames import MOST_BYTES
 from durable.store import NotWritten, Recovered, Store
+from tests.disk_faults import ERRORS, FOR_A_WHILE, FailingOs, FaultPlan, Killed, open_descriptors
+from tests.disk_model import Inode, ModelDisk
 
 WORDS = [b"one", b"two", b"three", b"four", b"five", b"six"]
 MOST_TRIES = 20
--- a/tests/test_disk_faults_service.py
+++ b/tests/test_disk_faults_service.py
@@ -10,13 +10,13 @@
 from typing import Any
 
 import pytest
-from tests.disk_faults import FaultPlan
-from tests.sqlite_faults import FailingFileSystem
-from tests.test_catalog_service import MEMBERS, World, body, world
 
 from catalog import service as serving
 from catalog.core import Delete, SetPhase
 from catalog.store import Command, NotWritten, Store
+from tests.disk_faults import FaultPlan
+from tests.sqlite_faults import FailingFileSystem
+from tests.test_catalog_service import MEMBERS, World, body, world
 
 
 class Switch(FaultPlan):
--- a/tests/test_drawn_world.py
+++ b/tests/test_drawn_world.py
@@ -6,6 +6,9 @@
 from unittest import mock
 
 import pytest
+
+from lilacsill import server
+from lilacsill.connection import Headers
 from tests.drawn_world import (
     AFTER_S,
     LOST_S,
@@ -19,9 +22,6 @@
     run,
 )
 
-from lilacsill import server
-from lilacsill.connection import Headers
-
 # What a loaded machine cannot bring about: no figure of time enters.
 TIMELESS = ("wrong", "duplicate", "refused", "malformed", "log")
 QUIET = Knobs(frozenset({"second", "large_cut"}))
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -10,12 +10,12 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from tests.disk_model import ModelDisk, anywhere
 
 from durable import store as storing
 from durable.files import Files, Folder, Refused
 from durable.frames import Damage, frame, frames
 from durable.store import NotWritten, Recovered, Store
+from tests.disk_model import ModelDisk, anywhere
 
 DRAWN, CUTS = 2_000, 10  # cuts in all, and of one history
 
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -8,11 +8,11 @@
 from contextlib import contextmanager
 
 import pytest
-from tests.test_attempts_close import Kernel
-from tests.test_backends import ASK, backends, listing
 
 from brasshead.interface import Outcome
 from lilacsill.backends import ANSWER_BYTES, Ask, Backends, Exchange, Result, _Pooled
+from tests.test_attempts_close import Kernel
+from tests.test_backends import ASK, backends, listing
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 NOT_STARTED = b"HTTP/1.1 503 Busy\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
--- a/tests/test_exchange_ends.py
+++ b/tests/test_exchange_ends.py
@@ -8,13 +8,13 @@
 from typing import Any
 
 import pytest
-from tests.loopback import Message, Peer
-from tests.test_backends import ASK, backends, begin, quiet_is_over, served
-from tests.test_early_answers import ERROR, OK, LargeBody, Reading, wire
 
 from brasshead.interface import Outcome
 from lilacsill.backends import PROBE_US, Ask, Backends, Exchange, Result
 from lilacsill.connection import Connection
+from tests.loopback import Message, Peer
+from tests.test_backends import ASK, backends, begin, quiet_is_over, served
+from tests.test_early_answers import ERROR, OK, LargeBody, Reading, wire
 
 
 class Broken(Exception):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,13 +7,11 @@
 
 from pytest import approx
 
-from tests.helpers import MS, SECOND, Drive, only
-
-from brasshead.logic import NOTE, RETRY_BURST, RETRY_SHARE, Request, Server
 from brasshead.interface import (
     Backend,
     ListKind,
     Outcome,
+    PeerMessage,
     Prices,
     Probe,
     ProbeEnded,
@@ -22,9 +20,10 @@
     RequestClass,
     Send,
     State,
-    PeerMessage,
     Tell,
 )
+from brasshead.logic import NOTE, RETRY_BURST, RETRY_SHARE, Request, Server
+from tests.helpers import MS, SECOND, Drive, only
 
 
 def test_full_servers_meet_no_storm_of_repeats() -> None:
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import pytest
+
 from tests.fault_injection import Fault, Faults, FaultySocket, Side, injected
 from tests.loopback import Peer, config_doc, member, post, start, world
 
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -6,9 +6,9 @@
 from pathlib import Path
 
 import pytest
-from tests.loopback import Conversation, World, post, world
 
 from lilacsill.server import AHEAD_LIMIT
+from tests.loopback import Conversation, World, post, world
 
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
 MUCH = {
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -14,8 +14,6 @@
 from typing import Any
 
 import pytest
-from tests.helpers import Drive
-from tests.loopback import UNSAFE, Conversation, Peer, config_doc, member, post, start
 
 from brasshead import memory
 from brasshead.interface import Backend, State
@@ -24,6 +22,8 @@
 from lilacsill.clock import Clock
 from lilacsill.discovery import Address, Listing, ListingParser, Member
 from lilacsill.handover import Act, Succession, inherit
+from tests.helpers import Drive
+from tests.loopback import UNSAFE, Conversation, Peer, config_doc, member, post, start
 
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
 
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -8,13 +8,13 @@
 from typing import Any
 
 import pytest
-from tests.loopback import KEYED, UNSAFE, Message, Peer, held_connects, post, world
-from tests.test_backends import ASK, FIELDS, listing
 
 from brasshead.interface import Outcome
 from lilacsill.backends import Ask, Backends, Result
 from lilacsill.clock import Clock
 from lilacsill.quiet_period import LATENESS_MOST_US, OTHERS_US, QUIET_US, SEEN_US, QuietPeriods
+from tests.loopback import KEYED, UNSAFE, Message, Peer, held_connects, post, world
+from tests.test_backends import ASK, FIELDS, listing
 
 MS = 1_000
 AGAIN = Ask("POST", "/api", [(b"Request-Id", b"2")], b"job")
--- a/tests/test_late_turns.py
+++ b/tests/test_late_turns.py
@@ -9,11 +9,11 @@
 from typing import Any
 
 import pytest
-from tests.loopback import post, world
 
 from lilacsill.event_loop import RetryingSelector
 from lilacsill.server import Server
 from lilacsill.turns import TurnLoop, TurnSelector
+from tests.loopback import post, world
 
 
 @pytest.fixture
--- a/tests/test_list_silence.py
+++ b/tests/test_list_silence.py
@@ -9,13 +9,13 @@
 from typing import Any
 
 import pytest
-from tests.loopback import Peer, World, config_doc, load_config, member, post, world
 
 from lilacsill import agent, discovery
 from lilacsill.__main__ import assemble
 from lilacsill.clock import Clock
 from lilacsill.discovery import Address, Discovery, Listing, ListingParser
 from lilacsill.figures import Figures
+from tests.loopback import Peer, World, config_doc, load_config, member, post, world
 
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
 WATCH_FROM = 41
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -11,7 +11,6 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from tests.loopback import Peer, World, config_doc, load_config, member, world
 
 from brasshead.interface import Backend, Outcome, State
 from lilacsill import losses as rule
@@ -19,6 +18,7 @@
 from lilacsill.config import ConfigError
 from lilacsill.discovery import Address, Listing, Member
 from lilacsill.losses import Losses
+from tests.loopback import Peer, World, config_doc, load_config, member, world
 
 
 def named(*names: str, state: State = State.READY) -> tuple[Member, ...]:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -7,13 +7,13 @@
 from pathlib import Path
 
 import pytest
-from tests.loopback import KEYED, UNSAFE, Conversation, World, member, post, world
 
 from brasshead.interface import Backend, State
 from lilacsill import control
 from lilacsill.bans import KEPT, Roster
 from lilacsill.discovery import Address, Listing, Member
 from lilacsill.server import EmptyTimes
+from tests.loopback import KEYED, UNSAFE, Conversation, World, member, post, world
 
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -20,7 +20,6 @@
     run_state_machine_as_test,
 )
 
-from brasshead.logic import Balancer
 from brasshead.interface import (
     Action,
     AttemptEnded,
@@ -43,13 +42,14 @@
     RequestArrived,
     RequestClass,
     Send,
-    Settings,
     SetTimer,
+    Settings,
     State,
     StreamStarted,
     TimerFired,
     Watch,
 )
+from brasshead.logic import Balancer
 
 MS, SECOND = 1_000, 1_000_000
 PROVEN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -10,8 +10,6 @@
 from typing import Any
 
 import pytest
-from tests.helpers import SECOND
-from tests.loopback import KEYED, UNSAFE, Conversation, Message, World, post, world
 
 from brasshead.interface import (
     AttemptEnded,
@@ -30,6 +28,8 @@
 from lilacsill.backends import Backends, Exchange
 from lilacsill.figures import Figures
 from lilacsill.server import Server, _Client
+from tests.helpers import SECOND
+from tests.loopback import KEYED, UNSAFE, Conversation, Message, World, post, world
 
 GUARD_S = 5.0  # a request that is never answered fails its test after this
 PIECE = 100_000  # more than is held of an answer
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import pytest
-from tests.loopback import config_doc, load_config
 
 from lilacsill import peers as channel
 from lilacsill.clock import Clock
@@ -21,6 +20,7 @@
 from membership.messages import Fact, Kind, Message
 from membership.record import Record, Status
 from membership.wire import MOST_BYTES, Wire
+from tests.loopback import config_doc, load_config
 
 S = 1_000_000
 
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -7,14 +7,14 @@
 from typing import Any
 
 import pytest
-from tests.helpers import Drive, only
-from tests.loopback import post, world
-from tests.test_list_silence import body, health
 
-from brasshead.interface import Watch
 from brasshead.interface import Discovery as PushOrAsk
+from brasshead.interface import Watch
 from lilacsill.agent import FIRST_LIST_S
 from lilacsill.discovery import Call
+from tests.helpers import Drive, only
+from tests.loopback import post, world
+from tests.test_list_silence import body, health
 
 READY_S = 10.0  # the page's; 6 s where the day ends sooner
 AILING = ("refuses", "never comes up", "is silent", "is slow", "says 500")
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -6,12 +6,12 @@
 from pathlib import Path
 
 import pytest
-from tests.helpers import MS, SECOND, Drive, keyed, only
-from tests.loopback import KEYED, held_connects, post, world
 
 from brasshead.interface import Effect, Group, Outcome, RequestClass, Send
 from lilacsill.backends import Ask, Result
 from lilacsill.clock import Clock
+from tests.helpers import MS, SECOND, Drive, keyed, only
+from tests.loopback import KEYED, held_connects, post, world
 
 
 class Later(Clock):
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -12,11 +12,11 @@
 from pathlib import Path
 
 import pytest
-from tests.loopback import KEYED, UNSAFE, Conversation, Message, Peer, config_doc, member, post, start, world
 
 from brasshead.interface import RequestClass, Settings
 from lilacsill.__main__ import drain_times
 from lilacsill.server import AHEAD_LIMIT, EmptyTimes
+from tests.loopback import KEYED, UNSAFE, Conversation, Message, Peer, config_doc, member, post, start, world
 
 CHUNKED = post(drop=("Content-Length",), body=b"", Transfer_Encoding="chunked")
 BAD = {
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 import pytest
-from tests.helpers import MS, SAFE, SECOND, UNSAFE, Drive, only
 
 from brasshead.interface import (
+    TOLD_US,
     Backend,
     BackendsChanged,
     ClientGone,
@@ -18,13 +18,13 @@
     Prices,
     Refuse,
     RequestArrived,
-    TOLD_US,
     Send,
     Settings,
     TimerFired,
     Watch,
 )
 from brasshead.logic import CALL_US
+from tests.helpers import MS, SAFE, SECOND, UNSAFE, Drive, only
 
 
 @pytest.mark.parametrize(
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -11,6 +11,8 @@
 from pathlib import Path
 
 import pytest
+
+from lilacsill.server import DrainTimes
 from tests.loopback import (
     KEYED,
     UNSAFE,
@@ -26,8 +28,6 @@
     world,
 )
 
-from lilacsill.server import DrainTimes
-
 AT_ONCE = DrainTimes(close_s=0.0, idle_s=0.0, serve_s=0.0, end_s=0.0)
 
 
--- a/tests/test_shutdown_requests.py
+++ b/tests/test_shutdown_requests.py
@@ -8,11 +8,11 @@
 from pathlib import Path
 
 import pytest
-from tests.loopback import Conversation, Peer, Raw, World, config_doc, member, post, start, world
 
 from brasshead.interface import RequestClass, Settings
 from lilacsill.__main__ import drain_times
 from lilacsill.server import DrainTimes, EmptyTimes
+from tests.loopback import Conversation, Peer, Raw, World, config_doc, member, post, start, world
 
 AT_ONCE = DrainTimes(close_s=0.0, idle_s=0.0, serve_s=0.0, end_s=0.0)
 HELD_UP_S = 0.15  # by so much an agent may be late, at the signal and at the end
--- a/tests/test_shutdown_signals.py
+++ b/tests/test_shutdown_signals.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import pytest
+
 from tests.loopback import Conversation, Peer, config_doc, environment, member, post
 
 # The process sends itself all signals as it comes to the call that is named here.
--- a/tests/test_system_calls_backends.py
+++ b/tests/test_system_calls_backends.py
@@ -8,14 +8,14 @@
 from typing import Any
 
 import pytest
+
+from brasshead.interface import Outcome
+from lilacsill.server import DrainTimes
 from tests.fault_injection import Faults, Side
 from tests.loopback import KEYED, UNSAFE, Peer, World, world
 from tests.system_calls import WHILE, asking, echoing, name_of, play, serves, statuses
 from tests.test_backends import backends, begin
 
-from brasshead.interface import Outcome
-from lilacsill.server import DrainTimes
-
 AT_ONCE = DrainTimes(close_s=0.0, idle_s=0.0, serve_s=0.0, end_s=0.0)
 NAMES = (b"one", b"two", b"three")
 # socket(2), connect(2), ip(7): this machine's lack, found in the call itself.
--- a/tests/test_system_calls_clients.py
+++ b/tests/test_system_calls_clients.py
@@ -9,12 +9,12 @@
 from pathlib import Path
 
 import pytest
+
+from lilacsill.server import DrainTimes
 from tests.fault_injection import Faults, Side
 from tests.loopback import World, post, world
 from tests.system_calls import WHILE, asking, echoing, name_of, one_answer, play, serves, statuses, unhandled
 
-from lilacsill.server import DrainTimes
-
 AT_ONCE = DrainTimes(close_s=0.0, idle_s=0.0, serve_s=0.0, end_s=0.0)
 NAMES = (b"one", b"two", b"three")
 # accept(2): what was wrong with the connection that was to be accepted; and what is lacking here.
--- a/tests/test_system_calls_doors.py
+++ b/tests/test_system_calls_doors.py
@@ -9,6 +9,9 @@
 from typing import Any
 
 import pytest
+
+from brasshead.interface import State
+from lilacsill.handover import Act, Succession, inherit
 from tests.fault_injection import Faults, Side
 from tests.loopback import member, world
 from tests.system_calls import WHILE, asking, echoing, name_of, play, serves, statuses, unhandled
@@ -16,9 +19,6 @@
 from tests.test_peers import free, made, until
 from tests.test_system_calls_clients import ACCEPT, ON_CONNECTION
 
-from brasshead.interface import State
-from lilacsill.handover import Act, Succession, inherit
-
 # bind(2), listen(2), socket(2)
 START = [
     ("bind", errno.EADDRINUSE),
--- a/tests/test_system_calls_process.py
+++ b/tests/test_system_calls_process.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import pytest
+
 from tests.fault_injection import Fault, Side
 from tests.loopback import KEYED, UNSAFE, Peer, Raw, config_doc, member, post, start
 from tests.system_calls import Echo, one_answer
--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -9,9 +9,6 @@
 from typing import Any
 
 import pytest
-from tests.helpers import Drive, only
-from tests.loopback import Message, Peer, member, world
-from tests.test_list_silence import asks, body, watch_of
 
 from brasshead.interface import TOLD_US, BackendsChanged, ListKind, State, Watch
 from brasshead.interface import Discovery as PushOrAsk
@@ -19,6 +16,9 @@
 from lilacsill import discovery
 from lilacsill.clock import Clock
 from lilacsill.discovery import CALL_S, TOLD_S, Address, Discovery, Listing, ListingParser
+from tests.helpers import Drive, only
+from tests.loopback import Message, Peer, member, world
+from tests.test_list_silence import asks, body, watch_of
 
 LONGEST = 1.0 - 1e-9  # the draw
 
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -13,9 +13,6 @@
 from typing import Any
 
 import pytest
-from tests.loopback import Message, Peer, config_doc, environment, load_config, member
-from tests.test_handover import free_port
-from tests.test_membership import Fleet
 
 import lilacsill
 from faultlab.parts.skewed_agent import SKEW_FILE
@@ -28,8 +25,12 @@
 from lilacsill.figures import Figures
 from lilacsill.handover import inherit
 from lilacsill.starts import KEPT, Starts
-from membership.messages import Fact, Kind, Message as Datagram
+from membership.messages import Fact, Kind
+from membership.messages import Message as Datagram
 from membership.record import Record, Status
+from tests.loopback import Message, Peer, config_doc, environment, load_config, member
+from tests.test_handover import free_port
+from tests.test_membership import Fleet
 
 STEPS_S = [-3600, -5, 5, 3600]
 SECOND_US = 1_000_000
