--- a/brasshead/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""brasshead: the decisions of a client-side load balancer, as a library."""
--- /dev/null
+++ b/burlshift/agent/__init__.py
@@ -0,0 +1,1 @@
+"""A client-side load balancing agent on real sockets, around the decisions of `burlshift.balancing`."""
--- a/lilacsill/__main__.py
+++ b/burlshift/agent/__main__.py
@@ -1,4 +1,4 @@
-"""Starts the agent: ``python -m lilacsill``, configured by RELAY_CONFIG.
+"""Starts the agent: ``python -m burlshift.agent``, configured by RELAY_CONFIG.
 
 Stops in order on SIGTERM; on SIGHUP takes up the address of discovery that the file then names.
 """
@@ -14,9 +14,9 @@
 from random import Random
 from typing import Any
 
-from brasshead.interface import Discovery as PushOrAsk
-from brasshead.interface import Settings
-from brasshead.logic import Balancer
+from burlshift.balancing.interface import Discovery as PushOrAsk
+from burlshift.balancing.interface import Settings
+from burlshift.balancing.logic import Balancer
 
 from .agent import Agent
 from .backends import Backends
@@ -32,7 +32,7 @@
 from .server import DrainTimes, Server
 from .turns import TurnLoop
 
-log = logging.getLogger("lilacsill")
+log = logging.getLogger("burlshift.agent")
 
 # After SIGTERM new connections come for 0.2 to 0.4 s, and SIGKILL comes 0.7 s past the longest deadline, but
 # no later than if that were 3 s. An agent may be late by 0.15 s, both for the signal and at the end.
@@ -113,7 +113,7 @@
             agent.start(config.known)
             port = await server.listen(config.listen, shared=config.control is not None)
     except OSError as e:
-        print(f"lilacsill: cannot listen: {e}", file=sys.stderr)
+        print(f"burlshift: cannot listen: {e}", file=sys.stderr)
         return 1
     if succession is not None:
         succession.open()
@@ -161,7 +161,7 @@
     try:
         config = load(os.environ, clock)
     except ConfigError as e:
-        print(f"lilacsill: {e}", file=sys.stderr)
+        print(f"burlshift: {e}", file=sys.stderr)
         return 2
     with asyncio.Runner(loop_factory=TurnLoop) as runner:
         return runner.run(serve(config, clock))
--- a/lilacsill/agent.py
+++ b/burlshift/agent/agent.py
@@ -11,9 +11,9 @@
 from functools import partial
 from typing import Any
 
-from brasshead import interface as q
-from brasshead import memory
-from brasshead.logic import Balancer
+from burlshift.balancing import interface as q
+from burlshift.balancing import memory
+from burlshift.balancing.logic import Balancer
 
 from .backends import Ask, Backends, Exchange, Result
 from .bans import Roster
--- a/lilacsill/backends.py
+++ b/burlshift/agent/backends.py
@@ -11,7 +11,7 @@
 
 import h11
 
-from brasshead.interface import Backend, BackendId, Outcome, State
+from burlshift.balancing.interface import Backend, BackendId, Outcome, State
 
 from .clock import Clock
 from .connection import Connection, Fields, Headers, checked_request, fields_of, header
--- a/lilacsill/bans.py
+++ b/burlshift/agent/bans.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from typing import Any
 
-from brasshead.interface import State
+from burlshift.balancing.interface import State
 
 from .discovery import Listing, Member
 
--- a/lilacsill/config.py
+++ b/burlshift/agent/config.py
@@ -9,9 +9,9 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from brasshead.interface import Settings
-from brasshead.settings import SettingsError, settings_from
-from membership.wire import KEY_MOST
+from burlshift.balancing.interface import Settings
+from burlshift.balancing.settings import SettingsError, settings_from
+from burlshift.membership.wire import KEY_MOST
 
 from .clock import Clock
 from .discovery import Address, Listing, ListingParser, parse_address, parse_addresses
--- a/lilacsill/discovery.py
+++ b/burlshift/agent/discovery.py
@@ -13,7 +13,7 @@
 
 import h11
 
-from brasshead.interface import TOLD_US, Backend, State
+from burlshift.balancing.interface import TOLD_US, Backend, State
 
 from .clock import Clock
 from .connection import Connection, fields_of, header
--- a/lilacsill/losses.py
+++ b/burlshift/agent/losses.py
@@ -22,7 +22,7 @@
 from math import ceil
 from random import Random
 
-from brasshead.interface import Outcome, State
+from burlshift.balancing.interface import Outcome, State
 
 from .discovery import Listing, Member
 
--- a/lilacsill/peers.py
+++ b/burlshift/agent/peers.py
@@ -14,10 +14,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from membership.core import Membership
-from membership.messages import Action, Changed, Living, Send
-from membership.record import Status
-from membership.wire import MOST_BYTES, Unreadable, Wire
+from burlshift.membership.core import Membership
+from burlshift.membership.messages import Action, Changed, Living, Send
+from burlshift.membership.record import Status
+from burlshift.membership.wire import MOST_BYTES, Unreadable, Wire
 
 from .clock import Clock
 from .discovery import Address
--- a/lilacsill/quiet_period.py
+++ b/burlshift/agent/quiet_period.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from brasshead.interface import BackendId
+from burlshift.balancing.interface import BackendId
 
 # Second answers come some milliseconds late. What the period costs in connections: docs/design.md.
 QUIET_US = 50_000
--- a/lilacsill/server.py
+++ b/burlshift/agent/server.py
@@ -15,7 +15,7 @@
 
 import h11
 
-from brasshead.interface import Effect, RequestClass, Settings, Tenant
+from burlshift.balancing.interface import Effect, RequestClass, Settings, Tenant
 
 from .connection import HEADER_LIMIT, READ_BYTES, Connection, Fields, Headers, fields_of, header
 from .discovery import Address
--- /dev/null
+++ b/burlshift/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of a client-side load balancer, as a library."""
--- a/brasshead/drill.py
+++ b/burlshift/balancing/drill.py
@@ -1,6 +1,7 @@
 """The wire: frames on standard input and output, many instances in one process, no decision.
 
-Run as ``python -m brasshead.drill``. Bad input gives one plain line on standard error and exit status 2.
+Run as ``python -m burlshift.balancing.drill``. Bad input gives one plain line on standard error and exit
+status 2.
 """
 
 from __future__ import annotations
@@ -248,7 +249,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as e:
-        print(f"brasshead: {e}", file=sys.stderr)
+        print(f"burlshift: {e}", file=sys.stderr)
         return 2
     return 0
 
--- a/brasshead/logic.py
+++ b/burlshift/balancing/logic.py
@@ -1,4 +1,5 @@
-"""Every decision of brasshead. The types, events and actions used here are defined in brasshead/interface.py.
+"""Every decision of the balancer. The types, events and actions used here are defined in
+burlshift/balancing/interface.py.
 
 A request meets the parts in this order: membership (who is there), admission (is it worth a try), health and
 cold-start budget (who may be sampled), load table and band choice (the Quantile process of Los and Sauerwald:
--- a/catalog/bench.py
+++ b/burlshift/catalog/bench.py
@@ -13,7 +13,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from lilacsill.discovery import PATH, Address
+from burlshift.agent.discovery import PATH, Address
 
 from .core import Member, Put, SetPhase
 from .server import CatalogServer
--- a/catalog/caller.py
+++ b/burlshift/catalog/caller.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from lilacsill.discovery import PATH, parse_address
+from burlshift.agent.discovery import PATH, parse_address
 
 TIMEOUT_S = 10.0
 WAIT_MS = 30_000
--- a/catalog/cli.py
+++ b/burlshift/catalog/cli.py
@@ -14,7 +14,7 @@
 import msgspec
 import typer
 
-from lilacsill.discovery import Address, parse_address
+from burlshift.agent.discovery import Address, parse_address
 
 from . import caller, store
 from .replica import Replica
@@ -53,7 +53,7 @@
 ) -> None:
     """Serve the list until SIGTERM or Ctrl-C.
 
-    Example: python -m catalog serve --listen 127.0.0.1:8500 --data data
+    Example: python -m burlshift.catalog serve --listen 127.0.0.1:8500 --data data
     """
     _log_to_stderr()
     with plain_errors():
@@ -73,7 +73,7 @@
 ) -> None:
     """Serve reads of another's list, on no disk, until SIGTERM or Ctrl-C.
 
-    Example: python -m catalog follow --listen 127.0.0.2:8500 --source 127.0.0.1:8500
+    Example: python -m burlshift.catalog follow --listen 127.0.0.2:8500 --source 127.0.0.1:8500
     """
     _log_to_stderr()
     with plain_errors():
@@ -113,7 +113,7 @@
     server = CatalogServer(replica)
     try:
         port = await server.listen(address)
-        logging.getLogger("catalog").info(
+        logging.getLogger("burlshift.catalog").info(
             "follows %s; listens on %s:%d",
             " ".join(f"{a.host}:{a.port}" for a in sources),
             address.host,
@@ -133,7 +133,7 @@
     service.start()
     try:
         port = await server.listen(address)
-        logging.getLogger("catalog").info(
+        logging.getLogger("burlshift.catalog").info(
             "list %s, revision %d, %d members; listens on %s:%d",
             opened.identity,
             service.revision,
@@ -151,7 +151,7 @@
 def check(folder: Folder) -> None:
     """Check a data directory that no service has open, byte by byte.
 
-    Example: python -m catalog check data
+    Example: python -m burlshift.catalog check data
     """
     with plain_errors():
         for line in store.check(folder):
@@ -162,7 +162,7 @@
 def dump(folder: Folder) -> None:
     """The list in a data directory, as JSON.
 
-    Example: python -m catalog dump data
+    Example: python -m burlshift.catalog dump data
     """
     with plain_errors():
         store.check(folder)
@@ -182,7 +182,7 @@
 def backup(folder: Folder, to: Annotated[Path, typer.Argument(metavar="FILE")]) -> None:
     """One file with all of the list, also while it is served.
 
-    Example: python -m catalog backup data list.backup
+    Example: python -m burlshift.catalog backup data list.backup
     """
     with plain_errors():
         typer.echo(f"revision {store.backup(folder, to)} in {to}")
@@ -192,7 +192,7 @@
 def restore(folder: Folder, source: Annotated[Path, typer.Argument(metavar="FILE")]) -> None:
     """Put a backup in the place of what a directory holds, as a new list; the old one is kept beside it.
 
-    Example: python -m catalog restore data list.backup
+    Example: python -m burlshift.catalog restore data list.backup
     """
     with plain_errors():
         typer.echo(store.restore(folder, source))
@@ -213,7 +213,7 @@
 ) -> None:
     """List a member.
 
-    Example: python -m catalog put s1 10.1.0.18:9000 --at 127.0.0.1:8500 --ttl-ms 10000
+    Example: python -m burlshift.catalog put s1 10.1.0.18:9000 --at 127.0.0.1:8500 --ttl-ms 10000
     """
     doc = {
         "host_port": host_port,
@@ -233,7 +233,7 @@
 def drain(member: Annotated[str, typer.Argument(metavar="ID")], at: At) -> None:
     """Have a member get nothing new.
 
-    Example: python -m catalog drain s1 --at 127.0.0.1:8500
+    Example: python -m burlshift.catalog drain s1 --at 127.0.0.1:8500
     """
     with plain_errors():
         typer.echo(caller.call(at, "PUT", caller.member_path(member) + "/phase", {"phase": "DRAINING"}))
@@ -243,7 +243,7 @@
 def rm(member: Annotated[str, typer.Argument(metavar="ID")], at: At) -> None:
     """Take a member out of the list.
 
-    Example: python -m catalog rm s1 --at 127.0.0.1:8500
+    Example: python -m burlshift.catalog rm s1 --at 127.0.0.1:8500
     """
     with plain_errors():
         typer.echo(caller.call(at, "DELETE", caller.member_path(member)))
@@ -253,7 +253,7 @@
 def watch(at: At) -> None:
     """The list, and each change as it comes, one JSON object a line.
 
-    Example: python -m catalog watch --at 127.0.0.1:8500
+    Example: python -m burlshift.catalog watch --at 127.0.0.1:8500
     """
     with plain_errors():
         for line in caller.watch(at):
@@ -264,7 +264,7 @@
 def bench() -> None:
     """What it costs beside the least that could be, on this machine; about a minute.
 
-    Example: python -m catalog bench
+    Example: python -m burlshift.catalog bench
     """
     from . import bench as measuring  # its histograms are the tools' and not the service's
 
--- a/catalog/follower.py
+++ b/burlshift/catalog/follower.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
-from lilacsill.clock import Clock
-from lilacsill.discovery import Listing, ListingParser
+from burlshift.agent.clock import Clock
+from burlshift.agent.discovery import Listing, ListingParser
 
 from .core import Change, Entry, History, Member, whole_of
 
--- a/catalog/replica.py
+++ b/burlshift/catalog/replica.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 
-from lilacsill.discovery import Address, Call, Discovery, Listing
+from burlshift.agent.discovery import Address, Call, Discovery, Listing
 
 from .core import Change
 from .follower import Age, Follower, Heard, HeardParser
--- a/catalog/server.py
+++ b/burlshift/catalog/server.py
@@ -11,8 +11,8 @@
 import h11
 import msgspec
 
-from lilacsill.connection import Connection, Fields, fields_of, header
-from lilacsill.discovery import PATH, Address
+from burlshift.agent.connection import Connection, Fields, fields_of, header
+from burlshift.agent.discovery import PATH, Address
 
 from .core import Answer, Delete, Name, Phase, Put, SetPhase, Start, Write
 from .service import AGAIN_S, Readers, Service
--- a/catalog/store.py
+++ b/burlshift/catalog/store.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from durable.files import make_folder, sync_folder
+from burlshift.durable.files import make_folder, sync_folder
 
 from .core import Answer, Change, Entry, History, State, Write
 
--- a/fleetsim/__main__.py
+++ b/burlshift_tools/emulator/__main__.py
@@ -1,4 +1,4 @@
-"""python -m fleetsim"""
+"""python -m burlshift_tools.emulator"""
 
 from . import cli_members  # noqa: F401  (its commands are registered by the import)
 from .cli import app
--- a/fleetsim/agents.py
+++ b/burlshift_tools/emulator/agents.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol
 
-import brasshead.interface as q
-from brasshead.interface import Outcome
+import burlshift.balancing.interface as q
+from burlshift.balancing.interface import Outcome
 
 from . import checker
 from .discovery import Entry
@@ -18,7 +18,7 @@
 
 
 class Policy(Protocol):
-    """What decides: brasshead's Balancer, or a baseline behind the same interface."""
+    """What decides: the real Balancer, or a baseline behind the same interface."""
 
     def handle(self, now: int, event: q.Event) -> list[q.Action]: ...
 
--- a/fleetsim/checker.py
+++ b/burlshift_tools/emulator/checker.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from brasshead.interface import Effect, RequestClass
+from burlshift.balancing.interface import Effect, RequestClass
 
 from .requests import Attempt, Try
 from .servers import Server
--- a/fleetsim/cli.py
+++ b/burlshift_tools/emulator/cli.py
@@ -46,13 +46,13 @@
     try:
         yield
     except ERRORS as e:
-        typer.echo(f"fleetsim: {e}", err=True)
+        typer.echo(f"emulator: {e}", err=True)
         raise typer.Exit(2) from None
     except OSError as e:
-        typer.echo(f"fleetsim: {e.filename}: {e.strerror}; name another file", err=True)
+        typer.echo(f"emulator: {e.filename}: {e.strerror}; name another file", err=True)
         raise typer.Exit(2) from None
     except KeyboardInterrupt:
-        typer.echo(f"fleetsim: interrupted{interrupted}", err=True)
+        typer.echo(f"emulator: interrupted{interrupted}", err=True)
         raise typer.Exit(130) from None
 
 
@@ -82,7 +82,7 @@
 def list_() -> None:
     """The scenarios that ship, and the policies.
 
-    Example: python -m fleetsim list
+    Example: python -m burlshift_tools.emulator list
     """
     with plain_errors():
         show([["scenario", "about"], *([name, scenario.load(name).about] for name in scenario.shipped())])
@@ -99,7 +99,7 @@
 ) -> None:
     """Play one day and print its figures.
 
-    Example: python -m fleetsim run neighbour --seed 3 --trace day.trace
+    Example: python -m burlshift_tools.emulator run neighbour --seed 3 --trace day.trace
     """
     with plain_errors():
         made = registry.policy(policy)
@@ -117,7 +117,7 @@
             if not key.startswith("latency_"):
                 out.print(f"{key:28} {value}", highlight=False, markup=False)
         if trace:
-            typer.echo(f"trace in {trace}: python -m fleetsim why {trace}", err=True)
+            typer.echo(f"trace in {trace}: python -m burlshift_tools.emulator why {trace}", err=True)
 
 
 @app.command("sweep")
@@ -145,7 +145,7 @@
 ) -> None:
     """Play scenarios with several policies over seeds, and compare them in pairs.
 
-    Example: python -m fleetsim sweep neighbour -p ours -p two-choices -p random --seeds 8
+    Example: python -m burlshift_tools.emulator sweep neighbour -p ours -p two-choices -p random --seeds 8
     """
     kept = f"; finished rows are in {output}, the same command goes on" if output else ""
     with plain_errors(kept):
@@ -178,7 +178,7 @@
 ) -> None:
     """Compare the rows of one or several sweeps, also of several versions of the decisions.
 
-    Example: python -m fleetsim compare before.jsonl after.jsonl --figure worst_window
+    Example: python -m burlshift_tools.emulator compare before.jsonl after.jsonl --figure worst_window
     """
     with plain_errors():
         rows = [row for file in files for row in sweep.read(file)]
@@ -194,7 +194,7 @@
 ) -> None:
     """Why a request was refused or repeated; without a number, why all of them were.
 
-    Example: python -m fleetsim why day.trace 1234
+    Example: python -m burlshift_tools.emulator why day.trace 1234
     """
     with plain_errors():
         if request is not None:
@@ -212,7 +212,7 @@
 def cost(repeats: Annotated[int, typer.Option(min=1)] = 3) -> None:
     """What the model costs beside the decisions, and a request in a large fleet beside a small one.
 
-    Example: python -m fleetsim cost
+    Example: python -m burlshift_tools.emulator cost
     """
     with plain_errors():
         show(costing.table(repeats))
--- a/fleetsim/cli_members.py
+++ b/burlshift_tools/emulator/cli_members.py
@@ -26,7 +26,7 @@
 ) -> None:
     """How fast members know of one another, what it costs, and how many are falsely taken for dead.
 
-    Example: python -m fleetsim members 10 100 --minutes 30
+    Example: python -m burlshift_tools.emulator members 10 100 --minutes 30
     """
     with plain_errors():
         for size in sizes or [10, 100]:
@@ -55,13 +55,13 @@
 ) -> None:
     """Every interleaving of three members' timers, messages and faults, up to a bound. Exit 1: one breaks.
 
-    Example: python -m fleetsim explore pause loss --states 50000
+    Example: python -m burlshift_tools.emulator explore pause loss --states 50000
     """
     with plain_errors():
         chosen = worlds or list(exploring.WORLDS)
         for name, known in [(w, exploring.WORLDS) for w in chosen] + [(core, exploring.CORES)]:
             if name not in known:
-                typer.echo(f"fleetsim: {name}: no such name; one of {', '.join(known)}", err=True)
+                typer.echo(f"emulator: {name}: no such name; one of {', '.join(known)}", err=True)
                 raise typer.Exit(2)
         broken = False
         for world in chosen:
@@ -90,7 +90,7 @@
                 for step in report.story:
                     out.print(f"    {step}", highlight=False, markup=False)
             if interrupted:
-                typer.echo("fleetsim: interrupted; this is what was explored", err=True)
+                typer.echo("emulator: interrupted; this is what was explored", err=True)
                 raise typer.Exit(130)
         if broken:
             raise typer.Exit(1)
--- a/fleetsim/clients.py
+++ b/burlshift_tools/emulator/clients.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
-from brasshead.interface import Effect, Group
+from burlshift.balancing.interface import Effect, Group
 
 from .requests import TRIES, First, Try
 from .streams import Stream
--- a/fleetsim/counted.py
+++ b/burlshift_tools/emulator/counted.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Callable
 
-import brasshead.interface as q
-from brasshead import logic
-from brasshead.logic import Balancer
+import burlshift.balancing.interface as q
+from burlshift.balancing import logic
+from burlshift.balancing.logic import Balancer
 
 from .world import MakePolicy, World
 
--- a/fleetsim/discovery.py
+++ b/burlshift_tools/emulator/discovery.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from brasshead.interface import Backend, ListKind, State
+from burlshift.balancing.interface import Backend, ListKind, State
 
 from .servers import Server
 from .streams import Stream
--- a/fleetsim/explore.py
+++ b/burlshift_tools/emulator/explore.py
@@ -17,9 +17,9 @@
 from heapq import heappop, heappush
 from typing import NamedTuple
 
-from membership.core import Membership, Timing
-from membership.messages import Action, Fact, Kind, Message, Send
-from membership.record import Record, Status
+from burlshift.membership.core import Membership, Timing
+from burlshift.membership.messages import Action, Fact, Kind, Message, Send
+from burlshift.membership.record import Record, Status
 
 SIZE = 3
 AIR = 3  # messages under way at once: a timer does not fire beyond that
--- a/fleetsim/members.py
+++ b/burlshift_tools/emulator/members.py
@@ -10,10 +10,10 @@
 from random import Random
 from time import perf_counter_ns
 
-from membership.core import FACTS, Membership, Timing
-from membership.messages import Action, Changed, Fact, Kind, Message, Send
-from membership.record import NEVER, Record, Status
-from membership.wire import FACT, HEAD, MAC_BYTES, Wire
+from burlshift.membership.core import FACTS, Membership, Timing
+from burlshift.membership.messages import Action, Changed, Fact, Kind, Message, Send
+from burlshift.membership.record import NEVER, Record, Status
+from burlshift.membership.wire import FACT, HEAD, MAC_BYTES, Wire
 
 from .engine import Engine
 
--- a/fleetsim/ours.py
+++ b/burlshift_tools/emulator/ours.py
@@ -10,9 +10,9 @@
 from dataclasses import replace
 from typing import Any
 
-import brasshead.interface as q
-from brasshead import logic
-from brasshead.logic import Balancer, ColdBudget, Health, LoadTable, Needs, Request, Server
+import burlshift.balancing.interface as q
+from burlshift.balancing import logic
+from burlshift.balancing.logic import Balancer, ColdBudget, Health, LoadTable, Needs, Request, Server
 
 
 class _NoHealth(Health):
@@ -160,7 +160,7 @@
 
 
 def constants() -> dict[str, float]:
-    """The numbers at the head of brasshead/logic.py, by name."""
+    """The numbers at the head of burlshift/balancing/logic.py, by name."""
     return {
         name: value
         for name, value in vars(logic).items()
--- a/fleetsim/policies.py
+++ b/burlshift_tools/emulator/policies.py
@@ -13,8 +13,8 @@
 from typing import Any
 from zlib import crc32
 
-import brasshead.interface as q
-from brasshead.interface import Effect, Group, Outcome
+import burlshift.balancing.interface as q
+from burlshift.balancing.interface import Effect, Group, Outcome
 
 RETRY_SHARE, RETRY_BURST = 0.1, 10.0
 EWMA_US = 10_000_000  # decay of Peak EWMA
--- a/fleetsim/registry.py
+++ b/burlshift_tools/emulator/registry.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import brasshead.interface as q
-from brasshead.logic import Balancer
+import burlshift.balancing.interface as q
+from burlshift.balancing.logic import Balancer
 
 from . import counted
 from .agents import Policy
--- a/fleetsim/requests.py
+++ b/burlshift_tools/emulator/requests.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from brasshead.interface import Effect, Group, Outcome, RequestClass
+from burlshift.balancing.interface import Effect, Group, Outcome, RequestClass
 
 from .servers import NOWHERE
 
--- a/fleetsim/scenario.py
+++ b/burlshift_tools/emulator/scenario.py
@@ -234,14 +234,14 @@
         return self.low.about
 
 
-def shipped(package: str = "fleetsim") -> list[str]:
+def shipped(package: str = "burlshift_tools.emulator") -> list[str]:
     """Names of the scenarios in a package, without their base."""
     folder = resources.files(package) / "scenarios"
     names = (entry.name for entry in folder.iterdir())
     return sorted(n.removesuffix(".toml") for n in names if n.endswith(".toml") and not n.startswith("_"))
 
 
-def load(name: str, schema: type[Scenario] = Scenario, package: str = "fleetsim") -> Span:
+def load(name: str, schema: type[Scenario] = Scenario, package: str = "burlshift_tools.emulator") -> Span:
     """Read a shipped scenario by its name, or a file by its path. Raises ScenarioError."""
     path = path_of(name, package)
     return _span(_merged(path, ()), path, schema)
@@ -273,7 +273,7 @@
         raise ScenarioError(f"{path}: {_explain(str(e))}") from None
 
 
-def path_of(name: str, package: str = "fleetsim") -> Path:
+def path_of(name: str, package: str = "burlshift_tools.emulator") -> Path:
     path = Path(name)
     if path.suffix in (".toml", ".json") or path.exists():
         return path
--- a/fleetsim/sweep.py
+++ b/burlshift_tools/emulator/sweep.py
@@ -13,7 +13,7 @@
 import msgspec
 from joblib.externals.loky.process_executor import TerminatedWorkerError
 
-from brasshead import logic
+from burlshift.balancing import logic
 
 from . import ours, registry, sources
 from .scenario import Span
--- a/fleetsim/trace.py
+++ b/burlshift_tools/emulator/trace.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
-import brasshead.interface as q
-from brasshead import logic
-from brasshead.logic import Balancer, Request, Server
+import burlshift.balancing.interface as q
+from burlshift.balancing import logic
+from burlshift.balancing.logic import Balancer, Request, Server
 
 if TYPE_CHECKING:
     from .agents import Host
--- a/fleetsim/troubles.py
+++ b/burlshift_tools/emulator/troubles.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from brasshead.interface import State
+from burlshift.balancing.interface import State
 
 from . import troubles_schema as schema
 from .servers import Server
--- a/fleetsim/world.py
+++ b/burlshift_tools/emulator/world.py
@@ -6,7 +6,7 @@
 from time import perf_counter_ns
 from typing import TYPE_CHECKING, Any
 
-import brasshead.interface as q
+import burlshift.balancing.interface as q
 
 from .account import Account
 from .agents import Host, Policy
--- a/faultlab/checkers/case.py
+++ b/burlshift_tools/faultlab/checkers/case.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from fleetsim.scenario import Class
+from burlshift_tools.emulator.scenario import Class
 
 from .. import history as h
 from ..scenario import LabScenario
--- a/faultlab/children.py
+++ b/burlshift_tools/faultlab/children.py
@@ -15,7 +15,7 @@
 
 READY_S = 30.0
 ORDER_S = 10.0
-HOME = Path(__file__).resolve().parents[1]  # where parts find their packages
+HOME = Path(__file__).resolve().parents[2]  # where parts find their packages
 
 
 class Failed(Exception):
@@ -96,7 +96,7 @@
 
 
 class PartChild:
-    """A process of `faultlab.parts`: its plan in, its readiness out, then orders."""
+    """A process of `burlshift_tools.faultlab.parts`: its plan in, its readiness out, then orders."""
 
     def __init__(self, child: Child) -> None:
         self.child = child
@@ -143,8 +143,8 @@
 
 def tethered(command: Sequence[str]) -> list[str]:
     """A command whose process dies with the rig; parts do so by themselves, when their orders end."""
-    return [sys.executable, str(HOME / "faultlab" / "parts" / "tether.py"), *command]
+    return [sys.executable, str(HOME / "burlshift_tools" / "faultlab" / "parts" / "tether.py"), *command]
 
 
 def part_command(module: str, *args: str) -> list[str]:
-    return [sys.executable, "-m", f"faultlab.parts.{module}", *args]
+    return [sys.executable, "-m", f"burlshift_tools.faultlab.parts.{module}", *args]
--- a/faultlab/cli.py
+++ b/burlshift_tools/faultlab/cli.py
@@ -15,8 +15,8 @@
 from rich.console import Console
 from rich.progress import BarColumn, Progress, TaskProgressColumn, TextColumn, TimeElapsedColumn
 
-from fleetsim.cli import show
-from fleetsim.scenario import ScenarioError, shipped
+from burlshift_tools.emulator.cli import show
+from burlshift_tools.emulator.scenario import ScenarioError, shipped
 
 from . import drawn, history, loadtest, plants, play, report, shrinking, soaking, verdict
 from .addresses import NoRoom
@@ -106,7 +106,7 @@
 def list_() -> None:
     """The scenarios that ship.
 
-    Example: python -m faultlab list
+    Example: python -m burlshift_tools.faultlab list
     """
     with plain_errors():
         show([["scenario", "about"], *([name, load(name).about] for name in shipped(PACKAGE))])
@@ -128,7 +128,7 @@
 ) -> None:
     """Play one scenario and judge it. Without -o what it wrote is kept only where a rule broke.
 
-    Example: python -m faultlab run pause-one --seed 3 -o logs/pause
+    Example: python -m burlshift_tools.faultlab run pause-one --seed 3 -o logs/pause
     """
     with plain_errors():
         span = calmed(drawn.named(name)) if calm else drawn.named(name)
@@ -148,7 +148,9 @@
         tell(played)
         if output is not None or played.status == play.BROKE:
             typer.echo(
-                f"history and logs in {played.folder}: python -m faultlab report {played.folder}", err=True
+                f"history and logs in {played.folder}: python -m burlshift_tools.faultlab report "
+                f"{played.folder}",
+                err=True,
             )
         else:
             shutil.rmtree(played.folder, ignore_errors=True)
@@ -159,7 +161,7 @@
 def check(folder: Folder) -> None:
     """Judge a run again, from its history.
 
-    Example: python -m faultlab check logs/pause
+    Example: python -m burlshift_tools.faultlab check logs/pause
     """
     with plain_errors():
         _, case = verdict.read(folder)
@@ -182,7 +184,7 @@
 ) -> None:
     """Play drawn scenarios, one after the other, until a rule breaks or the time is over.
 
-    Example: python -m faultlab soak --seeds 1..40 --for 10
+    Example: python -m burlshift_tools.faultlab soak --seeds 1..40 --for 10
     """
     with plain_errors(f"finished rows are in {output}, the same command goes on"):
         first, last = soaking.seeds_of(seeds)
@@ -197,7 +199,10 @@
         if broken is None:
             raise typer.Exit(play.HELD)
         tell(broken)
-        typer.echo(f"the run is kept in {broken.folder}: python -m faultlab shrink {broken.folder}", err=True)
+        typer.echo(
+            f"the run is kept in {broken.folder}: python -m burlshift_tools.faultlab shrink {broken.folder}",
+            err=True,
+        )
     raise typer.Exit(play.BROKE)
 
 
@@ -209,7 +214,7 @@
 ) -> None:
     """Find fewer and shorter faults that still break the rule that a run broke.
 
-    Example: python -m faultlab shrink logs/soak/drawn-17
+    Example: python -m burlshift_tools.faultlab shrink logs/soak/drawn-17
     """
     with plain_errors(f"the best so far is in {folder / shrinking.BEST}, the same command goes on"):
         rule = ""
@@ -219,7 +224,7 @@
         best = folder / shrinking.BEST
         for line in play.schedule_lines(load(str(best)), shrinking.seed_of(folder), None, Path(), tree):
             say(line)
-        say(f"python -m faultlab run {best} --seed {shrinking.seed_of(folder)}")
+        say(f"python -m burlshift_tools.faultlab run {best} --seed {shrinking.seed_of(folder)}")
 
 
 @app.command("plants")
@@ -228,7 +233,7 @@
 ) -> None:
     """Plant faults in a copy of the agent, one at a time, and see that each is found.
 
-    Example: python -m faultlab plants repeat ban
+    Example: python -m burlshift_tools.faultlab plants repeat ban
     """
     with plain_errors():
         missed = 0
@@ -246,7 +251,7 @@
 ) -> None:
     """One HTML file of a run, which opens without a network: lanes of the processes, faults, rates, times.
 
-    Example: python -m faultlab report logs/pause
+    Example: python -m burlshift_tools.faultlab report logs/pause
     """
     with plain_errors():
         made = report.write(folder, output or folder / "report.html")
@@ -266,7 +271,7 @@
 ) -> None:
     """The load client alone, against an agent here: open loop, time from when each request was due.
 
-    Example: python -m faultlab load 127.0.0.1:9000 --rate 50 --for 20
+    Example: python -m burlshift_tools.faultlab load 127.0.0.1:9000 --rate 50 --for 20
     """
     with plain_errors():
         options = loadtest.Options(address, rate, for_, cls, effect, timeout_ms, retries, seed)
@@ -308,7 +313,7 @@
 ) -> None:
     """Scale tests: what each role costs by the size of the fleet, as slopes through what was measured.
 
-    Example: python -m faultlab scale -o scale.json --check
+    Example: python -m burlshift_tools.faultlab scale -o scale.json --check
     """
     with plain_errors():
         if from_ is not None and (only or sizes or small):
--- a/faultlab/drawn.py
+++ b/burlshift_tools/faultlab/drawn.py
@@ -6,8 +6,8 @@
 
 import numpy as np
 
-from fleetsim import scenario
-from fleetsim.scenario import Span
+from burlshift_tools.emulator import scenario
+from burlshift_tools.emulator.scenario import Span
 
 from .scenario import PACKAGE, LabScenario, load
 
--- a/faultlab/faults_schema.py
+++ b/burlshift_tools/faultlab/faults_schema.py
@@ -1,4 +1,4 @@
-"""The faults of a scenario beyond fleetsim's troubles: one struct for each kind, told apart by `what`.
+"""The faults of a scenario beyond the emulator's troubles: one struct for each kind, told apart by `what`.
 
 `at_s` and `len_s` are seconds of the run's clock. `agents` and `servers` are shares; which ones are struck
 follows from scenario and seed. A share of 0 strikes none, any other at least one.
@@ -10,7 +10,7 @@
 
 from msgspec import Meta, Struct
 
-from fleetsim.units import Count, NonNegative, Share
+from burlshift_tools.emulator.units import Count, NonNegative, Share
 
 Path = Literal["clients", "servers", "discovery", "peers", "leader"]  # leader: from followers to it
 Direction = Literal["both", "to", "from"]  # to: as requests go; from: as answers do
--- a/faultlab/listservice.py
+++ b/burlshift_tools/faultlab/listservice.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from catalog import caller
-from lilacsill.discovery import PATH
+from burlshift.agent.discovery import PATH
+from burlshift.catalog import caller
 
 from .children import HOME, Child, Failed, tethered
 from .history import Begun, Kept, Listed, Ready, now_us
@@ -49,7 +49,7 @@
     async def _start(self, k: int, command: list[str]) -> Child:
         rig, name, began = self._rig, f"d{k}", now_us()
         life, at = rig.life(name), rig.block.discovery(k)
-        whole = tethered([sys.executable, "-m", "catalog", *command, "--listen", at])
+        whole = tethered([sys.executable, "-m", "burlshift.catalog", *command, "--listen", at])
         words = rig.folder / "logs" / f"{name}.log"
         child = await rig.starter.start(name, life, whole, words, os.environ, HOME)
         rig.children.append(child)
--- a/faultlab/loadtest.py
+++ b/burlshift_tools/faultlab/loadtest.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from fleetsim.scenario import Class, Clients
+from burlshift_tools.emulator.scenario import Class, Clients
 
 from .addresses import split
 from .figures import HIGHEST_US, LOWEST_US, histogram, percentiles
--- a/faultlab/parts/clients.py
+++ b/burlshift_tools/faultlab/parts/clients.py
@@ -13,8 +13,8 @@
 import h11
 import msgspec
 
-from fleetsim.scenario import Class, Clients
-from lilacsill.connection import Connection, Headers, fields_of, header
+from burlshift.agent.connection import Connection, Headers, fields_of, header
+from burlshift_tools.emulator.scenario import Class, Clients
 
 from .. import faults_schema as faults
 from ..addresses import split
--- a/faultlab/parts/datagrams.py
+++ b/burlshift_tools/faultlab/parts/datagrams.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from membership.core import FACTS
-from membership.messages import Fact, Kind, Message
-from membership.record import Record, Status
-from membership.wire import Unreadable, Wire
+from burlshift.membership.core import FACTS
+from burlshift.membership.messages import Fact, Kind, Message
+from burlshift.membership.record import Record, Status
+from burlshift.membership.wire import Unreadable, Wire
 
 from ..addresses import Block, split
 from ..agent_config import FLEET, KEY
--- a/faultlab/parts/discovery.py
+++ b/burlshift_tools/faultlab/parts/discovery.py
@@ -8,7 +8,7 @@
 import h11
 import msgspec
 
-from lilacsill.connection import Connection, Headers
+from burlshift.agent.connection import Connection, Headers
 
 from ..addresses import Block, split
 from ..history import Called, Listed, Told, now_us
--- a/faultlab/parts/part.py
+++ b/burlshift_tools/faultlab/parts/part.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from faultlab.history import Event, Late, Usage, Writer, now_us
+from burlshift_tools.faultlab.history import Event, Late, Usage, Writer, now_us
 
 NICE = -5  # before agents and whatever else the machine does: a rig that is late measures itself
 LOOK_S = 0.01
--- a/faultlab/parts/server.py
+++ b/burlshift_tools/faultlab/parts/server.py
@@ -14,10 +14,10 @@
 import h11
 import msgspec
 
-from fleetsim.scenario import ServerPlan
-from fleetsim.servers import NOWHERE, Server
-from fleetsim.streams import streams_for
-from lilacsill.connection import Connection, Fields, Headers, fields_of, header
+from burlshift.agent.connection import Connection, Fields, Headers, fields_of, header
+from burlshift_tools.emulator.scenario import ServerPlan
+from burlshift_tools.emulator.servers import NOWHERE, Server
+from burlshift_tools.emulator.streams import streams_for
 
 from ..addresses import split
 from ..history import Fell, Gave, Got, Left, Turned, digest, now_us
--- a/faultlab/parts/skewed_agent.py
+++ b/burlshift_tools/faultlab/parts/skewed_agent.py
@@ -1,4 +1,6 @@
-"""The agent with a wall clock that is off: what is replaced is the source of time of lilacsill/clock.py."""
+"""The agent with a wall clock that is off: what is replaced is the source of time of
+burlshift/agent/clock.py.
+"""
 
 from __future__ import annotations
 
@@ -7,8 +9,8 @@
 import time
 from pathlib import Path
 
-from lilacsill import clock
-from lilacsill.__main__ import main
+from burlshift.agent import clock
+from burlshift.agent.__main__ import main
 
 SKEW_FILE = "FAULTLAB_SKEW"  # names a file that holds the skew in seconds
 
--- a/faultlab/plants.py
+++ b/burlshift_tools/faultlab/plants.py
@@ -47,7 +47,7 @@
     Plant(
         "repeat",
         "an attempt repeated that may not be",
-        "brasshead/logic.py",
+        "burlshift/balancing/logic.py",
         "        if r.cls.effect is Effect.UNSAFE or self.now >=",
         "        if self.now >=",
         "resets",
@@ -56,7 +56,7 @@
     Plant(
         "drain",
         "a drain ignored",
-        "lilacsill/discovery.py",
+        "burlshift/agent/discovery.py",
         '"DRAINING": State.DRAINING',
         '"DRAINING": State.READY',
         "pause-one",
@@ -65,7 +65,7 @@
     Plant(
         "cut-answer",
         "an answer cut off and passed on as whole",
-        "lilacsill/backends.py",
+        "burlshift/agent/backends.py",
         "    def on_end(self) -> None:\n        self._end(self._lost())",
         "    def on_end(self) -> None:\n"
         "        self._end(Outcome.OK if self._status == 200 else self._lost())",
@@ -75,7 +75,7 @@
     Plant(
         "wake-up",
         "a wake-up lost: a watch that broke is not begun again",
-        "lilacsill/agent.py",
+        "burlshift/agent/agent.py",
         "            self._loop.call_later(wait_s, self._discovery.watch, self._listed)\n",
         "",
         "discovery-wrong",
@@ -84,7 +84,7 @@
     Plant(
         "descriptor",
         "a descriptor leaked with each connection that is given up",
-        "lilacsill/backends.py",
+        "burlshift/agent/backends.py",
         "        self._open.discard(connection)\n        connection.drop()",
         "        self._open.discard(connection)\n        if connection.transport is not None:\n"
         '            connection.transport.get_extra_info("socket").dup().detach()\n'
@@ -95,7 +95,7 @@
     Plant(
         "stale-list",
         "a stale list kept: a whole list takes nothing out",
-        "lilacsill/bans.py",
+        "burlshift/agent/bans.py",
         "        if listing.complete:\n            self._members.clear()\n",
         "",
         "discovery-disagrees",
@@ -104,7 +104,7 @@
     Plant(
         "wrong-answer",
         "an answer given to another request",
-        "lilacsill/agent.py",
+        "burlshift/agent/agent.py",
         "            self._answer(number, 200, _kind(result.content_type), result.body)",
         "            self._before, body = result.body, getattr(self, '_before', result.body)\n"
         "            self._answer(number, 200, _kind(result.content_type), body)",
@@ -114,7 +114,7 @@
     Plant(
         "no-answer",
         "a failed request gets no answer",
-        "lilacsill/server.py",
+        "burlshift/agent/server.py",
         ANSWER,
         ANSWER + "        if status == 502:\n            self._call = None\n            return\n",
         "short-time",
@@ -123,7 +123,7 @@
     Plant(
         "half-answer",
         "one answer in some breaks off",
-        "lilacsill/server.py",
+        "burlshift/agent/server.py",
         ANSWER,
         ANSWER + "        if len(body) % 16 == 0 and self._call is call and self.transport is not None:\n"
         "            self._call = None\n"
@@ -135,7 +135,7 @@
     Plant(
         "two-answers",
         "a second answer behind the first",
-        "lilacsill/server.py",
+        "burlshift/agent/server.py",
         ANSWER,
         ANSWER + "        if self._call is call and self.transport is not None:\n"
         "            more = b'HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n'\n"
@@ -146,7 +146,7 @@
     Plant(
         "departed",
         "a client that has left is not missed",
-        "lilacsill/server.py",
+        "burlshift/agent/server.py",
         "        call, self._call = self._call, None\n        self._upload = self._source = None\n",
         "        return False\n        call, self._call = self._call, None\n"
         "        self._upload = self._source = None\n",
@@ -156,7 +156,7 @@
     Plant(
         "after-answer",
         "an attempt goes out after the final answer",
-        "lilacsill/agent.py",
+        "burlshift/agent/agent.py",
         "                self._answer_with(held, exchange, result)\n",
         "                self._answer_with(held, exchange, result)\n"
         "                call = held.call\n"
@@ -170,7 +170,7 @@
     Plant(
         "told",
         "servers are told of time that is not there",
-        "lilacsill/backends.py",
+        "burlshift/agent/backends.py",
         'headers.append((b"Request-Timeout-Ms", b"%d" % ',
         'headers.append((b"Request-Timeout-Ms", b"1%d" % ',
         "steady",
@@ -179,7 +179,7 @@
     Plant(
         "ban",
         "a ban dropped over an upgrade",
-        "lilacsill/bans.py",
+        "burlshift/agent/bans.py",
         '"banned": sorted(self._banned)',
         '"banned": []',
         "upgrade",
@@ -188,7 +188,7 @@
     Plant(
         "copy",
         "a second copy sent where none may be",
-        "brasshead/logic.py",
+        "burlshift/balancing/logic.py",
         "and self.table.typical and self.settings.second_copies:",
         "and self.table.typical:",
         "one-copy",
@@ -215,7 +215,7 @@
     if text.count(plant.old) != 1:
         raise PlantError(
             f"{plant.file}: the place of plant {plant.name} is there {text.count(plant.old)} "
-            "times; mend it in faultlab/plants.py"
+            "times; mend it in burlshift_tools/faultlab/plants.py"
         )
     path.write_text(text.replace(plant.old, plant.new), encoding="utf-8")
 
--- a/faultlab/play.py
+++ b/burlshift_tools/faultlab/play.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from fleetsim.scenario import Span
+from burlshift_tools.emulator.scenario import Span
 
 from . import verdict
 from .checkers.case import Case
--- a/faultlab/rig.py
+++ b/burlshift_tools/faultlab/rig.py
@@ -16,8 +16,8 @@
 
 import msgspec
 
-from fleetsim.scenario import Span
-from fleetsim.streams import streams_for
+from burlshift_tools.emulator.scenario import Span
+from burlshift_tools.emulator.streams import streams_for
 
 from . import schedule
 from .addresses import Block, take_block
@@ -75,9 +75,9 @@
     if not (tree / ".venv" / "bin" / "python").exists():
         raise Failed(f"{tree}/.venv: is not there; carry out `build` of {path}")
     if skewed:
-        own = command.replace("-m lilacsill", "-m faultlab.parts.skewed_agent")
+        own = command.replace("-m burlshift.agent", "-m burlshift_tools.faultlab.parts.skewed_agent")
         if own == command:
-            raise Failed(f"{path}: `run` does not start lilacsill; faults of Unix time need that")
+            raise Failed(f"{path}: `run` does not start the agent; faults of Unix time need that")
         command = own
     return ["/bin/sh", "-c", command]
 
@@ -150,7 +150,7 @@
     async def part(
         self, name: str, module: str, make: Callable[[int], msgspec.Struct], unix: int = 0
     ) -> PartChild:
-        """A process of faultlab.parts, once it serves."""
+        """A process of burlshift_tools.faultlab.parts, once it serves."""
         life = self.life(name)
         words = self.folder / "logs" / f"{name}.log"
         child = await self.starter.start(
--- a/faultlab/scale/agentcost_decisions.py
+++ b/burlshift_tools/faultlab/scale/agentcost_decisions.py
@@ -14,13 +14,13 @@
 
 import msgspec
 
-from brasshead import interface as q
-from brasshead.logic import REINDEX, Balancer
-from brasshead.settings import settings_from
-from lilacsill.backends import Backends
-from lilacsill.bans import Roster
-from lilacsill.clock import Clock
-from lilacsill.discovery import Listing, ListingParser
+from burlshift.agent.backends import Backends
+from burlshift.agent.bans import Roster
+from burlshift.agent.clock import Clock
+from burlshift.agent.discovery import Listing, ListingParser
+from burlshift.balancing import interface as q
+from burlshift.balancing.logic import REINDEX, Balancer
+from burlshift.balancing.settings import settings_from
 
 TICK_US = 1000
 SERVED_US = 20_000
--- a/faultlab/scale/agentcost_lists.py
+++ b/burlshift_tools/faultlab/scale/agentcost_lists.py
@@ -12,11 +12,11 @@
 
 import msgspec
 
-from catalog.core import Member, Put, SetPhase, whole
-from catalog.server import CatalogServer
-from catalog.service import Service
-from catalog.store import Command, Store
-from lilacsill.discovery import parse_address
+from burlshift.agent.discovery import parse_address
+from burlshift.catalog.core import Member, Put, SetPhase, whole
+from burlshift.catalog.server import CatalogServer
+from burlshift.catalog.service import Service
+from burlshift.catalog.store import Command, Store
 
 from ..children import Failed
 
--- a/faultlab/scale/agentcost_process.py
+++ b/burlshift_tools/faultlab/scale/agentcost_process.py
@@ -74,7 +74,7 @@
     (home / "config.json").write_text(json.dumps(doc))
     env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
     env |= {"RELAY_CONFIG": str(home / "config.json"), "TMPDIR": str(home)}
-    command = tethered([sys.executable, "-m", "lilacsill"])
+    command = tethered([sys.executable, "-m", "burlshift.agent"])
     child = await starter.start(name, 0, command, home / "log", env, HOME)
     try:
         await _ready(child, doc["listen"])
--- a/faultlab/scale/fleet_lab.py
+++ b/burlshift_tools/faultlab/scale/fleet_lab.py
@@ -16,11 +16,11 @@
 
 import msgspec
 
-from brasshead.interface import Discovery as PushOrAsk
-from faultlab import agent_config
-from faultlab.addresses import Block, split, take_block
-from faultlab.children import HOME, Child, Failed, PartChild, Starter, tethered
-from faultlab.scenario import LabScenario, load, settle
+from burlshift.balancing.interface import Discovery as PushOrAsk
+from burlshift_tools.faultlab import agent_config
+from burlshift_tools.faultlab.addresses import Block, split, take_block
+from burlshift_tools.faultlab.children import HOME, Child, Failed, PartChild, Starter, tethered
+from burlshift_tools.faultlab.scenario import LabScenario, load, settle
 
 from .fleet_orders import Clear, Order, Plan, Seen
 from .fleet_turns import Turns
@@ -150,7 +150,7 @@
             [
                 sys.executable,
                 "-m",
-                "catalog",
+                "burlshift.catalog",
                 "serve",
                 "--listen",
                 self.at,
@@ -190,7 +190,9 @@
 
     async def crowd(self, name: str, agents: int, deciding: bool = False, at: str = "") -> Crowds:
         config = self.config(name, at or self.at)
-        child = await self.child(name, [sys.executable, "-m", "faultlab.scale.hollow"], orders=True)
+        child = await self.child(
+            name, [sys.executable, "-m", "burlshift_tools.faultlab.scale.hollow"], orders=True
+        )
         made = Crowds(child)
         await made.ready(
             Plan(config=str(config), name=name, agents=agents, deciding=deciding, seed=crc32(name.encode()))
--- a/faultlab/scale/fleet_like_real.py
+++ b/burlshift_tools/faultlab/scale/fleet_like_real.py
@@ -2,8 +2,8 @@
 
 Between each agent and the service stands a tap, in the parent. An agent takes a change in before it asks for
 the next, by that change's revision; so the moment at which that call passes the tap is read from outside, for
-a process of `python -m lilacsill` as for a hollow agent. It is late by the agent's turn from taking in to
-asking (tens of microseconds) and by the tap's own turn, which `tap_busy_ms` bounds: the same for both.
+a process of `python -m burlshift.agent` as for a hollow agent. It is late by the agent's turn from taking in
+to asking (tens of microseconds) and by the tap's own turn, which `tap_busy_ms` bounds: the same for both.
 """
 
 from __future__ import annotations
@@ -15,9 +15,9 @@
 import sys
 import time
 
-from faultlab import door
-from faultlab.addresses import split
-from faultlab.children import Failed
+from burlshift_tools.faultlab import door
+from burlshift_tools.faultlab.addresses import split
+from burlshift_tools.faultlab.children import Failed
 
 from .fleet_lab import Lab
 from .fleet_orders import Seen, Start
@@ -147,7 +147,7 @@
         at = lab.block.agent(i)
         child = await lab.child(
             f"real{i}",
-            [sys.executable, "-m", "lilacsill"],
+            [sys.executable, "-m", "burlshift.agent"],
             {
                 "RELAY_CONFIG": str(config),
                 "RELAY_LISTEN": at,
--- a/faultlab/scale/fleet_relay.py
+++ b/burlshift_tools/faultlab/scale/fleet_relay.py
@@ -1,6 +1,6 @@
 """The way of a region's readers to the list service, which can be cut: the rig's relay, in its own process.
 
-`python -m faultlab.scale.fleet_relay` is that process, led over its pipes.
+`python -m burlshift_tools.faultlab.scale.fleet_relay` is that process, led over its pipes.
 """
 
 from __future__ import annotations
@@ -13,10 +13,10 @@
 
 import msgspec
 
-from faultlab.children import Child, PartChild
-from faultlab.faults_schema import Link
-from faultlab.history import Event
-from faultlab.parts.relay import Clear, Relay, RelayPart, Route, Shape
+from burlshift_tools.faultlab.children import Child, PartChild
+from burlshift_tools.faultlab.faults_schema import Link
+from burlshift_tools.faultlab.history import Event
+from burlshift_tools.faultlab.parts.relay import Clear, Relay, RelayPart, Route, Shape
 
 from .fleet_lab import Lab
 
@@ -47,7 +47,9 @@
 @contextlib.asynccontextmanager
 async def relayed(lab: Lab) -> AsyncIterator[Relayed]:
     b = lab.block
-    child = await lab.child("relay", [sys.executable, "-m", "faultlab.scale.fleet_relay"], orders=True)
+    child = await lab.child(
+        "relay", [sys.executable, "-m", "burlshift_tools.faultlab.scale.fleet_relay"], orders=True
+    )
     try:
         made = Relayed(child, b.asks(0, 0))
         route = Route(path="discovery", at=made.at, to=b.discovery(0), source=b.caller(0))
--- a/faultlab/scale/hollow.py
+++ b/burlshift_tools/faultlab/scale/hollow.py
@@ -1,5 +1,6 @@
 """Hollow agents: the real list client, list, decisions and rules of the agent, many to a process, with no
-application and no door. `python -m faultlab.scale.hollow` is one process of them, led over its pipes.
+application and no door. `python -m burlshift_tools.faultlab.scale.hollow` is one process of them, led over
+its pipes.
 """
 
 from __future__ import annotations
@@ -16,13 +17,11 @@
 
 import msgspec
 
-from brasshead.logic import Balancer
-from catalog.caller import member_path
-from lilacsill.agent import WATCH_AGAIN, Agent
-from lilacsill.backends import Backends
-from lilacsill.clock import Clock
-from lilacsill.config import Config, load
-from lilacsill.discovery import (
+from burlshift.agent.agent import WATCH_AGAIN, Agent
+from burlshift.agent.backends import Backends
+from burlshift.agent.clock import Clock
+from burlshift.agent.config import Config, load
+from burlshift.agent.discovery import (
     PUSH_WAIT_MS,
     Address,
     Call,
@@ -31,7 +30,9 @@
     ListingParser,
     parse_address,
 )
-from lilacsill.figures import Figures
+from burlshift.agent.figures import Figures
+from burlshift.balancing.logic import Balancer
+from burlshift.catalog.caller import member_path
 
 from .fleet_orders import Clear, Move, Order, Plan, Renew, Renewed, Seen, Start, Until
 from .fleet_turns import Turns
@@ -280,7 +281,9 @@
 
 def main() -> None:
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # Ctrl-C is the parent's to hear
-    logging.getLogger("lilacsill").setLevel(logging.ERROR)  # that hundreds lost their service is no news here
+    logging.getLogger("burlshift.agent").setLevel(
+        logging.ERROR
+    )  # that hundreds lost their service is no news here
     plan = msgspec.json.decode(sys.stdin.buffer.readline(), type=Plan)
     asyncio.run(serve(plan))
 
--- a/faultlab/scale/latency_client.py
+++ b/burlshift_tools/faultlab/scale/latency_client.py
@@ -1,9 +1,9 @@
 """An open-loop client: what is due is sent when it is due, whatever became of what came before.
 
-`python -m faultlab.scale.latency_client`: a process of its own, without an event loop, whose timers would be
-of whole milliseconds (select(2) waits in microseconds). Each order is a block of arrivals drawn ahead, and
-latency counts from the intended moment: nothing is omitted while an answer is awaited (Tene's coordinated
-omission). Ends with its standard input.
+`python -m burlshift_tools.faultlab.scale.latency_client`: a process of its own, without an event loop, whose
+timers would be of whole milliseconds (select(2) waits in microseconds). Each order is a block of arrivals
+drawn ahead, and latency counts from the intended moment: nothing is omitted while an answer is awaited
+(Tene's coordinated omission). Ends with its standard input.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from faultlab.scale.latency_standin import Place, say, whole_message
+from burlshift_tools.faultlab.scale.latency_standin import Place, say, whole_message
 
 LATE_NS = 1_000_000  # sent so long after it was due, the client itself was late
 LEAD_NS = 20_000_000  # from an order to the first moment that can be due
--- a/faultlab/scale/latency_parts.py
+++ b/burlshift_tools/faultlab/scale/latency_parts.py
@@ -40,7 +40,7 @@
 @asynccontextmanager
 async def part(starter: Starter, folder: Path, name: str) -> AsyncIterator[Part]:
     """`client` or `standin`, which is gone after the block."""
-    command = tethered([sys.executable, "-m", f"faultlab.scale.latency_{name}"])
+    command = tethered([sys.executable, "-m", f"burlshift_tools.faultlab.scale.latency_{name}"])
     child = await starter.start(name, 0, command, folder / f"{name}.log", os.environ, HOME, orders=True)
     try:
         yield Part(child)
--- a/faultlab/scale/latency_standin.py
+++ b/burlshift_tools/faultlab/scale/latency_standin.py
@@ -1,7 +1,8 @@
 """A stand-in server that answers at once, at many addresses of one process, and calls on where it is told to.
 
-`python -m faultlab.scale.latency_standin`: its plan is the first line of standard input; it ends with that.
-The target of a request says how much deeper the call goes, and by which way: `/api?obj=1&deeper=4&by=agent`.
+`python -m burlshift_tools.faultlab.scale.latency_standin`: its plan is the first line of standard input; it
+ends with that. The target of a request says how much deeper the call goes, and by which way:
+`/api?obj=1&deeper=4&by=agent`.
 """
 
 from __future__ import annotations
--- a/faultlab/scale/membership.py
+++ b/burlshift_tools/faultlab/scale/membership.py
@@ -1,4 +1,6 @@
-"""Membership by the size of the fleet, in virtual time with the agents' own core (`fleetsim.members`)."""
+"""Membership by the size of the fleet, in virtual time with the agents' own core
+(`burlshift_tools.emulator.members`).
+"""
 
 from __future__ import annotations
 
@@ -9,9 +11,9 @@
 from functools import reduce
 from time import perf_counter_ns
 
-from fleetsim import members
-from membership.core import _digest
-from membership.record import Record, Status
+from burlshift.membership.core import _digest
+from burlshift.membership.record import Record, Status
+from burlshift_tools.emulator import members
 
 from .slopes import Figure, Measured, Point, Run, Slope
 
@@ -134,7 +136,7 @@
 
 
 def _number(text: str) -> float:
-    """`fleetsim.members` gives its rows as they are printed."""
+    """`burlshift_tools.emulator.members` gives its rows as they are printed."""
     return float(text.split()[0].rstrip("%"))
 
 
--- a/faultlab/scale/page.py
+++ b/burlshift_tools/faultlab/scale/page.py
@@ -31,7 +31,7 @@
     within,
 )
 
-PAGE = Path(__file__).resolve().parents[2] / "docs" / "CAPACITY.md"
+PAGE = Path(__file__).resolve().parents[3] / "docs" / "CAPACITY.md"
 TABLE = re.compile(r"<!-- table: ([a-z]+) -->\n(.*?)<!-- end -->", re.S)
 MARK = re.compile(r"<!--=(breaks:)?([a-z_.]+)-->(.*?)<!--/-->", re.S)
 KEY = re.compile(r"\| *`([^`]+)` *\|")
@@ -54,7 +54,7 @@
     def mark(found: re.Match[str]) -> str:
         prefix, key = found[1] or "", found[2]
         if key not in at:
-            raise PageError(f"{key}: no such key; faultlab/scale/lines.py has them")
+            raise PageError(f"{key}: no such key; burlshift_tools/faultlab/scale/lines.py has them")
         figure = breaks_of(at[key].line, known) if prefix else said(at[key])
         return f"<!--={prefix}{key}-->{figure}<!--/-->"
 
@@ -111,7 +111,7 @@
         key = named[1]
         try:
             if key not in lines:
-                raise PageError("no such key or slope; faultlab/scale/lines.py has them")
+                raise PageError("no such key or slope; burlshift_tools/faultlab/scale/lines.py has them")
             if key in found:
                 raise PageError("stands twice on the page")
             found[key] = _row_of(row)
@@ -189,10 +189,12 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """python -m faultlab.scale.page scale.json: fill docs/CAPACITY.md, draw its charts. 2: wrong use."""
+    """python -m burlshift_tools.faultlab.scale.page scale.json: fill docs/CAPACITY.md, draw its charts. 2:
+    wrong use.
+    """
     try:
         if len(arguments) != 1:
-            raise PageError("give one file, which `python -m faultlab scale -o FILE` wrote")
+            raise PageError("give one file, which `python -m burlshift_tools.faultlab scale -o FILE` wrote")
         source = Path(arguments[0])
         try:
             result = runs.read(source)
--- a/faultlab/scale/registry.py
+++ b/burlshift_tools/faultlab/scale/registry.py
@@ -30,6 +30,7 @@
         if e.name != f"{__package__}.{name}":
             raise
         raise UnknownMeasurement(
-            f"--only {name}: this checkout has no faultlab/scale/{name}.py; leave it out or merge it"
+            f"--only {name}: this checkout has no burlshift_tools/faultlab/scale/{name}.py; leave it out "
+            "or merge it"
         ) from None
     return found
--- a/faultlab/scale/replicas.py
+++ b/burlshift_tools/faultlab/scale/replicas.py
@@ -131,7 +131,16 @@
         for n, at in enumerate(self.followers):
             child = await self.lab.child(
                 f"follower{n}",
-                [sys.executable, "-m", "catalog", "follow", "--listen", at, "--source", self.lab.at],
+                [
+                    sys.executable,
+                    "-m",
+                    "burlshift.catalog",
+                    "follow",
+                    "--listen",
+                    at,
+                    "--source",
+                    self.lab.at,
+                ],
             )
             self.pids.append(child.pid)
             await self._answers(at)
--- a/faultlab/scale/runs.py
+++ b/burlshift_tools/faultlab/scale/runs.py
@@ -147,6 +147,7 @@
         if e.name != f"{__package__}.{module}":
             raise
         raise ScaleError(
-            f"this checkout has no faultlab/scale/{module}.py; leave the option out or merge it"
+            f"this checkout has no burlshift_tools/faultlab/scale/{module}.py; leave the option out or "
+            "merge it"
         ) from None
     return found
--- a/faultlab/scenario.py
+++ b/burlshift_tools/faultlab/scenario.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-from fleetsim import draw, scenario
-from fleetsim import troubles_schema as emulated
-from fleetsim.scenario import ScenarioError
+from burlshift_tools.emulator import draw, scenario
+from burlshift_tools.emulator import troubles_schema as emulated
+from burlshift_tools.emulator.scenario import ScenarioError
 
 from .faults_schema import AnyFault, Lie, Lists, Reload
 
-PACKAGE = "faultlab"
+PACKAGE = "burlshift_tools.faultlab"
 MOST_AGENTS, MOST_SERVERS = 20, 30
 # What the rig plays of the emulator's troubles; the others are faults here: a split is a link that is cut.
 PLAYED = (
--- a/faultlab/schedule.py
+++ b/burlshift_tools/faultlab/schedule.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from fleetsim import troubles_schema as emulated
-from fleetsim.draw import Day
-from fleetsim.scenario import ServerPlan
-from fleetsim.streams import Stream, streams_for
+from burlshift_tools.emulator import troubles_schema as emulated
+from burlshift_tools.emulator.draw import Day
+from burlshift_tools.emulator.scenario import ServerPlan
+from burlshift_tools.emulator.streams import Stream, streams_for
 
 from . import faults_schema as faults
 from .faults_schema import AnyFault
--- a/faultlab/shrinking.py
+++ b/burlshift_tools/faultlab/shrinking.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from fleetsim.scenario import Span
+from burlshift_tools.emulator.scenario import Span
 
 from . import play, verdict
 from .rig import RunFile
--- a/faultlab/watchers.py
+++ b/burlshift_tools/faultlab/watchers.py
@@ -6,8 +6,8 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from lilacsill.clock import Clock
-from lilacsill.discovery import PUSH_WAIT_MS, Discovery, Listing, ListingParser, parse_address
+from burlshift.agent.clock import Clock
+from burlshift.agent.discovery import PUSH_WAIT_MS, Discovery, Listing, ListingParser, parse_address
 
 from .history import Heard, now_us
 
@@ -28,7 +28,7 @@
         self._rig = rig
         self._parser = ListingParser(Clock(), tuple(rig.s.fleet.zones), tuple(k.name for k in rig.s.kind))
         words = logging.FileHandler(rig.folder / "logs" / "watchers.log")
-        self._log = logging.getLogger("lilacsill.discovery")
+        self._log = logging.getLogger("burlshift.agent.discovery")
         self._log.addHandler(words)
         self._log.propagate = False
         self._words = words
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -29,12 +29,12 @@
 
 import h11
 
-from lilacsill import backends, connection, server
-from lilacsill.__main__ import assemble
-from lilacsill.clock import Clock
-from lilacsill.discovery import Address
-from lilacsill.figures import Figures
-from lilacsill.turns import TurnLoop
+from burlshift.agent import backends, connection, server
+from burlshift.agent.__main__ import assemble
+from burlshift.agent.clock import Clock
+from burlshift.agent.discovery import Address
+from burlshift.agent.figures import Figures
+from burlshift.agent.turns import TurnLoop
 from tests.loopback import LOAD, config_doc, load_config, member
 
 SAFE, KEYED, UNSAFE = "read", "keyed", "order"
@@ -756,7 +756,7 @@
         receive(self, data)
 
     handler = Handler(record)
-    logging.getLogger("lilacsill").addHandler(handler)
+    logging.getLogger("burlshift.agent").addHandler(handler)
     try:
         with (
             mock.patch.object(connection.Connection, "send", noted_send),
@@ -764,7 +764,7 @@
         ):
             yield
     finally:
-        logging.getLogger("lilacsill").removeHandler(handler)
+        logging.getLogger("burlshift.agent").removeHandler(handler)
 
 
 def document(rng: random.Random, discovery: int, ports: list[int]) -> dict[str, Any]:
--- a/tests/fault_injection.py
+++ b/tests/fault_injection.py
@@ -19,8 +19,9 @@
 has just been made has neither, so that faults of "socket" meet whoever comes next.
 
 A process of its own gets the faults in its environment, see `in_environment`, and is started by
-`python -m tests.fault_injection` in place of `python -m lilacsill`. There the test has no object to release:
-a fault may be bound to a file, and is met only while that exists. Each fault that is met is a line on stderr.
+`python -m tests.fault_injection` in place of `python -m burlshift.agent`. There the test has no object to
+release: a fault may be bound to a file, and is met only while that exists. Each fault that is met is a line
+on stderr.
 
 An error is raised in place of the call, but for EINTR and EINPROGRESS of connect, after which the kernel goes
 on connecting. A transfer that is cut short is real, as far as it goes. Python itself calls again after EINTR
@@ -363,7 +364,7 @@
 
 def main() -> int:
     """Run the agent under the faults that its environment names."""
-    from lilacsill.__main__ import main as run_agent
+    from burlshift.agent.__main__ import main as run_agent
 
     script = Faults(tell=True)
     for fields in json.loads(os.environ[ENVIRONMENT]):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,7 +4,7 @@
 
 from typing import Any, TypeVar
 
-from brasshead.interface import (
+from burlshift.balancing.interface import (
     Action,
     AttemptEnded,
     Backend,
@@ -20,7 +20,7 @@
     Settings,
     TimerFired,
 )
-from brasshead.logic import Balancer
+from burlshift.balancing.logic import Balancer
 
 A = TypeVar("A")
 MS, SECOND = 1_000, 1_000_000
@@ -54,7 +54,7 @@
         self.event(BackendsChanged(ListKind.CACHED, list(self.backends)))
 
     def event(self, event: Event) -> list[Action]:
-        from brasshead.interface import SetTimer
+        from burlshift.balancing.interface import SetTimer
 
         actions = self.balancer.handle(self.now, event)
         for a in actions:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -16,15 +16,15 @@
 
 import pytest
 
-from lilacsill.__main__ import assemble
-from lilacsill.agent import Agent
-from lilacsill.clock import Clock
-from lilacsill.config import Config, load
-from lilacsill.control import Door
-from lilacsill.discovery import Address
-from lilacsill.figures import Figures
-from lilacsill.operators import Operators
-from lilacsill.server import Server
+from burlshift.agent.__main__ import assemble
+from burlshift.agent.agent import Agent
+from burlshift.agent.clock import Clock
+from burlshift.agent.config import Config, load
+from burlshift.agent.control import Door
+from burlshift.agent.discovery import Address
+from burlshift.agent.figures import Figures
+from burlshift.agent.operators import Operators
+from burlshift.agent.server import Server
 from tests.fault_injection import Fault, in_environment
 
 KEYED, UNSAFE = "registro-servicio", "vale-almacen"
@@ -378,7 +378,7 @@
     """
     path = folder / "config.json"
     path.write_text(json.dumps(doc))
-    module = "tests.fault_injection" if faults else "lilacsill"
+    module = "tests.fault_injection" if faults else "burlshift.agent"
     limit = ["sh", "-c", f'ulimit -S -n {descriptors} && exec "$@"', "sh"] if descriptors else []
     process = await asyncio.create_subprocess_exec(
         *limit,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -62,7 +62,9 @@
 
 def run(data: bytes, seed: str = "0") -> subprocess.CompletedProcess[bytes]:
     env = {**os.environ, "PYTHONHASHSEED": seed, "PYTHONPATH": str(ROOT)}
-    return subprocess.run([sys.executable, "-m", "brasshead.drill"], input=data, capture_output=True, env=env)
+    return subprocess.run(
+        [sys.executable, "-m", "burlshift.balancing.drill"], input=data, capture_output=True, env=env
+    )
 
 
 def replies(data: bytes) -> list[bytes]:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from brasshead.interface import Event, RequestArrived
-from brasshead.logic import Balancer
+from burlshift.balancing.interface import Event, RequestArrived
+from burlshift.balancing.logic import Balancer
 from tests.loopback import KEYED, UNSAFE, World, post, world
 from tests.test_backends import quiet_is_over
 from tests.test_late_answers import ManualClock
@@ -187,7 +187,7 @@
         deepest[0] = max(deepest[0], depth[0])
         return actions
 
-    from lilacsill.agent import Agent
+    from burlshift.agent.agent import Agent
 
     handled = Agent._handle
 
--- a/tests/test_attempts_close.py
+++ b/tests/test_attempts_close.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from brasshead.interface import Outcome
-from lilacsill.backends import Ask, Result, _Pooled
-from lilacsill.discovery import ListingParser
+from burlshift.agent.backends import Ask, Result, _Pooled
+from burlshift.agent.discovery import ListingParser
+from burlshift.balancing.interface import Outcome
 from tests.loopback import (
     KEYED,
     UNSAFE,
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -10,11 +10,11 @@
 import h11
 import pytest
 
-from brasshead.interface import Outcome
-from lilacsill.backends import Ask, Backends, Result, parse_report
-from lilacsill.clock import Clock
-from lilacsill.connection import Connection, checked_request
-from lilacsill.discovery import Listing, ListingParser
+from burlshift.agent.backends import Ask, Backends, Result, parse_report
+from burlshift.agent.clock import Clock
+from burlshift.agent.connection import Connection, checked_request
+from burlshift.agent.discovery import Listing, ListingParser
+from burlshift.balancing.interface import Outcome
 from tests.loopback import Message, Peer, held_connects, member
 
 FIELDS = ("inflight", "queue", "util")
@@ -49,7 +49,7 @@
 
     async def run() -> None:
         peer = await Peer().start()
-        monkeypatch.setattr("lilacsill.backends.socket.socket", none)
+        monkeypatch.setattr("burlshift.agent.backends.socket.socket", none)
         assert (await begin(backends(peer.port))).outcome is Outcome.NOT_SENT
         await peer.stop()
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from lilacsill import server as server_module
+from burlshift.agent import server as server_module
 from tests.loopback import KEYED, UNSAFE, Conversation, Message, World, post, world
 from tests.test_operators import figures
 
--- a/tests/test_catalog_core.py
+++ b/tests/test_catalog_core.py
@@ -8,8 +8,20 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from catalog.core import Change, Delete, Entry, History, Member, Put, SetPhase, State, Write, listing, whole
-from catalog.leases import HELD_FEWEST, LONGEST_TURN_US, TURN_US, Leases
+from burlshift.catalog.core import (
+    Change,
+    Delete,
+    Entry,
+    History,
+    Member,
+    Put,
+    SetPhase,
+    State,
+    Write,
+    listing,
+    whole,
+)
+from burlshift.catalog.leases import HELD_FEWEST, LONGEST_TURN_US, TURN_US, Leases
 
 NAMES = [f"s{i}" for i in range(5)]
 
--- a/tests/test_catalog_replica.py
+++ b/tests/test_catalog_replica.py
@@ -11,11 +11,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from catalog.core import Change, Delete, History, SetPhase, State, Write, listing, whole
-from catalog.follower import Age, Follower, Heard, HeardParser
-from catalog.replica import Replica
-from catalog.service import Readers
-from lilacsill.discovery import Address
+from burlshift.agent.discovery import Address
+from burlshift.catalog.core import Change, Delete, History, SetPhase, State, Write, listing, whole
+from burlshift.catalog.follower import Age, Follower, Heard, HeardParser
+from burlshift.catalog.replica import Replica
+from burlshift.catalog.service import Readers
 from tests.test_catalog_core import WRITES, phases, put
 
 Told = dict[str, str]
--- a/tests/test_catalog_replica_agent.py
+++ b/tests/test_catalog_replica_agent.py
@@ -9,15 +9,15 @@
 
 import pytest
 
-from lilacsill.clock import Clock
-from lilacsill.discovery import OLD_S, Address, Discovery, Listing, ListingParser
+from burlshift.agent.clock import Clock
+from burlshift.agent.discovery import OLD_S, Address, Discovery, Listing, ListingParser
 from tests.loopback import Message, Peer, member
 
 
 @pytest.fixture(autouse=True)
 def at_once(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("lilacsill.discovery.CALL_EVERY_S", 0.0)
-    monkeypatch.setattr("lilacsill.discovery.ELSEWHERE_FIRST_S", 0.0)
+    monkeypatch.setattr("burlshift.agent.discovery.CALL_EVERY_S", 0.0)
+    monkeypatch.setattr("burlshift.agent.discovery.ELSEWHERE_FIRST_S", 0.0)
 
 
 def answer(revision: int, *names: str, complete: bool = True, identity: str | None = "x") -> bytes:
--- a/tests/test_catalog_replica_process.py
+++ b/tests/test_catalog_replica_process.py
@@ -12,7 +12,7 @@
 import pytest
 from typer.testing import CliRunner
 
-from catalog.cli import app
+from burlshift.catalog.cli import app
 from tests.test_catalog_replica_service import Reader
 from tests.test_catalog_service import MEMBERS, ROOT, Process, body, processes
 
@@ -23,7 +23,7 @@
     def __init__(self, *sources: str) -> None:
         named = [word for source in sources for word in ("--source", source)]
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "catalog", "follow", "--listen", "127.0.0.1:0", *named],
+            [sys.executable, "-m", "burlshift.catalog", "follow", "--listen", "127.0.0.1:0", *named],
             cwd=ROOT,
             stderr=subprocess.PIPE,
             text=True,
--- a/tests/test_catalog_replica_rig.py
+++ b/tests/test_catalog_replica_rig.py
@@ -7,12 +7,12 @@
 import msgspec
 import pytest
 
-from faultlab import history as h
-from faultlab import schedule
-from faultlab.addresses import Block
-from faultlab.agent_config import document
-from faultlab.checkers import lists
-from faultlab.scenario import load, settle
+from burlshift_tools.faultlab import history as h
+from burlshift_tools.faultlab import schedule
+from burlshift_tools.faultlab.addresses import Block
+from burlshift_tools.faultlab.agent_config import document
+from burlshift_tools.faultlab.checkers import lists
+from burlshift_tools.faultlab.scenario import load, settle
 from tests.test_faultlab_checkers import Story, scenario
 from tests.test_faultlab_rig import ROOT, wrong
 
@@ -91,7 +91,7 @@
 )
 def test_followers_that_are_not_there_are_one_line(tmp_path: Path, text: str, says: str) -> None:
     path = tmp_path / "s.toml"
-    path.write_text(f'base = "{ROOT}/faultlab/scenarios/_lab.toml"\nabout = "x"\n{text}\n')
+    path.write_text(f'base = "{ROOT}/burlshift_tools/faultlab/scenarios/_lab.toml"\nabout = "x"\n{text}\n')
     assert says in wrong("run", str(path))
 
 
--- a/tests/test_catalog_replica_service.py
+++ b/tests/test_catalog_replica_service.py
@@ -12,10 +12,10 @@
 
 import pytest
 
-from catalog.replica import Replica
-from catalog.server import CatalogServer
-from lilacsill.clock import Clock
-from lilacsill.discovery import Address, Discovery, Listing, ListingParser
+from burlshift.agent.clock import Clock
+from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
+from burlshift.catalog.replica import Replica
+from burlshift.catalog.server import CatalogServer
 from tests.loopback import Message, Peer, member
 from tests.test_catalog_service import MEMBERS, Client, body, world
 
@@ -23,8 +23,8 @@
 @pytest.fixture(autouse=True)
 def at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """Nobody waits before the next call; how long that is has its own test (test_discovery)."""
-    monkeypatch.setattr("lilacsill.discovery.CALL_EVERY_S", 0.0)
-    monkeypatch.setattr("lilacsill.discovery.ELSEWHERE_FIRST_S", 0.0)
+    monkeypatch.setattr("burlshift.agent.discovery.CALL_EVERY_S", 0.0)
+    monkeypatch.setattr("burlshift.agent.discovery.ELSEWHERE_FIRST_S", 0.0)
 
 
 class Reader(Client):
--- a/tests/test_catalog_service.py
+++ b/tests/test_catalog_service.py
@@ -16,17 +16,17 @@
 import pytest
 from typer.testing import CliRunner
 
-from catalog import core
-from catalog import server as serving
-from catalog import service as acting
-from catalog.cli import app
-from catalog.core import Change
-from catalog.server import CatalogServer
-from catalog.service import Service
-from catalog.store import Store
-from faultlab import disk
-from lilacsill.clock import Clock
-from lilacsill.discovery import Address, Discovery, Listing, ListingParser
+from burlshift.agent.clock import Clock
+from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
+from burlshift.catalog import core
+from burlshift.catalog import server as serving
+from burlshift.catalog import service as acting
+from burlshift.catalog.cli import app
+from burlshift.catalog.core import Change
+from burlshift.catalog.server import CatalogServer
+from burlshift.catalog.service import Service
+from burlshift.catalog.store import Store
+from burlshift_tools.faultlab import disk
 from tests.loopback import member
 
 ROOT = Path(__file__).parent.parent
@@ -307,7 +307,7 @@
             [
                 sys.executable,
                 "-m",
-                "catalog",
+                "burlshift.catalog",
                 "serve",
                 "--listen",
                 f"127.0.0.1:{port}",
--- a/tests/test_catalog_store.py
+++ b/tests/test_catalog_store.py
@@ -11,9 +11,9 @@
 import apsw
 import pytest
 
-from catalog import store
-from catalog.core import Delete
-from catalog.store import Command, Damaged, NotWritten, Store
+from burlshift.catalog import store
+from burlshift.catalog.core import Delete
+from burlshift.catalog.store import Command, Damaged, NotWritten, Store
 from tests.test_catalog_core import put
 
 SECTOR = 512
--- a/tests/test_catalog_trials.py
+++ b/tests/test_catalog_trials.py
@@ -16,8 +16,8 @@
 
 import pytest
 
-from catalog.store import FILE, backup, restore
-from lilacsill.discovery import ANSWER_BYTES
+from burlshift.agent.discovery import ANSWER_BYTES
+from burlshift.catalog.store import FILE, backup, restore
 from tests.loopback import Peer, config_doc, member
 from tests.test_catalog_service import MEMBERS, ROOT, Client, Process, _client, body
 
@@ -69,7 +69,7 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "lilacsill",
+        "burlshift.agent",
         stderr=asyncio.subprocess.PIPE,
         env={**os.environ, "RELAY_CONFIG": str(folder / "config.json"), "TMPDIR": str(folder)},
     )
@@ -167,7 +167,16 @@
 ) -> None:
     def refused(folder: Path) -> str:
         done = subprocess.run(
-            [sys.executable, "-m", "catalog", "serve", "--listen", "127.0.0.1:0", "--data", str(folder)],
+            [
+                sys.executable,
+                "-m",
+                "burlshift.catalog",
+                "serve",
+                "--listen",
+                "127.0.0.1:0",
+                "--data",
+                str(folder),
+            ],
             cwd=ROOT,
             capture_output=True,
             text=True,
--- a/tests/test_catalog_wall_clock.py
+++ b/tests/test_catalog_wall_clock.py
@@ -9,12 +9,12 @@
 
 import pytest
 
-from catalog import service as service_module
-from catalog import store
-from catalog.core import Delete, Entry, Member, Put, SetPhase
-from catalog.leases import TURN_US, Leases
-from catalog.service import Service
-from catalog.store import Command, Store
+from burlshift.catalog import service as service_module
+from burlshift.catalog import store
+from burlshift.catalog.core import Delete, Entry, Member, Put, SetPhase
+from burlshift.catalog.leases import TURN_US, Leases
+from burlshift.catalog.service import Service
+from burlshift.catalog.store import Command, Store
 
 STEPS_S = [-3600, -5, 5, 3600]
 BORN_S = 1_700_000_000.0
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -12,9 +12,9 @@
 import h11
 import pytest
 
-from brasshead.interface import Action, Event, ListKind, Outcome, RequestArrived, Send
-from lilacsill.backends import Ask, Exchange, Result, _Pooled
-from lilacsill.server import _Client
+from burlshift.agent.backends import Ask, Exchange, Result, _Pooled
+from burlshift.agent.server import _Client
+from burlshift.balancing.interface import Action, Event, ListKind, Outcome, RequestArrived, Send
 from tests.loopback import Raw, World, held_connects, member, post, world
 from tests.test_backends import quiet_is_over
 from tests.test_client_gone import assert_next_is_another, with_a_connection_kept
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from brasshead.interface import ListKind, Send
-from lilacsill.server import AHEAD_LIMIT
+from burlshift.agent.server import AHEAD_LIMIT
+from burlshift.balancing.interface import ListKind, Send
 from tests.loopback import Peer, Raw, World, held_connects, member, post, world
 
 # The first two leave the connection not read, so that nothing there shows its close.
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from lilacsill.server import AHEAD_LIMIT, EmptyTimes
+from burlshift.agent.server import AHEAD_LIMIT, EmptyTimes
 from tests.loopback import World, post, world
 
 UNREAD = {
@@ -194,4 +194,4 @@
             client.close()
 
     asyncio.run(run())
-    assert not [r for r in caplog.records if r.levelname == "ERROR" and r.name.startswith("lilacsill")]
+    assert not [r for r in caplog.records if r.levelname == "ERROR" and r.name.startswith("burlshift.agent")]
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from brasshead.interface import (
+from burlshift.balancing.interface import (
     Action,
     AttemptEnded,
     Backend,
@@ -29,7 +29,7 @@
     Settings,
     TimerFired,
 )
-from brasshead.logic import Balancer, ColdBudget
+from burlshift.balancing.logic import Balancer, ColdBudget
 from tests.helpers import MS, SECOND
 
 BALANCERS, SERVICE_S, QUEUE, TRIP_US, END_S = 30, 0.05, 20, MS, 4.0
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from brasshead.interface import Backend, Outcome, Send
+from burlshift.balancing.interface import Backend, Outcome, Send
 from tests.helpers import MS, SECOND, Drive, only
 from tests.test_cold_fleet import END_S, PATIENT, Fleet
 
--- a/tests/test_copies_end.py
+++ b/tests/test_copies_end.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from brasshead.interface import Send
-from lilacsill.backends import ANSWER_BYTES
+from burlshift.agent.backends import ANSWER_BYTES
+from burlshift.balancing.interface import Send
 from tests.loopback import Message, World, post, world
 
 LARGE = b"l" * (3 * ANSWER_BYTES)
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -10,10 +10,10 @@
 
 import pytest
 
-from lilacsill import backends as backends_module
-from lilacsill import server as server_module
-from lilacsill.backends import Backends
-from lilacsill.clock import Clock
+from burlshift.agent import backends as backends_module
+from burlshift.agent import server as server_module
+from burlshift.agent.backends import Backends
+from burlshift.agent.clock import Clock
 from tests.loopback import KEYED, UNSAFE, Message, World, held_connects, post, world
 
 MS, SECOND = 1_000, 1_000_000
--- a/tests/test_departed_uploads.py
+++ b/tests/test_departed_uploads.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from lilacsill.server import AHEAD_LIMIT
+from burlshift.agent.server import AHEAD_LIMIT
 from tests.loopback import Raw, World, held_connects, post, world
 
 LARGE = b"x" * 200_000
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -12,9 +12,9 @@
 
 import pytest
 
-from brasshead.interface import State
-from lilacsill.__main__ import DESCRIPTORS_APART
-from lilacsill.server import EXTRA
+from burlshift.agent.__main__ import DESCRIPTORS_APART
+from burlshift.agent.server import EXTRA
+from burlshift.balancing.interface import State
 from tests.loopback import Conversation, Peer, config_doc, member, start, world
 from tests.test_list_silence import HEALTH, body, watch_of
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from lilacsill.clock import Clock
-from lilacsill.discovery import Address, Discovery, Listing, ListingParser, parse_addresses
+from burlshift.agent.clock import Clock
+from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser, parse_addresses
 from tests.loopback import Peer, member, post, world
 
 
@@ -113,7 +113,7 @@
     async def sleep(seconds: float) -> None:
         waits.append(seconds)
 
-    monkeypatch.setattr("lilacsill.discovery.asyncio.sleep", sleep)
+    monkeypatch.setattr("burlshift.agent.discovery.asyncio.sleep", sleep)
 
     async def run() -> None:
         told = asyncio.Queue[Listing | None]()
--- a/tests/test_disk_faults_backup.py
+++ b/tests/test_disk_faults_backup.py
@@ -11,10 +11,10 @@
 import pytest
 from typer.testing import CliRunner
 
-from catalog import store
-from catalog.cli import app
-from catalog.core import Delete
-from catalog.store import Command, Damaged, Store, Unavailable
+from burlshift.catalog import store
+from burlshift.catalog.cli import app
+from burlshift.catalog.core import Delete
+from burlshift.catalog.store import Command, Damaged, Store, Unavailable
 from tests.disk_faults import ERRORS, FOR_A_WHILE, FailingOs, FaultPlan, Killed
 from tests.sqlite_faults import FailingFileSystem
 from tests.test_catalog_core import put
--- a/tests/test_disk_faults_catalog.py
+++ b/tests/test_disk_faults_catalog.py
@@ -14,9 +14,9 @@
 
 import pytest
 
-from catalog import store
-from catalog.core import Delete
-from catalog.store import Command, Damaged, NotWritten, Store, Unavailable
+from burlshift.catalog import store
+from burlshift.catalog.core import Delete
+from burlshift.catalog.store import Command, Damaged, NotWritten, Store, Unavailable
 from tests.disk_faults import ERRORS, FOR_A_WHILE, FaultPlan
 from tests.sqlite_faults import FailingFileSystem, after_power_cut
 from tests.test_catalog_core import put
--- a/tests/test_disk_faults_durable.py
+++ b/tests/test_disk_faults_durable.py
@@ -12,10 +12,10 @@
 
 import pytest
 
-from durable import files as durable_files
-from durable.files import Files, Folder, Refused
-from durable.frames import MOST_BYTES
-from durable.store import NotWritten, Recovered, Store
+from burlshift.durable import files as durable_files
+from burlshift.durable.files import Files, Folder, Refused
+from burlshift.durable.frames import MOST_BYTES
+from burlshift.durable.store import NotWritten, Recovered, Store
 from tests.disk_faults import ERRORS, FOR_A_WHILE, FailingOs, FaultPlan, Killed, open_descriptors
 from tests.disk_model import Inode, ModelDisk
 
--- a/tests/test_disk_faults_service.py
+++ b/tests/test_disk_faults_service.py
@@ -11,9 +11,9 @@
 
 import pytest
 
-from catalog import service as serving
-from catalog.core import Delete, SetPhase
-from catalog.store import Command, NotWritten, Store
+from burlshift.catalog import service as serving
+from burlshift.catalog.core import Delete, SetPhase
+from burlshift.catalog.store import Command, NotWritten, Store
 from tests.disk_faults import FaultPlan
 from tests.sqlite_faults import FailingFileSystem
 from tests.test_catalog_service import MEMBERS, World, body, world
--- a/tests/test_drawn_world.py
+++ b/tests/test_drawn_world.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from lilacsill import server
-from lilacsill.connection import Headers
+from burlshift.agent import server
+from burlshift.agent.connection import Headers
 from tests.drawn_world import (
     AFTER_S,
     LOST_S,
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -11,10 +11,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from durable import store as storing
-from durable.files import Files, Folder, Refused
-from durable.frames import Damage, frame, frames
-from durable.store import NotWritten, Recovered, Store
+from burlshift.durable import store as storing
+from burlshift.durable.files import Files, Folder, Refused
+from burlshift.durable.frames import Damage, frame, frames
+from burlshift.durable.store import NotWritten, Recovered, Store
 from tests.disk_model import ModelDisk, anywhere
 
 DRAWN, CUTS = 2_000, 10  # cuts in all, and of one history
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from brasshead.interface import Outcome
-from lilacsill.backends import ANSWER_BYTES, Ask, Backends, Exchange, Result, _Pooled
+from burlshift.agent.backends import ANSWER_BYTES, Ask, Backends, Exchange, Result, _Pooled
+from burlshift.balancing.interface import Outcome
 from tests.test_attempts_close import Kernel
 from tests.test_backends import ASK, backends, listing
 
--- a/tests/test_exchange_ends.py
+++ b/tests/test_exchange_ends.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from brasshead.interface import Outcome
-from lilacsill.backends import PROBE_US, Ask, Backends, Exchange, Result
-from lilacsill.connection import Connection
+from burlshift.agent.backends import PROBE_US, Ask, Backends, Exchange, Result
+from burlshift.agent.connection import Connection
+from burlshift.balancing.interface import Outcome
 from tests.loopback import Message, Peer
 from tests.test_backends import ASK, backends, begin, quiet_is_over, served
 from tests.test_early_answers import ERROR, OK, LargeBody, Reading, wire
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -5,11 +5,11 @@
 import pytest
 from typer.testing import CliRunner
 
-from fleetsim import explore as exploring
-from fleetsim.__main__ import app
-from fleetsim.explore import CORES, PLANTED, WORLDS, Explorer, Report
-from fleetsim.members import Fleet, memory, processor, spread
-from membership.record import Status
+from burlshift.membership.record import Status
+from burlshift_tools.emulator import explore as exploring
+from burlshift_tools.emulator.__main__ import app
+from burlshift_tools.emulator.explore import CORES, PLANTED, WORLDS, Explorer, Report
+from burlshift_tools.emulator.members import Fleet, memory, processor, spread
 
 
 def explore(core: str, world: str, states: int) -> Report:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,7 +7,7 @@
 
 from pytest import approx
 
-from brasshead.interface import (
+from burlshift.balancing.interface import (
     Backend,
     ListKind,
     Outcome,
@@ -22,7 +22,7 @@
     State,
     Tell,
 )
-from brasshead.logic import NOTE, RETRY_BURST, RETRY_SHARE, Request, Server
+from burlshift.balancing.logic import NOTE, RETRY_BURST, RETRY_SHARE, Request, Server
 from tests.helpers import MS, SECOND, Drive, only
 
 
--- a/tests/test_faultlab_checkers.py
+++ b/tests/test_faultlab_checkers.py
@@ -10,12 +10,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from faultlab import history as h
-from faultlab import verdict
-from faultlab.checkers import presence
-from faultlab.checkers.case import Breach, Case
-from faultlab.scenario import LabScenario, load
-from fleetsim.scenario import Rules
+from burlshift_tools.emulator.scenario import Rules
+from burlshift_tools.faultlab import history as h
+from burlshift_tools.faultlab import verdict
+from burlshift_tools.faultlab.checkers import presence
+from burlshift_tools.faultlab.checkers.case import Breach, Case
+from burlshift_tools.faultlab.scenario import LabScenario, load
 
 S = 1_000_000
 MEMBERS = [("s0", "SERVING", 0), ("s1", "SERVING", 0), ("s2", "SERVING", 0)]
--- a/tests/test_faultlab_clients.py
+++ b/tests/test_faultlab_clients.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from faultlab import faults_schema as faults
-from faultlab import history as h
-from faultlab.parts.clients import Arrival, Begin, ClientsPart, Habit, Load, Settle
-from faultlab.scenario import load
+from burlshift_tools.faultlab import faults_schema as faults
+from burlshift_tools.faultlab import history as h
+from burlshift_tools.faultlab.parts.clients import Arrival, Begin, ClientsPart, Habit, Load, Settle
+from burlshift_tools.faultlab.scenario import load
 
 ONE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
--- a/tests/test_faultlab_relay.py
+++ b/tests/test_faultlab_relay.py
@@ -10,14 +10,14 @@
 
 import pytest
 
-from faultlab.addresses import Block
-from faultlab.agent_config import FLEET, KEY
-from faultlab.faults_schema import Link
-from faultlab.parts import datagrams
-from faultlab.parts.relay import Break, Clear, Relay, RelayPart, Route, Shape, Up
-from membership.messages import Kind, Message
-from membership.record import Status
-from membership.wire import Wire
+from burlshift.membership.messages import Kind, Message
+from burlshift.membership.record import Status
+from burlshift.membership.wire import Wire
+from burlshift_tools.faultlab.addresses import Block
+from burlshift_tools.faultlab.agent_config import FLEET, KEY
+from burlshift_tools.faultlab.faults_schema import Link
+from burlshift_tools.faultlab.parts import datagrams
+from burlshift_tools.faultlab.parts.relay import Break, Clear, Relay, RelayPart, Route, Shape, Up
 
 
 class Nothing:
--- a/tests/test_faultlab_rig.py
+++ b/tests/test_faultlab_rig.py
@@ -17,12 +17,23 @@
 from hypothesis import strategies as st
 from typer.testing import CliRunner
 
-from faultlab import addresses, disk, drawn, history, plants, play, schedule, shrinking, soaking, verdict
-from faultlab.children import Failed, tethered
-from faultlab.cli import app
-from faultlab.scenario import load, settle
-from fleetsim.scenario import shipped
-from fleetsim.streams import streams_for
+from burlshift_tools.emulator.scenario import shipped
+from burlshift_tools.emulator.streams import streams_for
+from burlshift_tools.faultlab import (
+    addresses,
+    disk,
+    drawn,
+    history,
+    plants,
+    play,
+    schedule,
+    shrinking,
+    soaking,
+    verdict,
+)
+from burlshift_tools.faultlab.children import Failed, tethered
+from burlshift_tools.faultlab.cli import app
+from burlshift_tools.faultlab.scenario import load, settle
 
 ROOT = Path(__file__).parent.parent
 SHORT_S = 2.0
@@ -40,7 +51,7 @@
 
 
 def test_the_schedule_follows_from_scenario_and_seed_alone() -> None:
-    names = shipped("faultlab")
+    names = shipped("burlshift_tools.faultlab")
     assert len(names) >= 15
     for name in names:
         lines = {seed: play.schedule_lines(load(name), seed, None, Path(), ROOT) for seed in (1, 2)}
@@ -106,7 +117,7 @@
 )
 def test_a_scenario_that_cannot_be_played_is_one_line(tmp_path: Path, text: str, says: str) -> None:
     path = tmp_path / "s.toml"
-    path.write_text(f'base = "{ROOT}/faultlab/scenarios/_lab.toml"\nabout = "x"\n{text}\n')
+    path.write_text(f'base = "{ROOT}/burlshift_tools/faultlab/scenarios/_lab.toml"\nabout = "x"\n{text}\n')
     assert says in wrong("run", str(path))
 
 
@@ -145,10 +156,10 @@
         assert text.count(plant.old) == 1, plant.name
         planted = text.replace(plant.old, plant.new)
         assert not undefined_names(planted), plant.name
-        assert plant.scenario in shipped("faultlab")
+        assert plant.scenario in shipped("burlshift_tools.faultlab")
     assert "one of repeat" in wrong("plants", "weeds")
-    (tmp_path / "tree" / "lilacsill").mkdir(parents=True)
-    (tmp_path / "tree" / "lilacsill" / "bans.py").write_text("")
+    (tmp_path / "tree" / "burlshift" / "agent").mkdir(parents=True)
+    (tmp_path / "tree" / "burlshift" / "agent" / "bans.py").write_text("")
     with pytest.raises(plants.PlantError, match="is there 0 times; mend it"):
         plants.plant_in(tmp_path / "tree", plants.named(["ban"])[0], tmp_path / "copy")
 
@@ -170,7 +181,7 @@
 
 def test_a_process_whose_rig_is_killed_ends_even_when_it_is_paused() -> None:
     code = (
-        "import subprocess, sys, time; from faultlab.children import tethered; "
+        "import subprocess, sys, time; from burlshift_tools.faultlab.children import tethered; "
         "p = subprocess.Popen(tethered(['sleep', '600'])); print(p.pid, flush=True); time.sleep(600)"
     )
     rig = subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE, cwd=ROOT, text=True)
@@ -259,12 +270,14 @@
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
 def test_an_end_from_outside_leaves_no_process_and_no_directory(tmp_path: Path, number: int) -> None:
     name = f"end-{number}-{os.getpid()}"
-    (tmp_path / f"{name}.toml").write_text(f'base = "{ROOT}/faultlab/scenarios/_lab.toml"\nabout = "x"\n')
+    (tmp_path / f"{name}.toml").write_text(
+        f'base = "{ROOT}/burlshift_tools/faultlab/scenarios/_lab.toml"\nabout = "x"\n'
+    )
     rig = subprocess.Popen(
         [
             sys.executable,
             "-m",
-            "faultlab",
+            "burlshift_tools.faultlab",
             "run",
             str(tmp_path / f"{name}.toml"),
             "-o",
@@ -307,7 +320,7 @@
 def test_a_short_scenario_holds_and_is_judged_the_same_twice(tmp_path: Path) -> None:
     folder = tmp_path / "run"
     path = tmp_path / "short.toml"
-    path.write_text(f"""base = "{ROOT}/faultlab/scenarios/_lab.toml"
+    path.write_text(f"""base = "{ROOT}/burlshift_tools/faultlab/scenarios/_lab.toml"
 about = "an agent is paused and one is upgraded"
 [run]
 length_s = {SHORT_S}
--- a/tests/test_fleetsim_model.py
+++ b/tests/test_fleetsim_model.py
@@ -8,15 +8,15 @@
 import msgspec
 import pytest
 
-from brasshead.interface import Effect, Group, RequestClass
-from fleetsim import registry, scenario
-from fleetsim.agents import Host
-from fleetsim.checker import DRAINED, REPEATED, Checker
-from fleetsim.engine import Engine
-from fleetsim.requests import Attempt, First, Try
-from fleetsim.servers import NOWHERE, Server
-from fleetsim.streams import streams_for
-from fleetsim.world import World
+from burlshift.balancing.interface import Effect, Group, RequestClass
+from burlshift_tools.emulator import registry, scenario
+from burlshift_tools.emulator.agents import Host
+from burlshift_tools.emulator.checker import DRAINED, REPEATED, Checker
+from burlshift_tools.emulator.engine import Engine
+from burlshift_tools.emulator.requests import Attempt, First, Try
+from burlshift_tools.emulator.servers import NOWHERE, Server
+from burlshift_tools.emulator.streams import streams_for
+from burlshift_tools.emulator.world import World
 
 
 class Job:
--- a/tests/test_fleetsim_tools.py
+++ b/tests/test_fleetsim_tools.py
@@ -9,9 +9,9 @@
 import pytest
 from typer.testing import CliRunner
 
-from brasshead import logic
-from fleetsim import compare, ours, scenario, sweep, why
-from fleetsim.cli import app
+from burlshift.balancing import logic
+from burlshift_tools.emulator import compare, ours, scenario, sweep, why
+from burlshift_tools.emulator.cli import app
 
 SMALL = """
 base = "{base}"
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from lilacsill.server import AHEAD_LIMIT
+from burlshift.agent.server import AHEAD_LIMIT
 from tests.loopback import Conversation, World, post, world
 
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -98,9 +98,9 @@
 
 def test_many_that_say_nothing_keep_nobody_waiting(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     # Until the first of them was let go, nobody more was accepted; and then the next of them was.
-    monkeypatch.setattr("lilacsill.server.EXTRA", 0)
-    monkeypatch.setattr("lilacsill.server.FIRST_S", 0.01)
-    monkeypatch.setattr("lilacsill.server.HEAD_S", 3600.0)
+    monkeypatch.setattr("burlshift.agent.server.EXTRA", 0)
+    monkeypatch.setattr("burlshift.agent.server.FIRST_S", 0.01)
+    monkeypatch.setattr("burlshift.agent.server.HEAD_S", 3600.0)
 
     async def run() -> None:
         async with world(tmp_path, most=64 + 2 * 4) as w:
@@ -115,7 +115,7 @@
 def test_who_stays_beyond_the_limit_costs_no_busy_loop(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("lilacsill.server.EXTRA", 0)
+    monkeypatch.setattr("burlshift.agent.server.EXTRA", 0)
 
     async def run() -> None:
         async with world(tmp_path, most=64 + 2 * 2) as w:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -15,13 +15,13 @@
 
 import pytest
 
-from brasshead import memory
-from brasshead.interface import Backend, State
-from lilacsill import handover
-from lilacsill.bans import Roster
-from lilacsill.clock import Clock
-from lilacsill.discovery import Address, Listing, ListingParser, Member
-from lilacsill.handover import Act, Succession, inherit
+from burlshift.agent import handover
+from burlshift.agent.bans import Roster
+from burlshift.agent.clock import Clock
+from burlshift.agent.discovery import Address, Listing, ListingParser, Member
+from burlshift.agent.handover import Act, Succession, inherit
+from burlshift.balancing import memory
+from burlshift.balancing.interface import Backend, State
 from tests.helpers import Drive
 from tests.loopback import UNSAFE, Conversation, Peer, config_doc, member, post, start
 
@@ -414,13 +414,13 @@
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "lilacsill",
+                "burlshift.agent",
                 stderr=asyncio.subprocess.PIPE,
                 env={**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(tmp_path)},
             )
             _, err = await process.communicate()
             assert process.returncode == status
-            assert err.startswith(b"lilacsill: ") and err.count(b"\n") == 1, err
+            assert err.startswith(b"burlshift: ") and err.count(b"\n") == 1, err
 
     asyncio.run(asyncio.wait_for(run(), 60))
 
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from brasshead.interface import Outcome
-from lilacsill.backends import Ask, Backends, Result
-from lilacsill.clock import Clock
-from lilacsill.quiet_period import LATENESS_MOST_US, OTHERS_US, QUIET_US, SEEN_US, QuietPeriods
+from burlshift.agent.backends import Ask, Backends, Result
+from burlshift.agent.clock import Clock
+from burlshift.agent.quiet_period import LATENESS_MOST_US, OTHERS_US, QUIET_US, SEEN_US, QuietPeriods
+from burlshift.balancing.interface import Outcome
 from tests.loopback import KEYED, UNSAFE, Message, Peer, held_connects, post, world
 from tests.test_backends import ASK, FIELDS, listing
 
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -12,12 +12,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from brasshead.interface import Backend, Outcome, State
-from lilacsill import losses as rule
-from lilacsill.clock import Clock
-from lilacsill.config import ConfigError
-from lilacsill.discovery import Address, Listing, Member
-from lilacsill.losses import Losses
+from burlshift.agent import losses as rule
+from burlshift.agent.clock import Clock
+from burlshift.agent.config import ConfigError
+from burlshift.agent.discovery import Address, Listing, Member
+from burlshift.agent.losses import Losses
+from burlshift.balancing.interface import Backend, Outcome, State
 from tests.loopback import Peer, World, config_doc, load_config, member, world
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,10 +11,10 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from membership.core import CONFIRM, Membership
-from membership.messages import Changed, Fact, Kind, Message, Send
-from membership.record import NEVER, Claims, Record, Status, merge
-from membership.wire import MOST_BYTES, Unreadable, Wire
+from burlshift.membership.core import CONFIRM, Membership
+from burlshift.membership.messages import Changed, Fact, Kind, Message, Send
+from burlshift.membership.record import NEVER, Claims, Record, Status, merge
+from burlshift.membership.wire import MOST_BYTES, Unreadable, Wire
 
 MS, S = 1000, 1_000_000
 RECORDS = st.builds(Record, st.integers(0, 3), st.integers(0, 3), st.sampled_from(Status))
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -8,11 +8,11 @@
 
 import pytest
 
-from brasshead.interface import Backend, State
-from lilacsill import control
-from lilacsill.bans import KEPT, Roster
-from lilacsill.discovery import Address, Listing, Member
-from lilacsill.server import EmptyTimes
+from burlshift.agent import control
+from burlshift.agent.bans import KEPT, Roster
+from burlshift.agent.discovery import Address, Listing, Member
+from burlshift.agent.server import EmptyTimes
+from burlshift.balancing.interface import Backend, State
 from tests.loopback import KEYED, UNSAFE, Conversation, World, member, post, world
 
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -49,7 +49,7 @@
 def test_while_discovery_is_silent_the_known_list_does_in_the_end(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("lilacsill.operators.FRESH_S", 0.0)
+    monkeypatch.setattr("burlshift.agent.operators.FRESH_S", 0.0)
 
     async def run() -> None:
         async with world(tmp_path) as w:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -20,7 +20,7 @@
     run_state_machine_as_test,
 )
 
-from brasshead.interface import (
+from burlshift.balancing.interface import (
     Action,
     AttemptEnded,
     Backend,
@@ -49,7 +49,7 @@
     TimerFired,
     Watch,
 )
-from brasshead.logic import Balancer
+from burlshift.balancing.logic import Balancer
 
 MS, SECOND = 1_000, 1_000_000
 PROVEN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -11,7 +11,12 @@
 
 import pytest
 
-from brasshead.interface import (
+from burlshift.agent import agent as agent_module
+from burlshift.agent.agent import Agent
+from burlshift.agent.backends import Backends, Exchange
+from burlshift.agent.figures import Figures
+from burlshift.agent.server import Server, _Client
+from burlshift.balancing.interface import (
     AttemptEnded,
     BackendsChanged,
     ClientGone,
@@ -22,12 +27,7 @@
     Send,
     TimerFired,
 )
-from brasshead.logic import Balancer
-from lilacsill import agent as agent_module
-from lilacsill.agent import Agent
-from lilacsill.backends import Backends, Exchange
-from lilacsill.figures import Figures
-from lilacsill.server import Server, _Client
+from burlshift.balancing.logic import Balancer
 from tests.helpers import SECOND
 from tests.loopback import KEYED, UNSAFE, Conversation, Message, World, post, world
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,14 +12,14 @@
 
 import pytest
 
-from lilacsill import peers as channel
-from lilacsill.clock import Clock
-from lilacsill.config import ConfigError
-from lilacsill.discovery import Address
-from lilacsill.peers import Budget, Peers, PeersConfig
-from membership.messages import Fact, Kind, Message
-from membership.record import Record, Status
-from membership.wire import MOST_BYTES, Wire
+from burlshift.agent import peers as channel
+from burlshift.agent.clock import Clock
+from burlshift.agent.config import ConfigError
+from burlshift.agent.discovery import Address
+from burlshift.agent.peers import Budget, Peers, PeersConfig
+from burlshift.membership.messages import Fact, Kind, Message
+from burlshift.membership.record import Record, Status
+from burlshift.membership.wire import MOST_BYTES, Wire
 from tests.loopback import config_doc, load_config
 
 S = 1_000_000
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -18,7 +18,7 @@
 
 
 def test_module_stays_within_its_limits() -> None:
-    text = (ROOT / "brasshead" / "logic.py").read_text().splitlines()
+    text = (ROOT / "burlshift" / "balancing" / "logic.py").read_text().splitlines()
     assert sum(1 for line in text if line.strip()) <= 1200
-    for path in [*ROOT.glob("brasshead/*.py"), *ROOT.glob("tests/*.py")]:
+    for path in [*ROOT.glob("burlshift/balancing/*.py"), *ROOT.glob("tests/*.py")]:
         assert all(len(line) <= 110 for line in path.read_text().splitlines()), path
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from brasshead.interface import Discovery as PushOrAsk
-from brasshead.interface import Watch
-from lilacsill.agent import FIRST_LIST_S
-from lilacsill.discovery import Call
+from burlshift.agent.agent import FIRST_LIST_S
+from burlshift.agent.discovery import Call
+from burlshift.balancing.interface import Discovery as PushOrAsk
+from burlshift.balancing.interface import Watch
 from tests.helpers import Drive, only
 from tests.loopback import post, world
 from tests.test_list_silence import body, health
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from brasshead.interface import Effect, Group, Outcome, RequestClass, Send
-from lilacsill.backends import Ask, Result
-from lilacsill.clock import Clock
+from burlshift.agent.backends import Ask, Result
+from burlshift.agent.clock import Clock
+from burlshift.balancing.interface import Effect, Group, Outcome, RequestClass, Send
 from tests.helpers import MS, SECOND, Drive, keyed, only
 from tests.loopback import KEYED, held_connects, post, world
 
@@ -91,7 +91,7 @@
             first = await w.request()
             heard = held_connects(monkeypatch)
             exchange("s0", Ask("POST", "/api", [(b"Request-Id", b"2")], b"job"), 60 * SECOND, ends.put_nowait)
-            monkeypatch.setattr("lilacsill.connection._read_buffer", bytearray(len(one)))
+            monkeypatch.setattr("burlshift.agent.connection._read_buffer", bytearray(len(one)))
             await first.peer.write(one + two)
             assert (await ends.get()).body == b"first"
             heard.set()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from brasshead.interface import (
+from burlshift.balancing.interface import (
     Backend,
     Cancel,
     ClientGone,
--- a/tests/test_scale_agent.py
+++ b/tests/test_scale_agent.py
@@ -13,12 +13,20 @@
 
 import pytest
 
-from faultlab.scale import agentcost, deep, latency
-from faultlab.scale.agentcost_lists import Traffic
-from faultlab.scale.latency_client import LATE_NS, LEAD_NS, Arrival, Block, Client, Taken, Target
-from faultlab.scale.latency_parts import Tally, arrivals, judge
-from faultlab.scale.latency_standin import whole_message
-from faultlab.scale.slopes import Figure, Measured, Run, Slope
+from burlshift_tools.faultlab.scale import agentcost, deep, latency
+from burlshift_tools.faultlab.scale.agentcost_lists import Traffic
+from burlshift_tools.faultlab.scale.latency_client import (
+    LATE_NS,
+    LEAD_NS,
+    Arrival,
+    Block,
+    Client,
+    Taken,
+    Target,
+)
+from burlshift_tools.faultlab.scale.latency_parts import Tally, arrivals, judge
+from burlshift_tools.faultlab.scale.latency_standin import whole_message
+from burlshift_tools.faultlab.scale.slopes import Figure, Measured, Run, Slope
 
 SIZES = (20, 40)
 
@@ -200,7 +208,7 @@
             self.looks += 1
             return time.monotonic_ns() + (0 if self.looks == 1 else 10 * LATE_NS + LEAD_NS)
 
-    monkeypatch.setattr("faultlab.scale.latency_client.time", Behind())
+    monkeypatch.setattr("burlshift_tools.faultlab.scale.latency_client.time", Behind())
     target = Target(places=[silent.getsockname()], request="POST / HTTP/1.1\r\nX: {rid}\r\n\r\n", name="t")
     server = _answering(silent, 1, threading.Barrier(1))
     taken = Client().run(Block(targets=[target], arrivals=[Arrival(0, 0)]))[0]
--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -15,14 +15,14 @@
 import pytest
 from typer.testing import CliRunner
 
-from faultlab import play
-from faultlab.cli import app
-from faultlab.scale import fleet, fleet_orders, fleet_steps, fleet_turns, registry, runs
-from faultlab.scale.hollow import SameAnswers
-from faultlab.scale.lateness import counted
-from faultlab.scale.slopes import Figure, Measured, Point, Run, Slope
-from lilacsill.clock import Clock
-from lilacsill.discovery import ListingParser
+from burlshift.agent.clock import Clock
+from burlshift.agent.discovery import ListingParser
+from burlshift_tools.faultlab import play
+from burlshift_tools.faultlab.cli import app
+from burlshift_tools.faultlab.scale import fleet, fleet_orders, fleet_steps, fleet_turns, registry, runs
+from burlshift_tools.faultlab.scale.hollow import SameAnswers
+from burlshift_tools.faultlab.scale.lateness import counted
+from burlshift_tools.faultlab.scale.slopes import Figure, Measured, Point, Run, Slope
 
 ROOT = Path(__file__).parent.parent
 SLOPE = Slope(name="some.slope", unit="ms", per="members", points=(Point(10, 1.0), Point(20, 2.0)))
@@ -63,7 +63,7 @@
     env = {**os.environ, "TMPDIR": str(tmp_path / "tmp")} | dict([mark.split("=")])
     (tmp_path / "tmp").mkdir()
     ran = subprocess.run(
-        [sys.executable, "-m", "faultlab", "scale", "--only", "fleet", "--small", "-o", out],
+        [sys.executable, "-m", "burlshift_tools.faultlab", "scale", "--only", "fleet", "--small", "-o", out],
         env=env,
         cwd=ROOT,
         capture_output=True,
@@ -96,7 +96,7 @@
     mark = f"SCALE_TEST={os.getpid()}-{time.monotonic_ns()}"
     env = {**os.environ, "TMPDIR": str(tmp_path), "PYTHONUNBUFFERED": "1"} | dict([mark.split("=")])
     run = subprocess.Popen(
-        [sys.executable, "-m", "faultlab", "scale", "--only", "fleet", "--small"],
+        [sys.executable, "-m", "burlshift_tools.faultlab", "scale", "--only", "fleet", "--small"],
         env=env,
         cwd=ROOT,
         stdout=subprocess.PIPE,
@@ -141,7 +141,7 @@
 def test_a_measurement_that_is_not_there_is_named_only_if_asked_for(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(registry, "NAMES", ("fleet", "not_there"))
     assert registry.named(["fleet"]) == ["fleet"]
-    assert "faultlab/scale/not_there.py" in wrong("--only", "not_there", "--small")
+    assert "burlshift_tools/faultlab/scale/not_there.py" in wrong("--only", "not_there", "--small")
 
 
 def test_a_late_run_does_not_count(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -6,11 +6,20 @@
 
 import pytest
 
-from faultlab.scale import charts, membership, page, plan, tables
-from faultlab.scale.lines import LINES
-from faultlab.scale.plan import At, Line, NotKnown, NotMeasured, breaks_at, by_name, read, worked
-from faultlab.scale.slopes import Figure, Measured, Point, Run, Slope
-from faultlab.scale.tables import slopes_of, within
+from burlshift_tools.faultlab.scale import charts, membership, page, plan, tables
+from burlshift_tools.faultlab.scale.lines import LINES
+from burlshift_tools.faultlab.scale.plan import (
+    At,
+    Line,
+    NotKnown,
+    NotMeasured,
+    breaks_at,
+    by_name,
+    read,
+    worked,
+)
+from burlshift_tools.faultlab.scale.slopes import Figure, Measured, Point, Run, Slope
+from burlshift_tools.faultlab.scale.tables import slopes_of, within
 
 SIZES = (16, 100, 1000, 3100)
 
@@ -128,7 +137,11 @@
 
 def test_an_unknown_key_is_an_error(filled: Path) -> None:
     said = page.check(figures(), edited(filled, "`agent.memory`", "`agent.memroy`"))
-    assert [w for w in said if "agent.memroy: no such key or slope; faultlab/scale/lines.py has them" in w]
+    assert [
+        w
+        for w in said
+        if "agent.memroy: no such key or slope; burlshift_tools/faultlab/scale/lines.py has them" in w
+    ]
     assert "agent.memory: is missing on the page; fill it anew" in said
 
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -13,9 +13,9 @@
 
 import pytest
 
-from brasshead.interface import RequestClass, Settings
-from lilacsill.__main__ import drain_times
-from lilacsill.server import AHEAD_LIMIT, EmptyTimes
+from burlshift.agent.__main__ import drain_times
+from burlshift.agent.server import AHEAD_LIMIT, EmptyTimes
+from burlshift.balancing.interface import RequestClass, Settings
 from tests.loopback import KEYED, UNSAFE, Conversation, Message, Peer, config_doc, member, post, start, world
 
 CHUNKED = post(drop=("Content-Length",), body=b"", Transfer_Encoding="chunked")
@@ -233,7 +233,7 @@
 
 def test_beyond_the_limit_others_wait_in_the_kernel(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     # Accepting on until descriptors ran out failed for all who waited, time after time.
-    monkeypatch.setattr("lilacsill.server.EXTRA", 0)
+    monkeypatch.setattr("burlshift.agent.server.EXTRA", 0)
 
     async def run() -> None:
         async with world(tmp_path, most=66) as w:  # one client connection
@@ -414,12 +414,12 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "lilacsill",
+            "burlshift.agent",
             env={**os.environ, "RELAY_CONFIG": str(path)},
             stderr=asyncio.subprocess.PIPE,
         )
         _, err = await process.communicate()
         assert process.returncode == 2
-        assert err.startswith(b"lilacsill: ") and err.count(b"\n") == 1, err
+        assert err.startswith(b"burlshift: ") and err.count(b"\n") == 1, err
 
     asyncio.run(asyncio.wait_for(run(), 60))
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from brasshead.interface import (
+from burlshift.balancing.interface import (
     TOLD_US,
     Backend,
     BackendsChanged,
@@ -23,7 +23,7 @@
     TimerFired,
     Watch,
 )
-from brasshead.logic import CALL_US
+from burlshift.balancing.logic import CALL_US
 from tests.helpers import MS, SAFE, SECOND, UNSAFE, Drive, only
 
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from lilacsill.server import DrainTimes
+from burlshift.agent.server import DrainTimes
 from tests.loopback import (
     KEYED,
     UNSAFE,
@@ -217,7 +217,7 @@
 def test_a_signal_after_the_last_turn_is_no_crash(tmp_path: Path, number: signal.Signals) -> None:
     # The loop's end put back the system's handlers, while the interpreter still had to end.
     code = (
-        "import atexit, os, signal, sys\nfrom lilacsill.__main__ import main\n"
+        "import atexit, os, signal, sys\nfrom burlshift.agent.__main__ import main\n"
         f"atexit.register(os.kill, os.getpid(), {int(number)})\nsys.exit(main())"
     )
     (tmp_path / "config.json").write_text(json.dumps(config_doc(1, [])))
@@ -248,7 +248,11 @@
             silent.bind(str(tmp_path / "lilacsill-127.0.0.1-1234.sock"))
             silent.listen()
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lilacsill", stderr=asyncio.subprocess.PIPE, env=environment(tmp_path)
+                sys.executable,
+                "-m",
+                "burlshift.agent",
+                stderr=asyncio.subprocess.PIPE,
+                env=environment(tmp_path),
             )
             assert process.stderr is not None
             while b"takes calls" not in await process.stderr.readline():
--- a/tests/test_shutdown_requests.py
+++ b/tests/test_shutdown_requests.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from brasshead.interface import RequestClass, Settings
-from lilacsill.__main__ import drain_times
-from lilacsill.server import DrainTimes, EmptyTimes
+from burlshift.agent.__main__ import drain_times
+from burlshift.agent.server import DrainTimes, EmptyTimes
+from burlshift.balancing.interface import RequestClass, Settings
 from tests.loopback import Conversation, Peer, Raw, World, config_doc, member, post, start, world
 
 AT_ONCE = DrainTimes(close_s=0.0, idle_s=0.0, serve_s=0.0, end_s=0.0)
@@ -102,7 +102,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # To a client of HTTP/1.0 an answer without a length is told by its end.
-    monkeypatch.setattr("lilacsill.server.STREAMS_S", 0.0)
+    monkeypatch.setattr("burlshift.agent.server.STREAMS_S", 0.0)
 
     async def run() -> None:
         async with world(tmp_path) as w:
--- a/tests/test_shutdown_signals.py
+++ b/tests/test_shutdown_signals.py
@@ -16,8 +16,8 @@
 # The process sends itself all signals as it comes to the call that is named here.
 SIGNALLED_AT = """
 import asyncio.base_events, asyncio.runners, os, signal, sys
-import lilacsill.agent, lilacsill.server
-from lilacsill.__main__ import main
+import burlshift.agent.agent, burlshift.agent.server
+from burlshift.agent.__main__ import main
 
 def signalled(owner, name):
     call = getattr(owner, name)
@@ -31,10 +31,10 @@
 sys.exit(main())
 """
 MOMENTS = {
-    "before it listens": ("lilacsill.agent.Agent", "start"),
-    "as it listens": ("lilacsill.server.Server", "take_over"),
-    "as it begins to stop": ("lilacsill.server.Server", "drain"),
-    "at its last look": ("lilacsill.server.Server", "stop"),
+    "before it listens": ("burlshift.agent.agent.Agent", "start"),
+    "as it listens": ("burlshift.agent.server.Server", "take_over"),
+    "as it begins to stop": ("burlshift.agent.server.Server", "drain"),
+    "at its last look": ("burlshift.agent.server.Server", "stop"),
     "as its tasks are cancelled": ("asyncio.runners", "_cancel_all_tasks"),
     "as its threads end": ("asyncio.base_events.BaseEventLoop", "shutdown_default_executor"),
     "as its loop is closed": ("asyncio.base_events.BaseEventLoop", "close"),
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -9,7 +9,7 @@
 import pytest
 
 ROOT = Path(__file__).parents[1]
-PROGRAM = ("brasshead", "lilacsill", "membership", "durable", "catalog")
+PROGRAM = ("burlshift",)
 # Those of this repository always, and the operators' own where they lie beside it.
 SITES = [
     p
--- a/tests/test_system_calls_backends.py
+++ b/tests/test_system_calls_backends.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from brasshead.interface import Outcome
-from lilacsill.server import DrainTimes
+from burlshift.agent.server import DrainTimes
+from burlshift.balancing.interface import Outcome
 from tests.fault_injection import Faults, Side
 from tests.loopback import KEYED, UNSAFE, Peer, World, world
 from tests.system_calls import WHILE, asking, echoing, name_of, play, serves, statuses
--- a/tests/test_system_calls_clients.py
+++ b/tests/test_system_calls_clients.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from lilacsill.server import DrainTimes
+from burlshift.agent.server import DrainTimes
 from tests.fault_injection import Faults, Side
 from tests.loopback import World, post, world
 from tests.system_calls import WHILE, asking, echoing, name_of, one_answer, play, serves, statuses, unhandled
@@ -216,7 +216,7 @@
                 assert await statuses(await asking(w, *NAMES)) == [(200, name) for name in NAMES]
                 assert echo.seen == dict.fromkeys(NAMES, 1)
             broken.close()
-        assert not [context for context in found if "lilacsill" in repr(context)]
+        assert not [context for context in found if "burlshift" in repr(context)]
 
     play(story)
 
--- a/tests/test_system_calls_doors.py
+++ b/tests/test_system_calls_doors.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from brasshead.interface import State
-from lilacsill.handover import Act, Succession, inherit
+from burlshift.agent.handover import Act, Succession, inherit
+from burlshift.balancing.interface import State
 from tests.fault_injection import Faults, Side
 from tests.loopback import member, world
 from tests.system_calls import WHILE, asking, echoing, name_of, play, serves, statuses, unhandled
@@ -254,7 +254,7 @@
 def test_peers_are_heard_once_the_address_can_be_had(
     monkeypatch: pytest.MonkeyPatch, call: str, error: int
 ) -> None:
-    monkeypatch.setattr("lilacsill.peers.BIND_AGAIN_S", 0.0)
+    monkeypatch.setattr("burlshift.agent.peers.BIND_AGAIN_S", 0.0)
 
     async def story(faults: Faults) -> None:
         one, other = (made(addresses, me) for addresses in [free(2)] for me in (0, 1))
--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -10,12 +10,12 @@
 
 import pytest
 
-from brasshead.interface import TOLD_US, BackendsChanged, ListKind, State, Watch
-from brasshead.interface import Discovery as PushOrAsk
-from brasshead.logic import CALL_US
-from lilacsill import discovery
-from lilacsill.clock import Clock
-from lilacsill.discovery import CALL_S, TOLD_S, Address, Discovery, Listing, ListingParser
+from burlshift.agent import discovery
+from burlshift.agent.clock import Clock
+from burlshift.agent.discovery import CALL_S, TOLD_S, Address, Discovery, Listing, ListingParser
+from burlshift.balancing.interface import TOLD_US, BackendsChanged, ListKind, State, Watch
+from burlshift.balancing.interface import Discovery as PushOrAsk
+from burlshift.balancing.logic import CALL_US
 from tests.helpers import Drive, only
 from tests.loopback import Message, Peer, member, world
 from tests.test_list_silence import asks, body, watch_of
@@ -117,7 +117,7 @@
                 await loop.create_future()
 
         monkeypatch.setattr(loop, "create_connection", hangs)
-        monkeypatch.setattr("lilacsill.discovery.asyncio.sleep", sleep)
+        monkeypatch.setattr("burlshift.agent.discovery.asyncio.sleep", sleep)
         watcher.watch(lambda _: None)
         await done.wait()
         assert watcher._watching is not None
@@ -145,7 +145,7 @@
         waits.append(seconds)
 
     async def run() -> None:
-        monkeypatch.setattr("lilacsill.discovery.asyncio.sleep", sleep)
+        monkeypatch.setattr("burlshift.agent.discovery.asyncio.sleep", sleep)
         watcher = of_several(2, wait_ms=wait_ms)
         for _ in range(8):
             watcher._asked = asyncio.get_running_loop().time() - spent_s
@@ -192,7 +192,7 @@
 ) -> None:
     # It is given up a second before what it missed counts as told; the module's wait is up to 5 s.
     monkeypatch.setattr(discovery, "SILENT_S", 0.05)
-    monkeypatch.setattr("lilacsill.__main__.ASK_WAIT_MS", 0)
+    monkeypatch.setattr("burlshift.agent.__main__.ASK_WAIT_MS", 0)
     failures: list[Any] = []
 
     async def run() -> None:
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -14,20 +14,20 @@
 
 import pytest
 
-import lilacsill
-from faultlab.parts.skewed_agent import SKEW_FILE
-from lilacsill import discovery
-from lilacsill.__main__ import assemble
-from lilacsill.agent import Agent
-from lilacsill.clock import Clock
-from lilacsill.config import Config
-from lilacsill.discovery import Address, Discovery, Listing, ListingParser
-from lilacsill.figures import Figures
-from lilacsill.handover import inherit
-from lilacsill.starts import KEPT, Starts
-from membership.messages import Fact, Kind
-from membership.messages import Message as Datagram
-from membership.record import Record, Status
+import burlshift.agent.clock
+from burlshift.agent import discovery
+from burlshift.agent.__main__ import assemble
+from burlshift.agent.agent import Agent
+from burlshift.agent.clock import Clock
+from burlshift.agent.config import Config
+from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
+from burlshift.agent.figures import Figures
+from burlshift.agent.handover import inherit
+from burlshift.agent.starts import KEPT, Starts
+from burlshift.membership.messages import Fact, Kind
+from burlshift.membership.messages import Message as Datagram
+from burlshift.membership.record import Record, Status
+from burlshift_tools.faultlab.parts.skewed_agent import SKEW_FILE
 from tests.loopback import Message, Peer, config_doc, environment, load_config, member
 from tests.test_handover import free_port
 from tests.test_membership import Fleet
@@ -39,7 +39,7 @@
 
 
 class Machine:
-    """The clocks of the agent's machine, in place of the module `time` in lilacsill/clock.py.
+    """The clocks of the agent's machine, in place of the module `time` in burlshift/agent/clock.py.
 
     The servers' machines have the right time, `unix_ms`; this one's wall clock is off by `off_s`.
     """
@@ -65,7 +65,7 @@
 @pytest.fixture
 def machine(monkeypatch: pytest.MonkeyPatch) -> Machine:
     made = Machine()
-    monkeypatch.setattr(lilacsill.clock, "time", made)
+    monkeypatch.setattr(burlshift.agent.clock, "time", made)
     return made
 
 
@@ -519,7 +519,7 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "faultlab.parts.skewed_agent",
+        "burlshift_tools.faultlab.parts.skewed_agent",
         stderr=asyncio.subprocess.PIPE,
         env={**environment(folder), SKEW_FILE: str(folder / "skew")},
     )
@@ -629,9 +629,9 @@
 
 # Everything else
 
-PROGRAM = ("lilacsill", "brasshead", "membership", "durable", "catalog")
+PROGRAM = ("burlshift",)
 WALL = {"time", "time_ns", "ctime", "gmtime", "localtime", "strftime", "clock_gettime", "clock_gettime_ns"}
-READS_WALL = {"lilacsill/clock.py", "catalog/store.py"}
+READS_WALL = {"burlshift/agent/clock.py", "burlshift/catalog/store.py"}
 
 
 def _reads_wall(node: ast.AST) -> bool:
@@ -645,7 +645,7 @@
 
 
 def test_the_wall_clock_is_read_in_two_places_only() -> None:
-    root = Path(lilacsill.__file__).parent.parent
+    root = Path(burlshift.__file__).parent.parent
     found = {
         str(path.relative_to(root))
         for package in PROGRAM
