--- a/burlshift/agent/__main__.py
+++ b/burlshift/agent/__main__.py
@@ -18,19 +18,19 @@
 from burlshift.balancing.interface import Settings
 from burlshift.balancing.logic import Balancer
 
+from .admin_commands import Operators
+from .admin_interface import Door
 from .agent import Agent
 from .backends import Backends
 from .clock import Clock
 from .config import Config, ConfigError, load, reload_discovery
-from .control import Door
 from .discovery import ASK_WAIT_MS, PUSH_WAIT_MS, Discovery
-from .figures import Figures
-from .handover import Succession, inherit, path_for
-from .losses import Losses
-from .operators import Operators
+from .hot_restart import Succession, inherit, path_for
+from .loop_lag import TurnLoop
+from .metrics import Figures
 from .peers import Peers
+from .removal_limiter import Losses
 from .server import DrainTimes, Server
-from .turns import TurnLoop
 
 log = logging.getLogger("burlshift.agent")
 
--- a/burlshift/agent/operators.py
+++ b/burlshift/agent/admin_commands.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from .admin_interface import Refused
 from .agent import Agent
-from .control import Refused
-from .figures import Figures
-from .handover import Act, Succession, Unconfirmed
+from .hot_restart import Act, Succession, Unconfirmed
+from .metrics import Figures
 from .server import EmptyTimes, Server
 
 log = logging.getLogger(__name__)
--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -12,17 +12,17 @@
 from typing import Any
 
 from burlshift.balancing import interface as q
-from burlshift.balancing import memory
+from burlshift.balancing import learned_state
 from burlshift.balancing.logic import Balancer
 
+from .backend_list import Roster
 from .backends import Ask, Backends, Exchange, Result
-from .bans import Roster
 from .clock import Clock
 from .connection import Headers
 from .discovery import AGAIN_MOST_S, Address, Discovery, Listing, Member
-from .figures import Figures, Levels
-from .losses import STEP_S, Losses
+from .metrics import Figures, Levels
 from .peers import Peers
+from .removal_limiter import STEP_S, Losses
 from .server import Call, retry_after
 
 log = logging.getLogger(__name__)
@@ -151,7 +151,7 @@
             return self.start(known)
         self._begin(listing)
         try:
-            memory.give(self._balancer, state["memory"])
+            learned_state.give(self._balancer, state["memory"])
         except (ValueError, KeyError) as e:
             log.warning("starts without what was learned: %s", e)
 
@@ -166,7 +166,7 @@
         return {
             "roster": self._roster.state(parser.form),
             "starts": parser.starts.state(),
-            "memory": memory.take(self._balancer),
+            "memory": learned_state.take(self._balancer),
         }
 
     def move(self, discovery: tuple[Address, ...]) -> None:
--- a/burlshift/agent/backends.py
+++ b/burlshift/agent/backends.py
@@ -17,7 +17,7 @@
 from .connection import Connection, Fields, Headers, checked_request, fields_of, header
 from .discovery import Listing, Member
 from .quiet_period import LATENESS_MOST_US, QUIET_US, QuietPeriods
-from .sockets import Lacking, connecting
+from .socket_errors import Lacking, connecting
 
 log = logging.getLogger(__name__)
 
--- a/burlshift/agent/discovery.py
+++ b/burlshift/agent/discovery.py
@@ -17,7 +17,7 @@
 
 from .clock import Clock
 from .connection import Connection, fields_of, header
-from .starts import Starts
+from .start_times import Starts
 
 log = logging.getLogger(__name__)
 
--- a/burlshift/agent/handover.py
+++ b/burlshift/agent/hot_restart.py
@@ -23,7 +23,7 @@
 
 from .discovery import Address
 from .listener import STARVED_S
-from .sockets import LACKING_TO_HAND_OVER, retrying
+from .socket_errors import LACKING_TO_HAND_OVER, retrying
 
 log = logging.getLogger(__name__)
 
--- a/burlshift/agent/listener.py
+++ b/burlshift/agent/listener.py
@@ -9,7 +9,7 @@
 from enum import Enum, auto
 
 from .discovery import Address
-from .sockets import LACKING_TO_LISTEN, Lacking, accept
+from .socket_errors import LACKING_TO_LISTEN, Lacking, accept
 
 log = logging.getLogger(__name__)
 
--- a/burlshift/agent/turns.py
+++ b/burlshift/agent/loop_lag.py
@@ -10,7 +10,7 @@
 from selectors import SelectorKey
 from time import monotonic
 
-from .event_loop import RetryingSelector
+from .retrying_selector import RetryingSelector
 
 BLOCKED_S = 0.005  # a call of the selector that lasted longer has waited, and nothing was ready before
 
--- a/burlshift/agent/peers.py
+++ b/burlshift/agent/peers.py
@@ -14,9 +14,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from burlshift.membership.core import Membership
 from burlshift.membership.messages import Action, Changed, Living, Send
 from burlshift.membership.record import Status
+from burlshift.membership.swim import Membership
 from burlshift.membership.wire import MOST_BYTES, Unreadable, Wire
 
 from .clock import Clock
--- a/burlshift/agent/event_loop.py
+++ b/burlshift/agent/retrying_selector.py
@@ -14,7 +14,7 @@
 from selectors import EVENT_READ, EVENT_WRITE, SelectorKey
 from typing import Any
 
-from .sockets import LACKING_TO_WATCH
+from .socket_errors import LACKING_TO_WATCH
 
 AGAIN_S = 0.02  # the longest wait while the kernel owes a registration
 # A closed or broken connection shows as either, whatever was asked for.
--- a/burlshift/agent/server.py
+++ b/burlshift/agent/server.py
@@ -20,8 +20,8 @@
 from .connection import HEADER_LIMIT, READ_BYTES, Connection, Fields, Headers, fields_of, header
 from .discovery import Address
 from .listener import ACCEPTS, STARVED_S, Waiting, accept_waiting, listening
-from .sockets import Lacking
-from .turns import unread_since
+from .loop_lag import unread_since
+from .socket_errors import Lacking
 
 log = logging.getLogger(__name__)
 
--- a/burlshift/balancing/drill.py
+++ b/burlshift/balancing/simulator_adapter.py
@@ -1,7 +1,7 @@
 """The wire: frames on standard input and output, many instances in one process, no decision.
 
-Run as ``python -m burlshift.balancing.drill``. Bad input gives one plain line on standard error and exit
-status 2.
+Run as ``python -m burlshift.balancing.simulator_adapter``. Bad input gives one plain line on standard error
+and exit status 2.
 """
 
 from __future__ import annotations
--- a/burlshift/catalog/bench.py
+++ b/burlshift/catalog/bench.py
@@ -15,9 +15,9 @@
 
 from burlshift.agent.discovery import PATH, Address
 
-from .core import Member, Put, SetPhase
 from .server import CatalogServer
 from .service import Service
+from .state_machine import Member, Put, SetPhase
 from .store import Command, Store
 
 WATCHERS, MEMBERS, CHANGES = 1_000, 10_000, 60
--- a/burlshift/catalog/cli.py
+++ b/burlshift/catalog/cli.py
@@ -16,7 +16,7 @@
 
 from burlshift.agent.discovery import Address, parse_address
 
-from . import caller, store
+from . import client, store
 from .replica import Replica
 from .server import CatalogServer
 from .service import Service
@@ -35,7 +35,7 @@
 def plain_errors() -> Iterator[None]:
     try:
         yield
-    except (store.Damaged, store.NotWritten, caller.CallError) as e:
+    except (store.Damaged, store.NotWritten, client.CallError) as e:
         typer.echo(f"catalog: {e}", err=True)
         raise typer.Exit(2) from None
     except OSError as e:
@@ -80,12 +80,12 @@
         address = _address("--listen", listen)
         sources = tuple(_address("--source", text) for text in source or ())
         if not sources:
-            raise caller.CallError("--source: name whom it is to follow, HOST:PORT")
+            raise client.CallError("--source: name whom it is to follow, HOST:PORT")
         for n, one in enumerate(sources):
             if one == address:
-                raise caller.CallError(f"--source {listen}: is its own address; name whom it is to follow")
+                raise client.CallError(f"--source {listen}: is its own address; name whom it is to follow")
             if one in sources[:n]:
-                raise caller.CallError(f"--source {one.host}:{one.port}: is named twice; name each once")
+                raise client.CallError(f"--source {one.host}:{one.port}: is named twice; name each once")
         asyncio.run(_follow(address, sources))
 
 
@@ -97,7 +97,7 @@
     try:
         return parse_address(text)
     except ValueError:
-        raise caller.CallError(f"{flag} {text}: is no address; write HOST:PORT") from None
+        raise client.CallError(f"{flag} {text}: is no address; write HOST:PORT") from None
 
 
 def _stop_at_signals() -> asyncio.Event:
@@ -226,7 +226,7 @@
         "start": start,
     }
     with plain_errors():
-        typer.echo(caller.call(at, "PUT", caller.member_path(member), doc))
+        typer.echo(client.call(at, "PUT", client.member_path(member), doc))
 
 
 @app.command()
@@ -236,7 +236,7 @@
     Example: python -m burlshift.catalog drain s1 --at 127.0.0.1:8500
     """
     with plain_errors():
-        typer.echo(caller.call(at, "PUT", caller.member_path(member) + "/phase", {"phase": "DRAINING"}))
+        typer.echo(client.call(at, "PUT", client.member_path(member) + "/phase", {"phase": "DRAINING"}))
 
 
 @app.command()
@@ -246,7 +246,7 @@
     Example: python -m burlshift.catalog rm s1 --at 127.0.0.1:8500
     """
     with plain_errors():
-        typer.echo(caller.call(at, "DELETE", caller.member_path(member)))
+        typer.echo(client.call(at, "DELETE", client.member_path(member)))
 
 
 @app.command()
@@ -256,7 +256,7 @@
     Example: python -m burlshift.catalog watch --at 127.0.0.1:8500
     """
     with plain_errors():
-        for line in caller.watch(at):
+        for line in client.watch(at):
             typer.echo(line)
 
 
--- a/burlshift/catalog/follower.py
+++ b/burlshift/catalog/follower.py
@@ -16,7 +16,7 @@
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Listing, ListingParser
 
-from .core import Change, Entry, History, Member, whole_of
+from .state_machine import Change, Entry, History, Member, whole_of
 
 FIELDS = frozenset(field.name for field in msgspec.structs.fields(Member))
 
--- a/burlshift/catalog/leases.py
+++ b/burlshift/catalog/leases.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from .core import Delete, Entry, SetPhase
+from .state_machine import Delete, Entry, SetPhase
 
 TURN_US = 200_000  # from one look to the next
 LONGEST_TURN_US = 2 * TURN_US  # what is over this in one turn was a pause of the service, and does not count
--- a/burlshift/catalog/replica.py
+++ b/burlshift/catalog/replica.py
@@ -7,9 +7,9 @@
 
 from burlshift.agent.discovery import Address, Call, Discovery, Listing
 
-from .core import Change
 from .follower import Age, Follower, Heard, HeardParser
 from .service import Readers
+from .state_machine import Change
 from .store import MOST_BYTES, MOST_CHANGES
 
 log = logging.getLogger(__name__)
--- a/burlshift/catalog/server.py
+++ b/burlshift/catalog/server.py
@@ -14,8 +14,8 @@
 from burlshift.agent.connection import Connection, Fields, fields_of, header
 from burlshift.agent.discovery import PATH, Address
 
-from .core import Answer, Delete, Name, Phase, Put, SetPhase, Start, Write
 from .service import AGAIN_S, Readers, Service
+from .state_machine import Answer, Delete, Name, Phase, Put, SetPhase, Start, Write
 from .store import Command
 
 log = logging.getLogger(__name__)
--- a/burlshift/catalog/service.py
+++ b/burlshift/catalog/service.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from .core import Answer, Change, SetPhase, State, listing, whole
 from .leases import TURN_US, Leases
+from .state_machine import Answer, Change, SetPhase, State, listing, whole
 from .store import Command, NotWritten, Store
 
 log = logging.getLogger(__name__)
--- a/burlshift/catalog/store.py
+++ b/burlshift/catalog/store.py
@@ -20,9 +20,9 @@
 
 import msgspec
 
-from burlshift.durable.files import make_folder, sync_folder
+from burlshift.durable.filesystem import make_folder, sync_folder
 
-from .core import Answer, Change, Entry, History, State, Write
+from .state_machine import Answer, Change, Entry, History, State, Write
 
 FORMAT = 1
 FILE, LOCK = "catalog.sqlite3", "lock"
--- a/burlshift/durable/store.py
+++ b/burlshift/durable/store.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from .files import Files, Refused
-from .frames import FORMAT, HEAD, RECORD, SNAPSHOT, VERSION, Damage, Head, frame, frames
+from .filesystem import Files, Refused
+from .framing import FORMAT, HEAD, RECORD, SNAPSHOT, VERSION, Damage, Head, frame, frames
 
 TEMPORARY = "writing"
 
--- a/burlshift/membership/wire.py
+++ b/burlshift/membership/wire.py
@@ -13,9 +13,9 @@
 from struct import Struct
 from zlib import crc32
 
-from .core import FACTS
 from .messages import Fact, Kind, Message
 from .record import Record, Status
+from .swim import FACTS
 
 MOST_BYTES = 256
 VERSION = 1
--- a/burlshift_tools/emulator/cli.py
+++ b/burlshift_tools/emulator/cli.py
@@ -15,8 +15,8 @@
 from rich.table import Table
 
 from . import compare as comparing
-from . import cost as costing
-from . import ours, registry, scenario, sources, sweep, why
+from . import model_overhead as costing
+from . import registry, scenario, shipped_policy, sources, sweep, trace_queries
 from .trace import Trace
 from .world import World
 
@@ -31,10 +31,10 @@
 ERRORS = (
     scenario.ScenarioError,
     registry.UnknownPolicy,
-    ours.SettingError,
+    shipped_policy.SettingError,
     sweep.SweepError,
     comparing.CompareError,
-    why.TraceError,
+    trace_queries.TraceError,
 )
 Scenarios = Annotated[list[str], typer.Argument(help="Names of shipped scenarios, or .toml files.")]
 Policies = Annotated[list[str], typer.Option("--policy", "-p", help="A policy; may be given several times.")]
@@ -103,10 +103,10 @@
     """
     with plain_errors():
         made = registry.policy(policy)
-        changes = ours.parse_settings(set_ or [])
+        changes = shipped_policy.parse_settings(set_ or [])
         recorder = Trace(trace, {"scenario": name, "policy": policy, "seed": seed}) if trace else None
         try:
-            with ours.constants_set(changes), progress_bar() as bar:
+            with shipped_policy.constants_set(changes), progress_bar() as bar:
                 task = bar.add_task(name, total=40)
                 world = World(sources.read(name), seed, made, recorder)
                 row = world.run(lambda share: bar.update(task, completed=round(40 * share)))
@@ -198,10 +198,10 @@
     """
     with plain_errors():
         if request is not None:
-            for line in why.one_request(file, request):
+            for line in trace_queries.one_request(file, request):
                 out.print(line, highlight=False, markup=False)
             return
-        tables = why.summary(file, from_s, to_s)
+        tables = trace_queries.summary(file, from_s, to_s)
         out.print("Tries given up. `feasible`: a listed server would have answered a mean request in time.")
         show([["class", "of", "because", "tries", "share", "feasible", "e.g. request"], *tables["given_up"]])
         out.print("\nPredicted time to an answer over the true one, of answers that came.")
--- a/burlshift_tools/emulator/clients.py
+++ b/burlshift_tools/emulator/clients.py
@@ -7,8 +7,8 @@
 
 from burlshift.balancing.interface import Effect, Group
 
+from .random_streams import Stream
 from .requests import TRIES, First, Try
-from .streams import Stream
 
 if TYPE_CHECKING:
     from .world import World
--- a/burlshift_tools/emulator/compare.py
+++ b/burlshift_tools/emulator/compare.py
@@ -7,7 +7,7 @@
 
 import numpy as np
 
-from .account import histogram
+from .scoring import histogram
 
 RESAMPLES = 10_000
 CONFIDENCE = 0.95
--- a/burlshift_tools/emulator/discovery.py
+++ b/burlshift_tools/emulator/discovery.py
@@ -6,8 +6,8 @@
 
 from burlshift.balancing.interface import Backend, ListKind, State
 
+from .random_streams import Stream
 from .servers import Server
-from .streams import Stream
 
 if TYPE_CHECKING:
     from .agents import Host
--- a/burlshift_tools/emulator/explore.py
+++ b/burlshift_tools/emulator/explore.py
@@ -17,9 +17,9 @@
 from heapq import heappop, heappush
 from typing import NamedTuple
 
-from burlshift.membership.core import Membership, Timing
 from burlshift.membership.messages import Action, Fact, Kind, Message, Send
 from burlshift.membership.record import Record, Status
+from burlshift.membership.swim import Membership, Timing
 
 SIZE = 3
 AIR = 3  # messages under way at once: a timer does not fire beyond that
--- a/burlshift_tools/emulator/members.py
+++ b/burlshift_tools/emulator/members.py
@@ -10,9 +10,9 @@
 from random import Random
 from time import perf_counter_ns
 
-from burlshift.membership.core import FACTS, Membership, Timing
 from burlshift.membership.messages import Action, Changed, Fact, Kind, Message, Send
 from burlshift.membership.record import NEVER, Record, Status
+from burlshift.membership.swim import FACTS, Membership, Timing
 from burlshift.membership.wire import FACT, HEAD, MAC_BYTES, Wire
 
 from .engine import Engine
--- a/burlshift_tools/emulator/network.py
+++ b/burlshift_tools/emulator/network.py
@@ -4,8 +4,8 @@
 
 import math
 
+from .random_streams import Stream
 from .scenario import Network
-from .streams import Stream
 
 
 class Links:
--- a/burlshift_tools/emulator/registry.py
+++ b/burlshift_tools/emulator/registry.py
@@ -5,10 +5,10 @@
 import burlshift.balancing.interface as q
 from burlshift.balancing.logic import Balancer
 
-from . import counted
+from . import oracle_fleet_size
 from .agents import Policy
-from .ours import PARTS
 from .policies import BoundedHash, LeastLoaded, PeakEwma, RoundRobin, TwoChoices, UniformRandom
+from .shipped_policy import PARTS
 from .trace import Tracing
 from .world import MakePolicy, World
 
@@ -19,7 +19,10 @@
     "peak-ewma": PeakEwma,
     "bounded-hash": BoundedHash,
 }
-COUNTED = {"ours-counted": counted.USES, **{f"ours-counted-{use}": (use,) for use in counted.USES}}
+COUNTED = {
+    "ours-counted": oracle_fleet_size.USES,
+    **{f"ours-counted-{use}": (use,) for use in oracle_fleet_size.USES},
+}
 NAMES = ("ours", *(f"ours-{part}" for part in PARTS), *COUNTED, *BASELINES, "least-loaded")
 
 
@@ -35,7 +38,7 @@
     if name == "least-loaded":
         return _least_loaded
     if name in COUNTED:
-        return counted.maker(COUNTED[name])
+        return oracle_fleet_size.maker(COUNTED[name])
     part = name.removeprefix("ours").removeprefix("-")
     if name != "ours" and (not name.startswith("ours-") or part not in PARTS):
         raise UnknownPolicy(f"{name}: no such policy; known are {', '.join(NAMES)}")
--- a/burlshift_tools/emulator/draw.py
+++ b/burlshift_tools/emulator/sampling.py
@@ -10,8 +10,8 @@
 import numpy as np
 from numpy.typing import NDArray
 
+from .random_streams import Stream, streams_for
 from .scenario import AgentPlan, Class, Scenario, ServerPlan, Span
-from .streams import Stream, streams_for
 from .troubles_schema import Burst, HeavyTail
 
 BIN_US = 50_000  # the rate is even within such a stretch
--- a/burlshift_tools/emulator/account.py
+++ b/burlshift_tools/emulator/scoring.py
@@ -8,8 +8,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from .draw import Day
 from .requests import First
+from .sampling import Day
 
 HIGHEST_US = 3_600_000_000  # the histograms hold 1 us to an hour, to three digits
 
--- a/burlshift_tools/emulator/servers.py
+++ b/burlshift_tools/emulator/servers.py
@@ -14,7 +14,7 @@
 from heapq import heappop, heappush
 from typing import TYPE_CHECKING, Any, Protocol
 
-from .streams import Stream
+from .random_streams import Stream
 
 if TYPE_CHECKING:
     from .scenario import Scenario, ServerPlan
--- a/burlshift_tools/emulator/sweep.py
+++ b/burlshift_tools/emulator/sweep.py
@@ -15,7 +15,7 @@
 
 from burlshift.balancing import logic
 
-from . import ours, registry, sources
+from . import registry, shipped_policy, sources
 from .scenario import Span
 from .world import World
 
@@ -52,7 +52,7 @@
     for name in policies:
         registry.policy(name)
     for texts in settings:
-        ours.parse_settings(list(texts))
+        shipped_policy.parse_settings(list(texts))
     combinations = itertools.product(scenarios, range(first_seed, first_seed + seeds), policies, settings)
     # Constants of our decisions change nothing in a baseline: it is played once.
     return [
@@ -75,7 +75,7 @@
 def play(plan: Plan) -> dict[str, Any]:
     """One run; its row."""
     span = sources.read(plan.scenario)
-    with ours.constants_set(ours.parse_settings(list(plan.settings))):
+    with shipped_policy.constants_set(shipped_policy.parse_settings(list(plan.settings))):
         world = World(span, plan.seed, registry.policy(plan.policy))
         row = world.run()
     return {
--- a/burlshift_tools/emulator/troubles.py
+++ b/burlshift_tools/emulator/troubles.py
@@ -8,8 +8,8 @@
 from burlshift.balancing.interface import State
 
 from . import troubles_schema as schema
+from .random_streams import Stream
 from .servers import Server
-from .streams import Stream
 
 if TYPE_CHECKING:
     from .world import World
--- a/burlshift_tools/emulator/world.py
+++ b/burlshift_tools/emulator/world.py
@@ -8,17 +8,17 @@
 
 import burlshift.balancing.interface as q
 
-from .account import Account
 from .agents import Host, Policy
 from .checker import Checker
 from .clients import Clients
 from .discovery import Discovery
-from .draw import Day, draw
 from .engine import Engine
 from .network import Links
+from .random_streams import streams_for
+from .sampling import Day, draw
 from .scenario import ServerPlan, Span
+from .scoring import Account
 from .servers import Server
-from .streams import streams_for
 from .troubles import Troubles
 
 if TYPE_CHECKING:
--- a/burlshift_tools/faultlab/agents.py
+++ b/burlshift_tools/faultlab/agents.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from . import agent_config, door
-from .children import Child, Failed, tethered
+from . import admin_client, agent_config
+from .child_processes import Child, Failed, tethered
 from .history import Begun, Door, Logged, Open, Ready, Stop, Usage, now_us
 from .parts import relay
 from .parts.clients import IDLE_S
@@ -115,7 +115,7 @@
         self.write_config(i)
         began = now_us()
         child = await self.launch(i, keep)
-        while not await door.healthy(self._rig.block.agent(i)):
+        while not await admin_client.healthy(self._rig.block.agent(i)):
             if not child.alive:
                 if child.life == 0:
                     raise Failed(
@@ -148,7 +148,7 @@
         if child is None:
             return ""
         asked = now_us()
-        answer = await door.call(self._rig.block.door(i, child.life), line)
+        answer = await admin_client.call(self._rig.block.door(i, child.life), line)
         self._rig.write(Door(t=now_us(), who=f"a{i}", life=child.life, call=line, answer=answer, asked=asked))
         return answer
 
--- a/burlshift_tools/faultlab/listservice.py
+++ b/burlshift_tools/faultlab/catalog_processes.py
@@ -10,9 +10,9 @@
 import msgspec
 
 from burlshift.agent.discovery import PATH
-from burlshift.catalog import caller
+from burlshift.catalog import client
 
-from .children import HOME, Child, Failed, tethered
+from .child_processes import HOME, Child, Failed, tethered
 from .history import Begun, Kept, Listed, Ready, now_us
 
 if TYPE_CHECKING:
@@ -69,7 +69,7 @@
 
     async def set(self, j: int, phase: str) -> None:
         """A server comes, drains or goes."""
-        path = caller.member_path(f"s{j}")
+        path = client.member_path(f"s{j}")
         if phase == "DELETED":
             answer = await self._until_yes("DELETE", path, None, self._key())
         elif phase == "DRAINING":
@@ -88,7 +88,7 @@
     async def _renew(self, j: int) -> None:
         part = self._rig.servers.get(j)
         if part is not None and part.child.alive and not part.child.paused:
-            await self._call("POST", f"{caller.member_path(f's{j}')}/renew", {}, "")
+            await self._call("POST", f"{client.member_path(f's{j}')}/renew", {}, "")
 
     async def note_what_is_kept(self) -> None:
         """The list at the end, as the service and its followers give it."""
@@ -149,7 +149,7 @@
         """None where there is no yes."""
         headers = {"Idempotency-Key": key} if key else {}
         try:
-            body = await asyncio.to_thread(caller.call, at or self._at, method, path, doc, CALL_S, headers)
-        except caller.CallError:
+            body = await asyncio.to_thread(client.call, at or self._at, method, path, doc, CALL_S, headers)
+        except client.CallError:
             return None
         return msgspec.json.decode(body, type=dict[str, Any])
--- a/burlshift_tools/faultlab/children.py
+++ b/burlshift_tools/faultlab/child_processes.py
@@ -143,7 +143,11 @@
 
 def tethered(command: Sequence[str]) -> list[str]:
     """A command whose process dies with the rig; parts do so by themselves, when their orders end."""
-    return [sys.executable, str(HOME / "burlshift_tools" / "faultlab" / "parts" / "tether.py"), *command]
+    return [
+        sys.executable,
+        str(HOME / "burlshift_tools" / "faultlab" / "parts" / "die_with_parent.py"),
+        *command,
+    ]
 
 
 def part_command(module: str, *args: str) -> list[str]:
--- a/burlshift_tools/faultlab/cli.py
+++ b/burlshift_tools/faultlab/cli.py
@@ -18,9 +18,9 @@
 from burlshift_tools.emulator.cli import show
 from burlshift_tools.emulator.scenario import ScenarioError, shipped
 
-from . import drawn, history, loadtest, plants, play, report, shrinking, soaking, verdict
+from . import history, loadtest, mutations, play, random_scenarios, report, shrinker, soak_test, verdict
 from .addresses import NoRoom
-from .children import Failed
+from .child_processes import Failed
 from .disk import DiskFault
 from .scale import runs
 from .scale.slopes import Run
@@ -42,10 +42,10 @@
     play.Occupied,
     DiskFault,
     report.ReportError,
-    soaking.SoakError,
-    shrinking.ShrinkError,
+    soak_test.SoakError,
+    shrinker.ShrinkError,
     loadtest.LoadError,
-    plants.PlantError,
+    mutations.PlantError,
     runs.ScaleError,
 )
 Seed = Annotated[int, typer.Option(min=0, help="Draws the day and its faults.")]
@@ -131,7 +131,7 @@
     Example: python -m burlshift_tools.faultlab run pause-one --seed 3 -o logs/pause
     """
     with plain_errors():
-        span = calmed(drawn.named(name)) if calm else drawn.named(name)
+        span = calmed(random_scenarios.named(name)) if calm else random_scenarios.named(name)
         for line in play.schedule_lines(span, seed, for_, Path(), tree):
             say(line)
         with progress_bar() as bar:
@@ -187,15 +187,15 @@
     Example: python -m burlshift_tools.faultlab soak --seeds 1..40 --for 10
     """
     with plain_errors(f"finished rows are in {output}, the same command goes on"):
-        first, last = soaking.seeds_of(seeds)
+        first, last = soak_test.seeds_of(seeds)
         broken: play.Played | None = None
         with progress_bar() as bar:
             task = bar.add_task("soak", total=last - first + 1)
-            for row, played in soaking.soak(first, last, for_ * 60, output, tree):
+            for row, played in soak_test.soak(first, last, for_ * 60, output, tree):
                 bar.update(task, completed=row.seed - first + 1, description=f"soak: seed {row.seed}")
-                say(f"{drawn.PREFIX}{row.seed:<6} {row.said}")
+                say(f"{random_scenarios.PREFIX}{row.seed:<6} {row.said}")
                 broken = played if played is not None and played.status == play.BROKE else broken
-        typer.echo(f"rows in {output / soaking.ROWS}", err=True)
+        typer.echo(f"rows in {output / soak_test.ROWS}", err=True)
         if broken is None:
             raise typer.Exit(play.HELD)
         tell(broken)
@@ -216,15 +216,15 @@
 
     Example: python -m burlshift_tools.faultlab shrink logs/soak/drawn-17
     """
-    with plain_errors(f"the best so far is in {folder / shrinking.BEST}, the same command goes on"):
+    with plain_errors(f"the best so far is in {folder / shrinker.BEST}, the same command goes on"):
         rule = ""
-        for step in shrinking.shrink(folder, tree, tries):
+        for step in shrinker.shrink(folder, tree, tries):
             rule = step.rule
             say(f"try {step.number}: {step.what}: {'still breaks ' + rule if step.kept else 'does not'}")
-        best = folder / shrinking.BEST
-        for line in play.schedule_lines(load(str(best)), shrinking.seed_of(folder), None, Path(), tree):
+        best = folder / shrinker.BEST
+        for line in play.schedule_lines(load(str(best)), shrinker.seed_of(folder), None, Path(), tree):
             say(line)
-        say(f"python -m burlshift_tools.faultlab run {best} --seed {shrinking.seed_of(folder)}")
+        say(f"python -m burlshift_tools.faultlab run {best} --seed {shrinker.seed_of(folder)}")
 
 
 @app.command("plants")
@@ -237,7 +237,7 @@
     """
     with plain_errors():
         missed = 0
-        for found in plants.search(plants.named(names or []), tree):
+        for found in mutations.search(mutations.named(names or []), tree):
             missed += found.seed is None
             at = f"{found.plant.scenario}, seed {found.seed}" if found.seed else found.plant.scenario
             say(f"{found.plant.name:<13} {found.plant.about}: {at}: {found.said}")
--- a/burlshift_tools/faultlab/faultacts.py
+++ b/burlshift_tools/faultlab/fault_actions.py
@@ -15,7 +15,7 @@
 
 from . import disk
 from . import faults_schema as faults
-from .children import HOME, Child, part_command, tethered
+from .child_processes import HOME, Child, part_command, tethered
 from .history import Fault, Ready, now_us
 from .parts import clients, datagrams, discovery, relay, server
 from .schedule import Act
@@ -287,7 +287,7 @@
             cores = sorted(os.sched_getaffinity(child.pid))
             core = cores[int(child.name[1:]) % len(cores)]
             os.sched_setaffinity(child.pid, {core})
-            command = tethered(part_command("burner", str(core), str(fault.share)))
+            command = tethered(part_command("cpu_load", str(core), str(fault.share)))
             words = rig.folder / "logs" / "burner.log"
             burner = await rig.starter.start(f"b{child.name[1:]}", 0, command, words, os.environ, HOME)
             rig.children.append(burner)
--- a/burlshift_tools/faultlab/loadtest.py
+++ b/burlshift_tools/faultlab/loadtest.py
@@ -15,8 +15,8 @@
 from burlshift_tools.emulator.scenario import Class, Clients
 
 from .addresses import split
-from .figures import HIGHEST_US, LOWEST_US, histogram, percentiles
 from .history import Answered, Asked, Event, Unanswered, now_us
+from .metrics import HIGHEST_US, LOWEST_US, histogram, percentiles
 from .parts.clients import Arrival, Begin, ClientsPart, Load
 
 EFFECTS = ("safe", "keyed", "unsafe")
--- a/burlshift_tools/faultlab/plants.py
+++ b/burlshift_tools/faultlab/mutations.py
@@ -95,7 +95,7 @@
     Plant(
         "stale-list",
         "a stale list kept: a whole list takes nothing out",
-        "burlshift/agent/bans.py",
+        "burlshift/agent/backend_list.py",
         "        if listing.complete:\n            self._members.clear()\n",
         "",
         "discovery-disagrees",
@@ -179,7 +179,7 @@
     Plant(
         "ban",
         "a ban dropped over an upgrade",
-        "burlshift/agent/bans.py",
+        "burlshift/agent/backend_list.py",
         '"banned": sorted(self._banned)',
         '"banned": []',
         "upgrade",
@@ -215,7 +215,7 @@
     if text.count(plant.old) != 1:
         raise PlantError(
             f"{plant.file}: the place of plant {plant.name} is there {text.count(plant.old)} "
-            "times; mend it in burlshift_tools/faultlab/plants.py"
+            "times; mend it in burlshift_tools/faultlab/mutations.py"
         )
     path.write_text(text.replace(plant.old, plant.new), encoding="utf-8")
 
--- a/burlshift_tools/faultlab/parts/datagrams.py
+++ b/burlshift_tools/faultlab/parts/datagrams.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
-from burlshift.membership.core import FACTS
 from burlshift.membership.messages import Fact, Kind, Message
 from burlshift.membership.record import Record, Status
+from burlshift.membership.swim import FACTS
 from burlshift.membership.wire import Unreadable, Wire
 
 from ..addresses import Block, split
--- a/burlshift_tools/faultlab/parts/server.py
+++ b/burlshift_tools/faultlab/parts/server.py
@@ -15,9 +15,9 @@
 import msgspec
 
 from burlshift.agent.connection import Connection, Fields, Headers, fields_of, header
+from burlshift_tools.emulator.random_streams import streams_for
 from burlshift_tools.emulator.scenario import ServerPlan
 from burlshift_tools.emulator.servers import NOWHERE, Server
-from burlshift_tools.emulator.streams import streams_for
 
 from ..addresses import split
 from ..history import Fell, Gave, Got, Left, Turned, digest, now_us
--- a/burlshift_tools/faultlab/rig.py
+++ b/burlshift_tools/faultlab/rig.py
@@ -16,16 +16,16 @@
 
 import msgspec
 
+from burlshift_tools.emulator.random_streams import streams_for
 from burlshift_tools.emulator.scenario import Span
-from burlshift_tools.emulator.streams import streams_for
 
 from . import schedule
 from .addresses import Block, take_block
 from .agents import Agents
-from .children import HOME, Child, Failed, PartChild, Starter, part_command
-from .faultacts import FaultActs
+from .catalog_processes import ListService
+from .child_processes import HOME, Child, Failed, PartChild, Starter, part_command
+from .fault_actions import FaultActs
 from .history import Begun, Ended, Event, Ready, Writer, now_us
-from .listservice import ListService
 from .parts import datagrams, discovery, relay, server
 from .parts.clients import Arrival, Begin, ClientsPart, Settle
 from .parts.part import NICE, punctual
--- a/burlshift_tools/faultlab/scale/agentcost.py
+++ b/burlshift_tools/faultlab/scale/agentcost.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from ..addresses import Block, take_block
-from ..children import Starter
+from ..child_processes import Starter
 from ..scenario import LabScenario
 from . import agentcost_process as process
 from .agentcost_decisions import Decided, Turn, by_itself, decide, take_in
--- a/burlshift_tools/faultlab/scale/agentcost_decisions.py
+++ b/burlshift_tools/faultlab/scale/agentcost_decisions.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
+from burlshift.agent.backend_list import Roster
 from burlshift.agent.backends import Backends
-from burlshift.agent.bans import Roster
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Listing, ListingParser
 from burlshift.balancing import interface as q
--- a/burlshift_tools/faultlab/scale/agentcost_lists.py
+++ b/burlshift_tools/faultlab/scale/agentcost_lists.py
@@ -13,12 +13,12 @@
 import msgspec
 
 from burlshift.agent.discovery import parse_address
-from burlshift.catalog.core import Member, Put, SetPhase, whole
 from burlshift.catalog.server import CatalogServer
 from burlshift.catalog.service import Service
+from burlshift.catalog.state_machine import Member, Put, SetPhase, whole
 from burlshift.catalog.store import Command, Store
 
-from ..children import Failed
+from ..child_processes import Failed
 
 HEARD_S = 20.0  # a reader that has not asked again by then will not
 LOOK_S = 0.001
--- a/burlshift_tools/faultlab/scale/agentcost_process.py
+++ b/burlshift_tools/faultlab/scale/agentcost_process.py
@@ -12,8 +12,8 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from .. import agent_config, door
-from ..children import HOME, Child, Failed, Starter, tethered
+from .. import admin_client, agent_config
+from ..child_processes import HOME, Child, Failed, Starter, tethered
 from ..scenario import LabScenario, load, settle
 
 SCENARIO = "steady"  # whose classes, limits and windows the agents are told
@@ -86,7 +86,7 @@
 async def _ready(child: Child, address: str) -> None:
     try:
         async with asyncio.timeout(READY_S):
-            while not await door.healthy(address):
+            while not await admin_client.healthy(address):
                 if not child.alive:
                     raise Failed(f"{child.name}: ended ({child.last_words()})")
                 await asyncio.sleep(LOOK_S)
--- a/burlshift_tools/faultlab/scale/deep.py
+++ b/burlshift_tools/faultlab/scale/deep.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from ..addresses import Block, split, take_block
-from ..children import Starter
+from ..child_processes import Starter
 from ..scenario import LabScenario
 from . import agentcost_process as process
 from .agentcost import SERVICE, SMALL, members_at
--- a/burlshift_tools/faultlab/scale/fleet_lab.py
+++ b/burlshift_tools/faultlab/scale/fleet_lab.py
@@ -19,7 +19,7 @@
 from burlshift.balancing.interface import Discovery as PushOrAsk
 from burlshift_tools.faultlab import agent_config
 from burlshift_tools.faultlab.addresses import Block, split, take_block
-from burlshift_tools.faultlab.children import HOME, Child, Failed, PartChild, Starter, tethered
+from burlshift_tools.faultlab.child_processes import HOME, Child, Failed, PartChild, Starter, tethered
 from burlshift_tools.faultlab.scenario import LabScenario, load, settle
 
 from .fleet_orders import Clear, Order, Plan, Seen
@@ -191,7 +191,7 @@
     async def crowd(self, name: str, agents: int, deciding: bool = False, at: str = "") -> Crowds:
         config = self.config(name, at or self.at)
         child = await self.child(
-            name, [sys.executable, "-m", "burlshift_tools.faultlab.scale.hollow"], orders=True
+            name, [sys.executable, "-m", "burlshift_tools.faultlab.scale.hollow_agents"], orders=True
         )
         made = Crowds(child)
         await made.ready(
--- a/burlshift_tools/faultlab/scale/fleet_like_real.py
+++ b/burlshift_tools/faultlab/scale/fleet_like_real.py
@@ -15,9 +15,9 @@
 import sys
 import time
 
-from burlshift_tools.faultlab import door
+from burlshift_tools.faultlab import admin_client
 from burlshift_tools.faultlab.addresses import split
-from burlshift_tools.faultlab.children import Failed
+from burlshift_tools.faultlab.child_processes import Failed
 
 from .fleet_lab import Lab
 from .fleet_orders import Seen, Start
@@ -158,7 +158,7 @@
             },
         )
         until = time.monotonic() + READY_S
-        while not await door.healthy(at):
+        while not await admin_client.healthy(at):
             if not child.alive or time.monotonic() > until:
                 raise Failed(f"real{i}: not ready ({child.last_words()})")
             await asyncio.sleep(LOOK_S)
--- a/burlshift_tools/faultlab/scale/fleet_relay.py
+++ b/burlshift_tools/faultlab/scale/fleet_relay.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from burlshift_tools.faultlab.children import Child, PartChild
+from burlshift_tools.faultlab.child_processes import Child, PartChild
 from burlshift_tools.faultlab.faults_schema import Link
 from burlshift_tools.faultlab.history import Event
 from burlshift_tools.faultlab.parts.relay import Clear, Relay, RelayPart, Route, Shape
--- a/burlshift_tools/faultlab/scale/hollow.py
+++ b/burlshift_tools/faultlab/scale/hollow_agents.py
@@ -1,6 +1,6 @@
 """Hollow agents: the real list client, list, decisions and rules of the agent, many to a process, with no
-application and no door. `python -m burlshift_tools.faultlab.scale.hollow` is one process of them, led over
-its pipes.
+application and no door. `python -m burlshift_tools.faultlab.scale.hollow_agents` is one process of them, led
+over its pipes.
 """
 
 from __future__ import annotations
@@ -30,9 +30,9 @@
     ListingParser,
     parse_address,
 )
-from burlshift.agent.figures import Figures
+from burlshift.agent.metrics import Figures
 from burlshift.balancing.logic import Balancer
-from burlshift.catalog.caller import member_path
+from burlshift.catalog.client import member_path
 
 from .fleet_orders import Clear, Move, Order, Plan, Renew, Renewed, Seen, Start, Until
 from .fleet_turns import Turns
--- a/burlshift_tools/faultlab/scale/latency_parts.py
+++ b/burlshift_tools/faultlab/scale/latency_parts.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from ..children import HOME, Failed, PartChild, Starter, tethered
-from ..figures import HIGHEST_US, LOWEST_US, histogram
+from ..child_processes import HOME, Failed, PartChild, Starter, tethered
+from ..metrics import HIGHEST_US, LOWEST_US, histogram
 from ..scenario import LabScenario
 from . import agentcost_process as process
 from .latency_client import Arrival, Block, Taken, Target
--- a/burlshift_tools/faultlab/scale/membership.py
+++ b/burlshift_tools/faultlab/scale/membership.py
@@ -11,8 +11,8 @@
 from functools import reduce
 from time import perf_counter_ns
 
-from burlshift.membership.core import _digest
 from burlshift.membership.record import Record, Status
+from burlshift.membership.swim import _digest
 from burlshift_tools.emulator import members
 
 from .slopes import Figure, Measured, Point, Run, Slope
--- a/burlshift_tools/faultlab/scale/replicas.py
+++ b/burlshift_tools/faultlab/scale/replicas.py
@@ -1,6 +1,6 @@
 """Readers as the list service's machine goes: without followers, and with some.
 
-The agents are hollow (hollow.py), each process of them a part of the fleet with its follower, all real
+The agents are hollow (hollow_agents.py), each process of them a part of the fleet with its follower, all real
 processes over sockets, as many as the machine has processors for. What a region sees that is cut off is what
 all see here: a follower whose source is silent.
 """
--- a/burlshift_tools/faultlab/scenario.py
+++ b/burlshift_tools/faultlab/scenario.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from burlshift_tools.emulator import draw, scenario
+from burlshift_tools.emulator import sampling, scenario
 from burlshift_tools.emulator import troubles_schema as emulated
 from burlshift_tools.emulator.scenario import ScenarioError
 
@@ -96,11 +96,11 @@
             )
 
 
-def settle(span: scenario.Span, seed: int, length_s: float | None = None) -> tuple[draw.Day, LabScenario]:
+def settle(span: scenario.Span, seed: int, length_s: float | None = None) -> tuple[sampling.Day, LabScenario]:
     """The day of this seed, cut to a length where one is given; faults beyond it are left out."""
     if length_s is not None:
         span = scenario.Span(_cut(span.low, length_s), _cut(span.high, length_s))
-    day = draw.draw(span, seed)
+    day = sampling.draw(span, seed)
     return day, cast(LabScenario, day.scenario)
 
 
--- a/burlshift_tools/faultlab/schedule.py
+++ b/burlshift_tools/faultlab/schedule.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from burlshift_tools.emulator import troubles_schema as emulated
-from burlshift_tools.emulator.draw import Day
+from burlshift_tools.emulator.random_streams import Stream, streams_for
+from burlshift_tools.emulator.sampling import Day
 from burlshift_tools.emulator.scenario import ServerPlan
-from burlshift_tools.emulator.streams import Stream, streams_for
 
 from . import faults_schema as faults
 from .faults_schema import AnyFault
--- a/burlshift_tools/faultlab/soaking.py
+++ b/burlshift_tools/faultlab/soak_test.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from . import drawn, play
+from . import play, random_scenarios
 
 ROWS = "soak.jsonl"
 AGAIN = 2  # a run in which the rig was late is played so often again
@@ -49,10 +49,10 @@
             continue
         if time.monotonic() >= until:
             return
-        folder = output / f"{drawn.PREFIX}{seed}"
+        folder = output / f"{random_scenarios.PREFIX}{seed}"
         for _ in range(1 + AGAIN):
             shutil.rmtree(folder, ignore_errors=True)
-            played = play.play(folder.name, drawn.draw(seed), seed, folder, tree)
+            played = play.play(folder.name, random_scenarios.draw(seed), seed, folder, tree)
             if played.status != play.DOES_NOT_COUNT:
                 break
         v = played.verdict
--- a/burlshift_tools/faultlab/verdict.py
+++ b/burlshift_tools/faultlab/verdict.py
@@ -11,7 +11,7 @@
 from . import history as h
 from .checkers import answers, attempts, copies, effects, lists, presence, processes
 from .checkers.case import Breach, Case
-from .figures import Figures, figures
+from .metrics import Figures, figures
 from .rig import RunFile
 
 CHECKERS = (
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -33,8 +33,8 @@
 from burlshift.agent.__main__ import assemble
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Address
-from burlshift.agent.figures import Figures
-from burlshift.agent.turns import TurnLoop
+from burlshift.agent.loop_lag import TurnLoop
+from burlshift.agent.metrics import Figures
 from tests.loopback import LOAD, config_doc, load_config, member
 
 SAFE, KEYED, UNSAFE = "read", "keyed", "order"
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -17,13 +17,13 @@
 import pytest
 
 from burlshift.agent.__main__ import assemble
+from burlshift.agent.admin_commands import Operators
+from burlshift.agent.admin_interface import Door
 from burlshift.agent.agent import Agent
 from burlshift.agent.clock import Clock
 from burlshift.agent.config import Config, load
-from burlshift.agent.control import Door
 from burlshift.agent.discovery import Address
-from burlshift.agent.figures import Figures
-from burlshift.agent.operators import Operators
+from burlshift.agent.metrics import Figures
 from burlshift.agent.server import Server
 from tests.fault_injection import Fault, in_environment
 
--- a/tests/system_calls.py
+++ b/tests/system_calls.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from burlshift.agent.turns import TurnLoop
+from burlshift.agent.loop_lag import TurnLoop
 from tests.fault_injection import Faults, injected
 from tests.loopback import KEYED, Message, Peer, Raw, World, post
 
--- a/tests/test_operators.py
+++ b/tests/test_admin_commands.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from burlshift.agent import control
-from burlshift.agent.bans import KEPT, Roster
+from burlshift.agent import admin_interface
+from burlshift.agent.backend_list import KEPT, Roster
 from burlshift.agent.discovery import Address, Listing, Member
 from burlshift.agent.server import EmptyTimes
 from burlshift.balancing.interface import Backend, State
@@ -49,7 +49,7 @@
 def test_while_discovery_is_silent_the_known_list_does_in_the_end(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("burlshift.agent.operators.FRESH_S", 0.0)
+    monkeypatch.setattr("burlshift.agent.admin_commands.FRESH_S", 0.0)
 
     async def run() -> None:
         async with world(tmp_path) as w:
@@ -118,13 +118,13 @@
     async def run() -> None:
         async with world(tmp_path) as w:
             silent = []
-            for _ in range(control.MOST + 1):
+            for _ in range(admin_interface.MOST + 1):
                 silent.append(Conversation(*await asyncio.open_connection("127.0.0.1", w.door_port)))
                 await silent[-1].write(b"INF")
             await silent[0].ended()
-            assert len(w.door.callers) == control.MOST
+            assert len(w.door.callers) == admin_interface.MOST
             assert await w.call("REJOIN") == "OK\n"
-            monkeypatch.setattr(control, "SILENT_S", 0.0)
+            monkeypatch.setattr(admin_interface, "SILENT_S", 0.0)
             late = Conversation(*await asyncio.open_connection("127.0.0.1", w.door_port))
             assert (await late.reader.read()).startswith(b"ERR ")
             for conversation in [*silent, late]:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -12,7 +12,7 @@
 
 from burlshift.agent import server as server_module
 from tests.loopback import KEYED, UNSAFE, Conversation, Message, World, post, world
-from tests.test_operators import figures
+from tests.test_admin_commands import figures
 
 MB = 1024 * 1024
 LARGE = bytes(range(256)) * 4096  # 1 MiB
--- a/tests/test_catalog_core.py
+++ b/tests/test_catalog_core.py
@@ -8,7 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from burlshift.catalog.core import (
+from burlshift.catalog.leases import HELD_FEWEST, LONGEST_TURN_US, TURN_US, Leases
+from burlshift.catalog.state_machine import (
     Change,
     Delete,
     Entry,
@@ -21,7 +22,6 @@
     listing,
     whole,
 )
-from burlshift.catalog.leases import HELD_FEWEST, LONGEST_TURN_US, TURN_US, Leases
 
 NAMES = [f"s{i}" for i in range(5)]
 
--- a/tests/test_catalog_replica.py
+++ b/tests/test_catalog_replica.py
@@ -12,10 +12,10 @@
 from hypothesis import strategies as st
 
 from burlshift.agent.discovery import Address
-from burlshift.catalog.core import Change, Delete, History, SetPhase, State, Write, listing, whole
 from burlshift.catalog.follower import Age, Follower, Heard, HeardParser
 from burlshift.catalog.replica import Replica
 from burlshift.catalog.service import Readers
+from burlshift.catalog.state_machine import Change, Delete, History, SetPhase, State, Write, listing, whole
 from tests.test_catalog_core import WRITES, phases, put
 
 Told = dict[str, str]
--- a/tests/test_catalog_replica_rig.py
+++ b/tests/test_catalog_replica_rig.py
@@ -14,7 +14,7 @@
 from burlshift_tools.faultlab.checkers import lists
 from burlshift_tools.faultlab.scenario import load, settle
 from tests.test_faultlab_checkers import Story, scenario
-from tests.test_faultlab_rig import ROOT, wrong
+from tests.test_faultlab_runs import ROOT, wrong
 
 DAY = msgspec.structs.replace(scenario(), list_service=True, followers=2)
 
--- a/tests/test_catalog_service.py
+++ b/tests/test_catalog_service.py
@@ -18,13 +18,13 @@
 
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
-from burlshift.catalog import core
 from burlshift.catalog import server as serving
 from burlshift.catalog import service as acting
+from burlshift.catalog import state_machine
 from burlshift.catalog.cli import app
-from burlshift.catalog.core import Change
 from burlshift.catalog.server import CatalogServer
 from burlshift.catalog.service import Service
+from burlshift.catalog.state_machine import Change
 from burlshift.catalog.store import Store
 from burlshift_tools.faultlab import disk
 from tests.loopback import member
@@ -250,7 +250,7 @@
 
             def listing(change: Change) -> dict[str, object]:
                 encoded.append(change)
-                return core.listing(change)
+                return state_machine.listing(change)
 
             monkeypatch.setattr(acting, "listing", listing)
             await c.call("PUT", f"{MEMBERS}/s7/phase", {"phase": "DRAINING"})
--- a/tests/test_catalog_store.py
+++ b/tests/test_catalog_store.py
@@ -12,7 +12,7 @@
 import pytest
 
 from burlshift.catalog import store
-from burlshift.catalog.core import Delete
+from burlshift.catalog.state_machine import Delete
 from burlshift.catalog.store import Command, Damaged, NotWritten, Store
 from tests.test_catalog_core import put
 
--- a/tests/test_catalog_wall_clock.py
+++ b/tests/test_catalog_wall_clock.py
@@ -11,9 +11,9 @@
 
 from burlshift.catalog import service as service_module
 from burlshift.catalog import store
-from burlshift.catalog.core import Delete, Entry, Member, Put, SetPhase
 from burlshift.catalog.leases import TURN_US, Leases
 from burlshift.catalog.service import Service
+from burlshift.catalog.state_machine import Delete, Entry, Member, Put, SetPhase
 from burlshift.catalog.store import Command, Store
 
 STEPS_S = [-3600, -5, 5, 3600]
--- a/tests/test_disk_faults_backup.py
+++ b/tests/test_disk_faults_backup.py
@@ -13,7 +13,7 @@
 
 from burlshift.catalog import store
 from burlshift.catalog.cli import app
-from burlshift.catalog.core import Delete
+from burlshift.catalog.state_machine import Delete
 from burlshift.catalog.store import Command, Damaged, Store, Unavailable
 from tests.disk_faults import ERRORS, FOR_A_WHILE, FailingOs, FaultPlan, Killed
 from tests.sqlite_faults import FailingFileSystem
--- a/tests/test_disk_faults_catalog.py
+++ b/tests/test_disk_faults_catalog.py
@@ -15,7 +15,7 @@
 import pytest
 
 from burlshift.catalog import store
-from burlshift.catalog.core import Delete
+from burlshift.catalog.state_machine import Delete
 from burlshift.catalog.store import Command, Damaged, NotWritten, Store, Unavailable
 from tests.disk_faults import ERRORS, FOR_A_WHILE, FaultPlan
 from tests.sqlite_faults import FailingFileSystem, after_power_cut
--- a/tests/test_disk_faults_durable.py
+++ b/tests/test_disk_faults_durable.py
@@ -12,9 +12,9 @@
 
 import pytest
 
-from burlshift.durable import files as durable_files
-from burlshift.durable.files import Files, Folder, Refused
-from burlshift.durable.frames import MOST_BYTES
+from burlshift.durable import filesystem as durable_files
+from burlshift.durable.filesystem import Files, Folder, Refused
+from burlshift.durable.framing import MOST_BYTES
 from burlshift.durable.store import NotWritten, Recovered, Store
 from tests.disk_faults import ERRORS, FOR_A_WHILE, FailingOs, FaultPlan, Killed, open_descriptors
 from tests.disk_model import Inode, ModelDisk
--- a/tests/test_disk_faults_service.py
+++ b/tests/test_disk_faults_service.py
@@ -12,7 +12,7 @@
 import pytest
 
 from burlshift.catalog import service as serving
-from burlshift.catalog.core import Delete, SetPhase
+from burlshift.catalog.state_machine import Delete, SetPhase
 from burlshift.catalog.store import Command, NotWritten, Store
 from tests.disk_faults import FaultPlan
 from tests.sqlite_faults import FailingFileSystem
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -12,8 +12,8 @@
 from hypothesis import strategies as st
 
 from burlshift.durable import store as storing
-from burlshift.durable.files import Files, Folder, Refused
-from burlshift.durable.frames import Damage, frame, frames
+from burlshift.durable.filesystem import Files, Folder, Refused
+from burlshift.durable.framing import Damage, frame, frames
 from burlshift.durable.store import NotWritten, Recovered, Store
 from tests.disk_model import ModelDisk, anywhere
 
--- a/tests/test_fleetsim_tools.py
+++ b/tests/test_emulator_commands.py
@@ -10,7 +10,7 @@
 from typer.testing import CliRunner
 
 from burlshift.balancing import logic
-from burlshift_tools.emulator import compare, ours, scenario, sweep, why
+from burlshift_tools.emulator import compare, scenario, shipped_policy, sweep, trace_queries
 from burlshift_tools.emulator.cli import app
 
 SMALL = """
@@ -123,7 +123,7 @@
 
 def test_constants_are_set_for_a_run_only() -> None:
     before = logic.HEADROOM
-    with ours.constants_set(ours.parse_settings(["HEADROOM=0.9"])):
+    with shipped_policy.constants_set(shipped_policy.parse_settings(["HEADROOM=0.9"])):
         assert logic.HEADROOM == 0.9
     assert before == logic.HEADROOM
 
@@ -140,17 +140,17 @@
     path = tmp_path / "day.trace"
     result = CliRunner().invoke(app, ["run", small, "--seed", "1", "--trace", str(path)])
     assert result.exit_code == 0 and path.exists()
-    tables = why.summary(path)
+    tables = trace_queries.summary(path)
     cls, _, because, tries, _, _, example = next(row for row in tables["given_up"] if "full" in row[2])
     assert int(tries) > 0
-    story = why.one_request(path, int(example))
+    story = trace_queries.one_request(path, int(example))
     assert cls in story[0] and "patience" in story[0]
     refusal = next(line for line in story if "refused:" in line)
     assert because in refusal and "to the aim" in refusal
     assert any("full" in line and "limit" in line and "true" in line for line in story)
     assert {row[0] for row in tables["prediction"]} <= {c.name for c in scenario.load(small).low.cls}
-    with pytest.raises(why.TraceError, match="no request 999999999"):
-        why.one_request(path, 999_999_999)
+    with pytest.raises(trace_queries.TraceError, match="no request 999999999"):
+        trace_queries.one_request(path, 999_999_999)
 
 
 def test_a_trace_changes_nothing_of_the_run(small: str, tmp_path: Path) -> None:
--- a/tests/test_fleetsim_model.py
+++ b/tests/test_emulator_model.py
@@ -13,9 +13,9 @@
 from burlshift_tools.emulator.agents import Host
 from burlshift_tools.emulator.checker import DRAINED, REPEATED, Checker
 from burlshift_tools.emulator.engine import Engine
+from burlshift_tools.emulator.random_streams import streams_for
 from burlshift_tools.emulator.requests import Attempt, First, Try
 from burlshift_tools.emulator.servers import NOWHERE, Server
-from burlshift_tools.emulator.streams import streams_for
 from burlshift_tools.emulator.world import World
 
 
--- a/tests/test_faultlab_rig.py
+++ b/tests/test_faultlab_runs.py
@@ -17,21 +17,21 @@
 from hypothesis import strategies as st
 from typer.testing import CliRunner
 
+from burlshift_tools.emulator.random_streams import streams_for
 from burlshift_tools.emulator.scenario import shipped
-from burlshift_tools.emulator.streams import streams_for
 from burlshift_tools.faultlab import (
     addresses,
     disk,
-    drawn,
     history,
-    plants,
+    mutations,
     play,
+    random_scenarios,
     schedule,
-    shrinking,
-    soaking,
+    shrinker,
+    soak_test,
     verdict,
 )
-from burlshift_tools.faultlab.children import Failed, tethered
+from burlshift_tools.faultlab.child_processes import Failed, tethered
 from burlshift_tools.faultlab.cli import app
 from burlshift_tools.faultlab.scenario import load, settle
 
@@ -79,7 +79,7 @@
 @settings(derandomize=True, max_examples=40, deadline=None)
 @given(st.integers(0, 10**6))
 def test_drawn_scenarios_end_within_their_run(seed: int) -> None:
-    day, s = settle(drawn.draw(seed), seed)
+    day, s = settle(random_scenarios.draw(seed), seed)
     acts = schedule.make(day, s, seed)
     assert [a.at_us for a in acts] == sorted(a.at_us for a in acts)
     assert all(0 <= a.at_us <= s.run.length_s * 1e6 for a in acts if a.fault is not None)
@@ -92,7 +92,7 @@
     whole = {a.line() for a in schedule.make(day, s, 3)}
     less = msgspec.structs.replace(s, fault=s.fault[1:])
     assert {a.line() for a in schedule.make(day, less, 3)} < whole
-    smaller = dict(shrinking.smaller(s))
+    smaller = dict(shrinker.smaller(s))
     assert len(smaller) >= len(s.fault) + len(s.trouble)
     assert all(len(one.fault) + len(one.trouble) <= len(s.fault) + len(s.trouble) for one in smaller.values())
 
@@ -151,7 +151,7 @@
 
 
 def test_each_plant_has_its_place_and_its_scenario(tmp_path: Path) -> None:
-    for plant in plants.PLANTS:
+    for plant in mutations.PLANTS:
         text = (ROOT / plant.file).read_text()
         assert text.count(plant.old) == 1, plant.name
         planted = text.replace(plant.old, plant.new)
@@ -159,9 +159,9 @@
         assert plant.scenario in shipped("burlshift_tools.faultlab")
     assert "one of repeat" in wrong("plants", "weeds")
     (tmp_path / "tree" / "burlshift" / "agent").mkdir(parents=True)
-    (tmp_path / "tree" / "burlshift" / "agent" / "bans.py").write_text("")
-    with pytest.raises(plants.PlantError, match="is there 0 times; mend it"):
-        plants.plant_in(tmp_path / "tree", plants.named(["ban"])[0], tmp_path / "copy")
+    (tmp_path / "tree" / "burlshift" / "agent" / "backend_list.py").write_text("")
+    with pytest.raises(mutations.PlantError, match="is there 0 times; mend it"):
+        mutations.plant_in(tmp_path / "tree", mutations.named(["ban"])[0], tmp_path / "copy")
 
 
 # Addresses, disks, processes
@@ -181,7 +181,7 @@
 
 def test_a_process_whose_rig_is_killed_ends_even_when_it_is_paused() -> None:
     code = (
-        "import subprocess, sys, time; from burlshift_tools.faultlab.children import tethered; "
+        "import subprocess, sys, time; from burlshift_tools.faultlab.child_processes import tethered; "
         "p = subprocess.Popen(tethered(['sleep', '600'])); print(p.pid, flush=True); time.sleep(600)"
     )
     rig = subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE, cwd=ROOT, text=True)
@@ -308,9 +308,9 @@
 
 
 def test_soaks_go_on_where_they_were_cut_off(tmp_path: Path) -> None:
-    held = soaking.Row(seed=1, status=play.HELD, said="all rules held; worth 1.000")
-    (tmp_path / soaking.ROWS).write_bytes(msgspec.json.encode(held) + b"\n" + b'{"seed":2,"sta')
-    rows = list(soaking.soak(1, 2, 0.0, tmp_path, ROOT))
+    held = soak_test.Row(seed=1, status=play.HELD, said="all rules held; worth 1.000")
+    (tmp_path / soak_test.ROWS).write_bytes(msgspec.json.encode(held) + b"\n" + b'{"seed":2,"sta')
+    rows = list(soak_test.soak(1, 2, 0.0, tmp_path, ROOT))
     assert rows == [(held, None)]  # the time is over, and the row cut off is still to be played
 
 
--- a/tests/test_handover.py
+++ b/tests/test_hot_restart.py
@@ -15,12 +15,12 @@
 
 import pytest
 
-from burlshift.agent import handover
-from burlshift.agent.bans import Roster
+from burlshift.agent import hot_restart
+from burlshift.agent.backend_list import Roster
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Address, Listing, ListingParser, Member
-from burlshift.agent.handover import Act, Succession, inherit
-from burlshift.balancing import memory
+from burlshift.agent.hot_restart import Act, Succession, inherit
+from burlshift.balancing import learned_state
 from burlshift.balancing.interface import Backend, State
 from tests.helpers import Drive
 from tests.loopback import UNSAFE, Conversation, Peer, config_doc, member, post, start
@@ -211,8 +211,8 @@
 @pytest.fixture
 def unhurried(monkeypatch: pytest.MonkeyPatch) -> None:
     """How fast a busy machine moves a large state decides nothing; each test has a limit of its own."""
-    monkeypatch.setattr(handover, "GREET_S", 60.0)
-    monkeypatch.setattr(handover, "CONFIRM_S", 60.0)
+    monkeypatch.setattr(hot_restart, "GREET_S", 60.0)
+    monkeypatch.setattr(hot_restart, "CONFIRM_S", 60.0)
 
 
 @pytest.mark.usefixtures("unhurried")
@@ -297,11 +297,11 @@
     tmp_path: Path, unhurried: None, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     listener = socket.create_server(("127.0.0.1", 0))
-    monkeypatch.setattr(handover, "CONFIRM_S", 0.0)
+    monkeypatch.setattr(hot_restart, "CONFIRM_S", 0.0)
 
     async def run() -> None:
         async with half_handed_over(tmp_path / "found", Wordy(listener)) as (succession, _new):
-            with pytest.raises(handover.Unconfirmed):
+            with pytest.raises(hot_restart.Unconfirmed):
                 await succession.tell({"act": "detach", "backend": "s0"})
 
     asyncio.run(asyncio.wait_for(run(), 20))
@@ -328,7 +328,7 @@
         path.mkdir()
         return None
     sock = socket.socket(socket.AF_UNIX)
-    with handover._short(path) as name:
+    with hot_restart._short(path) as name:
         sock.bind(name)
     if kind == "a dead one's":
         sock.close()
@@ -368,13 +368,13 @@
     monkeypatch: pytest.MonkeyPatch,
     caplog: pytest.LogCaptureFixture,
 ) -> None:
-    monkeypatch.setattr(handover, "GREET_S", 0.2 if kind == "silent" else 20.0)
+    monkeypatch.setattr(hot_restart, "GREET_S", 0.2 if kind == "silent" else 20.0)
     path = tmp_path / "x.sock"
     sock = left_behind(path, kind)
 
     async def run() -> None:
         answer = asyncio.get_running_loop().run_in_executor(None, speak, sock, said) if sock else None
-        assert await asyncio.to_thread(handover.inherit, path) is None
+        assert await asyncio.to_thread(hot_restart.inherit, path) is None
         if answer is not None:
             await answer
 
@@ -391,12 +391,12 @@
         raise FileNotFoundError("no usable temporary directory")
 
     monkeypatch.setattr("tempfile.gettempdir", none)
-    assert handover.path_for(Address("127.0.0.1", 1)) is None
+    assert hot_restart.path_for(Address("127.0.0.1", 1)) is None
     assert "no other process can take over" in caplog.text
 
 
 def test_the_first_start_says_nothing(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
-    assert handover.inherit(tmp_path / "x.sock") is None
+    assert hot_restart.inherit(tmp_path / "x.sock") is None
     assert not caplog.text
 
 
@@ -445,11 +445,13 @@
 def test_what_was_learned_goes_on_in_another_balancer() -> None:
     old, new = Drive(servers=4), Drive(servers=3)
     old.serve(20)
-    kept = json.loads(json.dumps(memory.take(old.balancer)))
-    memory.give(new.balancer, kept)
+    kept = json.loads(json.dumps(learned_state.take(old.balancer)))
+    learned_state.give(new.balancer, kept)
     assert new.balancer.table.typical == old.balancer.table.typical > 0
     assert new.balancer.needs.expected == old.balancer.needs.expected > [0.0]
-    memory.give(Drive(servers=3).balancer, {k: v for k, v in kept.items() if k not in ("needs", "reports")})
+    learned_state.give(
+        Drive(servers=3).balancer, {k: v for k, v in kept.items() if k not in ("needs", "reports")}
+    )
     for name, server in new.balancer.servers.items():
         assert server.latency == old.balancer.servers[name].latency
     unreadable: list[Any] = [
@@ -458,8 +460,8 @@
         {**kept, "table": []},
         {**kept, "needs": ["x"]},
         {**kept, "reports": [1.0]},
-        {**kept, "servers": {"s0": ["x"] * len(memory.SERVER)}},
+        {**kept, "servers": {"s0": ["x"] * len(learned_state.SERVER)}},
     ]
     for broken in unreadable:
         with pytest.raises(ValueError, match="cannot be read"):
-            memory.give(new.balancer, broken)
+            learned_state.give(new.balancer, broken)
--- a/tests/test_list_silence.py
+++ b/tests/test_list_silence.py
@@ -14,7 +14,7 @@
 from burlshift.agent.__main__ import assemble
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
-from burlshift.agent.figures import Figures
+from burlshift.agent.metrics import Figures
 from tests.loopback import Peer, World, config_doc, load_config, member, post, world
 
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
--- a/tests/test_late_turns.py
+++ b/tests/test_loop_lag.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from burlshift.agent.event_loop import RetryingSelector
+from burlshift.agent.loop_lag import TurnLoop, TurnSelector
+from burlshift.agent.retrying_selector import RetryingSelector
 from burlshift.agent.server import Server
-from burlshift.agent.turns import TurnLoop, TurnSelector
 from tests.loopback import post, world
 
 
@@ -20,7 +20,7 @@
 def now(monkeypatch: pytest.MonkeyPatch) -> list[float]:
     """The time, as the selector reads it; moves only as the test says."""
     value = [100.0]
-    monkeypatch.setattr("burlshift.agent.turns.monotonic", lambda: value[0])
+    monkeypatch.setattr("burlshift.agent.loop_lag.monotonic", lambda: value[0])
     return value
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,9 +11,9 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from burlshift.membership.core import CONFIRM, Membership
 from burlshift.membership.messages import Changed, Fact, Kind, Message, Send
 from burlshift.membership.record import NEVER, Claims, Record, Status, merge
+from burlshift.membership.swim import CONFIRM, Membership
 from burlshift.membership.wire import MOST_BYTES, Unreadable, Wire
 
 MS, S = 1000, 1_000_000
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -14,7 +14,7 @@
 from burlshift.agent import agent as agent_module
 from burlshift.agent.agent import Agent
 from burlshift.agent.backends import Backends, Exchange
-from burlshift.agent.figures import Figures
+from burlshift.agent.metrics import Figures
 from burlshift.agent.server import Server, _Client
 from burlshift.balancing.interface import (
     AttemptEnded,
--- a/tests/test_losses.py
+++ b/tests/test_removal_limiter.py
@@ -12,11 +12,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from burlshift.agent import losses as rule
+from burlshift.agent import removal_limiter as rule
 from burlshift.agent.clock import Clock
 from burlshift.agent.config import ConfigError
 from burlshift.agent.discovery import Address, Listing, Member
-from burlshift.agent.losses import Losses
+from burlshift.agent.removal_limiter import Losses
 from burlshift.balancing.interface import Backend, Outcome, State
 from tests.loopback import Peer, World, config_doc, load_config, member, world
 
--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -20,7 +20,7 @@
 from burlshift_tools.faultlab import play
 from burlshift_tools.faultlab.cli import app
 from burlshift_tools.faultlab.scale import fleet, fleet_orders, fleet_steps, fleet_turns, registry, runs
-from burlshift_tools.faultlab.scale.hollow import SameAnswers
+from burlshift_tools.faultlab.scale.hollow_agents import SameAnswers
 from burlshift_tools.faultlab.scale.lateness import counted
 from burlshift_tools.faultlab.scale.slopes import Figure, Measured, Point, Run, Slope
 
--- a/tests/test_adapter.py
+++ b/tests/test_simulator_adapter.py
@@ -63,7 +63,10 @@
 def run(data: bytes, seed: str = "0") -> subprocess.CompletedProcess[bytes]:
     env = {**os.environ, "PYTHONHASHSEED": seed, "PYTHONPATH": str(ROOT)}
     return subprocess.run(
-        [sys.executable, "-m", "burlshift.balancing.drill"], input=data, capture_output=True, env=env
+        [sys.executable, "-m", "burlshift.balancing.simulator_adapter"],
+        input=data,
+        capture_output=True,
+        env=env,
     )
 
 
--- a/tests/test_cold_sum.py
+++ b/tests/test_slow_start_budget.py
@@ -12,7 +12,7 @@
 
 from burlshift.balancing.interface import Backend, Outcome, Send
 from tests.helpers import MS, SECOND, Drive, only
-from tests.test_cold_fleet import END_S, PATIENT, Fleet
+from tests.test_slow_start_fleet import END_S, PATIENT, Fleet
 
 JAM: dict[str, Any] = {
     "warm": 5,
--- a/tests/test_system_calls_doors.py
+++ b/tests/test_system_calls_agent.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from burlshift.agent.handover import Act, Succession, inherit
+from burlshift.agent.hot_restart import Act, Succession, inherit
 from burlshift.balancing.interface import State
 from tests.fault_injection import Faults, Side
 from tests.loopback import member, world
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -21,15 +21,15 @@
 from burlshift.agent.clock import Clock
 from burlshift.agent.config import Config
 from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
-from burlshift.agent.figures import Figures
-from burlshift.agent.handover import inherit
-from burlshift.agent.starts import KEPT, Starts
+from burlshift.agent.hot_restart import inherit
+from burlshift.agent.metrics import Figures
+from burlshift.agent.start_times import KEPT, Starts
 from burlshift.membership.messages import Fact, Kind
 from burlshift.membership.messages import Message as Datagram
 from burlshift.membership.record import Record, Status
 from burlshift_tools.faultlab.parts.skewed_agent import SKEW_FILE
 from tests.loopback import Message, Peer, config_doc, environment, load_config, member
-from tests.test_handover import free_port
+from tests.test_hot_restart import free_port
 from tests.test_membership import Fleet
 
 STEPS_S = [-3600, -5, 5, 3600]
