--- a/burlshift/agent/admin_commands.py
+++ b/burlshift/agent/admin_commands.py
@@ -37,7 +37,7 @@
     def ping(self) -> None:
         if self._server.listener is None:
             raise Refused("not serving")
-        if not self._agent.fresh and time.monotonic() < self._began + FRESH_S:
+        if not self._agent.has_current_list and time.monotonic() < self._began + FRESH_S:
             raise Refused("no word from discovery yet")
 
     def info(self) -> str:
--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -16,14 +16,14 @@
 from burlshift.balancing.logic import Balancer
 
 from .backend_list import Roster
-from .backends import Ask, Backends, Exchange, Result
+from .backends import Backends, Exchange, ExchangeResult, UpstreamRequest
 from .clock import Clock
 from .connection import Headers
 from .discovery import AGAIN_MOST_S, Address, Discovery, Listing, Member
 from .metrics import Figures, Levels
 from .peers import Peers
 from .removal_limiter import STEP_S, Losses
-from .server import Call, retry_after
+from .server import DownstreamRequest, retry_after
 
 log = logging.getLogger(__name__)
 
@@ -31,7 +31,7 @@
 # the 50 ms that the protocol allows.
 OVERDUE_S = 0.025
 # How an attempt counts that failed inside the agent: it may have run, and that is no word on its backend.
-UNKNOWN = Result(q.Outcome.CANCELLED, 0)
+UNKNOWN = ExchangeResult(q.Outcome.CANCELLED, 0)
 TIMER_AGAIN_S = 0.02  # after the module failed on a timer: what else was due then is still to be done
 GONE, BROKEN = 499, 502  # count as the status of a request whose client has left, whose answer broke off
 # Where changes are pushed, every change made while nobody asks counts as told: the wait after a broken watch
@@ -44,10 +44,10 @@
 
 
 @dataclass(slots=True, eq=False)
-class Held:
+class PendingRequest:
     """A request without its final answer."""
 
-    call: Call
+    call: DownstreamRequest
     overdue: asyncio.TimerHandle | None = None
     attempts: list[Attempt] = field(default_factory=list)
     begun: Exchange | None = None  # the attempt whose answer is being passed on
@@ -79,7 +79,7 @@
             log.exception("request %d: an attempt could not be closed", self.number)
             self.end(UNKNOWN)
 
-    def end(self, result: Result) -> None:
+    def end(self, result: ExchangeResult) -> None:
         if not self.over:
             self.over, self.exchange = True, None  # two that know each other would stay until collected
             self.agent.attempt_ended(self, result)
@@ -111,8 +111,12 @@
         self._letting_go = False  # a step is due
         self.peers: Peers | None = None  # None: the other agents are not spoken to
         self._loop = asyncio.get_running_loop()
-        self._held: dict[int, Held] = {}  # who is owed a final answer; only _release takes one out
-        self._released: dict[int, Held] = {}  # while events are handled: the module may not know yet
+        self._pending: dict[
+            int, PendingRequest
+        ] = {}  # who is owed a final answer; only _release takes one out
+        self._released: dict[
+            int, PendingRequest
+        ] = {}  # while events are handled: the module may not know yet
         self._out: dict[tuple[int, int], Exchange] = {}  # attempts without an end
         self._events: deque[q.Event] = deque()
         self._handling = False
@@ -120,7 +124,7 @@
         self._drain_grace_s = drain_grace_s
         self._watch_again_s = WATCH_AGAIN * drain_grace_s
         self._began = self._loop.time()
-        self.fresh = False  # discovery has been heard
+        self.has_current_list = False  # discovery has been heard
         self._heard = False  # the list is what discovery said, to this process or the one before it
         self._carriers: dict[type, Callable[[Any], None]] = {
             q.Send: self._send,
@@ -175,7 +179,7 @@
     # The operators' side
 
     def levels(self) -> Levels:
-        taken = sum(isinstance(h.call.body, bytes) or h.call.body.whole for h in self._held.values())
+        taken = sum(isinstance(h.call.body, bytes) or h.call.body.whole for h in self._pending.values())
         heard = self._discovery.heard_at
         age_ms = -1 if heard is None else int((self._loop.time() - heard) * 1000)
         unlisted = None if self._losses is None else len(self._losses)
@@ -202,14 +206,14 @@
     # The application's side
 
     def ready(self) -> bool:
-        return not self._pushes or self.fresh or self._loop.time() >= self._began + FIRST_LIST_S
+        return not self._pushes or self.has_current_list or self._loop.time() >= self._began + FIRST_LIST_S
 
-    def take(self, call: Call) -> None:
+    def take(self, call: DownstreamRequest) -> None:
         self._taken += 1
         if self.peers is not None:
             self.peers.request()
         call.number = self._taken
-        held = self._held[call.number] = Held(call)
+        held = self._pending[call.number] = PendingRequest(call)
         left_us = max(0, call.left_us(self._clock.now()))
         self._look_again(held, left_us)
         body = call.body
@@ -228,13 +232,13 @@
             )
         )
 
-    def _whole(self, held: Held) -> None:
+    def _whole(self, held: PendingRequest) -> None:
         """From its last byte on a request has the time that its client gives it."""
         call = held.call
-        if call.number in self._held and held.begun is None:
+        if call.number in self._pending and held.begun is None:
             self._look_again(held, call.left_us(self._clock.now()))
 
-    def _look_again(self, held: Held, after_us: int) -> None:
+    def _look_again(self, held: PendingRequest, after_us: int) -> None:
         """Whether the request has been answered, so long from now and a little."""
         if held.overdue is not None:
             held.overdue.cancel()
@@ -242,19 +246,19 @@
             max(0, after_us) / 1e6 + OVERDUE_S, self._overdue, held.call.number
         )
 
-    def leave(self, call: Call) -> None:
-        held = self._held.get(call.number)
+    def client_left(self, call: DownstreamRequest) -> None:
+        held = self._pending.get(call.number)
         if held is not None:
             self._release(held, GONE, None)
             self._post(q.ClientGone(call.number))
 
-    def give_up_all(self) -> None:
-        for number, held in list(self._held.items()):
+    def fail_all_pending(self) -> None:
+        for number, held in list(self._pending.items()):
             if held.begun is None:
                 self._give_up(number)
 
     def _overdue(self, number: int) -> None:
-        held = self._held.get(number)
+        held = self._pending.get(number)
         if held is None:
             return
         call, body = held.call, held.call.body
@@ -268,12 +272,12 @@
 
     def _give_up(self, number: int) -> None:
         """The final answer where the module gave none. A failure is always true."""
-        if number in self._held:
+        if number in self._pending:
             self._answer(number, 500, [], b"failed\n")
             self._post(q.ClientGone(number))
 
     def _answer(self, number: int, status: int, headers: Headers, body: bytes) -> None:
-        held = self._held.get(number)
+        held = self._pending.get(number)
         if held is None:
             return
         call, client = held.call, held.call.client
@@ -282,17 +286,17 @@
         else:
             self._release(held, status, partial(client.answer, call, status, headers, body))
 
-    def turned_away(self, request_class: int, status: int) -> None:
+    def count_rejected(self, request_class: int, status: int) -> None:
         self._figures.ended(request_class, status)
 
-    def _release(self, held: Held, status: int, write: Callable[[], None] | None) -> None:
+    def _release(self, held: PendingRequest, status: int, write: Callable[[], None] | None) -> None:
         """Give a request its final answer; write None: its client has gone. The one place where it stops
         being owed one, and whatever raises on the way, it gets one here: nothing would answer it later.
 
         Nothing more goes out for it: what is still out is closed before its answer is given.
         """
         call = held.call
-        del self._held[call.number]
+        del self._pending[call.number]
         if self._handling:
             self._released[call.number] = held
         if held.overdue is not None:
@@ -352,14 +356,14 @@
     # Actions out
 
     def _send(self, a: q.Send) -> None:
-        held = self._held.get(a.request) or self._released.get(a.request)
+        held = self._pending.get(a.request) or self._released.get(a.request)
         if held is None:
             return
         call, attempt = held.call, Attempt(self, a.request, len(held.attempts), a.backend)
         held.attempts.append(attempt)
-        if a.request not in self._held:  # answered since the module decided this, or its client has gone
-            return attempt.end(Result(q.Outcome.NOT_SENT, 0))
-        ask = Ask(
+        if a.request not in self._pending:  # answered since the module decided this, or its client has gone
+            return attempt.end(ExchangeResult(q.Outcome.NOT_SENT, 0))
+        ask = UpstreamRequest(
             call.method, call.target, call.headers, call.body, attempt, partial(self._wanted, a), call.left_us
         )
         try:
@@ -374,15 +378,15 @@
 
     def _wanted(self, a: q.Send) -> bool:
         """Whether an attempt is still to go out. The client is asked last, so that its leaving shows."""
-        held = self._held.get(a.request)
+        held = self._pending.get(a.request)
         in_time = not a.until_us or self._clock.now() < a.until_us
         return held is not None and in_time and held.call.client.waits(held.call)
 
-    def attempt_ended(self, attempt: Attempt, result: Result) -> None:
+    def attempt_ended(self, attempt: Attempt, result: ExchangeResult) -> None:
         """Whatever becomes of the answer, the module hears of the end."""
         number = attempt.number
         exchange = self._out.pop((number, attempt.index), None)
-        held = self._held.get(number)
+        held = self._pending.get(number)
         spent = held is not None and not isinstance(held.call.body, bytes) and held.call.body.spent
         try:
             if held is not None:
@@ -402,13 +406,13 @@
                 attempt.backend,
                 result.outcome,
                 result.latency_us,
-                number not in self._held,
+                number not in self._pending,
                 result.report,
                 spent,
             )
         )
 
-    def _answer_with(self, held: Held, exchange: Exchange | None, result: Result) -> None:
+    def _answer_with(self, held: PendingRequest, exchange: Exchange | None, result: ExchangeResult) -> None:
         """Give the answer that an attempt brought, if it is one. Once one has begun it is the request's,
         whatever other attempts still bring: not every deployment lets them be cancelled."""
         call, number, served = held.call, held.call.number, result.outcome is q.Outcome.OK
@@ -422,7 +426,7 @@
         self, attempt: Attempt, exchange: Exchange, content_type: bytes | None, length: int | None
     ) -> None:
         """A large answer comes; the first of a request's is the one."""
-        held = self._held.get(attempt.number)
+        held = self._pending.get(attempt.number)
         if held is None or held.begun is not None:
             return exchange.cancel()
         held.begun = exchange
@@ -436,7 +440,7 @@
         self._post(q.StreamStarted(attempt.number, attempt.index, exchange.latency_us, exchange.report()))
 
     def answer_goes_on(self, attempt: Attempt, exchange: Exchange, data: bytes) -> None:
-        held = self._held.get(attempt.number)
+        held = self._pending.get(attempt.number)
         if held is not None and held.begun is exchange:
             try:
                 held.call.client.more(held.call, data)
@@ -455,7 +459,7 @@
         self._answer(a.request, 502, [], b"failed\n")
 
     def _cancel(self, a: q.Cancel) -> None:
-        held = self._held.get(a.request)
+        held = self._pending.get(a.request)
         if held is not None and a.attempt < len(held.attempts):
             held.attempts[a.attempt].cancel()
 
@@ -463,7 +467,7 @@
         self._loop.call_later(a.delay_us / 1e6, self._post, q.TimerFired(a.token))
 
     def _probe(self, a: q.Probe) -> None:
-        def done(result: Result) -> None:
+        def done(result: ExchangeResult) -> None:
             self._post(q.ProbeEnded(a.backend, result.outcome, result.latency_us, result.report))
 
         self._backends.probe(a.backend, done)
@@ -483,7 +487,7 @@
             self._loop.call_later(wait_s, self._discovery.watch, self._listed)
             return
         self._watch_again_s = WATCH_AGAIN * self._drain_grace_s
-        self.fresh = self.fresh or listing is not None
+        self.has_current_list = self.has_current_list or listing is not None
         if listing is None:
             self._post(q.BackendsChanged(q.ListKind.FAILED, []))
             return
@@ -525,7 +529,7 @@
         self._let_go(self._losses.step())
         self._hold(self._losses)
 
-    def _missing_answered(self, name: str, result: Result) -> None:
+    def _missing_answered(self, name: str, result: ExchangeResult) -> None:
         assert self._losses is not None
         gone = self._losses.ended(name, result.outcome)
         if gone:  # in a turn of its own: an attempt is just ending at that backend
--- a/burlshift/agent/backends.py
+++ b/burlshift/agent/backends.py
@@ -31,7 +31,7 @@
 STALL_S = 5.0  # a backend that takes or gives nothing for so long, while it could, has stopped
 
 
-class Result(NamedTuple):
+class ExchangeResult(NamedTuple):
     """How an exchange ended."""
 
     outcome: Outcome
@@ -42,7 +42,7 @@
     begun: bool = False  # its answer was passed on as it came; the time is that to its begin
 
 
-class Body(Protocol):
+class StreamedBody(Protocol):
     """A large request body on its way from a client."""
 
     length: int | None  # None: told by its chunks
@@ -63,7 +63,7 @@
     def go_on(self) -> None: ...
 
 
-class Reader(Protocol):
+class ResponseReader(Protocol):
     """Who gets a large answer as it comes."""
 
     def begin(self, exchange: Exchange, content_type: bytes | None, length: int | None) -> None:
@@ -72,14 +72,14 @@
     def more(self, exchange: Exchange, data: bytes) -> None: ...
 
 
-class Ask(NamedTuple):
+class UpstreamRequest(NamedTuple):
     """What is to be sent to a backend."""
 
     method: str
     target: str
     headers: Headers  # as h11 has parsed them
-    body: bytes | Body = b""
-    reader: Reader | None = None  # None: a probe
+    body: bytes | StreamedBody = b""
+    reader: ResponseReader | None = None  # None: a probe
     wanted: Callable[[], bool] = lambda: True  # asked last thing before it goes out: time has passed since
     left_us: Callable[[int], int] | None = None  # what the client still waits at a time; None: nobody does
 
@@ -106,10 +106,10 @@
     return True
 
 
-class _Pooled(Connection):
+class _PooledConnection(Connection):
     """A connection to a backend; idle, or in the hands of one exchange."""
 
-    def __init__(self, member: Member, discard: Callable[[_Pooled], None]) -> None:
+    def __init__(self, member: Member, discard: Callable[[_PooledConnection], None]) -> None:
         super().__init__()
         self.member, self._discard = member, discard
         self.exchange: Exchange | None = None
@@ -169,7 +169,7 @@
             return False
 
 
-def _next_idle(kept: list[_Pooled], now: int, quiet_us: int) -> _Pooled | None:
+def _next_idle(kept: list[_PooledConnection], now: int, quiet_us: int) -> _PooledConnection | None:
     """The one to use again: of those past any late second answer the one used last, so that others grow old
     and are closed; else the one that has been quiet for the longest time."""
     free = [connection for connection in kept if connection.reusable_at(quiet_us) <= now]
@@ -186,15 +186,15 @@
         self,
         backends: Backends,
         backend: BackendId,
-        ask: Ask,
+        ask: UpstreamRequest,
         timeout_us: int,
-        done: Callable[[Result], None],
+        done: Callable[[ExchangeResult], None],
     ) -> None:
         self._backends, self._backend, self._ask, self._done = backends, backend, ask, done
         self._loop = asyncio.get_running_loop()
         self._timeout_us = timeout_us
         self._began = backends.clock.now()
-        self._connection: _Pooled | None = None
+        self._connection: _PooledConnection | None = None
         self._sending = False  # a large body is on its way out
         self._status = 0
         self._headers: Fields = {}
@@ -258,7 +258,7 @@
             log.exception("cannot tell whether an attempt is still wanted")
             return False
 
-    def carry(self, connection: _Pooled) -> bool:
+    def carry(self, connection: _PooledConnection) -> bool:
         """Go out on this connection, or end; whether that has used it, or it is as good as before."""
         try:
             return self._put(connection)
@@ -281,7 +281,7 @@
             own_us -= now - self._began
         return own_us if self._ask.left_us is None else min(own_us, self._ask.left_us(now))
 
-    def _put(self, connection: _Pooled) -> bool:
+    def _put(self, connection: _PooledConnection) -> bool:
         ask, body, headers = self._ask, self._ask.body, [(b"Host", HOST), *self._ask.headers]
         if ask.reader is not None:
             left_us = self._left_us()  # read anew: what runs between the check and here takes time too
@@ -485,7 +485,7 @@
             if self._connection is not None:
                 self._connection.drop()
         self._done(
-            Result(
+            ExchangeResult(
                 outcome,
                 self.latency_us,
                 self.report(),
@@ -528,8 +528,8 @@
         self._idle_us = int(conn_idle_us * IDLE_SHARE)
         self._most = most  # connections at once, so that descriptors are left for clients
         self._members: dict[BackendId, Member] = {}
-        self._idle: dict[BackendId, list[_Pooled]] = {}
-        self._open: set[_Pooled] = set()
+        self._idle: dict[BackendId, list[_PooledConnection]] = {}
+        self._open: set[_PooledConnection] = set()
         self._dials: dict[BackendId, int] = {}  # connections on their way up
         self._waiting: dict[BackendId, dict[Exchange, None]] = {}  # for a connection, the first come first
         self._quiet_periods = QuietPeriods()
@@ -557,15 +557,19 @@
         return member if member is not None and member.backend.state is State.READY else None
 
     def exchange(
-        self, backend: BackendId, ask: Ask, timeout_us: int, done: Callable[[Result], None]
+        self,
+        backend: BackendId,
+        ask: UpstreamRequest,
+        timeout_us: int,
+        done: Callable[[ExchangeResult], None],
     ) -> Exchange:
         exchange = Exchange(self, backend, ask, timeout_us, done)
         exchange.start()
         return exchange
 
-    def probe(self, backend: BackendId, done: Callable[[Result], None]) -> None:
+    def probe(self, backend: BackendId, done: Callable[[ExchangeResult], None]) -> None:
         target = "/_load" if self.report_fields else "/ping"
-        self.exchange(backend, Ask("GET", target, []), PROBE_US, done)
+        self.exchange(backend, UpstreamRequest("GET", target, []), PROBE_US, done)
 
     # Connections
 
@@ -609,7 +613,7 @@
         while len(waiting) > self._dials.get(backend, 0) + self._free_soon(backend):
             next(iter(waiting)).unconnected(outcome)
 
-    async def _connected(self, member: Member) -> _Pooled:
+    async def _connected(self, member: Member) -> _PooledConnection:
         """A connection that is up. Only the handshake is timed, and by what the kernel says of it: an agent
         whose loop is late must not take its own lateness for the backend's."""
         loop, address = asyncio.get_running_loop(), member.address
@@ -621,7 +625,9 @@
             except TimeoutError as e:
                 if e.errno == errno.ETIMEDOUT or not _is_up(sock):  # the former is the kernel's own word
                     raise
-            _, connection = await loop.create_connection(lambda: _Pooled(member, self._discard), sock=sock)
+            _, connection = await loop.create_connection(
+                lambda: _PooledConnection(member, self._discard), sock=sock
+            )
         except BaseException:
             sock.close()
             raise
@@ -635,12 +641,12 @@
             if not waiting:
                 del self._waiting[backend]
 
-    def _offer(self, connection: _Pooled, now: int) -> None:
+    def _offer(self, connection: _PooledConnection, now: int) -> None:
         """It is free from now on."""
         connection.idle_since = now
         self.hand_on(connection, now)
 
-    def hand_on(self, connection: _Pooled, now: int) -> None:
+    def hand_on(self, connection: _PooledConnection, now: int) -> None:
         """To the exchange that has waited longest and may still go out, else kept."""
         backend = connection.member.backend.id
         free_at = connection.reusable_at(self._quiet_periods.of(backend))
@@ -651,13 +657,13 @@
         self._idle.setdefault(backend, []).append(connection)
         self._await_quiet(backend)
 
-    def _retire_in_time(self, connection: _Pooled, now: int) -> None:
+    def _retire_in_time(self, connection: _PooledConnection, now: int) -> None:
         left_us = connection.idle_since + self._idle_us - now
         connection.retire = asyncio.get_running_loop().call_later(
             max(0, left_us) / 1e6, self._retired, connection
         )
 
-    def _hand_over(self, connection: _Pooled) -> bool:
+    def _hand_over(self, connection: _PooledConnection) -> bool:
         """Whether it is in use now, or of no use any more."""
         backend = connection.member.backend.id
         while waiting := self._waiting.get(backend):
@@ -729,7 +735,7 @@
         self._discard(min(idle, key=lambda c: c.idle_since))
         return True
 
-    def take(self, member: Member) -> _Pooled | None:
+    def take(self, member: Member) -> _PooledConnection | None:
         """An idle connection that can be trusted, if there is one."""
         kept, now = self._idle.get(member.backend.id, []), self.clock.now()
         quiet_us = self._quiet_periods.of(member.backend.id)
@@ -741,7 +747,7 @@
             self._discard(connection)
         return None
 
-    def give_back(self, connection: _Pooled) -> None:
+    def give_back(self, connection: _PooledConnection) -> None:
         """Keep a connection whose exchange is over in good order; close any other."""
         http = connection.http
         over = http.our_state is h11.DONE and http.their_state is h11.DONE
@@ -755,7 +761,7 @@
         connection.answered = True
         self._offer(connection, self.clock.now())
 
-    def _retired(self, connection: _Pooled) -> None:
+    def _retired(self, connection: _PooledConnection) -> None:
         """One timer outlasts many uses: what has been used since it was set is not due yet."""
         connection.retire = None
         if connection not in self._idle.get(connection.member.backend.id, ()):
@@ -771,7 +777,7 @@
         for connection in self._idle.pop(backend, []):
             self._discard(connection)
 
-    def _discard(self, connection: _Pooled) -> None:
+    def _discard(self, connection: _PooledConnection) -> None:
         if connection.retire is not None:
             connection.retire.cancel()
         backend = connection.member.backend.id
--- a/burlshift/agent/connection.py
+++ b/burlshift/agent/connection.py
@@ -60,7 +60,7 @@
         self._poll: select.poll | None = None  # watches its socket; valid until the transport is closing
         self.written = True  # the kernel has taken all bytes
         self.closed = False
-        self.deaf = False  # what still comes in is dropped
+        self.discards_input = False  # what still comes in is dropped
 
     # What a role adds
 
@@ -125,7 +125,7 @@
     def _read_on(self) -> None:
         """Hand on what has been received, as far as h11 lets it: at most to the end of one message."""
         self.check_head()
-        while not self.deaf:
+        while not self.discards_input:
             event = self.http.next_event()
             # Not isinstance: h11's events are abstract classes, for which it costs more than all else here.
             if event is h11.NEED_DATA or event is h11.PAUSED or type(event) is h11.ConnectionClosed:
@@ -185,7 +185,7 @@
     def drop(self) -> None:
         """Close at once, in the eyes of the peer too: the transport itself closes only a turn later, when the
         next attempt of the same request may be out already."""
-        self.deaf = self.closed = True
+        self.discards_input = self.closed = True
         if self.transport is None or self.transport.is_closing():
             return
         with suppress(OSError):  # the peer may have reset it already
@@ -206,14 +206,14 @@
         self._feed(None)
 
     def _feed(self, data: bytes | None) -> None:
-        if self.deaf:
+        if self.discards_input:
             return
         try:
             if data is not None:
                 self.http.receive_data(data)
             self._read_on()
         except h11.RemoteProtocolError as e:
-            self.deaf = True
+            self.discards_input = True
             self.on_broken(e)
         except Exception as e:
             self.on_fault(e)
@@ -221,5 +221,5 @@
     def on_fault(self, error: Exception) -> None:
         """A fault in one connection must not pass for the peer's leaving, nor vanish."""
         log.error("connection failed", exc_info=error)
-        self.deaf = True
+        self.discards_input = True
         self.on_broken(error)
--- a/burlshift/agent/discovery.py
+++ b/burlshift/agent/discovery.py
@@ -146,11 +146,11 @@
         return Member(backend, parse_address(m["host_port"]), up_since_ms)
 
 
-class WentBack(ConnectionError):
+class RevisionWentBack(ConnectionError):
     """A list that leads back from what was told, of the same identity."""
 
 
-class Call(Connection):
+class DiscoveryCall(Connection):
     """A connection to discovery; one call at a time."""
 
     def __init__(self) -> None:
@@ -270,7 +270,7 @@
         task.add_done_callback(lambda done: self._fetches.pop(done, None))
 
     async def _watch(self, told: Callable[[Listing | None], None]) -> None:
-        call: Call | None = None
+        call: DiscoveryCall | None = None
         try:
             while True:
                 self._asked, self.silent = asyncio.get_running_loop().time(), False
@@ -283,7 +283,7 @@
                     if not self._said(e):
                         _failed(e)
                     self.silent = self.silent and isinstance(e, TimeoutError)
-                    if len(self._addresses) == 1 and not (self.keeps_on or isinstance(e, WentBack)):
+                    if len(self._addresses) == 1 and not (self.keeps_on or isinstance(e, RevisionWentBack)):
                         break
                     if call is not None:
                         call.drop()
@@ -304,7 +304,7 @@
         self._watching = None  # before the report: the answer to it may be the next watch
         told(None)
 
-    async def _next(self, call: Call) -> Listing:
+    async def _next(self, call: DiscoveryCall) -> Listing:
         """The next answer to the watch."""
         if self._revision is None:
             return await self._ask(call, PATH, ANSWER_S)
@@ -323,7 +323,9 @@
         if behind and listing.complete:
             # Once it is ahead again it may have come there by another way: nothing goes on from what is here.
             self._revision = None
-            raise WentBack(f"revision {listing.revision} after {self._latest[1]}, both of {listing.identity}")
+            raise RevisionWentBack(
+                f"revision {listing.revision} after {self._latest[1]}, both of {listing.identity}"
+            )
         back = behind or (self._revision is not None and listing.revision < self._revision)
         other = self._identity is not None and listing.identity != self._identity
         if back or other:
@@ -350,7 +352,7 @@
 
     def _said(self, e: Exception) -> bool:
         """A list that went back is said loudly, and not again until one goes on."""
-        if not isinstance(e, WentBack):
+        if not isinstance(e, RevisionWentBack):
             return False
         if self._disputed != self._latest:
             self._disputed = self._latest
@@ -409,7 +411,7 @@
         return self._addresses[self._at]
 
     async def _fetch(self, told: Callable[[Listing | None], None]) -> None:
-        call: Call | None = None
+        call: DiscoveryCall | None = None
         listing: Listing | None = None
         try:
             call = await self._connected(None)
@@ -428,7 +430,7 @@
             self._note(listing)
         told(listing)
 
-    async def _connected(self, call: Call | None) -> Call:
+    async def _connected(self, call: DiscoveryCall | None) -> DiscoveryCall:
         """The same connection while discovery keeps it, else a new one."""
         if call is not None:
             if not call.closed:
@@ -437,10 +439,10 @@
         loop = asyncio.get_running_loop()
         address, self._called = self.address, loop.time()
         async with asyncio.timeout(self._connect_s):
-            _, call = await loop.create_connection(Call, address.host, address.port)
+            _, call = await loop.create_connection(DiscoveryCall, address.host, address.port)
         return call
 
-    async def _ask(self, call: Call, target: str, limit_s: float) -> Listing:
+    async def _ask(self, call: DiscoveryCall, target: str, limit_s: float) -> Listing:
         # Bounded: a machine that is cut off says nothing, and the watch would wait for ever.
         loop = asyncio.get_running_loop()
         asked = loop.time()
--- a/burlshift/agent/server.py
+++ b/burlshift/agent/server.py
@@ -55,7 +55,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Call:
+class DownstreamRequest:
     """One request of the application, checked, and the way to answer it."""
 
     method: str
@@ -68,7 +68,7 @@
     key: int
     cost_us: int
     is_retry: bool
-    client: Answerer
+    client: ResponseWriter
     sent_us: int  # monotonic: when its client may have written its latest byte, at the earliest
     number: int = 0  # given by whoever takes it
 
@@ -77,27 +77,27 @@
         return self.sent_us + self.patience_us - now
 
 
-class Answerer(Protocol):
+class ResponseWriter(Protocol):
     """Where a call came from, and its one answer goes to: whole, or begun, passed on and finished."""
 
     @property
     def sent_us(self) -> int:
         """When what has come last may have been written, at the earliest."""
 
-    def waits(self, call: Call) -> bool:
+    def waits(self, call: DownstreamRequest) -> bool:
         """Whether the client is still there for its answer; one that is not has left by then."""
 
-    def answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None: ...
+    def answer(self, call: DownstreamRequest, status: int, headers: Headers, body: bytes) -> None: ...
 
-    def begin(self, call: Call, headers: Headers, length: int | None, source: Source) -> None:
+    def begin(self, call: DownstreamRequest, headers: Headers, length: int | None, source: Source) -> None:
         """A served answer that comes in pieces; length None: told by its end."""
 
-    def more(self, call: Call, data: bytes) -> None: ...
+    def more(self, call: DownstreamRequest, data: bytes) -> None: ...
 
-    def finish(self, call: Call, whole: bool) -> None:
+    def finish(self, call: DownstreamRequest, whole: bool) -> None:
         """One that is not whole is broken off, so that the client can tell."""
 
-    def fail(self, call: Call) -> None:
+    def fail(self, call: DownstreamRequest) -> None:
         """The end of one whose answer could not be written: a failure, or a break if a part of it is out.
         Never raises, and does nothing for a call that has been answered."""
 
@@ -184,21 +184,21 @@
     end_s: float  # then all is over
 
 
-class Taker(Protocol):
+class RequestHandler(Protocol):
     """Who takes the calls."""
 
     def ready(self) -> bool:
         """Whether calls may come."""
 
-    def take(self, call: Call) -> None: ...
+    def take(self, call: DownstreamRequest) -> None: ...
 
-    def leave(self, call: Call) -> None:
+    def client_left(self, call: DownstreamRequest) -> None:
         """The client has gone."""
 
-    def give_up_all(self) -> None:
+    def fail_all_pending(self) -> None:
         """Answer at once whatever is held."""
 
-    def turned_away(self, request_class: int, status: int) -> None:
+    def count_rejected(self, request_class: int, status: int) -> None:
         """A request that cannot be taken has got its answer."""
 
 
@@ -215,14 +215,16 @@
     return [(b"Retry-After", b"%.6f" % (after_us / 1e6))] if after_us else []
 
 
-class Checker:
+class RequestParser:
     """Turns a request's head and body into a Call, or says what is wrong with it."""
 
     def __init__(self, classes: tuple[RequestClass, ...], tenants: tuple[Tenant, ...]) -> None:
         self._classes = {c.name: (i, c.effect) for i, c in enumerate(classes)}
         self._tenants = {t.name: i for i, t in enumerate(tenants)}
 
-    def check(self, request: h11.Request, fields: Fields, body: bytes | Upload, client: Answerer) -> Call:
+    def check(
+        self, request: h11.Request, fields: Fields, body: bytes | Upload, client: ResponseWriter
+    ) -> DownstreamRequest:
         index, effect = self._class(fields)
         method = request.method.decode("ascii")
         if method != ("GET" if effect is Effect.SAFE else "POST"):
@@ -233,7 +235,7 @@
         if (effect is Effect.KEYED) != bool(fields.get(b"idempotency-key")):
             raise Rejected(400, "Idempotency-Key does not fit the class")
         target = origin_form(request.target)
-        return Call(
+        return DownstreamRequest(
             method,
             target,
             [(k, fields[k]) for k in FORWARDED if k in fields],
@@ -297,7 +299,7 @@
     return int(text) if text and text.isascii() and text.isdigit() and len(text) < 10 else 0
 
 
-class _Client(Connection):
+class _DownstreamConnection(Connection):
     """A connection of the application; one request at a time."""
 
     def __init__(self, server: Server) -> None:
@@ -310,7 +312,7 @@
         self._received = 0  # of the body
         self._chunked = False
         self._blank = b""  # the first half of an empty line
-        self._call: Call | None = None
+        self._downstream_request: DownstreamRequest | None = None
         self._upload: Upload | None = None  # the body, where it is large
         self._source: Source | None = None  # of an answer that is passed on as it comes
         self._answer_out = False  # some of an answer has been written
@@ -324,24 +326,30 @@
         self._stuck: asyncio.TimerHandle | None = None  # set while the client takes nothing
 
     @property
-    def empty(self) -> bool:
+    def has_read_nothing(self) -> bool:
         """Nothing of a request has been read."""
-        return self._call is None and self.http.their_state is h11.IDLE and not self.http.trailing_data[0]
+        return (
+            self._downstream_request is None
+            and self.http.their_state is h11.IDLE
+            and not self.http.trailing_data[0]
+        )
 
     @property
     def idle(self) -> bool:
         """Nothing of a request has come, as far as the kernel knows, and no answer is on its way."""
-        return self.empty and self.written and not self.deaf and self.quiet()
+        return self.has_read_nothing and self.written and not self.discards_input and self.quiet()
 
     @property
-    def fresh(self) -> bool:
+    def is_new(self) -> bool:
         """Just accepted: whoever connects has something to ask, and its first request is on the way."""
-        return self.empty and self._unread is not None and self._loop.time() < self._began + FIRST_S
+        return (
+            self.has_read_nothing and self._unread is not None and self._loop.time() < self._began + FIRST_S
+        )
 
     @property
     def unfinished(self) -> bool:
         """A part of a request has been read that is not handed on yet."""
-        return self._call is None and not self.deaf and not self.empty
+        return self._downstream_request is None and not self.discards_input and not self.has_read_nothing
 
     @property
     def busy(self) -> bool:
@@ -355,7 +363,7 @@
     @property
     def _in_hand(self) -> bool:
         """A request has come whole, and has no answer yet."""
-        return self._call is not None and (
+        return self._downstream_request is not None and (
             self._upload is None or self._upload.whole or self._last_piece is not None
         )
 
@@ -411,7 +419,12 @@
 
     def resume(self) -> None:
         super().resume()
-        if self._upload is not None and not self._in_hand and self._unread is None and not self.deaf:
+        if (
+            self._upload is not None
+            and not self._in_hand
+            and self._unread is None
+            and not self.discards_input
+        ):
             now = self._loop.time()
             self._body_began += now - self.last
             self.last = now
@@ -419,7 +432,7 @@
 
     def _too_slow(self) -> None:
         self._read_whole()
-        if self.deaf or (self._call is not None and self._upload is None):
+        if self.discards_input or (self._downstream_request is not None and self._upload is None):
             return
         if self.unfinished or self._upload is not None:
             self._break_off(408, "request not whole in time")
@@ -442,7 +455,7 @@
 
     def _feed(self, data: bytes | None) -> None:
         super()._feed(data)
-        if self._call is None and not self.deaf and not self.empty:
+        if self._downstream_request is None and not self.discards_input and not self.has_read_nothing:
             self._await_whole()
 
     def data_received(self, data: bytes) -> None:
@@ -495,15 +508,19 @@
 
     def on_read(self) -> None:
         """What has come of a large body goes on; how large it is may show only now."""
-        if self._request is None or self.deaf or (self._call is not None and self._upload is None):
+        if (
+            self._request is None
+            or self.discards_input
+            or (self._downstream_request is not None and self._upload is None)
+        ):
             return
         if self._last_piece is not None:
             return
         try:
             if self._upload is not None:
                 data, self._piece = self._piece, bytearray()
-                if self._call is not None and not self._upload.whole:
-                    self._call.sent_us = self.sent_us
+                if self._downstream_request is not None and not self._upload.whole:
+                    self._downstream_request.sent_us = self.sent_us
                 self._upload.come(data)
             elif len(self._piece) > WHOLE_BYTES:
                 length = header(self._fields, b"content-length")
@@ -517,14 +534,14 @@
         call = self._server.check(self._request, self._fields, upload, self)
         data, self._piece = self._piece, bytearray()
         upload.come(data)
-        self._call, self._upload = call, upload
+        self._downstream_request, self._upload = call, upload
         self.pause()
-        self._server.taker.take(call)
+        self._server.handler.take(call)
 
-    def waits(self, call: Call) -> bool:
-        if self._call is call and self.left():
+    def waits(self, call: DownstreamRequest) -> bool:
+        if self._downstream_request is call and self.left():
             self._end_for_departed()
-        return self._call is call
+        return self._downstream_request is call
 
     def on_broken(self, error: Exception) -> None:
         """Malformed HTTP is the client's fault, anything else ours; either is answered."""
@@ -545,20 +562,20 @@
         """The client has closed, or ended its sending only, which cannot be told apart: nothing more goes out
         for it, and one that still listens gets a failure, which is always true."""
         begun = self._source is not None
-        if not self._leave():
+        if not self._client_left():
             return
         if begun:  # a plain close could pass for the end of its answer
             self._reset()
         else:
             self._respond(500, [], b"failed\n")
 
-    def _leave(self) -> bool:
+    def _client_left(self) -> bool:
         """The call is no longer this client's; whether there was one, which is counted by whoever took it."""
-        call, self._call = self._call, None
+        call, self._downstream_request = self._downstream_request, None
         self._upload = self._source = None
         self._cancel_last_piece()
         if call is not None:
-            self._server.taker.leave(call)
+            self._server.handler.client_left(call)
         return call is not None
 
     def _begin(self, request: h11.Request) -> None:
@@ -586,9 +603,9 @@
             return self._respond(200 if self._server.ready() else 503, [], b"")
         if path != API:
             raise Rejected(404, "no such path")
-        self._call = self._server.check(self._request, self._fields, bytes(self._piece), self)
+        self._downstream_request = self._server.check(self._request, self._fields, bytes(self._piece), self)
         self._piece = bytearray()
-        self._server.taker.take(self._call)
+        self._server.handler.take(self._downstream_request)
 
     def _complete_upload(self) -> None:
         """The last piece of a large body has been read."""
@@ -600,7 +617,7 @@
         waited for.
         """
         self._last_piece = None
-        if self._upload is None or self.deaf:
+        if self._upload is None or self.discards_input:
             return
         if self.left():
             return self._end_for_departed()
@@ -621,13 +638,13 @@
 
     def _break_off(self, status: int, why: str, headers: Headers | None = None) -> None:
         """The error for a request that is not taken, or not to its end; each is counted once."""
-        taken = self._leave()
+        taken = self._client_left()
         if self.transport is None or self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.drop()
             return
         index = self._server.checker.class_of(self._fields) if self._request is not None else None
         if index is not None and not taken:
-            self._server.taker.turned_away(index, status)
+            self._server.handler.count_rejected(index, status)
         # Refusals go on for what has been read already; a client in error is parted from with the others.
         part = self._server.closing and status < 500
         self._respond(status, headers or [], f"{why}\n".encode(), part)
@@ -644,27 +661,27 @@
         else:
             self.drop()
 
-    def answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None:
-        if self._call is call:
+    def answer(self, call: DownstreamRequest, status: int, headers: Headers, body: bytes) -> None:
+        if self._downstream_request is call:
             self._respond(status, headers, body)
 
-    def begin(self, call: Call, headers: Headers, length: int | None, source: Source) -> None:
-        if self._call is not call or not self._writable():
+    def begin(self, call: DownstreamRequest, headers: Headers, length: int | None, source: Source) -> None:
+        if self._downstream_request is not call or not self._writable():
             return
         self._source = source
         framing = [] if length is None else [(b"Content-Length", b"%d" % length)]
         self.send(h11.Response(status_code=200, headers=[*headers, *framing, *self._last_words()]))
         self._hold_source()
 
-    def more(self, call: Call, data: bytes) -> None:
-        if self._call is call and self._writable():
+    def more(self, call: DownstreamRequest, data: bytes) -> None:
+        if self._downstream_request is call and self._writable():
             self.send(h11.Data(data=data))
             self._hold_source()
 
-    def finish(self, call: Call, whole: bool) -> None:
+    def finish(self, call: DownstreamRequest, whole: bool) -> None:
         if not whole:
             self.fail(call)
-        elif self._call is call:
+        elif self._downstream_request is call:
             writable = self._writable()
             if writable:
                 self.send(h11.EndOfMessage())
@@ -672,8 +689,8 @@
             if writable:
                 self._answered()
 
-    def fail(self, call: Call) -> None:
-        if self._call is not call:
+    def fail(self, call: DownstreamRequest) -> None:
+        if self._downstream_request is not call:
             return
         self._release_call()
         try:
@@ -689,7 +706,7 @@
     def _release_call(self) -> None:
         """The call has its answer, or nobody is there to take one. Only after the writing: until then it is
         still to be failed, or left."""
-        self._call = self._upload = self._source = None
+        self._downstream_request = self._upload = self._source = None
         self._cancel_last_piece()
 
     def _cancel_last_piece(self) -> None:
@@ -720,7 +737,7 @@
         """Close so that nobody can take what has come for whole, however its end is told."""
         if self.transport is not None and not self.transport.is_closing():
             self.reset_on_close()
-            self.deaf = self.closed = True
+            self.discards_input = self.closed = True
             self.transport.abort()
 
     def _writable(self) -> bool:
@@ -791,7 +808,7 @@
         """Part after an answer: read and drop what still comes. Whatever the client has sent by then, a
         request ahead or the rest of a body, a close over unread bytes would reset the answer away.
         """
-        self.deaf = True
+        self.discards_input = True
         self._read_whole()
         self.last = self._loop.time()
         super().resume()
@@ -822,7 +839,7 @@
     return (b"", data) if data == b"\r" else (data, b"")
 
 
-def _itself(client: _Client) -> _Client:
+def _itself(client: _DownstreamConnection) -> _DownstreamConnection:
     return client
 
 
@@ -831,7 +848,7 @@
 
     def __init__(self, server: Server) -> None:
         self._server, self._resting = server, server.resting()
-        self._makes_way: _Client | None = None
+        self._makes_way: _DownstreamConnection | None = None
 
     def may_come(self) -> bool:
         """Whether one more may, because there is room or because another makes way."""
@@ -848,12 +865,12 @@
 class Server:
     """Listens for the application."""
 
-    def __init__(self, settings: Settings, taker: Taker, most: int) -> None:
-        self.taker = taker
+    def __init__(self, settings: Settings, taker: RequestHandler, most: int) -> None:
+        self.handler = taker
         self._most = most  # connections at once, so that descriptors are left for backends
-        self.checker = Checker(settings.classes, settings.tenants)
+        self.checker = RequestParser(settings.classes, settings.tenants)
         self._come_again_us = min(COME_AGAIN_US, settings.max_retry_after_us) if settings.retry_after else 0
-        self.connections: set[_Client] = set()
+        self.connections: set[_DownstreamConnection] = set()
         self.draining = False  # health says no
         self.closing = False  # answers ask the client to close
         self.refusing = False  # a request that is read now has no process left to see it through
@@ -862,13 +879,17 @@
         self._accepting = False
         self._shared = False
         self._starved = False  # the last try to accept found no descriptor
-        self._coming: dict[asyncio.Task[object], _Client] = {}  # accepted, and on its way into the loop
+        self._coming: dict[
+            asyncio.Task[object], _DownstreamConnection
+        ] = {}  # accepted, and on its way into the loop
 
     def ready(self) -> bool:
         """Whether new clients are welcome."""
-        return not self.draining and self.taker.ready()
+        return not self.draining and self.handler.ready()
 
-    def check(self, request: h11.Request, fields: Fields, body: bytes | Upload, client: Answerer) -> Call:
+    def check(
+        self, request: h11.Request, fields: Fields, body: bytes | Upload, client: ResponseWriter
+    ) -> DownstreamRequest:
         """The call that a whole head, and a body at least begun, make. Rejected, where it cannot be taken."""
         call = self.checker.check(request, fields, body, client)
         if self.refusing:
@@ -931,7 +952,7 @@
     def take_in(self, sock: socket.socket) -> None:
         """Serve who has been accepted."""
         self._starved = False
-        loop, client = asyncio.get_running_loop(), _Client(self)
+        loop, client = asyncio.get_running_loop(), _DownstreamConnection(self)
         task: asyncio.Task[object] = loop.create_task(
             loop.connect_accepted_socket(partial(_itself, client), sock)
         )
@@ -959,13 +980,13 @@
         """Whether as many are connected as may be at once."""
         return self._occupied() >= self._most
 
-    def resting(self) -> Iterator[_Client]:
+    def resting(self) -> Iterator[_DownstreamConnection]:
         """Those that may make way, the one that has rested longest first. Not who has just come: its request
         is on the way, and a new connection that is closed unanswered counts as a refusal. Nobody, where
         another process that listens has room."""
         if self._shared:
             return
-        candidates = [c for c in self.connections if c.empty and not c.fresh]
+        candidates = [c for c in self.connections if c.has_read_nothing and not c.is_new]
         for client in sorted(candidates, key=lambda c: c.last):
             if client.idle:
                 yield client
@@ -1013,7 +1034,7 @@
         while (self.connections or self._coming) and loop.time() < began + times.end_s:
             await asyncio.sleep(POLL_S)
         self.refusing = True
-        self.taker.give_up_all()
+        self.handler.fail_all_pending()
         # What has begun is not cut off here: if it must be, that is for whoever ordered the stop.
         while any(c.busy for c in self.connections) and loop.time() < began + STREAMS_S:
             self._refuse_unfinished()
@@ -1059,5 +1080,5 @@
 
     def _close_idle(self) -> None:
         # At once in the kernel: between a look and a close that waits for the loop a request can come.
-        for client in [c for c in self.connections if c.idle and not c.fresh]:
+        for client in [c for c in self.connections if c.idle and not c.is_new]:
             client.drop()
--- a/burlshift/catalog/replica.py
+++ b/burlshift/catalog/replica.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 
-from burlshift.agent.discovery import Address, Call, Discovery, Listing
+from burlshift.agent.discovery import Address, Discovery, DiscoveryCall, Listing
 
 from .follower import Age, Follower, Heard, HeardParser
 from .service import Readers
@@ -99,7 +99,7 @@
         assert isinstance(listing, Heard)
         return super()._behind(listing) or self._replica.copy.disputed(listing)
 
-    async def _ask(self, call: Call, target: str, limit_s: float) -> Listing:
+    async def _ask(self, call: DiscoveryCall, target: str, limit_s: float) -> Listing:
         asked_s = asyncio.get_running_loop().time()
         listing = await super()._ask(call, target, limit_s)
         self._asked_s, self._age_s = asked_s, call.age_s
--- a/burlshift/catalog/server.py
+++ b/burlshift/catalog/server.py
@@ -198,7 +198,7 @@
         elif isinstance(event, h11.Data):
             self._body += event.data
             if len(self._body) > BODY_LIMIT:
-                self.deaf = True
+                self.discards_input = True
                 self._say(_Wrong(413, f"the body is over {BODY_LIMIT} bytes"))
                 if self.transport is not None:
                     self.transport.close()
--- a/burlshift_tools/faultlab/mutations.py
+++ b/burlshift_tools/faultlab/mutations.py
@@ -42,7 +42,9 @@
     said: str
 
 
-ANSWER = "    def answer(self, call: Call, status: int, headers: Headers, body: bytes) -> None:\n"
+ANSWER = (
+    "    def answer(self, call: DownstreamRequest, status: int, headers: Headers, body: bytes) -> None:\n"
+)
 PLANTS = (
     Plant(
         "repeat",
@@ -116,7 +118,8 @@
         "a failed request gets no answer",
         "burlshift/agent/server.py",
         ANSWER,
-        ANSWER + "        if status == 502:\n            self._call = None\n            return\n",
+        ANSWER
+        + "        if status == 502:\n            self._downstream_request = None\n            return\n",
         "short-time",
         "answered",
     ),
@@ -147,7 +150,8 @@
         "departed",
         "a client that has left is not missed",
         "burlshift/agent/server.py",
-        "        call, self._call = self._call, None\n        self._upload = self._source = None\n",
+        "        call, self._downstream_request = self._downstream_request, None\n        self._upload = "
+        "self._source = None\n",
         "        return False\n        call, self._call = self._call, None\n"
         "        self._upload = self._source = None\n",
         "restless",
--- a/burlshift_tools/faultlab/parts/clients.py
+++ b/burlshift_tools/faultlab/parts/clients.py
@@ -158,7 +158,7 @@
             return
         if how == "reset":
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            self.deaf = self.closed = True
+            self.discards_input = self.closed = True
             return self.transport.abort()
         self.drop()
 
--- a/burlshift_tools/faultlab/parts/server.py
+++ b/burlshift_tools/faultlab/parts/server.py
@@ -330,7 +330,7 @@
             late_s = SECOND_MOST_S * self._server.stream.uniform()
             self._loop.call_later(late_s, self._write_raw, SECOND)
             return
-        self.deaf = True
+        self.discards_input = True
         half = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body[: len(body) // 2]
         if how == "half_hang":
             return self._write_raw(half)
--- a/burlshift_tools/faultlab/scale/hollow_agents.py
+++ b/burlshift_tools/faultlab/scale/hollow_agents.py
@@ -24,8 +24,8 @@
 from burlshift.agent.discovery import (
     PUSH_WAIT_MS,
     Address,
-    Call,
     Discovery,
+    DiscoveryCall,
     Listing,
     ListingParser,
     parse_address,
@@ -73,7 +73,7 @@
         self._same = same
         self.received = self.came_ns = 0
 
-    async def _connected(self, call: Call | None) -> Call:
+    async def _connected(self, call: DiscoveryCall | None) -> DiscoveryCall:
         got = await super()._connected(call)
         if got is not call:
 
@@ -85,7 +85,7 @@
             vars(got)["buffer_updated"] = counted
         return got
 
-    async def _ask(self, call: Call, target: str, limit_s: float) -> Listing:
+    async def _ask(self, call: DiscoveryCall, target: str, limit_s: float) -> Listing:
         if self._same is None:
             return await super()._ask(call, target, limit_s)
         async with asyncio.timeout(limit_s):
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -726,13 +726,13 @@
 @contextlib.contextmanager
 def observed(record: Record) -> Iterator[None]:
     """Note what the agent reads of clients, and when it writes an attempt."""
-    send, receive = connection.Connection.send, server._Client.data_received
+    send, receive = connection.Connection.send, server._DownstreamConnection.data_received
 
     def noted_send(self: connection.Connection, *events: Any) -> None:
         first = events[0] if events else None
         headers = dict(first.headers) if isinstance(first, h11.Request) else {}
         rid = headers.get(b"request-id", b"").decode()
-        if isinstance(self, backends._Pooled) and rid:
+        if isinstance(self, backends._PooledConnection) and rid:
             record.note(
                 rid,
                 f"attempt to {self.member.backend.id}, port "
@@ -748,7 +748,7 @@
             )
         send(self, *events)
 
-    def noted_receive(self: server._Client, data: bytes) -> None:
+    def noted_receive(self: server._DownstreamConnection, data: bytes) -> None:
         at = 0
         while (at := data.find(b"Request-Id: ", at)) >= 0:
             at += 12
@@ -760,7 +760,7 @@
     try:
         with (
             mock.patch.object(connection.Connection, "send", noted_send),
-            mock.patch.object(server._Client, "data_received", noted_receive),
+            mock.patch.object(server._DownstreamConnection, "data_received", noted_receive),
         ):
             yield
     finally:
--- a/tests/test_answers_without_length.py
+++ b/tests/test_answers_without_length.py
@@ -26,7 +26,7 @@
     while not any(e._body for e in w.agent._out.values()):
         await asyncio.sleep(0)
     await asyncio.sleep(SHORT_AIM_US / 4e6)
-    (held,) = w.agent._held.values()
+    (held,) = w.agent._pending.values()
     assert held.begun is None
     return got
 
--- a/tests/test_attempts_close.py
+++ b/tests/test_attempts_close.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from burlshift.agent.backends import Ask, Result, _Pooled
+from burlshift.agent.backends import ExchangeResult, UpstreamRequest, _PooledConnection
 from burlshift.agent.discovery import ListingParser
 from burlshift.balancing.interface import Outcome
 from tests.loopback import (
@@ -85,7 +85,7 @@
     async def run() -> None:
         b = backends(1)
         ours, theirs = socket.socketpair()
-        connection, kernel = _Pooled(listing(1).members[0], b._discard), Kernel(ours)
+        connection, kernel = _PooledConnection(listing(1).members[0], b._discard), Kernel(ours)
         connection.connection_made(kernel)
         b._offer(connection, b.clock.now())
         kernel.left = left
@@ -106,7 +106,7 @@
     async def run() -> None:
         peer = await Peer().start()
         b = backends(peer.port)
-        ends = asyncio.Queue[Result]()
+        ends = asyncio.Queue[ExchangeResult]()
         exchange = b.exchange("s", ASK, 60_000_000, ends.put_nowait)
         message = await peer.requests.get()
         await message.peer.write(NO_LENGTH)
@@ -167,7 +167,7 @@
 def test_a_time_out_and_an_answer_in_one_turn(answer_first: bool) -> None:
     async def run() -> None:
         peer = await Peer().start()
-        b, ends = backends(peer.port), asyncio.Queue[Result]()
+        b, ends = backends(peer.port), asyncio.Queue[ExchangeResult]()
         exchange = b.exchange("s", ASK, 60_000_000, ends.put_nowait)
         message = await peer.requests.get()
         message.peer.writer.get_extra_info("socket").dup().send(ONE)
@@ -193,10 +193,10 @@
             client = await w.raw()
             await client.send(post())
             got = await w.request()
-            (number,) = w.agent._held
+            (number,) = w.agent._pending
             got.peer.writer.get_extra_info("socket").dup().send(ONE)
             if answer_first:
-                while w.agent._held:
+                while w.agent._pending:
                     await asyncio.sleep(0)
             w.agent._overdue(number)
             await client.send(post(Request_Id="next"))
@@ -258,7 +258,7 @@
             client.shut()
             while w.server.connections:
                 await asyncio.sleep(0)
-            assert not w.agent._held and w.agent._taken <= 2
+            assert not w.agent._pending and w.agent._taken <= 2
             for _ in range(10):  # once at the most, whichever was read first
                 await asyncio.sleep(0)
             assert sum(b.requests.qsize() for b in w.backends) <= 1
@@ -302,9 +302,9 @@
 ) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
-            ends, exchange = asyncio.Queue[Result](), w.agent._backends.exchange
+            ends, exchange = asyncio.Queue[ExchangeResult](), w.agent._backends.exchange
             heard = held_connects(monkeypatch)
-            asks = [Ask("POST", "/api", [(b"Request-Id", b"%d" % i)], b"job") for i in range(3)]
+            asks = [UpstreamRequest("POST", "/api", [(b"Request-Id", b"%d" % i)], b"job") for i in range(3)]
             made = [exchange("s0", ask, 60_000_000, ends.put_nowait) for ask in asks]
             made[1].cancel()
             assert (await ends.get()).outcome is Outcome.CANCELLED
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -10,7 +10,7 @@
 import h11
 import pytest
 
-from burlshift.agent.backends import Ask, Backends, Result, parse_report
+from burlshift.agent.backends import Backends, ExchangeResult, UpstreamRequest, parse_report
 from burlshift.agent.clock import Clock
 from burlshift.agent.connection import Connection, checked_request
 from burlshift.agent.discovery import Listing, ListingParser
@@ -18,7 +18,7 @@
 from tests.loopback import Message, Peer, held_connects, member
 
 FIELDS = ("inflight", "queue", "util")
-ASK = Ask("POST", "/api", [(b"Request-Id", b"1")], b"job")
+ASK = UpstreamRequest("POST", "/api", [(b"Request-Id", b"1")], b"job")
 CLOCK = Clock()
 
 
@@ -33,8 +33,10 @@
     return made
 
 
-def begin(b: Backends, ask: Ask = ASK, timeout_us: int = 60_000_000) -> asyncio.Future[Result]:
-    end: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+def begin(
+    b: Backends, ask: UpstreamRequest = ASK, timeout_us: int = 60_000_000
+) -> asyncio.Future[ExchangeResult]:
+    end: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
     b.exchange("s", ask, timeout_us, end.set_result)
     return end
 
@@ -173,7 +175,7 @@
         server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1024)
         port = server.sockets[0].getsockname()[1]
         # More than all buffers between the two can hold.
-        big = Ask("POST", "/api", [(b"Request-Id", b"1")], b"x" * 64 * 1024 * 1024)
+        big = UpstreamRequest("POST", "/api", [(b"Request-Id", b"1")], b"x" * 64 * 1024 * 1024)
         assert (await begin(backends(port), big)).outcome is Outcome.CONNECT_FAILED
         server.close()
 
@@ -184,10 +186,10 @@
     async def run() -> None:
         peer = await Peer().start()
         b = backends(peer.port)
-        end: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+        end: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
         told: list[bool] = []
 
-        def done(result: Result) -> None:
+        def done(result: ExchangeResult) -> None:
             told.append(taken[0].peer.told_of_close())
             end.set_result(result)
 
@@ -280,7 +282,7 @@
     async def run() -> None:
         peer = await Peer().start()
         b, heard = backends(peer.port), held_connects(monkeypatch)
-        ends: list[Result] = []
+        ends: list[ExchangeResult] = []
         exchange = b.exchange("s", ASK, 60_000_000, ends.append)
         while not peer.connections:
             await asyncio.sleep(0)
@@ -302,7 +304,7 @@
         first = begin(b)
         message = await peer.requests.get()
         held_connects(monkeypatch)
-        second = begin(b, Ask("POST", "/api", [(b"Request-Id", b"2")], b"job"), 10_000_000)
+        second = begin(b, UpstreamRequest("POST", "/api", [(b"Request-Id", b"2")], b"job"), 10_000_000)
         await message.answer()
         assert (await first).outcome is Outcome.OK
         again = await peer.requests.get()
@@ -424,7 +426,7 @@
                 {"revision": 2, "complete": False, "members": [member("t", other.port)]}
             )
         )
-        end: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+        end: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
         b.exchange("t", ASK, 60_000_000, end.set_result)
         await message.peer.ended()
         await (await other.requests.get()).answer()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -132,7 +132,7 @@
             await got.peer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nfirst")
             assert "200" in (await read_head(client))[""]
             assert await client.reader.readexactly(5) == b"first"
-            (held,) = w.agent._held.values()
+            (held,) = w.agent._pending.values()
             assert held.overdue is not None and held.overdue.cancelled()
             assert (await figures(w))["agent.pending"] == 1
             await got.peer.write(b"x" * 99_995)
@@ -150,7 +150,7 @@
                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + b"x" * 70_000 + b"\r\n"
             )
             assert "200" in (await read_head(client))[""]
-            (held,) = w.agent._held.values()
+            (held,) = w.agent._pending.values()
             assert held.begun is not None
             await got.peer.write(b"4\r\nrest\r\n0\r\n\r\n")
             assert (await read_chunks(client.reader)).endswith(b"rest")
@@ -192,7 +192,7 @@
             got = await w.request()
             answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (32 * MB) + bytes(32 * MB)
             got.peer.writer.write(answer)
-            (held,) = w.agent._held.values()
+            (held,) = w.agent._pending.values()
             while (begun := held.begun) is None or not begun._paused:
                 await asyncio.sleep(0.001)
             (connection,) = w.server.connections
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -12,8 +12,8 @@
 import h11
 import pytest
 
-from burlshift.agent.backends import Ask, Exchange, Result, _Pooled
-from burlshift.agent.server import _Client
+from burlshift.agent.backends import Exchange, ExchangeResult, UpstreamRequest, _PooledConnection
+from burlshift.agent.server import _DownstreamConnection
 from burlshift.balancing.interface import Action, Event, ListKind, Outcome, RequestArrived, Send
 from tests.loopback import Raw, World, held_connects, member, post, world
 from tests.test_backends import quiet_is_over
@@ -117,7 +117,7 @@
             LEAVES[how](client)
             connection.transport.resume_reading()
             assert not is_whole(request + await server.read())
-            assert not w.agent._held
+            assert not w.agent._pending
             client.close()
 
     asyncio.run(run())
@@ -137,7 +137,7 @@
             (upstream,) = w.agent._backends._open
             assert upstream.transport is not None
             upstream.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-            (held,) = w.agent._held.values()
+            (held,) = w.agent._pending.values()
             assert not isinstance(held.call.body, bytes)
             await client.send(rest)
             while not held.call.body.whole:
@@ -146,7 +146,7 @@
             (connection,) = w.server.connections
             assert connection.transport is not None and connection.transport.is_reading()
             LEAVES[how](client)
-            while w.agent._held:
+            while w.agent._pending:
                 await asyncio.sleep(0)
             assert not is_whole(request + await server.read())
             client.close()
@@ -156,7 +156,7 @@
 
 GIVEN_UP: dict[str, Callable[[World, Raw], None]] = {
     "client gone": lambda w, client: client.close(),
-    "answered": lambda w, client: w.agent.give_up_all(),
+    "answered": lambda w, client: w.agent.fail_all_pending(),
 }
 
 
@@ -223,7 +223,7 @@
             client = await w.raw()
             await client.send(post())
             first = await w.request()
-            (number,) = w.agent._held
+            (number,) = w.agent._pending
             now = w.agent._clock.now
 
             left: list[None] = []
@@ -252,7 +252,7 @@
         async with world(tmp_path) as w:
             await with_a_connection_kept(w)
             quiet_is_over(w.agent._backends)
-            now, send = w.agent._clock.now, _Pooled.send
+            now, send = w.agent._clock.now, _PooledConnection.send
             readings, leave_at = 0, 0
             readings_before_send: list[int] = []
             client = await w.raw()
@@ -264,13 +264,13 @@
                     LEAVES[how](client)
                 return now()
 
-            def sending(connection: _Pooled, *events: h11.Event) -> None:
+            def sending(connection: _PooledConnection, *events: h11.Event) -> None:
                 readings_before_send.append(readings)
                 send(connection, *events)
 
             with monkeypatch.context() as patch:
                 patch.setattr(w.agent._clock, "now", held_up)
-                patch.setattr(_Pooled, "send", sending)
+                patch.setattr(_PooledConnection, "send", sending)
                 await client.send(post())
                 await (await w.request()).answer()
                 assert b"HTTP/1.1 200" in await asyncio.get_running_loop().sock_recv(client.socket, 65536)
@@ -295,14 +295,14 @@
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.client()
-            heard, left, looks = held_connects(monkeypatch), _Client.left, 0
+            heard, left, looks = held_connects(monkeypatch), _DownstreamConnection.left, 0
 
-            def counted(client: _Client) -> bool:
+            def counted(client: _DownstreamConnection) -> bool:
                 nonlocal looks
                 looks += 1
                 return left(client)
 
-            monkeypatch.setattr(_Client, "left", counted)
+            monkeypatch.setattr(_DownstreamConnection, "left", counted)
             await client.write(post())
             while not w.agent._backends._waiting:
                 await asyncio.sleep(0)
@@ -330,7 +330,7 @@
             await client.send(post())
             while not backends._waiting:
                 await asyncio.sleep(0)
-            ends: list[Result] = []
+            ends: list[ExchangeResult] = []
             waiting = backends._waiting["s0"]
 
             def gone() -> bool:
@@ -339,7 +339,7 @@
                 return False
 
             for _ in range(2 * sys.getrecursionlimit()):
-                ask = Ask("POST", "/api", [], reader=next(iter(waiting))._ask.reader, wanted=gone)
+                ask = UpstreamRequest("POST", "/api", [], reader=next(iter(waiting))._ask.reader, wanted=gone)
                 waiting[Exchange(backends, "s0", ask, 60_000_000, ends.append)] = None
             first = next(iter(waiting))
             waiting[first] = waiting.pop(first)  # behind all of them
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -36,7 +36,7 @@
 
 async def assert_next_is_another(w: World) -> None:
     """What the backends get next is the next client's: nothing of the one that has left."""
-    while w.agent._held:
+    while w.agent._pending:
         await asyncio.sleep(0)
     await w.ask(post(Request_Id="next"))
     assert (await w.request()).headers["request-id"] == "next"
@@ -72,7 +72,7 @@
             client, late = await w.raw(), await Peer().start()
             w.backends.append(late)
             await client.send(SENT[sent])
-            while not w.agent._held:
+            while not w.agent._pending:
                 await asyncio.sleep(0)
             if sent in NOT_READ:
                 await until_unread(w)
@@ -108,7 +108,7 @@
             first = await w.request()
             await until_unread(w)
             GOES[how](client)
-            (number,) = w.agent._held
+            (number,) = w.agent._pending
             busy = next(f"s{i}" for i, b in enumerate(w.backends) if b.connections)
             other = {"s0": "s1", "s1": "s0"}[busy]
             w.agent._send(Send(number, other, 10_000_000))  # as the decisions order one
@@ -123,7 +123,7 @@
         async with world(tmp_path, backends=0) as w:
             client, late = await w.raw(), await Peer().start()
             await client.send(SENT["much sent ahead"])
-            while not w.agent._held:
+            while not w.agent._pending:
                 await asyncio.sleep(0)
             await until_unread(w)
             client.close()
@@ -190,7 +190,7 @@
             client = await w.raw()
             await client.send(post() + post())
             first = await w.request()
-            connection = next(c for c in w.server.connections if c._call is not None)
+            connection = next(c for c in w.server.connections if c._downstream_request is not None)
             assert connection.transport is not None
             connection.transport.pause_reading()  # the answer comes as its close would be read
             GOES[how](client)
@@ -213,7 +213,7 @@
             client = await w.raw()
             await client.send(SENT["much sent ahead"])
             first = await w.request()
-            connection = next(c for c in w.server.connections if c._call is not None)
+            connection = next(c for c in w.server.connections if c._downstream_request is not None)
             while not connection._overran:
                 await asyncio.sleep(0)
             assert connection.transport is not None
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -52,12 +52,12 @@
         async with world(tmp_path, backends=0) as w:
             client = await w.raw()
             await client.send(post())
-            while not w.agent._held:
+            while not w.agent._pending:
                 await asyncio.sleep(0)
             await unread(w)
             await client.send(UNREAD[what])
             w.server.empty(EmptyTimes(0.0, 60.0))
-            w.agent.give_up_all()
+            w.agent.fail_all_pending()
             assert (await client.read_to_end()).endswith(b"\r\n\r\nfailed\n")
             client.close()
 
@@ -102,7 +102,7 @@
             await client.send(behind)
             while connection.last == before:  # until it has been read
                 await asyncio.sleep(0)
-            assert w.agent._held  # and is still in hand
+            assert w.agent._pending  # and is still in hand
             await got.answer(200, b"whole")
             answer = await client.read_to_end()
             assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"\r\n\r\nwhole")
--- a/tests/test_copies_end.py
+++ b/tests/test_copies_end.py
@@ -17,7 +17,7 @@
 async def with_a_copy(w: World) -> tuple[Message, Message]:
     """A request's attempt and a second one, as the decisions order one; both are out."""
     first = await w.request()
-    (number,) = w.agent._held
+    (number,) = w.agent._pending
     busy = next(f"s{i}" for i, b in enumerate(w.backends) if b.connections)
     w.agent._send(Send(number, {"s0": "s1", "s1": "s0"}[busy], 10_000_000))
     return first, await w.request()
@@ -32,7 +32,7 @@
             client = await w.ask(post())
             first, copy = await with_a_copy(w)
             await first.peer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LARGE))
-            (held,) = w.agent._held.values()
+            (held,) = w.agent._pending.values()
             while held.begun is None:
                 await asyncio.sleep(0)
             await copy.answer(status, b"copy")
@@ -52,7 +52,7 @@
             first, copy = await with_a_copy(w)
             head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LARGE)
             await first.peer.write(head)
-            (held,) = w.agent._held.values()
+            (held,) = w.agent._pending.values()
             while held.begun is None:
                 await asyncio.sleep(0)
             await copy.peer.write(head)
--- a/tests/test_departed_uploads.py
+++ b/tests/test_departed_uploads.py
@@ -41,7 +41,7 @@
             await until_read(w, len(LARGE) - 1)
             client.socket.send(LARGE[-1:])
             GOES[how](client)  # no turn of the loop since the last byte
-            while w.agent._held:
+            while w.agent._pending:
                 await asyncio.sleep(0)
             await w.ask(post(Request_Id="next"))
             assert (await w.request()).headers["request-id"] == "next"
@@ -68,7 +68,7 @@
                 await asyncio.sleep(0)
             GOES[how](client)
             heard.set()
-            while w.agent._held:
+            while w.agent._pending:
                 await asyncio.sleep(0)
             await w.ask(post(Request_Id="next"))
             assert (await w.request()).headers["request-id"] == "next"
@@ -90,7 +90,7 @@
                 second = await w.request()
                 assert second.headers["request-id"] == "2"
                 await second.answer(200, b"second", Connection="close")
-            while w.agent._held:
+            while w.agent._pending:
                 await asyncio.sleep(0)
             client.socket.shutdown(1)
             assert (await client.read_to_end()).count(b"HTTP/1.1 200") >= 1
--- a/tests/test_drawn_world.py
+++ b/tests/test_drawn_world.py
@@ -124,10 +124,16 @@
 
 def test_an_error_planted_in_the_agent_is_found() -> None:
     """A body of which the last byte is lacking."""
-    answer = server._Client.answer
-
-    def shorter(self: server._Client, call: server.Call, status: int, headers: Headers, body: bytes) -> None:
+    answer = server._DownstreamConnection.answer
+
+    def shorter(
+        self: server._DownstreamConnection,
+        call: server.DownstreamRequest,
+        status: int,
+        headers: Headers,
+        body: bytes,
+    ) -> None:
         answer(self, call, status, headers, body[:-1])
 
-    with mock.patch.object(server._Client, "answer", shorter):
+    with mock.patch.object(server._DownstreamConnection, "answer", shorter):
         assert "wrong" in kinds(run(11, QUIET)[1])
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -9,7 +9,14 @@
 
 import pytest
 
-from burlshift.agent.backends import ANSWER_BYTES, Ask, Backends, Exchange, Result, _Pooled
+from burlshift.agent.backends import (
+    ANSWER_BYTES,
+    Backends,
+    Exchange,
+    ExchangeResult,
+    UpstreamRequest,
+    _PooledConnection,
+)
 from burlshift.balancing.interface import Outcome
 from tests.test_attempts_close import Kernel
 from tests.test_backends import ASK, backends, listing
@@ -55,15 +62,15 @@
 
     def __init__(self, b: Backends, kernel: Kernel) -> None:
         self.backends, self.kernel = b, kernel
-        self.connection = _Pooled(listing(1).members[0], b._discard)
+        self.connection = _PooledConnection(listing(1).members[0], b._discard)
         self.connection.connection_made(kernel)
         b._offer(self.connection, b.clock.now())
-        self.ends: list[Result] = []
+        self.ends: list[ExchangeResult] = []
 
-    def begin(self, ask: Ask = ASK) -> Exchange:
+    def begin(self, ask: UpstreamRequest = ASK) -> Exchange:
         return self.backends.exchange("s", ask, 60_000_000, self.ends.append)
 
-    def idle(self) -> list[_Pooled]:
+    def idle(self) -> list[_PooledConnection]:
         return self.backends._idle.get("s", [])
 
     def outcome(self) -> Outcome:
@@ -176,9 +183,9 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1024)
         b = backends(server.sockets[0].getsockname()[1])
-        end: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+        end: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
         # More than all buffers between the two can hold.
-        big = Ask("POST", "/api", [(b"Request-Id", b"1")], b"x" * 64 * 1024 * 1024)
+        big = UpstreamRequest("POST", "/api", [(b"Request-Id", b"1")], b"x" * 64 * 1024 * 1024)
         exchange = b.exchange("s", big, 60_000_000, end.set_result)
         while (connection := exchange._connection) is None:
             await asyncio.sleep(0)
--- a/tests/test_exchange_ends.py
+++ b/tests/test_exchange_ends.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from burlshift.agent.backends import PROBE_US, Ask, Backends, Exchange, Result
+from burlshift.agent.backends import PROBE_US, Backends, Exchange, ExchangeResult, UpstreamRequest
 from burlshift.agent.connection import Connection
 from burlshift.balancing.interface import Outcome
 from tests.loopback import Message, Peer
@@ -284,8 +284,8 @@
     async def run() -> None:
         peer = await Peer().start()
         b = backends(peer.port)
-        ends: list[Result] = []
-        probe = b.exchange("s", Ask("GET", "/ping", []), PROBE_US, ends.append)
+        ends: list[ExchangeResult] = []
+        probe = b.exchange("s", UpstreamRequest("GET", "/ping", []), PROBE_US, ends.append)
         asked: Message = await peer.requests.get()
         probe._timed_out()
         assert ends[0].outcome is Outcome.TIMEOUT
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -48,7 +48,7 @@
                     client.reset()
                 while len(w.server.connections) > 1:
                     await asyncio.sleep(0)
-                assert not w.agent._held
+                assert not w.agent._pending
             await served(w, honest)
 
     asyncio.run(run())
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from burlshift.agent.backends import Ask, Backends, Result
+from burlshift.agent.backends import Backends, ExchangeResult, UpstreamRequest
 from burlshift.agent.clock import Clock
 from burlshift.agent.quiet_period import LATENESS_MOST_US, OTHERS_US, QUIET_US, SEEN_US, QuietPeriods
 from burlshift.balancing.interface import Outcome
@@ -17,7 +17,7 @@
 from tests.test_backends import ASK, FIELDS, listing
 
 MS = 1_000
-AGAIN = Ask("POST", "/api", [(b"Request-Id", b"2")], b"job")
+AGAIN = UpstreamRequest("POST", "/api", [(b"Request-Id", b"2")], b"job")
 
 
 class ManualClock(Clock):
@@ -39,12 +39,12 @@
         self.backends = Backends(self.clock, FIELDS, 10_000_000, 60_000_000, most, lambda: None)
         self.backends.told(listing(peer.port))
 
-    def begin(self, ask: Ask = ASK) -> asyncio.Future[Result]:
-        end: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+    def begin(self, ask: UpstreamRequest = ASK) -> asyncio.Future[ExchangeResult]:
+        end: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
         self.backends.exchange("s", ask, 60_000_000, end.set_result)
         return end
 
-    async def serve(self, ask: Ask = ASK) -> Message:
+    async def serve(self, ask: UpstreamRequest = ASK) -> Message:
         """One request, answered; its connection has just become free."""
         end = self.begin(ask)
         message = await self.peer.requests.get()
@@ -204,7 +204,9 @@
         self._monkeypatch.setattr(asyncio.SelectorEventLoop, "sock_connect", self._whole)
 
 
-async def left_to_wait(pool: Pool, monkeypatch: pytest.MonkeyPatch) -> tuple[asyncio.Future[Result], Message]:
+async def left_to_wait(
+    pool: Pool, monkeypatch: pytest.MonkeyPatch
+) -> tuple[asyncio.Future[ExchangeResult], Message]:
     """A request whose own connect failed, and the last one on the connection that is quiet soon."""
     first = await pool.serve()
     refusing = Refusing(monkeypatch)
@@ -273,7 +275,7 @@
     async def leaves(pool: Pool) -> None:
         first = await pool.serve()
         held_connects(monkeypatch)
-        ends: list[Result] = []
+        ends: list[ExchangeResult] = []
         pool.backends.exchange("s", AGAIN, 60_000_000, ends.append).cancel()
         pool.clock.time_us += QUIET_US
         message = await pool.serve()
@@ -372,7 +374,7 @@
 
 def test_half_an_answer_that_is_given_up_is_no_second_one() -> None:
     async def given_up(pool: Pool) -> None:
-        ends: list[Result] = []
+        ends: list[ExchangeResult] = []
         exchange = pool.backends.exchange("s", ASK, 60_000_000, ends.append)
         message = await pool.peer.requests.get()
         await message.peer.write(b"HTTP/1.1 200 OK\r\nContent-Le")
--- a/tests/test_list_silence.py
+++ b/tests/test_list_silence.py
@@ -281,6 +281,6 @@
     # Calls go out in turn there, and what nobody asked for has not been told.
     async def run() -> None:
         async with world(tmp_path, mode="ask") as w:
-            assert await health(w) == 200 and not w.agent.fresh
+            assert await health(w) == 200 and not w.agent.has_current_list
 
     asyncio.run(run())
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -15,7 +15,7 @@
 from burlshift.agent.agent import Agent
 from burlshift.agent.backends import Backends, Exchange
 from burlshift.agent.metrics import Figures
-from burlshift.agent.server import Server, _Client
+from burlshift.agent.server import Server, _DownstreamConnection
 from burlshift.balancing.interface import (
     AttemptEnded,
     BackendsChanged,
@@ -122,7 +122,7 @@
     """Nothing is held for the request that suffered, and others are served."""
     while not heard.all_ended():
         await asyncio.sleep(0)
-    assert not w.agent._held and not w.agent._out and not w.agent._released
+    assert not w.agent._pending and not w.agent._out and not w.agent._released
     for _ in range(2):
         client = await w.ask(post())
         await (await asyncio.wait_for(w.request(), GUARD_S)).answer(200, b"another")
@@ -138,11 +138,11 @@
 @pytest.mark.parametrize(
     "where",
     [
-        (_Client, "answer"),
-        (_Client, "_respond"),
-        (_Client, "send"),
-        (_Client, "_last_words"),
-        (_Client, "_writable"),
+        (_DownstreamConnection, "answer"),
+        (_DownstreamConnection, "_respond"),
+        (_DownstreamConnection, "send"),
+        (_DownstreamConnection, "_last_words"),
+        (_DownstreamConnection, "_writable"),
     ],
     ids=lambda w: w[1],
 )
@@ -167,7 +167,12 @@
 
 @pytest.mark.parametrize(
     "where",
-    [(_Client, "_answered"), (_Client, "_go_on_or_part"), (Server, "freed"), (Figures, "ended")],
+    [
+        (_DownstreamConnection, "_answered"),
+        (_DownstreamConnection, "_go_on_or_part"),
+        (Server, "freed"),
+        (Figures, "ended"),
+    ],
     ids=lambda w: w[1],
 )
 def test_what_fails_after_an_answer_leaves_it_as_it_is(
@@ -274,7 +279,7 @@
             client = await w.ask(post())
             await w.request()
             raises.left = 1
-            w.agent.give_up_all()
+            w.agent.fail_all_pending()
             assert (await read(client)).status >= 500 and raises.raised == 1
             await all_is_well(w, heard)
 
@@ -324,10 +329,10 @@
     send = Agent._send
 
     def leaves_first(self: Agent, a: Send) -> None:
-        client = self._held[a.request].call.client
+        client = self._pending[a.request].call.client
         if not heard.ends:
-            assert isinstance(client, _Client)
-            client._leave()
+            assert isinstance(client, _DownstreamConnection)
+            client._client_left()
             client.drop()
         send(self, a)
 
@@ -360,7 +365,13 @@
 
 
 @pytest.mark.parametrize(
-    "where", [(_Client, "begin"), (_Client, "send"), (_Client, "_last_words")], ids=lambda w: w[1]
+    "where",
+    [
+        (_DownstreamConnection, "begin"),
+        (_DownstreamConnection, "send"),
+        (_DownstreamConnection, "_last_words"),
+    ],
+    ids=lambda w: w[1],
 )
 @pytest.mark.parametrize("framing", [LENGTH, "Server-Note: by its end"])
 def test_a_large_answer_that_cannot_begin(
@@ -383,7 +394,13 @@
 
 
 @pytest.mark.parametrize(
-    "where", [(_Client, "more"), (_Client, "send"), (_Client, "_hold_source")], ids=lambda w: w[1]
+    "where",
+    [
+        (_DownstreamConnection, "more"),
+        (_DownstreamConnection, "send"),
+        (_DownstreamConnection, "_hold_source"),
+    ],
+    ids=lambda w: w[1],
 )
 @pytest.mark.parametrize("framing", [LENGTH, "Server-Note: by its end"])
 def test_a_large_answer_that_cannot_go_on(
@@ -410,7 +427,7 @@
 def test_a_large_answer_that_cannot_end(
     tmp_path: Path, raises: Raises, heard: Heard, name: str, when: Callable[..., bool]
 ) -> None:
-    raises.on(_Client, name, when)
+    raises.on(_DownstreamConnection, name, when)
 
     async def run() -> None:
         async with world(tmp_path) as w:
@@ -443,7 +460,7 @@
             with monkeypatch.context() as planted:
                 planted.setattr("asyncio.trsock.TransportSocket.setsockopt", setsockopt)
                 got.peer.reset()
-                while w.agent._held:
+                while w.agent._pending:
                     await asyncio.sleep(0)
             assert await broken_off(client)
             await all_is_well(w, heard)
@@ -454,9 +471,9 @@
 def test_an_answer_that_begins_as_its_client_is_leaving(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, heard: Heard
 ) -> None:
-    begin = _Client.begin
+    begin = _DownstreamConnection.begin
 
-    def as_it_leaves(self: _Client, *args: Any) -> None:
+    def as_it_leaves(self: _DownstreamConnection, *args: Any) -> None:
         assert self.transport is not None
         self.transport.abort()  # as a failed write leaves it: the loop says so a turn later
         begin(self, *args)
@@ -466,7 +483,7 @@
             await w.ask(post())
             got = await w.request()
             with monkeypatch.context() as planted:
-                planted.setattr(_Client, "begin", as_it_leaves)
+                planted.setattr(_DownstreamConnection, "begin", as_it_leaves)
                 await begin_large(got, LENGTH)
                 await asyncio.wait_for(got.peer.ended(), GUARD_S)
             await all_is_well(w, heard)
@@ -498,7 +515,7 @@
             got = await w.request()
             raises.left = 1
             w.agent._post(event)
-            assert raises.raised == 1 and len(w.agent._held) == 1
+            assert raises.raised == 1 and len(w.agent._pending) == 1
             await got.answer()
             assert (await read(client)).status == 200
             await all_is_well(w, heard)
@@ -552,14 +569,14 @@
             client = await w.client()
             await client.write(request if whole else request[:-1])
             assert (await read(client)).status == 500
-            assert not w.agent._held
+            assert not w.agent._pending
 
     asyncio.run(run())
 
 
 @pytest.mark.parametrize("cause", ["a stop", "no time left"])
 def test_giving_up_reaches_each(tmp_path: Path, raises: Raises, heard: Heard, cause: str) -> None:
-    raises.on(_Client, "answer")
+    raises.on(_DownstreamConnection, "answer")
 
     async def run() -> None:
         async with world(tmp_path) as w:
@@ -568,11 +585,11 @@
                 await w.request()
             raises.left = 1
             if cause == "no time left":
-                for held in list(w.agent._held.values()):
+                for held in list(w.agent._pending.values()):
                     held.call.sent_us -= 60 * SECOND
                     w.agent._overdue(held.call.number)
             else:
-                w.agent.give_up_all()
+                w.agent.fail_all_pending()
             assert [(await read(c)).status for c in clients] == [500] * 3
             await all_is_well(w, heard)
 
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -9,7 +9,7 @@
 import pytest
 
 from burlshift.agent.agent import FIRST_LIST_S
-from burlshift.agent.discovery import Call
+from burlshift.agent.discovery import DiscoveryCall
 from burlshift.balancing.interface import Discovery as PushOrAsk
 from burlshift.balancing.interface import Watch
 from tests.helpers import Drive, only
@@ -30,7 +30,7 @@
         connect = loop.create_connection
 
         async def fails(factory: Any, *to: Any, **known: Any) -> Any:
-            if factory is not Call:
+            if factory is not DiscoveryCall:
                 return await connect(factory, *to, **known)
             if ailing == "refuses":
                 raise ConnectionRefusedError("refused")
@@ -46,7 +46,7 @@
             w.agent._began = loop.time()
             assert await health(w) == (503 if mode == "push" else 200)  # it listens, and says how it is
             w.agent._began -= FIRST_LIST_S
-            assert await health(w) == 200 and not w.agent.fresh
+            assert await health(w) == 200 and not w.agent.has_current_list
             monkeypatch.undo()
             client = await w.ask(post())
             await (await w.request()).answer()
@@ -54,7 +54,7 @@
             if ailing == "is slow" and call is not None:
                 await call.answer(200, body(42))
                 await w.discovery.requests.get()
-                assert w.agent.fresh and await health(w) == 200
+                assert w.agent.has_current_list and await health(w) == 200
 
     asyncio.run(run())
     assert FIRST_LIST_S < READY_S / 10
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from burlshift.agent.backends import Ask, Result
+from burlshift.agent.backends import ExchangeResult, UpstreamRequest
 from burlshift.agent.clock import Clock
 from burlshift.balancing.interface import Effect, Group, Outcome, RequestClass, Send
 from tests.helpers import MS, SECOND, Drive, keyed, only
@@ -86,11 +86,21 @@
 
     async def run() -> None:
         async with world(tmp_path) as w:
-            ends, exchange = asyncio.Queue[Result](), w.agent._backends.exchange
-            exchange("s0", Ask("POST", "/api", [(b"Request-Id", b"1")], b"job"), 60 * SECOND, ends.put_nowait)
+            ends, exchange = asyncio.Queue[ExchangeResult](), w.agent._backends.exchange
+            exchange(
+                "s0",
+                UpstreamRequest("POST", "/api", [(b"Request-Id", b"1")], b"job"),
+                60 * SECOND,
+                ends.put_nowait,
+            )
             first = await w.request()
             heard = held_connects(monkeypatch)
-            exchange("s0", Ask("POST", "/api", [(b"Request-Id", b"2")], b"job"), 60 * SECOND, ends.put_nowait)
+            exchange(
+                "s0",
+                UpstreamRequest("POST", "/api", [(b"Request-Id", b"2")], b"job"),
+                60 * SECOND,
+                ends.put_nowait,
+            )
             monkeypatch.setattr("burlshift.agent.connection._read_buffer", bytearray(len(one)))
             await first.peer.write(one + two)
             assert (await ends.get()).body == b"first"
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -62,7 +62,7 @@
         async with world(tmp_path) as w:
             client = await w.ask(request)
             assert (await client.read()).status == status
-            assert not w.agent._held and not w.agent._taken
+            assert not w.agent._pending and not w.agent._taken
             # And the next one is served.
             client = await w.ask(post(body=b"x" * 65_536))
             await (await w.request()).answer()
@@ -108,7 +108,7 @@
             while len(w.server.connections) < 2:
                 await asyncio.sleep(0)
             (second,) = w.server.connections - {first}
-            while sent and second.empty:
+            while sent and second.has_read_nothing:
                 await asyncio.sleep(0)
             assert second._unread is not None
             second._too_slow()  # as its timer does
@@ -120,7 +120,7 @@
             assert first._unread is None  # one that has served may stay, and say nothing
             await served.write(sent)
             if status is not None:
-                while first.empty:
+                while first.has_read_nothing:
                     await asyncio.sleep(0)
                 assert first._unread is not None
                 first._too_slow()
--- a/tests/test_shutdown_requests.py
+++ b/tests/test_shutdown_requests.py
@@ -36,7 +36,7 @@
     while not w.server.connections:
         await asyncio.sleep(0)
     (connection,) = w.server.connections
-    while connection.empty or (connection._received < length and connection._upload is None):
+    while connection.has_read_nothing or (connection._received < length and connection._upload is None):
         await asyncio.sleep(0)
 
 
@@ -49,7 +49,7 @@
             await until_read(w, {"half a body": 999}.get(what, 0))
             await w.server.drain(AT_ONCE)
             assert arrived(client).startswith((b"HTTP/1.1 503", b"HTTP/1.1 500"))
-            assert not any(not c.deaf for c in w.server.connections)
+            assert not any(not c.discards_input for c in w.server.connections)
             sending.cancel()
             client.close()
 
@@ -86,13 +86,13 @@
             while not w.server.connections:
                 await asyncio.sleep(0)
             (connection,) = w.server.connections
-            assert connection.fresh
+            assert connection.is_new
             await w.server.drain(AT_ONCE)
             with contextlib.suppress(ConnectionError):
                 silent.socket.send(UNFINISHED["half a head"])
             while w.server.connections:
                 await asyncio.sleep(0)
-            assert connection.empty
+            assert connection.has_read_nothing
             silent.close()
 
     asyncio.run(run())
