--- a/burlshift/agent/admin_commands.py
+++ b/burlshift/agent/admin_commands.py
@@ -12,13 +12,13 @@
 from .agent import Agent
 from .hot_restart import Act, Succession, Unconfirmed
 from .metrics import Figures
-from .server import EmptyTimes, Server
+from .server import LameDuckTimes, Server
 
 log = logging.getLogger(__name__)
 
 # The front has seen the no and stopped within 0.3 s. The last idle connection is to be gone well before 2 s:
 # what comes on it from then on must be answered by 4 s.
-EMPTY = EmptyTimes(close_s=0.5, idle_s=1.0)
+LAME_DUCK_TIMES = LameDuckTimes(close_s=0.5, idle_s=1.0)
 FRESH_S = 3.0  # while discovery says nothing, the list as last known must do after so long
 
 
@@ -76,10 +76,10 @@
                 self._agent.attach(act["backend"])
             case "lameduck":
                 if not self.stopping:
-                    self._server.empty(EMPTY)
+                    self._server.enter_lame_duck(LAME_DUCK_TIMES)
             case "rejoin":
                 if not self.stopping:
-                    self._server.refill()
+                    self._server.leave_lame_duck()
         log.info("by hand: %s", " ".join(act.values()))
 
     # What the process before or after this one is handed and tells
@@ -95,7 +95,7 @@
     def resume(self, state: dict[str, Any]) -> None:
         """An agent that was being emptied goes on so: only operators end that."""
         if state.get("empty"):
-            self._server.empty(EMPTY)
+            self._server.enter_lame_duck(LAME_DUCK_TIMES)
 
     def apply(self, act: Act) -> None:
         """What was asked at the door of the other process."""
--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -543,7 +543,7 @@
             self._tell(q.ListKind.DELTA, self._roster.told(self._roster.change(members)))
 
     def _tell(self, kind: q.ListKind, listing: Listing) -> None:
-        self._post(q.BackendsChanged(kind, self._backends.told(listing)))
+        self._post(q.BackendsChanged(kind, self._backends.update_members(listing)))
 
     def _log(self, a: q.Log) -> None:
         log.info("%s", a.text)
--- a/burlshift/agent/backends.py
+++ b/burlshift/agent/backends.py
@@ -224,7 +224,7 @@
             return
         if not self.may_go():
             return
-        if not self._backends.room():
+        if not self._backends.has_room():
             return self._end(Outcome.NOT_SENT)
         self._backends.dial(member, self)
 
@@ -507,7 +507,7 @@
             if outcome in GIVEN_UP:
                 self._connection.reset_on_close()
             self._connection.exchange = None
-            self._backends.give_back(self._connection)
+            self._backends.release(self._connection)
 
 
 class Backends:
@@ -536,7 +536,7 @@
         self._quiet_timers: dict[BackendId, asyncio.TimerHandle] = {}  # of those that are waited for
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def told(self, listing: Listing) -> list[Backend]:
+    def update_members(self, listing: Listing) -> list[Backend]:
         """Take in what discovery says; return the entries in the module's form."""
         for member in listing.members:
             backend = member.backend
@@ -714,7 +714,7 @@
         backend = member.backend.id
         waiting = self._waiting.get(backend, {})
         while len(waiting) > self._dials.get(backend, 0) + self._free_soon(backend):
-            if self.room():
+            if self.has_room():
                 self._dial_one_more(member)
             else:
                 next(iter(waiting)).unconnected(Outcome.NOT_SENT)
@@ -723,7 +723,7 @@
         """So many connections at once from now on; those in use beyond it end in their own time."""
         self._most = most
 
-    def room(self) -> bool:
+    def has_room(self) -> bool:
         """Whether one more connection may be opened; the longest idle one makes way."""
         most = self._most - sum(self._dials.values())
         self._open = {c for c in self._open if not c.closed} if len(self._open) >= most else self._open
@@ -747,7 +747,7 @@
             self._discard(connection)
         return None
 
-    def give_back(self, connection: _PooledConnection) -> None:
+    def release(self, connection: _PooledConnection) -> None:
         """Keep a connection whose exchange is over in good order; close any other."""
         http = connection.http
         over = http.our_state is h11.DONE and http.their_state is h11.DONE
--- a/burlshift/agent/server.py
+++ b/burlshift/agent/server.py
@@ -169,7 +169,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class EmptyTimes:
+class LameDuckTimes:
     """How clients are sent away, in seconds from the start. Health says no at once."""
 
     close_s: float  # from then on each answer asks its client to close
@@ -177,7 +177,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class DrainTimes(EmptyTimes):
+class DrainTimes(LameDuckTimes):
     """The stages of a stop."""
 
     serve_s: float  # until then new connections are served
@@ -874,7 +874,7 @@
         self.draining = False  # health says no
         self.closing = False  # answers ask the client to close
         self.refusing = False  # a request that is read now has no process left to see it through
-        self._emptying: asyncio.Task[None] | None = None
+        self._lame_duck: asyncio.Task[None] | None = None
         self.listener: socket.socket | None = None
         self._accepting = False
         self._shared = False
@@ -999,13 +999,13 @@
         """Whether one more may come where none makes way. Another process that listens has room for it."""
         return not self._shared and self._occupied() < self._most + EXTRA
 
-    def empty(self, times: EmptyTimes) -> None:
+    def enter_lame_duck(self, times: LameDuckTimes) -> None:
         """Send the clients away until refill, losing nothing that was taken. A repeat changes nothing."""
-        if self._emptying is None:
+        if self._lame_duck is None:
             self.draining, self.closing = True, times.close_s <= 0
-            self._emptying = asyncio.get_running_loop().create_task(self._empty(times))
+            self._lame_duck = asyncio.get_running_loop().create_task(self._close_idle_until_rejoined(times))
 
-    async def _empty(self, times: EmptyTimes) -> None:
+    async def _close_idle_until_rejoined(self, times: LameDuckTimes) -> None:
         await asyncio.sleep(times.close_s)
         self.closing = True
         await asyncio.sleep(times.idle_s - times.close_s)
@@ -1014,19 +1014,19 @@
             self._close_idle()
             await asyncio.sleep(POLL_S)
 
-    def refill(self) -> None:
+    def leave_lame_duck(self) -> None:
         """Take clients again, also half way through an emptying."""
-        if self._emptying is not None:
-            self._emptying.cancel()
-            self._emptying = None
+        if self._lame_duck is not None:
+            self._lame_duck.cancel()
+            self._lame_duck = None
         self.draining = self.closing = False
 
     async def drain(self, times: DrainTimes, succeeded: bool = False) -> None:
         """Take leave of the clients for good; where another process has the listener too, accept no more."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        self.refill()  # were it being emptied: a stop is quicker
-        self.empty(times)
+        self.leave_lame_duck()  # were it being emptied: a stop is quicker
+        self.enter_lame_duck(times)
         if succeeded:
             self._close_listener()
         else:
@@ -1065,8 +1065,8 @@
     def stop(self) -> None:
         """End all at once. From here on nothing is read: a request that comes now stays unread, and its
         client asks elsewhere, while one that was read as the loop is torn down would be lost."""
-        if self._emptying is not None:
-            self._emptying.cancel()
+        if self._lame_duck is not None:
+            self._lame_duck.cancel()
         self._close_listener()
         self._refuse_unfinished()
         for client in list(self.connections):
--- a/burlshift_tools/faultlab/scale/agentcost_decisions.py
+++ b/burlshift_tools/faultlab/scale/agentcost_decisions.py
@@ -84,7 +84,9 @@
         balancer, roster = Balancer(settings, 1), Roster()
         backends = Backends(clock, settings.report_fields, 250_000, 3_000_000, 100, lambda: None)
         known = parser.parse(doc["known"])
-        balancer.handle(clock.now(), q.BackendsChanged(q.ListKind.CACHED, backends.told(roster.told(known))))
+        balancer.handle(
+            clock.now(), q.BackendsChanged(q.ListKind.CACHED, backends.update_members(roster.told(known)))
+        )
         turns.append(_turn(parser, balancer, roster, backends, answer, clock.now()))
     return Turn(*(median(values) for values in zip(*map(msgspec.structs.astuple, turns), strict=True)))
 
@@ -96,7 +98,7 @@
     parser_ms, listing = _ms(lambda: parser.parse(doc))
     assert isinstance(listing, Listing)
     roster_ms, overlaid = _ms(lambda: roster.told(listing))
-    backends_ms, entries = _ms(lambda: backends.told(overlaid))
+    backends_ms, entries = _ms(lambda: backends.update_members(overlaid))
     kind = q.ListKind.FULL if listing.complete else q.ListKind.DELTA
     balancer_ms, _ = _ms(lambda: balancer.handle(now, q.BackendsChanged(kind, entries)))
     return Turn(json_ms, parser_ms, roster_ms, backends_ms, balancer_ms)
--- a/tests/test_attempts_close.py
+++ b/tests/test_attempts_close.py
@@ -43,7 +43,7 @@
         end = begin(b)
         while not peer.connections:
             await asyncio.sleep(0)
-        b.told(
+        b.update_members(
             ListingParser(CLOCK, ("a",), ("m",)).parse(
                 {"revision": 2, "complete": True, "members": [member(heir, peer.port, up=1_700_000_000_000)]}
             )
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -29,7 +29,7 @@
 
 def backends(port: int, idle_us: int = 60_000_000, connect_us: int = 10_000_000, most: int = 9) -> Backends:
     made = Backends(CLOCK, FIELDS, connect_us, idle_us, most, lambda: None)
-    made.told(listing(port))
+    made.update_members(listing(port))
     return made
 
 
@@ -396,7 +396,7 @@
         peer = await Peer().start()
         b = backends(peer.port)
         message = await served(b, peer)
-        b.told(listing(peer.port, phase, up))
+        b.update_members(listing(peer.port, phase, up))
         await message.peer.ended()
         await peer.stop()
 
@@ -408,7 +408,7 @@
         peer = await Peer().start()
         b = backends(peer.port)
         end = begin(b)
-        b.told(listing(peer.port, "DRAINING"))
+        b.update_members(listing(peer.port, "DRAINING"))
         assert (await end).outcome is Outcome.NOT_SENT
         assert peer.requests.empty()
         await peer.stop()
@@ -421,7 +421,7 @@
         peer, other = await Peer().start(), await Peer().start()
         b = backends(peer.port, most=1)
         message = await served(b, peer)
-        b.told(
+        b.update_members(
             ListingParser(CLOCK, (), ()).parse(
                 {"revision": 2, "complete": False, "members": [member("t", other.port)]}
             )
--- a/tests/test_exchange_ends.py
+++ b/tests/test_exchange_ends.py
@@ -62,7 +62,7 @@
         with wire() as w:
             if where == "room":
                 w.backends._idle.clear()
-                monkeypatch.setattr(Backends, "room", breaks)
+                monkeypatch.setattr(Backends, "has_room", breaks)
             elif where == "usable":
                 monkeypatch.setattr(Connection, "quiet", breaks)
             w.begin(ASK._replace(wanted=breaks) if where == "wanted" else ASK)
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -37,7 +37,7 @@
     def __init__(self, peer: Peer, most: int = 9) -> None:
         self.peer, self.clock = peer, ManualClock()
         self.backends = Backends(self.clock, FIELDS, 10_000_000, 60_000_000, most, lambda: None)
-        self.backends.told(listing(peer.port))
+        self.backends.update_members(listing(peer.port))
 
     def begin(self, ask: UpstreamRequest = ASK) -> asyncio.Future[ExchangeResult]:
         end: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
@@ -252,7 +252,7 @@
 ) -> None:
     async def drains(pool: Pool) -> None:
         waits, _ = await left_to_wait(pool, monkeypatch)
-        pool.backends.told(listing(pool.peer.port, phase))
+        pool.backends.update_members(listing(pool.peer.port, phase))
         assert (await waits).outcome is Outcome.NOT_SENT
         assert pool.peer.requests.empty() and pool.peer.connections == 1
 
@@ -262,7 +262,7 @@
 def test_a_new_process_is_asked_on_a_connection_of_its_own(monkeypatch: pytest.MonkeyPatch) -> None:
     async def restarts(pool: Pool) -> None:
         waits, first = await left_to_wait(pool, monkeypatch)
-        pool.backends.told(listing(pool.peer.port, up=1_700_000_000_000))
+        pool.backends.update_members(listing(pool.peer.port, up=1_700_000_000_000))
         message = await pool.peer.requests.get()
         assert message.peer is not first.peer
         await message.answer(200, b"own")
@@ -338,10 +338,10 @@
     async def left_out(pool: Pool) -> None:
         end = pool.begin()
         message = await pool.peer.requests.get()
-        pool.backends.told(listing(pool.peer.port, phase))
+        pool.backends.update_members(listing(pool.peer.port, phase))
         await message.peer.write(2 * b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
         assert (await end).outcome is Outcome.OK
-        pool.backends.told(listing(pool.peer.port))
+        pool.backends.update_members(listing(pool.peer.port))
         await assert_quiet_for(pool, await pool.serve(), QUIET_US)
 
     play(left_out)
@@ -390,7 +390,7 @@
 def test_a_new_process_starts_with_the_usual_period() -> None:
     async def new(pool: Pool) -> None:
         await unasked(pool, LATENESS_MOST_US)
-        pool.backends.told(listing(pool.peer.port, up=1_700_000_000_000))
+        pool.backends.update_members(listing(pool.peer.port, up=1_700_000_000_000))
         first = await pool.serve()
         pool.clock.time_us += QUIET_US
         assert (await pool.serve()).peer is first.peer
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -14,7 +14,7 @@
 import pytest
 
 from burlshift.agent.__main__ import drain_times
-from burlshift.agent.server import AHEAD_LIMIT, EmptyTimes
+from burlshift.agent.server import AHEAD_LIMIT, LameDuckTimes
 from burlshift.balancing.interface import RequestClass, Settings
 from tests.loopback import KEYED, UNSAFE, Conversation, Message, Peer, config_doc, member, post, start, world
 
@@ -161,7 +161,7 @@
     # Accepted between a look and the next, it was closed as idle before its request came.
     async def run() -> None:
         async with world(tmp_path) as w:
-            w.server.empty(EmptyTimes(0.0, 0.0))
+            w.server.enter_lame_duck(LameDuckTimes(0.0, 0.0))
             client = await w.client()
             while not w.server.connections:
                 await asyncio.sleep(0)
--- a/tests/test_shutdown_requests.py
+++ b/tests/test_shutdown_requests.py
@@ -10,7 +10,7 @@
 import pytest
 
 from burlshift.agent.__main__ import drain_times
-from burlshift.agent.server import DrainTimes, EmptyTimes
+from burlshift.agent.server import DrainTimes, LameDuckTimes
 from burlshift.balancing.interface import RequestClass, Settings
 from tests.loopback import Conversation, Peer, Raw, World, config_doc, member, post, start, world
 
@@ -172,7 +172,7 @@
                 while not w.server.closing:
                     await asyncio.sleep(0)
             else:
-                w.server.empty(EmptyTimes(0.0, 60.0))
+                w.server.enter_lame_duck(LameDuckTimes(0.0, 60.0))
             await first.answer(200, b"1st")
             second = await w.request()
             assert second.headers["request-id"] == "two"
