--- a/burlshift/agent/__main__.py
+++ b/burlshift/agent/__main__.py
@@ -18,8 +18,8 @@
 from burlshift.balancing.interface import Settings
 from burlshift.balancing.logic import Balancer
 
-from .admin_commands import Operators
-from .admin_interface import Door
+from .admin_commands import AdminCommands
+from .admin_interface import AdminServer
 from .agent import Agent
 from .backends import Backends
 from .clock import Clock
@@ -27,7 +27,7 @@
 from .discovery import ASK_WAIT_MS, PUSH_WAIT_MS, Discovery
 from .hot_restart import Succession, inherit, path_for
 from .loop_lag import TurnLoop
-from .metrics import Figures
+from .metrics import Metrics
 from .peers import Peers
 from .removal_limiter import Losses
 from .server import DrainTimes, Server
@@ -46,11 +46,16 @@
     return max(1, (sockets - DESCRIPTORS_APART) // (2 * processes))
 
 
-def assemble(config: Config, clock: Clock, figures: Figures) -> tuple[Agent, Server]:
+def assemble(config: Config, clock: Clock, figures: Metrics) -> tuple[Agent, Server]:
     """The parts, wired; nothing has started yet."""
     settings, most = config.settings, most_connections(config.sockets, 1)
     backends = Backends(
-        clock, settings.report_fields, config.connect_timeout_us, config.conn_idle_us, most, figures.written
+        clock,
+        settings.report_fields,
+        config.connect_timeout_us,
+        config.conn_idle_us,
+        most,
+        figures.count_attempt,
     )
     # Who says whether it can serve must have heard discovery itself: then the whole list comes first.
     pushed = settings.discovery is PushOrAsk.PUSH
@@ -88,12 +93,12 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    figures = Figures([c.name for c in config.settings.classes])
+    figures = Metrics([c.name for c in config.settings.classes])
     agent, server = assemble(config, clock, figures)
     if config.peers is not None:
         agent.peers = Peers(config.peers, clock, Random(config.seed + 1).random)
-    operators = Operators(agent, server, figures, partial(most_connections, config.sockets))
-    door = Door(operators)
+    operators = AdminCommands(agent, server, figures, partial(most_connections, config.sockets))
+    door = AdminServer(operators)
     loop.add_signal_handler(signal.SIGHUP, _reload, agent, figures)
     succession = heritage = None
     try:
@@ -102,7 +107,7 @@
             log.info("%s takes calls on %s:%d", config.name, config.control.host, control_port)
         path = path_for(config.listen) if config.control is not None else None
         if path is not None:
-            succession = operators.succession = Succession(path, operators)
+            succession = operators.hot_restart = Succession(path, operators)
             heritage = await asyncio.to_thread(inherit, path)  # the door answers meanwhile
         if heritage is not None and succession is not None:
             agent.resume(heritage.state, config.known)
@@ -137,15 +142,15 @@
     return 0
 
 
-def _reload(agent: Agent, figures: Figures) -> None:
+def _reload(agent: Agent, figures: Metrics) -> None:
     """What is wrong with the new file must not end an agent that serves."""
     try:
         addresses = reload_discovery(os.environ)
     except ConfigError as e:
         log.error("kept the address of discovery: %s", e)
-        figures.reloaded(ok=False)
+        figures.count_reload(ok=False)
         return
-    figures.reloaded(ok=True)
+    figures.count_reload(ok=True)
     log.info("discovery is at %s", ", ".join(f"{a.host}:{a.port}" for a in addresses))
     agent.move(addresses)
 
--- a/burlshift/agent/admin_commands.py
+++ b/burlshift/agent/admin_commands.py
@@ -11,7 +11,7 @@
 from .admin_interface import Refused
 from .agent import Agent
 from .hot_restart import Act, Succession, Unconfirmed
-from .metrics import Figures
+from .metrics import Metrics
 from .server import LameDuckTimes, Server
 
 log = logging.getLogger(__name__)
@@ -22,15 +22,15 @@
 FRESH_S = 3.0  # while discovery says nothing, the list as last known must do after so long
 
 
-class Operators:
+class AdminCommands:
     """Says yes only once the act is in force."""
 
-    def __init__(self, agent: Agent, server: Server, figures: Figures, most: Callable[[int], int]) -> None:
+    def __init__(self, agent: Agent, server: Server, figures: Metrics, most: Callable[[int], int]) -> None:
         self._agent, self._server, self._figures = agent, server, figures
         self._most = most  # connections on either side, by the number of processes that share the limits
         self._began = time.monotonic()
         self.stopping = False
-        self.succession: Succession | None = None  # None: no other process can take over
+        self.hot_restart: Succession | None = None  # None: no other process can take over
 
     # What callers at the door ask for
 
@@ -41,7 +41,7 @@
             raise Refused("no word from discovery yet")
 
     def info(self) -> str:
-        return self._figures.text(self._agent.levels())
+        return self._figures.text(self._agent.gauges())
 
     async def detach(self, backend: str) -> None:
         await self._everywhere({"act": "detach", "backend": backend})
@@ -62,9 +62,9 @@
             self._carry_out(act, vouched=False)
         except LookupError:
             raise Refused("no such server was ever listed") from None
-        if self.succession is not None:
+        if self.hot_restart is not None:
             try:
-                await self.succession.tell(act)
+                await self.hot_restart.tell(act)
             except Unconfirmed:
                 raise Refused("in force here, but not confirmed by the process beside this one") from None
 
@@ -107,6 +107,6 @@
     def beside(self, processes: int) -> None:
         # The clients are the agent's and move over one by one; it is the connections to backends that double.
         # One process is not to close on clients for want of room, nor the other to keep them waiting.
-        succeeded = self.succession is not None and self.succession.succeeded
+        succeeded = self.hot_restart is not None and self.hot_restart.succeeded
         self._server.limit(self._most(1), shared=succeeded)
         self._agent.limit(self._most(processes))
--- a/burlshift/agent/admin_interface.py
+++ b/burlshift/agent/admin_interface.py
@@ -24,7 +24,7 @@
     """An act that cannot be done; the text says why."""
 
 
-class Acts(Protocol):
+class AdminActions(Protocol):
     """What operators may ask for. Each returns once it is in force, or raises Refused."""
 
     def ping(self) -> None: ...
@@ -41,19 +41,19 @@
     async def rejoin(self) -> None: ...
 
 
-class Door:
+class AdminServer:
     """Listens for calls, reads them and answers; the owners act."""
 
-    def __init__(self, acts: Acts) -> None:
+    def __init__(self, acts: AdminActions) -> None:
         self._acts = acts
         self._acceptor: Acceptor | None = None
-        self.callers: dict[_Caller, None] = {}  # the first come first
+        self.callers: dict[_AdminConnection, None] = {}  # the first come first
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self, address: Address) -> int:
         """Returns the port, for an address whose port is 0."""
         listener = await listening(address, BACKLOG)
-        self._acceptor = Acceptor(listener, lambda: _Caller(self))
+        self._acceptor = Acceptor(listener, lambda: _AdminConnection(self))
         return int(listener.getsockname()[1])
 
     def close(self) -> None:
@@ -62,7 +62,7 @@
         for caller in list(self.callers):
             caller.drop()
 
-    def come(self, caller: _Caller) -> None:
+    def come(self, caller: _AdminConnection) -> None:
         """Callers that say nothing must not keep out one that does."""
         while len(self.callers) >= MOST:
             oldest = next((c for c in self.callers if not c.called), next(iter(self.callers)))
@@ -113,10 +113,10 @@
         return "OK\n"
 
 
-class _Caller(asyncio.Protocol):
+class _AdminConnection(asyncio.Protocol):
     """One connection: reads up to the end of a line, then answers and closes."""
 
-    def __init__(self, door: Door) -> None:
+    def __init__(self, door: AdminServer) -> None:
         self._door = door
         self._line = bytearray()
         self._transport: asyncio.Transport | None = None
--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -20,7 +20,7 @@
 from .clock import Clock
 from .connection import Headers
 from .discovery import AGAIN_MOST_S, Address, Discovery, Listing, Member
-from .metrics import Figures, Levels
+from .metrics import Gauges, Metrics
 from .peers import Peers
 from .removal_limiter import STEP_S, Losses
 from .server import DownstreamRequest, retry_after
@@ -98,7 +98,7 @@
         clock: Clock,
         backends: Backends,
         discovery: Discovery,
-        figures: Figures,
+        figures: Metrics,
         drain_grace_s: float,
         losses: Losses | None = None,
     ) -> None:
@@ -178,12 +178,12 @@
 
     # The operators' side
 
-    def levels(self) -> Levels:
+    def gauges(self) -> Gauges:
         taken = sum(isinstance(h.call.body, bytes) or h.call.body.whole for h in self._pending.values())
         heard = self._discovery.heard_at
         age_ms = -1 if heard is None else int((self._loop.time() - heard) * 1000)
         unlisted = None if self._losses is None else len(self._losses)
-        return Levels(
+        return Gauges(
             taken,
             len(self._roster),
             self._balancer.avoided(self._clock.now()),
@@ -287,7 +287,7 @@
             self._release(held, status, partial(client.answer, call, status, headers, body))
 
     def count_rejected(self, request_class: int, status: int) -> None:
-        self._figures.ended(request_class, status)
+        self._figures.count_request(request_class, status)
 
     def _release(self, held: PendingRequest, status: int, write: Callable[[], None] | None) -> None:
         """Give a request its final answer; write None: its client has gone. The one place where it stops
@@ -311,7 +311,7 @@
             call.client.fail(call)
             status = BROKEN
         try:
-            self._figures.ended(call.request_class, status)
+            self._figures.count_request(call.request_class, status)
         except Exception:
             log.exception("request %d: not counted", call.number)
 
--- a/burlshift/agent/metrics.py
+++ b/burlshift/agent/metrics.py
@@ -10,7 +10,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Levels:
+class Gauges:
     """What is read anew each time, where counts only grow."""
 
     pending: int  # requests taken and not ended
@@ -21,7 +21,7 @@
     peers: Mapping[str, tuple[int, str]] | None = None  # of the channel to other agents, each `c` or `g`
 
 
-class Figures:
+class Metrics:
     """Counts from the start of the process; each request is counted once, where it ends."""
 
     def __init__(self, classes: Sequence[str]) -> None:
@@ -31,21 +31,21 @@
         self._config_reloads = 0
         self._config_reload_errors = 0
 
-    def ended(self, request_class: int, status: int) -> None:
+    def count_request(self, request_class: int, status: int) -> None:
         """A request has got its final answer, or can get none any more."""
         end = "completed" if status == 200 else "rejected" if status in REFUSED else "failed"
         self._ends[end][request_class] += 1
 
-    def written(self) -> None:
+    def count_attempt(self) -> None:
         """An attempt's last byte has gone out to a backend."""
         self._upstream_requests += 1
 
-    def reloaded(self, ok: bool) -> None:
+    def count_reload(self, ok: bool) -> None:
         """The configuration was to be read again."""
         self._config_reloads += ok
         self._config_reload_errors += not ok
 
-    def text(self, levels: Levels) -> str:
+    def text(self, levels: Gauges) -> str:
         """One figure a line: counts as ``c``, levels as ``g``."""
         lines = [
             f"{PREFIX}.{end}.{name}:{counts[i]}|c"
--- a/burlshift_tools/faultlab/scale/hollow_agents.py
+++ b/burlshift_tools/faultlab/scale/hollow_agents.py
@@ -30,7 +30,7 @@
     ListingParser,
     parse_address,
 )
-from burlshift.agent.metrics import Figures
+from burlshift.agent.metrics import Metrics
 from burlshift.balancing.logic import Balancer
 from burlshift.catalog.client import member_path
 
@@ -99,14 +99,14 @@
 
     def __init__(self, config: Config, clock: Clock, seed: int, crowd: Crowd) -> None:
         settings = config.settings
-        figures = Figures([c.name for c in settings.classes])
+        figures = Metrics([c.name for c in settings.classes])
         backends = Backends(
             clock,
             settings.report_fields,
             config.connect_timeout_us,
             config.conn_idle_us,
             CONNECTIONS,
-            figures.written,
+            figures.count_attempt,
         )
         self.list_client = CountedDiscovery(
             config.discovery, config.parser, config.connect_timeout_us / 1e6, crowd.same
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -34,7 +34,7 @@
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Address
 from burlshift.agent.loop_lag import TurnLoop
-from burlshift.agent.metrics import Figures
+from burlshift.agent.metrics import Metrics
 from tests.loopback import LOAD, config_doc, load_config, member
 
 SAFE, KEYED, UNSAFE = "read", "keyed", "order"
@@ -666,7 +666,7 @@
         with tempfile.TemporaryDirectory() as folder:
             clock = Clock()
             config = load_config(Path(folder), self.doc, clock)
-            figures = Figures([c.name for c in config.settings.classes])
+            figures = Metrics([c.name for c in config.settings.classes])
 
             async def begin() -> None:
                 self.agent, self.server = assemble(config, clock, figures)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -17,13 +17,13 @@
 import pytest
 
 from burlshift.agent.__main__ import assemble
-from burlshift.agent.admin_commands import Operators
-from burlshift.agent.admin_interface import Door
+from burlshift.agent.admin_commands import AdminCommands
+from burlshift.agent.admin_interface import AdminServer
 from burlshift.agent.agent import Agent
 from burlshift.agent.clock import Clock
 from burlshift.agent.config import Config, load
 from burlshift.agent.discovery import Address
-from burlshift.agent.metrics import Figures
+from burlshift.agent.metrics import Metrics
 from burlshift.agent.server import Server
 from tests.fault_injection import Fault, in_environment
 
@@ -262,7 +262,7 @@
     port: int
     discovery: Peer
     backends: list[Peer]
-    door: Door
+    door: AdminServer
     door_port: int
     clients: list[Conversation] = field(default_factory=list)
 
@@ -329,10 +329,10 @@
     config = load_config(folder, doc, clock)
     if most is not None:
         config = replace(config, sockets=most)
-    figures = Figures([c.name for c in config.settings.classes])
+    figures = Metrics([c.name for c in config.settings.classes])
     agent, server = assemble(config, clock, figures)
-    operators = Operators(agent, server, figures, lambda processes: most or 100)
-    door = Door(operators)
+    operators = AdminCommands(agent, server, figures, lambda processes: most or 100)
+    door = AdminServer(operators)
     agent.start(config.known)
     port = await server.listen(Address("127.0.0.1", 0))
     door_port = await door.listen(Address("127.0.0.1", 0))
--- a/tests/test_list_silence.py
+++ b/tests/test_list_silence.py
@@ -14,7 +14,7 @@
 from burlshift.agent.__main__ import assemble
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
-from burlshift.agent.metrics import Figures
+from burlshift.agent.metrics import Metrics
 from tests.loopback import Peer, World, config_doc, load_config, member, post, world
 
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -82,7 +82,7 @@
         doc["settings"]["registryMode"] = mode
         doc["settings"]["rules"]["drainGraceUs"] = grace_ms * 1000
         config = load_config(tmp_path, doc, Clock())
-        made, _ = assemble(config, Clock(), Figures([]))
+        made, _ = assemble(config, Clock(), Metrics([]))
         wait_s, grace_s = made._discovery._wait_ms / 1000, grace_ms / 1000
         again_s = agent.WATCH_AGAIN * grace_s + config.connect_timeout_us / 1e6
         told_s = max(6.0, wait_s + 2.0)
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -14,7 +14,7 @@
 from burlshift.agent import agent as agent_module
 from burlshift.agent.agent import Agent
 from burlshift.agent.backends import Backends, Exchange
-from burlshift.agent.metrics import Figures
+from burlshift.agent.metrics import Metrics
 from burlshift.agent.server import Server, _DownstreamConnection
 from burlshift.balancing.interface import (
     AttemptEnded,
@@ -171,7 +171,7 @@
         (_DownstreamConnection, "_answered"),
         (_DownstreamConnection, "_go_on_or_part"),
         (Server, "freed"),
-        (Figures, "ended"),
+        (Metrics, "ended"),
     ],
     ids=lambda w: w[1],
 )
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -22,7 +22,7 @@
 from burlshift.agent.config import Config
 from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
 from burlshift.agent.hot_restart import inherit
-from burlshift.agent.metrics import Figures
+from burlshift.agent.metrics import Metrics
 from burlshift.agent.start_times import KEPT, Starts
 from burlshift.membership.messages import Fact, Kind
 from burlshift.membership.messages import Message as Datagram
@@ -88,7 +88,7 @@
         doc["settings"]["registryMode"] = self.mode
         doc["control"] = "127.0.0.1:0"
         config = load_config(self.folder, doc, clock)
-        agent, _ = assemble(config, clock, Figures([c.name for c in config.settings.classes]))
+        agent, _ = assemble(config, clock, Metrics([c.name for c in config.settings.classes]))
         self.agents.append(agent)
         return agent, config
 
