--- a/burlshift/agent/__main__.py
+++ b/burlshift/agent/__main__.py
@@ -25,7 +25,7 @@
 from .clock import Clock
 from .config import Config, ConfigError, load, reload_discovery
 from .discovery import ASK_WAIT_MS, PUSH_WAIT_MS, Discovery
-from .hot_restart import Succession, inherit, path_for
+from .hot_restart import HotRestart, path_for, take_over_state
 from .loop_lag import TurnLoop
 from .metrics import Metrics
 from .peers import Peers
@@ -107,12 +107,12 @@
             log.info("%s takes calls on %s:%d", config.name, config.control.host, control_port)
         path = path_for(config.listen) if config.control is not None else None
         if path is not None:
-            succession = operators.hot_restart = Succession(path, operators)
-            heritage = await asyncio.to_thread(inherit, path)  # the door answers meanwhile
+            succession = operators.hot_restart = HotRestart(path, operators)
+            heritage = await asyncio.to_thread(take_over_state, path)  # the door answers meanwhile
         if heritage is not None and succession is not None:
             agent.resume(heritage.state, config.known)
             operators.resume(heritage.state)
-            await succession.follow(heritage)
+            await succession.keep_link(heritage)
             port = server.take_over(heritage.listener)
         else:
             agent.start(config.known)
@@ -127,7 +127,7 @@
     log.info("%s listens on %s:%d", config.name, config.listen.host, port)
     await stop.wait()
     operators.stopping = True
-    succeeded = succession is not None and succession.succeeded
+    succeeded = succession is not None and succession.has_successor
     if succession is not None:
         succession.close()
     if agent.peers is not None:
--- a/burlshift/agent/admin_commands.py
+++ b/burlshift/agent/admin_commands.py
@@ -10,7 +10,7 @@
 
 from .admin_interface import Refused
 from .agent import Agent
-from .hot_restart import Act, Succession, Unconfirmed
+from .hot_restart import Act, HotRestart, Unconfirmed
 from .metrics import Metrics
 from .server import LameDuckTimes, Server
 
@@ -30,7 +30,7 @@
         self._most = most  # connections on either side, by the number of processes that share the limits
         self._began = time.monotonic()
         self.stopping = False
-        self.hot_restart: Succession | None = None  # None: no other process can take over
+        self.hot_restart: HotRestart | None = None  # None: no other process can take over
 
     # What callers at the door ask for
 
@@ -104,9 +104,9 @@
         except LookupError as e:
             log.warning("by the other process: no such server: %s", e)
 
-    def beside(self, processes: int) -> None:
+    def set_process_count(self, processes: int) -> None:
         # The clients are the agent's and move over one by one; it is the connections to backends that double.
         # One process is not to close on clients for want of room, nor the other to keep them waiting.
-        succeeded = self.hot_restart is not None and self.hot_restart.succeeded
+        succeeded = self.hot_restart is not None and self.hot_restart.has_successor
         self._server.limit(self._most(1), shared=succeeded)
         self._agent.limit(self._most(processes))
--- a/burlshift/agent/hot_restart.py
+++ b/burlshift/agent/hot_restart.py
@@ -43,12 +43,12 @@
     """The process beside this one has not said that the act is in force there."""
 
 
-class _Strange(Exception):
+class _IncompatibleProcess(Exception):
     """What answers at the path cannot be succeeded; the text says why."""
 
 
 @dataclass(slots=True)
-class Heritage:
+class InheritedState:
     """What a predecessor has handed over."""
 
     listener: socket.socket
@@ -85,13 +85,13 @@
     return int(CREDENTIALS.unpack(told)[1]) == os.getuid()
 
 
-def inherit(path: Path) -> Heritage | None:
+def take_over_state(path: Path) -> InheritedState | None:
     """Ask the process that serves for what it has. None, with a line in the log, where that cannot be had."""
     until, lacked = time.monotonic() + GREET_S, False
     while os.path.exists(path):  # also false where that cannot be known
         try:
             return _inherit(path, until)
-        except (OSError, ValueError, KeyError, TypeError, IndexError, _Strange) as e:
+        except (OSError, ValueError, KeyError, TypeError, IndexError, _IncompatibleProcess) as e:
             # After a lack of a moment the other process may still be about to take back what it gave.
             lacked = lacked or (isinstance(e, OSError) and e.errno in LACKING_TO_HAND_OVER)
             if not lacked or time.monotonic() >= until:
@@ -101,13 +101,13 @@
     return None
 
 
-def _inherit(path: Path, until: float) -> Heritage:
+def _inherit(path: Path, until: float) -> InheritedState:
     """Raises what kept it from being had."""
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     fds: list[int] = []
     try:
         state, early = _ask(sock, path, fds, until)
-        return Heritage(socket.socket(fileno=fds.pop()), state, sock, early)
+        return InheritedState(socket.socket(fileno=fds.pop()), state, sock, early)
     except BaseException:
         sock.close()
         raise
@@ -121,7 +121,7 @@
     with _short(path) as name:
         sock.connect(name)
     if not _own(sock):
-        raise _Strange("it is another user's")
+        raise _IncompatibleProcess("it is another user's")
     sock.sendall(_line({"lilacsill": VERSION}))
     data, got, _flags, _address = socket.recv_fds(sock, 65536, 1)
     fds += got
@@ -129,21 +129,21 @@
     while data and b"\n" not in data:
         left = until - time.monotonic()
         if left <= 0 or len(text) > STATE_LIMIT:
-            raise _Strange("it says too much or too slowly")
+            raise _IncompatibleProcess("it says too much or too slowly")
         sock.settimeout(left)
         data = sock.recv(65536)
         text += data
     line, end, early = text.partition(b"\n")
     if not end:
-        raise _Strange("it hung up")
+        raise _IncompatibleProcess("it hung up")
     doc = json.loads(line)
     if doc["lilacsill"] != VERSION:
-        raise _Strange(f"it speaks version {doc['lilacsill']!r}")
+        raise _IncompatibleProcess(f"it speaks version {doc['lilacsill']!r}")
     if not fds:
-        raise _Strange("it handed over no listening socket")
+        raise _IncompatibleProcess("it handed over no listening socket")
     state = doc["state"]
     if not isinstance(state, dict):
-        raise _Strange("its state is none")
+        raise _IncompatibleProcess("its state is none")
     return state, bytes(early)
 
 
@@ -162,10 +162,10 @@
         await asyncio.sleep(LACKING_S)
 
 
-class Link(asyncio.Protocol):
+class ProcessLink(asyncio.Protocol):
     """A connection to the process before or after this one: acts, each confirmed."""
 
-    def __init__(self, succession: Succession, successor: bool) -> None:
+    def __init__(self, succession: HotRestart, successor: bool) -> None:
         self._succession, self.successor = succession, successor
         self._transport: asyncio.Transport | None = None
         self._early: list[bytes] = []  # written once the connection is up
@@ -234,7 +234,7 @@
             self._transport.abort()
 
 
-class Owner(Protocol):
+class RestartOwner(Protocol):
     """Who has what is handed over, and carries out what the other process is told."""
 
     def listener(self) -> socket.socket: ...
@@ -243,29 +243,29 @@
 
     def apply(self, act: Act) -> None: ...
 
-    def beside(self, processes: int) -> None:
+    def set_process_count(self, processes: int) -> None:
         """So many processes are this agent now, and share its limits."""
 
 
-class Succession:
+class HotRestart:
     """This process among those that are one agent: the one before it and the one after."""
 
-    def __init__(self, path: Path, owner: Owner) -> None:
+    def __init__(self, path: Path, owner: RestartOwner) -> None:
         self._path, self._owner = path, owner
         self._socket: socket.socket | None = None
         self._inode = 0
         self._serving: asyncio.Task[None] | None = None
-        self._links: list[Link] = []
+        self._links: list[ProcessLink] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
-    def succeeded(self) -> bool:
+    def has_successor(self) -> bool:
         """Whether another process has taken over what this one has, to the last byte."""
         return any(link.successor and link.up for link in self._links)
 
-    async def follow(self, heritage: Heritage) -> None:
+    async def keep_link(self, heritage: InheritedState) -> None:
         """Keep the link to the process that handed over."""
-        link = Link(self, successor=False)
+        link = ProcessLink(self, successor=False)
         self._add(link)
         heritage.link.setblocking(False)
         await asyncio.get_running_loop().create_unix_connection(lambda: link, sock=heritage.link)
@@ -305,7 +305,7 @@
                 if self._path.stat().st_ino == self._inode:
                     self._path.unlink()
 
-    async def tell(self, act: Act, but: Link | None = None) -> None:
+    async def tell(self, act: Act, but: ProcessLink | None = None) -> None:
         """The act is in force in every process of this agent, or Unconfirmed."""
         waiting = [link.tell(act) for link in self._links if link is not but]
         if waiting:
@@ -313,29 +313,29 @@
             if late:
                 raise Unconfirmed
 
-    def heard(self, link: Link, number: int, act: Act) -> None:
+    def heard(self, link: ProcessLink, number: int, act: Act) -> None:
         self._owner.apply(act)
         self._start(self._confirm(link, number, act))
 
-    async def _confirm(self, link: Link, number: int, act: Act) -> None:
+    async def _confirm(self, link: ProcessLink, number: int, act: Act) -> None:
         with contextlib.suppress(Unconfirmed):  # then no word is the answer
             await self.tell(act, but=link)
             link.confirm(number)
 
-    def lost(self, link: Link) -> None:
+    def lost(self, link: ProcessLink) -> None:
         self._drop(link)
         if link.successor and self._socket is not None:
             log.info("the process that took over has ended")
             self.open()  # it had put its own socket at the path
 
-    def _drop(self, link: Link) -> None:
+    def _drop(self, link: ProcessLink) -> None:
         if link in self._links:
             self._links.remove(link)
-            self._owner.beside(1 + len(self._links))
+            self._owner.set_process_count(1 + len(self._links))
 
-    def _add(self, link: Link) -> None:
+    def _add(self, link: ProcessLink) -> None:
         self._links.append(link)
-        self._owner.beside(1 + len(self._links))
+        self._owner.set_process_count(1 + len(self._links))
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -355,26 +355,26 @@
             try:
                 async with asyncio.timeout(GREET_S):
                     await self._hand_over(sock)
-            except (OSError, ValueError, KeyError, TypeError, _Strange) as e:
+            except (OSError, ValueError, KeyError, TypeError, _IncompatibleProcess) as e:
                 log.warning("nothing handed over: %s", str(e) or type(e).__name__)
                 sock.close()
 
     async def _hand_over(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         if not _own(sock):
-            raise _Strange("another user's process asked")
+            raise _IncompatibleProcess("another user's process asked")
         greeting = bytearray()
         while not greeting.endswith(b"\n"):
             data = await loop.sock_recv(sock, 1024)
             greeting += data
             if not data or len(greeting) > 1024:
-                raise _Strange("no greeting")
+                raise _IncompatibleProcess("no greeting")
         theirs = json.loads(greeting)["lilacsill"]
         if theirs != VERSION:
             await loop.sock_sendall(sock, _line({"lilacsill": VERSION}))
-            raise _Strange(f"the process that asked speaks version {theirs!r}")
+            raise _IncompatibleProcess(f"the process that asked speaks version {theirs!r}")
         # What operators ask from here on goes over the link, behind the state.
-        link = Link(self, successor=True)
+        link = ProcessLink(self, successor=True)
         state = _line({"lilacsill": VERSION, "state": self._owner.state()})
         self._add(link)
         try:
@@ -386,5 +386,5 @@
             self._drop(link)
             sock.close()
             raise
-        self._owner.beside(1 + len(self._links))
+        self._owner.set_process_count(1 + len(self._links))
         log.info("handed over to another process")
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -19,7 +19,7 @@
 from burlshift.agent.backend_list import Roster
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Address, Listing, ListingParser, Member
-from burlshift.agent.hot_restart import Act, Succession, inherit
+from burlshift.agent.hot_restart import Act, HotRestart, take_over_state
 from burlshift.balancing import learned_state
 from burlshift.balancing.interface import Backend, State
 from tests.helpers import Drive
@@ -185,18 +185,18 @@
 
         def apply(self, act: Act) -> None: ...
 
-        def beside(self, processes: int) -> None: ...
+        def set_process_count(self, processes: int) -> None: ...
 
     path, listener = tmp_path / "found", socket.create_server(("127.0.0.1", 0))
 
     async def run() -> None:
         owner = Owner()
-        succession = Succession(path, owner)
+        succession = HotRestart(path, owner)
         succession.open()
         serving, inode = succession._serving, path.stat().st_ino
-        assert await asyncio.to_thread(inherit, path) is None
+        assert await asyncio.to_thread(take_over_state, path) is None
         owner.broken = False
-        heritage = await asyncio.to_thread(inherit, path)
+        heritage = await asyncio.to_thread(take_over_state, path)
         assert heritage is not None and heritage.state == {"kept": 7}
         assert succession._serving is serving and path.stat().st_ino == inode
         heritage.listener.close()
@@ -223,12 +223,12 @@
     async def run() -> None:
         loop, owner = asyncio.get_running_loop(), Wordy(listener)
         async with half_handed_over(tmp_path / "found", owner) as (succession, new):
-            assert owner.told == [2] and not succession.succeeded
+            assert owner.told == [2] and not succession.has_successor
             while not (await loop.sock_recv(new, 65536)).endswith(b"\n"):
                 pass
             while len(owner.told) < 2:  # told anew: only now does it let go of the address
                 await asyncio.sleep(0)
-            assert owner.told == [2, 2] and succession.succeeded
+            assert owner.told == [2, 2] and succession.has_successor
 
     asyncio.run(asyncio.wait_for(run(), 20))
     listener.close()
@@ -249,14 +249,14 @@
 
     def apply(self, act: Act) -> None: ...
 
-    def beside(self, processes: int) -> None:
+    def set_process_count(self, processes: int) -> None:
         self.told.append(processes)
 
 
 @asynccontextmanager
-async def half_handed_over(path: Path, owner: Wordy) -> AsyncIterator[tuple[Succession, socket.socket]]:
+async def half_handed_over(path: Path, owner: Wordy) -> AsyncIterator[tuple[HotRestart, socket.socket]]:
     """A process that serves, and the link of a new one that has greeted and read nothing of the state yet."""
-    loop, succession = asyncio.get_running_loop(), Succession(path, owner)
+    loop, succession = asyncio.get_running_loop(), HotRestart(path, owner)
     succession.open()
     with socket.socket(socket.AF_UNIX) as new:
         new.setblocking(False)
@@ -374,7 +374,7 @@
 
     async def run() -> None:
         answer = asyncio.get_running_loop().run_in_executor(None, speak, sock, said) if sock else None
-        assert await asyncio.to_thread(hot_restart.inherit, path) is None
+        assert await asyncio.to_thread(hot_restart.take_over_state, path) is None
         if answer is not None:
             await answer
 
@@ -396,7 +396,7 @@
 
 
 def test_the_first_start_says_nothing(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
-    assert hot_restart.inherit(tmp_path / "x.sock") is None
+    assert hot_restart.take_over_state(tmp_path / "x.sock") is None
     assert not caplog.text
 
 
--- a/tests/test_system_calls_agent.py
+++ b/tests/test_system_calls_agent.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from burlshift.agent.hot_restart import Act, Succession, inherit
+from burlshift.agent.hot_restart import Act, HotRestart, take_over_state
 from burlshift.balancing.interface import State
 from tests.fault_injection import Faults, Side
 from tests.loopback import member, world
@@ -148,7 +148,7 @@
 
     def apply(self, act: Act) -> None: ...
 
-    def beside(self, processes: int) -> None: ...
+    def set_process_count(self, processes: int) -> None: ...
 
 
 @pytest.mark.parametrize("times", [1, WHILE])
@@ -158,10 +158,10 @@
 ) -> None:
     async def story(faults: Faults) -> None:
         owner = Owner()
-        succession = Succession(tmp_path / "found", owner)
+        succession = HotRestart(tmp_path / "found", owner)
         succession.open()
         fault = faults.fail("accept", error, side=Side.LISTENING, times=times)
-        heritage = await asyncio.to_thread(inherit, tmp_path / "found")
+        heritage = await asyncio.to_thread(take_over_state, tmp_path / "found")
         assert heritage is not None and heritage.state == {"kept": 7} and fault.hits == times
         heritage.listener.close()
         heritage.link.close()
@@ -197,10 +197,10 @@
 ) -> None:
     async def story(faults: Faults) -> None:
         owner = Owner()
-        succession = Succession(tmp_path / "found", owner)
+        succession = HotRestart(tmp_path / "found", owner)
         succession.open()
         faults.fail(call, error, times=times, **({} if call == "socket" else {"side": side}))
-        heritage = await asyncio.to_thread(inherit, tmp_path / "found")
+        heritage = await asyncio.to_thread(take_over_state, tmp_path / "found")
         assert heritage is not None and heritage.state == {"kept": 7}
         heritage.listener.close()
         heritage.link.close()
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -21,7 +21,7 @@
 from burlshift.agent.clock import Clock
 from burlshift.agent.config import Config
 from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
-from burlshift.agent.hot_restart import inherit
+from burlshift.agent.hot_restart import take_over_state
 from burlshift.agent.metrics import Metrics
 from burlshift.agent.start_times import KEPT, Starts
 from burlshift.membership.messages import Fact, Kind
@@ -546,7 +546,7 @@
                 listing = {"revision": 9, "complete": True, "members": [member("s", 1, up=up)]}
                 await call.answer(200, json.dumps(listing).encode())
                 await discovery.requests.get()
-            heritage = await asyncio.to_thread(inherit, next(tmp_path.glob("lilacsill-*.sock")))
+            heritage = await asyncio.to_thread(take_over_state, next(tmp_path.glob("lilacsill-*.sock")))
             assert heritage is not None
             heritage.listener.close()
             heritage.link.close()
