--- a/burlshift/agent/__main__.py
+++ b/burlshift/agent/__main__.py
@@ -26,10 +26,10 @@
 from .config import Config, ConfigError, load, reload_discovery
 from .discovery import ASK_WAIT_MS, PUSH_WAIT_MS, Discovery
 from .hot_restart import HotRestart, path_for, take_over_state
-from .loop_lag import TurnLoop
+from .loop_lag import LagTrackingEventLoop
 from .metrics import Metrics
 from .peers import Peers
-from .removal_limiter import Losses
+from .removal_limiter import RemovalLimiter
 from .server import DrainTimes, Server
 
 log = logging.getLogger("burlshift.agent")
@@ -67,7 +67,7 @@
         config.connect_timeout_us / 1e6,
         PUSH_WAIT_MS if pushed else ASK_WAIT_MS,
     )
-    losses = Losses(Random(config.seed)) if config.hold_missing else None
+    losses = RemovalLimiter(Random(config.seed)) if config.hold_missing else None
     agent = Agent(
         Balancer(settings, config.seed),
         clock,
@@ -168,7 +168,7 @@
     except ConfigError as e:
         print(f"burlshift: {e}", file=sys.stderr)
         return 2
-    with asyncio.Runner(loop_factory=TurnLoop) as runner:
+    with asyncio.Runner(loop_factory=LagTrackingEventLoop) as runner:
         return runner.run(serve(config, clock))
 
 
--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -15,14 +15,14 @@
 from burlshift.balancing import learned_state
 from burlshift.balancing.logic import Balancer
 
-from .backend_list import Roster
+from .backend_list import BackendList
 from .backends import Backends, Exchange, ExchangeResult, UpstreamRequest
 from .clock import Clock
 from .connection import Headers
 from .discovery import AGAIN_MOST_S, Address, Discovery, Listing, Member
 from .metrics import Gauges, Metrics
 from .peers import Peers
-from .removal_limiter import STEP_S, Losses
+from .removal_limiter import STEP_S, RemovalLimiter
 from .server import DownstreamRequest, retry_after
 
 log = logging.getLogger(__name__)
@@ -100,14 +100,14 @@
         discovery: Discovery,
         figures: Metrics,
         drain_grace_s: float,
-        losses: Losses | None = None,
+        losses: RemovalLimiter | None = None,
     ) -> None:
         # Where changes come by themselves, the module never asks: it is the agent that keeps the watch.
         self._pushes = balancer.settings.discovery is q.Discovery.PUSH
         self._balancer, self._clock = balancer, clock
         self._backends, self._discovery = backends, discovery
-        self._figures, self._roster = figures, Roster()
-        self._losses = losses  # None: whatever is missing from a whole list is gone at once
+        self._figures, self._backend_list = figures, BackendList()
+        self._removal_limiter = losses  # None: whatever is missing from a whole list is gone at once
         self._letting_go = False  # a step is due
         self.peers: Peers | None = None  # None: the other agents are not spoken to
         self._loop = asyncio.get_running_loop()
@@ -139,7 +139,7 @@
         }
 
     def start(self, known: Listing) -> None:
-        self._begin(self._roster.told(known))
+        self._begin(self._backend_list.update(known))
 
     def resume(self, state: dict[str, Any], known: Listing) -> None:
         """Go on from what another process hands over, or start where its list cannot be read."""
@@ -148,7 +148,7 @@
             parser.starts.resume(state["starts"])
         try:
             roster = state["roster"]
-            listing = self._roster.resume(roster, parser.parse(roster["list"]))
+            listing = self._backend_list.resume(roster, parser.parse(roster["list"]))
             self._heard = True
         except (ValueError, KeyError, TypeError, AttributeError) as e:
             log.warning("starts without the list that was handed over: %s", e)
@@ -168,7 +168,7 @@
         """What another process goes on from."""
         parser = self._discovery.parser
         return {
-            "roster": self._roster.state(parser.form),
+            "roster": self._backend_list.state(parser.form),
             "starts": parser.starts.state(),
             "memory": learned_state.take(self._balancer),
         }
@@ -182,10 +182,10 @@
         taken = sum(isinstance(h.call.body, bytes) or h.call.body.whole for h in self._pending.values())
         heard = self._discovery.heard_at
         age_ms = -1 if heard is None else int((self._loop.time() - heard) * 1000)
-        unlisted = None if self._losses is None else len(self._losses)
+        unlisted = None if self._removal_limiter is None else len(self._removal_limiter)
         return Gauges(
             taken,
-            len(self._roster),
+            len(self._backend_list),
             self._balancer.avoided(self._clock.now()),
             age_ms,
             unlisted,
@@ -194,10 +194,10 @@
 
     def detach(self, backend: str, vouched: bool = False) -> None:
         """Send nothing new to a backend, whatever discovery says. LookupError if it never was listed."""
-        self._tell(q.ListKind.DELTA, self._roster.detach(backend, vouched))
+        self._tell(q.ListKind.DELTA, self._backend_list.detach(backend, vouched))
 
     def attach(self, backend: str) -> None:
-        self._tell(q.ListKind.DELTA, self._roster.attach(backend))
+        self._tell(q.ListKind.DELTA, self._backend_list.attach(backend))
 
     def limit(self, most: int) -> None:
         """Keep to so many connections to backends."""
@@ -395,7 +395,7 @@
             log.exception("request %d: failed on an attempt's end", number)
             self._give_up(number)
         try:
-            if self._losses is not None:
+            if self._removal_limiter is not None:
                 self._missing_answered(str(attempt.backend), result)
         except Exception:
             log.exception("could not say whether %s is still there", attempt.backend)
@@ -491,18 +491,18 @@
         if listing is None:
             self._post(q.BackendsChanged(q.ListKind.FAILED, []))
             return
-        if self._losses is not None:
-            listing = self._with_missing(self._losses, listing)
+        if self._removal_limiter is not None:
+            listing = self._with_missing(self._removal_limiter, listing)
         kind = q.ListKind.FULL if listing.complete else q.ListKind.DELTA
-        self._tell(kind, self._roster.told(listing))
-        if self._losses is not None:
-            self._hold(self._losses)
+        self._tell(kind, self._backend_list.update(listing))
+        if self._removal_limiter is not None:
+            self._hold(self._removal_limiter)
 
     # Backends that a whole list lacks
 
-    def _with_missing(self, losses: Losses, listing: Listing) -> Listing:
+    def _with_missing(self, losses: RemovalLimiter, listing: Listing) -> Listing:
         # What the agent was started with is not discovery's word: only what that said can be missed.
-        before, held = self._roster.members() if self._heard else {}, len(losses)
+        before, held = self._backend_list.members() if self._heard else {}, len(losses)
         self._heard = True
         listing = losses.take(before, listing)
         if len(losses) > held:
@@ -513,7 +513,7 @@
             )
         return listing
 
-    def _hold(self, losses: Losses) -> None:
+    def _hold(self, losses: RemovalLimiter) -> None:
         """Ask those that are missing, where that is allowed, and let some go when the next step is due."""
         if not len(losses) or self._letting_go:
             return
@@ -524,14 +524,14 @@
         self._loop.call_later(STEP_S, self._step)
 
     def _step(self) -> None:
-        assert self._losses is not None
+        assert self._removal_limiter is not None
         self._letting_go = False
-        self._let_go(self._losses.step())
-        self._hold(self._losses)
+        self._let_go(self._removal_limiter.step())
+        self._hold(self._removal_limiter)
 
     def _missing_answered(self, name: str, result: ExchangeResult) -> None:
-        assert self._losses is not None
-        gone = self._losses.ended(name, result.outcome)
+        assert self._removal_limiter is not None
+        gone = self._removal_limiter.ended(name, result.outcome)
         if gone:  # in a turn of its own: an attempt is just ending at that backend
             self._loop.call_soon(self._let_go, gone)
 
@@ -540,7 +540,7 @@
             log.warning(
                 "backends that the list lacks are let go: %s", ", ".join(str(m.backend.id) for m in members)
             )
-            self._tell(q.ListKind.DELTA, self._roster.told(self._roster.change(members)))
+            self._tell(q.ListKind.DELTA, self._backend_list.update(self._backend_list.change(members)))
 
     def _tell(self, kind: q.ListKind, listing: Listing) -> None:
         self._post(q.BackendsChanged(kind, self._backends.update_members(listing)))
--- a/burlshift/agent/backend_list.py
+++ b/burlshift/agent/backend_list.py
@@ -13,7 +13,7 @@
 KEPT = 10_000  # ids no longer listed; each release brings new ones, and memory must not grow with them
 
 
-class Roster:
+class BackendList:
     """The one owner of the list: whoever decides hears of it as given out here."""
 
     def __init__(self) -> None:
@@ -25,7 +25,7 @@
     def __len__(self) -> int:
         return len(self._members)
 
-    def told(self, listing: Listing) -> Listing:
+    def update(self, listing: Listing) -> Listing:
         """Take in what discovery says; return what it comes to under the bans."""
         if listing.complete:
             self._members.clear()
@@ -67,7 +67,7 @@
         """Go on from another's state, whose list has been read; return what it comes to."""
         self._listed.update(dict.fromkeys(str(name) for name in state["listed"]))
         self._banned.update(str(name) for name in state["banned"])
-        return self.told(listing)
+        return self.update(listing)
 
     def detach(self, name: str, vouched: bool = False) -> Listing:
         """A backend is to get nothing new: the change to tell. LookupError if it never was listed, unless
--- a/burlshift/agent/discovery.py
+++ b/burlshift/agent/discovery.py
@@ -17,7 +17,7 @@
 
 from .clock import Clock
 from .connection import Connection, fields_of, header
-from .start_times import Starts
+from .start_times import StartTimes
 
 log = logging.getLogger(__name__)
 
@@ -96,7 +96,7 @@
     """Turns discovery's JSON into a Listing; raises ValueError on anything that does not fit its form."""
 
     def __init__(self, clock: Clock, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
-        self.starts = Starts(clock)
+        self.starts = StartTimes(clock)
         self._zones = {name: i for i, name in enumerate(zones)}
         self._kinds = {name: i for i, name in enumerate(kinds)}
 
--- a/burlshift/agent/loop_lag.py
+++ b/burlshift/agent/loop_lag.py
@@ -15,7 +15,7 @@
 BLOCKED_S = 0.005  # a call of the selector that lasted longer has waited, and nothing was ready before
 
 
-class TurnSelector(RetryingSelector):
+class LagTrackingSelector(RetryingSelector):
     """Selects as usual, and notes since when what it reports may have been ready."""
 
     def __init__(self) -> None:
@@ -31,14 +31,14 @@
         return ready
 
 
-class TurnLoop(asyncio.SelectorEventLoop):
+class LagTrackingEventLoop(asyncio.SelectorEventLoop):
     """The agent's event loop: the usual one on such a selector."""
 
     def __init__(self) -> None:
-        self.turns = TurnSelector()
+        self.turns = LagTrackingSelector()
         super().__init__(self.turns)
 
 
 def unread_since(loop: asyncio.AbstractEventLoop) -> float:
     """When what is being read may have come, at the earliest; now, on a loop that does not know."""
-    return loop.turns.unread_since if isinstance(loop, TurnLoop) else loop.time()
+    return loop.turns.unread_since if isinstance(loop, LagTrackingEventLoop) else loop.time()
--- a/burlshift/agent/removal_limiter.py
+++ b/burlshift/agent/removal_limiter.py
@@ -32,7 +32,7 @@
 DEAD = frozenset({Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT})
 
 
-class Losses:
+class RemovalLimiter:
     """Which backends are listed though discovery no longer names them."""
 
     def __init__(self, rng: Random) -> None:
--- a/burlshift/agent/start_times.py
+++ b/burlshift/agent/start_times.py
@@ -27,7 +27,7 @@
 KEPT_EACH = 8  # starts of one server, the latest told
 
 
-class Starts:
+class StartTimes:
     """The starts that a list has told."""
 
     def __init__(self, clock: Clock) -> None:
--- a/burlshift_tools/faultlab/scale/agentcost_decisions.py
+++ b/burlshift_tools/faultlab/scale/agentcost_decisions.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from burlshift.agent.backend_list import Roster
+from burlshift.agent.backend_list import BackendList
 from burlshift.agent.backends import Backends
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Listing, ListingParser
@@ -81,23 +81,28 @@
     turns = []
     for _ in range(times):
         clock = Clock()
-        balancer, roster = Balancer(settings, 1), Roster()
+        balancer, roster = Balancer(settings, 1), BackendList()
         backends = Backends(clock, settings.report_fields, 250_000, 3_000_000, 100, lambda: None)
         known = parser.parse(doc["known"])
         balancer.handle(
-            clock.now(), q.BackendsChanged(q.ListKind.CACHED, backends.update_members(roster.told(known)))
+            clock.now(), q.BackendsChanged(q.ListKind.CACHED, backends.update_members(roster.update(known)))
         )
         turns.append(_turn(parser, balancer, roster, backends, answer, clock.now()))
     return Turn(*(median(values) for values in zip(*map(msgspec.structs.astuple, turns), strict=True)))
 
 
 def _turn(
-    parser: ListingParser, balancer: Balancer, roster: Roster, backends: Backends, answer: bytes, now: int
+    parser: ListingParser,
+    balancer: Balancer,
+    roster: BackendList,
+    backends: Backends,
+    answer: bytes,
+    now: int,
 ) -> Turn:
     json_ms, doc = _ms(lambda: json.loads(answer))
     parser_ms, listing = _ms(lambda: parser.parse(doc))
     assert isinstance(listing, Listing)
-    roster_ms, overlaid = _ms(lambda: roster.told(listing))
+    roster_ms, overlaid = _ms(lambda: roster.update(listing))
     backends_ms, entries = _ms(lambda: backends.update_members(overlaid))
     kind = q.ListKind.FULL if listing.complete else q.ListKind.DELTA
     balancer_ms, _ = _ms(lambda: balancer.handle(now, q.BackendsChanged(kind, entries)))
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -33,7 +33,7 @@
 from burlshift.agent.__main__ import assemble
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Address
-from burlshift.agent.loop_lag import TurnLoop
+from burlshift.agent.loop_lag import LagTrackingEventLoop
 from burlshift.agent.metrics import Metrics
 from tests.loopback import LOAD, config_doc, load_config, member
 
@@ -653,7 +653,7 @@
         self.doc, self.record = doc, record
         self.port = 0
         self.ready = threading.Event()
-        self.loop = TurnLoop()
+        self.loop = LagTrackingEventLoop()
         self.thread = threading.Thread(target=self._main, daemon=True)
 
     def _main(self) -> None:
--- a/tests/system_calls.py
+++ b/tests/system_calls.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from burlshift.agent.loop_lag import TurnLoop
+from burlshift.agent.loop_lag import LagTrackingEventLoop
 from tests.fault_injection import Faults, injected
 from tests.loopback import KEYED, Message, Peer, Raw, World, post
 
@@ -40,7 +40,7 @@
 def play(story: Callable[[Faults], Awaitable[None]]) -> None:
     """One story on the agent's own event loop; it leaves no descriptor behind."""
     before = descriptors()
-    with injected() as faults, asyncio.Runner(loop_factory=TurnLoop) as runner:
+    with injected() as faults, asyncio.Runner(loop_factory=LagTrackingEventLoop) as runner:
         runner.run(_awaited(story, faults))
     assert descriptors() == before
 
--- a/tests/test_admin_commands.py
+++ b/tests/test_admin_commands.py
@@ -9,7 +9,7 @@
 import pytest
 
 from burlshift.agent import admin_interface
-from burlshift.agent.backend_list import KEPT, Roster
+from burlshift.agent.backend_list import KEPT, BackendList
 from burlshift.agent.discovery import Address, Listing, Member
 from burlshift.agent.server import LameDuckTimes
 from burlshift.balancing.interface import Backend, State
@@ -237,25 +237,25 @@
 
 
 def test_the_list_holds_bans_over_whatever_discovery_says() -> None:
-    roster = Roster()
-    roster.told(listing(("a", State.READY, 0), ("b", State.READY, 0), complete=True))
+    roster = BackendList()
+    roster.update(listing(("a", State.READY, 0), ("b", State.READY, 0), complete=True))
     assert states(roster.detach("a")) == [("a", State.DRAINING, 0)]
     # Restarted, listed anew in full, gone and back: it stays out, and its start is told.
-    assert states(roster.told(listing(("a", State.READY, 9)))) == [("a", State.DRAINING, 9)]
-    assert states(roster.told(listing(("a", State.READY, 9), complete=True))) == [("a", State.DRAINING, 9)]
-    assert states(roster.told(listing(("a", State.GONE, 9)))) == [("a", State.GONE, 9)]
+    assert states(roster.update(listing(("a", State.READY, 9)))) == [("a", State.DRAINING, 9)]
+    assert states(roster.update(listing(("a", State.READY, 9), complete=True))) == [("a", State.DRAINING, 9)]
+    assert states(roster.update(listing(("a", State.GONE, 9)))) == [("a", State.GONE, 9)]
     assert len(roster) == 0 and states(roster.attach("a")) == []
     roster.detach("a")
-    assert states(roster.told(listing(("a", State.READY, 12)))) == [("a", State.DRAINING, 12)]
+    assert states(roster.update(listing(("a", State.READY, 12)))) == [("a", State.DRAINING, 12)]
     assert states(roster.attach("a")) == [("a", State.READY, 12)]
     with pytest.raises(LookupError):
         roster.detach("c")
 
 
 def test_what_was_ever_listed_is_kept_up_to_a_bound() -> None:
-    roster = Roster()
+    roster = BackendList()
     for i in range(KEPT + 10):
-        roster.told(listing((f"s{i}", State.GONE, 0), ("stays", State.READY, 0)))
+        roster.update(listing((f"s{i}", State.GONE, 0), ("stays", State.READY, 0)))
     assert len(roster._listed) == KEPT + 1
     roster.detach("stays")
 
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -16,7 +16,7 @@
 import pytest
 
 from burlshift.agent import hot_restart
-from burlshift.agent.backend_list import Roster
+from burlshift.agent.backend_list import BackendList
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Address, Listing, ListingParser, Member
 from burlshift.agent.hot_restart import Act, HotRestart, take_over_state
@@ -429,16 +429,16 @@
     parser = ListingParser(Clock(), ("a", "b"), ("m", "n"))
     second = {**member("s1", 2, "DRAINING"), "locality": "b", "flavor": "n"}
     doc = {"revision": 7, "complete": True, "members": [member("s0", 1, up=1_700_000_000_123), second]}
-    roster = Roster()
-    roster.told(parser.parse(doc))
+    roster = BackendList()
+    roster.update(parser.parse(doc))
     roster.detach("s0")
     state = json.loads(json.dumps(roster.state(parser.form)))
     assert state["list"] == doc
-    other = Roster()
+    other = BackendList()
     told = other.resume(state, parser.parse(state["list"]))
     assert [m.backend.state for m in told.members] == [State.DRAINING, State.DRAINING]
     assert other.attach("s0").members[0] == parser.parse(doc).members[0]
-    other.told(Listing(8, False, (Member(Backend("s0", State.GONE), Address("h", 1)),)))
+    other.update(Listing(8, False, (Member(Backend("s0", State.GONE), Address("h", 1)),)))
     other.detach("s0")
 
 
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from burlshift.agent.loop_lag import TurnLoop, TurnSelector
+from burlshift.agent.loop_lag import LagTrackingEventLoop, LagTrackingSelector
 from burlshift.agent.retrying_selector import RetryingSelector
 from burlshift.agent.server import Server
 from tests.loopback import post, world
@@ -25,7 +25,7 @@
 
 
 def test_what_is_ready_at_once_may_have_waited_since_the_turn_before(now: list[float]) -> None:
-    selector, (reading, writing) = TurnSelector(), socket.socketpair()
+    selector, (reading, writing) = LagTrackingSelector(), socket.socketpair()
     selector.register(reading, 1)
     selector.select(0)
     now[0] += 0.2  # the loop's callbacks ran for so long
@@ -39,7 +39,7 @@
 def test_what_the_selector_waited_for_has_just_come(
     now: list[float], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    selector = TurnSelector()
+    selector = LagTrackingSelector()
 
     def select(self: Any, timeout: float | None = None) -> list[Any]:
         now[0] += 3.0  # it slept
@@ -63,7 +63,7 @@
             got = await w.request()
             assert int(got.headers["request-timeout-ms"]) <= 30_000 - 200
 
-    with asyncio.Runner(loop_factory=TurnLoop) as runner:
+    with asyncio.Runner(loop_factory=LagTrackingEventLoop) as runner:
         runner.run(run())
 
 
@@ -93,5 +93,5 @@
                 assert int((await w.request()).headers["request-timeout-ms"]) <= 30_000 - 200
             client.close()
 
-    with asyncio.Runner(loop_factory=TurnLoop) as runner:
+    with asyncio.Runner(loop_factory=LagTrackingEventLoop) as runner:
         runner.run(run())
--- a/tests/test_removal_limiter.py
+++ b/tests/test_removal_limiter.py
@@ -16,7 +16,7 @@
 from burlshift.agent.clock import Clock
 from burlshift.agent.config import ConfigError
 from burlshift.agent.discovery import Address, Listing, Member
-from burlshift.agent.removal_limiter import Losses
+from burlshift.agent.removal_limiter import RemovalLimiter
 from burlshift.balancing.interface import Backend, Outcome, State
 from tests.loopback import Peer, World, config_doc, load_config, member, world
 
@@ -32,8 +32,8 @@
 TEN = tuple("abcdefghij")
 
 
-def lost(*kept: str) -> tuple[Losses, Listing]:
-    losses = Losses(Random(1))
+def lost(*kept: str) -> tuple[RemovalLimiter, Listing]:
+    losses = RemovalLimiter(Random(1))
     return losses, losses.take(as_list(named(*TEN)), Listing(2, True, named(*kept)))
 
 
@@ -97,7 +97,7 @@
     told: list[tuple[bool, dict[str, State]]],
 ) -> None:
     """A backend that is listed has been named, is as it was last named, and goes within ten steps."""
-    losses, roster = Losses(Random(1)), dict[str, Member]()
+    losses, roster = RemovalLimiter(Random(1)), dict[str, Member]()
     said: dict[str, State] = {}
     for complete, words in told:
         listing = losses.take(
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -23,7 +23,7 @@
 from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
 from burlshift.agent.hot_restart import take_over_state
 from burlshift.agent.metrics import Metrics
-from burlshift.agent.start_times import KEPT, Starts
+from burlshift.agent.start_times import KEPT, StartTimes
 from burlshift.membership.messages import Fact, Kind
 from burlshift.membership.messages import Message as Datagram
 from burlshift.membership.record import Record, Status
@@ -339,7 +339,7 @@
 
 
 def test_starts_of_the_past_are_forgotten_and_those_of_the_listed_are_not(machine: Machine) -> None:
-    starts, up = Starts(Clock()), machine.unix_ms(LONG_S)
+    starts, up = StartTimes(Clock()), machine.unix_ms(LONG_S)
     starts.whole_list(["stays", "left"])
     first = starts.started_at("stays", up), starts.started_at("left", up)
     starts.heard(0)
@@ -363,9 +363,9 @@
     machine: Machine, off_s: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Without a door an agent that asks has no whole list first, and its first call may wait long."""
-    whole = Starts.held
+    whole = StartTimes.held
     monkeypatch.setattr(discovery, "ANSWER_S", 0.0)  # any call has waited longer than this
-    monkeypatch.setattr(Starts, "held", lambda starts, held_s: whole(starts, 0.25))
+    monkeypatch.setattr(StartTimes, "held", lambda starts, held_s: whole(starts, 0.25))
 
     async def run() -> None:
         machine.off_s = off_s
