--- a/burlshift/balancing/learned_state.py
+++ b/burlshift/balancing/learned_state.py
@@ -36,9 +36,9 @@
     return {
         "servers": {str(s.id): [getattr(s, name) for name in SERVER] for s in balancer.servers.values()},
         "table": [getattr(balancer.table, name) for name in TABLE],
-        "cold": [getattr(balancer.cold, name) for name in COLD],
+        "cold": [getattr(balancer.slow_start, name) for name in COLD],
         "reports": [getattr(balancer.table, name) for name in REPORTS],
-        "needs": [*balancer.needs.took, *balancer.needs.expected],
+        "needs": [*balancer.work_estimates.took, *balancer.work_estimates.expected],
         "part": balancer.shares.part,
         "budget": balancer.budget,
         "earned": balancer.earned,
@@ -57,13 +57,13 @@
     except (KeyError, TypeError, AttributeError, ValueError) as e:
         raise ValueError(f"what was learned cannot be read: {type(e).__name__} {e}") from None
     known = [(s, servers[str(s.id)]) for s in balancer.servers.values() if str(s.id) in servers]
-    for owner, values in [*known, (balancer.table, {**table, **reports}), (balancer.cold, cold)]:
+    for owner, values in [*known, (balancer.table, {**table, **reports}), (balancer.slow_start, cold)]:
         for name, value in values.items():
             setattr(owner, name, value)
     balancer.shares.part, balancer.budget, balancer.earned = part, budget, earned
-    classes = len(balancer.needs.took)
+    classes = len(balancer.work_estimates.took)
     if len(needs) == 2 * classes:  # else the classes are others now
-        balancer.needs.took, balancer.needs.expected = needs[:classes], needs[classes:]
+        balancer.work_estimates.took, balancer.work_estimates.expected = needs[:classes], needs[classes:]
 
 
 def _numbers(values: list[Any], names: tuple[str, ...]) -> dict[str, float]:
--- a/burlshift/balancing/logic.py
+++ b/burlshift/balancing/logic.py
@@ -80,7 +80,7 @@
 PROBE_SPEND = 0.01  # the most of the goal that asking both samples of every request may cost
 ASK_SHARE = 0.05  # asking may take, and a report may be old, this share of the time to the aim
 PEER_SPEND, PEERS_MOST = 0.005, 32  # the same for telling peers what was heard, and how many at once
-NOTE = Struct(">IHH")  # what peers are told: a backend's tag, what it holds, its service time in ms
+PEER_REPORT = Struct(">IHH")  # what peers are told: a backend's tag, what it holds, its service time in ms
 ASK_PAIRS = 4  # pairs asked for one request before it is given up as hopeless
 HOLD_US = 20 * MS  # a held request is looked at this often
 WATCH_FIRST_US, WATCH_MAX_US = 200 * MS, 2 * SECOND  # wait after a failed list call, doubled each time
@@ -348,7 +348,7 @@
             s.residue, s.residue_at = s.own(now) - s.held() + 1.0, now
 
 
-class Needs:
+class WorkEstimates:
     """How much work each class asks for, as a multiple of the mean request's, by the time of its answers.
 
     Held to the mean request's time, the short classes were refused first, though they are worth the most for
@@ -390,7 +390,7 @@
         ]
 
 
-class Health:
+class OutlierDetector:
     """Which servers are left out of sampling, on strong evidence only, and how they come back."""
 
     def __init__(self, rng: Random, log: Callable[[str], None]) -> None:
@@ -438,7 +438,7 @@
         s.allowance = 1
 
 
-class ColdBudget:
+class SlowStartBudget:
     """Keeps all balancers together from pushing over a server that has just started.
 
     Of the first draws of a request only the share that the server is warm may see it, drawn at random for
@@ -573,7 +573,7 @@
             self.answered += GAIN * ((outcome is Outcome.OK) - self.answered)
 
 
-class TenantShares:
+class TenantAdmission:
     """Tells requests beyond a tenant's share; this balancer's part of a quota is its part of the traffic."""
 
     def __init__(self, settings: Settings) -> None:
@@ -616,17 +616,17 @@
         self.watch_max = max(WATCH_MAX_US, min(2 * self.watch_first, settings.ask_within_us))
         self.watching, self.watch_wait = False, self.watch_first
         self.table = LoadTable(settings)
-        self.health = Health(self.rng, self._log)
-        self.cold = ColdBudget(settings)
-        self.shares = TenantShares(settings)
-        self.needs = Needs(settings)
+        self.health = OutlierDetector(self.rng, self._log)
+        self.slow_start = SlowStartBudget(settings)
+        self.shares = TenantAdmission(settings)
+        self.work_estimates = WorkEstimates(settings)
         self.idle = IDLE / settings.siblings
         # Asking both samples of each request must be cheap, and there must be something to learn by it.
         self.asks = settings.can_probe and self.table.column >= 0 and 2 * settings.prices.probe <= PROBE_SPEND
         self.ask_us = int(ASK_SHARE * min(c.aim_us for c in settings.classes))
         price, self.tells = settings.prices.peer, 0  # peers told of each report
         if settings.can_tell and self.table.column >= 0:
-            bought = int(PEER_SPEND * 256 / (price * NOTE.size)) if price else PEERS_MOST
+            bought = int(PEER_SPEND * 256 / (price * PEER_REPORT.size)) if price else PEERS_MOST
             self.tells = min(settings.siblings - 1, PEERS_MOST, bought)
         # So young an entry is known, and no free pass is needed to learn of it.
         self.known_us = self.ask_us if self.asks else FORGET_US if self.tells else -1
@@ -699,7 +699,7 @@
                 del self.servers[s.id]  # each release brings new ids: kept, they would fill the memory
                 self.tags.pop(crc32(_name(s.id).encode()), None)
         self.ready = [x for x in self.servers.values() if x.state is State.READY]
-        self.cold.look(self.ready, now)
+        self.slow_start.look(self.ready, now)
         self.picks_left = 0
         if self.settings.discovery is Discovery.ASK and not self.watching:
             self._later(now + self.settings.me * self.turn_us, self._watch, None)
@@ -715,9 +715,9 @@
         now = self.now
         self.settings.check(e, e.request in self.requests)
         size = self.table.size_of(e.cost_us)
-        work = size if e.cost_us else self.needs.of[e.request_class]
+        work = size if e.cost_us else self.work_estimates.of[e.request_class]
         r = Request(e, self.settings.classes[e.request_class], now, self.rng.random(), size, work)
-        self.cold.arrived(now, work)
+        self.slow_start.arrived(now, work)
         self.requests[e.request] = r
         self.budget = min(RETRY_BURST, self.budget + RETRY_SHARE)
         self.copies = min(HEDGE_BURST, self.copies + HEDGE_SHARE)
@@ -800,15 +800,15 @@
     def _tell(self, s: Server, held: float) -> None:
         """Tell some peers, drawn anew each time, what a server has just reported; fewer while all idle."""
         numbers = (max(0, min(0xFFFF, round(x))) for x in (held, s.service))
-        note = NOTE.pack(crc32(_name(s.id).encode()), *numbers)
+        note = PEER_REPORT.pack(crc32(_name(s.id).encode()), *numbers)
         for _ in range(round(self.tells * min(1.0, self.table.mean / 2))):
             peer = int(self.rng.random() * (self.settings.siblings - 1))
             self.actions.append(Tell(peer + (peer >= self.settings.me), note))
 
     def _told(self, e: PeerMessage) -> None:
         """What peers say may be lost, late or wrong: it sets entries of the load table and nothing else."""
-        if len(e.payload) == NOTE.size:
-            tag, held, service_ms = NOTE.unpack(e.payload)
+        if len(e.payload) == PEER_REPORT.size:
+            tag, held, service_ms = PEER_REPORT.unpack(e.payload)
             if tag in self.tags:
                 self.table.holds(self.now, self.tags[tag], held)
                 self.table.works(self.tags[tag], service_ms)
@@ -825,8 +825,8 @@
             for s in pair
             if s not in silent
             and self._may_go(r, s)
-            and self.cold.admits(s, self.now, r, self.asks, self.table.mean)  # it may be anew
-            and self._hopeful(r, s, limit, left, True)
+            and self.slow_start.admits(s, self.now, r, self.asks, self.table.mean)  # it may be anew
+            and self._can_answer_in_time(r, s, limit, left, True)
         ]
         if fit and self._left(r) > 0:
             return self._send(r, *self._lighter(r, (fit[0], fit[-1])))
@@ -867,10 +867,10 @@
 
     def _admits(self, r: Request, s: Server) -> bool:
         # Where peers tell every answer, a server of which nothing is heard hangs. Some requests still try it.
-        silence = (self.now - s.news_at) * r.luck * self.cold.warmth(s, self.now) if self.tells else 0
+        silence = (self.now - s.news_at) * r.luck * self.slow_start.warmth(s, self.now) if self.tells else 0
         if silence > 2 * max(FRESH_US, self.now - self.table.news_at):
             return False
-        return self.cold.admits(s, self.now, r, self.asks, self.table.mean) and self.health.admits(
+        return self.slow_start.admits(s, self.now, r, self.asks, self.table.mean) and self.health.admits(
             s, self.now, self.table.typical
         )
 
@@ -890,24 +890,26 @@
         while draws < max(2, min(DRAWS, n // 2)) and len(fit) < 2:  # uniform over those that fit
             s = pool[int(random() * n)]
             draws += 1
-            warmth = self.cold.warmth(s, self.now)
+            warmth = self.slow_start.warmth(s, self.now)
             if r.seen < EARLY:
                 r.seen += warmth
                 if warmth < 1.0:
                     r.early.append(s)
-            fits = s not in r.tried and self._admits(r, s) and self._hopeful(r, s, limit, left, last)
+            fits = (
+                s not in r.tried and self._admits(r, s) and self._can_answer_in_time(r, s, limit, left, last)
+            )
             if fits:
                 fit.append(s)
             if warmth >= 1.0:
                 warm, warm_fit = warm + 1, warm_fit + fits
         if last or len(fit) == 2:
-            self.cold.drew(warm_fit, warm)
+            self.slow_start.drew(warm_fit, warm)
         if len(fit) == 2:
             return fit[0], fit[1]
         if n <= DRAWS:
             fit = [s for s in pool if self._admits(r, s)]
             fit = [s for s in fit if s not in r.tried] or fit
-            fit = [s for s in fit if self._hopeful(r, s, limit, left, last)]
+            fit = [s for s in fit if self._can_answer_in_time(r, s, limit, left, last)]
         return (fit[int(random() * len(fit))], fit[int(random() * len(fit))]) if fit else None
 
     def _index(self) -> None:
@@ -919,10 +921,10 @@
         self.picks_left = n // REINDEX
         self.health.look(self.ready, now, self.table.typical)
         self.table.look(self.ready, now)
-        self.cold.look(self.ready, now)
+        self.slow_start.look(self.ready, now)
         for s in self.ready:
-            s.pace = self.table.pace_of(s, now, self.cold.warmth(s, now))
-        self.needs.look(self.table.typical)
+            s.pace = self.table.pace_of(s, now, self.slow_start.warmth(s, now))
+        self.work_estimates.look(self.table.typical)
         self.table.cuts = cutoffs([self._rank(s) for s in self.ready]) if n else []
 
     def _limit(self, r: Request) -> float:
@@ -932,9 +934,11 @@
         # All together fill every server up to this limit. Where attempts earn too little there, it is too
         # late a one for what is sent: its work, its spread, the age of what is known of the servers.
         share = GIVE_WAY if r.gives_way else HEADROOM * min(1.0, EARNING * self.earned) ** 2
-        return share * min((r.aim_at - self.now) / self.needs.of[r.number], self.needs.bearable[r.number])
+        return share * min(
+            (r.aim_at - self.now) / self.work_estimates.of[r.number], self.work_estimates.bearable[r.number]
+        )
 
-    def _hopeful(self, r: Request, s: Server, limit: float, left: int, last: bool) -> bool:
+    def _can_answer_in_time(self, r: Request, s: Server, limit: float, left: int, last: bool) -> bool:
         """Whether a server may be sampled, by its predicted time and what it holds of ours.
 
         last: the limit is the one at which a request is refused, and what is only guessed may be tried.
@@ -947,7 +951,7 @@
         predicted = (held + r.size) * s.pace
         if not last:
             return workable and (held < 1.0 or predicted <= limit)
-        need = self.needs.of[r.number]
+        need = self.work_estimates.of[r.number]
         if self.now - s.heard_at <= self.known_us:
             # Known, not guessed: no pass here, but one that holds nothing is fit.
             # Nor is it refused for what comes after the aim but keeps part of its worth.
@@ -958,7 +962,7 @@
         # that is less than one for each, for such a share of the requests: thirty balancers that each may try
         # every server on which they have nothing fill them all. A cold one has a budget of its own for that.
         if own < min(1.0, self.idle) and (
-            r.luck * 2**24 % 1.0 < self.idle or self.cold.warmth(s, self.now) < 1.0
+            r.luck * 2**24 % 1.0 < self.idle or self.slow_start.warmth(s, self.now) < 1.0
         ):
             return workable
         return predicted <= limit or (own < self.idle and predicted * need <= left)
@@ -983,7 +987,7 @@
         r.may_have_run.append((attempt, s, now))
         r.tried.append(s)
         (s.streams if r.streamed else s.open)[(r.id, attempt)] = now
-        self.cold.called(s, now, r.work)
+        self.slow_start.called(s, now, r.work)
         self.actions.append(Send(r.id, s.id, max(1, r.deadline - now - self.margin), until))
         if r.cls.effect is not Effect.UNSAFE and self.table.typical and self.settings.second_copies:
             at = now + int(3 * self.table.typical)
@@ -995,7 +999,7 @@
         r, attempt = what
         if r.done or r.streamed or attempt not in r.out or len(r.out) > 1:
             return
-        if min(self.budget, self.copies) < 1.0 or self.cold.fit < HEDGE_FIT:
+        if min(self.budget, self.copies) < 1.0 or self.slow_start.fit < HEDGE_FIT:
             return
         pool = self._pool(r)
         pair = self._two(r, pool) if pool and r.sends < self.settings.max_attempts else None
@@ -1016,9 +1020,9 @@
         s.streams.pop((r.id, e.attempt), None)
         if e.attempt != r.begun:
             if e.outcome is Outcome.OK and s.samples:
-                self.needs.learn(r.number, e.latency_us, load * s.pace)
+                self.work_estimates.learn(r.number, e.latency_us, load * s.pace)
             self.table.ended(now, s, e, load)
-        self.cold.ended(now, s, e.outcome, r.work)
+        self.slow_start.ended(now, s, e.outcome, r.work)
         if e.outcome not in NEVER_RAN and e.outcome is not Outcome.CANCELLED:
             worth = 1.0 if now <= r.aim_at else r.cls.late_worth
             self.earned += GAIN * ((worth if e.outcome is Outcome.OK else 0.0) - self.earned)
--- a/burlshift_tools/emulator/shipped_policy.py
+++ b/burlshift_tools/emulator/shipped_policy.py
@@ -12,15 +12,23 @@
 
 import burlshift.balancing.interface as q
 from burlshift.balancing import logic
-from burlshift.balancing.logic import Balancer, ColdBudget, Health, LoadTable, Needs, Request, Server
-
-
-class _NoHealth(Health):
+from burlshift.balancing.logic import (
+    Balancer,
+    LoadTable,
+    OutlierDetector,
+    Request,
+    Server,
+    SlowStartBudget,
+    WorkEstimates,
+)
+
+
+class _NoHealth(OutlierDetector):
     def admits(self, s: Server, now: int, typical: float) -> bool:
         return True
 
 
-class _NoCold(ColdBudget):
+class _NoCold(SlowStartBudget):
     def admits(self, s: Server, now: int, r: Request, asked: bool, mean: float) -> bool:
         return True
 
@@ -30,13 +38,13 @@
         return self.pace or 1.0
 
 
-class _OwnAim(Needs):
+class _OwnAim(WorkEstimates):
     def look(self, typical: float) -> None:
         super().look(typical)
         self.bearable = [c.aim_us / need for c, need in zip(self.classes, self.of, strict=True)]
 
 
-class _OneNeed(Needs):
+class _OneNeed(WorkEstimates):
     def learn(self, number: int, took: int, expected: float) -> None:
         pass
 
@@ -52,7 +60,7 @@
 
     def __init__(self, settings: q.Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self.needs = _OneNeed(settings)
+        self.work_estimates = _OneNeed(settings)
 
 
 class WithoutDoubt(Balancer):
@@ -74,8 +82,8 @@
 class WithoutAdmission(Balancer):
     """Nothing is refused for its predicted time."""
 
-    def _hopeful(self, r: Request, s: Server, limit: float, left: int, last: bool) -> bool:
-        return last or super()._hopeful(r, s, limit, left, last)
+    def _can_answer_in_time(self, r: Request, s: Server, limit: float, left: int, last: bool) -> bool:
+        return last or super()._can_answer_in_time(r, s, limit, left, last)
 
 
 class WithoutGiveWay(Balancer):
@@ -91,7 +99,7 @@
 
     def __init__(self, settings: q.Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self.needs = _OwnAim(settings)
+        self.work_estimates = _OwnAim(settings)
 
 
 class WithoutHealth(Balancer):
@@ -107,7 +115,7 @@
 
     def __init__(self, settings: q.Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self.cold = _NoCold(settings)
+        self.slow_start = _NoCold(settings)
 
 
 class WithoutPace(Balancer):
--- a/burlshift_tools/emulator/trace.py
+++ b/burlshift_tools/emulator/trace.py
@@ -164,7 +164,7 @@
                 "own": round(own, 2),
                 "others": round(others, 2),
                 "pace_ms": round(s.pace / 1000, 2),
-                "warmth": round(self.cold.warmth(s, self.now), 3),
+                "warmth": round(self.slow_start.warmth(s, self.now), 3),
                 "age_ms": (self.now - s.heard_at) // 1000 if s.heard_at else None,
                 "predicted_ms": round((own + others + r.size) * s.pace * self._need(r) / 1000, 1),
                 "verdict": "tried" if s in r.tried else "fit",
@@ -176,13 +176,13 @@
         admitted = super()._admits(r, s)
         seen = self._look(r, s)
         if not admitted:
-            cold = self.cold.admits(s, self.now, r, self.asks, self.table.mean)
+            cold = self.slow_start.admits(s, self.now, r, self.asks, self.table.mean)
             well = self.health.admits(s, self.now, self.table.typical)
             seen["verdict"] = "ill" if not well else "cold" if not cold else "unheard"
         return admitted
 
-    def _hopeful(self, r: Request, s: Server, limit: float, left: int, last: bool) -> bool:
-        hopeful = super()._hopeful(r, s, limit, left, last)
+    def _can_answer_in_time(self, r: Request, s: Server, limit: float, left: int, last: bool) -> bool:
+        hopeful = super()._can_answer_in_time(r, s, limit, left, last)
         seen = self._look(r, s)
         seen["limit_ms"] = round(limit * self._need(r) / 1000, 1) if limit != float("inf") else None
         seen["verdict"] = "fit" if hopeful else "full"
@@ -190,7 +190,7 @@
 
     def _need(self, r: Request) -> float:
         """What its class asks for: the decisions reckon with the mean request's time."""
-        return self.needs.of[r.number]
+        return self.work_estimates.of[r.number]
 
     def _rank(self, s: Server) -> float:
         rank = super()._rank(s)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -22,7 +22,7 @@
     State,
     Tell,
 )
-from burlshift.balancing.logic import NOTE, RETRY_BURST, RETRY_SHARE, Request, Server
+from burlshift.balancing.logic import PEER_REPORT, RETRY_BURST, RETRY_SHARE, Request, Server
 from tests.helpers import MS, SECOND, Drive, only
 
 
@@ -112,7 +112,7 @@
             for send in only(d.request(cls=cls)[1], Send):
                 d.end(send, Outcome.OK, took)
             d.wait(took)
-    needs = d.balancer.needs.of
+    needs = d.balancer.work_estimates.of
     assert needs[0] == approx(0.2, abs=0.1) and needs[1] == approx(1.8, abs=0.1)
     assert sum(bool(only(d.request(cls=1)[1], Send)) for _ in range(20)) <= 1
     assert sum(bool(only(d.request(cls=0)[1], Send)) for _ in range(20)) > 10
@@ -364,11 +364,11 @@
     tags = {s.id: tag for tag, s in d.balancer.tags.items()}
     for _ in range(20):
         for b in d.backends[1:]:
-            d.event(PeerMessage(1, NOTE.pack(tags[b.id], 1, 0)))
+            d.event(PeerMessage(1, PEER_REPORT.pack(tags[b.id], 1, 0)))
         d.wait(SECOND)
     sent = [s.backend for _ in range(600) for s in only(d.request()[1], Send)]
     assert 1 <= sent.count("s0") <= 25 and len(sent) == 600  # an even share is 50
-    d.event(PeerMessage(1, NOTE.pack(tags["s0"], 1, 0)))
+    d.event(PeerMessage(1, PEER_REPORT.pack(tags["s0"], 1, 0)))
     sent = [s.backend for _ in range(600) for s in only(d.request()[1], Send)]
     assert sent.count("s0") >= 30
 
@@ -381,7 +381,7 @@
         for _ in range(30):
             d.end(only(d.request()[1], Send)[0], Outcome.OK, 100 * MS, report=(1.0,))
             d.wait(100 * MS)
-        d.event(PeerMessage(1, NOTE.pack(next(iter(d.balancer.tags)), 6, 0)))
+        d.event(PeerMessage(1, PEER_REPORT.pack(next(iter(d.balancer.tags)), 6, 0)))
         actions = d.event(RequestArrived(900, 0, 4 * SECOND, is_retry=retry))
         assert bool(only(actions, Send)) is not retry
 
@@ -436,7 +436,7 @@
             cold += str(send.backend).startswith("new")
             d.end(send, Outcome.OK, report=(1.0,))
         d.wait(MS)
-    assert d.balancer.cold.fit < 0.2 and cold >= 150  # each half of what the light one gets
+    assert d.balancer.slow_start.fit < 0.2 and cold >= 150  # each half of what the light one gets
 
 
 def test_second_copies_go_out_only_while_servers_have_room() -> None:
@@ -445,7 +445,7 @@
     for fit in (1.0, 0.5):
         d = Drive(servers=4)
         d.serve(50)
-        d.balancer.cold.fit = fit
+        d.balancer.slow_start.fit = fit
         d.request()
         copies[fit] = len(only(d.wait(200 * MS), Send))
     assert copies == {1.0: 1, 0.5: 0}
@@ -498,7 +498,7 @@
             cold += str(send.backend).startswith("new")
             d.end(send, Outcome.OK, report=(1.0 if str(send.backend).startswith("new") else 40.0,))
         d.wait(MS)
-    assert d.balancer.cold.fit < 0.2 and cold >= 200
+    assert d.balancer.slow_start.fit < 0.2 and cold >= 200
 
 
 def test_a_jam_that_no_balancer_sees_is_not_kept_up_by_all_together() -> None:
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -448,7 +448,7 @@
     kept = json.loads(json.dumps(learned_state.take(old.balancer)))
     learned_state.give(new.balancer, kept)
     assert new.balancer.table.typical == old.balancer.table.typical > 0
-    assert new.balancer.needs.expected == old.balancer.needs.expected > [0.0]
+    assert new.balancer.work_estimates.expected == old.balancer.work_estimates.expected > [0.0]
     learned_state.give(
         Drive(servers=3).balancer, {k: v for k, v in kept.items() if k not in ("needs", "reports")}
     )
--- a/tests/test_slow_start_fleet.py
+++ b/tests/test_slow_start_fleet.py
@@ -29,7 +29,7 @@
     Settings,
     TimerFired,
 )
-from burlshift.balancing.logic import Balancer, ColdBudget
+from burlshift.balancing.logic import Balancer, SlowStartBudget
 from tests.helpers import MS, SECOND
 
 BALANCERS, SERVICE_S, QUEUE, TRIP_US, END_S = 30, 0.05, 20, MS, 4.0
@@ -227,5 +227,5 @@
 
 def test_without_the_budget_such_a_burst_fells_a_cold_server(monkeypatch: pytest.MonkeyPatch) -> None:
     # Or the days above would show nothing.
-    monkeypatch.setattr(ColdBudget, "admits", lambda *_: True)
+    monkeypatch.setattr(SlowStartBudget, "admits", lambda *_: True)
     assert min(most(day) for day in DAYS) > 1.0
