--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -16,7 +16,7 @@
 from burlshift.balancing.logic import Balancer
 
 from .backend_list import BackendList
-from .backends import Backends, Exchange, ExchangeResult, UpstreamRequest
+from .backends import Backends, Exchange
 from .clock import Clock
 from .connection import Headers
 from .discovery import AGAIN_MOST_S, Address, Discovery, Listing, Member
@@ -24,6 +24,7 @@
 from .peers import Peers
 from .removal_limiter import STEP_S, RemovalLimiter
 from .server import DownstreamRequest, retry_after
+from .upstream_request import ExchangeResult, ResponseStream, UpstreamRequest
 
 log = logging.getLogger(__name__)
 
@@ -50,7 +51,7 @@
     call: DownstreamRequest
     overdue: asyncio.TimerHandle | None = None
     attempts: list[Attempt] = field(default_factory=list)
-    begun: Exchange | None = None  # the attempt whose answer is being passed on
+    begun: ResponseStream | None = None  # the attempt whose answer is being passed on
 
 
 @dataclass(slots=True, eq=False)
@@ -64,10 +65,10 @@
     exchange: Exchange | None = None
     over: bool = False
 
-    def begin(self, exchange: Exchange, content_type: bytes | None, length: int | None) -> None:
+    def begin(self, exchange: ResponseStream, content_type: bytes | None, length: int | None) -> None:
         self.agent.answer_begins(self, exchange, content_type, length)
 
-    def more(self, exchange: Exchange, data: bytes) -> None:
+    def more(self, exchange: ResponseStream, data: bytes) -> None:
         self.agent.answer_goes_on(self, exchange, data)
 
     def cancel(self) -> None:
@@ -423,7 +424,7 @@
             self._answer(number, 200, _kind(result.content_type), result.body)
 
     def answer_begins(
-        self, attempt: Attempt, exchange: Exchange, content_type: bytes | None, length: int | None
+        self, attempt: Attempt, exchange: ResponseStream, content_type: bytes | None, length: int | None
     ) -> None:
         """A large answer comes; the first of a request's is the one."""
         held = self._pending.get(attempt.number)
@@ -439,7 +440,7 @@
             return self._cannot_pass_on(attempt)
         self._post(q.StreamStarted(attempt.number, attempt.index, exchange.latency_us, exchange.report()))
 
-    def answer_goes_on(self, attempt: Attempt, exchange: Exchange, data: bytes) -> None:
+    def answer_goes_on(self, attempt: Attempt, exchange: ResponseStream, data: bytes) -> None:
         held = self._pending.get(attempt.number)
         if held is not None and held.begun is exchange:
             try:
--- a/burlshift/agent/backends.py
+++ b/burlshift/agent/backends.py
@@ -7,17 +7,17 @@
 import logging
 import socket
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
 
 import h11
 
 from burlshift.balancing.interface import Backend, BackendId, Outcome, State
 
 from .clock import Clock
-from .connection import Connection, Fields, Headers, checked_request, fields_of, header
+from .connection import Connection, Fields, checked_request, fields_of, header
 from .discovery import Listing, Member
 from .quiet_period import LATENESS_MOST_US, QUIET_US, QuietPeriods
 from .socket_errors import Lacking, connecting
+from .upstream_request import ExchangeResult, UpstreamRequest, parse_report
 
 log = logging.getLogger(__name__)
 
@@ -31,72 +31,6 @@
 STALL_S = 5.0  # a backend that takes or gives nothing for so long, while it could, has stopped
 
 
-class ExchangeResult(NamedTuple):
-    """How an exchange ended."""
-
-    outcome: Outcome
-    latency_us: int
-    report: tuple[float, ...] = ()
-    body: bytes = b""
-    content_type: bytes | None = None
-    begun: bool = False  # its answer was passed on as it came; the time is that to its begin
-
-
-class StreamedBody(Protocol):
-    """A large request body on its way from a client."""
-
-    length: int | None  # None: told by its chunks
-    whole: bool  # its last byte has come
-
-    def held(self) -> bytes:
-        """All that has come, as long as none of it has been passed on and dropped."""
-
-    def flow(self, exchange: Exchange) -> None:
-        """Pass on what comes from now on: to exchange.more, and to exchange.all_sent at the end."""
-
-    def stop(self, exchange: Exchange) -> None:
-        """The exchange takes no more; another may."""
-
-    def halt(self) -> None:
-        """Read nothing more from the client until go_on."""
-
-    def go_on(self) -> None: ...
-
-
-class ResponseReader(Protocol):
-    """Who gets a large answer as it comes."""
-
-    def begin(self, exchange: Exchange, content_type: bytes | None, length: int | None) -> None:
-        """length None: told by its end. Cancels the exchange if the answer is wanted no more."""
-
-    def more(self, exchange: Exchange, data: bytes) -> None: ...
-
-
-class UpstreamRequest(NamedTuple):
-    """What is to be sent to a backend."""
-
-    method: str
-    target: str
-    headers: Headers  # as h11 has parsed them
-    body: bytes | StreamedBody = b""
-    reader: ResponseReader | None = None  # None: a probe
-    wanted: Callable[[], bool] = lambda: True  # asked last thing before it goes out: time has passed since
-    left_us: Callable[[int], int] | None = None  # what the client still waits at a time; None: nobody does
-
-
-def parse_report(text: str | None, fields: tuple[str, ...]) -> tuple[float, ...]:
-    """A load report by the settings' fields; () where it is missing or bad."""
-    if not text or not fields:
-        return ()
-    try:
-        values = dict(part.split("=", 1) for part in text.strip().split(","))
-        report = tuple(float(values[f]) for f in fields)
-    except (KeyError, ValueError):
-        return ()
-    # Not finite or below 0 would poison every mean it enters.
-    return report if all(0.0 <= x < 1e9 for x in report) else ()
-
-
 def _is_up(sock: socket.socket) -> bool:
     """Whether it has come to be connected."""
     try:
--- a/tests/test_attempts_close.py
+++ b/tests/test_attempts_close.py
@@ -9,8 +9,9 @@
 
 import pytest
 
-from burlshift.agent.backends import ExchangeResult, UpstreamRequest, _PooledConnection
+from burlshift.agent.backends import _PooledConnection
 from burlshift.agent.discovery import ListingParser
+from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest
 from burlshift.balancing.interface import Outcome
 from tests.loopback import (
     KEYED,
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -10,10 +10,11 @@
 import h11
 import pytest
 
-from burlshift.agent.backends import Backends, ExchangeResult, UpstreamRequest, parse_report
+from burlshift.agent.backends import Backends
 from burlshift.agent.clock import Clock
 from burlshift.agent.connection import Connection, checked_request
 from burlshift.agent.discovery import Listing, ListingParser
+from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest, parse_report
 from burlshift.balancing.interface import Outcome
 from tests.loopback import Message, Peer, held_connects, member
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -11,6 +11,7 @@
 import pytest
 
 from burlshift.agent import server as server_module
+from burlshift.agent.backends import Exchange
 from tests.loopback import KEYED, UNSAFE, Conversation, Message, World, post, world
 from tests.test_admin_commands import figures
 
@@ -193,7 +194,7 @@
             answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (32 * MB) + bytes(32 * MB)
             got.peer.writer.write(answer)
             (held,) = w.agent._pending.values()
-            while (begun := held.begun) is None or not begun._paused:
+            while not isinstance(begun := held.begun, Exchange) or not begun._paused:
                 await asyncio.sleep(0.001)
             (connection,) = w.server.connections
             assert connection.transport is not None and begun._connection is not None
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -12,8 +12,9 @@
 import h11
 import pytest
 
-from burlshift.agent.backends import Exchange, ExchangeResult, UpstreamRequest, _PooledConnection
+from burlshift.agent.backends import Exchange, _PooledConnection
 from burlshift.agent.server import _DownstreamConnection
+from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest
 from burlshift.balancing.interface import Action, Event, ListKind, Outcome, RequestArrived, Send
 from tests.loopback import Raw, World, held_connects, member, post, world
 from tests.test_backends import quiet_is_over
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -9,14 +9,8 @@
 
 import pytest
 
-from burlshift.agent.backends import (
-    ANSWER_BYTES,
-    Backends,
-    Exchange,
-    ExchangeResult,
-    UpstreamRequest,
-    _PooledConnection,
-)
+from burlshift.agent.backends import ANSWER_BYTES, Backends, Exchange, _PooledConnection
+from burlshift.agent.upstream_request import BodyReceiver, ExchangeResult, ResponseStream, UpstreamRequest
 from burlshift.balancing.interface import Outcome
 from tests.test_attempts_close import Kernel
 from tests.test_backends import ASK, backends, listing
@@ -32,10 +26,10 @@
     def __init__(self) -> None:
         self.began = 0
 
-    def begin(self, exchange: Exchange, content_type: bytes | None, length: int | None) -> None:
+    def begin(self, exchange: ResponseStream, content_type: bytes | None, length: int | None) -> None:
         self.began += 1
 
-    def more(self, exchange: Exchange, data: bytes) -> None: ...
+    def more(self, exchange: ResponseStream, data: bytes) -> None: ...
 
 
 class LargeBody:
@@ -48,9 +42,9 @@
     def held(self) -> bytes:
         return b""
 
-    def flow(self, exchange: Exchange) -> None: ...
+    def flow(self, receiver: BodyReceiver) -> None: ...
 
-    def stop(self, exchange: Exchange) -> None: ...
+    def stop(self, receiver: BodyReceiver) -> None: ...
 
     def halt(self) -> None: ...
 
--- a/tests/test_exchange_ends.py
+++ b/tests/test_exchange_ends.py
@@ -9,8 +9,9 @@
 
 import pytest
 
-from burlshift.agent.backends import PROBE_US, Backends, Exchange, ExchangeResult, UpstreamRequest
+from burlshift.agent.backends import PROBE_US, Backends, Exchange
 from burlshift.agent.connection import Connection
+from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest
 from burlshift.balancing.interface import Outcome
 from tests.loopback import Message, Peer
 from tests.test_backends import ASK, backends, begin, quiet_is_over, served
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -9,9 +9,10 @@
 
 import pytest
 
-from burlshift.agent.backends import Backends, ExchangeResult, UpstreamRequest
+from burlshift.agent.backends import Backends
 from burlshift.agent.clock import Clock
 from burlshift.agent.quiet_period import LATENESS_MOST_US, OTHERS_US, QUIET_US, SEEN_US, QuietPeriods
+from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest
 from burlshift.balancing.interface import Outcome
 from tests.loopback import KEYED, UNSAFE, Message, Peer, held_connects, post, world
 from tests.test_backends import ASK, FIELDS, listing
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from burlshift.agent.backends import ExchangeResult, UpstreamRequest
 from burlshift.agent.clock import Clock
+from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest
 from burlshift.balancing.interface import Effect, Group, Outcome, RequestClass, Send
 from tests.helpers import MS, SECOND, Drive, keyed, only
 from tests.loopback import KEYED, held_connects, post, world
