--- a/burlshift_tools/faultlab/mutations.py
+++ b/burlshift_tools/faultlab/mutations.py
@@ -164,8 +164,8 @@
         "                self._answer_with(held, exchange, result)\n",
         "                self._answer_with(held, exchange, result)\n"
         "                call = held.call\n"
-        "                ask = Ask(call.method, call.target, call.headers, call.body,\n"
-        "                          left_us=call.left_us)\n"
+        "                ask = UpstreamRequest(call.method, call.target, call.headers, call.body,\n"
+        "                                      left_us=call.left_us)\n"
         "                self._loop.call_later(0.2, self._backends.exchange, attempt.backend, ask,\n"
         "                                      1_000_000, lambda result: None)\n",
         "steady",
