--- a/burlshift/agent/backends.py
+++ b/burlshift/agent/backends.py
@@ -13,10 +13,11 @@
 from burlshift.balancing.interface import Backend, BackendId, Outcome, State
 
 from .clock import Clock
-from .connection import Connection, Fields, checked_request, fields_of, header
+from .connection import Fields, checked_request, fields_of, header
 from .discovery import Listing, Member
-from .quiet_period import LATENESS_MOST_US, QUIET_US, QuietPeriods
+from .quiet_period import QUIET_US, QuietPeriods
 from .socket_errors import Lacking, connecting
+from .upstream_connection import PooledConnection, next_idle
 from .upstream_request import ExchangeResult, UpstreamRequest, parse_report
 
 log = logging.getLogger(__name__)
@@ -40,79 +41,6 @@
     return True
 
 
-class _PooledConnection(Connection):
-    """A connection to a backend; idle, or in the hands of one exchange."""
-
-    def __init__(self, member: Member, discard: Callable[[_PooledConnection], None]) -> None:
-        super().__init__()
-        self.member, self._discard = member, discard
-        self.exchange: Exchange | None = None
-        self.idle_since = 0
-        self.answered = False  # it has carried a request and its answer
-        self.unasked = False  # bytes have come while nothing was asked
-        self._at_end = False
-        self.retire: asyncio.TimerHandle | None = None
-
-    def data_received(self, data: bytes) -> None:
-        # What comes while nothing is asked would be read as the answer to the next request.
-        if self.exchange is None:
-            self.unasked = True
-            return self._discard(self)
-        super().data_received(data)
-
-    def on_event(self, event: h11.Event) -> None:
-        if self.exchange is not None:
-            self.exchange.on_event(event)
-
-    def on_read(self) -> None:
-        if self.exchange is not None:
-            self.exchange.on_read()
-
-    def resume_writing(self) -> None:
-        super().resume_writing()
-        if self.exchange is not None:
-            self.exchange.on_written()
-
-    def eof_received(self) -> None:
-        self._at_end = True
-        super().eof_received()
-
-    def on_broken(self, error: Exception) -> None:
-        if self._at_end or self.exchange is None:
-            self.on_end()  # nothing is wrong with what came, but that it is not whole
-        else:
-            self.exchange.on_broken()
-        self.drop()
-
-    def on_end(self) -> None:
-        self.closed = True
-        if self.exchange is not None:
-            self.exchange.on_end()
-        else:
-            self._discard(self)
-
-    def reusable_at(self, quiet_us: int) -> int:
-        """When it has been quiet for so long, if there is an answer that a second one may follow."""
-        return self.idle_since + quiet_us if self.answered else self.idle_since
-
-    def usable(self) -> bool:
-        """Idle and, as far as the kernel knows, open: one with anything to read was closed by the peer."""
-        try:
-            return not self.closed and self.quiet()
-        except OSError:  # the kernel cannot be asked just now
-            return False
-
-
-def _next_idle(kept: list[_PooledConnection], now: int, quiet_us: int) -> _PooledConnection | None:
-    """The one to use again: of those past any late second answer the one used last, so that others grow old
-    and are closed; else the one that has been quiet for the longest time."""
-    free = [connection for connection in kept if connection.reusable_at(quiet_us) <= now]
-    for connection in reversed(free):
-        if now - connection.idle_since >= LATENESS_MOST_US:
-            return connection
-    return free[0] if free else None
-
-
 class Exchange:
     """One attempt or probe. Ends exactly once, with a Result."""
 
@@ -128,7 +56,7 @@
         self._loop = asyncio.get_running_loop()
         self._timeout_us = timeout_us
         self._began = backends.clock.now()
-        self._connection: _PooledConnection | None = None
+        self._connection: PooledConnection | None = None
         self._sending = False  # a large body is on its way out
         self._status = 0
         self._headers: Fields = {}
@@ -192,7 +120,7 @@
             log.exception("cannot tell whether an attempt is still wanted")
             return False
 
-    def carry(self, connection: _PooledConnection) -> bool:
+    def carry(self, connection: PooledConnection) -> bool:
         """Go out on this connection, or end; whether that has used it, or it is as good as before."""
         try:
             return self._put(connection)
@@ -215,7 +143,7 @@
             own_us -= now - self._began
         return own_us if self._ask.left_us is None else min(own_us, self._ask.left_us(now))
 
-    def _put(self, connection: _PooledConnection) -> bool:
+    def _put(self, connection: PooledConnection) -> bool:
         ask, body, headers = self._ask, self._ask.body, [(b"Host", HOST), *self._ask.headers]
         if ask.reader is not None:
             left_us = self._left_us()  # read anew: what runs between the check and here takes time too
@@ -462,8 +390,8 @@
         self._idle_us = int(conn_idle_us * IDLE_SHARE)
         self._most = most  # connections at once, so that descriptors are left for clients
         self._members: dict[BackendId, Member] = {}
-        self._idle: dict[BackendId, list[_PooledConnection]] = {}
-        self._open: set[_PooledConnection] = set()
+        self._idle: dict[BackendId, list[PooledConnection]] = {}
+        self._open: set[PooledConnection] = set()
         self._dials: dict[BackendId, int] = {}  # connections on their way up
         self._waiting: dict[BackendId, dict[Exchange, None]] = {}  # for a connection, the first come first
         self._quiet_periods = QuietPeriods()
@@ -547,7 +475,7 @@
         while len(waiting) > self._dials.get(backend, 0) + self._free_soon(backend):
             next(iter(waiting)).unconnected(outcome)
 
-    async def _connected(self, member: Member) -> _PooledConnection:
+    async def _connected(self, member: Member) -> PooledConnection:
         """A connection that is up. Only the handshake is timed, and by what the kernel says of it: an agent
         whose loop is late must not take its own lateness for the backend's."""
         loop, address = asyncio.get_running_loop(), member.address
@@ -560,7 +488,7 @@
                 if e.errno == errno.ETIMEDOUT or not _is_up(sock):  # the former is the kernel's own word
                     raise
             _, connection = await loop.create_connection(
-                lambda: _PooledConnection(member, self._discard), sock=sock
+                lambda: PooledConnection(member, self._discard), sock=sock
             )
         except BaseException:
             sock.close()
@@ -575,12 +503,12 @@
             if not waiting:
                 del self._waiting[backend]
 
-    def _offer(self, connection: _PooledConnection, now: int) -> None:
+    def _offer(self, connection: PooledConnection, now: int) -> None:
         """It is free from now on."""
         connection.idle_since = now
         self.hand_on(connection, now)
 
-    def hand_on(self, connection: _PooledConnection, now: int) -> None:
+    def hand_on(self, connection: PooledConnection, now: int) -> None:
         """To the exchange that has waited longest and may still go out, else kept."""
         backend = connection.member.backend.id
         free_at = connection.reusable_at(self._quiet_periods.of(backend))
@@ -591,13 +519,13 @@
         self._idle.setdefault(backend, []).append(connection)
         self._await_quiet(backend)
 
-    def _retire_in_time(self, connection: _PooledConnection, now: int) -> None:
+    def _retire_in_time(self, connection: PooledConnection, now: int) -> None:
         left_us = connection.idle_since + self._idle_us - now
         connection.retire = asyncio.get_running_loop().call_later(
             max(0, left_us) / 1e6, self._retired, connection
         )
 
-    def _hand_over(self, connection: _PooledConnection) -> bool:
+    def _hand_over(self, connection: PooledConnection) -> bool:
         """Whether it is in use now, or of no use any more."""
         backend = connection.member.backend.id
         while waiting := self._waiting.get(backend):
@@ -669,11 +597,11 @@
         self._discard(min(idle, key=lambda c: c.idle_since))
         return True
 
-    def take(self, member: Member) -> _PooledConnection | None:
+    def take(self, member: Member) -> PooledConnection | None:
         """An idle connection that can be trusted, if there is one."""
         kept, now = self._idle.get(member.backend.id, []), self.clock.now()
         quiet_us = self._quiet_periods.of(member.backend.id)
-        while (connection := _next_idle(kept, now, quiet_us)) is not None:
+        while (connection := next_idle(kept, now, quiet_us)) is not None:
             kept.remove(connection)
             young = now - connection.idle_since < self._idle_us
             if young and member.same_process(connection.member) and connection.usable():
@@ -681,7 +609,7 @@
             self._discard(connection)
         return None
 
-    def release(self, connection: _PooledConnection) -> None:
+    def release(self, connection: PooledConnection) -> None:
         """Keep a connection whose exchange is over in good order; close any other."""
         http = connection.http
         over = http.our_state is h11.DONE and http.their_state is h11.DONE
@@ -695,7 +623,7 @@
         connection.answered = True
         self._offer(connection, self.clock.now())
 
-    def _retired(self, connection: _PooledConnection) -> None:
+    def _retired(self, connection: PooledConnection) -> None:
         """One timer outlasts many uses: what has been used since it was set is not due yet."""
         connection.retire = None
         if connection not in self._idle.get(connection.member.backend.id, ()):
@@ -711,7 +639,7 @@
         for connection in self._idle.pop(backend, []):
             self._discard(connection)
 
-    def _discard(self, connection: _PooledConnection) -> None:
+    def _discard(self, connection: PooledConnection) -> None:
         if connection.retire is not None:
             connection.retire.cancel()
         backend = connection.member.backend.id
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -29,7 +29,7 @@
 
 import h11
 
-from burlshift.agent import backends, connection, server
+from burlshift.agent import connection, server, upstream_connection
 from burlshift.agent.__main__ import assemble
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Address
@@ -732,7 +732,7 @@
         first = events[0] if events else None
         headers = dict(first.headers) if isinstance(first, h11.Request) else {}
         rid = headers.get(b"request-id", b"").decode()
-        if isinstance(self, backends._PooledConnection) and rid:
+        if isinstance(self, upstream_connection.PooledConnection) and rid:
             record.note(
                 rid,
                 f"attempt to {self.member.backend.id}, port "
--- a/tests/test_attempts_close.py
+++ b/tests/test_attempts_close.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from burlshift.agent.backends import _PooledConnection
 from burlshift.agent.discovery import ListingParser
+from burlshift.agent.upstream_connection import PooledConnection
 from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest
 from burlshift.balancing.interface import Outcome
 from tests.loopback import (
@@ -86,7 +86,7 @@
     async def run() -> None:
         b = backends(1)
         ours, theirs = socket.socketpair()
-        connection, kernel = _PooledConnection(listing(1).members[0], b._discard), Kernel(ours)
+        connection, kernel = PooledConnection(listing(1).members[0], b._discard), Kernel(ours)
         connection.connection_made(kernel)
         b._offer(connection, b.clock.now())
         kernel.left = left
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -12,8 +12,9 @@
 import h11
 import pytest
 
-from burlshift.agent.backends import Exchange, _PooledConnection
+from burlshift.agent.backends import Exchange
 from burlshift.agent.server import _DownstreamConnection
+from burlshift.agent.upstream_connection import PooledConnection
 from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest
 from burlshift.balancing.interface import Action, Event, ListKind, Outcome, RequestArrived, Send
 from tests.loopback import Raw, World, held_connects, member, post, world
@@ -253,7 +254,7 @@
         async with world(tmp_path) as w:
             await with_a_connection_kept(w)
             quiet_is_over(w.agent._backends)
-            now, send = w.agent._clock.now, _PooledConnection.send
+            now, send = w.agent._clock.now, PooledConnection.send
             readings, leave_at = 0, 0
             readings_before_send: list[int] = []
             client = await w.raw()
@@ -265,13 +266,13 @@
                     LEAVES[how](client)
                 return now()
 
-            def sending(connection: _PooledConnection, *events: h11.Event) -> None:
+            def sending(connection: PooledConnection, *events: h11.Event) -> None:
                 readings_before_send.append(readings)
                 send(connection, *events)
 
             with monkeypatch.context() as patch:
                 patch.setattr(w.agent._clock, "now", held_up)
-                patch.setattr(_PooledConnection, "send", sending)
+                patch.setattr(PooledConnection, "send", sending)
                 await client.send(post())
                 await (await w.request()).answer()
                 assert b"HTTP/1.1 200" in await asyncio.get_running_loop().sock_recv(client.socket, 65536)
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from burlshift.agent.backends import ANSWER_BYTES, Backends, Exchange, _PooledConnection
+from burlshift.agent.backends import ANSWER_BYTES, Backends, Exchange
+from burlshift.agent.upstream_connection import PooledConnection
 from burlshift.agent.upstream_request import BodyReceiver, ExchangeResult, ResponseStream, UpstreamRequest
 from burlshift.balancing.interface import Outcome
 from tests.test_attempts_close import Kernel
@@ -56,7 +57,7 @@
 
     def __init__(self, b: Backends, kernel: Kernel) -> None:
         self.backends, self.kernel = b, kernel
-        self.connection = _PooledConnection(listing(1).members[0], b._discard)
+        self.connection = PooledConnection(listing(1).members[0], b._discard)
         self.connection.connection_made(kernel)
         b._offer(self.connection, b.clock.now())
         self.ends: list[ExchangeResult] = []
@@ -64,7 +65,7 @@
     def begin(self, ask: UpstreamRequest = ASK) -> Exchange:
         return self.backends.exchange("s", ask, 60_000_000, self.ends.append)
 
-    def idle(self) -> list[_PooledConnection]:
+    def idle(self) -> list[PooledConnection]:
         return self.backends._idle.get("s", [])
 
     def outcome(self) -> Outcome:
