--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -16,10 +16,11 @@
 from burlshift.balancing.logic import Balancer
 
 from .backend_list import BackendList
-from .backends import Backends, Exchange
+from .backends import Backends
 from .clock import Clock
 from .connection import Headers
 from .discovery import AGAIN_MOST_S, Address, Discovery, Listing, Member
+from .exchange import Exchange
 from .metrics import Gauges, Metrics
 from .peers import Peers
 from .removal_limiter import STEP_S, RemovalLimiter
--- a/burlshift_tools/faultlab/mutations.py
+++ b/burlshift_tools/faultlab/mutations.py
@@ -67,9 +67,9 @@
     Plant(
         "cut-answer",
         "an answer cut off and passed on as whole",
-        "burlshift/agent/backends.py",
-        "    def on_end(self) -> None:\n        self._end(self._lost())",
-        "    def on_end(self) -> None:\n"
+        "burlshift/agent/exchange.py",
+        'before the answer was whole."""\n        self._end(self._lost())',
+        'before the answer was whole."""\n'
         "        self._end(Outcome.OK if self._status == 200 else self._lost())",
         "spoilt",
         "integrity",
@@ -174,7 +174,7 @@
     Plant(
         "told",
         "servers are told of time that is not there",
-        "burlshift/agent/backends.py",
+        "burlshift/agent/exchange.py",
         'headers.append((b"Request-Timeout-Ms", b"%d" % ',
         'headers.append((b"Request-Timeout-Ms", b"1%d" % ',
         "steady",
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -11,7 +11,7 @@
 import pytest
 
 from burlshift.agent import server as server_module
-from burlshift.agent.backends import Exchange
+from burlshift.agent.exchange import Exchange
 from tests.loopback import KEYED, UNSAFE, Conversation, Message, World, post, world
 from tests.test_admin_commands import figures
 
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -12,7 +12,7 @@
 import h11
 import pytest
 
-from burlshift.agent.backends import Exchange
+from burlshift.agent.exchange import Exchange
 from burlshift.agent.server import _DownstreamConnection
 from burlshift.agent.upstream_connection import PooledConnection
 from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest
--- a/tests/test_copies_end.py
+++ b/tests/test_copies_end.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from burlshift.agent.backends import ANSWER_BYTES
+from burlshift.agent.exchange import ANSWER_BYTES
 from burlshift.balancing.interface import Send
 from tests.loopback import Message, World, post, world
 
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from burlshift.agent import backends as backends_module
+from burlshift.agent import exchange as exchange_module
 from burlshift.agent import server as server_module
 from burlshift.agent.backends import Backends
 from burlshift.agent.clock import Clock
@@ -144,7 +144,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # All of it may lie in the kernel, written, while the agent reads nothing: then its time runs.
-    monkeypatch.setattr(backends_module, "STALL_S", 3600.0)
+    monkeypatch.setattr(exchange_module, "STALL_S", 3600.0)
 
     async def run() -> None:
         deaf = _DeafBackend()
@@ -179,13 +179,13 @@
             heard = held_connects(monkeypatch)
             client.writer.write(post(body=LARGE))
             await held_until_connecting(w)
-            whole = backends_module.Exchange.all_sent
+            whole = exchange_module.Exchange.all_sent
 
-            def all_sent(self: backends_module.Exchange) -> None:
+            def all_sent(self: exchange_module.Exchange) -> None:
                 whole(self)
                 timers.append(self._timer.when() - asyncio.get_running_loop().time())
 
-            monkeypatch.setattr(backends_module.Exchange, "all_sent", all_sent)
+            monkeypatch.setattr(exchange_module.Exchange, "all_sent", all_sent)
             clock.held_up_us = SECOND
             heard.set()
             await w.request()
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from burlshift.agent.backends import ANSWER_BYTES, Backends, Exchange
+from burlshift.agent.backends import Backends
+from burlshift.agent.exchange import ANSWER_BYTES, Exchange
 from burlshift.agent.upstream_connection import PooledConnection
 from burlshift.agent.upstream_request import BodyReceiver, ExchangeResult, ResponseStream, UpstreamRequest
 from burlshift.balancing.interface import Outcome
