--- a/burlshift/agent/backends.py
+++ b/burlshift/agent/backends.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
-import socket
 from collections.abc import Callable
 
 import h11
@@ -13,10 +11,11 @@
 from burlshift.balancing.interface import Backend, BackendId, Outcome, State
 
 from .clock import Clock
+from .connector import connect
 from .discovery import Listing, Member
 from .exchange import Exchange
 from .quiet_period import QUIET_US, QuietPeriods
-from .socket_errors import Lacking, connecting
+from .socket_errors import Lacking
 from .upstream_connection import PooledConnection, next_idle
 from .upstream_request import ExchangeResult, UpstreamRequest
 
@@ -26,15 +25,6 @@
 IDLE_SHARE = 0.7  # of the time after which a backend closes an idle connection; then it is retired here
 
 
-def _is_up(sock: socket.socket) -> bool:
-    """Whether it has come to be connected."""
-    try:
-        sock.getpeername()
-    except OSError:
-        return False
-    return True
-
-
 class Backends:
     """The backends of the list, and the idle connections to them."""
 
@@ -116,7 +106,8 @@
         just while this agent was late, and kept it late."""
         backend, connection, outcome = member.backend.id, None, Outcome.NOT_SENT
         try:
-            connection = await self._connected(member)
+            connection = await connect(member, self._connect_s, self._discard)
+            self._open.add(connection)
         except Lacking:
             log.debug("nothing to connect with", exc_info=True)
         except OSError:
@@ -138,27 +129,6 @@
         while len(waiting) > self._dials.get(backend, 0) + self._free_soon(backend):
             next(iter(waiting)).unconnected(outcome)
 
-    async def _connected(self, member: Member) -> PooledConnection:
-        """A connection that is up. Only the handshake is timed, and by what the kernel says of it: an agent
-        whose loop is late must not take its own lateness for the backend's."""
-        loop, address = asyncio.get_running_loop(), member.address
-        sock = connecting()
-        try:
-            try:
-                async with asyncio.timeout(self._connect_s):
-                    await loop.sock_connect(sock, (address.host, address.port))
-            except TimeoutError as e:
-                if e.errno == errno.ETIMEDOUT or not _is_up(sock):  # the former is the kernel's own word
-                    raise
-            _, connection = await loop.create_connection(
-                lambda: PooledConnection(member, self._discard), sock=sock
-            )
-        except BaseException:
-            sock.close()
-            raise
-        self._open.add(connection)
-        return connection
-
     def waits_no_more(self, backend: BackendId, exchange: Exchange) -> None:
         waiting = self._waiting.get(backend)
         if waiting is not None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -52,7 +52,7 @@
 
     async def run() -> None:
         peer = await Peer().start()
-        monkeypatch.setattr("burlshift.agent.backends.socket.socket", none)
+        monkeypatch.setattr("burlshift.agent.connector.socket.socket", none)
         assert (await begin(backends(peer.port))).outcome is Outcome.NOT_SENT
         await peer.stop()
 
