--- a/burlshift/agent/__main__.py
+++ b/burlshift/agent/__main__.py
@@ -21,9 +21,9 @@
 from .admin_commands import AdminCommands
 from .admin_interface import AdminServer
 from .agent import Agent
-from .backends import Backends
 from .clock import Clock
 from .config import Config, ConfigError, load, reload_discovery
+from .connection_pool import Backends
 from .discovery import ASK_WAIT_MS, PUSH_WAIT_MS, Discovery
 from .hot_restart import HotRestart, path_for, take_over_state
 from .loop_lag import LagTrackingEventLoop
--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -16,9 +16,9 @@
 from burlshift.balancing.logic import Balancer
 
 from .backend_list import BackendList
-from .backends import Backends
 from .clock import Clock
 from .connection import Headers
+from .connection_pool import Backends
 from .discovery import AGAIN_MOST_S, Address, Discovery, Listing, Member
 from .exchange import Exchange
 from .metrics import Gauges, Metrics
--- a/burlshift/agent/backends.py
+++ b/burlshift/agent/connection_pool.py
@@ -1,4 +1,4 @@
-"""The backends' side: connections kept for reuse, attempts and probes, and how each of them ended."""
+"""The backends of the list and the pool of connections to them: limits, reuse, and who waits for one."""
 
 from __future__ import annotations
 
@@ -68,6 +68,7 @@
         return [m.backend for m in listing.members]
 
     def ready(self, backend: BackendId) -> Member | None:
+        """The backend as the list has it, if it may get requests."""
         member = self._members.get(backend)
         return member if member is not None and member.backend.state is State.READY else None
 
@@ -78,11 +79,13 @@
         timeout_us: int,
         done: Callable[[ExchangeResult], None],
     ) -> Exchange:
+        """Begin an attempt; done is told its result once, possibly before this returns."""
         exchange = Exchange(self, backend, ask, timeout_us, done)
         exchange.start()
         return exchange
 
     def probe(self, backend: BackendId, done: Callable[[ExchangeResult], None]) -> None:
+        """Ask a backend for its load report, or where there is none whether it answers."""
         target = "/_load" if self.report_fields else "/ping"
         self.exchange(backend, UpstreamRequest("GET", target, []), PROBE_US, done)
 
@@ -130,6 +133,7 @@
             next(iter(waiting)).unconnected(outcome)
 
     def waits_no_more(self, backend: BackendId, exchange: Exchange) -> None:
+        """The exchange needs no connection any more."""
         waiting = self._waiting.get(backend)
         if waiting is not None:
             waiting.pop(exchange, None)
--- a/burlshift_tools/faultlab/mutations.py
+++ b/burlshift_tools/faultlab/mutations.py
@@ -86,7 +86,7 @@
     Plant(
         "descriptor",
         "a descriptor leaked with each connection that is given up",
-        "burlshift/agent/backends.py",
+        "burlshift/agent/connection_pool.py",
         "        self._open.discard(connection)\n        connection.drop()",
         "        self._open.discard(connection)\n        if connection.transport is not None:\n"
         '            connection.transport.get_extra_info("socket").dup().detach()\n'
--- a/burlshift_tools/faultlab/scale/agentcost_decisions.py
+++ b/burlshift_tools/faultlab/scale/agentcost_decisions.py
@@ -15,8 +15,8 @@
 import msgspec
 
 from burlshift.agent.backend_list import BackendList
-from burlshift.agent.backends import Backends
 from burlshift.agent.clock import Clock
+from burlshift.agent.connection_pool import Backends
 from burlshift.agent.discovery import Listing, ListingParser
 from burlshift.balancing import interface as q
 from burlshift.balancing.logic import REINDEX, Balancer
--- a/burlshift_tools/faultlab/scale/hollow_agents.py
+++ b/burlshift_tools/faultlab/scale/hollow_agents.py
@@ -18,9 +18,9 @@
 import msgspec
 
 from burlshift.agent.agent import WATCH_AGAIN, Agent
-from burlshift.agent.backends import Backends
 from burlshift.agent.clock import Clock
 from burlshift.agent.config import Config, load
+from burlshift.agent.connection_pool import Backends
 from burlshift.agent.discovery import (
     PUSH_WAIT_MS,
     Address,
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -10,9 +10,9 @@
 import h11
 import pytest
 
-from burlshift.agent.backends import Backends
 from burlshift.agent.clock import Clock
 from burlshift.agent.connection import Connection, checked_request
+from burlshift.agent.connection_pool import Backends
 from burlshift.agent.discovery import Listing, ListingParser
 from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest, parse_report
 from burlshift.balancing.interface import Outcome
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -12,8 +12,8 @@
 
 from burlshift.agent import exchange as exchange_module
 from burlshift.agent import server as server_module
-from burlshift.agent.backends import Backends
 from burlshift.agent.clock import Clock
+from burlshift.agent.connection_pool import Backends
 from tests.loopback import KEYED, UNSAFE, Message, World, held_connects, post, world
 
 MS, SECOND = 1_000, 1_000_000
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from burlshift.agent.backends import Backends
+from burlshift.agent.connection_pool import Backends
 from burlshift.agent.exchange import ANSWER_BYTES, Exchange
 from burlshift.agent.upstream_connection import PooledConnection
 from burlshift.agent.upstream_request import BodyReceiver, ExchangeResult, ResponseStream, UpstreamRequest
--- a/tests/test_exchange_ends.py
+++ b/tests/test_exchange_ends.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from burlshift.agent.backends import PROBE_US, Backends
 from burlshift.agent.connection import Connection
+from burlshift.agent.connection_pool import PROBE_US, Backends
 from burlshift.agent.exchange import Exchange
 from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest
 from burlshift.balancing.interface import Outcome
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from burlshift.agent.backends import Backends
 from burlshift.agent.clock import Clock
+from burlshift.agent.connection_pool import Backends
 from burlshift.agent.quiet_period import LATENESS_MOST_US, OTHERS_US, QUIET_US, SEEN_US, QuietPeriods
 from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest
 from burlshift.balancing.interface import Outcome
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -13,7 +13,7 @@
 
 from burlshift.agent import agent as agent_module
 from burlshift.agent.agent import Agent
-from burlshift.agent.backends import Backends
+from burlshift.agent.connection_pool import Backends
 from burlshift.agent.exchange import Exchange
 from burlshift.agent.metrics import Metrics
 from burlshift.agent.server import Server, _DownstreamConnection
