--- a/burlshift/agent/admin_interface.py
+++ b/burlshift/agent/admin_interface.py
@@ -8,8 +8,8 @@
 from contextlib import suppress
 from typing import Any, Protocol
 
-from .discovery import Address
 from .listener import Acceptor, listening
+from .listing import Address
 
 log = logging.getLogger(__name__)
 
--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -19,8 +19,9 @@
 from .clock import Clock
 from .connection import Headers
 from .connection_pool import Backends
-from .discovery import AGAIN_MOST_S, Address, Discovery, Listing, Member
+from .discovery import AGAIN_MOST_S, Discovery
 from .exchange import Exchange
+from .listing import Address, Listing, Member
 from .metrics import Gauges, Metrics
 from .peers import Peers
 from .removal_limiter import STEP_S, RemovalLimiter
--- a/burlshift/agent/backend_list.py
+++ b/burlshift/agent/backend_list.py
@@ -8,7 +8,7 @@
 
 from burlshift.balancing.interface import State
 
-from .discovery import Listing, Member
+from .listing import Listing, Member
 
 KEPT = 10_000  # ids no longer listed; each release brings new ones, and memory must not grow with them
 
--- a/burlshift/agent/config.py
+++ b/burlshift/agent/config.py
@@ -14,7 +14,7 @@
 from burlshift.membership.wire import KEY_MOST
 
 from .clock import Clock
-from .discovery import Address, Listing, ListingParser, parse_address, parse_addresses
+from .listing import Address, Listing, ListingParser, parse_address, parse_addresses
 from .peers import PeersConfig
 
 T = TypeVar("T")
--- a/burlshift/agent/connection_pool.py
+++ b/burlshift/agent/connection_pool.py
@@ -12,8 +12,8 @@
 
 from .clock import Clock
 from .connector import connect
-from .discovery import Listing, Member
 from .exchange import Exchange
+from .listing import Listing, Member
 from .quiet_period import QUIET_US, QuietPeriods
 from .socket_errors import Lacking
 from .upstream_connection import PooledConnection, next_idle
--- a/burlshift/agent/connector.py
+++ b/burlshift/agent/connector.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import Callable
 
-from .discovery import Member
+from .listing import Member
 from .socket_errors import connecting
 from .upstream_connection import PooledConnection
 
--- a/burlshift/agent/exchange.py
+++ b/burlshift/agent/exchange.py
@@ -13,7 +13,7 @@
 
 from .clock import Clock
 from .connection import Fields, checked_request, fields_of, header
-from .discovery import Member
+from .listing import Member
 from .upstream_connection import PooledConnection
 from .upstream_request import ExchangeResult, UpstreamRequest, parse_report
 
--- a/burlshift/agent/hot_restart.py
+++ b/burlshift/agent/hot_restart.py
@@ -21,8 +21,8 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-from .discovery import Address
 from .listener import STARVED_S
+from .listing import Address
 from .socket_errors import LACKING_TO_HAND_OVER, retrying
 
 log = logging.getLogger(__name__)
--- a/burlshift/agent/listener.py
+++ b/burlshift/agent/listener.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from enum import Enum, auto
 
-from .discovery import Address
+from .listing import Address
 from .socket_errors import LACKING_TO_LISTEN, Lacking, accept
 
 log = logging.getLogger(__name__)
--- a/burlshift/agent/peers.py
+++ b/burlshift/agent/peers.py
@@ -20,7 +20,7 @@
 from burlshift.membership.wire import MOST_BYTES, Unreadable, Wire
 
 from .clock import Clock
-from .discovery import Address
+from .listing import Address
 
 log = logging.getLogger(__name__)
 
--- a/burlshift/agent/removal_limiter.py
+++ b/burlshift/agent/removal_limiter.py
@@ -24,7 +24,7 @@
 
 from burlshift.balancing.interface import Outcome, State
 
-from .discovery import Listing, Member
+from .listing import Listing, Member
 
 MOST = 0.5  # of the backends that one whole list may take away at once
 STEP = 0.1  # of the list as it was, let go at a time
--- a/burlshift/agent/server.py
+++ b/burlshift/agent/server.py
@@ -18,8 +18,8 @@
 from burlshift.balancing.interface import Effect, RequestClass, Settings, Tenant
 
 from .connection import HEADER_LIMIT, READ_BYTES, Connection, Fields, Headers, fields_of, header
-from .discovery import Address
 from .listener import ACCEPTS, STARVED_S, Waiting, accept_waiting, listening
+from .listing import Address
 from .loop_lag import unread_since
 from .socket_errors import Lacking
 
--- a/burlshift/agent/upstream_connection.py
+++ b/burlshift/agent/upstream_connection.py
@@ -9,7 +9,7 @@
 import h11
 
 from .connection import Connection
-from .discovery import Member
+from .listing import Member
 from .quiet_period import LATENESS_MOST_US
 
 
--- a/burlshift/catalog/bench.py
+++ b/burlshift/catalog/bench.py
@@ -13,7 +13,8 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from burlshift.agent.discovery import PATH, Address
+from burlshift.agent.discovery import PATH
+from burlshift.agent.listing import Address
 
 from .server import CatalogServer
 from .service import Service
--- a/burlshift/catalog/cli.py
+++ b/burlshift/catalog/cli.py
@@ -14,7 +14,7 @@
 import msgspec
 import typer
 
-from burlshift.agent.discovery import Address, parse_address
+from burlshift.agent.listing import Address, parse_address
 
 from . import client, store
 from .replica import Replica
--- a/burlshift/catalog/client.py
+++ b/burlshift/catalog/client.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from burlshift.agent.discovery import PATH, parse_address
+from burlshift.agent.discovery import PATH
+from burlshift.agent.listing import parse_address
 
 TIMEOUT_S = 10.0
 WAIT_MS = 30_000
--- a/burlshift/catalog/follower.py
+++ b/burlshift/catalog/follower.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from burlshift.agent.clock import Clock
-from burlshift.agent.discovery import Listing, ListingParser
+from burlshift.agent.listing import Listing, ListingParser
 
 from .state_machine import Change, Entry, History, Member, whole_of
 
--- a/burlshift/catalog/replica.py
+++ b/burlshift/catalog/replica.py
@@ -5,7 +5,8 @@
 import asyncio
 import logging
 
-from burlshift.agent.discovery import Address, Discovery, DiscoveryCall, Listing
+from burlshift.agent.discovery import Discovery, DiscoveryCall
+from burlshift.agent.listing import Address, Listing
 
 from .follower import Age, Follower, Heard, HeardParser
 from .service import Readers
--- a/burlshift/catalog/server.py
+++ b/burlshift/catalog/server.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from burlshift.agent.connection import Connection, Fields, fields_of, header
-from burlshift.agent.discovery import PATH, Address
+from burlshift.agent.discovery import PATH
+from burlshift.agent.listing import Address
 
 from .service import AGAIN_S, Readers, Service
 from .state_machine import Answer, Delete, Name, Phase, Put, SetPhase, Start, Write
--- a/burlshift_tools/faultlab/mutations.py
+++ b/burlshift_tools/faultlab/mutations.py
@@ -58,7 +58,7 @@
     Plant(
         "drain",
         "a drain ignored",
-        "burlshift/agent/discovery.py",
+        "burlshift/agent/listing.py",
         '"DRAINING": State.DRAINING',
         '"DRAINING": State.READY',
         "pause-one",
--- a/burlshift_tools/faultlab/scale/agentcost_decisions.py
+++ b/burlshift_tools/faultlab/scale/agentcost_decisions.py
@@ -17,7 +17,7 @@
 from burlshift.agent.backend_list import BackendList
 from burlshift.agent.clock import Clock
 from burlshift.agent.connection_pool import Backends
-from burlshift.agent.discovery import Listing, ListingParser
+from burlshift.agent.listing import Listing, ListingParser
 from burlshift.balancing import interface as q
 from burlshift.balancing.logic import REINDEX, Balancer
 from burlshift.balancing.settings import settings_from
--- a/burlshift_tools/faultlab/scale/agentcost_lists.py
+++ b/burlshift_tools/faultlab/scale/agentcost_lists.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from burlshift.agent.discovery import parse_address
+from burlshift.agent.listing import parse_address
 from burlshift.catalog.server import CatalogServer
 from burlshift.catalog.service import Service
 from burlshift.catalog.state_machine import Member, Put, SetPhase, whole
--- a/burlshift_tools/faultlab/watchers.py
+++ b/burlshift_tools/faultlab/watchers.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 from burlshift.agent.clock import Clock
-from burlshift.agent.discovery import PUSH_WAIT_MS, Discovery, Listing, ListingParser, parse_address
+from burlshift.agent.discovery import PUSH_WAIT_MS, Discovery
+from burlshift.agent.listing import Listing, ListingParser, parse_address
 
 from .history import Heard, now_us
 
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -32,7 +32,7 @@
 from burlshift.agent import connection, server, upstream_connection
 from burlshift.agent.__main__ import assemble
 from burlshift.agent.clock import Clock
-from burlshift.agent.discovery import Address
+from burlshift.agent.listing import Address
 from burlshift.agent.loop_lag import LagTrackingEventLoop
 from burlshift.agent.metrics import Metrics
 from tests.loopback import LOAD, config_doc, load_config, member
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -22,7 +22,7 @@
 from burlshift.agent.agent import Agent
 from burlshift.agent.clock import Clock
 from burlshift.agent.config import Config, load
-from burlshift.agent.discovery import Address
+from burlshift.agent.listing import Address
 from burlshift.agent.metrics import Metrics
 from burlshift.agent.server import Server
 from tests.fault_injection import Fault, in_environment
--- a/tests/test_admin_commands.py
+++ b/tests/test_admin_commands.py
@@ -10,7 +10,7 @@
 
 from burlshift.agent import admin_interface
 from burlshift.agent.backend_list import KEPT, BackendList
-from burlshift.agent.discovery import Address, Listing, Member
+from burlshift.agent.listing import Address, Listing, Member
 from burlshift.agent.server import LameDuckTimes
 from burlshift.balancing.interface import Backend, State
 from tests.loopback import KEYED, UNSAFE, Conversation, World, member, post, world
--- a/tests/test_attempts_close.py
+++ b/tests/test_attempts_close.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from burlshift.agent.discovery import ListingParser
+from burlshift.agent.listing import ListingParser
 from burlshift.agent.upstream_connection import PooledConnection
 from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest
 from burlshift.balancing.interface import Outcome
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -13,7 +13,7 @@
 from burlshift.agent.clock import Clock
 from burlshift.agent.connection import Connection, checked_request
 from burlshift.agent.connection_pool import Backends
-from burlshift.agent.discovery import Listing, ListingParser
+from burlshift.agent.listing import Listing, ListingParser
 from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest, parse_report
 from burlshift.balancing.interface import Outcome
 from tests.loopback import Message, Peer, held_connects, member
--- a/tests/test_catalog_replica.py
+++ b/tests/test_catalog_replica.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from burlshift.agent.discovery import Address
+from burlshift.agent.listing import Address
 from burlshift.catalog.follower import Age, Follower, Heard, HeardParser
 from burlshift.catalog.replica import Replica
 from burlshift.catalog.service import Readers
--- a/tests/test_catalog_replica_agent.py
+++ b/tests/test_catalog_replica_agent.py
@@ -10,7 +10,8 @@
 import pytest
 
 from burlshift.agent.clock import Clock
-from burlshift.agent.discovery import OLD_S, Address, Discovery, Listing, ListingParser
+from burlshift.agent.discovery import OLD_S, Discovery
+from burlshift.agent.listing import Address, Listing, ListingParser
 from tests.loopback import Message, Peer, member
 
 
--- a/tests/test_catalog_replica_service.py
+++ b/tests/test_catalog_replica_service.py
@@ -13,7 +13,8 @@
 import pytest
 
 from burlshift.agent.clock import Clock
-from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
+from burlshift.agent.discovery import Discovery
+from burlshift.agent.listing import Address, Listing, ListingParser
 from burlshift.catalog.replica import Replica
 from burlshift.catalog.server import CatalogServer
 from tests.loopback import Message, Peer, member
--- a/tests/test_catalog_service.py
+++ b/tests/test_catalog_service.py
@@ -17,7 +17,8 @@
 from typer.testing import CliRunner
 
 from burlshift.agent.clock import Clock
-from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
+from burlshift.agent.discovery import Discovery
+from burlshift.agent.listing import Address, Listing, ListingParser
 from burlshift.catalog import server as serving
 from burlshift.catalog import service as acting
 from burlshift.catalog import state_machine
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,8 @@
 import pytest
 
 from burlshift.agent.clock import Clock
-from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser, parse_addresses
+from burlshift.agent.discovery import Discovery
+from burlshift.agent.listing import Address, Listing, ListingParser, parse_addresses
 from tests.loopback import Peer, member, post, world
 
 
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -18,8 +18,8 @@
 from burlshift.agent import hot_restart
 from burlshift.agent.backend_list import BackendList
 from burlshift.agent.clock import Clock
-from burlshift.agent.discovery import Address, Listing, ListingParser, Member
 from burlshift.agent.hot_restart import Act, HotRestart, take_over_state
+from burlshift.agent.listing import Address, Listing, ListingParser, Member
 from burlshift.balancing import learned_state
 from burlshift.balancing.interface import Backend, State
 from tests.helpers import Drive
--- a/tests/test_list_silence.py
+++ b/tests/test_list_silence.py
@@ -13,7 +13,8 @@
 from burlshift.agent import agent, discovery
 from burlshift.agent.__main__ import assemble
 from burlshift.agent.clock import Clock
-from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
+from burlshift.agent.discovery import Discovery
+from burlshift.agent.listing import Address, Listing, ListingParser
 from burlshift.agent.metrics import Metrics
 from tests.loopback import Peer, World, config_doc, load_config, member, post, world
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,7 +15,7 @@
 from burlshift.agent import peers as channel
 from burlshift.agent.clock import Clock
 from burlshift.agent.config import ConfigError
-from burlshift.agent.discovery import Address
+from burlshift.agent.listing import Address
 from burlshift.agent.peers import Budget, Peers, PeersConfig
 from burlshift.membership.messages import Fact, Kind, Message
 from burlshift.membership.record import Record, Status
--- a/tests/test_removal_limiter.py
+++ b/tests/test_removal_limiter.py
@@ -15,7 +15,7 @@
 from burlshift.agent import removal_limiter as rule
 from burlshift.agent.clock import Clock
 from burlshift.agent.config import ConfigError
-from burlshift.agent.discovery import Address, Listing, Member
+from burlshift.agent.listing import Address, Listing, Member
 from burlshift.agent.removal_limiter import RemovalLimiter
 from burlshift.balancing.interface import Backend, Outcome, State
 from tests.loopback import Peer, World, config_doc, load_config, member, world
--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -16,7 +16,7 @@
 from typer.testing import CliRunner
 
 from burlshift.agent.clock import Clock
-from burlshift.agent.discovery import ListingParser
+from burlshift.agent.listing import ListingParser
 from burlshift_tools.faultlab import play
 from burlshift_tools.faultlab.cli import app
 from burlshift_tools.faultlab.scale import fleet, fleet_orders, fleet_steps, fleet_turns, registry, runs
--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -12,7 +12,8 @@
 
 from burlshift.agent import discovery
 from burlshift.agent.clock import Clock
-from burlshift.agent.discovery import CALL_S, TOLD_S, Address, Discovery, Listing, ListingParser
+from burlshift.agent.discovery import CALL_S, TOLD_S, Discovery
+from burlshift.agent.listing import Address, Listing, ListingParser
 from burlshift.balancing.interface import TOLD_US, BackendsChanged, ListKind, State, Watch
 from burlshift.balancing.interface import Discovery as PushOrAsk
 from burlshift.balancing.logic import CALL_US
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -20,8 +20,9 @@
 from burlshift.agent.agent import Agent
 from burlshift.agent.clock import Clock
 from burlshift.agent.config import Config
-from burlshift.agent.discovery import Address, Discovery, Listing, ListingParser
+from burlshift.agent.discovery import Discovery
 from burlshift.agent.hot_restart import take_over_state
+from burlshift.agent.listing import Address, Listing, ListingParser
 from burlshift.agent.metrics import Metrics
 from burlshift.agent.start_times import KEPT, StartTimes
 from burlshift.membership.messages import Fact, Kind
