--- a/burlshift/agent/discovery.py
+++ b/burlshift/agent/discovery.py
@@ -13,19 +13,17 @@
 
 from burlshift.balancing.interface import TOLD_US
 
-from .connection import Connection, fields_of, header
+from .discovery_call import PATH, DiscoveryCall
 from .listing import Address, Listing, ListingParser
 
 log = logging.getLogger(__name__)
 
-PATH = "/catalog/members"
 # How long a call may wait for news. What one that falls silent misses counts as told 6 s after that, or 2 s
 # after its wait, whichever is later. Where changes are pushed a call costs nothing, and a short one finds
 # silence within the 6 s; where each costs a discovery that all share, they are long.
 PUSH_WAIT_MS, ASK_WAIT_MS = 4_000, 20_000
 SILENT_S = 1.0  # past its wait: half of what is left then, the other half is for the next call
 ANSWER_S = 2.0  # to a call that has nothing to wait for
-ANSWER_BYTES = 4 * 1024 * 1024  # of an answer
 # What discovery has and could tell counts as told after TOLD_S, whatever became of the call before, and what
 # a silent one missed so long after its wait. A connect that does not come up may have begun just too early.
 TOLD_S, TOLD_PAST_S = TOLD_US / 1e6, 2.0
@@ -45,58 +43,6 @@
     """A list that leads back from what was told, of the same identity."""
 
 
-class DiscoveryCall(Connection):
-    """A connection to discovery; one call at a time."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._answer: asyncio.Future[bytes] | None = None
-        self._status = 0
-        self.age_s = 0  # of the latest answer, where it says so
-        self._body = bytearray()
-
-    async def get(self, target: str) -> bytes:
-        """The body of a 200; anything else raises."""
-        self._status, self._body = 0, bytearray()
-        self._answer = asyncio.get_running_loop().create_future()
-        request = h11.Request(method="GET", target=target, headers=[("Host", "discovery")])
-        self.send(request, h11.EndOfMessage())
-        return await self._answer
-
-    def on_event(self, event: h11.Event) -> None:
-        if isinstance(event, h11.Response):
-            self._status = event.status_code
-            age = header(fields_of(event.headers), b"age") or ""
-            self.age_s = int(age) if age.isascii() and age.isdigit() and len(age) < 11 else 0
-        elif isinstance(event, h11.Data):
-            self._body += event.data
-            if len(self._body) > ANSWER_BYTES:
-                self._end(ConnectionError("answer too long"))
-        elif isinstance(event, h11.EndOfMessage):
-            reusable = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-            if reusable:
-                self.http.start_next_cycle()
-            else:
-                self.closed = True
-            self._end(None if self._status == 200 else ConnectionError(f"status {self._status}"))
-
-    def on_broken(self, error: Exception) -> None:
-        self._end(error)
-
-    def on_end(self) -> None:
-        self.closed = True
-        self._end(ConnectionError("connection ended"))
-
-    def _end(self, error: Exception | None) -> None:
-        answer, self._answer = self._answer, None
-        if answer is None or answer.done():
-            return
-        if error is None:
-            answer.set_result(bytes(self._body))
-        else:
-            answer.set_exception(error)
-
-
 class Discovery:
     """Asks discovery. A watch goes on by itself from call to call until a call fails; where there are several
     addresses it goes on at another. What it tells of a list that has an identity never goes back."""
--- /dev/null
+++ b/burlshift/agent/discovery_call.py
@@ -0,0 +1,67 @@
+"""A call to discovery: one GET at a time on a connection, and the body of its answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+import h11
+
+from .connection import Connection, fields_of, header
+
+PATH = "/catalog/members"
+ANSWER_BYTES = 4 * 1024 * 1024  # of an answer
+
+
+class DiscoveryCall(Connection):
+    """A connection to discovery; one call at a time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._answer: asyncio.Future[bytes] | None = None
+        self._status = 0
+        self.age_s = 0  # of the latest answer, where it says so
+        self._body = bytearray()
+
+    async def get(self, target: str) -> bytes:
+        """The body of a 200; anything else raises."""
+        self._status, self._body = 0, bytearray()
+        self._answer = asyncio.get_running_loop().create_future()
+        request = h11.Request(method="GET", target=target, headers=[("Host", "discovery")])
+        self.send(request, h11.EndOfMessage())
+        return await self._answer
+
+    def on_event(self, event: h11.Event) -> None:
+        """A part of the answer."""
+        if isinstance(event, h11.Response):
+            self._status = event.status_code
+            age = header(fields_of(event.headers), b"age") or ""
+            self.age_s = int(age) if age.isascii() and age.isdigit() and len(age) < 11 else 0
+        elif isinstance(event, h11.Data):
+            self._body += event.data
+            if len(self._body) > ANSWER_BYTES:
+                self._end(ConnectionError("answer too long"))
+        elif isinstance(event, h11.EndOfMessage):
+            reusable = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+            if reusable:
+                self.http.start_next_cycle()
+            else:
+                self.closed = True
+            self._end(None if self._status == 200 else ConnectionError(f"status {self._status}"))
+
+    def on_broken(self, error: Exception) -> None:
+        """What came is no HTTP."""
+        self._end(error)
+
+    def on_end(self) -> None:
+        """The connection has ended."""
+        self.closed = True
+        self._end(ConnectionError("connection ended"))
+
+    def _end(self, error: Exception | None) -> None:
+        answer, self._answer = self._answer, None
+        if answer is None or answer.done():
+            return
+        if error is None:
+            answer.set_result(bytes(self._body))
+        else:
+            answer.set_exception(error)
--- a/burlshift/catalog/bench.py
+++ b/burlshift/catalog/bench.py
@@ -13,7 +13,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from burlshift.agent.discovery import PATH
+from burlshift.agent.discovery_call import PATH
 from burlshift.agent.listing import Address
 
 from .server import CatalogServer
--- a/burlshift/catalog/client.py
+++ b/burlshift/catalog/client.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from burlshift.agent.discovery import PATH
+from burlshift.agent.discovery_call import PATH
 from burlshift.agent.listing import parse_address
 
 TIMEOUT_S = 10.0
--- a/burlshift/catalog/replica.py
+++ b/burlshift/catalog/replica.py
@@ -5,7 +5,8 @@
 import asyncio
 import logging
 
-from burlshift.agent.discovery import Discovery, DiscoveryCall
+from burlshift.agent.discovery import Discovery
+from burlshift.agent.discovery_call import DiscoveryCall
 from burlshift.agent.listing import Address, Listing
 
 from .follower import Age, Follower, Heard, HeardParser
--- a/burlshift/catalog/server.py
+++ b/burlshift/catalog/server.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from burlshift.agent.connection import Connection, Fields, fields_of, header
-from burlshift.agent.discovery import PATH
+from burlshift.agent.discovery_call import PATH
 from burlshift.agent.listing import Address
 
 from .service import AGAIN_S, Readers, Service
--- a/burlshift_tools/faultlab/catalog_processes.py
+++ b/burlshift_tools/faultlab/catalog_processes.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from burlshift.agent.discovery import PATH
+from burlshift.agent.discovery_call import PATH
 from burlshift.catalog import client
 
 from .child_processes import HOME, Child, Failed, tethered
--- a/burlshift_tools/faultlab/scale/fleet_steps.py
+++ b/burlshift_tools/faultlab/scale/fleet_steps.py
@@ -13,7 +13,7 @@
 import msgspec
 import numpy as np
 
-from burlshift.agent.discovery import PATH
+from burlshift.agent.discovery_call import PATH
 
 from .fleet_lab import Caller, Lab, processor_s, resident_mb
 from .fleet_orders import Move, Renew, Renewed, Seen, Start, Until
--- a/burlshift_tools/faultlab/scale/hollow_agents.py
+++ b/burlshift_tools/faultlab/scale/hollow_agents.py
@@ -21,7 +21,8 @@
 from burlshift.agent.clock import Clock
 from burlshift.agent.config import Config, load
 from burlshift.agent.connection_pool import Backends
-from burlshift.agent.discovery import PUSH_WAIT_MS, Discovery, DiscoveryCall
+from burlshift.agent.discovery import PUSH_WAIT_MS, Discovery
+from burlshift.agent.discovery_call import DiscoveryCall
 from burlshift.agent.listing import Address, Listing, ListingParser, parse_address
 from burlshift.agent.metrics import Metrics
 from burlshift.balancing.logic import Balancer
--- a/tests/test_catalog_trials.py
+++ b/tests/test_catalog_trials.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from burlshift.agent.discovery import ANSWER_BYTES
+from burlshift.agent.discovery_call import ANSWER_BYTES
 from burlshift.catalog.store import FILE, backup, restore
 from tests.loopback import Peer, config_doc, member
 from tests.test_catalog_service import MEMBERS, ROOT, Client, Process, _client, body
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -9,7 +9,7 @@
 import pytest
 
 from burlshift.agent.agent import FIRST_LIST_S
-from burlshift.agent.discovery import DiscoveryCall
+from burlshift.agent.discovery_call import DiscoveryCall
 from burlshift.balancing.interface import Discovery as PushOrAsk
 from burlshift.balancing.interface import Watch
 from tests.helpers import Drive, only
