--- a/burlshift/agent/discovery.py
+++ b/burlshift/agent/discovery.py
@@ -13,6 +13,7 @@
 
 from burlshift.balancing.interface import TOLD_US
 
+from .address_rotation import AddressRotation
 from .discovery_call import PATH, DiscoveryCall
 from .listing import Address, Listing, ListingParser
 
@@ -30,13 +31,7 @@
 CONNECT_MOST_S, CALL_S = 0.5, 0.5  # CALL_S: connect, question and answer, where it can be reached
 # The longest wait after a pushed call: where it fell silent, the rest of the time has been spent on it.
 AGAIN_MOST_S = TOLD_S - (PUSH_WAIT_MS / 1000 + SILENT_S) - CALL_S
-# Where there are several addresses: a call a second at most, and full jitter (Brooker 2015), so that agents
-# that were left together do not come back together.
-CALL_EVERY_S, ELSEWHERE_FIRST_S = 1.0, 0.5
-# An answer that says it is older than this (Age, RFC 9111) comes from a follower that does not hear the
-# leader: of two, one behind the other, the second tells 7 s at most. Another may be nearer, and is tried
-# after half to all of that again, by chance, so that a cut follower's readers do not leave it together.
-OLD_S = 10.0
+CALL_EVERY_S = 1.0  # a call a second at most, where there are several addresses
 
 
 class RevisionWentBack(ConnectionError):
@@ -57,16 +52,13 @@
         connect_s: float,
         wait_ms: int,
     ) -> None:
-        self._addresses, self.parser = addresses, parser
+        self._rotation, self.parser = AddressRotation(addresses), parser
         self._connect_s = min(connect_s, CONNECT_MOST_S)
         self._wait_ms = wait_ms
-        self._at = 0  # the address in use
         self._revision = revision  # None: the whole list is wanted first
         self._identity: str | None = None
         self._latest: tuple[str | None, int] = (None, 0)  # identity and revision that were told, wherever
         self._disputed: tuple[str | None, int] = (None, 0)  # the list that went back, and has been said to
-        self._leave_at: float | None = None  # an answer was old: when to look elsewhere
-        self._failed = 0  # calls in a row
         self._called = -CALL_EVERY_S  # when the latest connect began, by the loop's clock
         self._asked = 0.0  # when the watch's latest call did, by the same
         self.silent = False  # that call got no answer in its time
@@ -92,7 +84,7 @@
         The whole list comes first: that the revisions of the one go on at the other is promised nowhere.
         """
         self.parser.starts.moved()
-        self._addresses, self._at, self._failed = addresses, 0, 0
+        self._rotation.replace(addresses)
         self._revision = self._identity = None
         if self._watching is not None:
             self._watching.cancel()
@@ -124,17 +116,17 @@
                     if not self._said(e):
                         _failed(e)
                     self.silent = self.silent and isinstance(e, TimeoutError)
-                    if len(self._addresses) == 1 and not (self.keeps_on or isinstance(e, RevisionWentBack)):
+                    if len(self._rotation) == 1 and not (self.keeps_on or isinstance(e, RevisionWentBack)):
                         break
                     if call is not None:
                         call.drop()
                         call = None
                     await self._elsewhere()
                     continue
-                self._failed = 0
+                self._rotation.failures = 0
                 if follows and (listing.members or listing.complete):
                     _tell(told, listing)
-                if self._leaves(call.age_s):
+                if self._rotation.leaves(call.age_s, asyncio.get_running_loop().time()):
                     log.info("the list is %d s old: it is looked for elsewhere", call.age_s)
                     call.drop()
                     call = None
@@ -206,18 +198,6 @@
             )
         return True
 
-    def _leaves(self, age_s: int) -> bool:
-        """Whether an old answer is reason enough now to look for a fresher one."""
-        now = asyncio.get_running_loop().time()
-        if age_s <= OLD_S or len(self._addresses) == 1:
-            self._leave_at = None
-        elif self._leave_at is None:
-            self._leave_at = now + OLD_S * (0.5 + random.random() / 2)
-        elif now >= self._leave_at:
-            self._leave_at = None
-            return True
-        return False
-
     async def _elsewhere(self) -> None:
         """Leave this address for another, after a while of chance that grows with each failure.
 
@@ -225,31 +205,24 @@
         told, as far as a call a second allows, and the next one before what this call missed does.
         """
         loop = asyncio.get_running_loop()
-        self._failed += 1
+        self._rotation.failures += 1
         self._turn()
-        turn = (TOLD_S - CALL_S) / len(self._addresses) - self._connect_s
         due = self._asked + max(TOLD_S, self._wait_ms / 1000 + TOLD_PAST_S) - CALL_S
-        most = max(0.0, min(turn, ELSEWHERE_FIRST_S * 2 ** min(self._failed, 10), due - loop.time()))
+        most = self._rotation.longest_wait_s(TOLD_S - CALL_S, self._connect_s, due - loop.time())
         address = self.address
         log.info("discovery is asked at %s:%d next", address.host, address.port)
         await asyncio.sleep(max(random.random() * most, self._called + CALL_EVERY_S - loop.time()))
 
     def _turn(self) -> None:
-        """To the next address, in an order of its own: were it the list's, all that leave one would come to
-        the same next one."""
-        count = len(self._addresses)
-        if self._failed <= 1:
-            here, others = self.address, list(self._addresses)
-            others.remove(here)
-            self._addresses, self._at = (here, *random.sample(others, count - 1)), 0
-        self._at = (self._at + 1) % count
+        """Go on at the next address."""
+        self._rotation.turn()
         if self._identity is None:
             self._revision = None  # whether the other counts as this one did is not known
 
     @property
     def address(self) -> Address:
         """That is asked now."""
-        return self._addresses[self._at]
+        return self._rotation.current
 
     async def _fetch(self, told: Callable[[Listing | None], None]) -> None:
         call: DiscoveryCall | None = None
--- a/tests/test_catalog_replica_agent.py
+++ b/tests/test_catalog_replica_agent.py
@@ -9,8 +9,9 @@
 
 import pytest
 
+from burlshift.agent.address_rotation import OLD_S
 from burlshift.agent.clock import Clock
-from burlshift.agent.discovery import OLD_S, Discovery
+from burlshift.agent.discovery import Discovery
 from burlshift.agent.listing import Address, Listing, ListingParser
 from tests.loopback import Message, Peer, member
 
@@ -18,7 +19,7 @@
 @pytest.fixture(autouse=True)
 def at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("burlshift.agent.discovery.CALL_EVERY_S", 0.0)
-    monkeypatch.setattr("burlshift.agent.discovery.ELSEWHERE_FIRST_S", 0.0)
+    monkeypatch.setattr("burlshift.agent.address_rotation.ELSEWHERE_FIRST_S", 0.0)
 
 
 def answer(revision: int, *names: str, complete: bool = True, identity: str | None = "x") -> bytes:
@@ -56,7 +57,7 @@
 @contextlib.asynccontextmanager
 async def watching(count: int, use: int | None = None) -> AsyncIterator[World]:
     w = World([await Peer().start() for _ in range(count)])
-    w.discovery._addresses = w.addresses(*range(use or count))
+    w.discovery._rotation.addresses = w.addresses(*range(use or count))
     w.discovery.watch(w.told.put_nowait)
     try:
         async with asyncio.timeout(60):  # a hang fails the test; nothing is timed by this
--- a/tests/test_catalog_replica_service.py
+++ b/tests/test_catalog_replica_service.py
@@ -25,7 +25,7 @@
 def at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """Nobody waits before the next call; how long that is has its own test (test_discovery)."""
     monkeypatch.setattr("burlshift.agent.discovery.CALL_EVERY_S", 0.0)
-    monkeypatch.setattr("burlshift.agent.discovery.ELSEWHERE_FIRST_S", 0.0)
+    monkeypatch.setattr("burlshift.agent.address_rotation.ELSEWHERE_FIRST_S", 0.0)
 
 
 class Reader(Client):
--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -123,8 +123,8 @@
         await done.wait()
         assert watcher._watching is not None
         watcher._watching.cancel()
-        watcher.move(watcher._addresses)
-        assert watcher._failed == 0  # what refused before tells nothing of the new ones
+        watcher.move(watcher._rotation.addresses)
+        assert watcher._rotation.failures == 0  # what refused before tells nothing of the new ones
         assert watcher._watching is not None
         watcher._watching.cancel()
 
