--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -7,7 +7,6 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
@@ -24,6 +23,7 @@
 from .listing import Address, Listing, Member
 from .metrics import Gauges, Metrics
 from .peers import Peers
+from .pending_requests import UNKNOWN, Attempt, PendingRequest
 from .removal_limiter import STEP_S, RemovalLimiter
 from .server import DownstreamRequest, retry_after
 from .upstream_request import ExchangeResult, ResponseStream, UpstreamRequest
@@ -33,8 +33,6 @@
 # The module answers when a request's time is up; were it to fail, the agent answers this much later, within
 # the 50 ms that the protocol allows.
 OVERDUE_S = 0.025
-# How an attempt counts that failed inside the agent: it may have run, and that is no word on its backend.
-UNKNOWN = ExchangeResult(q.Outcome.CANCELLED, 0)
 TIMER_AGAIN_S = 0.02  # after the module failed on a timer: what else was due then is still to be done
 GONE, BROKEN = 499, 502  # count as the status of a request whose client has left, whose answer broke off
 # Where changes are pushed, every change made while nobody asks counts as told: the wait after a broken watch
@@ -46,48 +44,6 @@
 FIRST_LIST_S = 0.5
 
 
-@dataclass(slots=True, eq=False)
-class PendingRequest:
-    """A request without its final answer."""
-
-    call: DownstreamRequest
-    overdue: asyncio.TimerHandle | None = None
-    attempts: list[Attempt] = field(default_factory=list)
-    begun: ResponseStream | None = None  # the attempt whose answer is being passed on
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One attempt of a request: what comes of its answer before it is whole, and its one end."""
-
-    agent: Agent
-    number: int  # of the request
-    index: int  # among the request's attempts
-    backend: q.BackendId
-    exchange: Exchange | None = None
-    over: bool = False
-
-    def begin(self, exchange: ResponseStream, content_type: bytes | None, length: int | None) -> None:
-        self.agent.answer_begins(self, exchange, content_type, length)
-
-    def more(self, exchange: ResponseStream, data: bytes) -> None:
-        self.agent.answer_goes_on(self, exchange, data)
-
-    def cancel(self) -> None:
-        """Never raises: whoever cancels has an answer to give next."""
-        try:
-            if self.exchange is not None:
-                self.exchange.cancel()
-        except Exception:
-            log.exception("request %d: an attempt could not be closed", self.number)
-            self.end(UNKNOWN)
-
-    def end(self, result: ExchangeResult) -> None:
-        if not self.over:
-            self.over, self.exchange = True, None  # two that know each other would stay until collected
-            self.agent.attempt_ended(self, result)
-
-
 def _kind(content_type: bytes | None) -> Headers:
     return [(b"Content-Type", content_type)] if content_type else []
 
--- /dev/null
+++ b/burlshift/agent/pending_requests.py
@@ -0,0 +1,79 @@
+"""A request that is owed its final answer, and the attempts that are made for it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from burlshift.balancing.interface import BackendId, Outcome
+
+from .exchange import Exchange
+from .server import DownstreamRequest
+from .upstream_request import ExchangeResult, ResponseStream
+
+log = logging.getLogger(__name__)
+
+# How an attempt counts that failed inside the agent: it may have run, and that is no word on its backend.
+UNKNOWN = ExchangeResult(Outcome.CANCELLED, 0)
+
+
+class AttemptOwner(Protocol):
+    """Who hears what comes of an attempt."""
+
+    def answer_begins(
+        self, attempt: Attempt, exchange: ResponseStream, content_type: bytes | None, length: int | None
+    ) -> None:
+        """A large answer comes; length None: told by its end."""
+
+    def answer_goes_on(self, attempt: Attempt, exchange: ResponseStream, data: bytes) -> None:
+        """The next piece of a large answer."""
+
+    def attempt_ended(self, attempt: Attempt, result: ExchangeResult) -> None:
+        """Told once for each attempt."""
+
+
+@dataclass(slots=True, eq=False)
+class PendingRequest:
+    """A request without its final answer."""
+
+    call: DownstreamRequest
+    overdue: asyncio.TimerHandle | None = None
+    attempts: list[Attempt] = field(default_factory=list)
+    begun: ResponseStream | None = None  # the attempt whose answer is being passed on
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt of a request: what comes of its answer before it is whole, and its one end."""
+
+    owner: AttemptOwner
+    number: int  # of the request
+    index: int  # among the request's attempts
+    backend: BackendId
+    exchange: Exchange | None = None
+    over: bool = False
+
+    def begin(self, exchange: ResponseStream, content_type: bytes | None, length: int | None) -> None:
+        """A large answer comes."""
+        self.owner.answer_begins(self, exchange, content_type, length)
+
+    def more(self, exchange: ResponseStream, data: bytes) -> None:
+        """The next piece of it."""
+        self.owner.answer_goes_on(self, exchange, data)
+
+    def cancel(self) -> None:
+        """Never raises: whoever cancels has an answer to give next."""
+        try:
+            if self.exchange is not None:
+                self.exchange.cancel()
+        except Exception:
+            log.exception("request %d: an attempt could not be closed", self.number)
+            self.end(UNKNOWN)
+
+    def end(self, result: ExchangeResult) -> None:
+        """Tell the owner, once."""
+        if not self.over:
+            self.over, self.exchange = True, None  # two that know each other would stay until collected
+            self.owner.attempt_ended(self, result)
