--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import random
 from collections import deque
 from collections.abc import Callable
 from functools import partial
@@ -14,17 +13,17 @@
 from burlshift.balancing import learned_state
 from burlshift.balancing.logic import Balancer
 
-from .backend_list import BackendList
 from .clock import Clock
 from .connection import Headers
 from .connection_pool import Backends
-from .discovery import AGAIN_MOST_S, Discovery
+from .discovery import Discovery
 from .exchange import Exchange
-from .listing import Address, Listing, Member
+from .list_keeper import ListKeeper
+from .listing import Address, Listing
 from .metrics import Gauges, Metrics
 from .peers import Peers
 from .pending_requests import UNKNOWN, Attempt, PendingRequest
-from .removal_limiter import STEP_S, RemovalLimiter
+from .removal_limiter import RemovalLimiter
 from .server import DownstreamRequest, retry_after
 from .upstream_request import ExchangeResult, ResponseStream, UpstreamRequest
 
@@ -35,12 +34,9 @@
 OVERDUE_S = 0.025
 TIMER_AGAIN_S = 0.02  # after the module failed on a timer: what else was due then is still to be done
 GONE, BROKEN = 499, 502  # count as the status of a request whose client has left, whose answer broke off
-# Where changes are pushed, every change made while nobody asks counts as told: the wait after a broken watch
-# is doubled and drawn at random, but stays well within the time that the drain rule leaves, as a share of it,
-# and within what a silent call leaves of the time after which a change counts as told.
-WATCH_AGAIN, WATCH_AGAIN_MOST = 0.1, 0.4
-# There too what discovery has counts as told from the first moment of a new process: it says that it is ready
-# once it has heard, or after so long. Discovery answers at once or, while it is down, has nothing to tell.
+# Where changes are pushed, what discovery has counts as told from the first moment of a new process: it says
+# that it is ready once it has heard, or after so long. Discovery answers at once or, while it is down, has
+# nothing to tell.
 FIRST_LIST_S = 0.5
 
 
@@ -61,30 +57,20 @@
         drain_grace_s: float,
         losses: RemovalLimiter | None = None,
     ) -> None:
-        # Where changes come by themselves, the module never asks: it is the agent that keeps the watch.
-        self._pushes = balancer.settings.discovery is q.Discovery.PUSH
         self._balancer, self._clock = balancer, clock
-        self._backends, self._discovery = backends, discovery
-        self._figures, self._backend_list = figures, BackendList()
-        self._removal_limiter = losses  # None: whatever is missing from a whole list is gone at once
-        self._letting_go = False  # a step is due
+        self._backends, self._figures = backends, figures
+        self._list = ListKeeper(discovery, backends, losses, balancer.settings, drain_grace_s, self._post)
         self.peers: Peers | None = None  # None: the other agents are not spoken to
         self._loop = asyncio.get_running_loop()
-        self._pending: dict[
-            int, PendingRequest
-        ] = {}  # who is owed a final answer; only _release takes one out
-        self._released: dict[
-            int, PendingRequest
-        ] = {}  # while events are handled: the module may not know yet
+        # Who is owed a final answer; only _release takes one out.
+        self._pending: dict[int, PendingRequest] = {}
+        # Answered while events are handled: the module may not know yet.
+        self._released: dict[int, PendingRequest] = {}
         self._out: dict[tuple[int, int], Exchange] = {}  # attempts without an end
         self._events: deque[q.Event] = deque()
         self._handling = False
         self._taken = 0
-        self._drain_grace_s = drain_grace_s
-        self._watch_again_s = WATCH_AGAIN * drain_grace_s
         self._began = self._loop.time()
-        self.has_current_list = False  # discovery has been heard
-        self._heard = False  # the list is what discovery said, to this process or the one before it
         self._carriers: dict[type, Callable[[Any], None]] = {
             q.Send: self._send,
             q.Refuse: self._refuse,
@@ -98,65 +84,51 @@
         }
 
     def start(self, known: Listing) -> None:
-        self._begin(self._backend_list.update(known))
+        """Begin with the list that the process was started with."""
+        self._list.start(known)
 
     def resume(self, state: dict[str, Any], known: Listing) -> None:
         """Go on from what another process hands over, or start where its list cannot be read."""
-        parser = self._discovery.parser
-        if "starts" in state:  # an earlier version hands over none
-            parser.starts.resume(state["starts"])
-        try:
-            roster = state["roster"]
-            listing = self._backend_list.resume(roster, parser.parse(roster["list"]))
-            self._heard = True
-        except (ValueError, KeyError, TypeError, AttributeError) as e:
-            log.warning("starts without the list that was handed over: %s", e)
-            return self.start(known)
-        self._begin(listing)
+        if not self._list.resume(state, known):
+            return
         try:
             learned_state.give(self._balancer, state["memory"])
         except (ValueError, KeyError) as e:
             log.warning("starts without what was learned: %s", e)
 
-    def _begin(self, listing: Listing) -> None:
-        self._tell(q.ListKind.CACHED, listing)
-        if self._pushes:
-            self._discovery.watch(self._listed)
-
     def state(self) -> dict[str, Any]:
         """What another process goes on from."""
-        parser = self._discovery.parser
-        return {
-            "roster": self._backend_list.state(parser.form),
-            "starts": parser.starts.state(),
-            "memory": learned_state.take(self._balancer),
-        }
+        return {**self._list.state(), "memory": learned_state.take(self._balancer)}
 
     def move(self, discovery: tuple[Address, ...]) -> None:
-        self._discovery.move(discovery)
+        """Ask discovery there from now on."""
+        self._list.move(discovery)
+
+    @property
+    def has_current_list(self) -> bool:
+        """Whether discovery has been heard."""
+        return self._list.has_current_list
 
     # The operators' side
 
     def gauges(self) -> Gauges:
-        taken = sum(isinstance(h.call.body, bytes) or h.call.body.whole for h in self._pending.values())
-        heard = self._discovery.heard_at
-        age_ms = -1 if heard is None else int((self._loop.time() - heard) * 1000)
-        unlisted = None if self._removal_limiter is None else len(self._removal_limiter)
+        taken = sum(held.body_whole for held in self._pending.values())
         return Gauges(
             taken,
-            len(self._backend_list),
+            len(self._list.backend_list),
             self._balancer.avoided(self._clock.now()),
-            age_ms,
-            unlisted,
+            self._list.age_ms(),
+            self._list.unlisted(),
             None if self.peers is None else self.peers.levels(),
         )
 
     def detach(self, backend: str, vouched: bool = False) -> None:
         """Send nothing new to a backend, whatever discovery says. LookupError if it never was listed."""
-        self._tell(q.ListKind.DELTA, self._backend_list.detach(backend, vouched))
+        self._list.detach(backend, vouched)
 
     def attach(self, backend: str) -> None:
-        self._tell(q.ListKind.DELTA, self._backend_list.attach(backend))
+        """End a detach."""
+        self._list.attach(backend)
 
     def limit(self, most: int) -> None:
         """Keep to so many connections to backends."""
@@ -165,7 +137,9 @@
     # The application's side
 
     def ready(self) -> bool:
-        return not self._pushes or self.has_current_list or self._loop.time() >= self._began + FIRST_LIST_S
+        """Whether calls may come."""
+        heard = not self._list.pushes or self.has_current_list
+        return heard or self._loop.time() >= self._began + FIRST_LIST_S
 
     def take(self, call: DownstreamRequest) -> None:
         self._taken += 1
@@ -178,18 +152,7 @@
         body = call.body
         if not isinstance(body, bytes):
             body.on_whole = partial(self._whole, held)
-        self._post(
-            q.RequestArrived(
-                call.number,
-                call.request_class,
-                left_us,
-                call.tenant,
-                call.key,
-                call.cost_us,
-                call.is_retry,
-                streamed=not isinstance(body, bytes),
-            )
-        )
+        self._post(held.arrival(left_us))
 
     def _whole(self, held: PendingRequest) -> None:
         """From its last byte on a request has the time that its client gives it."""
@@ -199,8 +162,7 @@
 
     def _look_again(self, held: PendingRequest, after_us: int) -> None:
         """Whether the request has been answered, so long from now and a little."""
-        if held.overdue is not None:
-            held.overdue.cancel()
+        held.watch_no_more()
         held.overdue = self._loop.call_later(
             max(0, after_us) / 1e6 + OVERDUE_S, self._overdue, held.call.number
         )
@@ -220,12 +182,9 @@
         held = self._pending.get(number)
         if held is None:
             return
-        call, body = held.call, held.call.body
-        if not isinstance(body, bytes) and not body.whole:
-            # What is not read may have been written to its end: then the client's time runs.
-            left_us = call.left_us(self._clock.now()) if body.halted else call.patience_us
-            if left_us > 0:
-                return self._look_again(held, left_us)
+        left_us = held.upload_left_us(self._clock.now())
+        if left_us > 0:
+            return self._look_again(held, left_us)
         log.error("request %d: no answer from the module in time", number)
         self._give_up(number)
 
@@ -258,8 +217,7 @@
         del self._pending[call.number]
         if self._handling:
             self._released[call.number] = held
-        if held.overdue is not None:
-            held.overdue.cancel()
+        held.watch_no_more()
         for attempt in held.attempts:
             attempt.cancel()
         try:
@@ -346,7 +304,7 @@
         number = attempt.number
         exchange = self._out.pop((number, attempt.index), None)
         held = self._pending.get(number)
-        spent = held is not None and not isinstance(held.call.body, bytes) and held.call.body.spent
+        spent = held is not None and held.body_spent
         try:
             if held is not None:
                 self._answer_with(held, exchange, result)
@@ -354,8 +312,7 @@
             log.exception("request %d: failed on an attempt's end", number)
             self._give_up(number)
         try:
-            if self._removal_limiter is not None:
-                self._missing_answered(str(attempt.backend), result)
+            self._list.missing_answered(str(attempt.backend), result)
         except Exception:
             log.exception("could not say whether %s is still there", attempt.backend)
         self._post(
@@ -389,8 +346,7 @@
         if held is None or held.begun is not None:
             return exchange.cancel()
         held.begun = exchange
-        if held.overdue is not None:
-            held.overdue.cancel()
+        held.watch_no_more()
         try:
             # Where its client is just leaving nothing is written: the connection's end says so in a moment.
             held.call.client.begin(held.call, _kind(content_type), length, exchange)
@@ -432,77 +388,10 @@
         self._backends.probe(a.backend, done)
 
     def _watch(self, a: q.Watch) -> None:
-        self._discovery.watch(self._listed)
+        self._list.watch()
 
     def _fetch(self, a: q.Fetch) -> None:
-        self._discovery.fetch(self._listed)
-
-    def _listed(self, listing: Listing | None) -> None:
-        # One that fell silent is opened anew at once also where the module asks: what it missed counts as
-        # told a second after that is found, and the module's wait is for a discovery that does not answer.
-        if listing is None and (self._pushes or self._discovery.silent):
-            wait_s = min(self._watch_again_s, AGAIN_MOST_S) * (0.5 + random.random() / 2)
-            self._watch_again_s = min(2 * self._watch_again_s, WATCH_AGAIN_MOST * self._drain_grace_s)
-            self._loop.call_later(wait_s, self._discovery.watch, self._listed)
-            return
-        self._watch_again_s = WATCH_AGAIN * self._drain_grace_s
-        self.has_current_list = self.has_current_list or listing is not None
-        if listing is None:
-            self._post(q.BackendsChanged(q.ListKind.FAILED, []))
-            return
-        if self._removal_limiter is not None:
-            listing = self._with_missing(self._removal_limiter, listing)
-        kind = q.ListKind.FULL if listing.complete else q.ListKind.DELTA
-        self._tell(kind, self._backend_list.update(listing))
-        if self._removal_limiter is not None:
-            self._hold(self._removal_limiter)
-
-    # Backends that a whole list lacks
-
-    def _with_missing(self, losses: RemovalLimiter, listing: Listing) -> Listing:
-        # What the agent was started with is not discovery's word: only what that said can be missed.
-        before, held = self._backend_list.members() if self._heard else {}, len(losses)
-        self._heard = True
-        listing = losses.take(before, listing)
-        if len(losses) > held:
-            log.warning(
-                "the list lost %d of %d backends at once: they are let go in steps while they answer",
-                len(losses) - held,
-                len(before),
-            )
-        return listing
-
-    def _hold(self, losses: RemovalLimiter) -> None:
-        """Ask those that are missing, where that is allowed, and let some go when the next step is due."""
-        if not len(losses) or self._letting_go:
-            return
-        self._letting_go = True
-        if self._balancer.settings.can_probe:
-            for name in losses.to_ask():
-                self._backends.probe(name, partial(self._missing_answered, name))
-        self._loop.call_later(STEP_S, self._step)
-
-    def _step(self) -> None:
-        assert self._removal_limiter is not None
-        self._letting_go = False
-        self._let_go(self._removal_limiter.step())
-        self._hold(self._removal_limiter)
-
-    def _missing_answered(self, name: str, result: ExchangeResult) -> None:
-        assert self._removal_limiter is not None
-        gone = self._removal_limiter.ended(name, result.outcome)
-        if gone:  # in a turn of its own: an attempt is just ending at that backend
-            self._loop.call_soon(self._let_go, gone)
-
-    def _let_go(self, members: list[Member]) -> None:
-        if members:
-            log.warning(
-                "backends that the list lacks are let go: %s", ", ".join(str(m.backend.id) for m in members)
-            )
-            self._tell(q.ListKind.DELTA, self._backend_list.update(self._backend_list.change(members)))
-
-    def _tell(self, kind: q.ListKind, listing: Listing) -> None:
-        self._post(q.BackendsChanged(kind, self._backends.update_members(listing)))
+        self._list.fetch()
 
     def _log(self, a: q.Log) -> None:
         log.info("%s", a.text)
--- a/burlshift/agent/pending_requests.py
+++ b/burlshift/agent/pending_requests.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from burlshift.balancing.interface import BackendId, Outcome
+from burlshift.balancing.interface import BackendId, Outcome, RequestArrived
 
 from .exchange import Exchange
 from .server import DownstreamRequest
@@ -43,6 +43,43 @@
     attempts: list[Attempt] = field(default_factory=list)
     begun: ResponseStream | None = None  # the attempt whose answer is being passed on
 
+    def arrival(self, left_us: int) -> RequestArrived:
+        """The event that tells the decision module of it."""
+        call = self.call
+        return RequestArrived(
+            call.number,
+            call.request_class,
+            left_us,
+            call.tenant,
+            call.key,
+            call.cost_us,
+            call.is_retry,
+            streamed=not isinstance(call.body, bytes),
+        )
+
+    @property
+    def body_whole(self) -> bool:
+        """Whether the last byte of its body has come."""
+        return isinstance(self.call.body, bytes) or self.call.body.whole
+
+    @property
+    def body_spent(self) -> bool:
+        """Whether a part of its body has been passed on and dropped, so that no other attempt can have it."""
+        return not isinstance(self.call.body, bytes) and self.call.body.spent
+
+    def upload_left_us(self, now: int) -> int:
+        """The time to look again after while its body is still on its way; 0 once it is whole."""
+        call, body = self.call, self.call.body
+        if isinstance(body, bytes) or body.whole:
+            return 0
+        # What is not read may have been written to its end: then the client's time runs.
+        return call.left_us(now) if body.halted else call.patience_us
+
+    def watch_no_more(self) -> None:
+        """Its answer needs no time limit any more."""
+        if self.overdue is not None:
+            self.overdue.cancel()
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
--- a/burlshift_tools/faultlab/mutations.py
+++ b/burlshift_tools/faultlab/mutations.py
@@ -77,8 +77,8 @@
     Plant(
         "wake-up",
         "a wake-up lost: a watch that broke is not begun again",
-        "burlshift/agent/agent.py",
-        "            self._loop.call_later(wait_s, self._discovery.watch, self._listed)\n",
+        "burlshift/agent/list_keeper.py",
+        "            self._loop.call_later(wait_s, self.discovery.watch, self.listed)\n",
         "",
         "discovery-wrong",
         "stale",
--- a/burlshift_tools/faultlab/scale/hollow_agents.py
+++ b/burlshift_tools/faultlab/scale/hollow_agents.py
@@ -17,12 +17,13 @@
 
 import msgspec
 
-from burlshift.agent.agent import WATCH_AGAIN, Agent
+from burlshift.agent.agent import Agent
 from burlshift.agent.clock import Clock
 from burlshift.agent.config import Config, load
 from burlshift.agent.connection_pool import Backends
 from burlshift.agent.discovery import PUSH_WAIT_MS, Discovery
 from burlshift.agent.discovery_call import DiscoveryCall
+from burlshift.agent.list_keeper import WATCH_AGAIN, ListKeeper
 from burlshift.agent.listing import Address, Listing, ListingParser, parse_address
 from burlshift.agent.metrics import Metrics
 from burlshift.balancing.logic import Balancer
@@ -88,9 +89,35 @@
         return self._same.listing(body, self.parser)
 
 
+class HollowList(ListKeeper):
+    """An agent's list that notes what it was told and when; it takes all of it in."""
+
+    agent: HollowAgent
+
+    def listed(self, listing: Listing | None) -> None:
+        self.take_in(listing)
+        self.agent.told(listing)
+
+    def take_in(self, listing: Listing | None) -> None:
+        """As the agent does."""
+        super().listed(listing)
+
+
+class FollowedList(HollowList):
+    """One that lets what it is told go, but for the agent's own rule for a watch that broke."""
+
+    def take_in(self, listing: Listing | None) -> None:
+        if listing is None:
+            super().take_in(None)
+        else:
+            self._watch_again_s = WATCH_AGAIN * self._drain_grace_s
+
+
 class HollowAgent(Agent):
     """An agent that notes what it was told and when; it takes all of it in, and decides."""
 
+    kept_in: type[HollowList] = HollowList
+
     def __init__(self, config: Config, clock: Clock, seed: int, crowd: Crowd) -> None:
         settings = config.settings
         figures = Metrics([c.name for c in settings.classes])
@@ -105,33 +132,28 @@
         self.list_client = CountedDiscovery(
             config.discovery, config.parser, config.connect_timeout_us / 1e6, crowd.same
         )
-        super().__init__(
-            Balancer(settings, seed), clock, backends, self.list_client, figures, config.drain_grace_us / 1e6
-        )
+        grace_s = config.drain_grace_us / 1e6
+        super().__init__(Balancer(settings, seed), clock, backends, self.list_client, figures, grace_s)
+        kept = self.kept_in(self.list_client, backends, None, settings, grace_s, self._post)
+        kept.agent = self
+        self._list = kept
         self._crowd = crowd
         self.seen: list[tuple[int, bool, int, int]] = []  # revision, whole, arrived, taken in
 
-    def _listed(self, listing: Listing | None) -> None:
-        self._take_in(listing)
+    def told(self, listing: Listing | None) -> None:
+        """Note what came; None: the watch has broken."""
         if listing is None:
             self._crowd.seen.failed += 1
             return
         self.seen.append((listing.revision, listing.complete, self.list_client.came_ns, time.monotonic_ns()))
         self._crowd.told(self, listing)
 
-    def _take_in(self, listing: Listing | None) -> None:
-        super()._listed(listing)
-
 
 class Follower(HollowAgent):
     """One that follows the list by the agent's rules and lets what it says go: the list and the decisions of
     3,100 agents are the work of as many processors."""
 
-    def _take_in(self, listing: Listing | None) -> None:
-        if listing is None:
-            super()._take_in(None)  # the agent's own rule for a watch that broke
-        else:
-            self._watch_again_s = WATCH_AGAIN * self._drain_grace_s
+    kept_in = FollowedList
 
 
 class Crowd:
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -69,7 +69,8 @@
     """A slow server as the only backend of the list."""
     server = SlowServer()
     doc = {"revision": 42, "complete": True, "members": [member("slow", server.port)]}
-    w.agent._tell(ListKind.FULL, w.agent._backend_list.update(w.agent._discovery.parser.parse(doc)))
+    kept = w.agent._list
+    kept._tell(ListKind.FULL, kept.backend_list.update(kept.discovery.parser.parse(doc)))
     try:
         yield server
     finally:
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -78,7 +78,8 @@
                 await until_unread(w)
             GOES[how](client)
             doc = {"revision": 42, "complete": True, "members": [member("late", late.port)]}
-            w.agent._tell(ListKind.FULL, w.agent._backend_list.update(w.agent._discovery.parser.parse(doc)))
+            kept = w.agent._list
+            kept._tell(ListKind.FULL, kept.backend_list.update(kept.discovery.parser.parse(doc)))
             await assert_next_is_another(w)
 
     asyncio.run(run())
@@ -128,7 +129,8 @@
             await until_unread(w)
             client.close()
             doc = {"revision": 42, "complete": True, "members": [member("late", late.port)]}
-            w.agent._tell(ListKind.FULL, w.agent._backend_list.update(w.agent._discovery.parser.parse(doc)))
+            kept = w.agent._list
+            kept._tell(ListKind.FULL, kept.backend_list.update(kept.discovery.parser.parse(doc)))
             while w.server.connections:
                 await asyncio.sleep(0)
             await late.stop()
--- a/tests/test_list_silence.py
+++ b/tests/test_list_silence.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from burlshift.agent import agent, discovery
+from burlshift.agent import discovery, list_keeper
 from burlshift.agent.__main__ import assemble
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Discovery
@@ -84,14 +84,14 @@
         doc["settings"]["rules"]["drainGraceUs"] = grace_ms * 1000
         config = load_config(tmp_path, doc, Clock())
         made, _ = assemble(config, Clock(), Metrics([]))
-        wait_s, grace_s = made._discovery._wait_ms / 1000, grace_ms / 1000
-        again_s = agent.WATCH_AGAIN * grace_s + config.connect_timeout_us / 1e6
+        wait_s, grace_s = made._list.discovery._wait_ms / 1000, grace_ms / 1000
+        again_s = list_keeper.WATCH_AGAIN * grace_s + config.connect_timeout_us / 1e6
         told_s = max(6.0, wait_s + 2.0)
         found_s = wait_s + discovery.SILENT_S
         assert found_s + again_s < told_s  # the next call is there before it counts as told
         if mode == "push":  # and one that fails besides still leaves the grace
             assert found_s < 6.0 - 2 * again_s
-        assert made._drain_grace_s == grace_s
+        assert made._list._drain_grace_s == grace_s
 
     asyncio.run(run())
 
@@ -110,11 +110,11 @@
 
     async def run() -> None:
         async with world(tmp_path, backends=0, mode="push", drain_grace_us=grace_ms * 1000) as w:
-            monkeypatch.setattr(w.agent, "_loop", Loop())
+            monkeypatch.setattr(w.agent._list, "_loop", Loop())
             for _ in range(9):
-                w.agent._listed(None)
-            w.agent._listed(Listing(42, False, ()))
-            w.agent._listed(None)
+                w.agent._list.listed(None)
+            w.agent._list.listed(Listing(42, False, ()))
+            w.agent._list.listed(None)
 
     asyncio.run(run())
     # Nor is it longer than what a silent call has left of the time after which a change counts as told.
@@ -215,18 +215,18 @@
 def test_a_move_during_the_wait_before_the_next_watch(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(agent, "AGAIN_MOST_S", 600.0)
+    monkeypatch.setattr(list_keeper, "AGAIN_MOST_S", 600.0)
 
     async def run() -> None:
         async with world(tmp_path, mode="push", drain_grace_us=600_000_000) as w:  # a wait that would not end
             new = await Peer().start()
             (await watch_of(w)).peer.reset()
-            while w.agent._discovery._watching is not None:
+            while w.agent._list.discovery._watching is not None:
                 await asyncio.sleep(0)
             w.agent.move((Address("127.0.0.1", new.port),))
             call = await new.requests.get()
             assert call.first == "GET /catalog/members HTTP/1.1"
-            w.agent._discovery.watch(w.agent._listed)  # as the wait's end does
+            w.agent._list.discovery.watch(w.agent._list.listed)  # as the wait's end does
             await call.answer(200, body(1))
             assert "index=1&" in (await new.requests.get()).first
             assert new.connections == 1 and not new.requests.qsize() and not w.discovery.requests.qsize()
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -15,6 +15,7 @@
 from burlshift.agent.agent import Agent
 from burlshift.agent.connection_pool import Backends
 from burlshift.agent.exchange import Exchange
+from burlshift.agent.list_keeper import ListKeeper
 from burlshift.agent.metrics import Metrics
 from burlshift.agent.server import Server, _DownstreamConnection
 from burlshift.balancing.interface import (
@@ -252,7 +253,7 @@
 
 
 def test_losses_that_fail_cost_no_answer(tmp_path: Path, raises: Raises, heard: Heard) -> None:
-    raises.on(Agent, "_missing_answered")
+    raises.on(ListKeeper, "missing_answered")
 
     async def run() -> None:
         async with world(tmp_path, hold_missing=True) as w:
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -39,7 +39,7 @@
         if ailing in AILING[:2]:
             monkeypatch.setattr(loop, "create_connection", fails)
         async with world(tmp_path, mode=mode) as w:
-            monkeypatch.setattr(w.agent._discovery, "_connect_s", 3600.0)
+            monkeypatch.setattr(w.agent._list.discovery, "_connect_s", 3600.0)
             call = await w.discovery.requests.get() if ailing in AILING[2:] else None
             if ailing == "says 500" and call is not None:
                 await call.answer(500)
--- a/tests/test_removal_limiter.py
+++ b/tests/test_removal_limiter.py
@@ -155,7 +155,7 @@
                 "call_later",
                 lambda s, call, *args: (
                     steps.append(call)
-                    if s == rule.STEP_S and call == w.agent._step
+                    if s == rule.STEP_S and call == w.agent._list._step
                     else later(s, call, *args)
                 ),
             )
--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -68,7 +68,7 @@
     async def run() -> None:
         async with world(tmp_path, mode="push", drain_grace_us=grace_ms * 1000) as w:
             call = await watch_of(w)
-            monkeypatch.setattr(w.agent, "_loop", Loop())
+            monkeypatch.setattr(w.agent._list, "_loop", Loop())
             for _ in range(6):
                 await wrong(how, call)
                 if how == "given up half-way":
@@ -79,7 +79,7 @@
             await call.answer(200, body(43, drained, complete=False))
             await w.discovery.requests.get()
             assert w.agent._balancer.servers["s0"].state is State.DRAINING
-            w.agent._loop = asyncio.get_running_loop()
+            w.agent._list._loop = asyncio.get_running_loop()
 
     asyncio.run(run())
     # Also if the call before was given up for its silence.
@@ -198,14 +198,14 @@
 
     async def run() -> None:
         async with world(tmp_path, mode="ask", drain_grace_us=60_000_000) as w:
-            post = w.agent._post
+            post = w.agent._list._post
 
             def seen(event: Any) -> None:
                 if isinstance(event, BackendsChanged) and event.kind is ListKind.FAILED:
                     failures.append(event)
                 post(event)
 
-            monkeypatch.setattr(w.agent, "_post", seen)
+            monkeypatch.setattr(w.agent._list, "_post", seen)
             await w.discovery.requests.get()
             call = await w.discovery.requests.get()
             assert not failures and discovery.AGAIN_MOST_S + discovery.CALL_S <= 1.0
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -103,7 +103,7 @@
         """A second process takes over what the first one hands on, over a wire."""
         state = json.loads(json.dumps(agent.state()))
         edit(state)
-        agent._discovery.stop()
+        agent._list.discovery.stop()
         after, config = self._made()
         after.resume(state, config.known)
         self.call = await self.discovery.requests.get()
@@ -125,7 +125,7 @@
             await play(site)
         finally:
             for agent in site.agents:
-                agent._discovery.stop()
+                agent._list.discovery.stop()
             await site.discovery.stop()
 
     asyncio.run(asyncio.wait_for(run(), 60))
