--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -112,6 +112,7 @@
     # The operators' side
 
     def gauges(self) -> Gauges:
+        """What the metrics show of the present."""
         taken = sum(held.body_whole for held in self._pending.values())
         return Gauges(
             taken,
@@ -142,6 +143,7 @@
         return heard or self._loop.time() >= self._began + FIRST_LIST_S
 
     def take(self, call: DownstreamRequest) -> None:
+        """A request has come."""
         self._taken += 1
         if self.peers is not None:
             self.peers.request()
@@ -168,12 +170,14 @@
         )
 
     def client_left(self, call: DownstreamRequest) -> None:
+        """The client has gone."""
         held = self._pending.get(call.number)
         if held is not None:
             self._release(held, GONE, None)
             self._post(q.ClientGone(call.number))
 
     def fail_all_pending(self) -> None:
+        """Answer all requests whose answer has not begun."""
         for number, held in list(self._pending.items()):
             if held.begun is None:
                 self._give_up(number)
@@ -205,6 +209,7 @@
             self._release(held, status, partial(client.answer, call, status, headers, body))
 
     def count_rejected(self, request_class: int, status: int) -> None:
+        """Count a request that was answered before it came here."""
         self._figures.count_request(request_class, status)
 
     def _release(self, held: PendingRequest, status: int, write: Callable[[], None] | None) -> None:
@@ -315,18 +320,7 @@
             self._list.missing_answered(str(attempt.backend), result)
         except Exception:
             log.exception("could not say whether %s is still there", attempt.backend)
-        self._post(
-            q.AttemptEnded(
-                number,
-                attempt.index,
-                attempt.backend,
-                result.outcome,
-                result.latency_us,
-                number not in self._pending,
-                result.report,
-                spent,
-            )
-        )
+        self._post(attempt.ended(result, number not in self._pending, spent))
 
     def _answer_with(self, held: PendingRequest, exchange: Exchange | None, result: ExchangeResult) -> None:
         """Give the answer that an attempt brought, if it is one. Once one has begun it is the request's,
@@ -355,6 +349,7 @@
         self._post(q.StreamStarted(attempt.number, attempt.index, exchange.latency_us, exchange.report()))
 
     def answer_goes_on(self, attempt: Attempt, exchange: ResponseStream, data: bytes) -> None:
+        """The next piece of a large answer."""
         held = self._pending.get(attempt.number)
         if held is not None and held.begun is exchange:
             try:
--- a/burlshift/agent/pending_requests.py
+++ b/burlshift/agent/pending_requests.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from burlshift.balancing.interface import BackendId, Outcome, RequestArrived
+from burlshift.balancing.interface import AttemptEnded, BackendId, Outcome, RequestArrived
 
 from .exchange import Exchange
 from .server import DownstreamRequest
@@ -114,3 +114,16 @@
         if not self.over:
             self.over, self.exchange = True, None  # two that know each other would stay until collected
             self.owner.attempt_ended(self, result)
+
+    def ended(self, result: ExchangeResult, answered: bool, body_spent: bool) -> AttemptEnded:
+        """The event that tells the decision module of its end."""
+        return AttemptEnded(
+            self.number,
+            self.index,
+            self.backend,
+            result.outcome,
+            result.latency_us,
+            answered,
+            result.report,
+            body_spent,
+        )
--- a/burlshift/agent/upstream_connection.py
+++ b/burlshift/agent/upstream_connection.py
@@ -46,6 +46,7 @@
         self.retire: asyncio.TimerHandle | None = None
 
     def data_received(self, data: bytes) -> None:
+        """Bytes have come; those that nobody asked for end the connection."""
         # What comes while nothing is asked would be read as the answer to the next request.
         if self.exchange is None:
             self.unasked = True
@@ -53,23 +54,28 @@
         super().data_received(data)
 
     def on_event(self, event: h11.Event) -> None:
+        """A part of the answer."""
         if self.exchange is not None:
             self.exchange.on_event(event)
 
     def on_read(self) -> None:
+        """All events of one read have been told."""
         if self.exchange is not None:
             self.exchange.on_read()
 
     def resume_writing(self) -> None:
+        """The kernel has taken all that was sent so far."""
         super().resume_writing()
         if self.exchange is not None:
             self.exchange.on_written()
 
     def eof_received(self) -> None:
+        """The backend sends nothing more."""
         self._at_end = True
         super().eof_received()
 
     def on_broken(self, error: Exception) -> None:
+        """What came is no HTTP, or not whole."""
         if self._at_end or self.exchange is None:
             self.on_end()  # nothing is wrong with what came, but that it is not whole
         else:
@@ -77,6 +83,7 @@
         self.drop()
 
     def on_end(self) -> None:
+        """The connection has ended."""
         self.closed = True
         if self.exchange is not None:
             self.exchange.on_end()
