--- a/burlshift/agent/server.py
+++ b/burlshift/agent/server.py
@@ -6,7 +6,7 @@
 import logging
 import re
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
@@ -22,6 +22,7 @@
 from .listener import ACCEPTS, STARVED_S, Waiting, accept_waiting, listening
 from .loop_lag import unread_since
 from .socket_errors import Lacking
+from .upload import Upload
 
 log = logging.getLogger(__name__)
 
@@ -110,64 +111,6 @@
     def resume(self) -> None: ...
 
 
-class Sink(Protocol):
-    """Where the pieces of a body go."""
-
-    def more(self, data: bytes) -> None: ...
-
-    def all_sent(self) -> None: ...
-
-
-class Upload:
-    """A large body on its way: its start is held until the rest is passed on."""
-
-    def __init__(self, length: int | None, connection: Connection) -> None:
-        self.length = length
-        self.whole = False
-        self.spent = False  # a part has been passed on and is no longer held
-        self.halted = True  # nothing is read: its client may have written all of it by now
-        self.on_whole: Callable[[], None] = lambda: None
-        self._connection = connection
-        self._held = bytearray()
-        self._sink: Sink | None = None
-
-    def held(self) -> bytes:
-        return bytes(self._held)
-
-    def flow(self, sink: Sink) -> None:
-        self._sink = sink
-        self.go_on()
-
-    def stop(self, sink: Sink) -> None:
-        if self._sink is sink:
-            self._sink = None
-            self.halt()
-
-    def halt(self) -> None:
-        self.halted = True
-        self._connection.pause()
-
-    def go_on(self) -> None:
-        self.halted = False
-        self._connection.resume()
-
-    def come(self, data: bytearray) -> None:
-        """The next piece has been read."""
-        if self._sink is None:
-            self._held += data
-        elif data:
-            self.spent, self._held = True, bytearray()
-            self._sink.more(bytes(data))
-
-    def end(self) -> None:
-        """The last piece has been read."""
-        self.whole = True
-        self.on_whole()
-        if self._sink is not None:
-            self._sink.all_sent()
-        self.go_on()  # while it waits for its answer the client must be seen leaving
-
-
 @dataclass(slots=True, frozen=True)
 class LameDuckTimes:
     """How clients are sent away, in seconds from the start. Health says no at once."""
