--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -20,10 +20,10 @@
 from .clock import Clock
 from .connection import Headers
 from .discovery import AGAIN_MOST_S, Address, Discovery, Listing, Member
+from .downstream_request import DownstreamRequest, retry_after
 from .metrics import Gauges, Metrics
 from .peers import Peers
 from .removal_limiter import STEP_S, RemovalLimiter
-from .server import DownstreamRequest, retry_after
 
 log = logging.getLogger(__name__)
 
--- a/tests/test_drawn_world.py
+++ b/tests/test_drawn_world.py
@@ -9,6 +9,7 @@
 
 from burlshift.agent import server
 from burlshift.agent.connection import Headers
+from burlshift.agent.downstream_request import DownstreamRequest
 from tests.drawn_world import (
     AFTER_S,
     LOST_S,
@@ -128,7 +129,7 @@
 
     def shorter(
         self: server._DownstreamConnection,
-        call: server.DownstreamRequest,
+        call: DownstreamRequest,
         status: int,
         headers: Headers,
         body: bytes,
