The request parser in a module of its own

Moved out of server.py: RequestParser with what it reads of a head, and the checks of raw bytes before a head is parsed. The search for the end of the head and the look for ambiguous lines, which had one caller, are one function.

--- a/burlshift/agent/server.py
+++ b/burlshift/agent/server.py
@@ -4,17 +4,14 @@
 
 import asyncio
 import logging
-import re
 import socket
 from collections.abc import Iterator
 from dataclasses import dataclass
 from functools import partial
-from urllib.parse import unquote_plus
-from zlib import crc32
 
 import h11
 
-from burlshift.balancing.interface import Effect, RequestClass, Settings, Tenant
+from burlshift.balancing.interface import Settings
 
 from .connection import HEADER_LIMIT, READ_BYTES, Connection, Fields, Headers, fields_of, header
 from .discovery import Address
@@ -28,6 +25,7 @@
 )
 from .listener import ACCEPTS, STARVED_S, Waiting, accept_waiting, listening
 from .loop_lag import unread_since
+from .request_parser import RequestParser, has_ambiguous_head, origin_form, without_blank_lines
 from .socket_errors import Lacking
 from .upload import Upload
 
@@ -38,7 +36,6 @@
 BODY_LIMIT = 32 * 1024 * 1024
 BEHIND_S = 0.05  # a large body's last byte waits so long for what was sent behind it to be read
 AHEAD_LIMIT = 64 * 1024  # of what is kept while a request is in hand; beyond that what still comes is dropped
-TIMEOUT_LIMIT_MS = 24 * 3600 * 1000
 BACKLOG = 512
 EXTRA = 32  # connections beyond the limit while none is idle; half of the descriptors set apart
 FIRST_S = 0.5  # a new connection has so long for its first request before it counts as idle
@@ -57,9 +54,6 @@
 HEAD_S, DECIDED_S = 2.5, 2.7
 STOPPED_S, SILENT_S = 0.4, 5.0  # of silence in a body: once DECIDED_S are over, and of who went on past that
 BODY_RATE, BODY_START_S = 32_000, 0.5  # bytes a second at least, counted from so long after the head
-HEAD_END = re.compile(rb"\n\r?\n")
-OBJECT = re.compile(r"[?&]obj=([^&#]+)")
-FORWARDED = (b"request-id", b"idempotency-key", b"request-class", b"tenant", b"content-type")
 
 
 @dataclass(slots=True, frozen=True)
@@ -78,90 +72,6 @@
     end_s: float  # then all is over
 
 
-class RequestParser:
-    """Turns a request's head and body into a Call, or says what is wrong with it."""
-
-    def __init__(self, classes: tuple[RequestClass, ...], tenants: tuple[Tenant, ...]) -> None:
-        self._classes = {c.name: (i, c.effect) for i, c in enumerate(classes)}
-        self._tenants = {t.name: i for i, t in enumerate(tenants)}
-
-    def check(
-        self, request: h11.Request, fields: Fields, body: bytes | Upload, client: ResponseWriter
-    ) -> DownstreamRequest:
-        index, effect = self._class(fields)
-        method = request.method.decode("ascii")
-        if method != ("GET" if effect is Effect.SAFE else "POST"):
-            raise Rejected(400, "method does not fit the class")
-        if not fields.get(b"request-id"):
-            raise Rejected(400, "Request-Id is missing")
-        # Without its key no backend could tell a repeat from a new request.
-        if (effect is Effect.KEYED) != bool(fields.get(b"idempotency-key")):
-            raise Rejected(400, "Idempotency-Key does not fit the class")
-        target = origin_form(request.target)
-        return DownstreamRequest(
-            method,
-            target,
-            [(k, fields[k]) for k in FORWARDED if k in fields],
-            body,
-            index,
-            self._tenant(fields),
-            self._patience_us(fields),
-            _key(target),
-            _work_hint(header(fields, b"work-hint")),
-            fields.get(b"client-retry") == b"1",
-            client,
-            client.sent_us,
-        )
-
-    def class_of(self, fields: Fields) -> int | None:
-        """The class that a request names, whatever else is wrong with it."""
-        found = self._classes.get(header(fields, b"request-class") or "")
-        return None if found is None else found[0]
-
-    def _class(self, fields: Fields) -> tuple[int, Effect]:
-        found = self._classes.get(header(fields, b"request-class") or "")
-        if found is None:
-            raise Rejected(400, "unknown Request-Class")
-        return found
-
-    def _tenant(self, fields: Fields) -> int:
-        if not self._tenants:
-            return 0
-        index = self._tenants.get(header(fields, b"tenant") or "")
-        if index is None:
-            raise Rejected(400, "unknown Tenant")
-        return index
-
-    def _patience_us(self, fields: Fields) -> int:
-        text = header(fields, b"request-timeout-ms") or ""
-        if not (text.isascii() and text.isdigit() and len(text) < 10):
-            raise Rejected(400, "bad Request-Timeout-Ms")
-        ms = int(text)
-        if not 0 < ms <= TIMEOUT_LIMIT_MS:
-            raise Rejected(400, "bad Request-Timeout-Ms")
-        return ms * 1000
-
-
-def origin_form(target: bytes) -> str:
-    """Path and query; a client may name the whole URL."""
-    text = target.decode("ascii")
-    if text[:7].lower() != "http://":
-        return text
-    _, slash, rest = text[7:].partition("/")
-    return slash + rest
-
-
-def _key(target: str) -> int:
-    """Equal objects give equal keys; 0 is none."""
-    obj = OBJECT.search(target)
-    return (crc32(unquote_plus(obj[1]).encode()) or 1) if obj else 0
-
-
-def _work_hint(text: str | None) -> int:
-    """A hint is a help only: a bad one is none."""
-    return int(text) if text and text.isascii() and text.isdigit() and len(text) < 10 else 0
-
-
 class _DownstreamConnection(Connection):
     """A connection of the application; one request at a time."""
 
@@ -311,9 +221,7 @@
         and a folded line. Either can hide the length of a body, and so turn it into requests."""
         if self.http.their_state is not h11.IDLE:
             return
-        data = self.http.trailing_data[0]
-        end = HEAD_END.search(data)
-        if end is not None and is_ambiguous(data[: end.end()]):
+        if has_ambiguous_head(self.http.trailing_data[0]):
             raise h11.RemoteProtocolError("bare line feed or folded line in the head")
 
     def _feed(self, data: bytes | None) -> None:
@@ -688,20 +596,6 @@
             self._loop.call_later(LINGER_S, self._lingered, until)
 
 
-def is_ambiguous(head: bytes) -> bool:
-    """Whether a line of the head ends in a bare line feed, or is folded. Counted, which takes a third of the
-    time of a search by a pattern."""
-    return head.count(b"\n") != head.count(b"\r\n") or b"\n " in head or b"\n\t" in head
-
-
-def without_blank_lines(data: bytes) -> tuple[bytes, bytes]:
-    """What follows the empty lines, which are to be passed over before a request; and half of one more,
-    where it ends in that."""
-    while data.startswith(b"\r\n"):
-        data = data[2:]
-    return (b"", data) if data == b"\r" else (data, b"")
-
-
 def _itself(client: _DownstreamConnection) -> _DownstreamConnection:
     return client
 
