The connection of a client in a module of its own

Moved out of server.py: DownstreamConnection, which knows its server by the protocol ConnectionOwner, so that only the server imports the connection. The interval between looks is a constant of each module, as each looks for something else.

Three planted faults still named the field `_call`, renamed before to `_downstream_request`: two of them would raise AttributeError in place of their fault, in the third it stood behind a return. They name the field as it is now.

--- a/burlshift_tools/faultlab/mutations.py
+++ b/burlshift_tools/faultlab/mutations.py
@@ -116,7 +116,7 @@
     Plant(
         "no-answer",
         "a failed request gets no answer",
-        "burlshift/agent/server.py",
+        "burlshift/agent/downstream_connection.py",
         ANSWER,
         ANSWER
         + "        if status == 502:\n            self._downstream_request = None\n            return\n",
@@ -126,10 +126,11 @@
     Plant(
         "half-answer",
         "one answer in some breaks off",
-        "burlshift/agent/server.py",
+        "burlshift/agent/downstream_connection.py",
         ANSWER,
-        ANSWER + "        if len(body) % 16 == 0 and self._call is call and self.transport is not None:\n"
-        "            self._call = None\n"
+        ANSWER + "        waits = self._downstream_request is call and self.transport is not None\n"
+        "        if len(body) % 16 == 0 and waits:\n"
+        "            self._downstream_request = None\n"
         "            self.transport.write(b'HTTP/1.1 200 OK\\r\\nContent-Length: 9\\r\\n\\r\\nhalf')\n"
         "            return self.transport.close()\n",
         "steady",
@@ -138,9 +139,9 @@
     Plant(
         "two-answers",
         "a second answer behind the first",
-        "burlshift/agent/server.py",
+        "burlshift/agent/downstream_connection.py",
         ANSWER,
-        ANSWER + "        if self._call is call and self.transport is not None:\n"
+        ANSWER + "        if self._downstream_request is call and self.transport is not None:\n"
         "            more = b'HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n'\n"
         "            self._loop.call_soon(self.transport.write, more)\n",
         "steady",
@@ -149,10 +150,10 @@
     Plant(
         "departed",
         "a client that has left is not missed",
-        "burlshift/agent/server.py",
+        "burlshift/agent/downstream_connection.py",
         "        call, self._downstream_request = self._downstream_request, None\n        self._upload = "
         "self._source = None\n",
-        "        return False\n        call, self._call = self._call, None\n"
+        "        return False\n        call, self._downstream_request = self._downstream_request, None\n"
         "        self._upload = self._source = None\n",
         "restless",
         "ended",
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -29,7 +29,7 @@
 
 import h11
 
-from burlshift.agent import backends, connection, server
+from burlshift.agent import backends, connection, downstream_connection, server
 from burlshift.agent.__main__ import assemble
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Address
@@ -726,7 +726,7 @@
 @contextlib.contextmanager
 def observed(record: Record) -> Iterator[None]:
     """Note what the agent reads of clients, and when it writes an attempt."""
-    send, receive = connection.Connection.send, server._DownstreamConnection.data_received
+    send, receive = connection.Connection.send, downstream_connection.DownstreamConnection.data_received
 
     def noted_send(self: connection.Connection, *events: Any) -> None:
         first = events[0] if events else None
@@ -748,7 +748,7 @@
             )
         send(self, *events)
 
-    def noted_receive(self: server._DownstreamConnection, data: bytes) -> None:
+    def noted_receive(self: downstream_connection.DownstreamConnection, data: bytes) -> None:
         at = 0
         while (at := data.find(b"Request-Id: ", at)) >= 0:
             at += 12
@@ -760,7 +760,7 @@
     try:
         with (
             mock.patch.object(connection.Connection, "send", noted_send),
-            mock.patch.object(server._DownstreamConnection, "data_received", noted_receive),
+            mock.patch.object(downstream_connection.DownstreamConnection, "data_received", noted_receive),
         ):
             yield
     finally:
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -13,7 +13,7 @@
 import pytest
 
 from burlshift.agent.backends import Exchange, ExchangeResult, UpstreamRequest, _PooledConnection
-from burlshift.agent.server import _DownstreamConnection
+from burlshift.agent.downstream_connection import DownstreamConnection
 from burlshift.balancing.interface import Action, Event, ListKind, Outcome, RequestArrived, Send
 from tests.loopback import Raw, World, held_connects, member, post, world
 from tests.test_backends import quiet_is_over
@@ -295,14 +295,14 @@
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.client()
-            heard, left, looks = held_connects(monkeypatch), _DownstreamConnection.left, 0
+            heard, left, looks = held_connects(monkeypatch), DownstreamConnection.left, 0
 
-            def counted(client: _DownstreamConnection) -> bool:
+            def counted(client: DownstreamConnection) -> bool:
                 nonlocal looks
                 looks += 1
                 return left(client)
 
-            monkeypatch.setattr(_DownstreamConnection, "left", counted)
+            monkeypatch.setattr(DownstreamConnection, "left", counted)
             await client.write(post())
             while not w.agent._backends._waiting:
                 await asyncio.sleep(0)
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from burlshift.agent.server import AHEAD_LIMIT
+from burlshift.agent.downstream_connection import AHEAD_LIMIT
 from burlshift.balancing.interface import ListKind, Send
 from tests.loopback import Peer, Raw, World, held_connects, member, post, world
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from burlshift.agent.server import AHEAD_LIMIT, LameDuckTimes
+from burlshift.agent.downstream_connection import AHEAD_LIMIT
+from burlshift.agent.server import LameDuckTimes
 from tests.loopback import World, post, world
 
 UNREAD = {
--- a/tests/test_departed_uploads.py
+++ b/tests/test_departed_uploads.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from burlshift.agent.server import AHEAD_LIMIT
+from burlshift.agent.downstream_connection import AHEAD_LIMIT
 from tests.loopback import Raw, World, held_connects, post, world
 
 LARGE = b"x" * 200_000
--- a/tests/test_drawn_world.py
+++ b/tests/test_drawn_world.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from burlshift.agent import server
 from burlshift.agent.connection import Headers
+from burlshift.agent.downstream_connection import DownstreamConnection
 from burlshift.agent.downstream_request import DownstreamRequest
 from tests.drawn_world import (
     AFTER_S,
@@ -125,10 +125,10 @@
 
 def test_an_error_planted_in_the_agent_is_found() -> None:
     """A body of which the last byte is lacking."""
-    answer = server._DownstreamConnection.answer
+    answer = DownstreamConnection.answer
 
     def shorter(
-        self: server._DownstreamConnection,
+        self: DownstreamConnection,
         call: DownstreamRequest,
         status: int,
         headers: Headers,
@@ -136,5 +136,5 @@
     ) -> None:
         answer(self, call, status, headers, body[:-1])
 
-    with mock.patch.object(server._DownstreamConnection, "answer", shorter):
+    with mock.patch.object(DownstreamConnection, "answer", shorter):
         assert "wrong" in kinds(run(11, QUIET)[1])
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from burlshift.agent.server import AHEAD_LIMIT
+from burlshift.agent.downstream_connection import AHEAD_LIMIT
 from tests.loopback import Conversation, World, post, world
 
 HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -99,8 +99,8 @@
 def test_many_that_say_nothing_keep_nobody_waiting(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     # Until the first of them was let go, nobody more was accepted; and then the next of them was.
     monkeypatch.setattr("burlshift.agent.server.EXTRA", 0)
-    monkeypatch.setattr("burlshift.agent.server.FIRST_S", 0.01)
-    monkeypatch.setattr("burlshift.agent.server.HEAD_S", 3600.0)
+    monkeypatch.setattr("burlshift.agent.downstream_connection.FIRST_S", 0.01)
+    monkeypatch.setattr("burlshift.agent.downstream_connection.HEAD_S", 3600.0)
 
     async def run() -> None:
         async with world(tmp_path, most=64 + 2 * 4) as w:
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -14,8 +14,9 @@
 from burlshift.agent import agent as agent_module
 from burlshift.agent.agent import Agent
 from burlshift.agent.backends import Backends, Exchange
+from burlshift.agent.downstream_connection import DownstreamConnection
 from burlshift.agent.metrics import Metrics
-from burlshift.agent.server import Server, _DownstreamConnection
+from burlshift.agent.server import Server
 from burlshift.balancing.interface import (
     AttemptEnded,
     BackendsChanged,
@@ -138,11 +139,11 @@
 @pytest.mark.parametrize(
     "where",
     [
-        (_DownstreamConnection, "answer"),
-        (_DownstreamConnection, "_respond"),
-        (_DownstreamConnection, "send"),
-        (_DownstreamConnection, "_last_words"),
-        (_DownstreamConnection, "_writable"),
+        (DownstreamConnection, "answer"),
+        (DownstreamConnection, "_respond"),
+        (DownstreamConnection, "send"),
+        (DownstreamConnection, "_last_words"),
+        (DownstreamConnection, "_writable"),
     ],
     ids=lambda w: w[1],
 )
@@ -168,8 +169,8 @@
 @pytest.mark.parametrize(
     "where",
     [
-        (_DownstreamConnection, "_answered"),
-        (_DownstreamConnection, "_go_on_or_part"),
+        (DownstreamConnection, "_answered"),
+        (DownstreamConnection, "_go_on_or_part"),
         (Server, "freed"),
         (Metrics, "ended"),
     ],
@@ -331,7 +332,7 @@
     def leaves_first(self: Agent, a: Send) -> None:
         client = self._pending[a.request].call.client
         if not heard.ends:
-            assert isinstance(client, _DownstreamConnection)
+            assert isinstance(client, DownstreamConnection)
             client._client_left()
             client.drop()
         send(self, a)
@@ -367,9 +368,9 @@
 @pytest.mark.parametrize(
     "where",
     [
-        (_DownstreamConnection, "begin"),
-        (_DownstreamConnection, "send"),
-        (_DownstreamConnection, "_last_words"),
+        (DownstreamConnection, "begin"),
+        (DownstreamConnection, "send"),
+        (DownstreamConnection, "_last_words"),
     ],
     ids=lambda w: w[1],
 )
@@ -396,9 +397,9 @@
 @pytest.mark.parametrize(
     "where",
     [
-        (_DownstreamConnection, "more"),
-        (_DownstreamConnection, "send"),
-        (_DownstreamConnection, "_hold_source"),
+        (DownstreamConnection, "more"),
+        (DownstreamConnection, "send"),
+        (DownstreamConnection, "_hold_source"),
     ],
     ids=lambda w: w[1],
 )
@@ -427,7 +428,7 @@
 def test_a_large_answer_that_cannot_end(
     tmp_path: Path, raises: Raises, heard: Heard, name: str, when: Callable[..., bool]
 ) -> None:
-    raises.on(_DownstreamConnection, name, when)
+    raises.on(DownstreamConnection, name, when)
 
     async def run() -> None:
         async with world(tmp_path) as w:
@@ -471,9 +472,9 @@
 def test_an_answer_that_begins_as_its_client_is_leaving(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, heard: Heard
 ) -> None:
-    begin = _DownstreamConnection.begin
+    begin = DownstreamConnection.begin
 
-    def as_it_leaves(self: _DownstreamConnection, *args: Any) -> None:
+    def as_it_leaves(self: DownstreamConnection, *args: Any) -> None:
         assert self.transport is not None
         self.transport.abort()  # as a failed write leaves it: the loop says so a turn later
         begin(self, *args)
@@ -483,7 +484,7 @@
             await w.ask(post())
             got = await w.request()
             with monkeypatch.context() as planted:
-                planted.setattr(_DownstreamConnection, "begin", as_it_leaves)
+                planted.setattr(DownstreamConnection, "begin", as_it_leaves)
                 await begin_large(got, LENGTH)
                 await asyncio.wait_for(got.peer.ended(), GUARD_S)
             await all_is_well(w, heard)
@@ -576,7 +577,7 @@
 
 @pytest.mark.parametrize("cause", ["a stop", "no time left"])
 def test_giving_up_reaches_each(tmp_path: Path, raises: Raises, heard: Heard, cause: str) -> None:
-    raises.on(_DownstreamConnection, "answer")
+    raises.on(DownstreamConnection, "answer")
 
     async def run() -> None:
         async with world(tmp_path) as w:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -14,7 +14,8 @@
 import pytest
 
 from burlshift.agent.__main__ import drain_times
-from burlshift.agent.server import AHEAD_LIMIT, LameDuckTimes
+from burlshift.agent.downstream_connection import AHEAD_LIMIT
+from burlshift.agent.server import LameDuckTimes
 from burlshift.balancing.interface import RequestClass, Settings
 from tests.loopback import KEYED, UNSAFE, Conversation, Message, Peer, config_doc, member, post, start, world
 
