Lame duck and drain in a module of their own

Moved out of server.py: their times and stages, as Drain, which knows its server by the protocol DrainedServer. Its stages after the wait for clients are methods of their own.

--- a/burlshift/agent/__main__.py
+++ b/burlshift/agent/__main__.py
@@ -25,12 +25,13 @@
 from .clock import Clock
 from .config import Config, ConfigError, load, reload_discovery
 from .discovery import ASK_WAIT_MS, PUSH_WAIT_MS, Discovery
+from .drain import DrainTimes
 from .hot_restart import HotRestart, path_for, take_over_state
 from .loop_lag import LagTrackingEventLoop
 from .metrics import Metrics
 from .peers import Peers
 from .removal_limiter import RemovalLimiter
-from .server import DrainTimes, Server
+from .server import Server
 
 log = logging.getLogger("burlshift.agent")
 
@@ -132,7 +133,7 @@
         succession.close()
     if agent.peers is not None:
         agent.peers.stop(leave=not succeeded)
-    await server.drain(drain_times(config.settings), succeeded)
+    await server.drain.run(drain_times(config.settings), succeeded)
     door.close()
     log.info("%s stops", config.name)
     # From here on they would meet the interpreter's own handlers, and a SIGHUP be a crash.
--- a/burlshift/agent/admin_commands.py
+++ b/burlshift/agent/admin_commands.py
@@ -10,9 +10,10 @@
 
 from .admin_interface import Refused
 from .agent import Agent
+from .drain import LameDuckTimes
 from .hot_restart import Act, HotRestart, Unconfirmed
 from .metrics import Metrics
-from .server import LameDuckTimes, Server
+from .server import Server
 
 log = logging.getLogger(__name__)
 
@@ -76,10 +77,10 @@
                 self._agent.attach(act["backend"])
             case "lameduck":
                 if not self.stopping:
-                    self._server.enter_lame_duck(LAME_DUCK_TIMES)
+                    self._server.drain.enter_lame_duck(LAME_DUCK_TIMES)
             case "rejoin":
                 if not self.stopping:
-                    self._server.leave_lame_duck()
+                    self._server.drain.leave_lame_duck()
         log.info("by hand: %s", " ".join(act.values()))
 
     # What the process before or after this one is handed and tells
@@ -90,12 +91,12 @@
         return self._server.listener
 
     def state(self) -> dict[str, Any]:
-        return {**self._agent.state(), "empty": self._server.draining}
+        return {**self._agent.state(), "empty": self._server.drain.in_lame_duck}
 
     def resume(self, state: dict[str, Any]) -> None:
         """An agent that was being emptied goes on so: only operators end that."""
         if state.get("empty"):
-            self._server.enter_lame_duck(LAME_DUCK_TIMES)
+            self._server.drain.enter_lame_duck(LAME_DUCK_TIMES)
 
     def apply(self, act: Act) -> None:
         """What was asked at the door of the other process."""
--- a/burlshift/agent/server.py
+++ b/burlshift/agent/server.py
@@ -1,4 +1,4 @@
-"""Accepts the connections of the application, within a limit, and sends them away before a stop."""
+"""Accepts the connections of the application, as many as there is room for."""
 
 from __future__ import annotations
 
@@ -6,7 +6,6 @@
 import logging
 import socket
 from collections.abc import Iterator
-from dataclasses import dataclass
 from functools import partial
 
 import h11
@@ -17,6 +16,7 @@
 from .discovery import Address
 from .downstream_connection import DownstreamConnection
 from .downstream_request import DownstreamRequest, Rejected, RequestHandler, ResponseWriter, retry_after
+from .drain import Drain
 from .listener import ACCEPTS, STARVED_S, Waiting, accept_waiting, listening
 from .request_parser import RequestParser
 from .socket_errors import Lacking
@@ -26,28 +26,9 @@
 
 BACKLOG = 512
 EXTRA = 32  # connections beyond the limit while none is idle; half of the descriptors set apart
-STREAMS_S = 60.0  # how long large answers may go on after a stop; whoever ordered it may end it before
-POLL_S = 0.01  # while the last requests end
-LAST_S = 0.3  # for what has come in by the end: read, refused, and its refusal taken
 COME_AGAIN_US = 500_000  # a client turned away by a stop: by then another process serves, or will soon
 
 
-@dataclass(slots=True, frozen=True)
-class LameDuckTimes:
-    """How clients are sent away, in seconds from the start. Health says no at once."""
-
-    close_s: float  # from then on each answer asks its client to close
-    idle_s: float  # from then on idle connections are closed
-
-
-@dataclass(slots=True, frozen=True)
-class DrainTimes(LameDuckTimes):
-    """The stages of a stop."""
-
-    serve_s: float  # until then new connections are served
-    end_s: float  # then all is over
-
-
 def _itself(client: DownstreamConnection) -> DownstreamConnection:
     return client
 
@@ -72,7 +53,7 @@
 
 
 class Server:
-    """Listens for the application."""
+    """Listens for the application, and holds its connections."""
 
     def __init__(self, settings: Settings, taker: RequestHandler, most: int) -> None:
         self.handler = taker
@@ -80,10 +61,7 @@
         self.checker = RequestParser(settings.classes, settings.tenants)
         self._come_again_us = min(COME_AGAIN_US, settings.max_retry_after_us) if settings.retry_after else 0
         self.connections: set[DownstreamConnection] = set()
-        self.draining = False  # health says no
-        self.closing = False  # answers ask the client to close
-        self.refusing = False  # a request that is read now has no process left to see it through
-        self._lame_duck: asyncio.Task[None] | None = None
+        self.drain = Drain(self)
         self.listener: socket.socket | None = None
         self._accepting = False
         self._shared = False
@@ -92,16 +70,31 @@
             asyncio.Task[object], DownstreamConnection
         ] = {}  # accepted, and on its way into the loop
 
+    @property
+    def closing(self) -> bool:
+        """Whether each answer asks its client to close."""
+        return self.drain.closing
+
+    @property
+    def listening(self) -> bool:
+        """Whether new clients can connect."""
+        return self.listener is not None
+
+    @property
+    def has_clients(self) -> bool:
+        """Whether anybody is connected, or accepted and on the way into the loop."""
+        return bool(self.connections or self._coming)
+
     def ready(self) -> bool:
         """Whether new clients are welcome."""
-        return not self.draining and self.handler.ready()
+        return not self.drain.in_lame_duck and self.handler.ready()
 
     def check(
         self, request: h11.Request, fields: Fields, body: bytes | Upload, client: ResponseWriter
     ) -> DownstreamRequest:
         """The call that a whole head, and a body at least begun, make. Rejected, where it cannot be taken."""
         call = self.checker.check(request, fields, body, client)
-        if self.refusing:
+        if self.drain.refusing:
             raise self.refusal()
         return call
 
@@ -158,6 +151,10 @@
             self._pause_accepting()  # new ones that say nothing will make way by then
         return waiting is Waiting.NOBODY
 
+    def accept_backlog(self) -> bool:
+        """Accept as many as the kernel holds; whether nobody waits any more."""
+        return self._accept(BACKLOG)
+
     def take_in(self, sock: socket.socket) -> None:
         """Serve who has been accepted."""
         self._starved = False
@@ -208,65 +205,7 @@
         """Whether one more may come where none makes way. Another process that listens has room for it."""
         return not self._shared and self._occupied() < self._most + EXTRA
 
-    def enter_lame_duck(self, times: LameDuckTimes) -> None:
-        """Send the clients away until refill, losing nothing that was taken. A repeat changes nothing."""
-        if self._lame_duck is None:
-            self.draining, self.closing = True, times.close_s <= 0
-            self._lame_duck = asyncio.get_running_loop().create_task(self._close_idle_until_rejoined(times))
-
-    async def _close_idle_until_rejoined(self, times: LameDuckTimes) -> None:
-        await asyncio.sleep(times.close_s)
-        self.closing = True
-        await asyncio.sleep(times.idle_s - times.close_s)
-        while True:
-            # A request that crosses this close is sent again on a new connection.
-            self._close_idle()
-            await asyncio.sleep(POLL_S)
-
-    def leave_lame_duck(self) -> None:
-        """Take clients again, also half way through an emptying."""
-        if self._lame_duck is not None:
-            self._lame_duck.cancel()
-            self._lame_duck = None
-        self.draining = self.closing = False
-
-    async def drain(self, times: DrainTimes, succeeded: bool = False) -> None:
-        """Take leave of the clients for good; where another process has the listener too, accept no more."""
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        self.leave_lame_duck()  # were it being emptied: a stop is quicker
-        self.enter_lame_duck(times)
-        if succeeded:
-            self._close_listener()
-        else:
-            await asyncio.sleep(times.serve_s)
-        while (self.connections or self._coming) and loop.time() < began + times.end_s:
-            await asyncio.sleep(POLL_S)
-        self.refusing = True
-        self.handler.fail_all_pending()
-        # What has begun is not cut off here: if it must be, that is for whoever ordered the stop.
-        while any(c.busy for c in self.connections) and loop.time() < began + STREAMS_S:
-            self._refuse_unfinished()
-            await asyncio.sleep(POLL_S)
-        last = loop.time() + LAST_S
-        await self._accept_all(last)
-        self._close_listener()
-        while (self.connections or self._coming) and loop.time() < last:
-            self._refuse_unfinished()
-            await asyncio.sleep(POLL_S)
-        self.stop()
-
-    async def _accept_all(self, last: float) -> None:
-        """Accept who waits, until nobody does: closing the listener resets what has come in and is not
-        accepted yet. Those beyond the limit come as the ones before them, refused, have left."""
-        loop = asyncio.get_running_loop()
-        while self.listener is not None and loop.time() < last:
-            if self._accept(BACKLOG):
-                return
-            self._refuse_unfinished()
-            await asyncio.sleep(POLL_S)
-
-    def _refuse_unfinished(self) -> None:
+    def refuse_unfinished(self) -> None:
         """Requests that nobody will be there to read to their end: each is owed its error while there is."""
         for client in [c for c in self.connections if c.unfinished]:
             client.refuse_unfinished()
@@ -274,20 +213,21 @@
     def stop(self) -> None:
         """End all at once. From here on nothing is read: a request that comes now stays unread, and its
         client asks elsewhere, while one that was read as the loop is torn down would be lost."""
-        if self._lame_duck is not None:
-            self._lame_duck.cancel()
-        self._close_listener()
-        self._refuse_unfinished()
+        self.drain.cancel()
+        self.close_listener()
+        self.refuse_unfinished()
         for client in list(self.connections):
             client.cut_off()
 
-    def _close_listener(self) -> None:
+    def close_listener(self) -> None:
+        """Accept no more. The kernel resets who has connected and is not accepted yet."""
         if self.listener is not None:
             asyncio.get_running_loop().remove_reader(self.listener)
             self.listener.close()
             self.listener = None
 
-    def _close_idle(self) -> None:
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is going on, but for new ones."""
         # At once in the kernel: between a look and a close that waits for the loop a request can come.
         for client in [c for c in self.connections if c.idle and not c.is_new]:
             client.drop()
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -29,10 +29,11 @@
 
 import h11
 
-from burlshift.agent import backends, connection, downstream_connection, server
+from burlshift.agent import backends, connection, downstream_connection
 from burlshift.agent.__main__ import assemble
 from burlshift.agent.clock import Clock
 from burlshift.agent.discovery import Address
+from burlshift.agent.drain import DrainTimes
 from burlshift.agent.loop_lag import LagTrackingEventLoop
 from burlshift.agent.metrics import Metrics
 from tests.loopback import LOAD, config_doc, load_config, member
@@ -705,8 +706,8 @@
         self.record.held.append((began, time.monotonic()))
 
     async def drain(self) -> None:
-        times = server.DrainTimes(0.0, 0.1, serve_s=0.5, end_s=max(DEADLINES_MS.values()) / 1000 + 0.6)
-        await asyncio.wrap_future(asyncio.run_coroutine_threadsafe(self.server.drain(times), self.loop))
+        times = DrainTimes(0.0, 0.1, serve_s=0.5, end_s=max(DEADLINES_MS.values()) / 1000 + 0.6)
+        await asyncio.wrap_future(asyncio.run_coroutine_threadsafe(self.server.drain.run(times), self.loop))
 
     def end(self) -> None:
         self.loop.call_soon_threadsafe(self.loop.stop)
--- a/tests/test_admin_commands.py
+++ b/tests/test_admin_commands.py
@@ -11,7 +11,7 @@
 from burlshift.agent import admin_interface
 from burlshift.agent.backend_list import KEPT, BackendList
 from burlshift.agent.discovery import Address, Listing, Member
-from burlshift.agent.server import LameDuckTimes
+from burlshift.agent.drain import LameDuckTimes
 from burlshift.balancing.interface import Backend, State
 from tests.loopback import KEYED, UNSAFE, Conversation, World, member, post, world
 
@@ -106,7 +106,7 @@
                 writer.write(piece)
                 await writer.drain()
             assert await reader.read() == b"OK\n"
-            assert not w.server.draining
+            assert not w.server.drain.in_lame_duck
             writer.close()
 
     asyncio.run(run())
@@ -266,7 +266,7 @@
             idle, busy = await w.ask(HEALTH), await w.ask(post())
             assert (await idle.read()).status == 200
             got = await w.request()
-            w.server.enter_lame_duck(LameDuckTimes(close_s=0.0, idle_s=0.0))
+            w.server.drain.enter_lame_duck(LameDuckTimes(close_s=0.0, idle_s=0.0))
             await idle.ended()
             new = await w.ask(HEALTH)
             assert (await new.read()).status == 503
@@ -289,7 +289,7 @@
         async with world(tmp_path) as w:
             client = await w.ask(HEALTH)
             assert (await client.read()).status == 200
-            w.server.enter_lame_duck(LameDuckTimes(close_s=3600.0, idle_s=3600.0))
+            w.server.drain.enter_lame_duck(LameDuckTimes(close_s=3600.0, idle_s=3600.0))
             await client.write(HEALTH)
             answer = await client.read()
             assert answer.status == 503 and "connection" not in answer.headers
@@ -303,7 +303,7 @@
             client = await w.ask(post())
             got = await w.request()
             assert await w.call("LAMEDUCK") == "OK\n"
-            assert w.server.draining
+            assert w.server.drain.in_lame_duck
             assert await w.call("REJOIN") == "OK\n"
             await got.answer()
             answer = await client.read()
--- a/tests/test_attempts_close.py
+++ b/tests/test_attempts_close.py
@@ -226,7 +226,7 @@
         async with world(tmp_path) as w:
             client, _ = await resting(w)
             client.writer.get_extra_info("socket").dup().send(post(Request_Id="crossing"))
-            w.server._close_idle()  # no turn of the loop since
+            w.server.close_idle()  # no turn of the loop since
             got = await w.request()
             assert got.headers["request-id"] == "crossing"
             await got.answer()
@@ -239,7 +239,7 @@
     async def run() -> None:
         async with world(tmp_path) as w:
             client, _ = await resting(w)
-            w.server._close_idle()
+            w.server.close_idle()
             client.writer.get_extra_info("socket").dup().send(post())
             await client.ended()
             while w.server.connections:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -10,7 +10,7 @@
 import pytest
 
 from burlshift.agent.downstream_connection import AHEAD_LIMIT
-from burlshift.agent.server import LameDuckTimes
+from burlshift.agent.drain import LameDuckTimes
 from tests.loopback import World, post, world
 
 UNREAD = {
@@ -36,7 +36,7 @@
             got = await w.request()
             await unread(w)
             await client.send(UNREAD[what])
-            w.server.enter_lame_duck(LameDuckTimes(0.0, 60.0))
+            w.server.drain.enter_lame_duck(LameDuckTimes(0.0, 60.0))
             await got.answer(200, b"whole")
             assert (await client.read_to_end()).endswith(b"\r\n\r\nwhole")
             client.close()
@@ -57,7 +57,7 @@
                 await asyncio.sleep(0)
             await unread(w)
             await client.send(UNREAD[what])
-            w.server.enter_lame_duck(LameDuckTimes(0.0, 60.0))
+            w.server.drain.enter_lame_duck(LameDuckTimes(0.0, 60.0))
             w.agent.fail_all_pending()
             assert (await client.read_to_end()).endswith(b"\r\n\r\nfailed\n")
             client.close()
@@ -71,7 +71,7 @@
         async with world(tmp_path) as w:
             client = await w.raw()
             await client.send(bad + post() * 3 + b"POST /api HT")
-            w.server.enter_lame_duck(LameDuckTimes(0.0, 60.0))
+            w.server.drain.enter_lame_duck(LameDuckTimes(0.0, 60.0))
             assert (await client.read_to_end()).startswith(b"HTTP/1.1 4")
             client.close()
             assert w.nothing_sent()
@@ -119,7 +119,7 @@
             client, body = await w.raw(), b"y" * 4_000_000
             await client.send(post())
             got = await w.request()
-            w.server.enter_lame_duck(LameDuckTimes(0.0, 60.0))
+            w.server.drain.enter_lame_duck(LameDuckTimes(0.0, 60.0))
             sending = asyncio.create_task(got.answer(200, body))
             (connection,) = w.server.connections
             first = await asyncio.get_running_loop().sock_recv(client.socket, 65536)
@@ -185,7 +185,7 @@
         async with world(tmp_path) as w:
             client = await w.ask(post())
             got = await w.request()
-            w.server.enter_lame_duck(LameDuckTimes(0.0, 60.0))
+            w.server.drain.enter_lame_duck(LameDuckTimes(0.0, 60.0))
             monkeypatch.setattr("asyncio.selector_events._SelectorSocketTransport.write_eof", gone)
             await got.answer()
             assert (await client.read()).status == 200
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -15,7 +15,7 @@
 
 from burlshift.agent.__main__ import drain_times
 from burlshift.agent.downstream_connection import AHEAD_LIMIT
-from burlshift.agent.server import LameDuckTimes
+from burlshift.agent.drain import LameDuckTimes
 from burlshift.balancing.interface import RequestClass, Settings
 from tests.loopback import KEYED, UNSAFE, Conversation, Message, Peer, config_doc, member, post, start, world
 
@@ -152,7 +152,7 @@
         async with world(tmp_path) as w:
             client = await w.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
             assert (await client.read()).status == 200
-            w.server._close_idle()
+            w.server.close_idle()
             assert client.told_of_close()
 
     asyncio.run(run())
@@ -162,11 +162,11 @@
     # Accepted between a look and the next, it was closed as idle before its request came.
     async def run() -> None:
         async with world(tmp_path) as w:
-            w.server.enter_lame_duck(LameDuckTimes(0.0, 0.0))
+            w.server.drain.enter_lame_duck(LameDuckTimes(0.0, 0.0))
             client = await w.client()
             while not w.server.connections:
                 await asyncio.sleep(0)
-            w.server._close_idle()
+            w.server.close_idle()
             assert not client.told_of_close()
             await client.write(post())
             await (await w.request()).answer()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from burlshift.agent.server import DrainTimes
+from burlshift.agent.drain import DrainTimes
 from tests.loopback import (
     KEYED,
     UNSAFE,
@@ -41,8 +41,8 @@
             begun = await asyncio.get_running_loop().sock_recv(large.socket, 65536)
             await resting.write(post())  # in hand when all is given up, so that its connection is open still
             held = await w.request()
-            draining = asyncio.create_task(w.server.drain(AT_ONCE))
-            while not w.server.refusing:
+            draining = asyncio.create_task(w.server.drain.run(AT_ONCE))
+            while not w.server.drain.refusing:
                 await asyncio.sleep(0)
             assert (await resting.read()).status == 500
             for body in (b"job", b"x" * 200_000):
@@ -71,7 +71,7 @@
             clients = [await w.raw() for _ in range(40)]
             for client in clients:
                 await client.send(post(cls))
-            draining = asyncio.create_task(w.server.drain(AT_ONCE))
+            draining = asyncio.create_task(w.server.drain.run(AT_ONCE))
             for client in clients:
                 assert (await client.read_to_end()).startswith(b"HTTP/1.1 503")
                 client.close()
@@ -89,7 +89,7 @@
             got = await w.request()
             assert await w.call("LAMEDUCK") == "OK\n"
             draining = asyncio.create_task(
-                w.server.drain(DrainTimes(close_s=0.0, idle_s=0.0, serve_s=0.0, end_s=30.0))
+                w.server.drain.run(DrainTimes(close_s=0.0, idle_s=0.0, serve_s=0.0, end_s=30.0))
             )
             late = await w.ask(post(UNSAFE))
             await (await w.request()).answer(200, b"late")
@@ -99,7 +99,7 @@
             assert (await client.read_to_end()).endswith(b"done")
             client.close()
             await draining
-            assert w.server.draining and not w.server.connections
+            assert w.server.drain.in_lame_duck and not w.server.connections
 
     asyncio.run(run())
 
@@ -114,7 +114,9 @@
             if read:
                 await client.send(post())
             draining = asyncio.create_task(
-                w.server.drain(DrainTimes(close_s=0.0, idle_s=0.0, serve_s=0.0, end_s=30.0), succeeded=True)
+                w.server.drain.run(
+                    DrainTimes(close_s=0.0, idle_s=0.0, serve_s=0.0, end_s=30.0), succeeded=True
+                )
             )
             while w.server.listener is not None:
                 await asyncio.sleep(0)
--- a/tests/test_shutdown_requests.py
+++ b/tests/test_shutdown_requests.py
@@ -10,7 +10,7 @@
 import pytest
 
 from burlshift.agent.__main__ import drain_times
-from burlshift.agent.server import DrainTimes, LameDuckTimes
+from burlshift.agent.drain import DrainTimes, LameDuckTimes
 from burlshift.balancing.interface import RequestClass, Settings
 from tests.loopback import Conversation, Peer, Raw, World, config_doc, member, post, start, world
 
@@ -47,7 +47,7 @@
             client = await w.raw()
             sending = asyncio.create_task(client.send(UNFINISHED[what]))
             await until_read(w, {"half a body": 999}.get(what, 0))
-            await w.server.drain(AT_ONCE)
+            await w.server.drain.run(AT_ONCE)
             assert arrived(client).startswith((b"HTTP/1.1 503", b"HTTP/1.1 500"))
             assert not any(not c.discards_input for c in w.server.connections)
             sending.cancel()
@@ -65,8 +65,8 @@
             got = await w.request()
             sending = asyncio.create_task(got.answer(200, b"y" * 8_000_000))
             begun = await asyncio.get_running_loop().sock_recv(large.socket, 65536)
-            draining = asyncio.create_task(w.server.drain(AT_ONCE))
-            while not w.server.refusing:
+            draining = asyncio.create_task(w.server.drain.run(AT_ONCE))
+            while not w.server.drain.refusing:
                 await asyncio.sleep(0)
             await late.send(UNFINISHED["half a head"])
             assert (await late.read_to_end()).startswith(b"HTTP/1.1 503")
@@ -87,7 +87,7 @@
                 await asyncio.sleep(0)
             (connection,) = w.server.connections
             assert connection.is_new
-            await w.server.drain(AT_ONCE)
+            await w.server.drain.run(AT_ONCE)
             with contextlib.suppress(ConnectionError):
                 silent.socket.send(UNFINISHED["half a head"])
             while w.server.connections:
@@ -102,7 +102,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # To a client of HTTP/1.0 an answer without a length is told by its end.
-    monkeypatch.setattr("burlshift.agent.server.STREAMS_S", 0.0)
+    monkeypatch.setattr("burlshift.agent.drain.STREAMS_S", 0.0)
 
     async def run() -> None:
         async with world(tmp_path) as w:
@@ -113,7 +113,7 @@
             await got.peer.write(head + b"186a0\r\n" + b"y" * 100_000)
             begun = await asyncio.get_running_loop().sock_recv(client.socket, 65536)
             assert begun.startswith(b"HTTP/1.1 200")
-            await w.server.drain(AT_ONCE)
+            await w.server.drain.run(AT_ONCE)
             await asyncio.sleep(0)
             with pytest.raises(ConnectionResetError):  # now, and not once the backend is given up
                 while client.socket.recv(65536):
@@ -131,7 +131,7 @@
             clients = [await w.raw() for _ in range(60)]
             for client in clients:
                 await client.send(post())
-            draining = asyncio.create_task(w.server.drain(AT_ONCE))
+            draining = asyncio.create_task(w.server.drain.run(AT_ONCE))
             for client in clients:
                 assert (await client.read_to_end()).startswith(b"HTTP/1.1 503")
                 client.close()
@@ -149,7 +149,7 @@
             loop.remove_reader(w.server.listener)
             client = await w.raw()
             await client.send(post())
-            await w.server.drain(AT_ONCE, succeeded=True)
+            await w.server.drain.run(AT_ONCE, succeeded=True)
             accepted, _ = successor.accept()
             assert accepted.recv(65536) == post()
             accepted.close()
@@ -168,11 +168,11 @@
             first = await w.request()
             draining = None
             if stopping:
-                draining = asyncio.create_task(w.server.drain(DrainTimes(0.0, 0.0, 0.0, end_s=30.0)))
+                draining = asyncio.create_task(w.server.drain.run(DrainTimes(0.0, 0.0, 0.0, end_s=30.0)))
                 while not w.server.closing:
                     await asyncio.sleep(0)
             else:
-                w.server.enter_lame_duck(LameDuckTimes(0.0, 60.0))
+                w.server.drain.enter_lame_duck(LameDuckTimes(0.0, 60.0))
             await first.answer(200, b"1st")
             second = await w.request()
             assert second.headers["request-id"] == "two"
--- a/tests/test_shutdown_signals.py
+++ b/tests/test_shutdown_signals.py
@@ -16,7 +16,7 @@
 # The process sends itself all signals as it comes to the call that is named here.
 SIGNALLED_AT = """
 import asyncio.base_events, asyncio.runners, os, signal, sys
-import burlshift.agent.agent, burlshift.agent.server
+import burlshift.agent.agent, burlshift.agent.drain, burlshift.agent.server
 from burlshift.agent.__main__ import main
 
 def signalled(owner, name):
@@ -33,7 +33,7 @@
 MOMENTS = {
     "before it listens": ("burlshift.agent.agent.Agent", "start"),
     "as it listens": ("burlshift.agent.server.Server", "take_over"),
-    "as it begins to stop": ("burlshift.agent.server.Server", "drain"),
+    "as it begins to stop": ("burlshift.agent.drain.Drain", "run"),
     "at its last look": ("burlshift.agent.server.Server", "stop"),
     "as its tasks are cancelled": ("asyncio.runners", "_cancel_all_tasks"),
     "as its threads end": ("asyncio.base_events.BaseEventLoop", "shutdown_default_executor"),
--- a/tests/test_system_calls_backends.py
+++ b/tests/test_system_calls_backends.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from burlshift.agent.server import DrainTimes
+from burlshift.agent.drain import DrainTimes
 from burlshift.balancing.interface import Outcome
 from tests.fault_injection import Faults, Side
 from tests.loopback import KEYED, UNSAFE, Peer, World, world
@@ -197,8 +197,8 @@
             await asking(w, *NAMES, clients=clients)
             if call not in ("shutdown", "poll", "setsockopt", "recv"):
                 await fault.reached()
-            draining = asyncio.create_task(w.server.drain(AT_ONCE))
-            while not w.server.refusing:
+            draining = asyncio.create_task(w.server.drain.run(AT_ONCE))
+            while not w.server.drain.refusing:
                 await asyncio.sleep(0)
             faults.release()
             assert {status for status, _ in await statuses(clients)} <= {500, 502, 503}
--- a/tests/test_system_calls_clients.py
+++ b/tests/test_system_calls_clients.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from burlshift.agent.server import DrainTimes
+from burlshift.agent.drain import DrainTimes
 from tests.fault_injection import Faults, Side
 from tests.loopback import World, post, world
 from tests.system_calls import WHILE, asking, echoing, name_of, one_answer, play, serves, statuses, unhandled
@@ -75,7 +75,7 @@
             asyncio.get_running_loop().remove_reader(w.server.listener)  # until the last look nobody comes
             clients = await asking(w, *NAMES)
             fault = faults.fail("accept", error, side=Side.LISTENING, port=w.port, times=times)
-            draining = asyncio.create_task(w.server.drain(AT_ONCE))
+            draining = asyncio.create_task(w.server.drain.run(AT_ONCE))
             assert [status for status, _ in await statuses(clients)] == [503] * len(NAMES)
             await draining
             assert fault.hits == times and not w.server.connections
@@ -111,7 +111,7 @@
             assert w.server.listener is not None
             asyncio.get_running_loop().remove_reader(w.server.listener)
             waiting = await asking(w, *NAMES)
-            draining = asyncio.create_task(w.server.drain(AT_ONCE))
+            draining = asyncio.create_task(w.server.drain.run(AT_ONCE))
             assert [status for status, _ in await statuses(held + waiting)] == [500] + [503] * len(NAMES)
             await draining
             await got.peer.ended()
@@ -177,7 +177,7 @@
     # Only on a socket that knows its protocol's number does asyncio set one; it then closed the connection.
     async def story(faults: Faults) -> None:
         async with world(tmp_path) as w, echoing(w) as echo:
-            w.server._close_listener()
+            w.server.close_listener()
             w.server._accepting = False  # a server takes over one listener only
             inherited = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
             inherited.bind(("127.0.0.1", 0))
