--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -11,6 +11,7 @@
 from .connection import HEADER_LIMIT, READ_BYTES, Connection, Fields, Headers, fields_of, header
 from .downstream_request import DownstreamRequest, Rejected, RequestHandler, ResponseWriter, Source
 from .loop_lag import unread_since
+from .request_deadline import RequestDeadline
 from .request_parser import RequestParser, has_ambiguous_head, origin_form, without_blank_lines
 from .upload import Upload
 
@@ -29,11 +30,6 @@
 PLAIN_FAILURE = (
     b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\nConnection: close\r\n\r\nfailed\n"
 )
-# From connecting, or from a request's first byte. Whoever stops is owed an error within 3 s, while an honest
-# client may take 2 s for a head, and 64 kB a second are its body's mean: single pieces come as they may.
-HEAD_S, DECIDED_S = 2.5, 2.7
-STOPPED_S, SILENT_S = 0.4, 5.0  # of silence in a body: once DECIDED_S are over, and of who went on past that
-BODY_RATE, BODY_START_S = 32_000, 0.5  # bytes a second at least, counted from so long after the head
 
 
 class ConnectionOwner(Protocol):
@@ -80,7 +76,6 @@
         self._request: h11.Request | None = None
         self._fields: Fields = {}  # its headers
         self._piece = bytearray()  # of the body, read and not handed on
-        self._received = 0  # of the body
         self._chunked = False
         self._blank = b""  # the first half of an empty line
         self._downstream_request: DownstreamRequest | None = None
@@ -89,8 +84,7 @@
         self._answer_out = False  # some of an answer has been written
         self._last_piece: asyncio.TimerHandle | None = None  # set while a large body's last byte waits
         self._overran = False  # it has sent too much ahead, and what came after has been dropped
-        self._unread: asyncio.TimerHandle | None = None  # set while a request is waited for
-        self._began = self._body_began = self.last = 0.0  # the request, its body, its latest piece
+        self._deadline = RequestDeadline()
         self._sent_at = 0.0  # when the latest piece may have been written, at the earliest
         self._accepted = unread_since(self._loop)
         self._unread_since: float | None = None  # set where reading has paused, until all that came is read
@@ -113,9 +107,13 @@
     @property
     def is_new(self) -> bool:
         """Just accepted: whoever connects has something to ask, and its first request is on the way."""
-        return (
-            self.has_read_nothing and self._unread is not None and self._loop.time() < self._began + FIRST_S
-        )
+        waited_for = self.has_read_nothing and self._deadline.timer is not None
+        return waited_for and self._loop.time() < self._deadline.began + FIRST_S
+
+    @property
+    def last(self) -> float:
+        """When the latest bytes were read."""
+        return self._deadline.last
 
     @property
     def unfinished(self) -> bool:
@@ -143,48 +141,21 @@
         self._server.connections.add(self)
         if not self.quiet():  # a request that came with the connection has waited for all turns since
             self._unread_since = self._accepted
-        self._await_whole()
+        self._deadline.start(self._too_slow)
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
-        self._read_whole()
+        self._deadline.stop()
         if self._stuck is not None:
             self._stuck.cancel()
         self._server.connections.discard(self)
         self._server.freed()
 
-    # Time: a peer that says nothing, or stops in the middle, must not hold a descriptor for good
-
-    def _await_whole(self) -> None:
-        if self._unread is None:
-            self._began = self.last = self._loop.time()
-            self._unread = self._loop.call_later(HEAD_S, self._look)
-
-    def _read_whole(self) -> None:
-        if self._unread is not None:
-            self._unread.cancel()
-            self._unread = None
-
-    def _look(self) -> None:
-        """Whether the request still comes along."""
-        assert self._unread is not None
-        left_s = self._due() - self._loop.time()
-        if left_s <= 0:
-            self._too_slow()
-        else:
-            self._unread = self._loop.call_later(left_s, self._look)
-
-    def _due(self) -> float:
-        """When the request must have come further."""
-        if self._request is None:
-            return self._began + HEAD_S
-        decided = self._began + DECIDED_S
-        silent = self.last + (SILENT_S if self.last + STOPPED_S > decided else STOPPED_S)
-        return max(decided, min(silent, self._body_began + BODY_START_S + self._received / BODY_RATE))
+    # What comes, and the time it takes
 
     def pause(self) -> None:
         """The client need not send anything while the agent does not read."""
-        self._read_whole()
+        self._deadline.stop()
         self._unread_since = self.last
         super().pause()
 
@@ -193,26 +164,21 @@
         if (
             self._upload is not None
             and not self._in_hand
-            and self._unread is None
+            and self._deadline.timer is None
             and not self.discards_input
         ):
-            now = self._loop.time()
-            self._body_began += now - self.last
-            self.last = now
-            self._unread = self._loop.call_later(max(0.0, self._due() - now), self._look)
+            self._deadline.resume(self._too_slow)
 
     def _too_slow(self) -> None:
-        self._read_whole()
+        self._deadline.stop()
         if self.discards_input or (self._downstream_request is not None and self._upload is None):
             return
         if self.unfinished or self._upload is not None:
             self._break_off(408, "request not whole in time")
-        elif self.quiet() or self._loop.time() >= self._began + DECIDED_S:
+        elif self.quiet() or self._deadline.decided:
             self.drop()
         else:  # its request has come just now, and is read next
-            self._unread = self._loop.call_later(POLL_S, self._look)
-
-    # What comes
+            self._deadline.look_after(POLL_S, self._too_slow)
 
     def check_head(self) -> None:
         """Refuse what h11 lets pass and others read in another way: a bare line feed as the end of a line,
@@ -225,10 +191,10 @@
     def _feed(self, data: bytes | None) -> None:
         super()._feed(data)
         if self._downstream_request is None and not self.discards_input and not self.has_read_nothing:
-            self._await_whole()
+            self._deadline.start(self._too_slow)
 
     def data_received(self, data: bytes) -> None:
-        self.last = self._loop.time()
+        self._deadline.on_bytes()
         self._date(len(data))
         if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
             data, self._blank = without_blank_lines(self._blank + data)
@@ -267,8 +233,8 @@
             elif kind is h11.Data:
                 assert isinstance(event, h11.Data)
                 self._piece += event.data
-                self._received += len(event.data)
-                if self._received > BODY_LIMIT:
+                self._deadline.received += len(event.data)
+                if self._deadline.received > BODY_LIMIT:
                     raise Rejected(413, "body too large")
             elif kind is h11.EndOfMessage:
                 self._complete()
@@ -348,8 +314,8 @@
         return call is not None
 
     def _begin(self, request: h11.Request) -> None:
-        self._request, self._piece, self._received = request, bytearray(), 0
-        self._body_began = self._loop.time()
+        self._request, self._piece = request, bytearray()
+        self._deadline.begin_body()
         self._fields = fields_of(request.headers)
         length = header(self._fields, b"content-length")
         self._chunked = b"transfer-encoding" in self._fields
@@ -363,7 +329,7 @@
 
     def _complete(self) -> None:
         assert self._request is not None
-        self._read_whole()
+        self._deadline.stop()
         if self._upload is not None:
             self._complete_upload()
             return
@@ -552,6 +518,7 @@
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not self._overran:
             self.http.start_next_cycle()
             self._request, self._answer_out = None, False
+            self._deadline.end_request()
             self._unread_since = None  # it concerned the request before
             self._server.freed()
             super().resume()  # no effect where it was not paused
@@ -578,8 +545,8 @@
         request ahead or the rest of a body, a close over unread bytes would reset the answer away.
         """
         self.discards_input = True
-        self._read_whole()
-        self.last = self._loop.time()
+        self._deadline.stop()
+        self._deadline.on_bytes()  # the silence is counted from now on
         super().resume()
         self.end_sending()
         self._loop.call_later(LINGER_S, self._lingered, self.last + LINGER_MOST_S)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from burlshift.agent import downstream_connection
+from burlshift.agent import downstream_connection, request_deadline
 from tests.loopback import KEYED, UNSAFE, Conversation, Message, World, post, world
 from tests.test_admin_commands import figures
 
@@ -339,9 +339,9 @@
 def test_who_stops_in_a_body_gets_an_error_and_it_never_becomes_a_request(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, sent: bytes
 ) -> None:
-    monkeypatch.setattr(downstream_connection, "DECIDED_S", 0.2)
-    monkeypatch.setattr(downstream_connection, "STOPPED_S", 0.1)
-    monkeypatch.setattr(downstream_connection, "SILENT_S", 0.3)
+    monkeypatch.setattr(request_deadline, "DECIDED_S", 0.2)
+    monkeypatch.setattr(request_deadline, "STOPPED_S", 0.1)
+    monkeypatch.setattr(request_deadline, "SILENT_S", 0.3)
 
     async def run() -> None:
         async with raw_backend(never_whole, tmp_path) as w:
@@ -355,7 +355,7 @@
 
 
 def test_a_slow_body_is_judged_on_its_mean() -> None:
-    limits = downstream_connection
+    limits = request_deadline
     assert limits.HEAD_S < limits.DECIDED_S < 3.0
     # 64 kB a second after the slowest head that is allowed: due after it has come, at any time.
     for tenths in range(10, 3000):
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -100,7 +100,7 @@
     # Until the first of them was let go, nobody more was accepted; and then the next of them was.
     monkeypatch.setattr("burlshift.agent.server.EXTRA", 0)
     monkeypatch.setattr("burlshift.agent.downstream_connection.FIRST_S", 0.01)
-    monkeypatch.setattr("burlshift.agent.downstream_connection.HEAD_S", 3600.0)
+    monkeypatch.setattr("burlshift.agent.request_deadline.HEAD_S", 3600.0)
 
     async def run() -> None:
         async with world(tmp_path, most=64 + 2 * 4) as w:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -104,26 +104,26 @@
             served = await w.ask(post())
             got = await w.request()
             (first,) = w.server.connections
-            assert first._unread is None  # whole, and so not cut off however long its answer takes
+            assert first._deadline.timer is None  # whole, and so not cut off however long its answer takes
             slow = await w.ask(sent)
             while len(w.server.connections) < 2:
                 await asyncio.sleep(0)
             (second,) = w.server.connections - {first}
             while sent and second.has_read_nothing:
                 await asyncio.sleep(0)
-            assert second._unread is not None
+            assert second._deadline.timer is not None
             second._too_slow()  # as its timer does
             if status is not None:
                 assert (await slow.read()).status == status
             await slow.ended()
             await got.answer()
             assert (await served.read()).status == 200
-            assert first._unread is None  # one that has served may stay, and say nothing
+            assert first._deadline.timer is None  # one that has served may stay, and say nothing
             await served.write(sent)
             if status is not None:
                 while first.has_read_nothing:
                     await asyncio.sleep(0)
-                assert first._unread is not None
+                assert first._deadline.timer is not None
                 first._too_slow()
                 assert (await served.read()).status == status
                 await served.ended()
@@ -139,8 +139,8 @@
             while not w.server.connections:
                 await asyncio.sleep(0)
             (connection,) = w.server.connections
-            assert connection._unread is not None
-            assert connection._unread.when() < asyncio.get_running_loop().time() + 3.0
+            assert connection._deadline.timer is not None
+            assert connection._deadline.timer.when() < asyncio.get_running_loop().time() + 3.0
             await silent.ended()
 
     asyncio.run(run())
--- a/tests/test_shutdown_requests.py
+++ b/tests/test_shutdown_requests.py
@@ -36,7 +36,9 @@
     while not w.server.connections:
         await asyncio.sleep(0)
     (connection,) = w.server.connections
-    while connection.has_read_nothing or (connection._received < length and connection._upload is None):
+    while connection.has_read_nothing or (
+        connection._deadline.received < length and connection._upload is None
+    ):
         await asyncio.sleep(0)
 
 
