The writing of answers in a module of its own

Moved out of the connection of a client: ResponseConnection, from which it is derived, writes the answers and closes behind the last. What starts the next request stays with the reading half. The methods that close an answered connection are named after it.

--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -1,38 +1,29 @@
-"""A connection of the application: requests read and checked, answers written."""
+"""Reads and checks the requests on a connection of the application."""
 
 from __future__ import annotations
 
 import asyncio
-import logging
 from typing import Protocol
 
 import h11
 
-from .connection import HEADER_LIMIT, READ_BYTES, Connection, Fields, Headers, fields_of, header
-from .downstream_request import DownstreamRequest, Rejected, RequestHandler, ResponseWriter, Source
+from .connection import HEADER_LIMIT, READ_BYTES, Fields, Headers, fields_of, header
+from .downstream_request import DownstreamRequest, Rejected, RequestHandler, ResponseWriter
+from .downstream_response import AnsweringServer, ResponseConnection
 from .loop_lag import unread_since
-from .request_deadline import RequestDeadline
 from .request_parser import RequestParser, has_ambiguous_head, origin_form, without_blank_lines
 from .upload import Upload
 
-log = logging.getLogger(__name__)
-
 API, HEALTH = "/api", "/_health"
 WHOLE_BYTES = 64 * 1024  # a body up to this is taken whole, a larger one passed on as it comes
 BODY_LIMIT = 32 * 1024 * 1024
 BEHIND_S = 0.05  # a large body's last byte waits so long for what was sent behind it to be read
 AHEAD_LIMIT = 64 * 1024  # of what is kept while a request is in hand; beyond that what still comes is dropped
 FIRST_S = 0.5  # a new connection has so long for its first request before it counts as idle
-LINGER_S, LINGER_MOST_S = 1.0, 30.0  # after an answer in the middle of a request: in silence, in all
-STUCK_S = 60.0  # a client that takes nothing of its answer for so long has stopped
 POLL_S = 0.01  # between two looks at whether something more can be read
-# Written as it stands where h11 may be in any state.
-PLAIN_FAILURE = (
-    b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\nConnection: close\r\n\r\nfailed\n"
-)
 
 
-class ConnectionOwner(Protocol):
+class ConnectionOwner(AnsweringServer, Protocol):
     """What a connection needs of the server that accepted it."""
 
     @property
@@ -47,10 +38,6 @@
     def connections(self) -> set[DownstreamConnection]:
         """Those that are open, itself among them."""
 
-    @property
-    def closing(self) -> bool:
-        """Whether each answer asks its client to close."""
-
     def ready(self) -> bool:
         """Whether new clients are welcome."""
 
@@ -66,29 +53,20 @@
         """A connection has ended or fallen idle."""
 
 
-class DownstreamConnection(Connection):
+class DownstreamConnection(ResponseConnection):
     """A connection of the application; one request at a time."""
 
     def __init__(self, server: ConnectionOwner) -> None:
-        super().__init__(h11.SERVER)
-        self._server = server
-        self._loop = asyncio.get_running_loop()
-        self._request: h11.Request | None = None
+        super().__init__()
+        self._server: ConnectionOwner = server
         self._fields: Fields = {}  # its headers
         self._piece = bytearray()  # of the body, read and not handed on
-        self._chunked = False
         self._blank = b""  # the first half of an empty line
-        self._downstream_request: DownstreamRequest | None = None
         self._upload: Upload | None = None  # the body, where it is large
-        self._source: Source | None = None  # of an answer that is passed on as it comes
-        self._answer_out = False  # some of an answer has been written
         self._last_piece: asyncio.TimerHandle | None = None  # set while a large body's last byte waits
-        self._overran = False  # it has sent too much ahead, and what came after has been dropped
-        self._deadline = RequestDeadline()
         self._sent_at = 0.0  # when the latest piece may have been written, at the earliest
         self._accepted = unread_since(self._loop)
         self._unread_since: float | None = None  # set where reading has paused, until all that came is read
-        self._stuck: asyncio.TimerHandle | None = None  # set while the client takes nothing
 
     @property
     def has_read_nothing(self) -> bool:
@@ -120,11 +98,6 @@
         """A part of a request has been read that is not handed on yet."""
         return self._downstream_request is None and not self.discards_input and not self.has_read_nothing
 
-    @property
-    def busy(self) -> bool:
-        """A large answer is on its way, or the last bytes of any."""
-        return self._source is not None or not self.written
-
     @property
     def sent_us(self) -> int:
         return int(self._sent_at * 1e6)
@@ -146,8 +119,6 @@
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         self._deadline.stop()
-        if self._stuck is not None:
-            self._stuck.cancel()
         self._server.connections.discard(self)
         self._server.freed()
 
@@ -369,8 +340,6 @@
         except Exception as e:
             self.on_fault(e)
 
-    # What goes back
-
     def _break_off(self, status: int, why: str, headers: Headers | None = None) -> None:
         """The error for a request that is not taken, or not to its end; each is counted once."""
         taken = self._client_left()
@@ -380,68 +349,18 @@
         index = self._server.checker.class_of(self._fields) if self._request is not None else None
         if index is not None and not taken:
             self._server.handler.count_rejected(index, status)
-        # Refusals go on for what has been read already; a client in error is parted from with the others.
-        part = self._server.closing and status < 500
-        self._respond(status, headers or [], f"{why}\n".encode(), part)
+        # Refusals go on for what has been read already; an error of the client's own closes as others do.
+        close = self._server.closing and status < 500
+        self._respond(status, headers or [], f"{why}\n".encode(), close)
 
     def refuse_unfinished(self) -> None:
         """The process ends before the rest of this request could be answered."""
         refused = self._server.refusal()
         self._break_off(refused.status, str(refused), refused.headers)
 
-    def cut_off(self) -> None:
-        """The end, whatever is in hand; an answer that is not whole must not pass for it."""
-        if self.busy:
-            self._reset()
-        else:
-            self.drop()
-
-    def answer(self, call: DownstreamRequest, status: int, headers: Headers, body: bytes) -> None:
-        if self._downstream_request is call:
-            self._respond(status, headers, body)
-
-    def begin(self, call: DownstreamRequest, headers: Headers, length: int | None, source: Source) -> None:
-        if self._downstream_request is not call or not self._writable():
-            return
-        self._source = source
-        framing = [] if length is None else [(b"Content-Length", b"%d" % length)]
-        self.send(h11.Response(status_code=200, headers=[*headers, *framing, *self._last_words()]))
-        self._hold_source()
-
-    def more(self, call: DownstreamRequest, data: bytes) -> None:
-        if self._downstream_request is call and self._writable():
-            self.send(h11.Data(data=data))
-            self._hold_source()
-
-    def finish(self, call: DownstreamRequest, whole: bool) -> None:
-        if not whole:
-            self.fail(call)
-        elif self._downstream_request is call:
-            writable = self._writable()
-            if writable:
-                self.send(h11.EndOfMessage())
-            self._release_call()
-            if writable:
-                self._answered()
-
-    def fail(self, call: DownstreamRequest) -> None:
-        if self._downstream_request is not call:
-            return
-        self._release_call()
-        try:
-            if self._answer_out:
-                self._reset()
-            elif self._writable():
-                self.transmit(PLAIN_FAILURE)
-                self._part_somehow()
-        except Exception:
-            log.exception("could not tell a client of a failure")
-            self.drop()
-
     def _release_call(self) -> None:
-        """The call has its answer, or nobody is there to take one. Only after the writing: until then it is
-        still to be failed, or left."""
-        self._downstream_request = self._upload = self._source = None
+        super()._release_call()
+        self._upload = None
         self._cancel_last_piece()
 
     def _cancel_last_piece(self) -> None:
@@ -449,86 +368,17 @@
             self._last_piece.cancel()
             self._last_piece = None
 
-    def transmit(self, data: bytes) -> None:
-        # What goes out before an answer, as 100 Continue, is no part of it.
-        self._answer_out = self._answer_out or self.http.our_state is not h11.SEND_RESPONSE
-        super().transmit(data)
-
-    def _hold_source(self) -> None:
-        if not self.written and self._source is not None:
-            self._source.pause()
-            if self._stuck is None:
-                self._stuck = self._loop.call_later(STUCK_S, self._reset)
-
-    def resume_writing(self) -> None:
-        super().resume_writing()
-        if self._stuck is not None:
-            self._stuck.cancel()
-            self._stuck = None
-        if self._source is not None:
-            self._source.resume()
-
-    def _reset(self) -> None:
-        """Close so that nobody can take what has come for whole, however its end is told."""
-        if self.transport is not None and not self.transport.is_closing():
-            self.reset_on_close()
-            self.discards_input = self.closed = True
-            self.transport.abort()
-
-    def _writable(self) -> bool:
-        return not (self.closed or self.transport is None or self.transport.is_closing())
-
-    def _read_in_full(self) -> bool:
-        # Behind chunks nothing more is read: h11 is lenient about where their trailer ends.
-        return self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED) and not self._chunked
-
-    def _last_words(self, part: bool = False) -> Headers:
-        # What has been read already behind this request is answered too.
-        last = self._server.closing and not self.http.trailing_data[0]
-        last = last or part or self._overran or not self._read_in_full()
-        return [(b"Connection", b"close")] if last else []
-
-    def _respond(self, status: int, headers: Headers, body: bytes, part: bool = False) -> None:
-        if not self._writable():
-            return self._release_call()
-        fields = [*headers, (b"Content-Length", b"%d" % len(body)), *self._last_words(part)]
-        head = self._request is not None and self._request.method == b"HEAD"
-        data = [] if head or not body else [h11.Data(data=body)]
-        self.send(h11.Response(status_code=status, headers=fields), *data, h11.EndOfMessage())
-        self._release_call()
-        self._answered()
-
-    def _answered(self) -> None:
-        """Go on to the next request, or part. The answer is out: no failure here may take it back."""
-        try:
-            self._go_on_or_part()
-        except Exception:
-            log.exception("connection failed after an answer")
-            self._part_somehow()
-
-    def _part_somehow(self) -> None:
-        try:
-            self._part()
-        except Exception:
-            log.exception("cannot part from a client in order")
-            self.drop()
-
-    def _go_on_or_part(self) -> None:
-        assert self.transport is not None
-        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not self._overran:
-            self.http.start_next_cycle()
-            self._request, self._answer_out = None, False
-            self._deadline.end_request()
-            self._unread_since = None  # it concerned the request before
-            self._server.freed()
-            super().resume()  # no effect where it was not paused
-            ahead = self.http.trailing_data[0]
-            if ahead.startswith(b"\r"):
-                ahead = self._without_blank_lines(ahead)
-            if ahead:
-                self._loop.call_soon(self.resume_reading)
-        else:
-            self._part()
+    def _next_request(self) -> None:
+        self._request = None
+        self._deadline.end_request()
+        self._unread_since = None  # it concerned the request before
+        self._server.freed()
+        super().resume()  # no effect where it was not paused
+        ahead = self.http.trailing_data[0]
+        if ahead.startswith(b"\r"):
+            ahead = self._without_blank_lines(ahead)
+        if ahead:
+            self._loop.call_soon(self.resume_reading)
 
     def _without_blank_lines(self, ahead: bytes) -> bytes:
         """What follows the empty lines that came with the request before: h11 takes them for a bad request of
@@ -539,23 +389,3 @@
             if rest:
                 self.http.receive_data(rest)
         return rest
-
-    def _part(self) -> None:
-        """Part after an answer: read and drop what still comes. Whatever the client has sent by then, a
-        request ahead or the rest of a body, a close over unread bytes would reset the answer away.
-        """
-        self.discards_input = True
-        self._deadline.stop()
-        self._deadline.on_bytes()  # the silence is counted from now on
-        super().resume()
-        self.end_sending()
-        self._loop.call_later(LINGER_S, self._lingered, self.last + LINGER_MOST_S)
-
-    def _lingered(self, until: float) -> None:
-        """Part from a client that has stopped sending, or never will."""
-        assert self.transport is not None
-        now = self._loop.time()
-        if self.written and now >= min(until, self.last + LINGER_S):
-            self.transport.abort()
-        elif not self.transport.is_closing():
-            self._loop.call_later(LINGER_S, self._lingered, until)
--- a/burlshift_tools/faultlab/mutations.py
+++ b/burlshift_tools/faultlab/mutations.py
@@ -116,7 +116,7 @@
     Plant(
         "no-answer",
         "a failed request gets no answer",
-        "burlshift/agent/downstream_connection.py",
+        "burlshift/agent/downstream_response.py",
         ANSWER,
         ANSWER
         + "        if status == 502:\n            self._downstream_request = None\n            return\n",
@@ -126,7 +126,7 @@
     Plant(
         "half-answer",
         "one answer in some breaks off",
-        "burlshift/agent/downstream_connection.py",
+        "burlshift/agent/downstream_response.py",
         ANSWER,
         ANSWER + "        waits = self._downstream_request is call and self.transport is not None\n"
         "        if len(body) % 16 == 0 and waits:\n"
@@ -139,7 +139,7 @@
     Plant(
         "two-answers",
         "a second answer behind the first",
-        "burlshift/agent/downstream_connection.py",
+        "burlshift/agent/downstream_response.py",
         ANSWER,
         ANSWER + "        if self._downstream_request is call and self.transport is not None:\n"
         "            more = b'HTTP/1.1 200 OK\\r\\nContent-Length: 0\\r\\n\\r\\n'\n"
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -142,7 +142,7 @@
         (DownstreamConnection, "answer"),
         (DownstreamConnection, "_respond"),
         (DownstreamConnection, "send"),
-        (DownstreamConnection, "_last_words"),
+        (DownstreamConnection, "_connection_header"),
         (DownstreamConnection, "_writable"),
     ],
     ids=lambda w: w[1],
@@ -170,7 +170,7 @@
     "where",
     [
         (DownstreamConnection, "_answered"),
-        (DownstreamConnection, "_go_on_or_part"),
+        (DownstreamConnection, "_start_next_or_linger"),
         (Server, "freed"),
         (Metrics, "ended"),
     ],
@@ -370,7 +370,7 @@
     [
         (DownstreamConnection, "begin"),
         (DownstreamConnection, "send"),
-        (DownstreamConnection, "_last_words"),
+        (DownstreamConnection, "_connection_header"),
     ],
     ids=lambda w: w[1],
 )
@@ -399,7 +399,7 @@
     [
         (DownstreamConnection, "more"),
         (DownstreamConnection, "send"),
-        (DownstreamConnection, "_hold_source"),
+        (DownstreamConnection, "_pause_source"),
     ],
     ids=lambda w: w[1],
 )
