--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -100,6 +100,7 @@
 
     @property
     def sent_us(self) -> int:
+        """When what has come last may have been written, at the earliest."""
         return int(self._sent_at * 1e6)
 
     @property
@@ -110,6 +111,7 @@
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The server has accepted it; its first request is waited for."""
         super().connection_made(transport)
         self._server.connections.add(self)
         if not self.quiet():  # a request that came with the connection has waited for all turns since
@@ -117,6 +119,7 @@
         self._deadline.start(self._too_slow)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """It has ended; the server has room for another."""
         super().connection_lost(exc)
         self._deadline.stop()
         self._server.connections.discard(self)
@@ -131,6 +134,7 @@
         super().pause()
 
     def resume(self) -> None:
+        """Read again; where that is the rest of a large body, its deadline runs on."""
         super().resume()
         if (
             self._upload is not None
@@ -165,6 +169,7 @@
             self._deadline.start(self._too_slow)
 
     def data_received(self, data: bytes) -> None:
+        """Date what has come and hand it to h11, but for blank lines and what is too much ahead."""
         self._deadline.on_bytes()
         self._date(len(data))
         if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
@@ -196,6 +201,7 @@
         return self._overran
 
     def on_event(self, event: h11.Event) -> None:
+        """The head, a piece of the body, or the end of a request."""
         try:
             kind = type(event)
             if kind is h11.Request:
@@ -245,6 +251,7 @@
         self._server.handler.take(call)
 
     def waits(self, call: DownstreamRequest) -> bool:
+        """Whether the client is still there for its answer; one that is not has left by then."""
         if self._downstream_request is call and self.left():
             self._end_for_departed()
         return self._downstream_request is call
@@ -255,6 +262,7 @@
         self._break_off(400 if malformed else 500, "malformed request" if malformed else "internal error")
 
     def eof_received(self) -> None:
+        """The client sends nothing more."""
         if not self._in_hand:
             return super().eof_received()
         # Its request is whole: h11 has nothing to say of it, but would take what lies behind a last one for
@@ -262,6 +270,7 @@
         self.on_end()
 
     def on_end(self) -> None:
+        """The client has closed: its request needs no answer any more."""
         self._end_for_departed()
 
     def _end_for_departed(self) -> None:
--- a/burlshift/agent/downstream_response.py
+++ b/burlshift/agent/downstream_response.py
@@ -61,6 +61,7 @@
         return self._source is not None or not self.written
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """It has ended: nobody is to take an answer any more."""
         super().connection_lost(exc)
         if self._stuck is not None:
             self._stuck.cancel()
@@ -125,6 +126,7 @@
         self._downstream_request = self._source = None
 
     def transmit(self, data: bytes) -> None:
+        """Write this, and note that some of an answer is out."""
         # What goes out before an answer, as 100 Continue, is no part of it.
         self._answer_out = self._answer_out or self.http.our_state is not h11.SEND_RESPONSE
         super().transmit(data)
@@ -136,6 +138,7 @@
                 self._stuck = self._loop.call_later(STUCK_S, self._reset)
 
     def resume_writing(self) -> None:
+        """The client has taken all: the answer goes on."""
         super().resume_writing()
         if self._stuck is not None:
             self._stuck.cancel()
--- a/burlshift/agent/drain.py
+++ b/burlshift/agent/drain.py
@@ -43,7 +43,7 @@
         """Those that are open."""
 
     @property
-    def listening(self) -> bool:
+    def is_listening(self) -> bool:
         """Whether new clients can connect."""
 
     @property
@@ -145,7 +145,7 @@
         """Accept who waits, until nobody does: closing the listener resets what has come in and is not
         accepted yet. Those beyond the limit come as the ones before them, refused, have left."""
         loop = asyncio.get_running_loop()
-        while self._server.listening and loop.time() < until:
+        while self._server.is_listening and loop.time() < until:
             if self._server.accept_backlog():
                 return
             self._server.refuse_unfinished()
--- a/burlshift/agent/server.py
+++ b/burlshift/agent/server.py
@@ -30,6 +30,7 @@
 
 
 def _itself(client: DownstreamConnection) -> DownstreamConnection:
+    """The factory that asyncio asks for a protocol, once that is there already."""
     return client
 
 
@@ -47,6 +48,7 @@
         return not full or self._makes_way is not None or self._server.room_beyond()
 
     def take_in(self, sock: socket.socket) -> None:
+        """Let one in, and close the connection that makes way for it."""
         if self._makes_way is not None:  # only now: before, nobody may have waited
             self._makes_way.drop()
         self._server.take_in(sock)
@@ -55,8 +57,8 @@
 class Server:
     """Listens for the application, and holds its connections."""
 
-    def __init__(self, settings: Settings, taker: RequestHandler, most: int) -> None:
-        self.handler = taker
+    def __init__(self, settings: Settings, handler: RequestHandler, most: int) -> None:
+        self.handler = handler
         self._most = most  # connections at once, so that descriptors are left for backends
         self.checker = RequestParser(settings.classes, settings.tenants)
         self._come_again_us = min(COME_AGAIN_US, settings.max_retry_after_us) if settings.retry_after else 0
@@ -66,9 +68,8 @@
         self._accepting = False
         self._shared = False
         self._starved = False  # the last try to accept found no descriptor
-        self._coming: dict[
-            asyncio.Task[object], DownstreamConnection
-        ] = {}  # accepted, and on its way into the loop
+        # Accepted, and on their way into the loop.
+        self._coming: dict[asyncio.Task[object], DownstreamConnection] = {}
 
     @property
     def closing(self) -> bool:
@@ -76,7 +77,7 @@
         return self.drain.closing
 
     @property
-    def listening(self) -> bool:
+    def is_listening(self) -> bool:
         """Whether new clients can connect."""
         return self.listener is not None
 
