--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -7,11 +7,11 @@
 
 import h11
 
-from .connection import HEADER_LIMIT, READ_BYTES, Fields, Headers, fields_of, header
+from .connection import HEADER_LIMIT, Fields, Headers, fields_of, header
 from .downstream_request import DownstreamRequest, Rejected, RequestHandler, ResponseWriter
 from .downstream_response import AnsweringServer, ResponseConnection
-from .loop_lag import unread_since
 from .request_parser import RequestParser, has_ambiguous_head, origin_form, without_blank_lines
+from .sent_time import SentTime
 from .upload import Upload
 
 API, HEALTH = "/api", "/_health"
@@ -64,9 +64,7 @@
         self._blank = b""  # the first half of an empty line
         self._upload: Upload | None = None  # the body, where it is large
         self._last_piece: asyncio.TimerHandle | None = None  # set while a large body's last byte waits
-        self._sent_at = 0.0  # when the latest piece may have been written, at the earliest
-        self._accepted = unread_since(self._loop)
-        self._unread_since: float | None = None  # set where reading has paused, until all that came is read
+        self._sent_time = SentTime(self._loop)
 
     @property
     def has_read_nothing(self) -> bool:
@@ -101,7 +99,7 @@
     @property
     def sent_us(self) -> int:
         """When what has come last may have been written, at the earliest."""
-        return int(self._sent_at * 1e6)
+        return int(self._sent_time.earliest * 1e6)
 
     @property
     def _in_hand(self) -> bool:
@@ -115,7 +113,7 @@
         super().connection_made(transport)
         self._server.connections.add(self)
         if not self.quiet():  # a request that came with the connection has waited for all turns since
-            self._unread_since = self._accepted
+            self._sent_time.came_with_connection()
         self._deadline.start(self._too_slow)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -130,7 +128,7 @@
     def pause(self) -> None:
         """The client need not send anything while the agent does not read."""
         self._deadline.stop()
-        self._unread_since = self.last
+        self._sent_time.pause(self.last)
         super().pause()
 
     def resume(self) -> None:
@@ -171,7 +169,9 @@
     def data_received(self, data: bytes) -> None:
         """Date what has come and hand it to h11, but for blank lines and what is too much ahead."""
         self._deadline.on_bytes()
-        self._date(len(data))
+        # What goes on a request sent ahead does not date it: that may have been whole before.
+        if not (self._in_hand and self.http.trailing_data[0]):
+            self._sent_time.on_read(len(data))
         if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
             data, self._blank = without_blank_lines(self._blank + data)
             if not data:
@@ -180,15 +180,6 @@
             return
         super().data_received(data)
 
-    def _date(self, length: int) -> None:
-        """A request's time runs from when its client wrote its last byte, not from when that was read."""
-        if self._in_hand and self.http.trailing_data[0]:
-            return  # it goes on a request sent ahead, which may have been whole before
-        since = unread_since(self._loop)
-        self._sent_at = since if self._unread_since is None else min(since, self._unread_since)
-        if length < READ_BYTES:
-            self._unread_since = None
-
     def _runs_ahead(self, data: bytes) -> bool:
         """Whether a client has sent more than is kept for after its answer, which is then its last. It is
         read on all the same: on a connection that is not, nobody sees the client leave. Behind a request that
@@ -380,7 +371,7 @@
     def _next_request(self) -> None:
         self._request = None
         self._deadline.end_request()
-        self._unread_since = None  # it concerned the request before
+        self._sent_time.next_request()
         self._server.freed()
         super().resume()  # no effect where it was not paused
         ahead = self.http.trailing_data[0]
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -11,7 +11,7 @@
 import pytest
 
 from burlshift.agent import backends as backends_module
-from burlshift.agent import downstream_connection
+from burlshift.agent import sent_time
 from burlshift.agent.backends import Backends
 from burlshift.agent.clock import Clock
 from tests.loopback import KEYED, UNSAFE, Message, World, held_connects, post, world
@@ -197,9 +197,7 @@
 def test_a_request_behind_a_large_one_is_dated_by_itself(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(
-        downstream_connection, "READ_BYTES", 1
-    )  # no read tells that all that had come is read
+    monkeypatch.setattr(sent_time, "READ_BYTES", 1)  # no read tells that all that had come is read
 
     async def run() -> None:
         async with world(tmp_path) as w:
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -88,7 +88,7 @@
                 await asyncio.sleep(0)
             if sent == "later":
                 (connection,) = w.server.connections
-                assert connection._unread_since is None
+                assert connection._sent_time.unread_since is None
             else:
                 assert int((await w.request()).headers["request-timeout-ms"]) <= 30_000 - 200
             client.close()
