--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -156,14 +156,12 @@
     def check_head(self) -> None:
         """Refuse what h11 lets pass and others read in another way: a bare line feed as the end of a line,
         and a folded line. Either can hide the length of a body, and so turn it into requests."""
-        if self.http.their_state is not h11.IDLE:
-            return
-        if has_ambiguous_head(self.http.trailing_data[0]):
+        if self.http.their_state is h11.IDLE and has_ambiguous_head(self.http.trailing_data[0]):
             raise h11.RemoteProtocolError("bare line feed or folded line in the head")
 
     def _feed(self, data: bytes | None) -> None:
         super()._feed(data)
-        if self._downstream_request is None and not self.discards_input and not self.has_read_nothing:
+        if self.unfinished:
             self._deadline.start(self._too_slow)
 
     def data_received(self, data: bytes) -> None:
