--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -17,6 +17,7 @@
 from .connection import Headers
 from .connection_pool import Backends
 from .discovery import Discovery
+from .downstream_request import DownstreamRequest, retry_after
 from .exchange import Exchange
 from .list_keeper import ListKeeper
 from .listing import Address, Listing
@@ -24,7 +25,6 @@
 from .peers import Peers
 from .pending_requests import UNKNOWN, Attempt, PendingRequest
 from .removal_limiter import RemovalLimiter
-from .server import DownstreamRequest, retry_after
 from .upstream_request import ExchangeResult, ResponseStream, UpstreamRequest
 
 log = logging.getLogger(__name__)
--- a/burlshift/agent/pending_requests.py
+++ b/burlshift/agent/pending_requests.py
@@ -9,8 +9,8 @@
 
 from burlshift.balancing.interface import AttemptEnded, BackendId, Outcome, RequestArrived
 
+from .downstream_request import DownstreamRequest
 from .exchange import Exchange
-from .server import DownstreamRequest
 from .upstream_request import ExchangeResult, ResponseStream
 
 log = logging.getLogger(__name__)
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -29,9 +29,10 @@
 
 import h11
 
-from burlshift.agent import connection, server, upstream_connection
+from burlshift.agent import connection, downstream_connection, upstream_connection
 from burlshift.agent.__main__ import assemble
 from burlshift.agent.clock import Clock
+from burlshift.agent.drain import DrainTimes
 from burlshift.agent.listing import Address
 from burlshift.agent.loop_lag import LagTrackingEventLoop
 from burlshift.agent.metrics import Metrics
@@ -705,8 +706,8 @@
         self.record.held.append((began, time.monotonic()))
 
     async def drain(self) -> None:
-        times = server.DrainTimes(0.0, 0.1, serve_s=0.5, end_s=max(DEADLINES_MS.values()) / 1000 + 0.6)
-        await asyncio.wrap_future(asyncio.run_coroutine_threadsafe(self.server.drain(times), self.loop))
+        times = DrainTimes(0.0, 0.1, serve_s=0.5, end_s=max(DEADLINES_MS.values()) / 1000 + 0.6)
+        await asyncio.wrap_future(asyncio.run_coroutine_threadsafe(self.server.drain.run(times), self.loop))
 
     def end(self) -> None:
         self.loop.call_soon_threadsafe(self.loop.stop)
@@ -726,7 +727,7 @@
 @contextlib.contextmanager
 def observed(record: Record) -> Iterator[None]:
     """Note what the agent reads of clients, and when it writes an attempt."""
-    send, receive = connection.Connection.send, server._DownstreamConnection.data_received
+    send, receive = connection.Connection.send, downstream_connection.DownstreamConnection.data_received
 
     def noted_send(self: connection.Connection, *events: Any) -> None:
         first = events[0] if events else None
@@ -748,7 +749,7 @@
             )
         send(self, *events)
 
-    def noted_receive(self: server._DownstreamConnection, data: bytes) -> None:
+    def noted_receive(self: downstream_connection.DownstreamConnection, data: bytes) -> None:
         at = 0
         while (at := data.find(b"Request-Id: ", at)) >= 0:
             at += 12
@@ -760,7 +761,7 @@
     try:
         with (
             mock.patch.object(connection.Connection, "send", noted_send),
-            mock.patch.object(server._DownstreamConnection, "data_received", noted_receive),
+            mock.patch.object(downstream_connection.DownstreamConnection, "data_received", noted_receive),
         ):
             yield
     finally:
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -12,8 +12,8 @@
 import h11
 import pytest
 
+from burlshift.agent.downstream_connection import DownstreamConnection
 from burlshift.agent.exchange import Exchange
-from burlshift.agent.server import _DownstreamConnection
 from burlshift.agent.upstream_connection import PooledConnection
 from burlshift.agent.upstream_request import ExchangeResult, UpstreamRequest
 from burlshift.balancing.interface import Action, Event, ListKind, Outcome, RequestArrived, Send
@@ -298,14 +298,14 @@
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.client()
-            heard, left, looks = held_connects(monkeypatch), _DownstreamConnection.left, 0
+            heard, left, looks = held_connects(monkeypatch), DownstreamConnection.left, 0
 
-            def counted(client: _DownstreamConnection) -> bool:
+            def counted(client: DownstreamConnection) -> bool:
                 nonlocal looks
                 looks += 1
                 return left(client)
 
-            monkeypatch.setattr(_DownstreamConnection, "left", counted)
+            monkeypatch.setattr(DownstreamConnection, "left", counted)
             await client.write(post())
             while not w.agent._backends._waiting:
                 await asyncio.sleep(0)
@@ -371,12 +371,12 @@
             (connection,) = w.server.connections
             while connection._upload is None:
                 await asyncio.sleep(0)
-            assert connection._unread is None  # while it is not read nothing is held against it
-            connection._began -= 2.0  # the connection takes so long to come up
+            assert connection._deadline.timer is None  # while it is not read nothing is held against it
+            connection._deadline.began -= 2.0  # the connection takes so long to come up
             heard.set()
-            while connection._unread is None:
+            while connection._deadline.timer is None:
                 await asyncio.sleep(0)
-            assert connection._unread.when() < connection._began + 3.0
+            assert connection._deadline.timer.when() < connection._deadline.began + 3.0
             await sending
             client.close()
 
--- a/tests/test_departed_uploads.py
+++ b/tests/test_departed_uploads.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from burlshift.agent.server import AHEAD_LIMIT
+from burlshift.agent.downstream_connection import AHEAD_LIMIT
 from tests.loopback import Raw, World, held_connects, post, world
 
 LARGE = b"x" * 200_000
@@ -25,7 +25,8 @@
 async def until_read(w: World, size: int) -> None:
     """So much of the body has been read, and its attempt is out."""
     while not any(
-        c._received == size and c._upload is not None and c._upload.spent for c in w.server.connections
+        c._deadline.received == size and c._upload is not None and c._upload.spent
+        for c in w.server.connections
     ):
         await asyncio.sleep(0)
 
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -14,10 +14,11 @@
 from burlshift.agent import agent as agent_module
 from burlshift.agent.agent import Agent
 from burlshift.agent.connection_pool import Backends
+from burlshift.agent.downstream_connection import DownstreamConnection
 from burlshift.agent.exchange import Exchange
 from burlshift.agent.list_keeper import ListKeeper
 from burlshift.agent.metrics import Metrics
-from burlshift.agent.server import Server, _DownstreamConnection
+from burlshift.agent.server import Server
 from burlshift.balancing.interface import (
     AttemptEnded,
     BackendsChanged,
@@ -140,11 +141,11 @@
 @pytest.mark.parametrize(
     "where",
     [
-        (_DownstreamConnection, "answer"),
-        (_DownstreamConnection, "_respond"),
-        (_DownstreamConnection, "send"),
-        (_DownstreamConnection, "_last_words"),
-        (_DownstreamConnection, "_writable"),
+        (DownstreamConnection, "answer"),
+        (DownstreamConnection, "_respond"),
+        (DownstreamConnection, "send"),
+        (DownstreamConnection, "_connection_header"),
+        (DownstreamConnection, "_writable"),
     ],
     ids=lambda w: w[1],
 )
@@ -170,8 +171,8 @@
 @pytest.mark.parametrize(
     "where",
     [
-        (_DownstreamConnection, "_answered"),
-        (_DownstreamConnection, "_go_on_or_part"),
+        (DownstreamConnection, "_answered"),
+        (DownstreamConnection, "_start_next_or_linger"),
         (Server, "freed"),
         (Metrics, "count_request"),
     ],
@@ -333,7 +334,7 @@
     def leaves_first(self: Agent, a: Send) -> None:
         client = self._pending[a.request].call.client
         if not heard.ends:
-            assert isinstance(client, _DownstreamConnection)
+            assert isinstance(client, DownstreamConnection)
             client._client_left()
             client.drop()
         send(self, a)
@@ -369,9 +370,9 @@
 @pytest.mark.parametrize(
     "where",
     [
-        (_DownstreamConnection, "begin"),
-        (_DownstreamConnection, "send"),
-        (_DownstreamConnection, "_last_words"),
+        (DownstreamConnection, "begin"),
+        (DownstreamConnection, "send"),
+        (DownstreamConnection, "_connection_header"),
     ],
     ids=lambda w: w[1],
 )
@@ -398,9 +399,9 @@
 @pytest.mark.parametrize(
     "where",
     [
-        (_DownstreamConnection, "more"),
-        (_DownstreamConnection, "send"),
-        (_DownstreamConnection, "_hold_source"),
+        (DownstreamConnection, "more"),
+        (DownstreamConnection, "send"),
+        (DownstreamConnection, "_pause_source"),
     ],
     ids=lambda w: w[1],
 )
@@ -429,7 +430,7 @@
 def test_a_large_answer_that_cannot_end(
     tmp_path: Path, raises: Raises, heard: Heard, name: str, when: Callable[..., bool]
 ) -> None:
-    raises.on(_DownstreamConnection, name, when)
+    raises.on(DownstreamConnection, name, when)
 
     async def run() -> None:
         async with world(tmp_path) as w:
@@ -473,9 +474,9 @@
 def test_an_answer_that_begins_as_its_client_is_leaving(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, heard: Heard
 ) -> None:
-    begin = _DownstreamConnection.begin
+    begin = DownstreamConnection.begin
 
-    def as_it_leaves(self: _DownstreamConnection, *args: Any) -> None:
+    def as_it_leaves(self: DownstreamConnection, *args: Any) -> None:
         assert self.transport is not None
         self.transport.abort()  # as a failed write leaves it: the loop says so a turn later
         begin(self, *args)
@@ -485,7 +486,7 @@
             await w.ask(post())
             got = await w.request()
             with monkeypatch.context() as planted:
-                planted.setattr(_DownstreamConnection, "begin", as_it_leaves)
+                planted.setattr(DownstreamConnection, "begin", as_it_leaves)
                 await begin_large(got, LENGTH)
                 await asyncio.wait_for(got.peer.ended(), GUARD_S)
             await all_is_well(w, heard)
@@ -578,7 +579,7 @@
 
 @pytest.mark.parametrize("cause", ["a stop", "no time left"])
 def test_giving_up_reaches_each(tmp_path: Path, raises: Raises, heard: Heard, cause: str) -> None:
-    raises.on(_DownstreamConnection, "answer")
+    raises.on(DownstreamConnection, "answer")
 
     async def run() -> None:
         async with world(tmp_path) as w:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -14,7 +14,8 @@
 import pytest
 
 from burlshift.agent.__main__ import drain_times
-from burlshift.agent.server import AHEAD_LIMIT, LameDuckTimes
+from burlshift.agent.downstream_connection import AHEAD_LIMIT
+from burlshift.agent.drain import LameDuckTimes
 from burlshift.balancing.interface import RequestClass, Settings
 from tests.loopback import KEYED, UNSAFE, Conversation, Message, Peer, config_doc, member, post, start, world
 
@@ -103,26 +104,26 @@
             served = await w.ask(post())
             got = await w.request()
             (first,) = w.server.connections
-            assert first._unread is None  # whole, and so not cut off however long its answer takes
+            assert first._deadline.timer is None  # whole, and so not cut off however long its answer takes
             slow = await w.ask(sent)
             while len(w.server.connections) < 2:
                 await asyncio.sleep(0)
             (second,) = w.server.connections - {first}
             while sent and second.has_read_nothing:
                 await asyncio.sleep(0)
-            assert second._unread is not None
+            assert second._deadline.timer is not None
             second._too_slow()  # as its timer does
             if status is not None:
                 assert (await slow.read()).status == status
             await slow.ended()
             await got.answer()
             assert (await served.read()).status == 200
-            assert first._unread is None  # one that has served may stay, and say nothing
+            assert first._deadline.timer is None  # one that has served may stay, and say nothing
             await served.write(sent)
             if status is not None:
                 while first.has_read_nothing:
                     await asyncio.sleep(0)
-                assert first._unread is not None
+                assert first._deadline.timer is not None
                 first._too_slow()
                 assert (await served.read()).status == status
                 await served.ended()
@@ -138,8 +139,8 @@
             while not w.server.connections:
                 await asyncio.sleep(0)
             (connection,) = w.server.connections
-            assert connection._unread is not None
-            assert connection._unread.when() < asyncio.get_running_loop().time() + 3.0
+            assert connection._deadline.timer is not None
+            assert connection._deadline.timer.when() < asyncio.get_running_loop().time() + 3.0
             await silent.ended()
 
     asyncio.run(run())
@@ -151,7 +152,7 @@
         async with world(tmp_path) as w:
             client = await w.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
             assert (await client.read()).status == 200
-            w.server._close_idle()
+            w.server.close_idle()
             assert client.told_of_close()
 
     asyncio.run(run())
@@ -161,11 +162,11 @@
     # Accepted between a look and the next, it was closed as idle before its request came.
     async def run() -> None:
         async with world(tmp_path) as w:
-            w.server.enter_lame_duck(LameDuckTimes(0.0, 0.0))
+            w.server.drain.enter_lame_duck(LameDuckTimes(0.0, 0.0))
             client = await w.client()
             while not w.server.connections:
                 await asyncio.sleep(0)
-            w.server._close_idle()
+            w.server.close_idle()
             assert not client.told_of_close()
             await client.write(post())
             await (await w.request()).answer()
