--- a/burlshift_tools/emulator/shipped_policy.py
+++ b/burlshift_tools/emulator/shipped_policy.py
@@ -22,6 +22,8 @@
     WorkEstimates,
 )
 
+POLICY_MODULES = (logic,)  # those that deploy/balancer.toml lists under `policy`
+
 
 class _NoHealth(OutlierDetector):
     def admits(self, s: Server, now: int, typical: float) -> bool:
@@ -168,10 +170,11 @@
 
 
 def constants() -> dict[str, float]:
-    """The numbers at the head of burlshift/balancing/logic.py, by name."""
+    """The numbers at the head of the decisions' modules, by name."""
     return {
         name: value
-        for name, value in vars(logic).items()
+        for module in POLICY_MODULES
+        for name, value in vars(module).items()
         if name.isupper() and isinstance(value, int | float) and not isinstance(value, bool)
     }
 
@@ -195,11 +198,13 @@
 @contextmanager
 def constants_set(changes: dict[str, float]) -> Iterator[None]:
     """The decisions with other constants, for the length of a run in this process."""
-    old: dict[str, Any] = {name: getattr(logic, name) for name in changes}
+    # Each module that reads a number has its own name for it.
+    readers = [(module, name) for name in changes for module in POLICY_MODULES if hasattr(module, name)]
+    old: list[Any] = [getattr(module, name) for module, name in readers]
     try:
-        for name, value in changes.items():
-            setattr(logic, name, value)
+        for module, name in readers:
+            setattr(module, name, changes[name])
         yield
     finally:
-        for name, value in old.items():
-            setattr(logic, name, value)
+        for (module, name), value in zip(readers, old, strict=True):
+            setattr(module, name, value)
--- a/burlshift_tools/emulator/sweep.py
+++ b/burlshift_tools/emulator/sweep.py
@@ -13,8 +13,6 @@
 import msgspec
 from joblib.externals.loky.process_executor import TerminatedWorkerError
 
-from burlshift.balancing import logic
-
 from . import registry, shipped_policy, sources
 from .scenario import Span
 from .world import World
@@ -64,7 +62,10 @@
 
 def decisions_digest() -> str:
     """Tells two versions of the decisions apart in the rows."""
-    return hashlib.blake2s(Path(str(logic.__file__)).read_bytes(), digest_size=4).hexdigest()
+    digest = hashlib.blake2s(digest_size=4)
+    for module in shipped_policy.POLICY_MODULES:
+        digest.update(Path(str(module.__file__)).read_bytes())
+    return digest.hexdigest()
 
 
 def scenario_digest(span: Span) -> str:
--- a/tests/test_emulator_commands.py
+++ b/tests/test_emulator_commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -128,6 +129,28 @@
     assert before == logic.HEADROOM
 
 
+def test_policy_modules_are_those_the_deployment_lists() -> None:
+    root = Path(__file__).parent.parent
+    listed = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["policy"]
+    assert sorted(root / name for name in listed) == sorted(
+        Path(str(module.__file__)) for module in shipped_policy.POLICY_MODULES
+    )
+
+
+def test_a_constant_is_set_in_every_module_that_reads_it() -> None:
+    names = shipped_policy.constants()
+    readers = [
+        (module, name, getattr(module, name))
+        for module in shipped_policy.POLICY_MODULES
+        for name in names
+        if hasattr(module, name)
+    ]
+    assert all(before == names[name] for _, name, before in readers)  # one name, one number
+    with shipped_policy.constants_set({name: value + 1 for name, value in names.items()}):
+        assert all(getattr(module, name) == before + 1 for module, name, before in readers)
+    assert all(getattr(module, name) == before for module, name, before in readers)
+
+
 def test_a_paired_comparison_finds_a_difference_that_the_spread_over_seeds_hides() -> None:
     base = [0.1 * i for i in range(10)]
     mean, low, high = compare.paired([b + 0.05 for b in base], base)
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -18,7 +19,8 @@
 
 
 def test_module_stays_within_its_limits() -> None:
-    text = (ROOT / "burlshift" / "balancing" / "logic.py").read_text().splitlines()
+    policy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+    text = [line for name in policy for line in (ROOT / name).read_text().splitlines()]
     assert sum(1 for line in text if line.strip()) <= 1200
     for path in [*ROOT.glob("burlshift/balancing/*.py"), *ROOT.glob("tests/*.py")]:
         assert all(len(line) <= 110 for line in path.read_text().splitlines()), path
