--- a/burlshift/balancing/logic.py
+++ b/burlshift/balancing/logic.py
@@ -50,8 +50,8 @@
     TimerFired,
     Watch,
 )
+from .time_units import MS, SECOND
 
-MS, SECOND = 1_000, 1_000_000
 QUERIES = 8  # k of the Quantile process
 FRESH_US = SECOND  # a report this young counts in full; older ones fade to the mean as FRESH_US / age
 GAIN, SERVICE_GAIN = 0.1, 0.3  # weight of a new sample in smoothed figures; in those the server has smoothed
