--- a/burlshift/balancing/logic.py
+++ b/burlshift/balancing/logic.py
@@ -9,9 +9,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from functools import lru_cache
 from heapq import heappop, heappush
-from math import ceil, exp, log2
+from math import exp
 from random import Random
 from struct import Struct
 from typing import Any
@@ -50,9 +49,9 @@
     TimerFired,
     Watch,
 )
+from .quantile import cutoffs, lower_band
 from .time_units import MS, SECOND
 
-QUERIES = 8  # k of the Quantile process
 FRESH_US = SECOND  # a report this young counts in full; older ones fade to the mean as FRESH_US / age
 GAIN, SERVICE_GAIN = 0.1, 0.3  # weight of a new sample in smoothed figures; in those the server has smoothed
 PRIOR = 4  # a learned pace counts half after this many answers
@@ -221,27 +220,6 @@
         )
 
 
-@lru_cache(maxsize=4096)
-def cutoff_ranks(n: int, k: int = QUERIES) -> tuple[int, ...]:
-    """The ranks, from the most loaded down, at which Quantile(d1 .. dk) cuts n servers."""
-    deltas = [2 ** (-0.5 * log2(n) ** ((k - i) / k)) for i in range(1, k)]
-    ranks = {ceil(d * n - 1e-9) for d in deltas if d < 0.5} | {ceil(n / 2)}
-    return tuple(sorted(ranks))
-
-
-def cutoffs(loads: list[float]) -> list[float]:
-    """The loads at these ranks."""
-    ordered = sorted(loads, reverse=True)
-    return [ordered[r - 1] for r in cutoff_ranks(len(loads))]
-
-
-def lower_band(rng: Random, cuts: list[float], load_i: float, load_j: float) -> bool:
-    """Whether the first of two samples takes it: the lower band does, a tie goes at random."""
-    band_i = sum(load_i >= c for c in cuts)
-    band_j = sum(load_j >= c for c in cuts)
-    return band_i < band_j or (band_i == band_j and rng.random() < 0.5)
-
-
 class LoadTable:
     """What each server holds, by its reports and this balancer's own count, and how fast it works it off."""
 
--- a/burlshift_tools/emulator/shipped_policy.py
+++ b/burlshift_tools/emulator/shipped_policy.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import burlshift.balancing.interface as q
-from burlshift.balancing import logic, time_units
+from burlshift.balancing import logic, quantile, time_units
 from burlshift.balancing.logic import (
     Balancer,
     LoadTable,
@@ -22,7 +22,7 @@
     WorkEstimates,
 )
 
-POLICY_MODULES = (logic, time_units)  # those that deploy/balancer.toml lists under `policy`
+POLICY_MODULES = (logic, time_units, quantile)  # those that deploy/balancer.toml lists under `policy`
 
 
 class _NoHealth(OutlierDetector):
--- a/tests/test_quantile.py
+++ b/tests/test_quantile.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from burlshift.balancing.logic import cutoff_ranks, cutoffs, lower_band
+from burlshift.balancing.quantile import cutoff_ranks, cutoffs, lower_band
 
 
 def choose(rng: Random, loads: list[float], cuts: list[float]) -> int:
