--- a/burlshift/balancing/logic.py
+++ b/burlshift/balancing/logic.py
@@ -114,7 +114,6 @@
         "out_us",
         "allowance",
         "asked_at",
-        "askers",
         "pace",
         "service",
         "news_at",
@@ -131,7 +130,6 @@
         self.open: dict[tuple[int, int], int] = {}  # own attempts out, oldest first: when each was sent
         self.streams: dict[tuple[int, int], int] = {}  # and those whose body, or whose answer, is under way
         self.asked_at = 0  # when the probe now out was sent; 0: none is
-        self.askers: list[Request] = []  # requests that wait for its echo
         self.calls: list[tuple[int, float]] = []  # while it is cold: own calls in a window, with their work
         self.adopt(b)
         self.reset(now)
@@ -609,6 +607,7 @@
         # So young an entry is known, and no free pass is needed to learn of it.
         self.known_us = self.ask_us if self.asks else FORGET_US if self.tells else -1
         self.tags: dict[int, Server] = {}
+        self.askers: dict[Server, list[Request]] = {}  # requests that wait for a server's echo
         self.picks_left = 0  # picks that the cutoffs still serve
         self.requests: dict[int, Request] = {}
         self.budget, self.copies = RETRY_BURST, HEDGE_BURST
@@ -676,6 +675,7 @@
                 s.state = State.GONE  # for requests that hold it still
                 del self.servers[s.id]  # each release brings new ids: kept, they would fill the memory
                 self.tags.pop(crc32(_name(s.id).encode()), None)
+                self.askers.pop(s, None)
         self.ready = [x for x in self.servers.values() if x.state is State.READY]
         self.slow_start.look(self.ready, now)
         self.picks_left = 0
@@ -748,7 +748,7 @@
             if not s.asked_at or now - s.asked_at > bound:
                 s.asked_at = now
                 self.actions.append(Probe(s.id))
-            s.askers.append(r)
+            self.askers.setdefault(s, []).append(r)
         r.pairs += 1
         self._later(now + min(bound, self._left(r)), self._unanswered, (r, r.pairs))
 
@@ -762,7 +762,7 @@
         s = self.servers.get(e.backend)
         if s is None:
             return
-        s.asked_at, askers, s.askers = 0, s.askers, []
+        s.asked_at, askers = 0, self.askers.pop(s, [])
         heard = e.outcome is Outcome.OK and 0 <= self.table.column < len(e.report)
         if heard:
             self.table.holds(self.now, s, e.report[self.table.column])
