--- a/burlshift/balancing/logic.py
+++ b/burlshift/balancing/logic.py
@@ -21,7 +21,6 @@
     TOLD_US,
     Action,
     AttemptEnded,
-    Backend,
     BackendId,
     BackendsChanged,
     Cancel,
@@ -50,13 +49,13 @@
     Watch,
 )
 from .quantile import cutoffs, lower_band
+from .server_state import Server, backend_name
 from .time_units import MS, SECOND
 
 FRESH_US = SECOND  # a report this young counts in full; older ones fade to the mean as FRESH_US / age
 GAIN, SERVICE_GAIN = 0.1, 0.3  # weight of a new sample in smoothed figures; in those the server has smoothed
 PRIOR = 4  # a learned pace counts half after this many answers
 FORGET_US = 5 * SECOND  # a pace not confirmed for this long counts half: a server shunned must be seen again
-RESIDUE_US = SECOND  # weight of an attempt that ended badly fades over this
 SILENT = 5  # no answer for this many typical latencies, with attempts out, is silence
 OUT_FIRST_US, OUT_MAX_US = 500 * MS, 4 * SECOND  # exclusion from sampling, doubled each time
 TRIALS = 8  # readmission: at most this many attempts out at once before all limits fall
@@ -88,76 +87,6 @@
 TURN_US = 150 * MS  # between the list calls of balancers that start together: one discovery serves them all
 
 
-class Server:
-    """What this balancer knows of one backend."""
-
-    __slots__ = (
-        "id",
-        "zone",
-        "cell",
-        "hint",
-        "state",
-        "started_at",
-        "open",
-        "residue",
-        "residue_at",
-        "others",
-        "heard_at",
-        "latency",
-        "load",
-        "samples",
-        "answered_at",
-        "ended_at",
-        "failing",
-        "streak",
-        "out_until",
-        "out_us",
-        "allowance",
-        "asked_at",
-        "pace",
-        "service",
-        "news_at",
-        "luck",
-        "streams",
-        "reported",
-        "beyond",
-        "calls",
-        "called",
-    )
-
-    def __init__(self, b: Backend, now: int, luck: float) -> None:
-        self.id, self.luck = b.id, luck
-        self.open: dict[tuple[int, int], int] = {}  # own attempts out, oldest first: when each was sent
-        self.streams: dict[tuple[int, int], int] = {}  # and those whose body, or whose answer, is under way
-        self.asked_at = 0  # when the probe now out was sent; 0: none is
-        self.calls: list[tuple[int, float]] = []  # while it is cold: own calls in a window, with their work
-        self.adopt(b)
-        self.reset(now)
-
-    def adopt(self, b: Backend) -> None:
-        self.zone, self.cell, self.state = b.zone, b.cell, b.state
-        self.hint, self.started_at = max(b.capacity_hint, 1e-6), b.started_at
-
-    def held(self) -> int:
-        return len(self.open) + len(self.streams)
-
-    def own(self, now: int) -> float:
-        """Own attempts out, and what is left of the weight of those that ended badly."""
-        faded = self.residue and self.residue * RESIDUE_US / (RESIDUE_US + now - self.residue_at)
-        return self.held() + faded
-
-    def reset(self, now: int) -> None:
-        """Forget what was learned of an earlier process."""
-        self.news_at = now  # when it was last heard of in any way
-        self.calls.clear()
-        self.called = 0.0  # the work of these calls
-        self.pace = 1.0  # as of the last look at the table
-        self.reported, self.beyond = -1.0, 0.0  # its last report, and what that told beyond the mean
-        self.residue = self.others = self.service = self.latency = self.load = self.failing = 0.0
-        self.residue_at = self.heard_at = self.answered_at = self.ended_at = self.samples = self.streak = 0
-        self.out_until = self.out_us = self.allowance = 0  # allowance 0: no limit
-
-
 class Request:
     """A request this balancer has taken, until its answer is given and its attempts have ended."""
 
@@ -396,7 +325,7 @@
                 s.allowance += 1
                 if s.allowance > TRIALS:
                     s.allowance = s.out_us = 0
-                    self.log(f"server {_name(s.id)} healthy: readmitted in full")
+                    self.log(f"server {backend_name(s.id)} healthy: readmitted in full")
         elif outcome is not Outcome.NOT_SENT and outcome is not Outcome.CANCELLED:
             s.failing += GAIN * (1.0 - s.failing)
             s.streak += 1
@@ -408,7 +337,7 @@
         if s.out_until > now:
             return
         if not s.out_us:
-            self.log(f"server {_name(s.id)} excluded: {why}")
+            self.log(f"server {backend_name(s.id)} excluded: {why}")
         s.out_us = min(2 * s.out_us or OUT_FIRST_US, OUT_MAX_US)
         s.out_until = now + int(s.out_us * (0.75 + 0.5 * self.rng.random()))
         s.allowance = 1
@@ -571,10 +500,6 @@
         return level < 1.0
 
 
-def _name(backend: BackendId) -> str:
-    return backend.hex() if isinstance(backend, bytes) else str(backend)
-
-
 class Balancer:
     """One balancer. Hand every event to handle() in order; carry out the actions it returns in order."""
 
@@ -666,7 +591,7 @@
             old = self.servers.get(b.id)
             if old is None:
                 old = self.servers[b.id] = Server(b, now, self.rng.random())
-                self.tags[crc32(_name(b.id).encode())] = old
+                self.tags[crc32(backend_name(b.id).encode())] = old
             if b.started_at != old.started_at:
                 old.reset(now)  # a new process under the same id
             old.adopt(b)
@@ -674,7 +599,7 @@
             if s.state is State.GONE or (e.kind is not ListKind.DELTA and s.id not in named):
                 s.state = State.GONE  # for requests that hold it still
                 del self.servers[s.id]  # each release brings new ids: kept, they would fill the memory
-                self.tags.pop(crc32(_name(s.id).encode()), None)
+                self.tags.pop(crc32(backend_name(s.id).encode()), None)
                 self.askers.pop(s, None)
         self.ready = [x for x in self.servers.values() if x.state is State.READY]
         self.slow_start.look(self.ready, now)
@@ -778,7 +703,7 @@
     def _tell(self, s: Server, held: float) -> None:
         """Tell some peers, drawn anew each time, what a server has just reported; fewer while all idle."""
         numbers = (max(0, min(0xFFFF, round(x))) for x in (held, s.service))
-        note = PEER_REPORT.pack(crc32(_name(s.id).encode()), *numbers)
+        note = PEER_REPORT.pack(crc32(backend_name(s.id).encode()), *numbers)
         for _ in range(round(self.tells * min(1.0, self.table.mean / 2))):
             peer = int(self.rng.random() * (self.settings.siblings - 1))
             self.actions.append(Tell(peer + (peer >= self.settings.me), note))
--- a/burlshift_tools/emulator/shipped_policy.py
+++ b/burlshift_tools/emulator/shipped_policy.py
@@ -11,18 +11,23 @@
 from typing import Any
 
 import burlshift.balancing.interface as q
-from burlshift.balancing import logic, quantile, time_units
+from burlshift.balancing import logic, quantile, server_state, time_units
 from burlshift.balancing.logic import (
     Balancer,
     LoadTable,
     OutlierDetector,
     Request,
-    Server,
     SlowStartBudget,
     WorkEstimates,
 )
-
-POLICY_MODULES = (logic, time_units, quantile)  # those that deploy/balancer.toml lists under `policy`
+from burlshift.balancing.server_state import Server
+
+POLICY_MODULES = (
+    logic,
+    time_units,
+    quantile,
+    server_state,
+)  # those that deploy/balancer.toml lists under `policy`
 
 
 class _NoHealth(OutlierDetector):
--- a/burlshift_tools/emulator/trace.py
+++ b/burlshift_tools/emulator/trace.py
@@ -13,7 +13,8 @@
 
 import burlshift.balancing.interface as q
 from burlshift.balancing import logic
-from burlshift.balancing.logic import Balancer, Request, Server
+from burlshift.balancing.logic import Balancer, Request
+from burlshift.balancing.server_state import Server
 
 if TYPE_CHECKING:
     from .agents import Host
