--- a/burlshift/balancing/logic.py
+++ b/burlshift/balancing/logic.py
@@ -38,7 +38,6 @@
     ProbeEnded,
     Refuse,
     RequestArrived,
-    RequestClass,
     Send,
     SetTimer,
     Settings,
@@ -49,6 +48,7 @@
     Watch,
 )
 from .quantile import cutoffs, lower_band
+from .request_state import Request
 from .server_state import Server, backend_name
 from .time_units import MS, SECOND
 
@@ -87,66 +87,6 @@
 TURN_US = 150 * MS  # between the list calls of balancers that start together: one discovery serves them all
 
 
-class Request:
-    """A request this balancer has taken, until its answer is given and its attempts have ended."""
-
-    __slots__ = (
-        "id",
-        "cls",
-        "number",
-        "deadline",
-        "aim_at",
-        "gives_way",
-        "sends",
-        "out",
-        "may_have_run",
-        "tried",
-        "done",
-        "luck",
-        "size",
-        "work",
-        "seen",
-        "early",
-        "pair",
-        "silent",
-        "pairs",
-        "redrawn",
-        "streamed",
-        "begun",
-        "copy",
-    )
-
-    def __init__(
-        self, e: RequestArrived, cls: RequestClass, now: int, luck: float, size: float, work: float
-    ) -> None:
-        self.id, self.cls, self.number = e.request, cls, e.request_class
-        self.deadline = now + e.patience_us
-        self.aim_at = min(now + cls.aim_us + int(cls.aim_stretch * e.cost_us), self.deadline)
-        self.gives_way = self.done = False
-        self.luck = luck  # one for its whole life: a held request must not draw until a cold server takes it
-        self.size = size  # its work as a multiple of the mean, where a hint tells it
-        self.work = work  # the same, as its class has it where no hint does
-        self.seen = 0.0  # strength of the servers drawn for it, in warm ones, up to EARLY
-        self.early: list[Server] = []  # cold ones among these
-        self.sends = self.pairs = self.redrawn = 0
-        self.copy = -1  # the attempt that was sent while another was out
-        self.streamed, self.begun = e.streamed, -1  # its body is passed on; the attempt whose answer is
-        self.out: dict[int, tuple[Server, int, float]] = {}  # attempt: server, sent at, table load then
-        self.may_have_run: list[tuple[int, Server, int]] = []  # attempts not proven never to have run
-        self.tried: list[Server] = []
-        self.pair: tuple[Server, Server] | None = None  # samples that have been asked for their load
-        self.silent: list[Server] = []  # those of them that have not answered yet
-
-    def may_refuse(self) -> bool:
-        """A refusal says that trying again is harmless."""
-        c = self.cls
-        return (
-            not self.may_have_run
-            or c.effect is Effect.SAFE
-            or (c.effect is Effect.KEYED and c.group is Group.ALL)
-        )
-
-
 class LoadTable:
     """What each server holds, by its reports and this balancer's own count, and how fast it works it off."""
 
--- a/burlshift_tools/emulator/shipped_policy.py
+++ b/burlshift_tools/emulator/shipped_policy.py
@@ -11,15 +11,21 @@
 from typing import Any
 
 import burlshift.balancing.interface as q
-from burlshift.balancing import logic, quantile, server_state, time_units
+from burlshift.balancing import (
+    logic,
+    quantile,
+    request_state,
+    server_state,
+    time_units,
+)
 from burlshift.balancing.logic import (
     Balancer,
     LoadTable,
     OutlierDetector,
-    Request,
     SlowStartBudget,
     WorkEstimates,
 )
+from burlshift.balancing.request_state import Request
 from burlshift.balancing.server_state import Server
 
 POLICY_MODULES = (
@@ -27,6 +33,7 @@
     time_units,
     quantile,
     server_state,
+    request_state,
 )  # those that deploy/balancer.toml lists under `policy`
 
 
--- a/burlshift_tools/emulator/trace.py
+++ b/burlshift_tools/emulator/trace.py
@@ -13,7 +13,8 @@
 
 import burlshift.balancing.interface as q
 from burlshift.balancing import logic
-from burlshift.balancing.logic import Balancer, Request
+from burlshift.balancing.logic import Balancer
+from burlshift.balancing.request_state import Request
 from burlshift.balancing.server_state import Server
 
 if TYPE_CHECKING:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -22,7 +22,8 @@
     State,
     Tell,
 )
-from burlshift.balancing.logic import PEER_REPORT, RETRY_BURST, RETRY_SHARE, Request
+from burlshift.balancing.logic import PEER_REPORT, RETRY_BURST, RETRY_SHARE
+from burlshift.balancing.request_state import Request
 from burlshift.balancing.server_state import Server
 from tests.helpers import MS, SECOND, Drive, only
 
