--- a/burlshift_tools/emulator/shipped_policy.py
+++ b/burlshift_tools/emulator/shipped_policy.py
@@ -12,15 +12,16 @@
 
 import burlshift.balancing.interface as q
 from burlshift.balancing import (
+    load_table,
     logic,
     quantile,
     request_state,
     server_state,
     time_units,
 )
+from burlshift.balancing.load_table import LoadTable
 from burlshift.balancing.logic import (
     Balancer,
-    LoadTable,
     OutlierDetector,
     SlowStartBudget,
     WorkEstimates,
@@ -34,6 +35,7 @@
     quantile,
     server_state,
     request_state,
+    load_table,
 )  # those that deploy/balancer.toml lists under `policy`
 
 
