--- a/burlshift/balancing/logic.py
+++ b/burlshift/balancing/logic.py
@@ -47,11 +47,12 @@
     TimerFired,
     Watch,
 )
-from .load_table import FORGET_US, FRESH_US, GAIN, PRIOR, LoadTable
+from .load_table import FORGET_US, FRESH_US, GAIN, LoadTable
 from .quantile import cutoffs, lower_band
 from .request_state import Request
 from .server_state import Server, backend_name
 from .time_units import MS, SECOND
+from .work_estimates import WorkEstimates
 
 SILENT = 5  # no answer for this many typical latencies, with attempts out, is silence
 OUT_FIRST_US, OUT_MAX_US = 500 * MS, 4 * SECOND  # exclusion from sampling, doubled each time
@@ -83,48 +84,6 @@
 TURN_US = 150 * MS  # between the list calls of balancers that start together: one discovery serves them all
 
 
-class WorkEstimates:
-    """How much work each class asks for, as a multiple of the mean request's, by the time of its answers.
-
-    Held to the mean request's time, the short classes were refused first, though they are worth the most for
-    their work, while the one that can wait longest filled the servers.
-    """
-
-    def __init__(self, settings: Settings) -> None:
-        self.classes = settings.classes
-        self.of = [1.0] * len(self.classes)
-        self.took, self.expected = [0.0] * len(self.classes), [0.0] * len(self.classes)
-        self.bearable = [0.0] * len(self.classes)
-        self.look(0.0)
-
-    def learn(self, number: int, took: int, expected: float) -> None:
-        """An answer came; expected is what the mean request would have taken in its place."""
-        self.took[number] += took - GAIN / 4 * self.took[number]
-        self.expected[number] += expected - GAIN / 4 * self.expected[number]
-
-    def look(self, typical: float) -> None:
-        """What each class needs, and the mean request's time up to which it may crowd a server."""
-        if typical:
-            mean, prior = (sum(self.took) or 1.0) / (sum(self.expected) or 1.0), PRIOR * typical
-            self.of = [
-                (took + prior) / (mean * expected + prior)
-                for took, expected in zip(self.took, self.expected, strict=True)
-            ]
-        by_work = [c.worth / need for c, need in zip(self.classes, self.of, strict=True)]
-        most = max(by_work) or 1.0
-        # Where not all can be served, work goes where it is worth most: no class crowds the servers beyond
-        # what those worth more for their work can bear, and the less it is worth, the less it may.
-        self.bearable = [
-            max(mine / most, 1e-9)
-            * min(
-                c.aim_us / need
-                for c, need, worth in zip(self.classes, self.of, by_work, strict=True)
-                if worth >= mine
-            )
-            for mine in by_work
-        ]
-
-
 class OutlierDetector:
     """Which servers are left out of sampling, on strong evidence only, and how they come back."""
 
--- a/burlshift_tools/emulator/shipped_policy.py
+++ b/burlshift_tools/emulator/shipped_policy.py
@@ -18,16 +18,17 @@
     request_state,
     server_state,
     time_units,
+    work_estimates,
 )
 from burlshift.balancing.load_table import LoadTable
 from burlshift.balancing.logic import (
     Balancer,
     OutlierDetector,
     SlowStartBudget,
-    WorkEstimates,
 )
 from burlshift.balancing.request_state import Request
 from burlshift.balancing.server_state import Server
+from burlshift.balancing.work_estimates import WorkEstimates
 
 POLICY_MODULES = (
     logic,
@@ -36,6 +37,7 @@
     server_state,
     request_state,
     load_table,
+    work_estimates,
 )  # those that deploy/balancer.toml lists under `policy`
 
 
