--- a/burlshift/balancing/logic.py
+++ b/burlshift/balancing/logic.py
@@ -48,15 +48,13 @@
     Watch,
 )
 from .load_table import FORGET_US, FRESH_US, GAIN, LoadTable
+from .outlier_detection import OutlierDetector
 from .quantile import cutoffs, lower_band
 from .request_state import Request
 from .server_state import Server, backend_name
 from .time_units import MS, SECOND
 from .work_estimates import WorkEstimates
 
-SILENT = 5  # no answer for this many typical latencies, with attempts out, is silence
-OUT_FIRST_US, OUT_MAX_US = 500 * MS, 4 * SECOND  # exclusion from sampling, doubled each time
-TRIALS = 8  # readmission: at most this many attempts out at once before all limits fall
 RETRY_SHARE, RETRY_BURST = 0.15, 10.0  # repeats that may load the servers, as a share of first tries
 HEDGE_FIT = 0.9  # second copies only while this share of draws fits: else they displace first tries
 HEDGE_SHARE, HEDGE_BURST = 0.003, 1.0  # and as many as win: this share of first tries finds out whether
@@ -84,54 +82,6 @@
 TURN_US = 150 * MS  # between the list calls of balancers that start together: one discovery serves them all
 
 
-class OutlierDetector:
-    """Which servers are left out of sampling, on strong evidence only, and how they come back."""
-
-    def __init__(self, rng: Random, log: Callable[[str], None]) -> None:
-        self.rng, self.log = rng, log
-        self.shared = False
-
-    def look(self, servers: list[Server], now: int, typical: float) -> None:
-        """When most look ill the cause is shared, and the rest would drown: then none is left out."""
-        self.shared = 2 * sum(self.ill(s, now, typical) for s in servers) > len(servers)
-
-    def admits(self, s: Server, now: int, typical: float) -> bool:
-        return self.shared or not self.ill(s, now, typical)
-
-    def ill(self, s: Server, now: int, typical: float) -> bool:
-        if s.out_until > now or (s.allowance and len(s.open) >= s.allowance):
-            return True
-        if len(s.open) < 2 or not typical:
-            return False
-        # Silent: takes work and answers nothing.
-        return now - max(next(iter(s.open.values())), s.answered_at) > SILENT * typical
-
-    def ended(self, s: Server, now: int, outcome: Outcome) -> None:
-        if outcome is Outcome.OK:
-            s.failing -= GAIN * s.failing
-            s.streak = 0
-            if s.allowance and s.out_until <= now:
-                s.allowance += 1
-                if s.allowance > TRIALS:
-                    s.allowance = s.out_us = 0
-                    self.log(f"server {backend_name(s.id)} healthy: readmitted in full")
-        elif outcome is not Outcome.NOT_SENT and outcome is not Outcome.CANCELLED:
-            s.failing += GAIN * (1.0 - s.failing)
-            s.streak += 1
-            at_once = outcome is Outcome.RESET or outcome is Outcome.CONNECT_FAILED or s.allowance > 0
-            if at_once or s.streak >= 3 or (s.streak >= 2 and s.failing > 0.3):
-                self.exclude(s, now, outcome.value)
-
-    def exclude(self, s: Server, now: int, why: str) -> None:
-        if s.out_until > now:
-            return
-        if not s.out_us:
-            self.log(f"server {backend_name(s.id)} excluded: {why}")
-        s.out_us = min(2 * s.out_us or OUT_FIRST_US, OUT_MAX_US)
-        s.out_until = now + int(s.out_us * (0.75 + 0.5 * self.rng.random()))
-        s.allowance = 1
-
-
 class SlowStartBudget:
     """Keeps all balancers together from pushing over a server that has just started.
 
--- a/burlshift_tools/emulator/shipped_policy.py
+++ b/burlshift_tools/emulator/shipped_policy.py
@@ -14,6 +14,7 @@
 from burlshift.balancing import (
     load_table,
     logic,
+    outlier_detection,
     quantile,
     request_state,
     server_state,
@@ -23,9 +24,9 @@
 from burlshift.balancing.load_table import LoadTable
 from burlshift.balancing.logic import (
     Balancer,
-    OutlierDetector,
     SlowStartBudget,
 )
+from burlshift.balancing.outlier_detection import OutlierDetector
 from burlshift.balancing.request_state import Request
 from burlshift.balancing.server_state import Server
 from burlshift.balancing.work_estimates import WorkEstimates
@@ -38,6 +39,7 @@
     request_state,
     load_table,
     work_estimates,
+    outlier_detection,
 )  # those that deploy/balancer.toml lists under `policy`
 
 
