--- a/burlshift_tools/emulator/shipped_policy.py
+++ b/burlshift_tools/emulator/shipped_policy.py
@@ -18,17 +18,16 @@
     quantile,
     request_state,
     server_state,
+    slow_start,
     time_units,
     work_estimates,
 )
 from burlshift.balancing.load_table import LoadTable
-from burlshift.balancing.logic import (
-    Balancer,
-    SlowStartBudget,
-)
+from burlshift.balancing.logic import Balancer
 from burlshift.balancing.outlier_detection import OutlierDetector
 from burlshift.balancing.request_state import Request
 from burlshift.balancing.server_state import Server
+from burlshift.balancing.slow_start import SlowStartBudget
 from burlshift.balancing.work_estimates import WorkEstimates
 
 POLICY_MODULES = (
@@ -40,6 +39,7 @@
     load_table,
     work_estimates,
     outlier_detection,
+    slow_start,
 )  # those that deploy/balancer.toml lists under `policy`
 
 
--- a/tests/test_slow_start_fleet.py
+++ b/tests/test_slow_start_fleet.py
@@ -29,7 +29,8 @@
     Settings,
     TimerFired,
 )
-from burlshift.balancing.logic import Balancer, SlowStartBudget
+from burlshift.balancing.logic import Balancer
+from burlshift.balancing.slow_start import SlowStartBudget
 from tests.helpers import MS, SECOND
 
 BALANCERS, SERVICE_S, QUEUE, TRIP_US, END_S = 30, 0.05, 20, MS, 4.0
