--- a/burlshift/balancing/logic.py
+++ b/burlshift/balancing/logic.py
@@ -52,6 +52,7 @@
 from .request_state import Request
 from .server_state import Server, backend_name
 from .slow_start import SlowStartBudget
+from .tenant_admission import TenantAdmission
 from .time_units import MS, SECOND
 from .work_estimates import WorkEstimates
 
@@ -78,28 +79,6 @@
 TURN_US = 150 * MS  # between the list calls of balancers that start together: one discovery serves them all
 
 
-class TenantAdmission:
-    """Tells requests beyond a tenant's share; this balancer's part of a quota is its part of the traffic."""
-
-    def __init__(self, settings: Settings) -> None:
-        self.quotas = [t.quota_per_s / SECOND for t in settings.tenants]
-        self.part = 1.0 / settings.siblings
-        self.buckets = [(1.0, 0)] * len(self.quotas)
-
-    def learn(self, own: int, others: float) -> None:
-        if own + others > 0:
-            self.part += 0.002 * (own / (own + others) - self.part)
-
-    def over(self, tenant: int, now: int) -> bool:
-        if not self.quotas or not self.quotas[tenant]:
-            return False
-        rate = self.quotas[tenant] * self.part
-        level, at = self.buckets[tenant]
-        level = min(max(1.0, rate * SECOND), level + rate * (now - at) if at else 1.0)
-        self.buckets[tenant] = (level - 1.0 if level >= 1.0 else level, now)
-        return level < 1.0
-
-
 class Balancer:
     """One balancer. Hand every event to handle() in order; carry out the actions it returns in order."""
 
--- a/burlshift_tools/emulator/shipped_policy.py
+++ b/burlshift_tools/emulator/shipped_policy.py
@@ -19,6 +19,7 @@
     request_state,
     server_state,
     slow_start,
+    tenant_admission,
     time_units,
     work_estimates,
 )
@@ -40,6 +41,7 @@
     work_estimates,
     outlier_detection,
     slow_start,
+    tenant_admission,
 )  # those that deploy/balancer.toml lists under `policy`
 
 
