--- a/burlshift/balancing/logic.py
+++ b/burlshift/balancing/logic.py
@@ -1,9 +1,9 @@
-"""Every decision of the balancer. The types, events and actions used here are defined in
-burlshift/balancing/interface.py.
+"""The balancer: events in, actions out. interface.py defines the types, events and actions used here.
 
-A request meets the parts in this order: membership (who is there), admission (is it worth a try), health and
-cold-start budget (who may be sampled), load table and band choice (the Quantile process of Los and Sauerwald:
-two uniform samples, compared by band), attempt plan (time-out, retry, hedge).
+A request meets the parts in this order: the list of servers (who is there), admission (is it worth a try;
+tenant_admission.py), outlier detection and slow start (who may be sampled; outlier_detection.py,
+slow_start.py), load table and band choice (two uniform samples, compared by band; load_table.py,
+quantile.py), attempt plan (time-out, retry, hedge).
 """
 
 from __future__ import annotations
--- a/burlshift_tools/emulator/shipped_policy.py
+++ b/burlshift_tools/emulator/shipped_policy.py
@@ -31,6 +31,7 @@
 from burlshift.balancing.slow_start import SlowStartBudget
 from burlshift.balancing.work_estimates import WorkEstimates
 
+# Those that deploy/balancer.toml lists under `policy`.
 POLICY_MODULES = (
     logic,
     time_units,
@@ -42,7 +43,7 @@
     outlier_detection,
     slow_start,
     tenant_admission,
-)  # those that deploy/balancer.toml lists under `policy`
+)
 
 
 class _NoHealth(OutlierDetector):
