--- a/burlshift/balancing/logic.py
+++ b/burlshift/balancing/logic.py
@@ -1,17 +1,15 @@
-"""Every decision of the balancer. The types, events and actions used here are defined in
-burlshift/balancing/interface.py.
+"""The balancer: events in, actions out. interface.py defines the types, events and actions used here.
 
-A request meets the parts in this order: membership (who is there), admission (is it worth a try), health and
-cold-start budget (who may be sampled), load table and band choice (the Quantile process of Los and Sauerwald:
-two uniform samples, compared by band), attempt plan (time-out, retry, hedge).
+A request meets the parts in this order: the list of servers (who is there), admission (is it worth a try;
+tenant_admission.py), outlier detection and slow start (who may be sampled; outlier_detection.py,
+slow_start.py), load table and band choice (two uniform samples, compared by band; load_table.py,
+quantile.py), attempt plan (time-out, retry, hedge).
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from functools import lru_cache
 from heapq import heappop, heappush
-from math import ceil, exp, log2
 from random import Random
 from struct import Struct
 from typing import Any
@@ -22,7 +20,6 @@
     TOLD_US,
     Action,
     AttemptEnded,
-    Backend,
     BackendId,
     BackendsChanged,
     Cancel,
@@ -40,7 +37,6 @@
     ProbeEnded,
     Refuse,
     RequestArrived,
-    RequestClass,
     Send,
     SetTimer,
     Settings,
@@ -50,17 +46,16 @@
     TimerFired,
     Watch,
 )
+from .load_table import FORGET_US, FRESH_US, GAIN, LoadTable
+from .outlier_detection import OutlierDetector
+from .quantile import cutoffs, lower_band
+from .request_state import Request
+from .server_state import Server, backend_name
+from .slow_start import SlowStartBudget
+from .tenant_admission import TenantAdmission
+from .time_units import MS, SECOND
+from .work_estimates import WorkEstimates
 
-MS, SECOND = 1_000, 1_000_000
-QUERIES = 8  # k of the Quantile process
-FRESH_US = SECOND  # a report this young counts in full; older ones fade to the mean as FRESH_US / age
-GAIN, SERVICE_GAIN = 0.1, 0.3  # weight of a new sample in smoothed figures; in those the server has smoothed
-PRIOR = 4  # a learned pace counts half after this many answers
-FORGET_US = 5 * SECOND  # a pace not confirmed for this long counts half: a server shunned must be seen again
-RESIDUE_US = SECOND  # weight of an attempt that ended badly fades over this
-SILENT = 5  # no answer for this many typical latencies, with attempts out, is silence
-OUT_FIRST_US, OUT_MAX_US = 500 * MS, 4 * SECOND  # exclusion from sampling, doubled each time
-TRIALS = 8  # readmission: at most this many attempts out at once before all limits fall
 RETRY_SHARE, RETRY_BURST = 0.15, 10.0  # repeats that may load the servers, as a share of first tries
 HEDGE_FIT = 0.9  # second copies only while this share of draws fits: else they displace first tries
 HEDGE_SHARE, HEDGE_BURST = 0.003, 1.0  # and as many as win: this share of first tries finds out whether
@@ -68,15 +63,10 @@
 HEADROOM = 1.4  # predicted time to an answer at which a request is refused, as a share of that to the aim
 GIVE_WAY = 0.2  # the same for a client's retry and for requests beyond their tenant's share
 SOFTER = 0.25  # servers within this share of that are sampled first: a choice among the full ones comes last
-TRUST = 0.25  # of what a report tells beyond the mean, while nothing is known of how long such a thing lasts
 EARNING, TRY_ANYWAY = 1.5, 0.1  # of requests such a multiple of the share that earns is sent, and so many
 DRAWS = 16  # samples drawn until two fit the request; no more servers than this are looked at one by one
 REINDEX = 4  # the cutoffs of n servers serve n / 4 picks: the cost of a pick must not grow with n
-COLD_MARGIN = 4.0  # from this fall multiple on a cold server gets its full part: two samples can double it
-COLD_FILL = 0.6  # of what a cold server can take in a window, this share is sent at most
-SPREAD = 8  # a part below one call counts so often at most, where there are other cold servers to meet
 EARLY = 2.0  # warm servers that a request draws while nothing is crowded: two samples
-TRAFFIC_US = 5 * SECOND  # own traffic, from which an agent takes its part of that, is averaged over this
 PROBE_SPEND = 0.01  # the most of the goal that asking both samples of every request may cost
 ASK_SHARE = 0.05  # asking may take, and a report may be old, this share of the time to the aim
 PEER_SPEND, PEERS_MOST = 0.005, 32  # the same for telling peers what was heard, and how many at once
@@ -89,516 +79,6 @@
 TURN_US = 150 * MS  # between the list calls of balancers that start together: one discovery serves them all
 
 
-class Server:
-    """What this balancer knows of one backend."""
-
-    __slots__ = (
-        "id",
-        "zone",
-        "cell",
-        "hint",
-        "state",
-        "started_at",
-        "open",
-        "residue",
-        "residue_at",
-        "others",
-        "heard_at",
-        "latency",
-        "load",
-        "samples",
-        "answered_at",
-        "ended_at",
-        "failing",
-        "streak",
-        "out_until",
-        "out_us",
-        "allowance",
-        "asked_at",
-        "askers",
-        "pace",
-        "service",
-        "news_at",
-        "luck",
-        "streams",
-        "reported",
-        "beyond",
-        "calls",
-        "called",
-    )
-
-    def __init__(self, b: Backend, now: int, luck: float) -> None:
-        self.id, self.luck = b.id, luck
-        self.open: dict[tuple[int, int], int] = {}  # own attempts out, oldest first: when each was sent
-        self.streams: dict[tuple[int, int], int] = {}  # and those whose body, or whose answer, is under way
-        self.asked_at = 0  # when the probe now out was sent; 0: none is
-        self.askers: list[Request] = []  # requests that wait for its echo
-        self.calls: list[tuple[int, float]] = []  # while it is cold: own calls in a window, with their work
-        self.adopt(b)
-        self.reset(now)
-
-    def adopt(self, b: Backend) -> None:
-        self.zone, self.cell, self.state = b.zone, b.cell, b.state
-        self.hint, self.started_at = max(b.capacity_hint, 1e-6), b.started_at
-
-    def held(self) -> int:
-        return len(self.open) + len(self.streams)
-
-    def own(self, now: int) -> float:
-        """Own attempts out, and what is left of the weight of those that ended badly."""
-        faded = self.residue and self.residue * RESIDUE_US / (RESIDUE_US + now - self.residue_at)
-        return self.held() + faded
-
-    def reset(self, now: int) -> None:
-        """Forget what was learned of an earlier process."""
-        self.news_at = now  # when it was last heard of in any way
-        self.calls.clear()
-        self.called = 0.0  # the work of these calls
-        self.pace = 1.0  # as of the last look at the table
-        self.reported, self.beyond = -1.0, 0.0  # its last report, and what that told beyond the mean
-        self.residue = self.others = self.service = self.latency = self.load = self.failing = 0.0
-        self.residue_at = self.heard_at = self.answered_at = self.ended_at = self.samples = self.streak = 0
-        self.out_until = self.out_us = self.allowance = 0  # allowance 0: no limit
-
-
-class Request:
-    """A request this balancer has taken, until its answer is given and its attempts have ended."""
-
-    __slots__ = (
-        "id",
-        "cls",
-        "number",
-        "deadline",
-        "aim_at",
-        "gives_way",
-        "sends",
-        "out",
-        "may_have_run",
-        "tried",
-        "done",
-        "luck",
-        "size",
-        "work",
-        "seen",
-        "early",
-        "pair",
-        "silent",
-        "pairs",
-        "redrawn",
-        "streamed",
-        "begun",
-        "copy",
-    )
-
-    def __init__(
-        self, e: RequestArrived, cls: RequestClass, now: int, luck: float, size: float, work: float
-    ) -> None:
-        self.id, self.cls, self.number = e.request, cls, e.request_class
-        self.deadline = now + e.patience_us
-        self.aim_at = min(now + cls.aim_us + int(cls.aim_stretch * e.cost_us), self.deadline)
-        self.gives_way = self.done = False
-        self.luck = luck  # one for its whole life: a held request must not draw until a cold server takes it
-        self.size = size  # its work as a multiple of the mean, where a hint tells it
-        self.work = work  # the same, as its class has it where no hint does
-        self.seen = 0.0  # strength of the servers drawn for it, in warm ones, up to EARLY
-        self.early: list[Server] = []  # cold ones among these
-        self.sends = self.pairs = self.redrawn = 0
-        self.copy = -1  # the attempt that was sent while another was out
-        self.streamed, self.begun = e.streamed, -1  # its body is passed on; the attempt whose answer is
-        self.out: dict[int, tuple[Server, int, float]] = {}  # attempt: server, sent at, table load then
-        self.may_have_run: list[tuple[int, Server, int]] = []  # attempts not proven never to have run
-        self.tried: list[Server] = []
-        self.pair: tuple[Server, Server] | None = None  # samples that have been asked for their load
-        self.silent: list[Server] = []  # those of them that have not answered yet
-
-    def may_refuse(self) -> bool:
-        """A refusal says that trying again is harmless."""
-        c = self.cls
-        return (
-            not self.may_have_run
-            or c.effect is Effect.SAFE
-            or (c.effect is Effect.KEYED and c.group is Group.ALL)
-        )
-
-
-@lru_cache(maxsize=4096)
-def cutoff_ranks(n: int, k: int = QUERIES) -> tuple[int, ...]:
-    """The ranks, from the most loaded down, at which Quantile(d1 .. dk) cuts n servers."""
-    deltas = [2 ** (-0.5 * log2(n) ** ((k - i) / k)) for i in range(1, k)]
-    ranks = {ceil(d * n - 1e-9) for d in deltas if d < 0.5} | {ceil(n / 2)}
-    return tuple(sorted(ranks))
-
-
-def cutoffs(loads: list[float]) -> list[float]:
-    """The loads at these ranks."""
-    ordered = sorted(loads, reverse=True)
-    return [ordered[r - 1] for r in cutoff_ranks(len(loads))]
-
-
-def lower_band(rng: Random, cuts: list[float], load_i: float, load_j: float) -> bool:
-    """Whether the first of two samples takes it: the lower band does, a tie goes at random."""
-    band_i = sum(load_i >= c for c in cuts)
-    band_j = sum(load_j >= c for c in cuts)
-    return band_i < band_j or (band_i == band_j and rng.random() < 0.5)
-
-
-class LoadTable:
-    """What each server holds, by its reports and this balancer's own count, and how fast it works it off."""
-
-    def __init__(self, settings: Settings) -> None:
-        fields = settings.report_fields
-        self.column = next((fields.index(f) for f in ("inflight", "queue") if f in fields), -1)
-        self.service_column = fields.index("latency_ms") if "latency_ms" in fields else -1
-        self.hinted = settings.capacity_hints
-        self.cuts: list[float] = []
-        self.mean = self.mean_others = self.mean_service = 0.0  # of the table: loads heard of, service times
-        self.trust, self.kept, self.spread = TRUST, 0.0, 0.0  # of reports; moments of successive ones
-        self.mean_hint, self.cost = 1.0, 0.0  # capacity hints; cost of a request by its hints
-        self.news_at = 0  # when the median server was last heard of
-        self.pace = self.typical = 0.0  # fleet: time per unit of load, latency of answers
-
-    def look(self, servers: list[Server], now: int) -> None:
-        """What the entries come to in the mean."""
-        heard = [s for s in servers if s.heard_at]
-        if heard:
-            self.mean_others = sum(max(0.0, s.others) for s in heard) / len(heard)
-            self.mean = self.mean_others + sum(s.own(now) for s in heard) / len(heard)
-        self.trust = max(0.0, min(1.0, (self.kept + TRUST) / (self.spread + 1.0)))
-        self.news_at = sorted(s.news_at for s in servers)[len(servers) // 2] if servers else 0
-        known = [s.service for s in servers if s.service]
-        self.mean_service = sum(known) / len(known) if known else 0.0
-        if self.hinted and servers:
-            self.mean_hint = sum(s.hint for s in servers) / len(servers)
-
-    def others(self, s: Server, now: int) -> float:
-        """What all others hold at a server: near the mean, as far as reports of what lies beyond it last."""
-        if not s.heard_at:
-            return self.mean
-        age = max(FRESH_US, now - s.heard_at)
-        return self.mean_others + self.trust * (max(0.0, s.others) - self.mean_others) * FRESH_US / age
-
-    def reports(self, s: Server, held: float, others: float) -> None:
-        """Learn from two reports in a row how much of the one is left at the time of the next.
-
-        A report is late and lives for some requests' time; all who believed it met at the servers it called
-        light. What persists, as at a slow server, shows as correlation, and is believed for that part.
-        """
-        if held != s.reported:
-            beyond = others - self.mean_others
-            if s.reported >= 0:
-                self.kept += GAIN / 4 * (s.beyond * beyond - self.kept)
-                self.spread += GAIN / 4 * (s.beyond * s.beyond - self.spread)
-            s.reported, s.beyond = held, beyond
-
-    def size_of(self, cost_us: int) -> float:
-        """The work of a request as a multiple of the mean request's; 1 where nothing tells it."""
-        if not cost_us:
-            return 1.0
-        self.cost += (GAIN / 4 if self.cost else 1.0) * (cost_us - self.cost)
-        return cost_us / self.cost
-
-    def holds(self, now: int, s: Server, held: float) -> None:
-        """Take in what a probe or a peer tells: it stands for itself and is not smoothed."""
-        s.others, s.heard_at, s.news_at = held - s.held(), now, now
-
-    def works(self, s: Server, service_ms: float) -> None:
-        """Learn from a reported service time, waiting left out, how fast a server works."""
-        if service_ms > 0:
-            s.service += (SERVICE_GAIN if s.service else 1.0) * (service_ms - s.service)
-
-    def pace_of(self, s: Server, now: int, warmth: float) -> float:
-        """Time a server takes per unit of load: the inverse of its relative capacity."""
-        pace = (self.pace or 1.0) / warmth
-        if self.hinted:
-            pace *= self.mean_hint / s.hint
-        if s.service:
-            pace *= s.service / self.mean_service
-        if s.samples:
-            w = s.samples / (s.samples + PRIOR) * FORGET_US / (FORGET_US + now - s.ended_at)
-            pace += w * (s.latency / s.load - pace)
-        return pace
-
-    def ended(self, now: int, s: Server, e: AttemptEnded, load_at_send: float) -> None:
-        """Learn from an attempt that has just been taken off s.open."""
-        s.ended_at = now
-        if self.column >= 0 and len(e.report) > self.column:
-            # The report holds our own attempts too: what remains after them is the others' share.
-            others = e.report[self.column] - s.held() - 1
-            self.reports(s, e.report[self.column], others)
-            gain = 1.0 if not s.heard_at else max(GAIN, min(1.0, (now - s.heard_at) / FRESH_US))
-            s.others += gain * (others - s.others)
-            s.heard_at = s.news_at = now
-            # The load at sending may be an old guess: a jam that grew unseen made every server look slow, and
-            # all was refused that could be served (bajio, crash).
-            load_at_send = max(load_at_send, e.report[self.column])
-        if 0 <= self.service_column < len(e.report):
-            self.works(s, e.report[self.service_column])
-        if e.outcome is Outcome.OK or (e.outcome is Outcome.TIMEOUT and e.latency_us > self.typical):
-            gain = max(GAIN, 1 / (s.samples + 1))
-            s.latency += gain * (e.latency_us - s.latency)
-            s.load += gain * (load_at_send - s.load)
-            s.samples += 1
-        if e.outcome is Outcome.OK:
-            s.answered_at = now
-            gain = GAIN / 4 if self.pace else 1.0
-            self.typical += gain * (e.latency_us - self.typical)
-            self.pace += gain * (e.latency_us / load_at_send - self.pace)
-        else:
-            # Balls stay: a server that ends attempts at once must not look light for it.
-            s.residue, s.residue_at = s.own(now) - s.held() + 1.0, now
-
-
-class WorkEstimates:
-    """How much work each class asks for, as a multiple of the mean request's, by the time of its answers.
-
-    Held to the mean request's time, the short classes were refused first, though they are worth the most for
-    their work, while the one that can wait longest filled the servers.
-    """
-
-    def __init__(self, settings: Settings) -> None:
-        self.classes = settings.classes
-        self.of = [1.0] * len(self.classes)
-        self.took, self.expected = [0.0] * len(self.classes), [0.0] * len(self.classes)
-        self.bearable = [0.0] * len(self.classes)
-        self.look(0.0)
-
-    def learn(self, number: int, took: int, expected: float) -> None:
-        """An answer came; expected is what the mean request would have taken in its place."""
-        self.took[number] += took - GAIN / 4 * self.took[number]
-        self.expected[number] += expected - GAIN / 4 * self.expected[number]
-
-    def look(self, typical: float) -> None:
-        """What each class needs, and the mean request's time up to which it may crowd a server."""
-        if typical:
-            mean, prior = (sum(self.took) or 1.0) / (sum(self.expected) or 1.0), PRIOR * typical
-            self.of = [
-                (took + prior) / (mean * expected + prior)
-                for took, expected in zip(self.took, self.expected, strict=True)
-            ]
-        by_work = [c.worth / need for c, need in zip(self.classes, self.of, strict=True)]
-        most = max(by_work) or 1.0
-        # Where not all can be served, work goes where it is worth most: no class crowds the servers beyond
-        # what those worth more for their work can bear, and the less it is worth, the less it may.
-        self.bearable = [
-            max(mine / most, 1e-9)
-            * min(
-                c.aim_us / need
-                for c, need, worth in zip(self.classes, self.of, by_work, strict=True)
-                if worth >= mine
-            )
-            for mine in by_work
-        ]
-
-
-class OutlierDetector:
-    """Which servers are left out of sampling, on strong evidence only, and how they come back."""
-
-    def __init__(self, rng: Random, log: Callable[[str], None]) -> None:
-        self.rng, self.log = rng, log
-        self.shared = False
-
-    def look(self, servers: list[Server], now: int, typical: float) -> None:
-        """When most look ill the cause is shared, and the rest would drown: then none is left out."""
-        self.shared = 2 * sum(self.ill(s, now, typical) for s in servers) > len(servers)
-
-    def admits(self, s: Server, now: int, typical: float) -> bool:
-        return self.shared or not self.ill(s, now, typical)
-
-    def ill(self, s: Server, now: int, typical: float) -> bool:
-        if s.out_until > now or (s.allowance and len(s.open) >= s.allowance):
-            return True
-        if len(s.open) < 2 or not typical:
-            return False
-        # Silent: takes work and answers nothing.
-        return now - max(next(iter(s.open.values())), s.answered_at) > SILENT * typical
-
-    def ended(self, s: Server, now: int, outcome: Outcome) -> None:
-        if outcome is Outcome.OK:
-            s.failing -= GAIN * s.failing
-            s.streak = 0
-            if s.allowance and s.out_until <= now:
-                s.allowance += 1
-                if s.allowance > TRIALS:
-                    s.allowance = s.out_us = 0
-                    self.log(f"server {_name(s.id)} healthy: readmitted in full")
-        elif outcome is not Outcome.NOT_SENT and outcome is not Outcome.CANCELLED:
-            s.failing += GAIN * (1.0 - s.failing)
-            s.streak += 1
-            at_once = outcome is Outcome.RESET or outcome is Outcome.CONNECT_FAILED or s.allowance > 0
-            if at_once or s.streak >= 3 or (s.streak >= 2 and s.failing > 0.3):
-                self.exclude(s, now, outcome.value)
-
-    def exclude(self, s: Server, now: int, why: str) -> None:
-        if s.out_until > now:
-            return
-        if not s.out_us:
-            self.log(f"server {_name(s.id)} excluded: {why}")
-        s.out_us = min(2 * s.out_us or OUT_FIRST_US, OUT_MAX_US)
-        s.out_until = now + int(s.out_us * (0.75 + 0.5 * self.rng.random()))
-        s.allowance = 1
-
-
-class SlowStartBudget:
-    """Keeps all balancers together from pushing over a server that has just started.
-
-    Of the first draws of a request only the share that the server is warm may see it, drawn at random for
-    each request and server: over all balancers it gets its part of the traffic, however that is split.
-
-    In a jam a request goes on drawing until it meets the one server that has room, and more is asked for than
-    can be answered. So a cold server has that part of what is answered only among the first servers drawn, as
-    many as come to two warm ones. Whatever is drawn after them is not left to chance but counted: the calls
-    of one balancer within a window are limited to its part of what the server can take. A warm one carries
-    what all balancers together have answered by it, and each reckons with its own answers, so that the sum is
-    right without knowing how many they are. Where a part is less than one call, one is sent with that
-    probability; where there are many cold servers, of which a request meets some only, with a higher one, and
-    all of them are limited together.
-    """
-
-    def __init__(self, settings: Settings) -> None:
-        self.start, self.warm_up = settings.start_fraction, settings.warm_up_us
-        self.scale = min(1.0, settings.fall_multiple / COLD_MARGIN)
-        self.answered = self.fit = 1.0  # shares: of attempts answered, of draws of warm servers that fitted
-        self.window = settings.fall_window_us
-        self.multiple = COLD_FILL * settings.fall_multiple
-        self.least = 1.0 / settings.siblings  # all together may always try one call
-        self.strength = 1.0  # capacity of the fleet in warm servers
-        self.cold_count, self.cold_strength = 0, 0.0  # of servers; of theirs as a window began
-        self.calls: list[tuple[int, float]] = []  # own calls to all of them in a window, each with its work
-        self.sent = 0.0  # the work of these calls
-        self.asked = self.carried = 0.0  # own requests and answers: work a warm server in TRAFFIC_US
-        self.began_at, self.faded_at = -1, 0  # the first request; when these two were brought up to date
-
-    def warmth(self, s: Server, now: int) -> float:
-        """Share of its capacity a server surely has: the slowest ramp the settings allow."""
-        age = now - s.started_at
-        if not s.started_at or age >= self.warm_up:
-            return 1.0
-        return self.start + (1.0 - self.start) * max(0, age) / self.warm_up
-
-    def look(self, servers: list[Server], now: int) -> None:
-        """What the servers that may be sent to come to in warm ones."""
-        cold = [s for s in servers if s.started_at and self.warmth(s, now) < 1.0]
-        strength = len(servers) - len(cold) + sum(self.warmth(s, now) for s in cold)
-        self.strength = max(self.start, strength)
-        self.cold_count, self.cold_strength = len(cold), sum(self.warmth(s, now - self.window) for s in cold)
-
-    def arrived(self, now: int, work: float) -> None:
-        if self.began_at < 0:
-            self.began_at = now
-        self._fade(now)
-        self.asked += work / self.strength
-
-    def _fade(self, now: int) -> None:
-        if now > self.faded_at:
-            left = exp((self.faded_at - now) / TRAFFIC_US)
-            self.asked, self.carried, self.faded_at = left * self.asked, left * self.carried, now
-
-    def _answered(self) -> float:
-        """What was answered of what was asked for, and one more that may be under way."""
-        return min(self.asked, self.carried + 1.0 / self.strength)
-
-    def part(self, now: int) -> float:
-        """The work this balancer may send within a window to as much as one warm server's strength."""
-        # Of the traffic of a balancer that has just started only a part has been seen.
-        span = TRAFFIC_US * (1.0 - exp(-max(self.window, now - self.began_at) / TRAFFIC_US))
-        return self.multiple * self._answered() * self.window / span
-
-    def called(self, s: Server, now: int, work: float) -> None:
-        """A call goes out."""
-        if self.warmth(s, now) < 1.0:
-            s.calls.append((now, work))
-            s.called += work
-            self.calls.append((now, work))
-            self.sent += work
-
-    def _forget(self, s: Server, now: int) -> None:
-        """Drop the calls that lie a window back."""
-        since = now - self.window
-        if s.calls and s.calls[0][0] <= since:
-            s.calls = [call for call in s.calls if call[0] > since]
-            s.called = sum(work for _, work in s.calls)
-        if self.calls and self.calls[0][0] <= since:
-            self.calls = [call for call in self.calls if call[0] > since]
-            self.sent = sum(work for _, work in self.calls)
-
-    def admits(self, s: Server, now: int, r: Request, asked: bool, mean: float) -> bool:
-        """Whether a request may see a server: any warm one, a cold one within the budget."""
-        if self.warmth(s, now) >= 1.0:
-            return True
-        self._forget(s, now)
-        self._fade(now)
-        early = s in r.early
-        if s.called + r.work * (1.0 - s.luck) > self._limit(s, now, r, early):
-            return False
-        if early:
-            return self._drawn_by_lot(s, now, r, asked, mean)
-        # The counts alone bound these: with a lot besides, cold servers stood idle in a jam.
-        return self._room_at_all(now, r.work * (1.0 - s.luck))
-
-    def _limit(self, s: Server, now: int, r: Request, early: bool) -> float:
-        """The work of own calls up to which a cold server takes one more within a window."""
-        allowance = self.part(now) * self.warmth(s, now - self.window) + self.least
-        if early:
-            return max(allowance, r.work)
-        # Drawn early, they come to half of the budget at most in the mean: the other half is for these.
-        half = allowance - 0.5 * min(1.0, allowance)
-        return max(half, min(min(self.cold_count, SPREAD) * half, r.work))
-
-    def _room_at_all(self, now: int, work: float) -> bool:
-        """Whether own calls to all cold servers together leave room for one more within a window."""
-        return self.sent + work <= self.part(now) * self.cold_strength + self.cold_count * self.least
-
-    def _drawn_by_lot(self, s: Server, now: int, r: Request, asked: bool, mean: float) -> bool:
-        """Whether a request is of the share that may see a cold server among its first draws."""
-        warmth = self.warmth(s, now)
-        # Its part of what warm servers take and answer, not of what is asked for: retries of an overloaded
-        # fleet pushed one over. Not needed where it is asked first what it holds, or has just told that this
-        # is less than its part: few warm servers that were full kept all the cold ones idle.
-        known = asked or (now - s.heard_at < FRESH_US and s.own(now) + max(0.0, s.others) < warmth * mean)
-        share = self.scale if known else self.scale * self.answered * self.fit
-        if self.asked:
-            share *= self._answered() / self.asked
-        # One luck for all servers would send a request to one of them at most, however many it draws.
-        return (r.luck + s.luck) % 1.0 < warmth * share
-
-    def drew(self, fit: int, draws: int) -> None:
-        if draws:
-            self.fit += GAIN * (fit / draws - self.fit)
-
-    def ended(self, now: int, s: Server, outcome: Outcome, work: float) -> None:
-        if outcome is Outcome.OK and s.state is State.READY:
-            self._fade(now)
-            self.carried += work / self.strength
-        if outcome not in NEVER_RAN and outcome is not Outcome.CANCELLED:
-            self.answered += GAIN * ((outcome is Outcome.OK) - self.answered)
-
-
-class TenantAdmission:
-    """Tells requests beyond a tenant's share; this balancer's part of a quota is its part of the traffic."""
-
-    def __init__(self, settings: Settings) -> None:
-        self.quotas = [t.quota_per_s / SECOND for t in settings.tenants]
-        self.part = 1.0 / settings.siblings
-        self.buckets = [(1.0, 0)] * len(self.quotas)
-
-    def learn(self, own: int, others: float) -> None:
-        if own + others > 0:
-            self.part += 0.002 * (own / (own + others) - self.part)
-
-    def over(self, tenant: int, now: int) -> bool:
-        if not self.quotas or not self.quotas[tenant]:
-            return False
-        rate = self.quotas[tenant] * self.part
-        level, at = self.buckets[tenant]
-        level = min(max(1.0, rate * SECOND), level + rate * (now - at) if at else 1.0)
-        self.buckets[tenant] = (level - 1.0 if level >= 1.0 else level, now)
-        return level < 1.0
-
-
-def _name(backend: BackendId) -> str:
-    return backend.hex() if isinstance(backend, bytes) else str(backend)
-
-
 class Balancer:
     """One balancer. Hand every event to handle() in order; carry out the actions it returns in order."""
 
@@ -631,6 +111,7 @@
         # So young an entry is known, and no free pass is needed to learn of it.
         self.known_us = self.ask_us if self.asks else FORGET_US if self.tells else -1
         self.tags: dict[int, Server] = {}
+        self.askers: dict[Server, list[Request]] = {}  # requests that wait for a server's echo
         self.picks_left = 0  # picks that the cutoffs still serve
         self.requests: dict[int, Request] = {}
         self.budget, self.copies = RETRY_BURST, HEDGE_BURST
@@ -689,7 +170,7 @@
             old = self.servers.get(b.id)
             if old is None:
                 old = self.servers[b.id] = Server(b, now, self.rng.random())
-                self.tags[crc32(_name(b.id).encode())] = old
+                self.tags[crc32(backend_name(b.id).encode())] = old
             if b.started_at != old.started_at:
                 old.reset(now)  # a new process under the same id
             old.adopt(b)
@@ -697,7 +178,8 @@
             if s.state is State.GONE or (e.kind is not ListKind.DELTA and s.id not in named):
                 s.state = State.GONE  # for requests that hold it still
                 del self.servers[s.id]  # each release brings new ids: kept, they would fill the memory
-                self.tags.pop(crc32(_name(s.id).encode()), None)
+                self.tags.pop(crc32(backend_name(s.id).encode()), None)
+                self.askers.pop(s, None)
         self.ready = [x for x in self.servers.values() if x.state is State.READY]
         self.slow_start.look(self.ready, now)
         self.picks_left = 0
@@ -770,7 +252,7 @@
             if not s.asked_at or now - s.asked_at > bound:
                 s.asked_at = now
                 self.actions.append(Probe(s.id))
-            s.askers.append(r)
+            self.askers.setdefault(s, []).append(r)
         r.pairs += 1
         self._later(now + min(bound, self._left(r)), self._unanswered, (r, r.pairs))
 
@@ -784,7 +266,7 @@
         s = self.servers.get(e.backend)
         if s is None:
             return
-        s.asked_at, askers, s.askers = 0, s.askers, []
+        s.asked_at, askers = 0, self.askers.pop(s, [])
         heard = e.outcome is Outcome.OK and 0 <= self.table.column < len(e.report)
         if heard:
             self.table.holds(self.now, s, e.report[self.table.column])
@@ -800,7 +282,7 @@
     def _tell(self, s: Server, held: float) -> None:
         """Tell some peers, drawn anew each time, what a server has just reported; fewer while all idle."""
         numbers = (max(0, min(0xFFFF, round(x))) for x in (held, s.service))
-        note = PEER_REPORT.pack(crc32(_name(s.id).encode()), *numbers)
+        note = PEER_REPORT.pack(crc32(backend_name(s.id).encode()), *numbers)
         for _ in range(round(self.tells * min(1.0, self.table.mean / 2))):
             peer = int(self.rng.random() * (self.settings.siblings - 1))
             self.actions.append(Tell(peer + (peer >= self.settings.me), note))
--- a/burlshift_tools/emulator/shipped_policy.py
+++ b/burlshift_tools/emulator/shipped_policy.py
@@ -11,15 +11,38 @@
 from typing import Any
 
 import burlshift.balancing.interface as q
-from burlshift.balancing import logic
-from burlshift.balancing.logic import (
-    Balancer,
-    LoadTable,
-    OutlierDetector,
-    Request,
-    Server,
-    SlowStartBudget,
-    WorkEstimates,
+from burlshift.balancing import (
+    load_table,
+    logic,
+    outlier_detection,
+    quantile,
+    request_state,
+    server_state,
+    slow_start,
+    tenant_admission,
+    time_units,
+    work_estimates,
+)
+from burlshift.balancing.load_table import LoadTable
+from burlshift.balancing.logic import Balancer
+from burlshift.balancing.outlier_detection import OutlierDetector
+from burlshift.balancing.request_state import Request
+from burlshift.balancing.server_state import Server
+from burlshift.balancing.slow_start import SlowStartBudget
+from burlshift.balancing.work_estimates import WorkEstimates
+
+# Those that deploy/balancer.toml lists under `policy`.
+POLICY_MODULES = (
+    logic,
+    time_units,
+    quantile,
+    server_state,
+    request_state,
+    load_table,
+    work_estimates,
+    outlier_detection,
+    slow_start,
+    tenant_admission,
 )
 
 
@@ -168,10 +191,11 @@
 
 
 def constants() -> dict[str, float]:
-    """The numbers at the head of burlshift/balancing/logic.py, by name."""
+    """The numbers at the head of the decisions' modules, by name."""
     return {
         name: value
-        for name, value in vars(logic).items()
+        for module in POLICY_MODULES
+        for name, value in vars(module).items()
         if name.isupper() and isinstance(value, int | float) and not isinstance(value, bool)
     }
 
@@ -195,11 +219,13 @@
 @contextmanager
 def constants_set(changes: dict[str, float]) -> Iterator[None]:
     """The decisions with other constants, for the length of a run in this process."""
-    old: dict[str, Any] = {name: getattr(logic, name) for name in changes}
+    # Each module that reads a number has its own name for it.
+    readers = [(module, name) for name in changes for module in POLICY_MODULES if hasattr(module, name)]
+    old: list[Any] = [getattr(module, name) for module, name in readers]
     try:
-        for name, value in changes.items():
-            setattr(logic, name, value)
+        for module, name in readers:
+            setattr(module, name, changes[name])
         yield
     finally:
-        for name, value in old.items():
-            setattr(logic, name, value)
+        for (module, name), value in zip(readers, old, strict=True):
+            setattr(module, name, value)
--- a/burlshift_tools/emulator/trace.py
+++ b/burlshift_tools/emulator/trace.py
@@ -13,7 +13,9 @@
 
 import burlshift.balancing.interface as q
 from burlshift.balancing import logic
-from burlshift.balancing.logic import Balancer, Request, Server
+from burlshift.balancing.logic import Balancer
+from burlshift.balancing.request_state import Request
+from burlshift.balancing.server_state import Server
 
 if TYPE_CHECKING:
     from .agents import Host
