--- a/burlshift/agent/config.py
+++ b/burlshift/agent/config.py
@@ -27,6 +27,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Config:
+    """The configuration of an agent, checked and typed."""
+
     name: str
     listen: Address
     discovery: tuple[Address, ...]  # one, or several that give the same list
--- a/burlshift/agent/discovery.py
+++ b/burlshift/agent/discovery.py
@@ -47,12 +47,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Address:
+    """Where something listens: host and port."""
+
     host: str
     port: int
 
 
 @dataclass(slots=True, frozen=True)
 class Member:
+    """A server of the list: the backend as the policy knows it, and its address."""
+
     backend: Backend
     address: Address
     up_since_ms: int = 0  # the latest start as the list gives it; with the id the name of the process
--- a/burlshift/balancing/interface.py
+++ b/burlshift/balancing/interface.py
@@ -51,6 +51,8 @@
 
 
 class Discovery(Enum):
+    """How changes of the list of backends reach the balancer."""
+
     PUSH = "push"  # changes come by themselves
     ASK = "ask"  # changes come only after Watch or Fetch
 
@@ -261,11 +263,15 @@
 
 @dataclass(slots=True)
 class TimerFired:
+    """A timer that the balancer set has expired."""
+
     token: int
 
 
 @dataclass(slots=True)
 class ProbeEnded:
+    """A probe has ended, with the load report of its answer."""
+
     backend: BackendId
     outcome: Outcome
     latency_us: int
--- a/burlshift/catalog/leases.py
+++ b/burlshift/catalog/leases.py
@@ -20,6 +20,8 @@
 
 @dataclass(slots=True)
 class Lease:
+    """The lease of one member: its length and what is left of it."""
+
     ttl_us: int
     left_us: int
     start: int
--- a/burlshift/catalog/server.py
+++ b/burlshift/catalog/server.py
@@ -62,16 +62,22 @@
 
 
 class PhaseBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Request body: set the phase of a member."""
+
     phase: Phase
     start: Start | None = None
     if_revision: int | None = None
 
 
 class RenewBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Request body: renew the lease of a member."""
+
     start: Start = 0
 
 
 class BatchBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Request body: several writes in one call."""
+
     writes: list[Write]
 
 
--- a/burlshift/catalog/state_machine.py
+++ b/burlshift/catalog/state_machine.py
@@ -48,6 +48,8 @@
 
 
 class Put(Struct, frozen=True, kw_only=True, tag_field="do", tag="put"):
+    """Command: add a member or replace it."""
+
     member: Member
     ttl_ms: Annotated[int, Meta(ge=0, le=86_400_000)] = 0
     start: Start = 0  # a lower one than the list has is an older process of the same id
@@ -55,6 +57,8 @@
 
 
 class SetPhase(Struct, frozen=True, kw_only=True, tag_field="do", tag="phase"):
+    """Command: change the phase of a member."""
+
     id: Name
     phase: Phase
     start: Start | None = None
@@ -63,6 +67,8 @@
 
 
 class Delete(Struct, frozen=True, kw_only=True, tag_field="do", tag="delete"):
+    """Command: remove a member."""
+
     id: Name
     start: Start | None = None
     if_revision: int | None = None
--- a/burlshift/membership/messages.py
+++ b/burlshift/membership/messages.py
@@ -9,6 +9,8 @@
 
 
 class Kind(IntEnum):
+    """The kinds of datagrams, as numbered on the wire."""
+
     PING = 1  # answer with ACK
     ACK = 2  # to the sequence number of a PING, or to that of an ASK whose PING was answered
     ASK = 3  # ping `about` for me (SWIM, ping-req)
@@ -40,6 +42,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
+    """Action: send a message to a member."""
+
     to: int
     message: Message
 
--- a/burlshift/membership/swim.py
+++ b/burlshift/membership/swim.py
@@ -39,6 +39,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Timing:
+    """Periods, time-outs and limits of the protocol."""
+
     period_us: int = 500 * MS  # from one probe to the next
     answer_us: int = 150 * MS  # until a probe that is not answered is tried through others
     suspect_periods: float = 4.0  # the shortest suspicion, for ten members (Lifeguard, alpha)
--- a/burlshift_tools/emulator/explore.py
+++ b/burlshift_tools/emulator/explore.py
@@ -94,6 +94,8 @@
 
 @dataclass(frozen=True, slots=True)
 class State:
+    """A state of the search: members, messages in flight, faults left."""
+
     members: tuple[bytes | None, ...]  # None: it has crashed
     air: tuple[tuple[int, Message], ...]  # to whom, what
     faults: Faults
--- a/burlshift_tools/emulator/sampling.py
+++ b/burlshift_tools/emulator/sampling.py
@@ -30,6 +30,8 @@
 
 @dataclass(slots=True)
 class Day:
+    """A scenario with all that the seed decides drawn."""
+
     scenario: Scenario  # with numbers in the place of ranges
     servers: list[ServerPlan]
     agents: list[AgentPlan]
--- a/burlshift_tools/emulator/scenario.py
+++ b/burlshift_tools/emulator/scenario.py
@@ -26,6 +26,8 @@
 
 
 class Run(Part, frozen=True):
+    """Length of a run and its time step."""
+
     length_s: Positive = 50.0
     warm_s: NonNegative = 1.0  # what comes before it is not counted
     tail_s: Positive = 6.5  # after the last arrival the run goes on for this long
@@ -34,6 +36,8 @@
 
 
 class Fleet(Part, frozen=True):
+    """Numbers of servers and agents, and their placement."""
+
     servers: Count
     agents: Count
     zones: Annotated[list[str], Meta(min_length=1)]
@@ -43,6 +47,8 @@
 
 
 class Load(Part, frozen=True):
+    """Offered load, and how it varies over time and keys."""
+
     share: Positive  # work asked for, of what all servers can do
     swing: NonNegative = 0.0  # cv of the rate over `swing_ms`
     swing_ms: Positive = 300.0
@@ -51,6 +57,8 @@
 
 
 class Network(Part, frozen=True):
+    """Latency, loss and resets between agents and servers."""
+
     same_ms: Positive = 0.2  # one way
     cross_ms: Positive = 3.0
     jitter: NonNegative = 0.2  # cv
@@ -59,6 +67,8 @@
 
 
 class Clients(Part, frozen=True):
+    """Retries, back-off and patience of the clients."""
+
     retries: Count = 3
     try_share: Share = 0.58  # of the deadline, after which one try is given up
     backoff: Literal["none", "fixed"] = "none"
@@ -68,6 +78,8 @@
 
 
 class Discovery(Part, frozen=True):
+    """How and how late changes of the fleet are listed."""
+
     mode: Literal["push", "ask"] = "push"
     add_s: NonNegative = 1.5  # until a server that came is listed
     notice_s: NonNegative = 5.0  # until one that was stopped in order is
@@ -80,6 +92,8 @@
 
 
 class Allow(Part, frozen=True):
+    """What the agents are permitted to do."""
+
     probes: bool = True
     peers: bool = True
     cancel: bool = True
@@ -92,6 +106,8 @@
 
 
 class Rules(Part, frozen=True):
+    """Rules that the servers and agents are held to."""
+
     drain_grace_ms: Positive = 1000.0
     fall_multiple: Positive = 2.5
     fall_ms: Positive = 1500.0
@@ -101,6 +117,8 @@
 
 
 class Goal(Part, frozen=True):
+    """Weights of the parts of the score."""
+
     whole: Share = 0.5
     worst_window: Share = 0.3
     worst_class: Share = 0.2
@@ -108,6 +126,8 @@
 
 
 class Prices(Part, frozen=True):
+    """What wasteful actions cost in the score."""
+
     cross_zone: NonNegative = 0.03
     waste: NonNegative = 0.04
     late_fail: NonNegative = 0.05
@@ -116,6 +136,8 @@
 
 
 class Report(Part, frozen=True):
+    """Load reports of the servers: fields, period and delay."""
+
     fields: list[Literal["util", "inflight", "eps"]] = msgspec.field(
         default_factory=lambda: ["util", "inflight"]
     )
@@ -125,6 +147,8 @@
 
 
 class Connections(Part, frozen=True):
+    """Costs and limits of connections."""
+
     handshake_rtts: NonNegative = 2.5
     handshake_us: NonNegative = 4000.0  # work at the server
     idle_s: Positive = 10.0
@@ -134,6 +158,8 @@
 
 
 class Probing(Part, frozen=True):
+    """Costs and limits of probes."""
+
     work_us: NonNegative = 300.0
     cap_per_core: Positive = 7.0
     deep: bool = False
@@ -141,12 +167,16 @@
 
 
 class Cache(Part, frozen=True):
+    """The servers' caches: what a recently seen key saves."""
+
     gain: Share = 0.0  # work saved for a key met lately
     seconds: Positive = 8.0
     keys_per_core: Positive = 20.0
 
 
 class Kind(Part, frozen=True):
+    """A kind of server: cores, speed and share of the fleet."""
+
     name: str
     share: Positive
     cores: Annotated[int, Meta(ge=1)]
@@ -167,6 +197,8 @@
 
 
 class Class(Part, frozen=True):
+    """A class of requests: work, deadline and worth."""
+
     name: str
     share: Positive
     work_ms: Positive
@@ -207,6 +239,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerPlan:
+    """A server as drawn."""
+
     kind: Kind
     kind_index: int
     zone: int
@@ -216,6 +250,8 @@
 
 @dataclass(frozen=True, slots=True)
 class AgentPlan:
+    """An agent as drawn."""
+
     zone: int
     weight: float  # of the traffic, in proportion
 
--- a/burlshift_tools/emulator/troubles_schema.py
+++ b/burlshift_tools/emulator/troubles_schema.py
@@ -13,6 +13,8 @@
 
 
 class Schedule(Struct, forbid_unknown_fields=True, kw_only=True, tag_field="what"):
+    """When a trouble begins and how long it lasts."""
+
     at_s: NonNegative
     len_s: Positive
     needs_zones: ClassVar[bool] = False
--- a/burlshift_tools/faultlab/faults_schema.py
+++ b/burlshift_tools/faultlab/faults_schema.py
@@ -17,6 +17,8 @@
 
 
 class Fault(Struct, forbid_unknown_fields=True, kw_only=True, tag_field="what"):
+    """What all faults have in common: time, length and share of the agents."""
+
     at_s: NonNegative
     len_s: NonNegative = 0.0
     agents: Share = 1.0
--- a/burlshift_tools/faultlab/history.py
+++ b/burlshift_tools/faultlab/history.py
@@ -25,6 +25,8 @@
 
 
 class Event(Struct, tag_field="e", kw_only=True, omit_defaults=True):
+    """What all events of the history have in common: time and process."""
+
     t: int  # us
     who: str
 
@@ -38,11 +40,15 @@
 
 
 class Ready(Event, kw_only=True, tag="ready"):
+    """A process has passed its first health check."""
+
     life: int
     took_us: int
 
 
 class Ended(Event, kw_only=True, tag="ended"):
+    """A process has exited."""
+
     life: int
     status: int  # as of waitpid: below 0 the signal
     asked: bool  # the rig ended it, or had it end
--- a/burlshift_tools/faultlab/loadtest.py
+++ b/burlshift_tools/faultlab/loadtest.py
@@ -31,6 +31,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Options:
+    """The command line of a load test."""
+
     address: str
     rate: float  # a second
     seconds: float
--- a/burlshift_tools/faultlab/parts/clients.py
+++ b/burlshift_tools/faultlab/parts/clients.py
@@ -46,6 +46,8 @@
 
 
 class Arrival(msgspec.Struct, array_like=True):
+    """A request of the schedule."""
+
     at_us: int  # from the start
     cls: int
     key: int
@@ -53,6 +55,8 @@
 
 
 class ClientsPart(Plan, kw_only=True):
+    """Configuration of the client processes."""
+
     agent: str
     address: str
     classes: list[Class]
@@ -64,6 +68,8 @@
 
 
 class Begin(msgspec.Struct, tag_field="order", tag="begin"):
+    """Order: start the schedule."""
+
     start_us: int
 
 
--- a/burlshift_tools/faultlab/parts/datagrams.py
+++ b/burlshift_tools/faultlab/parts/datagrams.py
@@ -24,6 +24,8 @@
 
 
 class DatagramsPart(Plan, kw_only=True):
+    """Configuration of the datagram relay."""
+
     block: Block
     agents: int
     seed: int
@@ -44,6 +46,8 @@
 
 
 class Clear(msgspec.Struct, tag_field="order", tag="clear"):
+    """Order: end a fault."""
+
     number: int
 
 
--- a/burlshift_tools/faultlab/parts/discovery.py
+++ b/burlshift_tools/faultlab/parts/discovery.py
@@ -31,6 +31,8 @@
 
 
 class DiscoveryPart(Plan, kw_only=True):
+    """Configuration of the stand-in for discovery."""
+
     listen: str
     block: Block
     callers: dict[str, tuple[str, int]]  # agents' names and numbers by the address that they call from
@@ -39,6 +41,8 @@
 
 
 class Change(msgspec.Struct, tag_field="order", tag="change"):
+    """Order: add, change or remove members."""
+
     members: list[Entry]
 
 
--- a/burlshift_tools/faultlab/parts/part.py
+++ b/burlshift_tools/faultlab/parts/part.py
@@ -25,6 +25,8 @@
 
 
 class Plan(msgspec.Struct, kw_only=True):
+    """Configuration common to all processes of the lab."""
+
     name: str
     history: str
 
--- a/burlshift_tools/faultlab/parts/relay.py
+++ b/burlshift_tools/faultlab/parts/relay.py
@@ -38,6 +38,8 @@
 
 
 class RelayPart(Plan, kw_only=True):
+    """Configuration of a relay."""
+
     routes: list[Route]
     seed: int
     agent: str = ""
@@ -52,6 +54,8 @@
 
 
 class Clear(msgspec.Struct, tag_field="order", tag="clear"):
+    """Order: end a fault."""
+
     number: int
 
 
--- a/burlshift_tools/faultlab/parts/server.py
+++ b/burlshift_tools/faultlab/parts/server.py
@@ -36,6 +36,8 @@
 
 
 class ServerPart(Plan, kw_only=True):
+    """Configuration of a stand-in server."""
+
     listen: str
     life: int
     cold: bool
@@ -57,6 +59,8 @@
 
 
 class Spoil(msgspec.Struct, tag_field="order", tag="spoil"):
+    """Order: corrupt a share of the answers."""
+
     how: str
     part: float  # of the answers
 
--- a/burlshift_tools/faultlab/play.py
+++ b/burlshift_tools/faultlab/play.py
@@ -22,6 +22,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Played:
+    """A run that has ended: its folder, its history and the verdict."""
+
     folder: Path
     case: Case
     verdict: verdict.Verdict
--- a/burlshift_tools/faultlab/scale/agentcost.py
+++ b/burlshift_tools/faultlab/scale/agentcost.py
@@ -50,6 +50,8 @@
 
 
 class Rest(msgspec.Struct, frozen=True):
+    """What an idle agent uses."""
+
     share: float  # of a processor
     bytes_s: float  # received and sent
 
@@ -243,6 +245,8 @@
 
 
 class Mark(msgspec.Struct, frozen=True):
+    """Processor time and traffic at one instant."""
+
     at: float
     cpu_ns: int
     traffic: Traffic
--- a/burlshift_tools/faultlab/scale/latency_client.py
+++ b/burlshift_tools/faultlab/scale/latency_client.py
@@ -25,6 +25,8 @@
 
 
 class Arrival(msgspec.Struct, array_like=True):
+    """A request of the schedule."""
+
     at_us: int  # from the block's start
     target: int
 
--- a/burlshift_tools/faultlab/scale/latency_parts.py
+++ b/burlshift_tools/faultlab/scale/latency_parts.py
@@ -27,6 +27,8 @@
 
 
 class Taking(msgspec.Struct):
+    """Answer to an order: the requests measured."""
+
     taken: list[Taken]
 
 
--- a/burlshift_tools/faultlab/scale/latency_standin.py
+++ b/burlshift_tools/faultlab/scale/latency_standin.py
@@ -24,6 +24,8 @@
 
 
 class StandInPlan(msgspec.Struct, kw_only=True):
+    """Configuration of the stand-in servers."""
+
     levels: list[list[Place]]  # by depth, from the first that is called: where it listens
     agents: list[Place]  # by depth: the agent through which that depth is called; empty where none calls on
     report: list[str]  # fields of a load report; empty: none is sent
--- a/burlshift_tools/faultlab/scale/replicas.py
+++ b/burlshift_tools/faultlab/scale/replicas.py
@@ -55,6 +55,8 @@
 
 
 class Times(msgspec.Struct, frozen=True, kw_only=True):
+    """Durations and repetitions of a measurement."""
+
     limit_s: float = IN_FORCE_S
     changes: int = 10
     rest_s: float = 8.0
--- a/burlshift_tools/faultlab/scenario.py
+++ b/burlshift_tools/faultlab/scenario.py
@@ -28,6 +28,8 @@
 
 
 class LabScenario(scenario.Scenario, frozen=True):
+    """A scenario of the emulator with the lab's faults and processes."""
+
     list_service: bool = False  # the project's own serves the list; agents then reach servers without relays
     followers: Annotated[int, msgspec.Meta(ge=0, le=2)] = 0  # of it; agents then ask these, in turned orders
     membership: bool = False  # the agents tell one another that they live; needs allow.peers
--- a/burlshift_tools/faultlab/shrinker.py
+++ b/burlshift_tools/faultlab/shrinker.py
@@ -26,6 +26,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
+    """One attempt to leave a fault out."""
+
     number: int
     what: str
     rule: str
--- a/burlshift_tools/faultlab/soak_test.py
+++ b/burlshift_tools/faultlab/soak_test.py
@@ -21,6 +21,8 @@
 
 
 class Row(msgspec.Struct, kw_only=True):
+    """The result of one run of a soak test."""
+
     seed: int
     status: int
     said: str
--- a/docs/examples/example_fleet.py
+++ b/docs/examples/example_fleet.py
@@ -88,7 +88,8 @@
         """The whole list, or after the wait that was asked for no change."""
         url = urlsplit(self.path)
         if url.path != MEMBERS_PATH:
-            return self.answer(404, "no such path")
+            self.answer(404, "no such path")
+            return
         query = parse_qs(url.query)
         is_watch = query.get("index") == [str(REVISION)]
         if is_watch:
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the agent, the policy, the services and the tools."""
--- a/tests/disk_model.py
+++ b/tests/disk_model.py
@@ -15,6 +15,8 @@
 
 @dataclass
 class Inode:
+    """A file of the model: synced content, and writes that are not synced."""
+
     synced: bytes = b""
     pending: list[bytes] = field(default_factory=list)
 
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -83,6 +83,8 @@
 
 @dataclass
 class Attempt:
+    """An attempt as its server received it."""
+
     rid: str
     at: float
     told_s: float
@@ -714,6 +716,8 @@
 
 
 class Handler(logging.Handler):
+    """Records what the program logs as an error."""
+
     def __init__(self, record: Record) -> None:
         super().__init__(logging.ERROR)
         self.record = record
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -17,6 +17,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Known:
+    """A line of KNOWN-RED.txt."""
+
     test: str
     cause: str
     issue: str
@@ -46,6 +48,8 @@
 
 
 class KnownRed:
+    """Pytest plugin that lets the tests of KNOWN-RED.txt fail."""
+
     def __init__(self, known: list[Known]) -> None:
         self._known = known
 
--- a/tests/test_catalog_replica_service.py
+++ b/tests/test_catalog_replica_service.py
@@ -28,6 +28,8 @@
 
 
 class Reader(Client):
+    """A client that reads whole answers."""
+
     async def whole_answer(self) -> tuple[int, dict[str, str], bytes]:
         head = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
         fields = {k.lower(): v for k, _, v in (line.partition(": ") for line in head[1:] if line)}
@@ -44,6 +46,8 @@
 
 
 class Copy:
+    """A read replica and its server."""
+
     def __init__(self, node: Replica, server: CatalogServer, port: int) -> None:
         self.node, self.server, self.port = node, server, port
 
--- a/tests/test_catalog_service.py
+++ b/tests/test_catalog_service.py
@@ -56,6 +56,8 @@
 
 
 class World:
+    """A service, its server, and the clients that call it."""
+
     def __init__(self, service: Service, server: CatalogServer, port: int) -> None:
         self.service, self.server, self.port = service, server, port
         self.clients: list[Client] = []
@@ -302,6 +304,8 @@
 
 
 class Process:
+    """The service as a process."""
+
     def __init__(self, folder: Path, port: int = 0) -> None:
         self.process = subprocess.Popen(
             [
--- a/tests/test_catalog_store.py
+++ b/tests/test_catalog_store.py
@@ -36,6 +36,8 @@
 
 
 class RecordedFile(apsw.VFSFile):
+    """A file whose operations are recorded."""
+
     def __init__(self, vfs: Recorder, name: Any, flags: Any) -> None:
         self.ops = vfs.ops
         path = name.filename() if isinstance(name, apsw.URIFilename) else name
--- a/tests/test_emulator_model.py
+++ b/tests/test_emulator_model.py
@@ -20,6 +20,8 @@
 
 
 class Job:
+    """A job for the model of a server."""
+
     def __init__(self, work: float, key: int = 0) -> None:
         self.work, self.key, self.mark, self.place = work, key, 0.0, NOWHERE
         self.ended_at = -1
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -57,6 +57,8 @@
 
 @dataclass
 class Attempt:
+    """An attempt that the balancer ordered."""
+
     backend: Backend
     sent_at: int
     ends_by: int
@@ -66,6 +68,8 @@
 
 @dataclass
 class Taken:
+    """A request that the balancer accepted."""
+
     cls: RequestClass
     deadline: int
     attempts: list[Attempt] = field(default_factory=list)
--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -24,6 +24,8 @@
 
 
 class Longest(Random):
+    """Draws the longest wait each time."""
+
     def random(self) -> float:
         return LONGEST
 
