--- a/burlshift/balancing/simulator_adapter.py
+++ b/burlshift/balancing/simulator_adapter.py
@@ -213,16 +213,16 @@
 
 
 ENCODERS: dict[type, Callable[[int, Any, bytearray], bytes]] = {
-    q.Send: lambda i, a, t: SEND.pack(10, i, a.request, min(a.timeout_us, U32), a.backend),
-    q.Refuse: lambda i, a, t: REFUSE.pack(20, i, a.request, min(a.retry_after_us, U32)),
-    q.Fail: lambda i, a, t: FAIL.pack(30, i, a.request),
-    q.Cancel: lambda i, a, t: CANCEL.pack(40, i, a.request, a.attempt),
-    q.SetTimer: lambda i, a, t: TIMER.pack(50, i, min(a.delay_us, U32), a.token),
-    q.Probe: lambda i, a, t: PROBE.pack(60, i, a.backend),
+    q.Send: lambda i, a, _t: SEND.pack(10, i, a.request, min(a.timeout_us, U32), a.backend),
+    q.Refuse: lambda i, a, _t: REFUSE.pack(20, i, a.request, min(a.retry_after_us, U32)),
+    q.Fail: lambda i, a, _t: FAIL.pack(30, i, a.request),
+    q.Cancel: lambda i, a, _t: CANCEL.pack(40, i, a.request, a.attempt),
+    q.SetTimer: lambda i, a, _t: TIMER.pack(50, i, min(a.delay_us, U32), a.token),
+    q.Probe: lambda i, a, _t: PROBE.pack(60, i, a.backend),
     q.Tell: _tell,
     q.Log: lambda i, a, t: _text(90, i, a.text, t),
-    q.Watch: lambda i, a, t: WATCH.pack(110, i, 1),
-    q.Fetch: lambda i, a, t: FETCH.pack(120, i),
+    q.Watch: lambda i, _a, _t: WATCH.pack(110, i, 1),
+    q.Fetch: lambda i, _a, _t: FETCH.pack(120, i),
 }
 
 
--- a/burlshift_tools/emulator/registry.py
+++ b/burlshift_tools/emulator/registry.py
@@ -34,7 +34,7 @@
     """What makes one agent's policy. Raises UnknownPolicy."""
     if name in BASELINES:
         baseline = BASELINES[name]
-        return lambda world, settings, seed: baseline(settings, seed)
+        return lambda _world, settings, seed: baseline(settings, seed)
     if name == "least-loaded":
         return _least_loaded
     if name in COUNTED:
--- a/burlshift_tools/faultlab/agents.py
+++ b/burlshift_tools/faultlab/agents.py
@@ -101,7 +101,7 @@
         rig.write(Begun(t=now_us(), who=name, life=life, pid=child.pid))
         self.up[i].append(child)
 
-        async def ended(status: int) -> None:
+        async def ended(_status: int) -> None:
             with contextlib.suppress(ValueError):
                 self.up[i].remove(child)
             if not self.up[i] and i < len(rig.relays):
--- a/burlshift_tools/faultlab/cli.py
+++ b/burlshift_tools/faultlab/cli.py
@@ -328,7 +328,7 @@
         else:
             wanted = runs.sizes_of(sizes or (runs.SMALL_SIZES if small else runs.SIZES))
             # After each of them: a run that is cut off keeps what is finished.
-            keep = partial(runs.write, path=output) if output is not None else lambda result: None
+            keep = partial(runs.write, path=output) if output is not None else lambda _result: None
             result = runs.measure(only or [], wanted, Run(say, small), keep)
         if draw is not None:
             draw(result.measured, charts)
--- a/burlshift_tools/faultlab/play.py
+++ b/burlshift_tools/faultlab/play.py
@@ -45,7 +45,9 @@
 
 
 def schedule_lines(span: Span, seed: int, length_s: float | None, folder: Path, tree: Path) -> list[str]:
-    return [act.line() for act in Rig(Order("", span, seed, length_s, folder, tree), lambda share: None).acts]
+    return [
+        act.line() for act in Rig(Order("", span, seed, length_s, folder, tree), lambda _share: None).acts
+    ]
 
 
 def place() -> Path:
@@ -65,7 +67,7 @@
     folder: Path | None,
     tree: Path,
     length_s: float | None = None,
-    progress: Callable[[float], None] = lambda share: None,
+    progress: Callable[[float], None] = lambda _share: None,
 ) -> Played:
     """One run and its verdict. Without a folder it goes to a temporary one, which is the caller's to remove.
 
--- a/burlshift_tools/faultlab/rig.py
+++ b/burlshift_tools/faultlab/rig.py
@@ -316,7 +316,7 @@
             self.datagrams = await self.part(
                 "u0",
                 "datagrams",
-                lambda life: datagrams.DatagramsPart(
+                lambda _life: datagrams.DatagramsPart(
                     **self.common("u0"), block=self.block, agents=len(agents), seed=self.order.seed
                 ),
             )
@@ -358,7 +358,7 @@
         part = await self.part(
             f"r{i}",
             "relay",
-            lambda life: relay.RelayPart(
+            lambda _life: relay.RelayPart(
                 **self.common(f"r{i}"), agent=f"a{i}", routes=routes, seed=self.order.seed * 1000 + i
             ),
         )
@@ -378,7 +378,7 @@
         self.leader_relay = await self.part(
             "q0",
             "relay",
-            lambda life: relay.RelayPart(**self.common("q0"), routes=routes, seed=self.order.seed),
+            lambda _life: relay.RelayPart(**self.common("q0"), routes=routes, seed=self.order.seed),
         )
 
     async def _clients(self, i: int) -> PartChild:
@@ -388,7 +388,7 @@
         return await self.part(
             f"c{i}",
             "clients",
-            lambda life: ClientsPart(
+            lambda _life: ClientsPart(
                 **self.common(f"c{i}"),
                 agent=f"a{i}",
                 address=self.block.front(i),
--- a/burlshift_tools/faultlab/scale/lines.py
+++ b/burlshift_tools/faultlab/scale/lines.py
@@ -210,7 +210,7 @@
         "its machine gone, until changes are taken again",
         "nothing starts it elsewhere: an operator restores a backup there",
         S,
-        lambda a: plan.NO_BOUND,
+        lambda _a: plan.NO_BOUND,
         plan.IN_FORCE_S,
     ),
     Line(
@@ -228,7 +228,7 @@
         "between two failures or restarts of the one machine that it is on",
         "3,100 / (11 + 240)",
         "days",
-        lambda a: plan.SERVERS / (plan.FAILED_DAY + plan.RESTARTED_DAY),
+        lambda _a: plan.SERVERS / (plan.FAILED_DAY + plan.RESTARTED_DAY),
     ),
     Line(
         "list.calls_rest",
@@ -323,7 +323,7 @@
         "the list service, and a follower in each zone",
         "1 + 12",
         "machines",
-        lambda a: 1 + plan.ZONES,
+        lambda _a: 1 + plan.ZONES,
         plan.CONTROL_MACHINES,
     ),
     plain(
--- a/burlshift_tools/faultlab/scale/runs.py
+++ b/burlshift_tools/faultlab/scale/runs.py
@@ -70,7 +70,10 @@
 
 
 def measure(
-    names: Sequence[str], sizes: Sequence[int], run: Run, keep: Callable[[Result], None] = lambda result: None
+    names: Sequence[str],
+    sizes: Sequence[int],
+    run: Run,
+    keep: Callable[[Result], None] = lambda _result: None,
 ) -> Result:
     """One measurement after the other; keep is called with what there is after each.
 
--- a/tests/disk_model.py
+++ b/tests/disk_model.py
@@ -46,7 +46,7 @@
         self.synced_names = dict(self.inodes)
         self.pending_names: list[tuple[str, Inode | None, str | None]] = []  # name, what it is, and what goes
         self.calls = 0
-        self.before: Callable[[int, str], None] = lambda n, what: None  # may raise, or look
+        self.before: Callable[[int, str], None] = lambda _n, _what: None  # may raise, or look
 
     def _call(self, what: str) -> None:
         self.calls += 1
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -808,7 +808,7 @@
 async def play(seed: int, knobs: Knobs, record: Record) -> None:
     rng = random.Random(seed)
     # The stand-ins' own broken connections are what was drawn.
-    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    asyncio.get_running_loop().set_exception_handler(lambda _loop, _context: None)
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     servers = [
         StandIn(f"s{i}", random.Random(f"{seed} s{i}"), record, knobs)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -331,7 +331,7 @@
         config = replace(config, sockets=most)
     figures = Metrics([c.name for c in config.settings.classes])
     agent, server = assemble(config, clock, figures)
-    operators = AdminCommands(agent, server, figures, lambda processes: most or 100)
+    operators = AdminCommands(agent, server, figures, lambda _processes: most or 100)
     door = AdminServer(operators)
     agent.start(config.known)
     port = await server.listen(Address("127.0.0.1", 0))
--- a/tests/sqlite_faults.py
+++ b/tests/sqlite_faults.py
@@ -150,7 +150,7 @@
             self.operations.append(("truncate", self._names[file], size, b""))
             return int(original.truncate(file, size))
 
-        def sync(file: int, flags: int) -> int:
+        def sync(file: int, _flags: int) -> int:
             """No call of the system: a kill loses nothing, and a cut is made from the operations."""
             failed = self._fails("sync", self._names[file])
             self.operations.append(("failed sync" if failed else "sync", self._names[file], 0, b""))
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -250,7 +250,7 @@
 
 @pytest.mark.parametrize("warm", [False, True])
 def test_a_fault_while_an_attempt_is_written_ends_it(monkeypatch: pytest.MonkeyPatch, warm: bool) -> None:
-    def send(self: Connection, *events: object) -> None:
+    def send(_self: Connection, *_events: object) -> None:
         raise ValueError("no such header")
 
     async def run() -> None:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -122,9 +122,7 @@
     asyncio.run(run())
 
 
-def test_a_large_answer_begins_before_it_is_whole_and_nothing_cuts_it(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_a_large_answer_begins_before_it_is_whole_and_nothing_cuts_it(tmp_path: Path) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             client = await w.ask(post(timeout_ms="300"))  # its time is over long before the answer is
--- a/tests/test_catalog_replica.py
+++ b/tests/test_catalog_replica.py
@@ -253,8 +253,8 @@
 @pytest.mark.parametrize(
     "spoil",
     [
-        lambda doc: [],
-        lambda doc: {},
+        lambda _doc: [],
+        lambda _doc: {},
         lambda doc: {k: v for k, v in doc.items() if k != "list"},
         lambda doc: doc | {"list": ""},
         lambda doc: doc | {"list": 7},
--- a/tests/test_catalog_replica_service.py
+++ b/tests/test_catalog_replica_service.py
@@ -235,7 +235,7 @@
     asyncio.run(run())
 
 
-def test_of_two_sources_the_one_that_is_behind_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_of_two_sources_the_one_that_is_behind_is_left() -> None:
     async def run() -> None:
         ahead, behind = await Peer().start(), await Peer().start()
         async with follower(ahead.port, behind.port) as f:
--- a/tests/test_catalog_wall_clock.py
+++ b/tests/test_catalog_wall_clock.py
@@ -116,9 +116,8 @@
     opened.close()
 
 
-def test_what_lies_there_and_cannot_be_read_keeps_no_backup_from_being_restored(
-    tmp_path: Path, machine: Machine
-) -> None:
+@pytest.mark.usefixtures("machine")
+def test_what_lies_there_and_cannot_be_read_keeps_no_backup_from_being_restored(tmp_path: Path) -> None:
     data, saved = tmp_path / "data", tmp_path / "saved"
     opened = Store(data)
     revision = opened.state.revision
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -155,8 +155,8 @@
 
 
 GIVEN_UP: dict[str, Callable[[World, Raw], None]] = {
-    "client gone": lambda w, client: client.close(),
-    "answered": lambda w, client: w.agent.fail_all_pending(),
+    "client gone": lambda _w, client: client.close(),
+    "answered": lambda w, _client: w.agent.fail_all_pending(),
 }
 
 
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -213,9 +213,8 @@
     asyncio.run(run())
 
 
-def test_a_slow_client_has_its_whole_time_from_its_last_byte(
-    tmp_path: Path, clock: type[SteppedClock]
-) -> None:
+@pytest.mark.usefixtures("clock")
+def test_a_slow_client_has_its_whole_time_from_its_last_byte(tmp_path: Path) -> None:
     async def run() -> None:
         async with world(tmp_path) as w:
             client, request = await w.client(), post(body=LARGE)
--- a/tests/test_disk_faults_catalog.py
+++ b/tests/test_disk_faults_catalog.py
@@ -264,7 +264,7 @@
 ) -> None:
     """SQLite passes over that error when it creates its log, and the log's name may be lost."""
 
-    def fail(path: Path) -> None:
+    def fail(_path: Path) -> None:
         raise OSError(errno.EIO, os.strerror(errno.EIO))
 
     monkeypatch.setattr(store, "sync_folder", fail)
@@ -277,7 +277,7 @@
 def test_a_directory_that_cannot_be_locked_is_not_said_to_be_anothers(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    def no_locks(fd: int, operation: int) -> None:
+    def no_locks(_fd: int, _operation: int) -> None:
         raise OSError(errno.ENOLCK, os.strerror(errno.ENOLCK))
 
     monkeypatch.setattr(fcntl, "flock", no_locks)
--- a/tests/test_disk_faults_durable.py
+++ b/tests/test_disk_faults_durable.py
@@ -233,7 +233,7 @@
     for plan in plans(counted.calls):
         disk, owner = UncertainDisk(plan), Owner()
 
-        def cut(number: int, what: str, disk: UncertainDisk = disk, owner: Owner = owner) -> None:
+        def cut(_number: int, _what: str, disk: UncertainDisk = disk, owner: Owner = owner) -> None:
             for _ in range(2):
                 owner.check(words_of(Store(ModelDisk(disk.drawn(chance)), "fleet", "agent").recovered))
 
@@ -250,7 +250,7 @@
     store.append(b"one")
     store.commit()
 
-    def fail_sync(number: int, what: str) -> None:
+    def fail_sync(_number: int, what: str) -> None:
         if what == "sync":
             raise OSError(errno.EIO, os.strerror(errno.EIO))
 
@@ -258,7 +258,7 @@
     store.append(b"refused")
     with pytest.raises(NotWritten):
         store.commit()
-    disk.before = lambda number, what: None
+    disk.before = lambda _number, _what: None
     store.begin(b"one")
     store.append(b"two")
     store.commit()
@@ -357,7 +357,7 @@
 def test_a_folder_that_cannot_be_locked_is_not_said_to_be_anothers(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    def no_locks(fd: int, operation: int) -> None:
+    def no_locks(_fd: int, _operation: int) -> None:
         raise OSError(errno.ENOLCK, os.strerror(errno.ENOLCK))
 
     monkeypatch.setattr(fcntl, "flock", no_locks)
--- a/tests/test_disk_faults_service.py
+++ b/tests/test_disk_faults_service.py
@@ -155,7 +155,7 @@
                 go_on.wait()
                 return commit(commands)
 
-            def tick(now_us: int, listens: bool) -> list[SetPhase | Delete]:
+            def tick(_now_us: int, _listens: bool) -> list[SetPhase | Delete]:
                 if begun.is_set():
                     ticked_again.set()
                     return []
--- a/tests/test_drawn_world.py
+++ b/tests/test_drawn_world.py
@@ -40,23 +40,23 @@
     return record, request
 
 
-def no_answer(record: Record, request: Request) -> None:
+def no_answer(_record: Record, request: Request) -> None:
     request.status, request.how = 0, "waited"
 
 
-def closed(record: Record, request: Request) -> None:
+def closed(_record: Record, request: Request) -> None:
     request.status, request.how = 0, "closed"
 
 
-def half(record: Record, request: Request) -> None:
+def half(_record: Record, request: Request) -> None:
     request.status, request.how = 0, "cut"
 
 
-def late(record: Record, request: Request) -> None:
+def late(_record: Record, request: Request) -> None:
     request.ended = 10.5 + LOST_S + 0.001
 
 
-def anothers(record: Record, request: Request) -> None:
+def anothers(_record: Record, request: Request) -> None:
     request.body = b"q s0 1 "
 
 
@@ -65,23 +65,23 @@
     record.attempts["r"].append(Attempt("r", 10.01 + AFTER_S + 0.001, 0.0, 1))
 
 
-def after_answer(record: Record, request: Request) -> None:
+def after_answer(record: Record, _request: Request) -> None:
     record.attempts["r"].append(Attempt("r", 10.2, 0.0, 1))
 
 
-def told_too_much(record: Record, request: Request) -> None:
+def told_too_much(record: Record, _request: Request) -> None:
     record.attempts["r"][0].told_s = 0.49 + TOLD_SLACK_S + 0.001
 
 
-def ran_twice(record: Record, request: Request) -> None:
+def ran_twice(record: Record, _request: Request) -> None:
     record.ran["r"].append(10.03)
 
 
-def refused_after_it_ran(record: Record, request: Request) -> None:
+def refused_after_it_ran(_record: Record, request: Request) -> None:
     request.status = 503
 
 
-def logged(record: Record, request: Request) -> None:
+def logged(record: Record, _request: Request) -> None:
     record.log("request 1: no answer from the module in time")
 
 
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -96,7 +96,7 @@
             if seen[0] % 7:
                 continue
 
-            def second(n: int, what: str, again: ModelDisk = again, words: list[bytes] = words) -> None:
+            def second(_n: int, _what: str, again: ModelDisk = again, words: list[bytes] = words) -> None:
                 for twice in again.cut(lambda piece: [0, len(piece)]):
                     assert state_of(opened(ModelDisk(twice)).recovered) == words
 
@@ -118,7 +118,7 @@
         life = Life(disk)
         stop = chance.randint(1, 30)
 
-        def before(n: int, what: str, life: Life = life, disk: ModelDisk = disk, stop: int = stop) -> None:
+        def before(n: int, _what: str, life: Life = life, disk: ModelDisk = disk, stop: int = stop) -> None:
             if n == stop:
                 for _ in range(CUTS):
                     life.check(disk.drawn(chance))
@@ -183,7 +183,7 @@
         s.commit()
     with pytest.raises(NotWritten, match="snapshot-2: Input/output error"):
         s.begin(b"one")
-    disk.before = lambda n, call: None
+    disk.before = lambda _n, _call: None
     s.append(b"two")
     with pytest.raises(NotWritten, match="begin a new generation"):  # a sync that failed is not tried again
         s.commit()
@@ -200,11 +200,11 @@
     begin(s)
     s.append(b"one")
     s.commit()
-    disk.before = lambda n, call: (_ for _ in ()).throw(OSError(errno.ENOSPC, "No space left on device"))
+    disk.before = lambda _n, _call: (_ for _ in ()).throw(OSError(errno.ENOSPC, "No space left on device"))
     for _ in range(3):
         with pytest.raises(NotWritten):
             s.begin(b"one")
-    disk.before = lambda n, call: None
+    disk.before = lambda _n, _call: None
     s.begin(b"one")
     files = {name: disk.read(name) for name in disk.names()}
     files[f"snapshot-{s._generation}"] = b"spoilt"
--- a/tests/test_exchange_ends.py
+++ b/tests/test_exchange_ends.py
@@ -93,7 +93,7 @@
     asyncio.run(asyncio.wait_for(run(), 60))
 
 
-def test_a_fault_in_one_that_waits_leaves_the_others(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_fault_in_one_that_waits_leaves_the_others() -> None:
     async def run() -> None:
         peer = await Peer().start()
         b = backends(peer.port)
@@ -280,7 +280,7 @@
     asyncio.run(run())
 
 
-def test_a_late_answer_to_a_probe_is_not_the_next_requests(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_late_answer_to_a_probe_is_not_the_next_requests() -> None:
     async def run() -> None:
         peer = await Peer().start()
         b = backends(peer.port)
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -60,7 +60,7 @@
     assert status == 130 and "interrupted" in text
 
 
-def _interrupted(self: Explorer, most: int) -> None:
+def _interrupted(_self: Explorer, _most: int) -> None:
     raise KeyboardInterrupt
 
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -129,7 +129,7 @@
             d.wait(5 * MS)
         return d
 
-    lasting = drive(lambda server, turn: 12.0 if server == 0 else 2.0)
+    lasting = drive(lambda server, _turn: 12.0 if server == 0 else 2.0)
     passing = drive(lambda server, turn: 12.0 if (server + turn * turn // 7) % 5 == 0 else 2.0)
     assert lasting.balancer.table.trust > 0.8
     assert passing.balancer.table.trust < 0.4
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -293,8 +293,9 @@
     listener.close()
 
 
+@pytest.mark.usefixtures("unhurried")
 def test_an_act_that_the_next_process_does_not_confirm_in_time_is_not_said_to_hold(
-    tmp_path: Path, unhurried: None, monkeypatch: pytest.MonkeyPatch
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     listener = socket.create_server(("127.0.0.1", 0))
     monkeypatch.setattr(hot_restart, "CONFIRM_S", 0.0)
@@ -385,7 +386,7 @@
 
 
 def test_without_a_place_to_keep_anything_it_starts_all_the_same(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
     def none() -> str:
         raise FileNotFoundError("no usable temporary directory")
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -41,7 +41,7 @@
 ) -> None:
     selector = LagTrackingSelector()
 
-    def select(self: Any, timeout: float | None = None) -> list[Any]:
+    def select(_self: Any, _timeout: float | None = None) -> list[Any]:
         now[0] += 3.0  # it slept
         return []
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -144,7 +144,7 @@
         self.random, self.now, self.delay_us = Random(seed), 0, delay_us
         self.size, self.starts = size, 0
         self.members: dict[int, Membership] = {}
-        self.passes: Callable[[int, int], bool] = lambda a, b: True
+        self.passes: Callable[[int, int], bool] = lambda _a, _b: True
         self.changes: list[tuple[int, int, Changed]] = []  # when, at whom
         self.liar: Callable[[Message], Message] | None = None  # what member 0 says instead
         self._flying: list[tuple[int, int, int, Message]] = []
@@ -239,7 +239,7 @@
     fleet.passes = lambda a, b: (a < 5) == (b < 5)
     fleet.run(40)
     assert fleet.seen(0)[Status.DEAD] == {5, 6, 7, 8, 9}
-    fleet.passes = lambda a, b: True
+    fleet.passes = lambda _a, _b: True
     fleet.run(15)
     assert fleet.agree(set(range(10)))
 
@@ -298,9 +298,9 @@
 def test_loss_kills_nobody_for_good(loss: float) -> None:
     fleet = Fleet(10)
     chance = Random(3)
-    fleet.passes = lambda a, b: chance.random() >= loss
+    fleet.passes = lambda _a, _b: chance.random() >= loss
     fleet.run(120)
-    fleet.passes = lambda a, b: True
+    fleet.passes = lambda _a, _b: True
     fleet.run(15)
     assert fleet.agree(set(range(10)))
 
@@ -311,7 +311,7 @@
     fleet.passes = lambda a, b: b != 3 or a >= 7  # most cannot reach 3; it reaches all
     fleet.run(60)
     assert 3 not in fleet.seen(0).get(Status.DEAD, set())
-    fleet.passes = lambda a, b: True
+    fleet.passes = lambda _a, _b: True
     fleet.run(10)
     assert fleet.agree(set(range(10)))
 
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -507,7 +507,7 @@
 def test_a_fault_on_an_event_of_no_held_request_costs_none(
     tmp_path: Path, raises: Raises, heard: Heard, event: Event
 ) -> None:
-    raises.on(Balancer, "handle", lambda _, now, got: got is event)
+    raises.on(Balancer, "handle", lambda _, _now, got: got is event)
 
     async def run() -> None:
         async with world(tmp_path) as w:
@@ -523,7 +523,8 @@
     asyncio.run(run())
 
 
-def test_what_was_decided_before_a_fault_is_carried_out(tmp_path: Path, raises: Raises, heard: Heard) -> None:
+@pytest.mark.usefixtures("raises")
+def test_what_was_decided_before_a_fault_is_carried_out(tmp_path: Path, heard: Heard) -> None:
     # Many requests' timers run in one event: what it decided of the first was lost with the second's fault.
     async def run() -> None:
         async with world(tmp_path) as w:
--- a/tests/test_scale_agent.py
+++ b/tests/test_scale_agent.py
@@ -82,7 +82,7 @@
 
 @pytest.mark.usefixtures("leaves_nothing")
 def test_an_agents_cost_is_measured_by_members() -> None:
-    found = agentcost.measure(SIZES, Run(say=lambda text: None))
+    found = agentcost.measure(SIZES, Run(say=lambda _text: None))
     units = _measured(found)
     wanted = {
         "memory_mb": "MB",
@@ -122,7 +122,7 @@
 
 @pytest.mark.usefixtures("leaves_nothing")
 def test_what_is_added_to_a_call_is_measured_by_members() -> None:
-    found = latency.measure(SIZES, Run(say=lambda text: None))
+    found = latency.measure(SIZES, Run(say=lambda _text: None))
     units = _measured(found)
     for rate in (42, 420):
         for p in ("p50", "p99", "p999"):
@@ -217,7 +217,7 @@
 
 
 def test_a_client_that_was_late_makes_the_run_not_count() -> None:
-    run, tally = Run(say=lambda text: None), Tally()
+    run, tally = Run(say=lambda _text: None), Tally()
     tally.add(Taken(us=[400] * 99, late=1))
     judge(run, "in time", [tally])
     assert run.late == []
--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -51,11 +51,11 @@
 
 
 def measuring(monkeypatch: pytest.MonkeyPatch, late: Sequence[str] = ()) -> None:
-    def measure(sizes: Sequence[int], run: Run) -> list[Measured]:
+    def measure(_sizes: Sequence[int], run: Run) -> list[Measured]:
         run.late += late
         return [SLOPE, FIGURE]
 
-    monkeypatch.setattr(registry, "measure", lambda name: measure)
+    monkeypatch.setattr(registry, "measure", lambda _name: measure)
 
 
 def test_small_fleet_gives_all_its_figures_and_leaves_nothing(tmp_path: Path) -> None:
@@ -192,7 +192,7 @@
         told.append(measured)
         return ["line 7: 1.2 ms, the figures give 3.4"]
 
-    monkeypatch.setattr(runs, "other", lambda module, function: check)
+    monkeypatch.setattr(runs, "other", lambda _module, _function: check)
     result = CliRunner().invoke(app, ["scale", "--only", "fleet", "--check"])
     assert result.exit_code == play.BROKE and "line 7" in result.output and told == [[SLOPE, FIGURE]]
 
--- a/tests/test_scale_page.py
+++ b/tests/test_scale_page.py
@@ -270,7 +270,7 @@
 
     assert 1000 < float(breaks_at(line(1000), known).replace(",", "")) < 1000 * plan.STEP**2
     assert breaks_at(line(0.5), known) == "under 16"
-    assert breaks_at(Line("k", "call", "", "", "s", lambda a: plan.NO_BOUND, 1.0), {}) == "any"
+    assert breaks_at(Line("k", "call", "", "", "s", lambda _a: plan.NO_BOUND, 1.0), {}) == "any"
     assert breaks_at(line(1e9), known) == "over 3,100"
     assert breaks_at(line(1), {}) == "not known"
 
--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -107,7 +107,7 @@
         loop, done = asyncio.get_running_loop(), asyncio.Event()
         watcher = of_several(count, wait_ms=wait_ms)
 
-        async def hangs(_: Any, host: str, port: int) -> Any:
+        async def hangs(_: Any, _host: str, port: int) -> Any:
             tried.append(port)
             watcher._called -= 0.25  # as if it had, to its limit
             raise TimeoutError
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -365,7 +365,7 @@
     """Without a door an agent that asks has no whole list first, and its first call may wait long."""
     whole = StartTimes.held
     monkeypatch.setattr(discovery, "ANSWER_S", 0.0)  # any call has waited longer than this
-    monkeypatch.setattr(StartTimes, "held", lambda starts, held_s: whole(starts, 0.25))
+    monkeypatch.setattr(StartTimes, "held", lambda starts, _held_s: whole(starts, 0.25))
 
     async def run() -> None:
         machine.off_s = off_s
