--- a/burlshift/agent/admin_commands.py
+++ b/burlshift/agent/admin_commands.py
@@ -1,4 +1,4 @@
-"""What operators ask at the door, carried out by those who own it, in each process that is this agent."""
+"""The admin commands, carried out in each process that is this agent."""
 
 from __future__ import annotations
 
@@ -16,14 +16,14 @@
 
 log = logging.getLogger(__name__)
 
-# The front has seen the no and stopped within 0.3 s. The last idle connection is to be gone well before 2 s:
-# what comes on it from then on must be answered by 4 s.
+# The load balancer in front has seen the failed health check and stopped within 0.3 s. The last idle
+# connection is to be gone well before 2 s: what comes on it from then on must be answered by 4 s.
 LAME_DUCK_TIMES = LameDuckTimes(close_s=0.5, idle_s=1.0)
 FRESH_S = 3.0  # while discovery says nothing, the list as last known must do after so long
 
 
 class AdminCommands:
-    """Says yes only once the act is in force."""
+    """Answers `OK` only once the command is in force."""
 
     def __init__(self, agent: Agent, server: Server, figures: Metrics, most: Callable[[int], int]) -> None:
         self._agent, self._server, self._figures = agent, server, figures
@@ -32,7 +32,7 @@
         self.stopping = False
         self.hot_restart: HotRestart | None = None  # None: no other process can take over
 
-    # What callers at the door ask for
+    # Commands of callers at the admin interface
 
     def ping(self) -> None:
         if self._server.listener is None:
@@ -93,12 +93,12 @@
         return {**self._agent.state(), "empty": self._server.draining}
 
     def resume(self, state: dict[str, Any]) -> None:
-        """An agent that was being emptied goes on so: only operators end that."""
+        """An agent in lame-duck mode stays in it: only operators end that."""
         if state.get("empty"):
             self._server.enter_lame_duck(LAME_DUCK_TIMES)
 
     def apply(self, act: Act) -> None:
-        """What was asked at the door of the other process."""
+        """A command that came to the admin interface of the other process."""
         try:
             self._carry_out(act, vouched=True)
         except LookupError as e:
--- a/burlshift/agent/admin_interface.py
+++ b/burlshift/agent/admin_interface.py
@@ -1,4 +1,4 @@
-"""The door for operators: one call a connection, one line long, answered and closed."""
+"""The admin interface: each connection carries one command, one line long, and is answered and closed."""
 
 from __future__ import annotations
 
--- a/burlshift/agent/backend_list.py
+++ b/burlshift/agent/backend_list.py
@@ -1,4 +1,4 @@
-"""The list of backends as discovery has it, and the bans that operators lay over it."""
+"""The list of backends as discovery has it, with the servers that operators detached marked as draining."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
         return len(self._members)
 
     def update(self, listing: Listing) -> Listing:
-        """Take in what discovery says; return what it comes to under the bans."""
+        """Take in an answer of discovery; return it with detached servers draining."""
         if listing.complete:
             self._members.clear()
         self._revision = listing.revision
@@ -44,7 +44,7 @@
         return replace(listing, members=tuple(self._overlaid(m) for m in listing.members))
 
     def members(self) -> dict[str, Member]:
-        """Discovery's present word on each, by id, without the bans."""
+        """Each member as discovery has it now, by id, whether or not it is detached."""
         return dict(self._members)
 
     def change(self, members: list[Member]) -> Listing:
@@ -52,7 +52,7 @@
         return Listing(self._revision, False, tuple(members))
 
     def state(self, form: Callable[[Member], dict[str, Any]]) -> dict[str, Any]:
-        """All of it in JSON's terms, for another process; the list in discovery's form, without the bans."""
+        """The state as JSON for another process; the list in discovery's form, detached servers apart."""
         return {
             "list": {
                 "revision": self._revision,
@@ -79,7 +79,7 @@
         return self._change(name)
 
     def attach(self, name: str) -> Listing:
-        """The ban is over: what discovery says of it now holds, its latest start included."""
+        """End the detachment: what discovery says of it now holds, its latest start included."""
         self._check(name)
         self._banned.discard(name)
         return self._change(name)
--- a/burlshift/agent/config.py
+++ b/burlshift/agent/config.py
@@ -124,7 +124,7 @@
         sockets=_sockets(int((doc.get("limits") or {}).get("sockets") or 1024)),
         known=parser.parse(doc["known"]),
         parser=parser,
-        # The channel to peers tells who is there and no loads, so the module must not count on it.
+        # The channel to peers tells who is there and no loads, so the policy must not count on it.
         settings=replace(settings_from(facts), can_tell=False),
         connect_timeout_us=int(allowed["connectTimeoutUs"]),
         conn_idle_us=int(allowed["connIdleUs"]),
--- a/burlshift/agent/hot_restart.py
+++ b/burlshift/agent/hot_restart.py
@@ -2,7 +2,7 @@
 
 The process that serves listens on a Unix socket. One that is started finds it there, greets, and gets a line
 of state together with the listening socket of the clients: nothing that waits in its queue is lost when the
-first process closes its own copy. The connection stays as a link for what operators ask at either door.
+first process closes its own copy. The connection stays as a link for commands at either admin interface.
 """
 
 from __future__ import annotations
@@ -28,8 +28,8 @@
 log = logging.getLogger(__name__)
 
 VERSION = 1
-GREET_S = 2.0  # a predecessor that has not handed over by then is done without
-CONFIRM_S = 0.7  # a caller at the door waits 1 s
+GREET_S = 2.0  # a predecessor that has not passed its state on by then is done without
+CONFIRM_S = 0.7  # a caller at the admin interface waits 1 s
 STATE_LIMIT = 16 * 1024 * 1024
 LINE_LIMIT = 64 * 1024  # of a message on a link
 LACKING_S = 0.02  # until the next try
@@ -49,7 +49,7 @@
 
 @dataclass(slots=True)
 class InheritedState:
-    """What a predecessor has handed over."""
+    """The state inherited from the predecessor."""
 
     listener: socket.socket
     state: dict[str, Any]
@@ -175,7 +175,7 @@
 
     @property
     def up(self) -> bool:
-        """What was to be handed over has been, in whole."""
+        """Whether the whole state has been passed on."""
         return self._transport is not None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -235,7 +235,7 @@
 
 
 class RestartOwner(Protocol):
-    """Who has what is handed over, and carries out what the other process is told."""
+    """Owns the state that is passed on, and carries out the commands of the other process."""
 
     def listener(self) -> socket.socket: ...
 
@@ -264,7 +264,7 @@
         return any(link.successor and link.up for link in self._links)
 
     async def keep_link(self, heritage: InheritedState) -> None:
-        """Keep the link to the process that handed over."""
+        """Keep the link to the predecessor."""
         link = ProcessLink(self, successor=False)
         self._add(link)
         heritage.link.setblocking(False)
--- a/burlshift/agent/listener.py
+++ b/burlshift/agent/listener.py
@@ -15,7 +15,7 @@
 
 ACCEPTS = 32  # in one turn of the loop
 STARVED_S = 0.1  # without descriptors, or memory, until the next try
-LISTEN_S, LISTEN_AGAIN_S = 5.0, 0.1  # a start is given up when it could not listen for so long
+LISTEN_S, LISTEN_AGAIN_S = 5.0, 0.1  # a start fails when it could not listen for so long
 
 
 async def listening(address: Address, backlog: int, shared: bool = False) -> socket.socket:
--- a/burlshift/agent/socket_errors.py
+++ b/burlshift/agent/socket_errors.py
@@ -60,7 +60,7 @@
         errno.EINTR,
     }
 )
-# unix(7), sendmsg(2): of a hand-over to the next process.
+# unix(7), sendmsg(2): of a hot restart.
 LACKING_TO_HAND_OVER = frozenset(
     {
         errno.EMFILE,
--- a/burlshift/balancing/interface.py
+++ b/burlshift/balancing/interface.py
@@ -62,7 +62,7 @@
 
     OK = "ok"
     ERROR = "error"  # the backend said so; may have run
-    REJECTED = "rejected"  # turned away unseen; never ran
+    REJECTED = "rejected"  # rejected unseen; never ran
     TIMEOUT = "timeout"  # no answer in time; may have run or still run
     CONNECT_FAILED = "connect_failed"  # never ran
     RESET = "reset"  # the connection dropped; may have run
