--- a/burlshift/agent/listing.py
+++ b/burlshift/agent/listing.py
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Address:
-    """Where a process listens."""
+    """Where something listens: host and port."""
 
     host: str
     port: int
@@ -23,6 +23,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Member:
+    """A server of the list: the backend as the policy knows it, and its address."""
+
     """A backend of the list and where it is."""
 
     backend: Backend
--- a/burlshift/balancing/interface.py
+++ b/burlshift/balancing/interface.py
@@ -51,6 +51,8 @@
 
 
 class Discovery(Enum):
+    """How changes of the list of backends reach the balancer."""
+
     PUSH = "push"  # changes come by themselves
     ASK = "ask"  # changes come only after Watch or Fetch
 
@@ -60,7 +62,7 @@
 
     OK = "ok"
     ERROR = "error"  # the backend said so; may have run
-    REJECTED = "rejected"  # turned away unseen; never ran
+    REJECTED = "rejected"  # rejected unseen; never ran
     TIMEOUT = "timeout"  # no answer in time; may have run or still run
     CONNECT_FAILED = "connect_failed"  # never ran
     RESET = "reset"  # the connection dropped; may have run
@@ -261,11 +263,15 @@
 
 @dataclass(slots=True)
 class TimerFired:
+    """A timer that the balancer set has expired."""
+
     token: int
 
 
 @dataclass(slots=True)
 class ProbeEnded:
+    """A probe has ended, with the load report of its answer."""
+
     backend: BackendId
     outcome: Outcome
     latency_us: int
--- a/tests/disk_model.py
+++ b/tests/disk_model.py
@@ -15,6 +15,8 @@
 
 @dataclass
 class Inode:
+    """A file of the model: synced content, and writes that are not synced."""
+
     synced: bytes = b""
     pending: list[bytes] = field(default_factory=list)
 
@@ -44,7 +46,7 @@
         self.synced_names = dict(self.inodes)
         self.pending_names: list[tuple[str, Inode | None, str | None]] = []  # name, what it is, and what goes
         self.calls = 0
-        self.before: Callable[[int, str], None] = lambda n, what: None  # may raise, or look
+        self.before: Callable[[int, str], None] = lambda _n, _what: None  # may raise, or look
 
     def _call(self, what: str) -> None:
         self.calls += 1
--- a/tests/drawn_world.py
+++ b/tests/drawn_world.py
@@ -84,6 +84,8 @@
 
 @dataclass
 class Attempt:
+    """An attempt as its server received it."""
+
     rid: str
     at: float
     told_s: float
@@ -715,6 +717,8 @@
 
 
 class Handler(logging.Handler):
+    """Records what the program logs as an error."""
+
     def __init__(self, record: Record) -> None:
         super().__init__(logging.ERROR)
         self.record = record
@@ -805,7 +809,7 @@
 async def play(seed: int, knobs: Knobs, record: Record) -> None:
     rng = random.Random(seed)
     # The stand-ins' own broken connections are what was drawn.
-    asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+    asyncio.get_running_loop().set_exception_handler(lambda _loop, _context: None)
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     servers = [
         StandIn(f"s{i}", random.Random(f"{seed} s{i}"), record, knobs)
--- a/tests/test_catalog_replica_service.py
+++ b/tests/test_catalog_replica_service.py
@@ -29,6 +29,8 @@
 
 
 class Reader(Client):
+    """A client that reads whole answers."""
+
     async def whole_answer(self) -> tuple[int, dict[str, str], bytes]:
         head = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
         fields = {k.lower(): v for k, _, v in (line.partition(": ") for line in head[1:] if line)}
@@ -45,6 +47,8 @@
 
 
 class Copy:
+    """A read replica and its server."""
+
     def __init__(self, node: Replica, server: CatalogServer, port: int) -> None:
         self.node, self.server, self.port = node, server, port
 
@@ -232,7 +236,7 @@
     asyncio.run(run())
 
 
-def test_of_two_sources_the_one_that_is_behind_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_of_two_sources_the_one_that_is_behind_is_left() -> None:
     async def run() -> None:
         ahead, behind = await Peer().start(), await Peer().start()
         async with follower(ahead.port, behind.port) as f:
--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -25,6 +25,8 @@
 
 
 class Longest(Random):
+    """Draws the longest wait each time."""
+
     def random(self) -> float:
         return LONGEST
 
@@ -106,7 +108,7 @@
         loop, done = asyncio.get_running_loop(), asyncio.Event()
         watcher = of_several(count, wait_ms=wait_ms)
 
-        async def hangs(_: Any, host: str, port: int) -> Any:
+        async def hangs(_: Any, _host: str, port: int) -> Any:
             tried.append(port)
             watcher._called -= 0.25  # as if it had, to its limit
             raise TimeoutError
