--- a/burlshift/agent/listing.py
+++ b/burlshift/agent/listing.py
@@ -25,8 +25,6 @@
 class Member:
     """A server of the list: the backend as the policy knows it, and its address."""
 
-    """A backend of the list and where it is."""
-
     backend: Backend
     address: Address
     up_since_ms: int = 0  # the latest start as the list gives it; with the id the name of the process
