Requests are held while no server responds, not while a slow start's budget is spent

Root cause: Balancer._advance held a request for which no server passed _admits, and looked again every HOLD_US. With the slow-start budget bound by counts, a spent budget fails _admits for all servers at once: in a jam hundreds of requests were held to their aim and drawn for every 20 ms. Change: _responds (health and silence) is apart from _admits; a request is held only where no server responds, and is refused at once where some do and have no room.

--- a/burlshift/balancing/logic.py
+++ b/burlshift/balancing/logic.py
@@ -221,9 +221,10 @@
         pool = self._pool(r)
         pair = self._two(r, pool) if pool else None
         if pair is None:
-            # Held while nobody may be sent to; where all that may be are hopeless, refused at once.
-            hopeless = any(self._admits(r, s) for s in pool[:DRAWS])
-            if r.sends == 0 and now < r.aim_at - self.margin and not hopeless:
+            # Held while no server responds. Refused at once where some do but have no room, be it by their
+            # slow start: in a jam, held requests were retried every HOLD_US and used up the processor.
+            overloaded = any(self._responds(r, s) for s in pool[:DRAWS])
+            if r.sends == 0 and now < r.aim_at - self.margin and not overloaded:
                 return self._later(min(now + HOLD_US, r.aim_at - self.margin), self._held, r)
             return self._finish(r)
         self._ask(r, pair)
@@ -348,13 +349,16 @@
         return self.now + window if window > 0 else 0
 
     def _admits(self, r: Request, s: Server) -> bool:
+        in_budget = self.slow_start.admits(s, self.now, r, self.asks, self.table.mean)
+        return in_budget and self._responds(r, s)
+
+    def _responds(self, r: Request, s: Server) -> bool:
+        """Whether a server is believed to be up, whatever room it has."""
         # Where peers tell every answer, a server of which nothing is heard hangs. Some requests still try it.
         silence = (self.now - s.news_at) * r.luck * self.slow_start.warmth(s, self.now) if self.tells else 0
         if silence > 2 * max(FRESH_US, self.now - self.table.news_at):
             return False
-        return self.slow_start.admits(s, self.now, r, self.asks, self.table.mean) and self.health.admits(
-            s, self.now, self.table.typical
-        )
+        return self.health.admits(s, self.now, self.table.typical)
 
     def _two(self, r: Request, pool: list[Server]) -> tuple[Server, Server] | None:
         """Two uniform samples with replacement among the servers that are fit for this request."""
