--- a/docs/examples/example_fleet.py
+++ b/docs/examples/example_fleet.py
@@ -40,8 +40,11 @@
         self.send_header("Content-Length", str(len(body)))
         for name, value in (headers or {}).items():
             self.send_header(name, value)
-        self.end_headers()
-        self.wfile.write(body)
+        try:
+            self.end_headers()
+            self.wfile.write(body)
+        except ConnectionError:
+            self.close_connection = True  # whoever asked is no longer there
 
 
 class InFlight:
