--- a/burlshift/agent/connection_pool.py
+++ b/burlshift/agent/connection_pool.py
@@ -14,7 +14,7 @@
 from .connector import connect
 from .exchange import Exchange
 from .listing import Listing, Member
-from .quiet_period import QuietPeriods
+from .quiet_period import QUIET_US, QuietPeriods
 from .socket_errors import Lacking
 from .upstream_connection import PooledConnection, next_idle
 from .upstream_request import ExchangeResult, UpstreamRequest
@@ -23,7 +23,6 @@
 
 PROBE_US = 50_000  # a load told later than this is of no use to the requests that asked for it
 IDLE_SHARE = 0.7  # of the time after which a backend closes an idle connection; then it is retired here
-WORTH_WAITING_US = 20_000  # for an idle connection to be quiet for long enough, in place of a new one
 
 
 class Backends:
@@ -178,8 +177,8 @@
         return False
 
     def _free_soon(self, backend: BackendId) -> int:
-        """How many idle connections may be used again so soon that no new one is worth its handshake."""
-        soon, quiet_us = self.clock.now() + WORTH_WAITING_US, self._quiet_periods.of(backend)
+        """How many idle connections may be used again within the usual quiet period."""
+        soon, quiet_us = self.clock.now() + QUIET_US, self._quiet_periods.of(backend)
         return sum(c.reusable_at(quiet_us) <= soon for c in self._idle.get(backend, ()))
 
     def _await_quiet(self, backend: BackendId) -> None:
