Review case 1: improper requests one behind the other are played too, a second cause of the same loss

Reason: input behind a request that the connection answers itself has no limit; it is a fault of its own. Change: review/1 plays bad clients with empty lines, then bad clients with improper requests, each for 10 s.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Bad clients that send empty lines and nothing else, beside the application's clients."""
+"""Bad clients that send much at once beside the application: empty lines, then improper requests."""
 
 from __future__ import annotations
 
@@ -11,56 +11,88 @@
 import rig
 
 BAD_CLIENTS = 64
-CALLS_S = 8.0  # how long the application sends requests
-TROUBLE_AT_S = 2.0
+STAY_S = 10.0  # then a bad client goes, if the agent has not ended its connection before
+# What a bad client sends again and again, up to 60 MB.
+KINDS = {"empty lines": "\r\n", "requests for another path": "GET / HTTP/1.1\r\nHost: a\r\n\r\n"}
+QUIET_S = 2.0  # before the first bad clients, between the kinds, and after the last
 CLIENTS = 6
 CLASSES = (("reconnect-order", 800), ("reading-view", 1600))  # with the time-outs of a client's try
-# A process of its own, so that its work does not delay the application's clients. Each bad client has 60 MB
-# to send, and goes when the agent ends its connection, or after 10 s.
+# A process of its own, so that its work does not delay the application's clients.
 BAD_CLIENT = """
 import socket, sys, threading, time
-port, count = int(sys.argv[1]), int(sys.argv[2])
-lines = b"\\r\\n" * 32768
+port, count, stay_s, text = int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), sys.argv[4].encode()
+block = text * (65536 // len(text))
+def read_answers(sock):
+    try:
+        while sock.recv(65536):
+            pass
+    except OSError:
+        pass
 def bad_client(number):
     connected, sent = time.monotonic(), 0
     sock = socket.create_connection(("127.0.0.1", port))
-    sock.settimeout(10.0)
+    sock.settimeout(stay_s)
+    threading.Thread(target=read_answers, args=(sock,), daemon=True).start()
     try:
-        while sent < 60_000_000:
-            sent += sock.send(lines)
+        while sent < 60_000_000 and time.monotonic() < connected + stay_s:
+            sent += sock.send(block)
     except OSError:
         pass
     lasted = time.monotonic() - connected
-    sys.stdout.write(f"bad client {number}: {sent} bytes, ended {lasted:.1f} s after connecting\\n")
+    sock.close()
+    sys.stdout.write(f"bad client {number}: {sent} bytes, gone {lasted:.1f} s after connecting\\n")
 threads = [threading.Thread(target=bad_client, args=(n,), daemon=True) for n in range(count)]
 for thread in threads:
     thread.start()
 for thread in threads:
-    thread.join(12.0)
+    thread.join(2 * stay_s)
 """
 
 
-async def application(
-    number: int, record: rig.Record, port: int, until: float, replies: list[rig.Reply], lost: list[str]
-) -> None:
-    """One client: a request every 0.2 s on a connection that it keeps. A request is lost if it has no whole
-    answer half a second after its time, plus 50 ms."""
-    client, count = rig.Client(record, port), 0
-    while record.now() < until:
-        request_class, timeout_ms = CLASSES[count % 2]
-        identity = f"{number:02d}{count:04d}"
-        limit_s = timeout_ms / 1000 + rig.ANSWER_LIMIT_S + rig.SLACK_S
-        count += 1
-        try:
-            reply = await client.call(identity, request_class, timeout_ms, limit_s)
-        except OSError:  # the connection was closed between requests: the next one goes out on a new one
-            client.close()
-            continue
-        replies.append(reply)
-        if not reply.status and reply.ended - reply.sent >= limit_s:
-            record.note(f"LOST {identity}")
-            lost.append(identity)
-        await asyncio.sleep(0.2)
+class Application:
+    """The clients of the application, and what became of their requests."""
+
+    def __init__(self, record: rig.Record, port: int) -> None:
+        self._record, self._port = record, port
+        self.replies: list[rig.Reply] = []
+        self.lost: list[rig.Reply] = []
+        self.stopping = False
+
+    async def client(self, number: int) -> None:
+        """A request every 0.2 s on a connection that is kept. A request is lost if it has no whole answer
+        half a second after its time, plus 50 ms."""
+        client, count = rig.Client(self._record, self._port), 0
+        while not self.stopping:
+            request_class, timeout_ms = CLASSES[count % 2]
+            identity = f"{number:02d}{count:04d}"
+            limit_s = timeout_ms / 1000 + rig.ANSWER_LIMIT_S + rig.SLACK_S
+            count += 1
+            try:
+                reply = await client.call(identity, request_class, timeout_ms, limit_s)
+            except OSError:  # closed between requests: the next one goes out on a new connection
+                client.close()
+                continue
+            self.replies.append(reply)
+            if not reply.status and reply.ended - reply.sent >= limit_s:
+                self._record.note(f"LOST {identity}")
+                self.lost.append(reply)
+            await asyncio.sleep(0.2)
+
+
+async def send_much(record: rig.Record, port: int, kind: str) -> None:
+    """Play the bad clients of one kind until all have gone."""
+    record.note(f"{BAD_CLIENTS} bad clients connect, each with 60 MB of {kind} to send")
+    bad_clients = subprocess.Popen(
+        [sys.executable, "-u", "-c", BAD_CLIENT, str(port), str(BAD_CLIENTS), str(STAY_S), KINDS[kind]],
+        stdout=subprocess.PIPE,
+    )
+    try:
+        output, _ = await asyncio.to_thread(bad_clients.communicate, timeout=3 * STAY_S)
+        for line in output.decode().splitlines():
+            record.note(line)
+    finally:
+        bad_clients.kill()
+        bad_clients.wait()
 
 
 async def case(record: rig.Record, folder: Path, trouble: bool) -> int:
@@ -69,40 +101,34 @@
     discovery.load([server.listed() for server in servers])
     await discovery.start()
     agent = rig.Agent(record, folder, discovery.whole(), discovery.port)
-    bad_clients = None
-    replies: list[rig.Reply] = []
-    lost: list[str] = []
+    application = Application(record, agent.port)
+    lost_by_kind = {}
     try:
         agent.start()
         await agent.ready()
-        until = record.now() + CALLS_S
-        tasks = [
-            asyncio.create_task(application(n, record, agent.port, until, replies, lost))
-            for n in range(CLIENTS)
-        ]
-        await asyncio.sleep(TROUBLE_AT_S)
-        if trouble:
-            record.note(f"{BAD_CLIENTS} bad clients connect, each with 60 MB of empty lines to send")
-            bad_clients = subprocess.Popen(
-                [sys.executable, "-u", "-c", BAD_CLIENT, str(agent.port), str(BAD_CLIENTS)],
-                stdout=subprocess.PIPE,
-            )
-        await asyncio.gather(*tasks)
+        clients = [asyncio.create_task(application.client(n)) for n in range(CLIENTS)]
+        await asyncio.sleep(QUIET_S)
+        for kind in KINDS:
+            lost_before = len(application.lost)
+            if trouble:
+                await send_much(record, agent.port, kind)
+            else:
+                await asyncio.sleep(STAY_S)
+            await asyncio.sleep(QUIET_S)
+            lost_by_kind[kind] = len(application.lost) - lost_before
+        application.stopping = True
+        await asyncio.gather(*clients)
         if agent.crashed():
             raise rig.CannotRun("the agent has ended")
     finally:
-        if bad_clients is not None:
-            bad_clients.kill()
-            for line in bad_clients.communicate()[0].decode().splitlines():
-                record.note(line)
         agent.end()
         agent.copy_logs()
+    replies = application.replies
     served = sum(reply.status == 200 for reply in replies)
+    lost = ", ".join(f"{count} beside {kind}" for kind, count in lost_by_kind.items())
     longest = max(reply.ended - reply.sent for reply in replies)
-    record.verdict(
-        f"{len(replies)} requests, {served} served, {len(lost)} lost, longest wait {longest:.2f} s"
-    )
-    return rig.BROKEN if lost else rig.HELD
+    record.verdict(f"{len(replies)} requests, {served} served, lost {lost}; longest wait {longest:.2f} s")
+    return rig.BROKEN if application.lost else rig.HELD
 
 
 rig.play(case, __file__)
