--- a/review/1/case.py
+++ b/review/1/case.py
@@ -97,10 +97,7 @@
 
 async def case(record: rig.Record, folder: Path, trouble: bool) -> int:
     servers = await rig.fleet(record)
-    discovery = rig.Discovery(record)
-    discovery.load([server.listed() for server in servers])
-    await discovery.start()
-    agent = rig.Agent(record, folder, discovery.whole(), discovery.port)
+    agent = rig.Agent(record, folder, await rig.discovery_of(record, servers))
     application = Application(record, agent.port)
     lost_by_kind = {}
     try:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -56,10 +56,7 @@
     answers = LongAnswers(BYTES_PER_S if trouble else 100_000_000)
     for server in servers:
         server.answer = answers
-    discovery = rig.Discovery(record)
-    discovery.load([server.listed() for server in servers])
-    await discovery.start()
-    agent = rig.Agent(record, folder, discovery.whole(), discovery.port)
+    agent = rig.Agent(record, folder, await rig.discovery_of(record, servers))
     served = lost = 0
     try:
         agent.start()
--- a/review/rig.py
+++ b/review/rig.py
@@ -66,7 +66,7 @@
         print(text, flush=True)
 
 
-def settings(**allowed: Any) -> dict[str, Any]:
+def settings() -> dict[str, Any]:
     """The settings of bc-meter-head for one agent of three, with the figures of the site file and WIRE."""
     profiles = [
         {
@@ -97,7 +97,6 @@
             "probes": False,
             "retryAfter": True,
             "secondCopies": True,
-            **allowed,
         },
         "clients": {"marksRetry": True},
         "countedBy": "request",
@@ -192,7 +191,6 @@
     held: int = 0
     port: int = 0
     runs: list[tuple[float, str]] = field(default_factory=list)  # when each request's last byte had come
-    tasks: set[asyncio.Task[Any]] = field(default_factory=set)
 
     async def start(self) -> None:
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=2**20)
@@ -216,92 +214,51 @@
         finally:
             writer.close()
 
-    def listed(self, phase: str = "SERVING") -> dict[str, Any]:
+    def listed(self) -> dict[str, Any]:
+        """Its entry in discovery's list."""
         return {
             "id": self.name,
             "host_port": f"127.0.0.1:{self.port}",
             "locality": self.zone,
             "flavor": "std-2",
             "cell": ZONES.index(self.zone) + 1,
-            "phase": phase,
+            "phase": "SERVING",
             "size": 1.0,
             "up_since_ms": 0,
         }
 
 
 class Discovery:
-    """Discovery by PROTOCOL: the whole list, and watches that wait for a change. `delay_s` makes it slow."""
+    """Discovery by PROTOCOL, for a list that does not change: the whole list, and watches that wait."""
 
-    def __init__(self, record: Record, name: str = "discovery") -> None:
-        self.record, self.name = record, name
-        self.revision, self.members, self.changed_at = 41, {}, {}
-        self.delay_s, self.port = 0.0, 0
-        self._writers: set[asyncio.StreamWriter] = set()
-        self.news = asyncio.Condition()
+    def __init__(self, record: Record, servers: list[MeterServer]) -> None:
+        self.record, self.port = record, 0
+        rows = [server.listed() for server in servers]
+        self.whole: dict[str, Any] = {"revision": 41, "complete": True, "members": rows}
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def stop_accepting(self) -> None:
-        """Take no new connections; the open ones stay."""
-        self._server.close()
-
-    async def close_connections(self) -> None:
-        """Close the open connections."""
-        for writer in list(self._writers):
-            writer.close()
-
-    def load(self, rows: list[dict[str, Any]]) -> None:
-        """The list as it stands before anybody asks."""
-        self.members = {row["id"]: row for row in rows}
-        self.changed_at = {row["id"]: self.revision for row in rows}
-
-    async def change(self, row: dict[str, Any]) -> None:
-        async with self.news:
-            self.revision += 1
-            self.members[row["id"]], self.changed_at[row["id"]] = row, self.revision
-            self.record.note(f"{self.name} has {row['id']} {row['phase']}, revision {self.revision}")
-            self.news.notify_all()
-
-    def whole(self) -> dict[str, Any]:
-        rows = [row for row in self.members.values() if row["phase"] != "DELETED"]
-        return {"revision": self.revision, "complete": True, "members": rows}
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
         try:
             while (request := await read_request(reader)) is not None:
-                self.record.note(f"{self.name} is asked {request.target}")
+                self.record.note(f"discovery is asked {request.target}")
                 query = dict(p.split("=", 1) for p in request.target.partition("?")[2].split("&") if p)
+                answer = self.whole
                 if "index" in query:
-                    index, wait_s = int(query["index"]), min(60.0, int(query.get("wait", "0")) / 1000)
-                    async with self.news:
-                        try:
-                            async with asyncio.timeout(wait_s):
-                                await self.news.wait_for(lambda index=index: self.revision > index)
-                        except TimeoutError:
-                            pass
-                    rows = [self.members[name] for name, at in self.changed_at.items() if at > index]
-                    answer = {"revision": self.revision, "complete": False, "members": rows}
-                else:
-                    answer = self.whole()
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
+                    await asyncio.sleep(min(60.0, int(query.get("wait", "0")) / 1000))
+                    answer = {"revision": 41, "complete": False, "members": []}
                 body = json.dumps(answer).encode()
-                writer.write(
-                    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
-                    % len(body)
-                    + body
-                )
+                head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(body)}"
+                writer.write(head.encode() + b"\r\n\r\n" + body)
                 await writer.drain()
-                self.record.note(f"{self.name} answered revision {answer['revision']}")
+                self.record.note(f"discovery answered with {len(answer['members'])} members")
         except ConnectionError:
-            self.record.note(f"{self.name}: the agent closed the connection")
+            self.record.note("discovery: the agent closed the connection")
         except asyncio.CancelledError:  # the case is over
             pass
         finally:
-            self._writers.discard(writer)
             writer.close()
 
 
@@ -401,31 +358,24 @@
 class Agent:
     """One agent, started with the deploy file's `run` in a temporary folder of its own."""
 
-    def __init__(
-        self, record: Record, folder: Path, known: dict[str, Any], discovery: int, **doc: Any
-    ) -> None:
+    def __init__(self, record: Record, folder: Path, discovery: Discovery) -> None:
         self.record, self.folder = record, folder
-        self.port = free_port()
+        self.port, self.control = free_port(), free_port()
         self.config = folder / "config.json"
         self.doc = {
             "name": "n0",
             "listen": f"127.0.0.1:{self.port}",
-            "discovery": f"127.0.0.1:{discovery}",
+            "control": f"127.0.0.1:{self.control}",
+            "discovery": f"127.0.0.1:{discovery.port}",
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": known,
+            "known": discovery.whole,
             "settings": settings(),
-            **doc,
         }
         self.processes: list[subprocess.Popen[bytes]] = []
 
-    def write_config(self) -> None:
-        new = self.config.with_suffix(".new")
-        new.write_text(json.dumps(self.doc))
-        new.replace(self.config)
-
     def start(self) -> subprocess.Popen[bytes]:
-        self.write_config()
+        self.config.write_text(json.dumps(self.doc))
         command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         temporary = self.folder / "tmp"
         temporary.mkdir(exist_ok=True)
@@ -457,8 +407,8 @@
         sent = await client.send(b"GET /_health HTTP/1.1\r\nHost: origin.svc\r\n\r\n")
         return await client.receive(sent)
 
-    def signal(self, number: signal.Signals, process: subprocess.Popen[bytes] | None = None) -> None:
-        process = process or self.processes[-1]
+    def signal(self, number: signal.Signals) -> None:
+        process = self.processes[-1]
         self.record.note(f"{number.name} to process {process.pid}")
         process.send_signal(number)
 
@@ -485,6 +435,13 @@
         return int(sock.getsockname()[1])
 
 
+async def discovery_of(record: Record, servers: list[MeterServer]) -> Discovery:
+    """Discovery that lists these servers."""
+    discovery = Discovery(record, servers)
+    await discovery.start()
+    return discovery
+
+
 async def fleet(record: Record, count: int = 9, work_s: float = 0.05) -> list[MeterServer]:
     """Meter servers in three zones."""
     servers = [MeterServer(f"s-{i:08x}", ZONES[i % 3], record, work_s) for i in range(count)]
