Review case 1: the agent's memory is noted beside the requests that are lost

Reason: input of improper requests is kept without a limit, so that the agent also goes over its memory. Change: the test notes the private memory beside the 96 MB of the configuration; what it judges is the same.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -95,14 +95,26 @@
         bad_clients.wait()
 
 
+async def watch_memory(record: rig.Record, agent: rig.Agent, peak_mb: list[float]) -> None:
+    """Keep the agent's peak memory; noted for each 10 MB that it grows."""
+    noted_mb = 0.0
+    while True:
+        peak_mb[0] = max(peak_mb[0], agent.memory_mb())
+        if peak_mb[0] > noted_mb + 10.0:
+            noted_mb = peak_mb[0]
+            record.note(f"the agent has {noted_mb:.0f} MB of its {rig.MEMORY_MB} MB")
+        await asyncio.sleep(0.05)
+
+
 async def case(record: rig.Record, folder: Path, trouble: bool) -> int:
     servers = await rig.fleet(record)
     agent = rig.Agent(record, folder, await rig.discovery_of(record, servers))
     application = Application(record, agent.port)
-    lost_by_kind = {}
+    lost_by_kind, peak_mb = {}, [0.0]
     try:
         agent.start()
         await agent.ready()
+        memory = asyncio.create_task(watch_memory(record, agent, peak_mb))
         clients = [asyncio.create_task(application.client(n)) for n in range(CLIENTS)]
         await asyncio.sleep(QUIET_S)
         for kind in KINDS:
@@ -115,6 +127,7 @@
             lost_by_kind[kind] = len(application.lost) - lost_before
         application.stopping = True
         await asyncio.gather(*clients)
+        memory.cancel()
         if agent.crashed():
             raise rig.CannotRun("the agent has ended")
     finally:
@@ -124,7 +137,10 @@
     served = sum(reply.status == 200 for reply in replies)
     lost = ", ".join(f"{count} beside {kind}" for kind, count in lost_by_kind.items())
     longest = max(reply.ended - reply.sent for reply in replies)
-    record.verdict(f"{len(replies)} requests, {served} served, lost {lost}; longest wait {longest:.2f} s")
+    record.verdict(
+        f"{len(replies)} requests, {served} served, lost {lost}; longest wait {longest:.2f} s, "
+        f"memory {peak_mb[0]:.0f} MB of {rig.MEMORY_MB} MB"
+    )
     return rig.BROKEN if application.lost else rig.HELD
 
 
--- a/review/rig.py
+++ b/review/rig.py
@@ -26,6 +26,7 @@
 SLACK_S = 0.05  # PROTOCOL: every time limit is longer by 50 ms on sockets
 ANSWER_LIMIT_S = 0.5  # STANDING: up to half a second after its time an answer only earns nothing
 LATE_LIMIT_S = 0.25  # stand-ins that were later than this make the case unfair: it could not run
+MEMORY_MB = 96  # TERMS: 32 to 192 MB, set by language and day
 ZONES = ("vancouver", "kamloops", "prince-george")
 CLASSES = {  # bc-meter-head: method, aim, deadline
     "reading-view": ("GET", 1500, 3000),
@@ -368,7 +369,7 @@
             "control": f"127.0.0.1:{self.control}",
             "discovery": f"127.0.0.1:{discovery.port}",
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024},
             "known": discovery.whole,
             "settings": settings(),
         }
@@ -412,7 +413,17 @@
         self.record.note(f"{number.name} to process {process.pid}")
         process.send_signal(number)
 
+    def memory_mb(self) -> float:
+        """The memory that the process has to itself, without files: 0 once it has ended."""
+        try:
+            status = Path(f"/proc/{self.processes[-1].pid}/status").read_text()
+        except OSError:
+            return 0.0
+        kilobytes = [line.split()[1] for line in status.splitlines() if line.startswith("RssAnon:")]
+        return int(kilobytes[0]) / 1024 if kilobytes else 0.0
+
     def end(self) -> None:
+        """End all processes of the agent."""
         for process in self.processes:
             if process.poll() is None:
                 process.kill()
