Empty lines in front of a request cost linear time, and a head's length at most

Cause: without_blank_lines copied the rest of a read for each empty line, quadratic in the read. Their number had no limit, on a connection that had been served not even a limit of time.

Input that is discarded is no longer looked at.

--- a/burlshift/agent/connection.py
+++ b/burlshift/agent/connection.py
@@ -221,11 +221,15 @@
                 self.http.receive_data(data)
             self._process_input()
         except h11.RemoteProtocolError as error:
-            self.discards_input = True
-            self.on_broken(error)
+            self._on_malformed(error)
         except Exception as error:
             self.on_fault(error)
 
+    def _on_malformed(self, error: h11.RemoteProtocolError) -> None:
+        """Ignore further input, and report that the peer sent invalid HTTP."""
+        self.discards_input = True
+        self.on_broken(error)
+
     def on_fault(self, error: Exception) -> None:
         """Log an exception of this program and end the connection: it must neither be taken for a close by
         the peer, nor go unnoticed."""
--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -7,10 +7,11 @@
 
 import h11
 
+from .blank_lines import BlankLines
 from .connection import HEADER_LIMIT, Fields, Headers, fields_of, header
 from .downstream_request import DownstreamRequest, Rejected, RequestHandler, ResponseWriter
 from .downstream_response import AnsweringServer, ResponseConnection
-from .request_parser import RequestParser, has_ambiguous_head, origin_form, without_blank_lines
+from .request_parser import RequestParser, has_ambiguous_head, origin_form
 from .sent_time import SentTime
 from .upload import Upload
 
@@ -62,7 +63,7 @@
         self._server: ConnectionOwner = server
         self._fields: Fields = {}  # the headers of the request
         self._body_buffer = bytearray()  # body bytes that have been read but not passed on
-        self._partial_blank_line = b""  # b"\r" if the input so far ends in the first half of an empty line
+        self._blank_lines = BlankLines()
         self._upload: Upload | None = None  # a body that is streamed
         self._last_piece_timer: asyncio.TimerHandle | None = None  # set while the last piece is held back
         self._sent_time = SentTime(self._loop)
@@ -173,11 +174,13 @@
         """Note the time of the bytes and pass them to h11, except blank lines and pipelined bytes beyond the
         limit."""
         self._deadline.on_bytes()
+        if self.discards_input:
+            return
         # Bytes behind a pipelined request must not change its time: it may have been complete before them.
         if not (self._awaiting_response and self.http.trailing_data[0]):
             self._sent_time.on_read(len(data))
         if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
-            data, self._partial_blank_line = without_blank_lines(self._partial_blank_line + data)
+            data = self._strip_blank_lines(data)
             if not data:
                 return
         if self._exceeds_pipeline_limit(data):
@@ -389,19 +392,29 @@
         self._request = None
         self._deadline.end_request()
         self._sent_time.next_request()
+        self._blank_lines.next_request()
         self._server.on_capacity_freed()
         super().resume()  # no effect where it was not paused
         pipelined = self.http.trailing_data[0]
         if pipelined.startswith(b"\r"):
-            pipelined = self._without_blank_lines(pipelined)
+            pipelined = self._strip_pipelined_blank_lines(pipelined)
         if pipelined:
             self._loop.call_soon(self.process_buffered_input)
 
-    def _without_blank_lines(self, pipelined: bytes) -> bytes:
+    def _strip_blank_lines(self, data: bytes) -> bytes:
+        """The data without the empty lines in front; nothing if there are too many of them, which ends the
+        connection."""
+        try:
+            return self._blank_lines.strip(data)
+        except h11.RemoteProtocolError as error:
+            self._on_malformed(error)
+            return b""
+
+    def _strip_pipelined_blank_lines(self, pipelined: bytes) -> bytes:
         """The pipelined input without the empty lines in front, which h11 would take for a malformed
         request."""
-        rest, self._partial_blank_line = without_blank_lines(pipelined)
-        if rest != pipelined:
+        rest = self._strip_blank_lines(pipelined)
+        if rest != pipelined and not self.discards_input:
             self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
             if rest:
                 self.http.receive_data(rest)
--- a/burlshift/agent/request_parser.py
+++ b/burlshift/agent/request_parser.py
@@ -115,11 +115,3 @@
         return False
     head = data[: end.end()]
     return head.count(b"\n") != head.count(b"\r\n") or b"\n " in head or b"\n\t" in head
-
-
-def without_blank_lines(data: bytes) -> tuple[bytes, bytes]:
-    """The data behind leading empty lines, which are ignored before a request, and the first half of another
-    empty line (b"\\r") if the data ends in it."""
-    while data.startswith(b"\r\n"):
-        data = data[2:]
-    return (b"", data) if data == b"\r" else (data, b"")
