Requests sent ahead get bounded turns of the event loop, and a bound on their bytes

Cause: the limit of input sent ahead held only while a request waits for the policy. Requests that the connection answers itself never do, so their input grew by up to 64 KiB a turn, and h11's trailing_data copied all of it several times a request. Responses that their client does not read were kept without a limit.

Over 64 KiB a connection that waits for its turn is not read. Without its responses read it gets no turn, and is reset after WRITE_STALL_S.

--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -11,6 +11,7 @@
 from .connection import HEADER_LIMIT, Fields, Headers, fields_of, header
 from .downstream_request import DownstreamRequest, Rejected, RequestHandler, ResponseWriter
 from .downstream_response import AnsweringServer, ResponseConnection
+from .input_backlog import InputBacklog
 from .request_parser import RequestParser, has_ambiguous_head, origin_form
 from .sent_time import SentTime
 from .upload import Upload
@@ -40,6 +41,10 @@
     def connections(self) -> set[DownstreamConnection]:
         """The open connections, including this one."""
 
+    @property
+    def input_backlog(self) -> InputBacklog:
+        """The connections with requests that have been read and not been processed."""
+
     def is_ready(self) -> bool:
         """Whether the agent accepts new clients, as the health check reports it."""
 
@@ -64,6 +69,7 @@
         self._fields: Fields = {}  # the headers of the request
         self._body_buffer = bytearray()  # body bytes that have been read but not passed on
         self._blank_lines = BlankLines()
+        self._input_buffered = False  # further requests have been read, and wait for their turn
         self._upload: Upload | None = None  # a body that is streamed
         self._last_piece_timer: asyncio.TimerHandle | None = None  # set while the last piece is held back
         self._sent_time = SentTime(self._loop)
@@ -177,6 +183,10 @@
         if self.discards_input:
             return
         # Bytes behind a pipelined request must not change its time: it may have been complete before them.
+        if self._input_buffered:
+            self.http.receive_data(data)
+            self._limit_buffered_input()
+            return
         if not (self._awaiting_response and self.http.trailing_data[0]):
             self._sent_time.on_read(len(data))
         if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
@@ -399,7 +409,31 @@
         if pipelined.startswith(b"\r"):
             pipelined = self._strip_pipelined_blank_lines(pipelined)
         if pipelined:
-            self._loop.call_soon(self.process_buffered_input)
+            self._input_buffered = True
+            self._limit_buffered_input()
+            if self.written:
+                self._server.input_backlog.add(self)
+            else:  # a client that does not read its responses gets no more of them
+                self._start_write_stall_timer()
+
+    def _limit_buffered_input(self) -> None:
+        """Stop reading beyond PIPELINE_LIMIT_BYTES: this input waits for the agent alone, not for a
+        backend, so that reading goes on soon and shows whether the client has left."""
+        if len(self.http.trailing_data[0]) > PIPELINE_LIMIT_BYTES:
+            super().pause()
+            self._sent_time.pause(self.last_read_at)
+
+    def process_buffered_input(self) -> None:
+        """Process the next request among those that have been read."""
+        self._input_buffered = False
+        super().resume()  # no effect where it was not paused
+        super().process_buffered_input()
+
+    def resume_writing(self) -> None:
+        """The client has read its responses: its next request gets a turn."""
+        super().resume_writing()
+        if self._input_buffered:
+            self._server.input_backlog.add(self)
 
     def _strip_blank_lines(self, data: bytes) -> bytes:
         """The data without the empty lines in front; nothing if there are too many of them, which ends the
--- a/burlshift/agent/downstream_response.py
+++ b/burlshift/agent/downstream_response.py
@@ -139,8 +139,11 @@
     def _pause_source(self) -> None:
         if not self.written and self._source is not None:
             self._source.pause()
-            if self._write_stall_timer is None:
-                self._write_stall_timer = self._loop.call_later(WRITE_STALL_S, self._reset)
+            self._start_write_stall_timer()
+
+    def _start_write_stall_timer(self) -> None:
+        if self._write_stall_timer is None:
+            self._write_stall_timer = self._loop.call_later(WRITE_STALL_S, self._reset)
 
     def resume_writing(self) -> None:
         """The kernel has taken all bytes: continue the streamed response."""
