A long answer of unknown length that still arrives is passed on, not cut off at its time

Cause: without a length an answer is buffered up to 64 KiB, and the attempt's time-out ran on meanwhile.

Change: ResponseArrival tells a large answer by its pace (32 kB a second on the mean, no silence of 0.4 s). It is streamed where it was cut off before: at the attempt's time-out, and where a stopping process fails pending requests; and after a second of buffering.

Why it works: a small answer is over within two seconds at that pace or falls below it, so that those that break off are still retried.

--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -183,9 +183,9 @@
             self._post(interface.ClientGone(call.number))
 
     def fail_all_pending(self) -> None:
-        """Answer all requests whose response has not started with 500."""
+        """Answer all requests whose response has not started with 500, except where a large one arrives."""
         for number, pending in list(self._pending.items()):
-            if pending.response_stream is None:
+            if pending.response_stream is None and not pending.stream_arriving_response():
                 self._answer_internal_error(number)
 
     def _overdue(self, number: int) -> None:
--- a/burlshift/agent/exchange.py
+++ b/burlshift/agent/exchange.py
@@ -14,6 +14,7 @@
 from .clock import Clock
 from .connection import Fields, checked_request, fields_of, header
 from .listing import Member
+from .response_arrival import ResponseArrival
 from .upstream_connection import PooledConnection
 from .upstream_request import ExchangeResult, UpstreamRequest, parse_report
 
@@ -90,11 +91,12 @@
         self._headers: Fields = {}
         self._length: int | None = None
         self._body = bytearray()
+        self._arrival: ResponseArrival | None = None  # of a response without a length that may be streamed
         self._stream_start_us = -1  # from the start until the response began to be streamed; -1: not yet
         self._paused = False  # the response's reader is slower than the backend
         self._last_progress = 0.0  # loop time at which data was last sent or received
         self.ended = False
-        self._timer = self._loop.call_later(timeout_us / 1e6, self._timed_out)
+        self._timer = self._loop.call_later(timeout_us / 1e6, self._on_deadline)
 
     def start(self) -> None:
         """Send the request on an idle connection, or wait for one."""
@@ -232,7 +234,7 @@
         self._sending_body = False
         self._timer.cancel()
         self._started_us = self._pool.clock.now()
-        self._timer = self._loop.call_later(max(0, self._left_us()) / 1e6, self._timed_out)
+        self._timer = self._loop.call_later(max(0, self._left_us()) / 1e6, self._on_deadline)
         try:
             self._connection.send(h11.EndOfMessage())
         except Exception:
@@ -286,7 +288,9 @@
                 return self._end(self._outcome_of_response())
             length = header(self._headers, b"content-length")
             self._length = int(length) if length is not None else None
-            if self._length is not None and self._length > MAX_BUFFERED_BYTES:
+            if self._length is None:
+                self._arrival = ResponseArrival(self._loop.time())
+            elif self._length > MAX_BUFFERED_BYTES:
                 self._start_streaming()
         elif event_type is h11.Data:
             assert isinstance(event, h11.Data)
@@ -299,7 +303,7 @@
         """Pass the data of one read on to the reader of a streamed response."""
         if self.ended:
             return
-        if self._stream_start_us < 0 and len(self._body) > MAX_BUFFERED_BYTES:
+        if self._stream_start_us < 0 and self._is_too_large_to_buffer():
             self._start_streaming()
         if self._stream_start_us >= 0 and self._body and not self.ended:
             data, self._body = bytes(self._body), bytearray()
@@ -307,10 +311,43 @@
             assert self._request.reader is not None
             self._request.reader.receive_data(self, data)
 
+    def _is_too_large_to_buffer(self) -> bool:
+        """Whether the response exceeds MAX_BUFFERED_BYTES, or will by the pace at which it has been arriving
+        for some time."""
+        if len(self._body) > MAX_BUFFERED_BYTES:
+            return True
+        if self._arrival is None:
+            return False
+        now = self._loop.time()
+        self._arrival.record(len(self._body), now)
+        return self._may_be_streamed() and self._arrival.is_overdue(now)
+
+    def stream_if_arriving(self) -> bool:
+        """Stream a response that is being buffered, if it still arrives at the pace of a large one; returns
+        whether it is streamed. Called when the response can be buffered no longer."""
+        if self.ended or self._arrival is None or self._stream_start_us >= 0:
+            return False
+        if not (self._may_be_streamed() and self._arrival.is_in_progress(self._loop.time())):
+            return False
+        try:
+            self._start_streaming()
+            self.on_read()
+        except Exception:
+            self._end_on_exception()
+        return self._stream_start_us >= 0 and not self.ended
+
+    def _may_be_streamed(self) -> bool:
+        return self._status == 200 and self._request.reader is not None and self._request_sent()
+
+    def _on_deadline(self) -> None:
+        """The attempt's time is over. A large response that its backend is still sending is not cut off: the
+        backend has run the request, and the client is given what arrives."""
+        if not self.stream_if_arriving():
+            self._timed_out()
+
     def _start_streaming(self) -> None:
-        """Start to stream a response above MAX_BUFFERED_BYTES if its status is 200; of others only the status
-        is used. Smaller responses are buffered until complete, however long that takes: a streamed one may
-        end up truncated."""
+        """Start to stream a large response if its status is 200; of others only the status is used. Smaller
+        responses are buffered until complete: a streamed one may end up truncated."""
         reader = self._request.reader
         if self._status != 200 or reader is None:
             return self._end(self._outcome_of_response())
--- a/burlshift/agent/pending_requests.py
+++ b/burlshift/agent/pending_requests.py
@@ -75,6 +75,11 @@
         # While reading is paused, the client may have written the whole body, so its time runs.
         return call.left_us(now) if body.paused else call.patience_us
 
+    def stream_arriving_response(self) -> bool:
+        """Stream a large response that is being buffered; returns whether there is one."""
+        exchanges = [attempt.exchange for attempt in self.attempts if attempt.exchange is not None]
+        return any(exchange.stream_if_arriving() for exchange in exchanges)
+
     def cancel_deadline_timer(self) -> None:
         """Cancel the time limit of the response."""
         if self.deadline_timer is not None:
--- /dev/null
+++ b/burlshift/agent/response_arrival.py
@@ -0,0 +1,30 @@
+"""Tells whether a response of unknown length that is being buffered is a large one that still arrives."""
+
+from __future__ import annotations
+
+# Half of the slowest pace at which a large response is written. A small one that never ends falls below it.
+MIN_BYTES_PER_S = 32_000
+MIN_PERIOD_S = 0.1  # for the pace, so that a few bytes right after the head are none
+STALL_S = 0.4  # a longer silence means that the response has stopped
+MAX_BUFFERING_S = 1.0  # from the head on; then a response that still arrives is streamed
+
+
+class ResponseArrival:
+    """How much of a response's body has arrived, and since when. All times are the loop's, in seconds."""
+
+    def __init__(self, head_at: float) -> None:
+        self._head_at = self._last_read_at = head_at
+        self._received_bytes = 0
+
+    def record(self, received_bytes: int, now: float) -> None:
+        """Record that `received_bytes` of the body have been read in all, the last of them now."""
+        self._received_bytes, self._last_read_at = received_bytes, now
+
+    def is_in_progress(self, now: float) -> bool:
+        """Whether the body still arrives, at the pace of a large response."""
+        period_s = max(MIN_PERIOD_S, now - self._head_at)
+        return now - self._last_read_at <= STALL_S and self._received_bytes >= MIN_BYTES_PER_S * period_s
+
+    def is_overdue(self, now: float) -> bool:
+        """Whether it still arrives and has been buffered for as long as a large response may be."""
+        return now - self._head_at >= MAX_BUFFERING_S and self.is_in_progress(now)
