Requests that come late after SIGTERM or LAMEDUCK are refused, also those that have begun

Cause: refusing began only as a stopping process gives pending requests up (3.4 s), in lame-duck mode never. Closing idle connections leaves out those on which part of a request or a long answer is under way.

Requests whose last byte is read later get a 503 and a close, partly received ones at that moment, uploads included, whose server lacks the last byte. What was read in time behind another request is served. Siblings: inherited lame-duck mode refuses at once; a SIGTERM in lame-duck mode does not begin to take requests again; a refused upload counts as rejected.

--- a/burlshift/agent/__main__.py
+++ b/burlshift/agent/__main__.py
@@ -37,7 +37,8 @@
 
 # After SIGTERM new connections arrive for 0.2 to 0.4 s. SIGKILL follows 0.7 s after the longest deadline, of
 # which at most 3 s count. The agent may be late by 0.15 s, both in handling the signal and at the end.
-CLOSE_S, IDLE_S, SERVE_S, FINISH_S = 0.0, 0.1, 0.5, 0.4
+# SIGKILL may cut off requests that came in the first 0.7 s, but not the long response to a later one.
+CLOSE_S, IDLE_S, SERVE_S, REFUSE_S, FINISH_S = 0.0, 0.1, 0.5, 0.5, 0.4
 MAX_DEADLINE_S = 3.0
 RESERVED_DESCRIPTORS = 64  # for discovery, listeners, the admin interface, logs and the event loop
 
@@ -88,7 +89,8 @@
 def drain_times(settings: Settings) -> DrainTimes:
     """The stages of a stop, timed so that all requests are answered before SIGKILL."""
     longest_s = max(c.deadline_us for c in settings.classes) / 1e6
-    return DrainTimes(CLOSE_S, IDLE_S, SERVE_S, min(MAX_DEADLINE_S, longest_s) + FINISH_S)
+    end_s = min(MAX_DEADLINE_S, longest_s) + FINISH_S
+    return DrainTimes(CLOSE_S, IDLE_S, SERVE_S, end_s, refuse_s=REFUSE_S)
 
 
 async def serve(config: Config, clock: Clock) -> int:
--- a/burlshift/agent/admin_commands.py
+++ b/burlshift/agent/admin_commands.py
@@ -17,9 +17,11 @@
 
 log = logging.getLogger(__name__)
 
-# The load balancer in front sees the failing health check and sends no more within 0.3 s. The last idle
-# connection is closed well before 2 s: a request that is received from 2 s on must be answered by 4 s.
-LAME_DUCK_TIMES = LameDuckTimes(close_s=0.5, idle_s=1.0)
+# The load balancer in front sees the failing health check and sends no more within 0.3 s. A request that is
+# received from 2 s on must be answered by 4 s, so it is refused; the agent may be late by some 0.1 s.
+LAME_DUCK_TIMES = LameDuckTimes(close_s=0.5, idle_s=1.0, refuse_s=1.5)
+# In a process that takes over from one in lame-duck mode, which may have been in it for any time.
+INHERITED_LAME_DUCK_TIMES = LameDuckTimes(close_s=0.0, idle_s=0.0, refuse_s=0.0)
 FIRST_LIST_TIMEOUT_S = 3.0  # then PING succeeds with the known list if discovery has not answered
 
 
@@ -104,7 +106,7 @@
     def resume(self, state: dict[str, Any]) -> None:
         """Continue with the predecessor's state: an agent in lame-duck mode stays in it until a REJOIN."""
         if state.get("empty"):
-            self._server.drain.enter_lame_duck(LAME_DUCK_TIMES)
+            self._server.drain.enter_lame_duck(INHERITED_LAME_DUCK_TIMES)
 
     def apply(self, command: Command) -> None:
         """Carry out a command that was received by the other process's admin interface."""
--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -16,7 +16,7 @@
 from .connection import Headers
 from .connection_pool import UpstreamConnectionPool
 from .discovery import Discovery
-from .downstream_request import DownstreamRequest, retry_after
+from .downstream_request import DownstreamRequest, Rejected, retry_after
 from .exchange import Exchange
 from .list_keeper import ListKeeper
 from .listing import Address, Listing
@@ -182,6 +182,10 @@
             self._release(pending, CLIENT_GONE_STATUS, None)
             self._post(interface.ClientGone(call.number))
 
+    def refuse(self, call: DownstreamRequest, refusal: Rejected) -> None:
+        """Answer a request whose body is still being received with this error, and withdraw it."""
+        self._withdraw(call.number, refusal.status, refusal.headers, f"{refusal}\n".encode())
+
     def fail_all_pending(self) -> None:
         """Answer all requests whose response has not started with 500, except where a large one arrives."""
         for number, pending in list(self._pending.items()):
@@ -200,8 +204,12 @@
 
     def _answer_internal_error(self, number: int) -> None:
         """Answer with 500 where the policy gave no answer: a failure is correct whatever has been sent."""
+        self._withdraw(number, 500, [], b"failed\n")
+
+    def _withdraw(self, number: int, status: int, headers: Headers, body: bytes) -> None:
+        """Give a request this final answer without the policy, which is told to forget it."""
         if number in self._pending:
-            self._answer(number, 500, [], b"failed\n")
+            self._answer(number, status, headers, body)
             self._post(interface.ClientGone(number))
 
     def _answer(self, number: int, status: int, headers: Headers, body: bytes) -> None:
--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -54,7 +54,7 @@
         """Build the request from a complete head and a body that may still be arriving. Raises Rejected."""
 
     def refusal(self) -> Rejected:
-        """The error for a request that comes too late to be completed before the process ends."""
+        """The error for a request that comes too late while clients are sent away."""
 
     def on_capacity_freed(self) -> None:
         """A connection has ended or become idle, so another client can be accepted."""
@@ -106,6 +106,12 @@
         """Whether a request has been read in part and has not been passed to the handler yet."""
         return self._downstream_request is None and not self.discards_input and not self.has_read_nothing
 
+    @property
+    def has_unfinished_request(self) -> bool:
+        """Whether a request has been read in part, a streamed one without a response included."""
+        is_uploading = self._upload is not None and self._source is None and not self._awaiting_response
+        return self.has_partial_request or (is_uploading and not self.discards_input)
+
     @property
     def sent_us(self) -> int:
         """The earliest time at which the client may have written the latest bytes, in us of the loop's
@@ -384,9 +390,13 @@
         self._respond(status, headers or [], f"{reason}\n".encode(), close)
 
     def refuse_unfinished(self) -> None:
-        """Refuse a partly received request because the process ends before it could be answered."""
-        rejection = self._server.refusal()
-        self._abort_request(rejection.status, str(rejection), rejection.headers)
+        """Refuse a partly received request, which comes too late to be served. The backend of a streamed one
+        does not get its last byte, so it does not run."""
+        refusal = self._server.refusal()
+        if self._downstream_request is not None:
+            self._server.handler.refuse(self._downstream_request, refusal)
+        else:
+            self._abort_request(refusal.status, str(refusal), refusal.headers)
 
     def _release_call(self) -> None:
         super()._release_call()
--- a/burlshift/agent/downstream_request.py
+++ b/burlshift/agent/downstream_request.py
@@ -41,6 +41,10 @@
         """The earliest time at which the client may have written the latest bytes, in us of the loop's
         clock."""
 
+    @property
+    def last_read_at(self) -> float:
+        """The loop's time in seconds at which the latest bytes were read."""
+
     def is_waiting(self, call: DownstreamRequest) -> bool:
         """Whether the client still waits for the response; if it is found to have left, its request ends
         here."""
@@ -86,6 +90,9 @@
     def client_left(self, call: DownstreamRequest) -> None:
         """End a request whose client has left."""
 
+    def refuse(self, call: DownstreamRequest, refusal: Rejected) -> None:
+        """Answer an accepted request whose body is still being received with this error, and withdraw it."""
+
     def fail_all_pending(self) -> None:
         """Answer every pending request with a failure now."""
 
--- a/burlshift/agent/drain.py
+++ b/burlshift/agent/drain.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from .downstream_connection import DownstreamConnection
@@ -21,6 +22,8 @@
 
     close_s: float  # from then on each response asks its client to close
     idle_s: float  # from then on idle connections are closed
+    # Requests whose last byte is read from then on are refused, also those that are being received.
+    refuse_s: float = field(default=math.inf, kw_only=True)
 
 
 @dataclass(slots=True, frozen=True)
@@ -73,17 +76,29 @@
         self._server = server
         self.in_lame_duck = False  # the health check fails
         self.closing = False  # responses ask the client to close
-        self.refusing = False  # new requests are refused: the process ends before they could complete
+        # The loop's time from which on requests are read too late to be served.
+        self._refuse_from = math.inf
         self._lame_duck: asyncio.Task[None] | None = None
 
+    @property
+    def refusing(self) -> bool:
+        """Whether a request that is read now is refused."""
+        return self.refuses(asyncio.get_running_loop().time())
+
+    def refuses(self, read_at: float) -> bool:
+        """Whether a request is refused whose last byte was read at this time of the loop."""
+        return read_at >= self._refuse_from
+
     def enter_lame_duck(self, times: LameDuckTimes) -> None:
         """Send the clients away until leave_lame_duck, without losing a request that was accepted.
 
         Does nothing if lame-duck mode has begun already.
         """
         if self._lame_duck is None:
+            loop = asyncio.get_running_loop()
             self.in_lame_duck, self.closing = True, times.close_s <= 0
-            self._lame_duck = asyncio.get_running_loop().create_task(self._close_idle_until_rejoined(times))
+            self._refuse_from = loop.time() + times.refuse_s
+            self._lame_duck = loop.create_task(self._close_idle_until_rejoined(times))
 
     async def _close_idle_until_rejoined(self, times: LameDuckTimes) -> None:
         await asyncio.sleep(times.close_s)
@@ -92,6 +107,8 @@
         while True:
             # A client whose request is on its way during this close repeats it on a new connection.
             self._server.close_idle()
+            if self.refusing:
+                self._server.refuse_unfinished()
             await asyncio.sleep(POLL_INTERVAL_S)
 
     def leave_lame_duck(self) -> None:
@@ -99,6 +116,7 @@
         self.cancel()
         self._lame_duck = None
         self.in_lame_duck = self.closing = False
+        self._refuse_from = math.inf
 
     def cancel(self) -> None:
         """Stop closing idle connections."""
@@ -111,14 +129,16 @@
         has_successor: another process has the listening socket, so this one accepts no more connections.
         """
         started_at = asyncio.get_running_loop().time()
+        refuse_from = self._refuse_from
         self.leave_lame_duck()  # its stages may be slower than those of the drain
         self.enter_lame_duck(times)
+        self._refuse_from = min(refuse_from, self._refuse_from)
         if has_successor:
             self._server.close_listener()
         else:
             await asyncio.sleep(times.serve_s)
         await self._wait_for_clients(started_at + times.end_s)
-        self.refusing = True
+        self._refuse_from = -math.inf
         self._server.handler.fail_all_pending()
         await self._finish_answers(started_at + STREAM_LIMIT_S)
         await self._refuse_remaining()
--- a/burlshift/agent/server.py
+++ b/burlshift/agent/server.py
@@ -103,12 +103,12 @@
     ) -> DownstreamRequest:
         """Build the request from a complete head and a body that may still be arriving. Raises Rejected."""
         call = self.parser.check(request, fields, body, client)
-        if self.drain.refusing:
+        if self.drain.refuses(client.last_read_at):
             raise self.refusal()
         return call
 
     def refusal(self) -> Rejected:
-        """The error for a request that comes too late to be completed before the process ends."""
+        """The error for a request that comes too late while clients are sent away."""
         return Rejected(503, "shutting down", retry_after(self._shutdown_retry_after_us))
 
     async def listen(self, address: Address, shared: bool = False) -> int:
@@ -219,9 +219,8 @@
         return not self._shared and self._connection_count() < self._connection_limit + EXTRA_CONNECTIONS
 
     def refuse_unfinished(self) -> None:
-        """Answer partly received requests with an error, because the process ends before they could be
-        read."""
-        for client in [c for c in self.connections if c.has_partial_request]:
+        """Answer partly received requests with an error: they come too late to be served."""
+        for client in [c for c in self.connections if c.has_unfinished_request]:
             client.refuse_unfinished()
 
     def stop(self) -> None:
