A read causes a bounded number of events; the rest of the input waits for a turn

Cause: Connection passed on all events of a read at once. A read of 64 KiB in chunks of one byte is 11,000 of them, a fifth of a second, for each client in each turn; servers and discovery could do the same.

Change: sixteen events a turn for every connection that speaks HTTP. The peer's end behind deferred input is processed behind it. InputBacklog is one for each event loop. Pausing by a slow reader and by full input are kept apart.

--- a/burlshift/agent/connection.py
+++ b/burlshift/agent/connection.py
@@ -13,11 +13,15 @@
 
 import h11
 
+from .input_backlog import InputBacklog
+
 log = logging.getLogger(__name__)
 
 HEADER_LIMIT = 32 * 1024  # bytes of request or status line and headers
 TCP_ESTABLISHED = 1  # value of the first byte of TCP_INFO, the connection's state, see tcp(7)
 READ_BYTES = 64 * 1024  # per read; a connection buffers a few of these while the other side is slower
+EVENTS_PER_TURN = 16  # of h11, for one connection; the rest of its input waits for a turn of its own
+DEFERRED_INPUT_LIMIT_BYTES = 64 * 1024  # of input that waits for its turn; beyond that nothing is read
 # Events of poll(2) after the peer has closed or reset the connection.
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 LINGER_RESET = struct.pack("ii", 1, 0)  # struct linger: a close discards unsent data and resets
@@ -55,7 +59,11 @@
 
 
 class Connection(asyncio.BufferedProtocol):
-    """Feeds received bytes to h11 and passes its events on; tracks whether all sent bytes are written."""
+    """Feeds received bytes to h11 and passes its events on; tracks whether all sent bytes are written.
+
+    The number of events that one read can cause is bounded, whatever its bytes are: beyond that the input is
+    deferred, and the connection takes its turn with all others that have deferred input.
+    """
 
     def __init__(self, role: type[h11.CLIENT] | type[h11.SERVER] = h11.CLIENT) -> None:
         self.http = h11.Connection(role, max_incomplete_event_size=HEADER_LIMIT)
@@ -65,6 +73,10 @@
         self.written = True  # the kernel has accepted all bytes sent
         self.closed = False
         self.discards_input = False  # further input is ignored
+        self._input_deferred = False  # input has been read that waits for its turn
+        self._input_full = False  # so much of it that nothing more is read
+        self._paused = False  # by pause
+        self._end_deferred = False  # the peer's end is behind the deferred input
 
     # Overridden by subclasses
 
@@ -83,6 +95,9 @@
     def on_end(self) -> None:
         """The peer has closed or reset the connection. May be called twice."""
 
+    def on_input_full(self) -> None:
+        """Reading stops until the deferred input has been processed."""
+
     # asyncio.BufferedProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -99,15 +114,25 @@
         self.data_received(bytes(memoryview(_read_buffer)[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
-        self._feed(data)
-
-    def eof_received(self) -> None:
-        self._feed(b"")
-        self.on_end()
+        if not self._input_deferred:
+            self._feed(data)
+        elif not self.discards_input:
+            self.http.receive_data(data)
+            self._limit_deferred_input()
+
+    def eof_received(self) -> bool:
+        """Process the end of the peer's sending, behind what was read before. Returns whether the transport
+        stays open."""
+        self._end_deferred = self._input_deferred and not self.discards_input
+        if not self._end_deferred:
+            self.on_eof()
+        return self._end_deferred
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
-        self.on_end()
+        self._end_deferred = self._input_deferred and not self.discards_input
+        if not self._end_deferred:
+            self.on_end()
 
     def resume_writing(self) -> None:
         self.written = True
@@ -127,10 +152,18 @@
         # The buffer is also empty after a write that failed, but then the transport is closing.
         self.written = not self.transport.is_closing() and self.transport.get_write_buffer_size() == 0
 
+    def on_eof(self) -> None:
+        """The peer has ended its sending, and all input before that has been processed."""
+        self._feed(b"")
+        self.on_end()
+
     def _process_input(self) -> None:
-        """Pass on the events of the bytes received so far, up to the end of the current message."""
+        """Pass on the events of the bytes received so far, up to the end of the current message, or as many
+        as one turn may take."""
         self.check_head()
-        while not self.discards_input:
+        for _ in range(EVENTS_PER_TURN):
+            if self.discards_input:
+                return
             event = self.http.next_event()
             # h11's events are abstract classes: isinstance would cost more than the rest of this loop.
             if event is h11.NEED_DATA or event is h11.PAUSED or type(event) is h11.ConnectionClosed:
@@ -139,6 +172,43 @@
             self.on_event(event)
             if type(event) is h11.EndOfMessage:
                 return  # the subclass starts the next message
+        self.on_read()
+        if not self.discards_input:
+            self.defer_input()
+
+    def defer_input(self) -> None:
+        """Let the input that has been read wait for a turn of its own."""
+        self._input_deferred = True
+        self._limit_deferred_input()
+        self._request_turn()
+
+    def _request_turn(self) -> None:
+        InputBacklog.of_running_loop().add(self)
+
+    def _limit_deferred_input(self) -> None:
+        """Stop reading beyond DEFERRED_INPUT_LIMIT_BYTES. Deferred input waits for the agent alone, so that
+        reading goes on soon and shows whether the peer has left."""
+        if not self._input_full and len(self.http.trailing_data[0]) > DEFERRED_INPUT_LIMIT_BYTES:
+            self._input_full = True
+            self.on_input_full()
+            self._update_reading()
+
+    def process_deferred_input(self) -> None:
+        """Process as much of the deferred input as one turn may take."""
+        self._input_deferred = self._input_full = False
+        self._update_reading()
+        self._feed(None)
+        if self._end_deferred and not self._input_deferred:
+            self._end_deferred = False
+            self._end_after_input()
+
+    def _end_after_input(self) -> None:
+        """Process the end of the peer's sending that came behind deferred input."""
+        if self.closed:
+            return self.on_end()
+        self.on_eof()
+        if self.transport is not None:
+            self.transport.close()
 
     def has_no_input(self) -> bool:
         """Whether the kernel has nothing to read for this connection, not even the peer's close."""
@@ -176,12 +246,20 @@
 
     def pause(self) -> None:
         """Stop reading from the peer until resume."""
-        if self.transport is not None:
-            self.transport.pause_reading()
+        self._paused = True
+        self._update_reading()
 
     def resume(self) -> None:
         """Read from the peer again."""
-        if self.transport is not None:
+        self._paused = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        if self.transport is None:
+            return
+        if self._paused or self._input_full:
+            self.transport.pause_reading()
+        else:
             self.transport.resume_reading()
 
     def end_sending(self) -> None:
@@ -209,10 +287,6 @@
                     socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
                 )
 
-    def process_buffered_input(self) -> None:
-        """Process the bytes that arrived while the previous message was being handled."""
-        self._feed(None)
-
     def _feed(self, data: bytes | None) -> None:
         if self.discards_input:
             return
--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -11,7 +11,6 @@
 from .connection import HEADER_LIMIT, Fields, Headers, fields_of, header
 from .downstream_request import DownstreamRequest, Rejected, RequestHandler, ResponseWriter
 from .downstream_response import AnsweringServer, ResponseConnection
-from .input_backlog import InputBacklog
 from .request_parser import RequestParser, has_ambiguous_head, origin_form
 from .sent_time import SentTime
 from .upload import Upload
@@ -41,10 +40,6 @@
     def connections(self) -> set[DownstreamConnection]:
         """The open connections, including this one."""
 
-    @property
-    def input_backlog(self) -> InputBacklog:
-        """The connections with requests that have been read and not been processed."""
-
     def is_ready(self) -> bool:
         """Whether the agent accepts new clients, as the health check reports it."""
 
@@ -69,7 +64,6 @@
         self._fields: Fields = {}  # the headers of the request
         self._body_buffer = bytearray()  # body bytes that have been read but not passed on
         self._blank_lines = BlankLines()
-        self._input_buffered = False  # further requests have been read, and wait for their turn
         self._upload: Upload | None = None  # a body that is streamed
         self._last_piece_timer: asyncio.TimerHandle | None = None  # set while the last piece is held back
         self._sent_time = SentTime(self._loop)
@@ -135,6 +129,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the server that it has capacity for another client."""
+        self.discards_input = True  # also what has been read and waits for its turn
         super().connection_lost(exc)
         self._deadline.stop()
         self._server.connections.discard(self)
@@ -189,13 +184,10 @@
         if self.discards_input:
             return
         # Bytes behind a pipelined request must not change its time: it may have been complete before them.
-        if self._input_buffered:
-            self.http.receive_data(data)
-            self._limit_buffered_input()
-            return
-        if not (self._awaiting_response and self.http.trailing_data[0]):
+        waits_its_turn = self._input_deferred and self.http.their_state is not h11.SEND_BODY
+        if not (waits_its_turn or (self._awaiting_response and self.http.trailing_data[0])):
             self._sent_time.on_read(len(data))
-        if self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
+        if not self._input_deferred and self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
             data = self._strip_blank_lines(data)
             if not data:
                 return
@@ -248,19 +240,22 @@
             return
         try:
             if self._upload is not None:
-                data, self._body_buffer = self._body_buffer, bytearray()
-                if self._downstream_request is not None and not self._upload.complete:
-                    self._downstream_request.sent_us = self.sent_us
-                self._upload.receive(data)
+                self._continue_upload(self._upload)
             elif len(self._body_buffer) > BUFFERED_BODY_LIMIT_BYTES:
-                length = header(self._fields, b"content-length")
-                self._start_upload(int(length) if length is not None else None)
+                self._start_upload()
         except Rejected as error:
             self._abort_request(error.status, str(error), error.headers)
 
-    def _start_upload(self, length: int | None) -> None:
+    def _continue_upload(self, upload: Upload) -> None:
+        data, self._body_buffer = self._body_buffer, bytearray()
+        if self._downstream_request is not None and not upload.complete:
+            self._downstream_request.sent_us = self.sent_us
+        upload.receive(data)
+
+    def _start_upload(self) -> None:
+        length = header(self._fields, b"content-length")
+        upload = Upload(int(length) if length is not None else None, self)
         assert self._request is not None
-        upload = Upload(length, self)
         call = self._server.check(self._request, self._fields, upload, self)
         data, self._body_buffer = self._body_buffer, bytearray()
         upload.receive(data)
@@ -280,10 +275,10 @@
         malformed = isinstance(error, h11.RemoteProtocolError)
         self._abort_request(400 if malformed else 500, "malformed request" if malformed else "internal error")
 
-    def eof_received(self) -> None:
+    def on_eof(self) -> None:
         """The client has ended its sending."""
         if not self._awaiting_response:
-            return super().eof_received()
+            return super().on_eof()
         # The request is complete, so h11 need not learn of the end. If the request asked to close the
         # connection, h11 would also take further input for an error in the request.
         self.on_end()
@@ -419,31 +414,23 @@
         if pipelined.startswith(b"\r"):
             pipelined = self._strip_pipelined_blank_lines(pipelined)
         if pipelined:
-            self._input_buffered = True
-            self._limit_buffered_input()
-            if self.written:
-                self._server.input_backlog.add(self)
-            else:  # a client that does not read its responses gets no more of them
-                self._start_write_stall_timer()
-
-    def _limit_buffered_input(self) -> None:
-        """Stop reading beyond PIPELINE_LIMIT_BYTES: this input waits for the agent alone, not for a
-        backend, so that reading goes on soon and shows whether the client has left."""
-        if len(self.http.trailing_data[0]) > PIPELINE_LIMIT_BYTES:
-            super().pause()
-            self._sent_time.pause(self.last_read_at)
-
-    def process_buffered_input(self) -> None:
-        """Process the next request among those that have been read."""
-        self._input_buffered = False
-        super().resume()  # no effect where it was not paused
-        super().process_buffered_input()
+            self.defer_input()
+
+    def _request_turn(self) -> None:
+        if self.written:
+            super()._request_turn()
+        else:  # a client that does not read its responses gets no more of them
+            self._start_write_stall_timer()
+
+    def on_input_full(self) -> None:
+        """Note the time from which on the client's bytes are not read."""
+        self._sent_time.pause(self.last_read_at)
 
     def resume_writing(self) -> None:
-        """The client has read its responses: its next request gets a turn."""
+        """The client has read its responses: deferred input gets its turn."""
         super().resume_writing()
-        if self._input_buffered:
-            self._server.input_backlog.add(self)
+        if self._input_deferred:
+            super()._request_turn()
 
     def _strip_blank_lines(self, data: bytes) -> bytes:
         """The data without the empty lines in front; nothing if there are too many of them, which ends the
--- a/burlshift/agent/server.py
+++ b/burlshift/agent/server.py
@@ -16,7 +16,6 @@
 from .downstream_connection import DownstreamConnection
 from .downstream_request import DownstreamRequest, Rejected, RequestHandler, ResponseWriter, retry_after
 from .drain import Drain
-from .input_backlog import InputBacklog
 from .listener import ACCEPTS_PER_TURN, SHORTAGE_RETRY_S, AcceptResult, accept_waiting, listening
 from .listing import Address
 from .request_parser import RequestParser
@@ -70,7 +69,6 @@
             min(SHUTDOWN_RETRY_AFTER_US, settings.max_retry_after_us) if settings.retry_after else 0
         )
         self.connections: set[DownstreamConnection] = set()
-        self.input_backlog = InputBacklog()
         self.drain = Drain(self)
         self.listener: socket.socket | None = None
         self._accepting = False
--- a/burlshift/agent/upstream_connection.py
+++ b/burlshift/agent/upstream_connection.py
@@ -69,10 +69,10 @@
         if self.exchange is not None:
             self.exchange.on_written()
 
-    def eof_received(self) -> None:
+    def on_eof(self) -> None:
         """The backend has closed its direction of the connection."""
         self._saw_eof = True
-        super().eof_received()
+        super().on_eof()
 
     def on_broken(self, error: Exception) -> None:
         """The backend sent invalid HTTP, or closed the connection within a response."""
--- a/burlshift_tools/faultlab/parts/discovery.py
+++ b/burlshift_tools/faultlab/parts/discovery.py
@@ -241,7 +241,7 @@
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
             if self.http.trailing_data[0]:
-                self._loop.call_soon(self.process_buffered_input)
+                self.defer_input()
         else:
             self.transport.close()
 
--- a/burlshift_tools/faultlab/parts/server.py
+++ b/burlshift_tools/faultlab/parts/server.py
@@ -322,7 +322,7 @@
             self.http.start_next_cycle()
             self._wait()
             if self.http.trailing_data[0]:
-                self._loop.call_soon(self.process_buffered_input)
+                self.defer_input()
         else:
             self.transport.close()
 
--- a/tests/test_input_backlog.py
+++ b/tests/test_input_backlog.py
@@ -1,4 +1,4 @@
-"""Clients that send many requests at once, which the agent answers itself, take a bounded part of it."""
+"""Peers whose input costs much, take a bounded part of the agent."""
 
 from __future__ import annotations
 
@@ -7,10 +7,11 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import h11
 import pytest
 
-from burlshift.agent.connection import READ_BYTES
-from burlshift.agent.downstream_connection import PIPELINE_LIMIT_BYTES, DownstreamConnection
+from burlshift.agent.connection import DEFERRED_INPUT_LIMIT_BYTES, EVENTS_PER_TURN, READ_BYTES
+from burlshift.agent.downstream_connection import DownstreamConnection
 from burlshift.agent.input_backlog import TURNS_PER_ITERATION
 from tests.loopback import AgentHarness, RawClient, post, running_agent
 
@@ -25,22 +26,30 @@
 CLIENTS = 3 * TURNS_PER_ITERATION
 
 
-def count_requests(monkeypatch: pytest.MonkeyPatch) -> Callable[[], int]:
-    """Returns a function that gives the number of requests completed since its last call."""
-    completed, complete = 0, DownstreamConnection._complete_request
+def count_calls(monkeypatch: pytest.MonkeyPatch, owner: type, method: str) -> Callable[[], int]:
+    """Returns a function that gives the number of calls of this method since its last call."""
+    calls, original = 0, getattr(owner, method)
 
-    def counted(connection: DownstreamConnection) -> None:
-        nonlocal completed
-        completed += 1
-        complete(connection)
+    def counted(self: object) -> object:
+        nonlocal calls
+        calls += 1
+        return original(self)
 
-    def taken() -> int:
-        nonlocal completed
-        count, completed = completed, 0
+    def count_since() -> int:
+        nonlocal calls
+        count, calls = calls, 0
         return count
 
-    monkeypatch.setattr(DownstreamConnection, "_complete_request", counted)
-    return taken
+    monkeypatch.setattr(owner, method, counted)
+    return count_since
+
+
+def count_requests(monkeypatch: pytest.MonkeyPatch) -> Callable[[], int]:
+    return count_calls(monkeypatch, DownstreamConnection, "_complete_request")
+
+
+def count_events(monkeypatch: pytest.MonkeyPatch) -> Callable[[], int]:
+    return count_calls(monkeypatch, h11.Connection, "next_event")
 
 
 async def drain_responses(client: RawClient) -> None:
@@ -81,7 +90,7 @@
             while not serving.done():
                 await asyncio.sleep(0)
                 assert requests_completed() <= TURNS_PER_ITERATION + 1  # and the application's
-                assert max(buffered_bytes(harness)) <= PIPELINE_LIMIT_BYTES + READ_BYTES
+                assert max(buffered_bytes(harness)) <= DEFERRED_INPUT_LIMIT_BYTES + READ_BYTES
             await serving.result().answer()
             assert (await application.read()).status == 200
             for task in (*sending, *reading):
@@ -133,3 +142,108 @@
             assert [(await client.read()).status for _ in range(20)] == [200] * 20
 
     asyncio.run(run())
+
+
+def one_byte_chunks(body: bytes) -> bytes:
+    return b"".join(b"1\r\n%c\r\n" % byte for byte in body)
+
+
+def chunked_post(**headers: str) -> bytes:
+    """The head of a request whose body comes in chunks."""
+    return post(body=b"", drop=("Content-Length",), Transfer_Encoding="chunked", **headers)
+
+
+def test_bodies_in_chunks_of_one_byte_get_bounded_turns_and_memory(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against bad clients each of whose reads kept the event loop busy for a fifth of a second.
+    async def run() -> None:
+        events = count_events(monkeypatch)
+        async with running_agent(tmp_path) as harness:
+            clients = [await harness.raw_client() for _ in range(CLIENTS)]
+            flood = chunked_post() + one_byte_chunks(b"x" * (FLOOD_BYTES // 6))
+            sending = [asyncio.create_task(client.send(flood)) for client in clients]
+            while len(buffered_bytes(harness)) < CLIENTS or min(buffered_bytes(harness)) < READ_BYTES // 2:
+                await asyncio.sleep(0)
+            application = await harness.send_request(post(Request_Id="application"))
+            serving = asyncio.create_task(harness.request())
+            events()
+            while not serving.done():
+                await asyncio.sleep(0)
+                # The connections in turn, and those of the application, its server and discovery.
+                assert events() <= (TURNS_PER_ITERATION + 3) * EVENTS_PER_TURN
+                assert max(buffered_bytes(harness)) <= DEFERRED_INPUT_LIMIT_BYTES + READ_BYTES
+            await serving.result().answer()
+            assert (await application.read()).status == 200
+            for task in sending:
+                task.cancel()
+            for client in clients:
+                client.reset()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("size", [EVENTS_PER_TURN - 1, EVENTS_PER_TURN, 20 * EVENTS_PER_TURN, 5_000])
+def test_body_in_chunks_of_one_byte_is_whole(tmp_path: Path, size: int) -> None:
+    async def run() -> None:
+        async with running_agent(tmp_path) as harness:
+            body = bytes(range(256)) * (size // 256 + 1)
+            client = await harness.send_request(chunked_post() + one_byte_chunks(body[:size]) + b"0\r\n\r\n")
+            received = await harness.request()
+            assert received.body == body[:size]
+            await received.answer(200, b"done")
+            assert (await client.read()).body == b"done"
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("size", "end"),
+    # A reset discards what has not been read yet, so that the response must come in one read.
+    [(20 * EVENTS_PER_TURN, "reset"), (20 * EVENTS_PER_TURN, "close"), (5_000, "close"), (5_000, "none")],
+)
+def test_response_in_chunks_of_one_byte_is_whole(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, size: int, end: str
+) -> None:
+    # The server's end is read while most of its response still waits for a turn.
+    async def run() -> None:
+        events = count_events(monkeypatch)
+        async with running_agent(tmp_path) as harness:
+            body = (bytes(range(256)) * (size // 256 + 1))[:size]
+            client = await harness.send_request(post())
+            received = await harness.request()
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            await received.connection.write(head + one_byte_chunks(body) + b"0\r\n\r\n")
+            if end == "close":
+                received.connection.close()
+            elif end == "reset":
+                while not any(e._body for e in harness.agent._open_exchanges.values()):
+                    await asyncio.sleep(0)
+                received.connection.reset()
+            answering = asyncio.create_task(client.read())
+            events()
+            while not answering.done():
+                await asyncio.sleep(0)
+                assert events() <= (TURNS_PER_ITERATION + 3) * EVENTS_PER_TURN
+            answer = answering.result()
+            assert (answer.status, answer.body) == (200, body)
+
+    asyncio.run(run())
+
+
+def test_parsing_is_linear_in_the_bytes_sent(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        events = count_events(monkeypatch)
+        async with running_agent(tmp_path) as harness:
+            counts = []
+            for size in (2_000, 4_000):
+                events()
+                client = await harness.send_request(
+                    chunked_post() + one_byte_chunks(b"x" * size) + b"0\r\n\r\n"
+                )
+                await (await harness.request()).answer()
+                assert (await client.read()).status == 200
+                counts.append(events())
+            assert counts[1] <= 2 * counts[0]
+
+    asyncio.run(run())
