Improper requests are answered at their head, large ones to another path are not passed on

Need: a POST of over 64 KiB to another path than /api was forwarded with that path: a peer that is owed an error was served. Bodies of improper requests were parsed to 64 KiB or their end before they were rejected.

Cause: _complete_request checked the path, _start_upload did not; no check was made while a body came.

Change: one check of path and head for both, made once as soon as a read ends within the body; then 404 or 400 and a close.

Tests: test_improper_request_is_answered_before_its_body_has_come, which failed before where the body was small (no answer) and for another path (forwarded).

--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -63,6 +63,7 @@
         self._server: ConnectionOwner = server
         self._fields: Fields = {}  # the headers of the request
         self._body_buffer = bytearray()  # body bytes that have been read but not passed on
+        self._head_checked = False  # before the body was complete
         self._blank_lines = BlankLines()
         self._upload: Upload | None = None  # a body that is streamed
         self._last_piece_timer: asyncio.TimerHandle | None = None  # set while the last piece is held back
@@ -243,9 +244,18 @@
                 self._continue_upload(self._upload)
             elif len(self._body_buffer) > BUFFERED_BODY_LIMIT_BYTES:
                 self._start_upload()
+            elif not self._head_checked:
+                self._check_head_of_partial_request()
         except Rejected as error:
             self._abort_request(error.status, str(error), error.headers)
 
+    def _check_head_of_partial_request(self) -> None:
+        """Reject a request whose head is not acceptable before its body has been received, which may be long
+        and costly to parse."""
+        self._head_checked = True
+        if self._path() != HEALTH_PATH:
+            self._check(b"")
+
     def _continue_upload(self, upload: Upload) -> None:
         data, self._body_buffer = self._body_buffer, bytearray()
         if self._downstream_request is not None and not upload.complete:
@@ -255,8 +265,7 @@
     def _start_upload(self) -> None:
         length = header(self._fields, b"content-length")
         upload = Upload(int(length) if length is not None else None, self)
-        assert self._request is not None
-        call = self._server.check(self._request, self._fields, upload, self)
+        call = self._check(upload)
         data, self._body_buffer = self._body_buffer, bytearray()
         upload.receive(data)
         self._downstream_request, self._upload = call, upload
@@ -310,7 +319,7 @@
         return call is not None
 
     def _begin_request(self, request: h11.Request) -> None:
-        self._request, self._body_buffer = request, bytearray()
+        self._request, self._body_buffer, self._head_checked = request, bytearray(), False
         self._deadline.begin_body()
         self._fields = fields_of(request.headers)
         length = header(self._fields, b"content-length")
@@ -330,17 +339,24 @@
         if self._upload is not None:
             self._complete_upload()
             return
-        path = origin_form(self._request.target).partition("?")[0]
-        if path == HEALTH_PATH:
+        if self._path() == HEALTH_PATH:
             return self._respond(200 if self._server.is_ready() else 503, [], b"")
-        if path != API_PATH:
-            raise Rejected(404, "no such path")
-        self._downstream_request = self._server.check(
-            self._request, self._fields, bytes(self._body_buffer), self
-        )
+        self._downstream_request = self._check(bytes(self._body_buffer))
         self._body_buffer = bytearray()
         self._server.handler.accept_request(self._downstream_request)
 
+    def _path(self) -> str:
+        """The path of the request's target, without the query."""
+        assert self._request is not None
+        return origin_form(self._request.target).partition("?")[0]
+
+    def _check(self, body: bytes | Upload) -> DownstreamRequest:
+        """Build the request from its head and this body. Raises Rejected if the head is not acceptable."""
+        assert self._request is not None
+        if self._path() != API_PATH:
+            raise Rejected(404, "no such path")
+        return self._server.check(self._request, self._fields, body, self)
+
     def _complete_upload(self) -> None:
         """The last piece of a streamed body has been read."""
         self._forward_last_piece(self._loop.time() + LAST_PIECE_WAIT_S)
--- a/tests/test_input_backlog.py
+++ b/tests/test_input_backlog.py
@@ -247,3 +247,33 @@
             assert counts[1] <= 2 * counts[0]
 
     asyncio.run(run())
+
+
+IMPROPER_HEADS = {
+    "another path": (chunked_post().replace(b"/api", b"/other", 1), 404),
+    "unknown class": (chunked_post(Request_Class="unknown"), 400),
+    "no key": (chunked_post().replace(b"Idempotency-Key", b"Idempotency-Kex"), 400),
+}
+
+
+@pytest.mark.parametrize("what", IMPROPER_HEADS)
+@pytest.mark.parametrize("received_bytes", [1, 100, 300_000])
+def test_improper_request_is_answered_before_its_body_has_come(
+    tmp_path: Path, what: str, received_bytes: int
+) -> None:
+    # Guards against improper requests whose bodies are parsed to their end, and large ones to another path
+    # that were passed on to a server.
+    head, status = IMPROPER_HEADS[what]
+
+    async def run() -> None:
+        async with running_agent(tmp_path) as harness:
+            client = await harness.raw_client()
+            data = b"%x\r\n%s\r\n" % (received_bytes, b"x" * received_bytes)
+            sending = asyncio.create_task(client.send(head + data))
+            answer = await client.read_to_end()
+            assert answer.startswith(b"HTTP/1.1 %d" % status) and b"Connection: close" in answer
+            assert harness.no_request_sent() and not harness.agent._pending
+            await sending
+            client.close()
+
+    asyncio.run(run())
