A slow discovery is heard: a second call for the full list overlaps the first

Cause: each call for the full list was ended after 2 s and made anew.

Change: FullListRequest makes a second call after 2 s and lets the first go on, 4.5 s at most; the first answer is used. A body that arrives at the pace of a large one puts the time-out off. One of several addresses is left after 2 s as before, until all have failed.

--- a/burlshift/agent/discovery.py
+++ b/burlshift/agent/discovery.py
@@ -7,6 +7,7 @@
 import logging
 import random
 from collections.abc import Callable
+from functools import partial
 from urllib.parse import quote
 
 import h11
@@ -15,6 +16,7 @@
 
 from .address_rotation import AddressRotation
 from .discovery_call import PATH, DiscoveryCall
+from .full_list import FIRST_ANSWER_S, Answer, FullListRequest
 from .listing import Address, Listing, ListingParser
 
 log = logging.getLogger(__name__)
@@ -25,7 +27,7 @@
 # asks, each call loads a discovery that all agents share, so the wait is long.
 PUSH_WAIT_MS, ASK_WAIT_MS = 4_000, 20_000
 LONG_POLL_MARGIN_S = 1.0  # added to the wait: half of the 2 s; the next call has the other half
-ANSWER_TIMEOUT_S = 2.0  # of a call that discovery answers without holding it
+MAX_UNHELD_S = 2.0  # the longest time in which discovery answers a call without holding it
 # A change that discovery can report counts as known to the agent after NOTICE_LIMIT_S, whatever happened to
 # the previous call, or NOTICE_LIMIT_AFTER_WAIT_S after the wait of an unanswered call.
 NOTICE_LIMIT_S, NOTICE_LIMIT_AFTER_WAIT_S = CHANGE_NOTICE_LIMIT_US / 1e6, 2.0
@@ -127,7 +129,7 @@
                 try:
                     call = await self._open_call(call)
                     self.timed_out = True
-                    listing = await self._next_answer(call)
+                    call, listing = await self._next_answer(call)
                     accepted = self._accept(listing)
                 except Exception as error:
                     if not self._log_if_went_back(error):
@@ -156,14 +158,25 @@
         self._watching = None  # before the callback, which may start the next watch
         on_listing(None)
 
-    async def _next_answer(self, call: DiscoveryCall) -> Listing:
+    async def _next_answer(self, call: DiscoveryCall) -> Answer:
         """Make the watch's next call, for the full list or for its changes, and return the answer."""
         if self._revision is None:
-            return await self._request(call, PATH, ANSWER_TIMEOUT_S)
+            return await self._full_list(call)
         target = f"{PATH}?index={self._revision}&wait={self._wait_ms}"
         if self._identity is not None:
             target += f"&list={quote(self._identity)}"
-        return await self._request(call, target, self._wait_ms / 1000 + LONG_POLL_MARGIN_S)
+        limit_s = self._wait_ms / 1000 + LONG_POLL_MARGIN_S
+        return Answer(call, await self._request(call, target, limit_s))
+
+    async def _full_list(self, call: DiscoveryCall) -> Answer:
+        """Request the full list. With several addresses each is left after FIRST_ANSWER_S, unless all have
+        failed: then discovery may be slow at all of them."""
+        if 1 < len(self._rotation) > self._rotation.failures:
+            return Answer(call, await self._request(call, PATH, FIRST_ANSWER_S))
+        return await FullListRequest(partial(self._open_call, None), self._request_full_list).run(call)
+
+    async def _request_full_list(self, call: DiscoveryCall, limit_s: float) -> Listing:
+        return await self._request(call, PATH, limit_s)
 
     def _accept(self, listing: Listing) -> bool:
         """Whether the listing continues the list as it was delivered; records its revision and identity.
@@ -258,7 +271,7 @@
         listing: Listing | None = None
         try:
             call = await self._open_call(None)
-            listing = await self._request(call, PATH, ANSWER_TIMEOUT_S)
+            call, listing = await self._full_list(call)
         except Exception as error:
             _log_failure(error)
         finally:
@@ -289,10 +302,10 @@
         # A machine that is cut off sends nothing: without a timeout the watch would wait forever.
         loop = asyncio.get_running_loop()
         called_at = loop.time()
-        async with asyncio.timeout(limit_s):
-            answer = await call.get(target)
+        async with asyncio.timeout(limit_s) as timeout:
+            answer = await call.get(target, timeout)
             held_s = loop.time() - called_at
-            if target != PATH and held_s > ANSWER_TIMEOUT_S:
+            if target != PATH and held_s > MAX_UNHELD_S:
                 self.parser.starts.record_held_call(held_s)
             listing = self.parser.parse(json.loads(answer))
         if not self._is_older(listing):
--- a/burlshift/agent/discovery_call.py
+++ b/burlshift/agent/discovery_call.py
@@ -7,6 +7,7 @@
 import h11
 
 from .connection import Connection, fields_of, header
+from .response_arrival import STALL_S, ResponseArrival
 
 PATH = "/catalog/members"
 ANSWER_BYTES = 4 * 1024 * 1024  # longest body that is accepted
@@ -22,14 +23,19 @@
         self._status = 0
         self.age_s = 0  # from the Age header of the latest response; 0 if it has none
         self._body = bytearray()
+        self._arrival: ResponseArrival | None = None  # once the head has been read
+        self._timeout: asyncio.Timeout | None = None
 
-    async def get(self, target: str) -> bytes:
+    async def get(self, target: str, timeout: asyncio.Timeout | None = None) -> bytes:
         """Return the body of a 200 response.
 
+        timeout: is put off while the body arrives at the pace of a large response.
+
         Raises ConnectionError for any other status, for a body longer than ANSWER_BYTES or if the connection
         ends first, and h11.RemoteProtocolError if the response is not valid HTTP.
         """
-        self._status, self._body = 0, bytearray()
+        self._status, self._body, self._arrival = 0, bytearray(), None
+        self._timeout = timeout
         self._answer = asyncio.get_running_loop().create_future()
         request = h11.Request(method="GET", target=target, headers=[("Host", "discovery")])
         self.send(request, h11.EndOfMessage())
@@ -39,6 +45,7 @@
         """Process one event of the response."""
         if isinstance(event, h11.Response):
             self._status = event.status_code
+            self._arrival = ResponseArrival(asyncio.get_running_loop().time())
             age = header(fields_of(event.headers), b"age") or ""
             self.age_s = int(age) if age.isascii() and age.isdigit() and len(age) < AGE_LENGTH_LIMIT else 0
         elif isinstance(event, h11.Data):
@@ -53,6 +60,16 @@
                 self.closed = True
             self._end(None if self._status == 200 else ConnectionError(f"status {self._status}"))
 
+    def on_read(self) -> None:
+        """Put the time-out off if the body is long and still arrives."""
+        now = asyncio.get_running_loop().time()
+        if self._arrival is None or self._timeout is None or self._answer is None:
+            return
+        self._arrival.record(len(self._body), now)
+        due = self._timeout.when()
+        if due is not None and due < now + STALL_S and self._arrival.is_in_progress(now):
+            self._timeout.reschedule(now + STALL_S)
+
     def on_broken(self, error: Exception) -> None:
         """Fail the call with this error: the response is not valid HTTP, or its processing failed."""
         self._end(error)
--- a/burlshift/agent/response_arrival.py
+++ b/burlshift/agent/response_arrival.py
@@ -1,4 +1,4 @@
-"""Tells whether a response of unknown length that is being buffered is a large one that still arrives."""
+"""Tells whether a response that is being buffered is a large one that still arrives."""
 
 from __future__ import annotations
 
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -377,7 +377,7 @@
 ) -> None:
     """An agent that has a list of unknown age begins with a long poll, which discovery may hold for long."""
     record_held_call = StartTimes.record_held_call
-    monkeypatch.setattr(discovery, "ANSWER_TIMEOUT_S", 0.0)  # every call takes longer than this
+    monkeypatch.setattr(discovery, "MAX_UNHELD_S", 0.0)  # every call takes longer than this
     monkeypatch.setattr(
         StartTimes, "record_held_call", lambda starts, _held_s: record_held_call(starts, 0.25)
     )
