The address of discovery in the file goes before that in the environment

Change: RELAY_DISCOVERY counts only where the file names no address.

Test: test_address_in_the_file_goes_before_that_in_the_environment, with one address it failed before.

--- a/burlshift/agent/config.py
+++ b/burlshift/agent/config.py
@@ -72,9 +72,12 @@
 
 
 def _discovery(env: Mapping[str, str], doc: dict[str, Any]) -> str | list[str]:
-    """The configured address or addresses; a list in the file takes precedence over RELAY_DISCOVERY."""
-    configured: str | list[str] = doc["discovery"]
-    return configured if isinstance(configured, list) else env.get("RELAY_DISCOVERY") or configured
+    """The address or addresses in the file, or RELAY_DISCOVERY if it has none: a new configuration replaces
+    the file, while a process that is started later may get the environment of an earlier one."""
+    configured: str | list[str] | None = doc.get("discovery") or env.get("RELAY_DISCOVERY")
+    if not configured:
+        raise KeyError("discovery")
+    return configured
 
 
 def _sockets(configured: int) -> int:
