Deferred input of all connections is bounded by the configured memory

Change: InputBacklog counts the bytes of deferred input. SentTime learns from the connection whether a read filled its buffer.

--- a/burlshift/agent/config.py
+++ b/burlshift/agent/config.py
@@ -20,6 +20,7 @@
 T = TypeVar("T")
 DRAIN_GRACE_US = 1_000_000  # default of drainGraceUs
 DEFAULT_SOCKETS = 1024  # default of limits.sockets
+DEFAULT_MEMORY_MB = 32  # default of limits.memory_mb
 
 
 class ConfigError(Exception):
@@ -35,6 +36,7 @@
     discovery: tuple[Address, ...]  # one, or several that serve the same list
     seed: int
     sockets: int  # file descriptors this process may hold
+    memory_bytes: int  # over which the process is killed
     known: Listing  # the list of backends to start with
     parser: ListingParser
     settings: Settings
@@ -125,6 +127,7 @@
 def _config(doc: dict[str, Any], env: Mapping[str, str], clock: Clock) -> Config:
     settings_doc = doc["settings"]
     allowed = settings_doc["allowed"]
+    limits = doc.get("limits") or {}
     control = env.get("RELAY_CONTROL") or doc.get("control")
     parser = ListingParser(
         clock, tuple(settings_doc.get("localities") or ()), tuple(settings_doc.get("skus") or ())
@@ -134,7 +137,8 @@
         listen=parse_address(env.get("RELAY_LISTEN") or doc["listen"]),
         discovery=parse_addresses(_discovery(env, doc)),
         seed=int(doc["seed"], 16),
-        sockets=_sockets(int((doc.get("limits") or {}).get("sockets") or DEFAULT_SOCKETS)),
+        sockets=_sockets(int(limits.get("sockets") or DEFAULT_SOCKETS)),
+        memory_bytes=int(limits.get("memory_mb") or DEFAULT_MEMORY_MB) * 1024 * 1024,
         known=parser.parse(doc["known"]),
         parser=parser,
         # Peers exchange membership and no loads, so the policy must not rely on load reports from them.
--- a/burlshift/agent/connection.py
+++ b/burlshift/agent/connection.py
@@ -22,11 +22,13 @@
 READ_BYTES = 64 * 1024  # per read; a connection buffers a few of these while the other side is slower
 EVENTS_PER_TURN = 16  # of h11, for one connection; the rest of its input waits for a turn of its own
 DEFERRED_INPUT_LIMIT_BYTES = 64 * 1024  # of input that waits for its turn; beyond that nothing is read
+SMALL_READ_BYTES = 4 * 1024  # per read while the deferred input of all connections is at its limit
 # Events of poll(2) after the peer has closed or reset the connection.
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 LINGER_RESET = struct.pack("ii", 1, 0)  # struct linger: a close discards unsent data and resets
 # Shared by all connections: the bytes of a read are copied before the loop serves the next connection.
-_read_buffer = bytearray(READ_BYTES)
+_read_buffer = memoryview(bytearray(READ_BYTES))
+_small_read_buffer = _read_buffer[:SMALL_READ_BYTES]
 
 Headers = list[tuple[bytes, bytes]]
 Fields = dict[bytes, bytes]
@@ -73,7 +75,10 @@
         self.written = True  # the kernel has accepted all bytes sent
         self.closed = False
         self.discards_input = False  # further input is ignored
+        self._backlog = InputBacklog.of_running_loop()
+        self.read_filled_buffer = False  # the latest read may have left input in the kernel
         self._input_deferred = False  # input has been read that waits for its turn
+        self._deferred_bytes = 0  # of that input, as counted in the backlog
         self._input_full = False  # so much of it that nothing more is read
         self._paused = False  # by pause
         self._end_deferred = False  # the peer's end is behind the deferred input
@@ -107,11 +112,12 @@
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         transport.set_write_buffer_limits(high=0)  # so resume_writing means that all is written
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        return _read_buffer
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return _small_read_buffer if self._backlog.is_full else _read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        self.data_received(bytes(memoryview(_read_buffer)[:nbytes]))
+        self.read_filled_buffer = nbytes in (READ_BYTES, SMALL_READ_BYTES)
+        self.data_received(bytes(_read_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         if not self._input_deferred:
@@ -132,6 +138,7 @@
         self.closed = True
         self._end_deferred = self._input_deferred and not self.discards_input
         if not self._end_deferred:
+            self._count_deferred_bytes(0)
             self.on_end()
 
     def resume_writing(self) -> None:
@@ -183,21 +190,29 @@
         self._request_turn()
 
     def _request_turn(self) -> None:
-        InputBacklog.of_running_loop().add(self)
+        self._backlog.add(self)
 
     def _limit_deferred_input(self) -> None:
-        """Stop reading beyond DEFERRED_INPUT_LIMIT_BYTES. Deferred input waits for the agent alone, so that
-        reading goes on soon and shows whether the peer has left."""
-        if not self._input_full and len(self.http.trailing_data[0]) > DEFERRED_INPUT_LIMIT_BYTES:
+        """Stop reading beyond DEFERRED_INPUT_LIMIT_BYTES, or at the limit of all connections. Deferred input
+        waits for the agent alone, so that reading goes on soon and shows whether the peer has left."""
+        length = len(self.http.trailing_data[0])
+        self._count_deferred_bytes(length)
+        if not self._input_full and (length > DEFERRED_INPUT_LIMIT_BYTES or self._backlog.is_full):
             self._input_full = True
             self.on_input_full()
             self._update_reading()
 
+    def _count_deferred_bytes(self, length: int) -> None:
+        self._backlog.deferred_bytes += length - self._deferred_bytes
+        self._deferred_bytes = length
+
     def process_deferred_input(self) -> None:
         """Process as much of the deferred input as one turn may take."""
         self._input_deferred = self._input_full = False
         self._update_reading()
         self._feed(None)
+        if not self._input_deferred:
+            self._count_deferred_bytes(0)
         if self._end_deferred and not self._input_deferred:
             self._end_deferred = False
             self._end_after_input()
--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -187,7 +187,7 @@
         # Bytes behind a pipelined request must not change its time: it may have been complete before them.
         waits_its_turn = self._input_deferred and self.http.their_state is not h11.SEND_BODY
         if not (waits_its_turn or (self._awaiting_response and self.http.trailing_data[0])):
-            self._sent_time.on_read(len(data))
+            self._sent_time.on_read(self.read_filled_buffer)
         if not self._input_deferred and self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
             data = self._strip_blank_lines(data)
             if not data:
--- a/burlshift/agent/sent_time.py
+++ b/burlshift/agent/sent_time.py
@@ -4,7 +4,6 @@
 
 import asyncio
 
-from .connection import READ_BYTES
 from .loop_lag import unread_since
 
 
@@ -27,12 +26,11 @@
         """Reading is paused; the previous read was at `last_read_at`."""
         self.unread_since = last_read_at
 
-    def on_read(self, length: int) -> None:
-        """Note that `length` bytes have been read. If they did not fill the read buffer, no input was left
-        waiting."""
+    def on_read(self, filled_buffer: bool) -> None:
+        """Note that bytes have been read. If they did not fill the read buffer, no input was left waiting."""
         since = unread_since(self._loop)
         self.earliest = since if self.unread_since is None else min(since, self.unread_since)
-        if length < READ_BYTES:
+        if not filled_buffer:
             self.unread_since = None
 
     def next_request(self) -> None:
--- a/tests/test_input_backlog.py
+++ b/tests/test_input_backlog.py
@@ -10,9 +10,14 @@
 import h11
 import pytest
 
-from burlshift.agent.connection import DEFERRED_INPUT_LIMIT_BYTES, EVENTS_PER_TURN, READ_BYTES
+from burlshift.agent.connection import (
+    DEFERRED_INPUT_LIMIT_BYTES,
+    EVENTS_PER_TURN,
+    READ_BYTES,
+    SMALL_READ_BYTES,
+)
 from burlshift.agent.downstream_connection import DownstreamConnection
-from burlshift.agent.input_backlog import TURNS_PER_ITERATION
+from burlshift.agent.input_backlog import TURNS_PER_ITERATION, InputBacklog
 from tests.loopback import AgentHarness, RawClient, post, running_agent
 
 HEAD = "HTTP/1.1\r\nHost: a\r\n"
@@ -101,6 +106,38 @@
     asyncio.run(run())
 
 
+def test_deferred_input_of_all_connections_is_bounded(tmp_path: Path) -> None:
+    # Guards against many bad clients each of which is within its own bound.
+    limit_bytes = 200_000
+
+    async def run() -> None:
+        async with running_agent(tmp_path) as harness:
+            backlog = InputBacklog.of_running_loop()
+            backlog.limit_bytes = limit_bytes
+            clients = [await harness.raw_client() for _ in range(4 * CLIENTS)]
+            flood = FLOODS["another path"] * (FLOOD_BYTES // 10 // len(FLOODS["another path"]))
+            sending = [asyncio.create_task(client.send(flood)) for client in clients]
+            reading = [asyncio.create_task(drain_responses(client)) for client in clients]
+            while backlog.deferred_bytes <= limit_bytes:
+                await asyncio.sleep(0)
+            # One large read is under way as the limit is passed; others may still read a little each.
+            bound = limit_bytes + READ_BYTES + len(clients) * SMALL_READ_BYTES
+            for _ in range(500):
+                await asyncio.sleep(0)
+                assert backlog.deferred_bytes <= bound
+                assert sum(buffered_bytes(harness)) <= bound + len(clients) * len(FLOODS["another path"])
+            for task in (*sending, *reading):
+                task.cancel()
+            for client in clients:
+                client.reset()
+            while harness.server.connections:
+                await asyncio.sleep(0)
+            while backlog.deferred_bytes:
+                await asyncio.sleep(0)
+
+    asyncio.run(run())
+
+
 def test_client_that_reads_no_responses_gets_no_more_of_them(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
