INFO has a histogram of the event loop's turns, and long ones name whose input took them

Change: TurnTimes, kept by the selector: turns by duration, the longest input of clients, servers and discovery, and a log line, at most one a second, where a turn takes over 50 ms.

--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -20,6 +20,7 @@
 from .exchange import Exchange
 from .list_keeper import ListKeeper
 from .listing import Address, Listing
+from .loop_lag import loop_metrics
 from .metrics import Gauges, Metrics
 from .peers import Peers
 from .pending_requests import INTERNAL_FAILURE, Attempt, PendingRequest
@@ -125,6 +126,7 @@
             self._list.age_ms(),
             self._list.unlisted_count(),
             None if self.peers is None else self.peers.levels(),
+            loop_metrics(self._loop),
         )
 
     def detach(self, backend: str, prevalidated: bool = False) -> None:
--- a/burlshift/agent/connection.py
+++ b/burlshift/agent/connection.py
@@ -9,11 +9,13 @@
 import socket
 import struct
 from contextlib import suppress
-from typing import Protocol
+from time import monotonic
+from typing import ClassVar, Protocol
 
 import h11
 
 from .input_backlog import InputBacklog
+from .loop_lag import turn_times
 
 log = logging.getLogger(__name__)
 
@@ -67,6 +69,8 @@
     deferred, and the connection takes its turn with all others that have deferred input.
     """
 
+    kind: ClassVar[str] = "peer"  # what the peer is to the agent, for the metrics and the log
+
     def __init__(self, role: type[h11.CLIENT] | type[h11.SERVER] = h11.CLIENT) -> None:
         self.http = h11.Connection(role, max_incomplete_event_size=HEADER_LIMIT)
         self.transport: asyncio.Transport | None = None
@@ -76,6 +80,7 @@
         self.closed = False
         self.discards_input = False  # further input is ignored
         self._backlog = InputBacklog.of_running_loop()
+        self._turn_times = turn_times(asyncio.get_running_loop())
         self.read_filled_buffer = False  # the latest read may have left input in the kernel
         self._input_deferred = False  # input has been read that waits for its turn
         self._deferred_bytes = 0  # of that input, as counted in the backlog
@@ -117,7 +122,9 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         self.read_filled_buffer = nbytes in (READ_BYTES, SMALL_READ_BYTES)
+        started = monotonic()
         self.data_received(bytes(_read_buffer[:nbytes]))
+        self.record_work("a read", started)
 
     def data_received(self, data: bytes) -> None:
         if not self._input_deferred:
@@ -146,6 +153,15 @@
 
     # For subclasses and users
 
+    def record_work(self, name: str, started: float) -> None:
+        """Record that this input has been processed since `started`, a time of time.monotonic."""
+        self._turn_times.record_work(self, name, monotonic() - started)
+
+    def address(self) -> str:
+        """The peer's address, for the log; empty if it is not known any more."""
+        peername = None if self.transport is None else self.transport.get_extra_info("peername")
+        return "" if peername is None else f"{peername[0]}:{peername[1]}"
+
     def send(self, *events: h11.Event) -> None:
         """Serialise these events and write them in one call."""
         self.transmit(b"".join(self.http.send(e) or b"" for e in events))
@@ -208,11 +224,13 @@
 
     def process_deferred_input(self) -> None:
         """Process as much of the deferred input as one turn may take."""
+        started = monotonic()
         self._input_deferred = self._input_full = False
         self._update_reading()
         self._feed(None)
         if not self._input_deferred:
             self._count_deferred_bytes(0)
+        self.record_work("deferred input", started)
         if self._end_deferred and not self._input_deferred:
             self._end_deferred = False
             self._end_after_input()
--- a/burlshift/agent/discovery.py
+++ b/burlshift/agent/discovery.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable
 from functools import partial
+from time import monotonic
 from urllib.parse import quote
 
 import h11
@@ -146,7 +147,9 @@
                     continue
                 self._rotation.failures = 0
                 if accepted and (listing.members or listing.complete):
+                    started = monotonic()
                     _deliver(on_listing, listing)
+                    call.record_work("taking over a list", started)
                 if self._rotation.should_leave(call.age_s, asyncio.get_running_loop().time()):
                     log.info("the list is %d s old; trying the next discovery address", call.age_s)
                     call.drop()
@@ -307,7 +310,9 @@
             held_s = loop.time() - called_at
             if target != PATH and held_s > MAX_UNHELD_S:
                 self.parser.starts.record_held_call(held_s)
+            started = monotonic()
             listing = self.parser.parse(json.loads(answer))
+            call.record_work("parsing a list", started)
         if not self._is_older(listing):
             self.parser.starts.record_list_age(call.age_s)
             last_answer_at = loop.time() - call.age_s
--- a/burlshift/agent/discovery_call.py
+++ b/burlshift/agent/discovery_call.py
@@ -17,6 +17,8 @@
 class DiscoveryCall(Connection):
     """A connection to discovery that carries one call at a time, and several in succession."""
 
+    kind = "discovery"
+
     def __init__(self) -> None:
         super().__init__()
         self._answer: asyncio.Future[bytes] | None = None
--- a/burlshift/agent/downstream_response.py
+++ b/burlshift/agent/downstream_response.py
@@ -34,6 +34,7 @@
 class ResponseConnection(Connection):
     """The writing half of a downstream connection: one response to each request, in the order of requests."""
 
+    kind = "client"
     _server: AnsweringServer
 
     def __init__(self) -> None:
--- a/burlshift/agent/metrics.py
+++ b/burlshift/agent/metrics.py
@@ -19,6 +19,7 @@
     list_age_ms: int  # since the latest answer of discovery; -1: none yet
     members_unlisted: int | None = None  # backends kept though a full list lacks them; None: never kept
     peers: Mapping[str, tuple[int, str]] | None = None  # by name: value, and `c` for a counter or `g`
+    loop: Mapping[str, tuple[int, str]] | None = None  # likewise, of the event loop's turns
 
 
 class Metrics:
@@ -63,6 +64,6 @@
         ]
         if levels.members_unlisted is not None:
             lines.append(f"{PREFIX}.members_unlisted:{levels.members_unlisted}|g")
-        for name, (value, kind) in (levels.peers or {}).items():
+        for name, (value, kind) in {**(levels.peers or {}), **(levels.loop or {})}.items():
             lines.append(f"{PREFIX}.{name}:{value}|{kind}")
         return "".join(f"{line}\n" for line in lines)
--- a/burlshift/agent/upstream_connection.py
+++ b/burlshift/agent/upstream_connection.py
@@ -35,6 +35,8 @@
 class PooledConnection(Connection):
     """A connection to a backend; idle, or used by one exchange."""
 
+    kind = "server"
+
     def __init__(self, member: Member, discard: Callable[[PooledConnection], None]) -> None:
         super().__init__()
         self.member, self._discard = member, discard
