--- a/burlshift/agent/connection.py
+++ b/burlshift/agent/connection.py
@@ -14,6 +14,7 @@
 
 import h11
 
+from .buffered_input import buffered_length
 from .input_backlog import InputBacklog
 from .loop_lag import turn_times
 
@@ -211,7 +212,7 @@
     def _limit_deferred_input(self) -> None:
         """Stop reading beyond DEFERRED_INPUT_LIMIT_BYTES, or at the limit of all connections. Deferred input
         waits for the agent alone, so that reading goes on soon and shows whether the peer has left."""
-        length = len(self.http.trailing_data[0])
+        length = buffered_length(self.http)
         self._count_deferred_bytes(length)
         if not self._input_full and (length > DEFERRED_INPUT_LIMIT_BYTES or self._backlog.is_full):
             self._input_full = True
--- a/burlshift/agent/connection_pool.py
+++ b/burlshift/agent/connection_pool.py
@@ -10,6 +10,7 @@
 
 from burlshift.balancing.interface import Backend, BackendId, Outcome, State
 
+from .buffered_input import buffered_length
 from .clock import Clock
 from .connector import connect
 from .exchange import Exchange
@@ -261,9 +262,9 @@
         complete = http.our_state is h11.DONE and http.their_state is h11.DONE
         member = connection.member
         listed = member.same_process(self.ready_member(member.backend.id))
-        if listed and complete and http.trailing_data[0]:  # a duplicate response, without delay
+        if listed and complete and buffered_length(http):  # a duplicate response, without delay
             self._quiet_periods.record_unsolicited(member.backend.id, 0)
-        if connection.closed or not complete or not connection.written or http.trailing_data[0] or not listed:
+        if connection.closed or not complete or not connection.written or buffered_length(http) or not listed:
             return self._discard(connection)
         http.start_next_cycle()
         connection.answered = True
--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -8,6 +8,7 @@
 import h11
 
 from .blank_lines import BlankLines
+from .buffered_input import buffered_bytes, buffered_length
 from .connection import HEADER_LIMIT, Fields, Headers, fields_of, header
 from .downstream_request import DownstreamRequest, Rejected, RequestHandler, ResponseWriter
 from .downstream_response import AnsweringServer, ResponseConnection
@@ -75,7 +76,7 @@
         return (
             self._downstream_request is None
             and self.http.their_state is h11.IDLE
-            and not self.http.trailing_data[0]
+            and not buffered_length(self.http)
         )
 
     @property
@@ -170,7 +171,7 @@
         """Raise RemoteProtocolError for two things that h11 accepts and other parsers read differently: a
         line that ends in a bare line feed, and a folded line. Either can hide the length of a body, whose
         content would then be taken for requests (request smuggling)."""
-        if self.http.their_state is h11.IDLE and has_ambiguous_head(self.http.trailing_data[0]):
+        if self.http.their_state is h11.IDLE and has_ambiguous_head(buffered_bytes(self.http)):
             raise h11.RemoteProtocolError("bare line feed or folded line in the head")
 
     def _feed(self, data: bytes | None) -> None:
@@ -186,9 +187,9 @@
             return
         # Bytes behind a pipelined request must not change its time: it may have been complete before them.
         waits_its_turn = self._input_deferred and self.http.their_state is not h11.SEND_BODY
-        if not (waits_its_turn or (self._awaiting_response and self.http.trailing_data[0])):
+        if not (waits_its_turn or (self._awaiting_response and buffered_length(self.http))):
             self._sent_time.on_read(self.read_filled_buffer)
-        if not self._input_deferred and self.http.their_state is h11.IDLE and not self.http.trailing_data[0]:
+        if self.has_read_nothing:
             data = self._strip_blank_lines(data)
             if not data:
                 return
@@ -204,7 +205,7 @@
         """
         if not self._awaiting_response:
             return False
-        too_much = len(self.http.trailing_data[0]) + len(data) > PIPELINE_LIMIT_BYTES
+        too_much = buffered_length(self.http) + len(data) > PIPELINE_LIMIT_BYTES
         self._pipeline_overflowed = (
             self._pipeline_overflowed or too_much or self.http.their_state is h11.MUST_CLOSE
         )
@@ -426,10 +427,9 @@
         self._blank_lines.next_request()
         self._server.on_capacity_freed()
         super().resume()  # no effect where it was not paused
-        pipelined = self.http.trailing_data[0]
-        if pipelined.startswith(b"\r"):
-            pipelined = self._strip_pipelined_blank_lines(pipelined)
-        if pipelined:
+        if buffered_bytes(self.http).startswith(b"\r"):
+            self._strip_pipelined_blank_lines()
+        if buffered_length(self.http) and not self.discards_input:
             self.defer_input()
 
     def _request_turn(self) -> None:
@@ -457,12 +457,13 @@
             self._on_malformed(error)
             return b""
 
-    def _strip_pipelined_blank_lines(self, pipelined: bytes) -> bytes:
-        """The pipelined input without the empty lines in front, which h11 would take for a malformed
+    def _strip_pipelined_blank_lines(self) -> None:
+        """Remove the empty lines in front of the pipelined input, which h11 would take for a malformed
         request."""
+        pipelined = bytes(buffered_bytes(self.http))
         rest = self._strip_blank_lines(pipelined)
-        if rest != pipelined and not self.discards_input:
-            self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
-            if rest:
-                self.http.receive_data(rest)
-        return rest
+        if len(rest) == len(pipelined) or self.discards_input:
+            return
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
+        if rest:
+            self.http.receive_data(rest)
--- a/burlshift/agent/downstream_response.py
+++ b/burlshift/agent/downstream_response.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from .buffered_input import buffered_length
 from .connection import Connection, Headers
 from .downstream_request import DownstreamRequest, Source
 from .request_deadline import RequestDeadline
@@ -173,7 +174,7 @@
 
     def _connection_header(self, close: bool = False) -> Headers:
         # Requests that have been read already behind this one are answered too.
-        is_last = self._server.closing and not self.http.trailing_data[0]
+        is_last = self._server.closing and not buffered_length(self.http)
         is_last = is_last or close or self._pipeline_overflowed or not self._request_complete()
         return [(b"Connection", b"close")] if is_last else []
 
--- a/burlshift/agent/request_parser.py
+++ b/burlshift/agent/request_parser.py
@@ -107,7 +107,7 @@
     return int(text) if text and text.isascii() and text.isdigit() and len(text) < NUMBER_LENGTH_LIMIT else 0
 
 
-def has_ambiguous_head(data: bytes) -> bool:
+def has_ambiguous_head(data: bytes | bytearray) -> bool:
     """Whether the data holds a complete head in which a line ends in a bare line feed, or is folded. Counting
     the line ends takes a third of the time of a regular expression."""
     end = HEAD_END_PATTERN.search(data)
