Partly received requests are bounded for all clients together; the longest silent ones are shed

Change: the server counts what is held for partly received requests. Over an eighth of memory_mb those that have been silent for longest get a 503, with Retry-After where allowed, and a close. What is held of a request that is not read to its end is freed at once, not with its connection.

--- a/burlshift/agent/__main__.py
+++ b/burlshift/agent/__main__.py
@@ -104,6 +104,7 @@
         loop.add_signal_handler(signal_number, stop.set)
     metrics = Metrics([c.name for c in config.settings.classes])
     agent, server = assemble(config, clock, metrics)
+    server.limit_by_memory(config.memory_bytes)
     if config.peers is not None:
         agent.peers = Peers(config.peers, clock, Random(config.seed + 1).random)
     commands = AdminCommands(agent, server, metrics, partial(max_connections, config.sockets))
--- a/burlshift/agent/buffered_input.py
+++ b/burlshift/agent/buffered_input.py
@@ -17,3 +17,8 @@
 def buffered_bytes(http: h11.Connection) -> bytearray:
     """The bytes received and not parsed. They must not be changed, or kept until h11 goes on."""
     return http._receive_buffer._data
+
+
+def discard_buffered(http: h11.Connection) -> None:
+    """Free the bytes received and not parsed, on a connection whose further input is ignored."""
+    http._receive_buffer._data.clear()
--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -8,7 +8,7 @@
 import h11
 
 from .blank_lines import BlankLines
-from .buffered_input import buffered_bytes, buffered_length
+from .buffered_input import buffered_bytes, buffered_length, discard_buffered
 from .connection import HEADER_LIMIT, Fields, Headers, fields_of, header
 from .downstream_request import DownstreamRequest, Rejected, RequestHandler, ResponseWriter
 from .downstream_response import AnsweringServer, ResponseConnection
@@ -49,8 +49,8 @@
     ) -> DownstreamRequest:
         """Build the request from a complete head and a body that may still be arriving. Raises Rejected."""
 
-    def refusal(self) -> Rejected:
-        """The error for a request that comes too late while clients are sent away."""
+    def count_partial_bytes(self, change: int) -> None:
+        """The bytes held for partly received requests have grown by this number; negative: shrunk."""
 
     def on_capacity_freed(self) -> None:
         """A connection has ended or become idle, so another client can be accepted."""
@@ -65,6 +65,7 @@
         self._fields: Fields = {}  # the headers of the request
         self._body_buffer = bytearray()  # body bytes that have been read but not passed on
         self._head_checked = False  # before the body was complete
+        self.partial_bytes = 0  # held for a partly received request
         self._blank_lines = BlankLines()
         self._upload: Upload | None = None  # a body that is streamed
         self._last_piece_timer: asyncio.TimerHandle | None = None  # set while the last piece is held back
@@ -132,6 +133,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the server that it has capacity for another client."""
         self.discards_input = True  # also what has been read and waits for its turn
+        self._discard_partial_request()
         super().connection_lost(exc)
         self._deadline.stop()
         self._server.connections.discard(self)
@@ -178,6 +180,23 @@
         super()._feed(data)
         if self.has_partial_request:
             self._deadline.start(self._on_deadline)
+            self._count_partial_bytes(buffered_length(self.http) + len(self._body_buffer))
+        elif self.partial_bytes:
+            self._count_partial_bytes(0)
+
+    def _count_partial_bytes(self, held_bytes: int) -> None:
+        change, self.partial_bytes = held_bytes - self.partial_bytes, held_bytes
+        self._server.count_partial_bytes(change)
+
+    def _linger(self) -> None:
+        super()._linger()
+        self._discard_partial_request()
+
+    def _discard_partial_request(self) -> None:
+        """Free what is held of a request that will not be read to its end."""
+        self._body_buffer = bytearray()
+        discard_buffered(self.http)
+        self._count_partial_bytes(0)
 
     def data_received(self, data: bytes) -> None:
         """Note the time of the bytes and pass them to h11, except blank lines and pipelined bytes beyond the
@@ -401,10 +420,9 @@
         close = self._server.closing and status < 500
         self._respond(status, headers or [], f"{reason}\n".encode(), close)
 
-    def refuse_unfinished(self) -> None:
-        """Refuse a partly received request, which comes too late to be served. The backend of a streamed one
-        does not get its last byte, so it does not run."""
-        refusal = self._server.refusal()
+    def refuse_unfinished(self, refusal: Rejected) -> None:
+        """Refuse a partly received request. The backend of a streamed one does not get its last byte, so it
+        does not run."""
         if self._downstream_request is not None:
             self._server.handler.refuse(self._downstream_request, refusal)
         else:
--- a/burlshift/agent/server.py
+++ b/burlshift/agent/server.py
@@ -27,6 +27,8 @@
 BACKLOG = 512
 EXTRA_CONNECTIONS = 32  # allowed beyond the limit while none is idle; half of the reserved descriptors
 SHUTDOWN_RETRY_AFTER_US = 500_000  # by then another process serves, or will soon
+PARTIAL_LIMIT_BYTES = 4 * 1024 * 1024  # held for partly received requests of all clients
+PARTIAL_MEMORY_SHARE = 1 / 8  # of the process's memory limit that they may take instead
 
 
 def _existing_protocol(client: DownstreamConnection) -> DownstreamConnection:
@@ -70,6 +72,8 @@
         )
         self.connections: set[DownstreamConnection] = set()
         self.drain = Drain(self)
+        self._partial_bytes = 0  # held for partly received requests
+        self._partial_limit_bytes = PARTIAL_LIMIT_BYTES
         self.listener: socket.socket | None = None
         self._accepting = False
         self._shared = False  # another process accepts from the same address
@@ -105,9 +109,27 @@
             raise self.refusal()
         return call
 
-    def refusal(self) -> Rejected:
-        """The error for a request that comes too late while clients are sent away."""
-        return Rejected(503, "shutting down", retry_after(self._shutdown_retry_after_us))
+    def refusal(self, reason: str = "shutting down") -> Rejected:
+        """The error for a request that is refused before it is whole, or while clients are sent away."""
+        return Rejected(503, reason, retry_after(self._shutdown_retry_after_us))
+
+    def limit_by_memory(self, memory_bytes: int) -> None:
+        """Set the limit of what is held for partly received requests, in a process with this much memory."""
+        self._partial_limit_bytes = int(memory_bytes * PARTIAL_MEMORY_SHARE)
+
+    def count_partial_bytes(self, change: int) -> None:
+        """The bytes held for partly received requests have grown by this number; negative: shrunk.
+        At the limit those that have been silent for longest are refused."""
+        self._partial_bytes += change
+        if change > 0 and self._partial_bytes > self._partial_limit_bytes:
+            asyncio.get_running_loop().call_soon(self._shed_partial_requests)
+
+    def _shed_partial_requests(self) -> None:
+        partial = [c for c in self.connections if c.partial_bytes and c.has_partial_request]
+        for client in sorted(partial, key=lambda c: c.last_read_at):
+            if self._partial_bytes <= self._partial_limit_bytes:
+                return
+            client.refuse_unfinished(self.refusal("too many unfinished requests"))
 
     async def listen(self, address: Address, shared: bool = False) -> int:
         """Listen on the address and return the port, which the kernel chooses if it is 0. With `shared`,
@@ -219,7 +241,7 @@
     def refuse_unfinished(self) -> None:
         """Answer partly received requests with an error: they come too late to be served."""
         for client in [c for c in self.connections if c.has_unfinished_request]:
-            client.refuse_unfinished()
+            client.refuse_unfinished(self.refusal())
 
     def stop(self) -> None:
         """Close everything at once. Nothing is read from here on: the client of an unread request retries
--- a/tests/test_hostile_streams.py
+++ b/tests/test_hostile_streams.py
@@ -84,8 +84,8 @@
     ) -> DownstreamRequest:
         return self.parser.check(request, fields, body, client)
 
-    def refusal(self) -> Rejected:
-        return Rejected(503, "shutting down")
+    def count_partial_bytes(self, change: int) -> None:
+        pass
 
     def on_capacity_freed(self) -> None:
         pass
