--- a/tests/test_large_responses_without_length.py
+++ b/tests/test_large_responses_without_length.py
@@ -83,6 +83,14 @@
         rest = rest[int(size, 16) + 2 :]
 
 
+async def assert_passed_on_whole(harness: AgentHarness, client: RawClient, response: LargeResponse) -> None:
+    """The response begins before its rest is sent, and reaches the client whole."""
+    await wait_until_streamed(harness)
+    await response.finish()
+    assert decoded_body(await client.read_to_end()) == BODY
+    client.close()
+
+
 async def last_request(harness: AgentHarness, timeout_ms: str) -> RawClient:
     client = await harness.raw_client()
     await client.send(post(UNSAFE, timeout_ms=timeout_ms, Connection="close"))
@@ -100,10 +108,7 @@
         async with running_agent(tmp_path) as harness:
             client = await last_request(harness, timeout_ms="1000")
             response = await buffered_response(harness, framing)
-            await wait_until_streamed(harness)
-            await response.finish()
-            assert decoded_body(await client.read_to_end()) == BODY
-            client.close()
+            await assert_passed_on_whole(harness, client, response)
 
     asyncio.run(run())
 
@@ -122,10 +127,7 @@
             response = LargeResponse(await harness.request(), framing)
             await response.start()
             await response.send(FIRST_PART)
-            await wait_until_streamed(harness)
-            await response.finish()
-            assert decoded_body(await client.read_to_end()) == BODY
-            client.close()
+            await assert_passed_on_whole(harness, client, response)
 
     asyncio.run(run())
 
@@ -142,10 +144,7 @@
             client = await last_request(harness, timeout_ms="30000")
             response = await buffered_response(harness, framing)
             stopping = asyncio.create_task(harness.server.drain.run(IMMEDIATE))
-            await wait_until_streamed(harness)
-            await response.finish()
-            assert decoded_body(await client.read_to_end()) == BODY
-            client.close()
+            await assert_passed_on_whole(harness, client, response)
             await stopping
 
     asyncio.run(run())
