--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -12,8 +12,8 @@
 import pytest
 
 from burlshift.agent import exchange as exchange_module
-from burlshift.agent import sent_time
 from burlshift.agent.clock import Clock
+from burlshift.agent.connection import Connection
 from burlshift.agent.connection_pool import UpstreamConnectionPool
 from tests.loopback import KEYED, UNSAFE, AgentHarness, Message, hold_connects, post, running_agent
 
@@ -202,7 +202,9 @@
 def test_request_behind_a_large_one_has_its_own_sent_time(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(sent_time, "READ_BYTES", 1)  # no read shows that all waiting input was read
+    # No read shows that all waiting input was read.
+    every_read = property(lambda _connection: True, lambda _connection, _filled: None)
+    monkeypatch.setattr(Connection, "read_filled_buffer", every_read, raising=False)
 
     async def run() -> None:
         async with running_agent(tmp_path) as harness:
