--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,8 +1,9 @@
-"""Discovery is slow: a watch is given up while its answer is due; draining servers keep getting requests."""
+"""New configurations in quick succession while agents are restarted: SIGHUP kills agents that start."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
@@ -10,60 +11,83 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from rig_2 import (
-    ANSWER_SLACK_S,
-    DRAIN_GRACE_S,
+    READY_S,
     TROUBLE,
-    Client,
+    Agent,
+    CouldNotRunError,
     Discovery,
     MeterServer,
     Stage,
     agent_config,
     play,
-    send_steadily,
+    settings,
 )
 
-SLOW_S = 4.0  # each answer of discovery is written so much later than it is due
-TOLD_S = 6.0  # a change counts as told so long after discovery had it, at the latest
-CHANGE_AFTER_WATCH_S = 1.3
-SERVERS, DRAINING, PER_S, LENGTH_S = 9, 2, 60.0, 28.0
+AGENTS, SERVERS = 4, 9
+CONFIGURATION_S = 0.2  # between two new configurations
+END_S = 6.0 + 0.7  # SIGKILL follows SIGTERM no sooner than this, whatever the longest deadline is
 
 
-async def next_watch(discovery: Discovery) -> None:
-    """Wait until the agent calls for the next watch."""
-    seen = discovery.last_watch_at
-    while discovery.last_watch_at == seen:
-        await asyncio.sleep(0.01)
+async def restart(stage: Stage, agent: Agent) -> str:
+    """Restart an agent in order; returns how the new process ended, if it did so before it was ready."""
+    agent.signal(signal.SIGTERM)
+    deadline = time.monotonic() + END_S
+    while agent.exit_status() is None and time.monotonic() < deadline:
+        await asyncio.sleep(0.02)
+    stage.record.note(f"platform: {agent.name} has ended, status {agent.exit_status()}")
+    agent.end()
+    agent.start()
+    started_at = time.monotonic()
+    try:
+        await agent.ready()
+    except CouldNotRunError:
+        status = agent.exit_status()
+        if status is None:
+            return f"{agent.name} is not ready {READY_S:.0f} s after its start"
+        end = signal.Signals(-status).name if status < 0 else f"status {status}"
+        return f"{agent.name} ended by {end}, {time.monotonic() - started_at:.3f} s after its start"
+    return ""
 
 
 async def case(stage: Stage) -> list[str]:
     servers = [MeterServer(f"s{n}", stage.record) for n in range(SERVERS)]
-    discovery = Discovery(stage.record, servers)
-    await stage.open(*servers, discovery)
-    agent = await stage.start_agent(agent_config(discovery.address, discovery.document(None)))
-    client = Client(agent.address, stage.record)
-    asking = asyncio.create_task(
-        send_steadily(PER_S, LENGTH_S, lambda _: client.ask("reading-view", 1.5)),
-    )
-    await asyncio.sleep(1.0)
-    if TROUBLE:
-        stage.record.note(f"discovery is slow: each answer {SLOW_S} s late")
-        discovery.answer_delay_s = SLOW_S
-    for _ in range(2):
-        await next_watch(discovery)
-    await asyncio.sleep(CHANGE_AFTER_WATCH_S)
-    draining = servers[:DRAINING]
-    changed_at = discovery.change(draining, "DRAINING")
-    asked = await asking
-    if time.monotonic() < changed_at + TOLD_S + DRAIN_GRACE_S + 3.0:
-        raise RuntimeError("too little was played behind the change")
-    bound_s = TOLD_S + DRAIN_GRACE_S + ANSWER_SLACK_S
-    runs = [(run.server, run.request_id, run.at - changed_at) for s in draining for run in s.runs]
-    late = [run for run in runs if run[2] > bound_s]
-    stage.record.note(
-        f"{len(asked)} requests; the last one at a draining server {max(r[2] for r in runs):.3f} s after the "
-        f"change, {len(late)} after {bound_s:.2f} s"
-    )
-    return [f"{server} got {name} {after_s:.3f} s after the change" for server, name, after_s in late]
+    discoveries = [Discovery(stage.record, servers) for _ in range(2)]
+    await stage.open(*servers, *discoveries)
+    for number in range(AGENTS):
+        config = agent_config(discoveries[0].address, discoveries[0].document(None))
+        config["settings"] = {**settings(AGENTS), "me": number}
+        await stage.start_agent(config, f"n{number + 1}")
+    restarting = True
+
+    async def configure() -> None:
+        """Move discovery to and fro: write each agent's file, and send SIGHUP to each agent that runs."""
+        moves = 0
+        while restarting:
+            await asyncio.sleep(CONFIGURATION_S)
+            moves += 1
+            for agent in stage.agents:
+                agent.config["discovery"] = discoveries[moves % 2].address
+                agent.write_config()
+                if agent.exit_status() is None:
+                    agent.signal(signal.SIGHUP)
+
+    configuring = asyncio.create_task(configure()) if TROUBLE else None
+    broken = []
+    for agent in list(stage.agents):
+        if end := await restart(stage, agent):
+            broken.append(end)
+    restarting = False
+    if configuring is not None:
+        await configuring
+    for agent in stage.agents:
+        status = agent.exit_status()
+        stage.record.note(
+            f"{agent.name} {'serves' if status is None else f'has ended, status {status}'} at the end"
+        )
+        if status is not None and not any(line.startswith(agent.name) for line in broken):
+            broken.append(f"{agent.name} ended, status {status}")
+    stage.record.note(f"{len(stage.agents)} agents restarted, {len(broken)} of them crashed")
+    return broken
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -19,7 +19,7 @@
     send_steadily,
 )
 
-BAD_CLIENTS, BAD_S = 80, 10.0  # once a second each; a third of the descriptors would be 341
+BAD_CLIENTS, BAD_S = 60, 10.0  # once a second each; a third of the descriptors would be 341
 SERVERS, PER_S, LENGTH_S = 9, 20.0, 12.0
 BAD_CLIENTS_FILE = Path(__file__).resolve().parent.parent / "bad_clients.py"
 
@@ -38,9 +38,13 @@
     lost = lost_requests(asked)
     stage.record.note(
         f"{len(asked)} requests, {sum(a.status == 200 for a in asked)} served, {len(lost)} lost, of these "
-        f"{sum(not a.status for a in lost)} never answered; the latest end "
-        f"{max(a.late_s() for a in asked):.3f} s after its time"
+        f"{sum(not a.status for a in lost)} never answered; the latest answer came "
+        f"{max((a.late_s() for a in asked if a.status), default=0.0):.3f} s after its time; "
+        f"{sum(not a.sent_at for a in asked)} not accepted"
     )
+    for line in agent.log_path.read_text().splitlines():
+        if "turn of the event loop" in line:
+            stage.record.note(f"log of the agent: {line.partition(': ')[2] or line}")
     broken = [f"{a.request_id}: {a.status or a.end}, {a.late_s():.3f} s after its time" for a in lost]
     if agent.exit_status() is not None:
         broken.append(f"the agent ended, status {agent.exit_status()}")
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -5,15 +5,18 @@
 
 import asyncio
 import contextlib
+import fcntl
 import itertools
 import json
 import os
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
+import termios
 import time
 import tomllib
 from collections.abc import Awaitable, Callable, Coroutine
@@ -355,6 +358,12 @@
     return "\r\n".join([*fields, "", ""]).encode() + body
 
 
+def unacknowledged_bytes(writer: asyncio.StreamWriter) -> int:
+    """How much of what was sent the other machine has not acknowledged: nothing of an accepted request."""
+    sock = writer.get_extra_info("socket")
+    return int(struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)))[0])
+
+
 class Client:
     """An application's connections to its agent: one request at a time on each, more are opened when all are
     busy. A request that crosses the agent's close, unread, is sent one more time on a new connection."""
@@ -415,6 +424,9 @@
                 message = await read_message(reader)
             return message, "closed"
         except TimeoutError:
+            if unacknowledged_bytes(writer):
+                asked.sent_at = 0.0
+                return None, "not accepted by the agent's machine"
             return None, "no answer"
         except OSError as error:
             return None, f"closed: {error}"
@@ -462,7 +474,10 @@
         return self.folder / f"{self.name}.log"
 
     def write_config(self) -> None:
-        self.config_path.write_text(json.dumps(self.config))
+        """Write its file anew, whole at every moment."""
+        new_path = self.config_path.with_suffix(".new")
+        new_path.write_text(json.dumps(self.config))
+        new_path.replace(self.config_path)
 
     def start(self) -> None:
         self.write_config()
