--- a/review/bad_clients.py
+++ b/review/bad_clients.py
@@ -1,9 +1,11 @@
-"""Bad clients as a process of their own: they send one large head each, and stay or go.
+"""Bad clients as a process of their own.
 
 `bad_clients.py ADDRESS stay COUNT SECONDS`: within that time that many clients connect one after the other;
 each sends an improper request, gets its error, and rests on its connection until this process is ended.
 `bad_clients.py ADDRESS go COUNT SECONDS`: that many clients, once a second each, connect, send such a request
 and close at once.
+`bad_clients.py ADDRESS stop COUNT SECONDS`: for that time that many clients connect, stop within the head of
+a request and stay until the agent ends the connection; then they come back at once.
 """
 
 from __future__ import annotations
@@ -53,6 +55,18 @@
                 writer.close()
 
 
+async def stop(host: str, port: int, length_s: float) -> None:
+    while (left_s := _started + length_s - time.monotonic()) > 0:
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(left_s):
+                reader, writer = await asyncio.open_connection(host, port)
+                writer.write(b"GET /api HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: 0")
+                while await reader.read(65536):
+                    pass
+                writer.close()
+        await asyncio.sleep(0.01)
+
+
 _started = time.monotonic()
 
 
@@ -60,6 +74,8 @@
     host, port = address.split(":")
     if what == "stay":
         clients = [stay(host, int(port), n * length_s / count) for n in range(count)]
+    elif what == "stop":
+        clients = [stop(host, int(port), length_s) for _ in range(count)]
     else:
         clients = [go(host, int(port), n / count, length_s) for n in range(count)]
     await asyncio.gather(*clients, return_exceptions=True)
