--- a/review/6/case.py
+++ b/review/6/case.py
@@ -21,8 +21,8 @@
     send_steadily,
 )
 
-MEMORY_MB, SOCKETS = 64, 1024
-BAD_CLIENTS, CONNECT_S = 100, 20.0  # a third of the descriptors would be 341
+MEMORY_MB, SOCKETS = 64, 256
+BAD_CLIENTS, CONNECT_S = 80, 20.0
 SERVERS, PER_S, LENGTH_S = 9, 20.0, 25.0
 BAD_CLIENTS_FILE = Path(__file__).resolve().parent.parent / "bad_clients.py"
 
