--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -27,6 +27,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 READY_S = 30.0  # an agent that takes longer has not started
+CONNECT_S = 10.0  # a client that gets no connection within this sends nothing
 ANSWER_SLACK_S = 0.05  # every time limit on sockets is longer by this
 EARNS_NOTHING_S = 0.5  # an answer up to this late earns nothing; a later one is lost
 DRAIN_GRACE_S = 1.0
@@ -384,9 +385,10 @@
         for again in (False, True):
             reused = bool(self._free) and not again
             try:
-                reader, writer = (
-                    self._free.pop() if reused else await asyncio.open_connection(self._host, self._port)
-                )
+                async with asyncio.timeout(CONNECT_S):
+                    reader, writer = (
+                        self._free.pop() if reused else await asyncio.open_connection(self._host, self._port)
+                    )
             except OSError as error:
                 asked.end, asked.ended_at = f"no connection: {error}", time.monotonic()
                 break
