--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -648,6 +648,7 @@
 def play(case_file: str, case: Callable[[Stage], Awaitable[list[str]]]) -> None:
     """Run a case: `case` returns what broke the rule. Exits with BROKEN_STATUS if anything did, 0 if not, and
     otherwise if it could not be played; run.sh makes 1, 0 and 2 of that."""
+    signal.signal(signal.SIGTERM, _end_on_signal)
     record = Record(Path(case_file).resolve().parent / "record.txt")
     record.note(f"the case begins, TROUBLE={int(TROUBLE)}")
     folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -666,6 +667,12 @@
     sys.exit(BROKEN_STATUS if broken else 0)
 
 
+def _end_on_signal(number: int, _frame: object) -> None:
+    """Leave the event loop, which ends all that was started on its way out."""
+    sys.unraisablehook = lambda _: None  # of streams that are still open as the loop is closed
+    sys.exit(f"ended by {signal.Signals(number).name}")
+
+
 async def _staged(stage: Stage, case: Callable[[Stage], Awaitable[list[str]]]) -> list[str]:
     try:
         async with asyncio.timeout(110):
