--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,6 +11,7 @@
 from rig_2 import (
     TROUBLE,
     Client,
+    CouldNotRunError,
     Discovery,
     Memory,
     MeterServer,
@@ -41,6 +42,8 @@
     client = Client(agent.address, stage.record)
     asked = await send_steadily(PER_S, LENGTH_S, lambda _: client.ask("reading-view", 1.5))
     watching.cancel()
+    if not memory.peak_bytes:
+        raise CouldNotRunError("the memory of the agent cannot be read")
     lost = lost_requests(asked)
     stage.record.note(
         f"peak {memory.peak_bytes / 2**20:.1f} MB of {MEMORY_MB} MB; {len(asked)} requests, "
