Clients that stop within a request make way, and none waits long in the backlog

Change: who has been silent for 0.5 s and never sent a proper request makes way first, within a request too (503); connections that have carried proper requests make way only while they are most. After 0.25 s of waiting a client takes the place of one that has sent nothing, or gets a 503. A request's time counts from when its client may have begun to wait. test_floods sets the new wait aside, since it is about the pause.

--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -41,6 +41,10 @@
     def connections(self) -> set[DownstreamConnection]:
         """The open connections, including this one."""
 
+    @property
+    def waiting_since(self) -> float | None:
+        """The loop's time since which a client that is accepted now may have waited; None if it has not."""
+
     def is_ready(self) -> bool:
         """Whether the agent accepts new clients, as the health check reports it."""
 
@@ -69,7 +73,8 @@
         self._blank_lines = BlankLines()
         self._upload: Upload | None = None  # a body that is streamed
         self._last_piece_timer: asyncio.TimerHandle | None = None  # set while the last piece is held back
-        self._sent_time = SentTime(self._loop)
+        self._sent_time = SentTime(self._loop, server.waiting_since)
+        self.has_sent_request = False  # a proper request has been received
 
     @property
     def has_read_nothing(self) -> bool:
@@ -86,6 +91,16 @@
         written."""
         return self.has_read_nothing and self.written and not self.discards_input and self.has_no_input()
 
+    @property
+    def awaits_client(self) -> bool:
+        """Whether only the client can continue: the connection is idle, the rest of a request has not
+        arrived, or the client has to close after the last response."""
+        if self.discards_input:
+            return self.written
+        if self._input_deferred or (self._upload is not None and self._upload.paused):
+            return False
+        return self.idle or (self.has_unfinished_request and self.has_no_input())
+
     @property
     def is_new(self) -> bool:
         """Whether it was accepted less than FIRST_REQUEST_S ago: a client connects because it has a request
@@ -362,6 +377,7 @@
         if self._path() == HEALTH_PATH:
             return self._respond(200 if self._server.is_ready() else 503, [], b"")
         self._downstream_request = self._check(bytes(self._body_buffer))
+        self.has_sent_request = True
         self._body_buffer = bytearray()
         self._server.handler.accept_request(self._downstream_request)
 
@@ -379,6 +395,7 @@
 
     def _complete_upload(self) -> None:
         """The last piece of a streamed body has been read."""
+        self.has_sent_request = True
         self._forward_last_piece(self._loop.time() + LAST_PIECE_WAIT_S)
 
     def _forward_last_piece(self, deadline: float) -> None:
@@ -428,6 +445,15 @@
         else:
             self._abort_request(refusal.status, str(refusal), refusal.headers)
 
+    def make_way(self, refusal: Rejected) -> None:
+        """Close now, for another client; a partly received request is refused, and so is a first one that may
+        be on its way."""
+        if self.has_unfinished_request:
+            self.refuse_unfinished(refusal)
+        elif self.has_read_nothing and not self.has_sent_request and not self.discards_input:
+            self.transmit(refusal.response())
+        self.abort()
+
     def _release_call(self) -> None:
         super()._release_call()
         self._upload = None
--- a/burlshift/agent/downstream_request.py
+++ b/burlshift/agent/downstream_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Protocol
 
 from .connection import Headers
@@ -107,6 +108,18 @@
         super().__init__(reason)
         self.status, self.headers = status, headers or []
 
+    def response(self) -> bytes:
+        """The response, as the last one of a connection."""
+        body = f"{self}\n".encode()
+        fields = [*self.headers, (b"Content-Length", b"%d" % len(body)), (b"Connection", b"close")]
+        head = b"".join(b"%s: %s\r\n" % field for field in fields)
+        return b"HTTP/1.1 %d %s\r\n%s\r\n%s" % (
+            self.status,
+            HTTPStatus(self.status).phrase.encode(),
+            head,
+            body,
+        )
+
 
 def retry_after(delay_us: int) -> Headers:
     """The Retry-After header of a refusal, in seconds; no header if the delay is 0."""
--- a/burlshift/agent/sent_time.py
+++ b/burlshift/agent/sent_time.py
@@ -11,10 +11,11 @@
     """The earliest time at which a client may have written its latest bytes. The timeout of a request counts
     from then, not from the time at which the bytes were read. All times are the loop's, in seconds."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, waiting_since: float | None) -> None:
+        """waiting_since: since when the client may have waited to be accepted; None if it has not."""
         self._loop = loop
         self.earliest = 0.0
-        self._accepted_unread_since = unread_since(loop)
+        self._accepted_unread_since = unread_since(loop) if waiting_since is None else waiting_since
         # Set when reading is paused, until all waiting input has been read.
         self.unread_since: float | None = None
 
--- a/burlshift/agent/server.py
+++ b/burlshift/agent/server.py
@@ -12,12 +12,21 @@
 
 from burlshift.balancing.interface import Settings
 
+from .client_admission import (
+    BacklogWait,
+    has_input,
+    idle_connections,
+    refuse_connection,
+    silent_connections,
+    unused_connections,
+)
 from .connection import Fields
 from .downstream_connection import DownstreamConnection
 from .downstream_request import DownstreamRequest, Rejected, RequestHandler, ResponseWriter, retry_after
 from .drain import Drain
 from .listener import ACCEPTS_PER_TURN, SHORTAGE_RETRY_S, AcceptResult, accept_waiting, listening
 from .listing import Address
+from .loop_lag import unread_since
 from .request_parser import RequestParser
 from .socket_errors import ResourceExhaustedError
 from .upload import Upload
@@ -27,6 +36,7 @@
 BACKLOG = 512
 EXTRA_CONNECTIONS = 32  # allowed beyond the limit while none is idle; half of the reserved descriptors
 SHUTDOWN_RETRY_AFTER_US = 500_000  # by then another process serves, or will soon
+TOO_MANY_CONNECTIONS = "too many connections"
 PARTIAL_LIMIT_BYTES = 4 * 1024 * 1024  # held for partly received requests of all clients
 PARTIAL_MEMORY_SHARE = 1 / 8  # of the process's memory limit that they may take instead
 
@@ -37,7 +47,7 @@
 
 
 class _Admission:
-    """Decides, for one round of accepts, whether a client is admitted and which idle connection is closed for
+    """Decides, for one round of accepts, whether a client is admitted and which connection is closed for
     it."""
 
     def __init__(self, server: Server) -> None:
@@ -45,15 +55,15 @@
         self._to_evict: DownstreamConnection | None = None
 
     def may_admit(self) -> bool:
-        """Whether one more client may be admitted: there is capacity, or an idle connection to evict."""
+        """Whether one more client may be admitted: there is capacity, or a connection to evict."""
         is_full = self._server.is_full()
         self._to_evict = next(self._evictable, None) if is_full else None
         return not is_full or self._to_evict is not None or self._server.has_extra_capacity()
 
     def admit(self, sock: socket.socket) -> None:
-        """Admit a client, and close the idle connection that is evicted for it."""
+        """Admit a client, and close the connection that is evicted for it."""
         if self._to_evict is not None:  # not evicted in may_admit, because there may be no client to accept
-            self._to_evict.drop()
+            self._to_evict.make_way(self._server.refusal(TOO_MANY_CONNECTIONS))
         self._server.admit(sock)
 
 
@@ -77,6 +87,7 @@
         self.listener: socket.socket | None = None
         self._accepting = False
         self._shared = False  # another process accepts from the same address
+        self._backlog_wait = BacklogWait()
         self._resources_exhausted = False  # the latest accept failed for lack of descriptors or memory
         # Accepted by the kernel, but not set up as a transport of the loop yet.
         self._being_accepted: dict[asyncio.Task[object], DownstreamConnection] = {}
@@ -161,12 +172,22 @@
         self._connection_limit, self._shared = max_connections, shared
         self.on_capacity_freed()
 
+    @property
+    def waiting_since(self) -> float | None:
+        """The loop's time since which a client that is accepted now may have waited for it; None if it has
+        not."""
+        return self._backlog_wait.since
+
     def on_capacity_freed(self) -> None:
         """Accept again: a connection has ended or become idle."""
         if not self._accepting and self.listener is not None:
             self._accepting = True
+            self._update_backlog_wait(self.listener)
             asyncio.get_running_loop().add_reader(self.listener, self._accept)
 
+    def _update_backlog_wait(self, listener: socket.socket) -> None:
+        self._backlog_wait.update(listener, unread_since(asyncio.get_running_loop()))
+
     def _accept(self, limit: int = ACCEPTS_PER_TURN) -> bool:
         """Accept up to `limit` waiting clients; returns whether none is left waiting. Clients beyond the
         connection limit stay in the kernel's backlog: without descriptors each accept would fail, over and
@@ -178,10 +199,33 @@
         except ResourceExhaustedError as error:
             self._on_resources_exhausted(error)
             return False
-        if result is AcceptResult.NOT_ADMITTED:
-            self._pause_accepting()  # after it, new connections without a request may count as idle
+        finally:
+            self._update_backlog_wait(self.listener)
+        # A connection that is being set up may be one that can be evicted.
+        if result is AcceptResult.NOT_ADMITTED and not self._being_accepted:
+            result = self._refuse_backlog(self.listener)
         return result is AcceptResult.ALL_ACCEPTED
 
+    def _refuse_backlog(self, listener: socket.socket) -> AcceptResult:
+        """If the waiting clients have waited for too long, admit or refuse each. Accept none for a while. If
+        another process shares the listener, they are left to that."""
+        result = AcceptResult.NOT_ADMITTED
+        if not self._shared and self._backlog_wait.is_over(asyncio.get_running_loop().time()):
+            unused = unused_connections(self.connections)
+            result = accept_waiting(listener, partial(self._admit_or_refuse, unused), BACKLOG)
+            self._update_backlog_wait(listener)
+        self._pause_accepting()  # after it, other connections may count as silent
+        return result
+
+    def _admit_or_refuse(self, unused: Iterator[DownstreamConnection], sock: socket.socket) -> None:
+        """Serve a client that has sent something in place of one that has not, or refuse it."""
+        refusal = self.refusal(TOO_MANY_CONNECTIONS)
+        to_evict = next(unused, None) if has_input(sock) else None
+        if to_evict is None:
+            return refuse_connection(sock, refusal.response())
+        to_evict.make_way(refusal)
+        self.admit(sock)
+
     def accept_backlog(self) -> bool:
         """Accept all clients in the kernel's backlog; returns whether none is left waiting."""
         return self._accept(BACKLOG)
@@ -218,15 +262,13 @@
         return self._connection_count() >= self._connection_limit
 
     def evictable_connections(self) -> Iterator[DownstreamConnection]:
-        """Idle connections that may be closed for a new client, the one idle longest first. New connections
-        are left out: their request is on the way, and closing one without a response counts as a refusal.
-        Empty if another process shares the listener, because that has capacity."""
+        """Connections that may be closed for a new client: first those of silent clients that have never sent
+        a proper request, then idle ones. Empty if another process shares the listener, because that has
+        capacity."""
         if self._shared:
             return
-        candidates = [c for c in self.connections if c.has_read_nothing and not c.is_new]
-        for client in sorted(candidates, key=lambda c: c.last_read_at):
-            if client.idle:
-                yield client
+        yield from silent_connections(self.connections, asyncio.get_running_loop().time())
+        yield from idle_connections(self.connections, self._connection_limit)
 
     def _connection_count(self) -> int:
         """Connections that are open or being set up. One that is being set up joins `connections` before its
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -117,6 +117,7 @@
 
 def test_clients_beyond_the_limit_cause_no_busy_loop(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("burlshift.agent.server.EXTRA_CONNECTIONS", 0)
+    monkeypatch.setattr("burlshift.agent.client_admission.BACKLOG_WAIT_S", 3600.0)
 
     async def run() -> None:
         async with running_agent(tmp_path, most=64 + 2 * 2) as harness:
--- a/tests/test_hostile_streams.py
+++ b/tests/test_hostile_streams.py
@@ -69,6 +69,7 @@
 
     parser: RequestParser
     closing: bool = False
+    waiting_since: float | None = None
     connections: set[DownstreamConnection] = field(default_factory=set)
 
     @property
