Heads and trailers are bounded before h11 parses them, in bytes and in fields

Cause: h11 takes as long for a short field as for a long one and bounds only a head whose end has not come; one that came whole in a read was a single event of up to 16,000 fields, some 50 ms, and turns are bounded by events. Change: the receive buffer that h11 takes lines from rejects heads of over 32 KiB or 100 fields; trailers, informational responses and the heads of servers and discovery pass the same place.

--- a/burlshift/agent/blank_lines.py
+++ b/burlshift/agent/blank_lines.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from .connection import HEADER_LIMIT
+from .buffered_input import HEADER_LIMIT
 
 BLANK_LINES_PATTERN = re.compile(rb"(?:\r\n)*")
 
--- a/burlshift/agent/connection.py
+++ b/burlshift/agent/connection.py
@@ -14,13 +14,12 @@
 
 import h11
 
-from .buffered_input import buffered_length
+from .buffered_input import buffered_length, http_connection
 from .input_backlog import InputBacklog
 from .loop_lag import turn_times
 
 log = logging.getLogger(__name__)
 
-HEADER_LIMIT = 32 * 1024  # bytes of request or status line and headers
 TCP_ESTABLISHED = 1  # value of the first byte of TCP_INFO, the connection's state, see tcp(7)
 READ_BYTES = 64 * 1024  # per read; a connection buffers a few of these while the other side is slower
 EVENTS_PER_TURN = 16  # of h11, for one connection; the rest of its input waits for a turn of its own
@@ -73,7 +72,7 @@
     kind: ClassVar[str] = "peer"  # what the peer is to the agent, for the metrics and the log
 
     def __init__(self, role: type[h11.CLIENT] | type[h11.SERVER] = h11.CLIENT) -> None:
-        self.http = h11.Connection(role, max_incomplete_event_size=HEADER_LIMIT)
+        self.http = http_connection(role)
         self.transport: asyncio.Transport | None = None
         # Registered for the socket; valid until the transport is closing.
         self._poll: select.poll | None = None
--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -8,8 +8,8 @@
 import h11
 
 from .blank_lines import BlankLines
-from .buffered_input import buffered_bytes, buffered_length, discard_buffered
-from .connection import HEADER_LIMIT, Fields, Headers, fields_of, header
+from .buffered_input import buffered_bytes, buffered_length, discard_buffered, http_connection
+from .connection import Fields, Headers, fields_of, header
 from .downstream_request import DownstreamRequest, Rejected, RequestHandler, ResponseWriter
 from .downstream_response import AnsweringServer, ResponseConnection
 from .request_parser import RequestParser, has_ambiguous_head, origin_form
@@ -508,6 +508,6 @@
         rest = self._strip_blank_lines(pipelined)
         if len(rest) == len(pipelined) or self.discards_input:
             return
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
+        self.http = http_connection(h11.SERVER)
         if rest:
             self.http.receive_data(rest)
--- a/tests/test_blank_lines.py
+++ b/tests/test_blank_lines.py
@@ -9,7 +9,7 @@
 import pytest
 
 from burlshift.agent.blank_lines import BlankLines
-from burlshift.agent.connection import HEADER_LIMIT
+from burlshift.agent.buffered_input import HEADER_LIMIT
 from tests.loopback import post, running_agent
 
 BLANK_LINES = {"one": b"\r\n", "two": b"\r\n\r\n", "half of one": b"\r"}
