A connection that rests keeps nothing of the head of an answered request

Cause: the headers were kept by the connection until its next request. Change: they are forgotten with the answer, and when a lingering close begins.

--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -205,8 +205,13 @@
 
     def _linger(self) -> None:
         super()._linger()
+        self._forget_head()
         self._discard_partial_request()
 
+    def _forget_head(self) -> None:
+        """Free the head of a request that has been answered; the connection may rest for long."""
+        self._request, self._fields = None, {}
+
     def _discard_partial_request(self) -> None:
         """Free what is held of a request that will not be read to its end."""
         self._body_buffer = bytearray()
@@ -465,7 +470,7 @@
             self._last_piece_timer = None
 
     def _next_request(self) -> None:
-        self._request = None
+        self._forget_head()
         self._deadline.end_request()
         self._sent_time.next_request()
         self._blank_lines.next_request()
