An ended connection is freed at once, and with it what it held

Cause: the timer of a lingering close, a cycle of a streamed body and its request, and the traceback of an error of h11 kept ended connections for up to a second, or until the next collection. Change: the timer is cancelled, the body released with the final answer, the traceback dropped.

--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -243,6 +243,8 @@
         pending.cancel_deadline_timer()
         for attempt in pending.attempts:
             attempt.cancel()
+        if not isinstance(call.body, bytes):
+            call.body.release()
         try:
             if write is not None:
                 write()
--- a/burlshift/agent/connection.py
+++ b/burlshift/agent/connection.py
@@ -335,6 +335,8 @@
     def _on_malformed(self, error: h11.RemoteProtocolError) -> None:
         """Ignore further input, and report that the peer sent invalid HTTP."""
         self.discards_input = True
+        # h11 raises some errors in a frame that refers to the error, whose traceback refers to this object.
+        error.__traceback__ = None
         self.on_broken(error)
 
     def on_fault(self, error: Exception) -> None:
--- a/burlshift/agent/downstream_response.py
+++ b/burlshift/agent/downstream_response.py
@@ -49,6 +49,7 @@
         self._source: Source | None = None  # of a streamed response
         self._response_started = False  # bytes of the current response have been written
         self._write_stall_timer: asyncio.TimerHandle | None = None  # set while the client does not read
+        self._linger_timer: asyncio.TimerHandle | None = None  # set during a lingering close
 
     # Implemented by the reading half
 
@@ -64,10 +65,11 @@
         return self._source is not None or not self.written
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the timer of a stalled write."""
+        """Stop the timers, which refer to the connection."""
         super().connection_lost(exc)
-        if self._write_stall_timer is not None:
-            self._write_stall_timer.cancel()
+        for timer in (self._write_stall_timer, self._linger_timer):
+            if timer is not None:
+                timer.cancel()
 
     def abort(self) -> None:
         """Close now. A response in progress is reset, so that the client cannot take it for complete."""
@@ -226,9 +228,10 @@
         self._deadline.on_bytes()  # the silence counts from now
         super().resume()
         self.end_sending()
-        self._loop.call_later(
-            LINGER_SILENCE_S, self._end_lingering, self._deadline.last_read_at + LINGER_LIMIT_S
-        )
+        self._schedule_linger_check(self._deadline.last_read_at + LINGER_LIMIT_S)
+
+    def _schedule_linger_check(self, deadline: float) -> None:
+        self._linger_timer = self._loop.call_later(LINGER_SILENCE_S, self._end_lingering, deadline)
 
     def _end_lingering(self, deadline: float) -> None:
         """Close once the response is written and the client has been silent for LINGER_SILENCE_S or the
@@ -238,4 +241,4 @@
         if self.written and now >= min(deadline, self._deadline.last_read_at + LINGER_SILENCE_S):
             self.transport.abort()
         elif not self.transport.is_closing():
-            self._loop.call_later(LINGER_SILENCE_S, self._end_lingering, deadline)
+            self._schedule_linger_check(deadline)
--- a/burlshift/agent/upload.py
+++ b/burlshift/agent/upload.py
@@ -26,7 +26,7 @@
         self.complete = False
         self.consumed = False  # a part has been passed on and is no longer buffered
         self.paused = True  # reading is paused; the client may have written the whole body by now
-        self.on_complete: Callable[[], None] = lambda: None
+        self.on_complete: Callable[[], None] | None = None
         self._connection = connection
         self._buffer = bytearray()
         self._sink: Sink | None = None
@@ -67,7 +67,12 @@
     def end(self) -> None:
         """The body has been received to its end."""
         self.complete = True
-        self.on_complete()
+        if self.on_complete is not None:
+            self.on_complete()
         if self._sink is not None:
             self._sink.end_body()
         self.resume()  # a disconnect of the client must be noticed while it waits for its response
+
+    def release(self) -> None:
+        """Free what is held: the request has its final answer, and no attempt is made for it any more."""
+        self._buffer, self._sink, self.on_complete = bytearray(), None, None
