What is held for all peers is one sum with one limit, in place of two that counted the same

Cause: bodies, buffered answers, input sent ahead, uploads and unsent output had a bound for each peer and none for all. At the limit input is not read on or is dropped, partly received requests are refused by their silence, then new ones (503, Retry-After); far beyond it answers are passed on as they come. The sums of deferred input and of partly received requests are gone; their tests check the new one, and that whole requests are not counted becomes that they are counted until they are answered. What servers pause was tried and dropped: answers that arrive together waited for each other until their time was over.

--- a/burlshift/agent/__main__.py
+++ b/burlshift/agent/__main__.py
@@ -27,8 +27,8 @@
 from .discovery import ASK_WAIT_MS, PUSH_WAIT_MS, Discovery
 from .drain import DrainTimes
 from .hot_restart import HotRestart, path_for, take_over_state
-from .input_backlog import InputBacklog
 from .loop_lag import LagTrackingEventLoop
+from .memory_budget import MemoryBudget
 from .metrics import Metrics
 from .peers import Peers
 from .removal_limiter import RemovalLimiter
@@ -98,13 +98,12 @@
     """Run until SIGTERM or SIGINT; returns the exit status: 0, or 1 if it cannot listen."""
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_unhandled)
-    InputBacklog.of_running_loop().limit_by_memory(config.memory_bytes)
+    MemoryBudget.of_running_loop().limit_by_memory(config.memory_bytes)
     stop = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     metrics = Metrics([c.name for c in config.settings.classes])
     agent, server = assemble(config, clock, metrics)
-    server.limit_by_memory(config.memory_bytes)
     if config.peers is not None:
         agent.peers = Peers(config.peers, clock, Random(config.seed + 1).random)
     commands = AdminCommands(agent, server, metrics, partial(max_connections, config.sockets))
--- a/burlshift/agent/admin_commands.py
+++ b/burlshift/agent/admin_commands.py
@@ -12,6 +12,7 @@
 from .agent import Agent
 from .drain import LameDuckTimes
 from .hot_restart import Command, HotRestart, Unconfirmed
+from .memory_budget import MemoryBudget
 from .metrics import Metrics
 from .server import Server
 
@@ -116,11 +117,13 @@
             log.warning("command of the other process names an unknown server: %s", error)
 
     def set_process_count(self, processes: int) -> None:
-        """Adapt the connection limits to the number of processes of the agent.
+        """Adapt the limits to the number of processes of the agent, which share its memory.
 
-        Only the limit of connections to backends is divided, since each process opens its own. Clients move
-        from one process to the other one by one, and neither process may close or delay one for lack of room.
+        Of the connections only the limit of those to backends is divided, since each process opens its own.
+        Clients move from one process to the other one by one, and neither process may close or delay one for
+        lack of room.
         """
         has_successor = self.hot_restart is not None and self.hot_restart.has_successor
         self._server.limit_connections(self._max_connections(1), shared=has_successor)
         self._agent.limit_connections(self._max_connections(processes))
+        MemoryBudget.of_running_loop().divide(processes)
--- a/burlshift/agent/agent.py
+++ b/burlshift/agent/agent.py
@@ -243,8 +243,7 @@
         pending.cancel_deadline_timer()
         for attempt in pending.attempts:
             attempt.cancel()
-        if not isinstance(call.body, bytes):
-            call.body.release()
+        call.release_body()
         try:
             if write is not None:
                 write()
@@ -374,6 +373,8 @@
             return exchange.cancel()
         pending.response_stream = exchange
         pending.cancel_deadline_timer()
+        if pending.body_complete:
+            pending.call.release_body()
         try:
             # Writes nothing if the client is disconnecting; the connection reports that shortly after.
             pending.call.client.start_response(
--- a/burlshift/agent/connection.py
+++ b/burlshift/agent/connection.py
@@ -17,6 +17,7 @@
 from .buffered_input import buffered_length, http_connection
 from .input_backlog import InputBacklog
 from .loop_lag import turn_times
+from .memory_budget import MemoryBudget
 
 log = logging.getLogger(__name__)
 
@@ -24,7 +25,7 @@
 READ_BYTES = 64 * 1024  # per read; a connection buffers a few of these while the other side is slower
 EVENTS_PER_TURN = 16  # of h11, for one connection; the rest of its input waits for a turn of its own
 DEFERRED_INPUT_LIMIT_BYTES = 64 * 1024  # of input that waits for its turn; beyond that nothing is read
-SMALL_READ_BYTES = 4 * 1024  # per read while the deferred input of all connections is at its limit
+SMALL_READ_BYTES = 4 * 1024  # per read while much is held for all connections
 # Events of poll(2) after the peer has closed or reset the connection.
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 LINGER_RESET = struct.pack("ii", 1, 0)  # struct linger: a close discards unsent data and resets
@@ -80,10 +81,11 @@
         self.closed = False
         self.discards_input = False  # further input is ignored
         self._backlog = InputBacklog.of_running_loop()
+        self._budget = MemoryBudget.of_running_loop()
+        self._counted_bytes = 0  # in the budget
         self._turn_times = turn_times(asyncio.get_running_loop())
         self.read_filled_buffer = False  # the latest read may have left input in the kernel
         self._input_deferred = False  # input has been read that waits for its turn
-        self._deferred_bytes = 0  # of that input, as counted in the backlog
         self._input_full = False  # so much of it that nothing more is read
         self._paused = False  # by pause
         self._end_deferred = False  # the peer's end is behind the deferred input
@@ -118,12 +120,13 @@
         transport.set_write_buffer_limits(high=0)  # so resume_writing means that all is written
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return _small_read_buffer if self._backlog.is_full else _read_buffer
+        return _small_read_buffer if self._budget.wants_small_reads else _read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         self.read_filled_buffer = nbytes in (READ_BYTES, SMALL_READ_BYTES)
         started = monotonic()
         self.data_received(bytes(_read_buffer[:nbytes]))
+        self.count_held_bytes()
         self.record_work("a read", started)
 
     def data_received(self, data: bytes) -> None:
@@ -145,14 +148,30 @@
         self.closed = True
         self._end_deferred = self._input_deferred and not self.discards_input
         if not self._end_deferred:
-            self._count_deferred_bytes(0)
             self.on_end()
+        self.count_held_bytes()
 
     def resume_writing(self) -> None:
         self.written = True
+        self.count_held_bytes()
 
     # For subclasses and users
 
+    def held_bytes(self) -> int:
+        """The bytes that are held for the peer: input that has not been processed, and output that the kernel
+        has not taken."""
+        if self.closed and (self.discards_input or not self._input_deferred):
+            return 0
+        unwritten = 0 if self.written or self.transport is None else self.transport.get_write_buffer_size()
+        return buffered_length(self.http) + unwritten
+
+    def count_held_bytes(self) -> None:
+        """Report a change of what is held to the budget of all connections."""
+        held = self.held_bytes()
+        if held != self._counted_bytes:
+            change, self._counted_bytes = held - self._counted_bytes, held
+            self._budget.change(change)
+
     def record_work(self, name: str, started: float) -> None:
         """Record that this input has been processed since `started`, a time of time.monotonic."""
         self._turn_times.record_work(self, name, monotonic() - started)
@@ -174,6 +193,8 @@
         self.transport.write(data)
         # The buffer is also empty after a write that failed, but then the transport is closing.
         self.written = not self.transport.is_closing() and self.transport.get_write_buffer_size() == 0
+        if not self.written:
+            self.count_held_bytes()
 
     def on_eof(self) -> None:
         """The peer has ended its sending, and all input before that has been processed."""
@@ -211,25 +232,20 @@
     def _limit_deferred_input(self) -> None:
         """Stop reading beyond DEFERRED_INPUT_LIMIT_BYTES, or at the limit of all connections. Deferred input
         waits for the agent alone, so that reading goes on soon and shows whether the peer has left."""
+        self.count_held_bytes()
         length = buffered_length(self.http)
-        self._count_deferred_bytes(length)
-        if not self._input_full and (length > DEFERRED_INPUT_LIMIT_BYTES or self._backlog.is_full):
+        if not self._input_full and (length > DEFERRED_INPUT_LIMIT_BYTES or self._budget.is_exceeded):
             self._input_full = True
             self.on_input_full()
             self._update_reading()
 
-    def _count_deferred_bytes(self, length: int) -> None:
-        self._backlog.deferred_bytes += length - self._deferred_bytes
-        self._deferred_bytes = length
-
     def process_deferred_input(self) -> None:
         """Process as much of the deferred input as one turn may take."""
         started = monotonic()
         self._input_deferred = self._input_full = False
         self._update_reading()
         self._feed(None)
-        if not self._input_deferred:
-            self._count_deferred_bytes(0)
+        self.count_held_bytes()
         self.record_work("deferred input", started)
         if self._end_deferred and not self._input_deferred:
             self._end_deferred = False
--- a/burlshift/agent/discovery_call.py
+++ b/burlshift/agent/discovery_call.py
@@ -43,6 +43,10 @@
         self.send(request, h11.EndOfMessage())
         return await self._answer
 
+    def held_bytes(self) -> int:
+        """What is held for discovery, with what has been received of a list."""
+        return super().held_bytes() + len(self._body)
+
     def on_event(self, event: h11.Event) -> None:
         """Process one event of the response."""
         if isinstance(event, h11.Response):
@@ -85,7 +89,8 @@
         answer, self._answer = self._answer, None
         if answer is None or answer.done():
             return
+        body, self._body = bytes(self._body), bytearray()
         if error is None:
-            answer.set_result(bytes(self._body))
+            answer.set_result(body)
         else:
             answer.set_exception(error)
--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -53,9 +53,6 @@
     ) -> DownstreamRequest:
         """Build the request from a complete head and a body that may still be arriving. Raises Rejected."""
 
-    def count_partial_bytes(self, change: int) -> None:
-        """The bytes held for partly received requests have grown by this number; negative: shrunk."""
-
     def on_capacity_freed(self) -> None:
         """A connection has ended or become idle, so another client can be accepted."""
 
@@ -69,7 +66,6 @@
         self._fields: Fields = {}  # the headers of the request
         self._body_buffer = bytearray()  # body bytes that have been read but not passed on
         self._head_checked = False  # before the body was complete
-        self.partial_bytes = 0  # held for a partly received request
         self._blank_lines = BlankLines()
         self._upload: Upload | None = None  # a body that is streamed
         self._last_piece_timer: asyncio.TimerHandle | None = None  # set while the last piece is held back
@@ -97,9 +93,9 @@
         arrived, or the client has to close after the last response."""
         if self.discards_input:
             return self.written
-        if self._input_deferred or (self._upload is not None and self._upload.paused):
+        if self._input_deferred:
             return False
-        return self.idle or (self.has_unfinished_request and self.has_no_input())
+        return self.idle or (self.waits_for_rest_of_request and self.has_no_input())
 
     @property
     def is_new(self) -> bool:
@@ -118,6 +114,11 @@
         """Whether a request has been read in part and has not been passed to the handler yet."""
         return self._downstream_request is None and not self.discards_input and not self.has_read_nothing
 
+    @property
+    def waits_for_rest_of_request(self) -> bool:
+        """Whether the rest of a request that has been read in part is waited for, and would be read."""
+        return self.has_unfinished_request and not (self._upload is not None and self._upload.paused)
+
     @property
     def has_unfinished_request(self) -> bool:
         """Whether a request has been read in part, a streamed one without a response included."""
@@ -195,13 +196,12 @@
         super()._feed(data)
         if self.has_partial_request:
             self._deadline.start(self._on_deadline)
-            self._count_partial_bytes(buffered_length(self.http) + len(self._body_buffer))
-        elif self.partial_bytes:
-            self._count_partial_bytes(0)
 
-    def _count_partial_bytes(self, held_bytes: int) -> None:
-        change, self.partial_bytes = held_bytes - self.partial_bytes, held_bytes
-        self._server.count_partial_bytes(change)
+    def held_bytes(self) -> int:
+        """What is held for the client, with the body of its request until that has been answered."""
+        call = self._downstream_request
+        body_length = 0 if call is None else call.held_body_length
+        return super().held_bytes() + len(self._body_buffer) + body_length
 
     def _linger(self) -> None:
         super()._linger()
@@ -216,7 +216,7 @@
         """Free what is held of a request that will not be read to its end."""
         self._body_buffer = bytearray()
         discard_buffered(self.http)
-        self._count_partial_bytes(0)
+        self.count_held_bytes()
 
     def data_received(self, data: bytes) -> None:
         """Note the time of the bytes and pass them to h11, except blank lines and pipelined bytes beyond the
@@ -237,14 +237,15 @@
         super().data_received(data)
 
     def _exceeds_pipeline_limit(self, data: bytes) -> bool:
-        """Whether the client has sent more pipelined input than is kept; the response to the pending request
-        is then the last on this connection. The connection is still read, because otherwise it would not show
-        that the client has left. Behind a request that asked to close the connection nothing is kept: h11
-        would take that input for an error in the pending request.
+        """Whether the client has sent more pipelined input than is kept, which is none while too much is held
+        for all connections; the response to the pending request is then the last on this connection. The
+        connection is still read, because otherwise it would not show that the client has left. Behind a
+        request that asked to close the connection nothing is kept: h11 would take that input for an error in
+        the pending request.
         """
         if not self._awaiting_response:
             return False
-        too_much = buffered_length(self.http) + len(data) > PIPELINE_LIMIT_BYTES
+        too_much = buffered_length(self.http) + len(data) > PIPELINE_LIMIT_BYTES or self._budget.is_exceeded
         self._pipeline_overflowed = (
             self._pipeline_overflowed or too_much or self.http.their_state is h11.MUST_CLOSE
         )
@@ -354,6 +355,7 @@
         call, self._downstream_request = self._downstream_request, None
         self._upload = self._source = None
         self._cancel_last_piece()
+        self.count_held_bytes()
         if call is not None:
             self._server.handler.client_left(call)
         return call is not None
@@ -463,6 +465,7 @@
         super()._release_call()
         self._upload = None
         self._cancel_last_piece()
+        self.count_held_bytes()
 
     def _cancel_last_piece(self) -> None:
         if self._last_piece_timer is not None:
--- a/burlshift/agent/downstream_request.py
+++ b/burlshift/agent/downstream_request.py
@@ -28,6 +28,18 @@
     sent_us: int  # monotonic: the earliest time at which the client may have written its latest byte
     number: int = 0  # assigned by the handler
 
+    @property
+    def held_body_length(self) -> int:
+        """The bytes of the body that are held: of a streamed one those that have not been passed on."""
+        return len(self.body) if isinstance(self.body, bytes) else self.body.buffered_length
+
+    def release_body(self) -> None:
+        """Free the body: no attempt is sent any more."""
+        if isinstance(self.body, bytes):
+            self.body = b""
+        else:
+            self.body.release()
+
     def left_us(self, now: int) -> int:
         """How long the client still waits, counted from its latest byte; 0 or less if its time is over."""
         return self.sent_us + self.patience_us - now
--- a/burlshift/agent/exchange.py
+++ b/burlshift/agent/exchange.py
@@ -14,6 +14,7 @@
 from .clock import Clock
 from .connection import Fields, checked_request, fields_of, header
 from .listing import Member
+from .memory_budget import MemoryBudget
 from .response_arrival import ResponseArrival
 from .upstream_connection import PooledConnection
 from .upstream_request import ExchangeResult, UpstreamRequest, parse_report
@@ -83,6 +84,7 @@
     ) -> None:
         self._pool, self._backend, self._request, self._done = pool, backend, request, done
         self._loop = asyncio.get_running_loop()
+        self._budget = MemoryBudget.of_running_loop()
         self._timeout_us = timeout_us
         self._started_us = pool.clock.now()
         self._connection: PooledConnection | None = None
@@ -296,14 +298,23 @@
             assert isinstance(event, h11.Data)
             self._body += event.data
         elif event_type is h11.EndOfMessage:
-            self.on_read()
+            self._on_data(self._is_too_large_to_buffer())
             self._end(self._outcome_of_response())
 
     def on_read(self) -> None:
         """Pass the data of one read on to the reader of a streamed response."""
+        self._on_data(self._is_too_large_to_buffer() or self._must_free_memory())
+
+    def _must_free_memory(self) -> bool:
+        """Whether too much is held for all connections for this response to be buffered on."""
+        is_answer = self._request.reader is not None and self._request_sent()
+        return bool(self._body) and is_answer and self._budget.wants_streaming
+
+    def _on_data(self, stream: bool) -> None:
+        """Pass on what has been read of a streamed response, which begins if `stream`."""
         if self.ended:
             return
-        if self._stream_start_us < 0 and self._is_too_large_to_buffer():
+        if self._stream_start_us < 0 and stream:
             self._start_streaming()
         if self._stream_start_us >= 0 and self._body and not self.ended:
             data, self._body = bytes(self._body), bytearray()
@@ -352,6 +363,8 @@
         if self._status != 200 or reader is None:
             return self._end(self._outcome_of_response())
         self._stream_start_us = self._pool.clock.now() - self._started_us
+        if isinstance(self._request.body, bytes):  # it has been sent, and may be large
+            self._request = self._request._replace(body=b"")
         self._watch_progress()
         reader.response_started(self, self._headers.get(b"content-type"), self._length)
 
@@ -368,6 +381,11 @@
             self._last_progress = self._loop.time()
             self._connection.resume()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The length of what has been buffered of the response."""
+        return len(self._body)
+
     @property
     def latency_us(self) -> int:
         """The time until the response began to be streamed, or else until now."""
@@ -448,5 +466,5 @@
             self.resume()
             if outcome in CLOSED_BY_AGENT:
                 self._connection.reset_on_close()
-            self._connection.exchange = None
+            self._connection.end_exchange()
             self._pool.release(self._connection)
--- a/burlshift/agent/input_backlog.py
+++ b/burlshift/agent/input_backlog.py
@@ -8,8 +8,6 @@
 from weakref import WeakKeyDictionary
 
 TURNS_PER_ITERATION = 8  # of the event loop, which serves all other connections in between
-DEFAULT_LIMIT_BYTES = 2 * 1024 * 1024  # of the deferred input of all connections
-MEMORY_SHARE = 1 / 16  # of the process's memory limit that it may take instead
 
 
 class DeferringConnection(Protocol):
@@ -23,15 +21,12 @@
 class InputBacklog:
     """Gives each connection with deferred input its turn, first come, first served.
 
-    The number of turns in one iteration of the event loop is bounded, however many connections wait, and so
-    are the bytes that all of them hold.
+    The number of turns in one iteration of the event loop is bounded, however many connections wait.
     """
 
     _of_loops: ClassVar[WeakKeyDictionary[asyncio.AbstractEventLoop, InputBacklog]] = WeakKeyDictionary()
 
     def __init__(self) -> None:
-        self.deferred_bytes = 0  # that all connections hold; they count them
-        self.limit_bytes = DEFAULT_LIMIT_BYTES
         self._waiting: deque[DeferringConnection] = deque()
         self._scheduled = False
 
@@ -44,15 +39,6 @@
             backlog = cls._of_loops[loop] = cls()
         return backlog
 
-    @property
-    def is_full(self) -> bool:
-        """Whether connections should read little, and none of those with deferred input more of it."""
-        return self.deferred_bytes > self.limit_bytes
-
-    def limit_by_memory(self, memory_bytes: int) -> None:
-        """Set the limit for a process that may have this much memory."""
-        self.limit_bytes = int(memory_bytes * MEMORY_SHARE)
-
     def add(self, connection: DeferringConnection) -> None:
         """Give this connection a turn in a later iteration of the event loop."""
         self._waiting.append(connection)
--- a/burlshift/agent/server.py
+++ b/burlshift/agent/server.py
@@ -27,6 +27,7 @@
 from .listener import ACCEPTS_PER_TURN, SHORTAGE_RETRY_S, AcceptResult, accept_waiting, listening
 from .listing import Address
 from .loop_lag import unread_since
+from .memory_budget import MemoryBudget
 from .request_parser import RequestParser
 from .socket_errors import ResourceExhaustedError
 from .upload import Upload
@@ -37,8 +38,8 @@
 EXTRA_CONNECTIONS = 32  # allowed beyond the limit while none is idle; half of the reserved descriptors
 SHUTDOWN_RETRY_AFTER_US = 500_000  # by then another process serves, or will soon
 TOO_MANY_CONNECTIONS = "too many connections"
-PARTIAL_LIMIT_BYTES = 4 * 1024 * 1024  # held for partly received requests of all clients
-PARTIAL_MEMORY_SHARE = 1 / 8  # of the process's memory limit that they may take instead
+OUT_OF_MEMORY = "too much is held for other requests"
+MIN_SHED_BYTES = 4 * 1024  # a partly received request that holds less is not worth giving up
 
 
 def _existing_protocol(client: DownstreamConnection) -> DownstreamConnection:
@@ -82,8 +83,8 @@
         )
         self.connections: set[DownstreamConnection] = set()
         self.drain = Drain(self)
-        self._partial_bytes = 0  # held for partly received requests
-        self._partial_limit_bytes = PARTIAL_LIMIT_BYTES
+        self._budget = MemoryBudget.of_running_loop()
+        self._budget.on_exceeded = self._shed_unfinished_requests
         self.listener: socket.socket | None = None
         self._accepting = False
         self._shared = False  # another process accepts from the same address
@@ -118,29 +119,25 @@
         call = self.parser.check(request, fields, body, client)
         if self.drain.refuses(client.last_read_at):
             raise self.refusal()
+        if self._budget.is_exceeded:
+            self._shed_unfinished_requests(client)
+            if self._budget.is_exceeded:
+                raise self.refusal(OUT_OF_MEMORY)
         return call
 
     def refusal(self, reason: str = "shutting down") -> Rejected:
         """The error for a request that is refused before it is whole, or while clients are sent away."""
         return Rejected(503, reason, retry_after(self._shutdown_retry_after_us))
 
-    def limit_by_memory(self, memory_bytes: int) -> None:
-        """Set the limit of what is held for partly received requests, in a process with this much memory."""
-        self._partial_limit_bytes = int(memory_bytes * PARTIAL_MEMORY_SHARE)
-
-    def count_partial_bytes(self, change: int) -> None:
-        """The bytes held for partly received requests have grown by this number; negative: shrunk.
-        At the limit those that have been silent for longest are refused."""
-        self._partial_bytes += change
-        if change > 0 and self._partial_bytes > self._partial_limit_bytes:
-            asyncio.get_running_loop().call_soon(self._shed_partial_requests)
-
-    def _shed_partial_requests(self) -> None:
-        partial = [c for c in self.connections if c.partial_bytes and c.has_partial_request]
-        for client in sorted(partial, key=lambda c: c.last_read_at):
-            if self._partial_bytes <= self._partial_limit_bytes:
+    def _shed_unfinished_requests(self, current: ResponseWriter | None = None) -> None:
+        """Refuse partly received requests until less is held than the limit, the ones that have been silent
+        for longest first. `current` is the writer of a request that is just being read."""
+        unfinished = [c for c in self.connections if c.waits_for_rest_of_request and c is not current]
+        for client in sorted(unfinished, key=lambda c: c.last_read_at):
+            if not self._budget.is_exceeded:
                 return
-            client.refuse_unfinished(self.refusal("too many unfinished requests"))
+            if client.held_bytes() >= MIN_SHED_BYTES:
+                client.refuse_unfinished(self.refusal(OUT_OF_MEMORY))
 
     async def listen(self, address: Address, shared: bool = False) -> int:
         """Listen on the address and return the port, which the kernel chooses if it is 0. With `shared`,
--- a/burlshift/agent/upload.py
+++ b/burlshift/agent/upload.py
@@ -31,6 +31,11 @@
         self._buffer = bytearray()
         self._sink: Sink | None = None
 
+    @property
+    def buffered_length(self) -> int:
+        """The number of bytes received and not yet passed on."""
+        return len(self._buffer)
+
     def buffered(self) -> bytes:
         """The bytes received and not yet passed on."""
         return bytes(self._buffer)
--- a/burlshift/agent/upstream_connection.py
+++ b/burlshift/agent/upstream_connection.py
@@ -16,6 +16,10 @@
 class ConnectionUser(Protocol):
     """The exchange that uses a connection, and is notified of what happens on it."""
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The length of what has been buffered of the response."""
+
     def on_event(self, event: h11.Event) -> None:
         """An event of the response."""
 
@@ -55,6 +59,15 @@
             return self._discard(self)
         super().data_received(data)
 
+    def held_bytes(self) -> int:
+        """What is held for the server, with what has been buffered of a response."""
+        return super().held_bytes() + (0 if self.exchange is None else self.exchange.buffered_bytes)
+
+    def end_exchange(self) -> None:
+        """The exchange that has used the connection is over."""
+        self.exchange = None
+        self.count_held_bytes()
+
     def on_event(self, event: h11.Event) -> None:
         """Pass an event of the response on to the exchange."""
         if self.exchange is not None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -172,10 +172,14 @@
     async def send(self, data: bytes) -> None:
         await asyncio.get_running_loop().sock_sendall(self.socket, data)
 
+    async def receive(self, size: int) -> bytes:
+        """Read up to `size` bytes; nothing at the end of the stream."""
+        return await asyncio.get_running_loop().sock_recv(self.socket, size)
+
     async def read_to_end(self) -> bytes:
         """Read until the end of the stream. Raises ConnectionResetError if the connection is reset."""
         data = bytearray()
-        while chunk := await asyncio.get_running_loop().sock_recv(self.socket, 65536):
+        while chunk := await self.receive(65536):
             data += chunk
         return bytes(data)
 
--- a/tests/test_hostile_streams.py
+++ b/tests/test_hostile_streams.py
@@ -25,7 +25,7 @@
 from burlshift.agent.connection import READ_BYTES, Fields
 from burlshift.agent.downstream_connection import DownstreamConnection
 from burlshift.agent.downstream_request import DownstreamRequest, Rejected, ResponseWriter
-from burlshift.agent.input_backlog import InputBacklog
+from burlshift.agent.memory_budget import MemoryBudget
 from burlshift.agent.request_parser import RequestParser
 from burlshift.agent.upload import Upload
 from burlshift.balancing.interface import RequestClass
@@ -85,9 +85,6 @@
     ) -> DownstreamRequest:
         return self.parser.check(request, fields, body, client)
 
-    def count_partial_bytes(self, change: int) -> None:
-        pass
-
     def on_capacity_freed(self) -> None:
         pass
 
@@ -159,7 +156,7 @@
     far.close()
     while owner.connections:
         await asyncio.sleep(0)
-    assert not InputBacklog.of_running_loop().deferred_bytes
+    assert not MemoryBudget.of_running_loop().held_bytes
 
 
 form_names = st.lists(st.tuples(st.sampled_from(sorted(FORMS)), st.integers(1, 3000)), min_size=1, max_size=6)
--- a/tests/test_input_backlog.py
+++ b/tests/test_input_backlog.py
@@ -17,7 +17,8 @@
     SMALL_READ_BYTES,
 )
 from burlshift.agent.downstream_connection import DownstreamConnection
-from burlshift.agent.input_backlog import TURNS_PER_ITERATION, InputBacklog
+from burlshift.agent.input_backlog import TURNS_PER_ITERATION
+from burlshift.agent.memory_budget import MemoryBudget
 from tests.loopback import AgentHarness, RawClient, post, running_agent
 
 HEAD = "HTTP/1.1\r\nHost: a\r\n"
@@ -112,19 +113,19 @@
 
     async def run() -> None:
         async with running_agent(tmp_path) as harness:
-            backlog = InputBacklog.of_running_loop()
-            backlog.limit_bytes = limit_bytes
+            budget = MemoryBudget.of_running_loop()
+            budget.limit_bytes = limit_bytes
             clients = [await harness.raw_client() for _ in range(4 * CLIENTS)]
             flood = FLOODS["another path"] * (FLOOD_BYTES // 10 // len(FLOODS["another path"]))
             sending = [asyncio.create_task(client.send(flood)) for client in clients]
             reading = [asyncio.create_task(drain_responses(client)) for client in clients]
-            while backlog.deferred_bytes <= limit_bytes:
+            while budget.held_bytes <= limit_bytes:
                 await asyncio.sleep(0)
             # One large read is under way as the limit is passed; others may still read a little each.
             bound = limit_bytes + READ_BYTES + len(clients) * SMALL_READ_BYTES
             for _ in range(500):
                 await asyncio.sleep(0)
-                assert backlog.deferred_bytes <= bound
+                assert budget.held_bytes <= bound
                 assert sum(buffered_bytes(harness)) <= bound + len(clients) * len(FLOODS["another path"])
             for task in (*sending, *reading):
                 task.cancel()
@@ -132,7 +133,7 @@
                 client.reset()
             while harness.server.connections:
                 await asyncio.sleep(0)
-            while backlog.deferred_bytes:
+            while budget.held_bytes:
                 await asyncio.sleep(0)
 
     asyncio.run(run())
