A long answer in pieces is not cut off between two of them

Cause: an answer counted as arriving only if its last bytes were at most 0.4 s old, however far ahead of the pace it was, and below 32 kB a second not at all. Change: what has come pays for a pause at 32 kB a second; without a pause 8 kB a second are enough.

--- a/burlshift/agent/discovery_call.py
+++ b/burlshift/agent/discovery_call.py
@@ -73,7 +73,7 @@
             return
         self._arrival.record(len(self._body), now)
         due = self._timeout.when()
-        if due is not None and due < now + STALL_S and self._arrival.is_in_progress(now):
+        if due is not None and due < now + STALL_S and self._arrival.keeps_pace(now):
             self._timeout.reschedule(now + STALL_S)
 
     def on_broken(self, error: Exception) -> None:
--- a/burlshift/agent/response_arrival.py
+++ b/burlshift/agent/response_arrival.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-# Half of the slowest pace at which a large response is written. A small one that never ends falls below it.
+# Half of the slowest pace at which a large response is written. It may be written in pieces of any size: the
+# bytes that have come pay for a pause at this pace. A small response that never ends soon falls below it.
 MIN_BYTES_PER_S = 32_000
+# The pace below which not even a response without pauses counts as a large one.
+MIN_STEADY_BYTES_PER_S = 8_000
 MIN_PERIOD_S = 0.1  # for the pace, so that a few bytes right after the head are none
-STALL_S = 0.4  # a longer silence means that the response has stopped
+STALL_S = 0.4  # a longer silence is a pause
 MAX_BUFFERING_S = 1.0  # from the head on; then a response that still arrives is streamed
 
 
@@ -20,11 +23,19 @@
         """Record that `received_bytes` of the body have been read in all, the last of them now."""
         self._received_bytes, self._last_read_at = received_bytes, now
 
+    def keeps_pace(self, now: float) -> bool:
+        """Whether the body has come at the pace of a large response so far, pauses included."""
+        return self._received_bytes >= MIN_BYTES_PER_S * self._period_s(now)
+
     def is_in_progress(self, now: float) -> bool:
-        """Whether the body still arrives, at the pace of a large response."""
-        period_s = max(MIN_PERIOD_S, now - self._head_at)
-        return now - self._last_read_at <= STALL_S and self._received_bytes >= MIN_BYTES_PER_S * period_s
+        """Whether the body still arrives: at the pace of a large response, or slower and without a pause."""
+        is_paused = now - self._last_read_at > STALL_S
+        is_steady = not is_paused and self._received_bytes >= MIN_STEADY_BYTES_PER_S * self._period_s(now)
+        return is_steady or self.keeps_pace(now)
 
     def is_overdue(self, now: float) -> bool:
         """Whether it still arrives and has been buffered for as long as a large response may be."""
         return now - self._head_at >= MAX_BUFFERING_S and self.is_in_progress(now)
+
+    def _period_s(self, now: float) -> float:
+        return max(MIN_PERIOD_S, now - self._head_at)
