A request waits for the input behind it, so that its client's close is seen first

Cause: the close is looked for in the kernel before each send, but comes there only behind what the client has sent; only the last piece of a large body waited for that. Change: a request behind which there is more to read waits until it is read, for 0.25 s at most, then it is refused (503, close).

--- a/burlshift/agent/connection.py
+++ b/burlshift/agent/connection.py
@@ -85,6 +85,7 @@
         self._counted_bytes = 0  # in the budget
         self._turn_times = turn_times(asyncio.get_running_loop())
         self.read_filled_buffer = False  # the latest read may have left input in the kernel
+        self.latest_read_bytes = 0
         self._input_deferred = False  # input has been read that waits for its turn
         self._input_full = False  # so much of it that nothing more is read
         self._paused = False  # by pause
@@ -124,6 +125,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         self.read_filled_buffer = nbytes in (READ_BYTES, SMALL_READ_BYTES)
+        self.latest_read_bytes = nbytes
         started = monotonic()
         self.data_received(bytes(_read_buffer[:nbytes]))
         self.count_held_bytes()
--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 import h11
@@ -21,6 +22,9 @@
 BODY_LIMIT_BYTES = 32 * 1024 * 1024
 # The longest time for which the last piece of a streamed body is held back to read the input behind it.
 LAST_PIECE_WAIT_S = 0.05
+# The longest time for which a request waits for the input behind it to be read; then it is refused.
+INPUT_WAIT_S = 0.25
+MUCH_INPUT_BYTES = 4 * 1024  # in one read; less than that cannot hide a close from the kernel
 PIPELINE_LIMIT_BYTES = 64 * 1024  # kept of pipelined input while a request is pending; more is dropped
 FIRST_REQUEST_S = 0.5  # a new connection without a request counts as idle after this
 POLL_INTERVAL_S = 0.01  # between two checks for unread input
@@ -68,7 +72,9 @@
         self._head_checked = False  # before the body was complete
         self._blank_lines = BlankLines()
         self._upload: Upload | None = None  # a body that is streamed
-        self._last_piece_timer: asyncio.TimerHandle | None = None  # set while the last piece is held back
+        self._input_timer: asyncio.TimerHandle | None = (
+            None  # set while the input behind a request is read first
+        )
         self._sent_time = SentTime(self._loop, server.waiting_since)
         self.has_sent_request = False  # a proper request has been received
 
@@ -135,7 +141,7 @@
     def _awaiting_response(self) -> bool:
         """Whether a request has been received completely and has no response yet."""
         return self._downstream_request is not None and (
-            self._upload is None or self._upload.complete or self._last_piece_timer is not None
+            self._upload is None or self._upload.complete or self._input_timer is not None
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -278,7 +284,7 @@
             or (self._downstream_request is not None and self._upload is None)
         ):
             return
-        if self._last_piece_timer is not None:
+        if self._input_timer is not None:
             return
         try:
             if self._upload is not None:
@@ -354,7 +360,7 @@
         one; the handler then counts the request."""
         call, self._downstream_request = self._downstream_request, None
         self._upload = self._source = None
-        self._cancel_last_piece()
+        self._cancel_input_timer()
         self.count_held_bytes()
         if call is not None:
             self._server.handler.client_left(call)
@@ -386,7 +392,36 @@
         self._downstream_request = self._check(bytes(self._body_buffer))
         self.has_sent_request = True
         self._body_buffer = bytearray()
-        self._server.handler.accept_request(self._downstream_request)
+        self._accept_request(self._loop.time() + INPUT_WAIT_S)
+
+    def _accept_request(self, deadline: float) -> None:
+        """Pass the request to the handler, unless the client turns out to have left.
+
+        A close that follows more input than the kernel takes at once is seen only once that input has been
+        read. Much input that keeps coming delays the request until `deadline`, in the loop's time.
+        """
+        self._input_timer = None
+        call = self._downstream_request
+        if call is None or self.discards_input:
+            return
+        if self.latest_read_bytes < MUCH_INPUT_BYTES or self.has_no_input():
+            return self._server.handler.accept_request(call)
+        if self.peer_closed():
+            return self._end_for_departed()
+        if self._loop.time() >= deadline:
+            self._downstream_request, self._pipeline_overflowed = None, True
+            return self._abort_request(503, "too much input ahead")
+        self._call_after_input(self._accept_request, deadline)
+
+    def _call_after_input(self, function: Callable[[float], None], deadline: float) -> None:
+        """Call the function with this deadline after more input has been read."""
+        self._input_timer = self._loop.call_later(POLL_INTERVAL_S, self._run_after_input, function, deadline)
+
+    def _run_after_input(self, function: Callable[[float], None], deadline: float) -> None:
+        try:
+            function(deadline)
+        except Exception as error:
+            self.on_fault(error)
 
     def _path(self) -> str:
         """The path of the request's target, without the query."""
@@ -412,24 +447,17 @@
         client whose close follows directly, or follows pipelined input, which is read first. Input that keeps
         coming delays the last piece only until `deadline`, in the loop's time.
         """
-        self._last_piece_timer = None
+        self._input_timer = None
         if self._upload is None or self.discards_input:
             return
         if self.peer_closed():
             return self._end_for_departed()
         if self._upload.paused or (self._loop.time() < deadline and not self.has_no_input()):
-            self._last_piece_timer = self._loop.call_later(POLL_INTERVAL_S, self._retry_last_piece, deadline)
-            return
+            return self._call_after_input(self._forward_last_piece, deadline)
         self.on_read()
         if self._upload is not None:
             self._upload.end()
 
-    def _retry_last_piece(self, deadline: float) -> None:
-        try:
-            self._forward_last_piece(deadline)
-        except Exception as error:
-            self.on_fault(error)
-
     def _abort_request(self, status: int, reason: str, headers: Headers | None = None) -> None:
         """Answer with an error a request that was rejected or that failed midway; each is counted once."""
         was_pending = self._detach_client()
@@ -464,13 +492,13 @@
     def _release_call(self) -> None:
         super()._release_call()
         self._upload = None
-        self._cancel_last_piece()
+        self._cancel_input_timer()
         self.count_held_bytes()
 
-    def _cancel_last_piece(self) -> None:
-        if self._last_piece_timer is not None:
-            self._last_piece_timer.cancel()
-            self._last_piece_timer = None
+    def _cancel_input_timer(self) -> None:
+        if self._input_timer is not None:
+            self._input_timer.cancel()
+            self._input_timer = None
 
     def _next_request(self) -> None:
         self._forget_head()
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 from pathlib import Path
@@ -199,6 +200,45 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("behind", [post(), b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n", b"x"])
+def test_client_leaving_behind_much_unread_input_causes_no_attempt(tmp_path: Path, behind: bytes) -> None:
+    # Guards against requests that are sent on after their client has closed with much unread: its end reaches
+    # the agent's kernel only once that has been read.
+    async def run() -> None:
+        async with running_agent(tmp_path) as harness:
+            client = await harness.raw_client()
+            while not harness.server.connections:
+                await asyncio.sleep(0)
+            client.socket.send(post())
+            with contextlib.suppress(BlockingIOError):
+                for _ in range(100):
+                    client.socket.send(behind * (1_000_000 // len(behind)))
+            client.close()
+            while harness.server.connections:
+                await asyncio.sleep(0)
+            await assert_only_next_client_is_served(harness)
+
+    asyncio.run(run())
+
+
+def test_request_before_endless_input_is_refused(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    connection = "burlshift.agent.downstream_connection"
+    monkeypatch.setattr(f"{connection}.INPUT_WAIT_S", 0.0)
+    monkeypatch.setattr(f"{connection}.MUCH_INPUT_BYTES", 1)
+    monkeypatch.setattr(f"{connection}.DownstreamConnection.has_no_input", lambda _: False)
+
+    async def run() -> None:
+        async with running_agent(tmp_path) as harness:
+            client = await harness.raw_client()
+            await client.send(post())
+            answer = await client.read_to_end()
+            assert answer.startswith(b"HTTP/1.1 503") and b"Connection: close" in answer
+            assert harness.no_request_sent() and not harness.agent._pending
+            client.close()
+
+    asyncio.run(run())
+
+
 @each_departure
 def test_client_leaving_before_its_pipelined_request_is_read_causes_no_attempt(
     tmp_path: Path, departure: str
