KNOWN-RED.txt takes commands with their seed, printed and not marked

Need: a fault that a case of review/ or a long search shows had no place there, since a line had to be a test of the default run. Change: COMMAND | SEED | CAUSE | ISSUE is a line as well; it is printed at the end of each run and marks no test. Three tests at most, as before. A line that is neither, a seed that is no number, and an entry named twice end the run with the line and what to write.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -11,6 +11,7 @@
 HERE = Path(__file__).parent
 TESTS = "def test_good():\n    pass\n\n\ndef test_bad():\n    assert not 'mended'\n"
 BAD = "tests/test_some.py::test_bad | a cause | 31"
+COMMAND = "review/9/run.sh | 7 | a cause | 31"
 
 
 def play(folder: Path, known: str | None, *args: str) -> subprocess.CompletedProcess[str]:
@@ -42,6 +43,18 @@
     assert "known red, passed over: tests/test_some.py::test_bad: a cause (issue 31)" in run.stdout
 
 
+def test_commands_are_printed_with_their_seeds_and_mark_nothing(tmp_path: Path) -> None:
+    commands = "\n".join(f"tool play {n} | {'none' if n == 3 else n} | a cause | 31" for n in range(4))
+    run = play(tmp_path, f"{BAD}\n{commands}\n{COMMAND}\n")
+    assert run.returncode == 0 and "1 passed, 1 xfailed" in run.stdout, run.stdout
+    assert "known red, not run: review/9/run.sh, seed 7: a cause (issue 31)" in run.stdout
+    assert "known red, not run: tool play 3: a cause (issue 31)" in run.stdout
+
+
+def test_a_command_passes_no_failure_over(tmp_path: Path) -> None:
+    assert play(tmp_path, f"{COMMAND}\n").returncode == 1
+
+
 @pytest.mark.parametrize(
     ("known", "status", "said"),
     [
@@ -50,6 +63,10 @@
         ("tests/test_some.py::test_bad[1] | a cause | 31", 4, "test_bad[1] is none of that test's cases"),
         ("tests/test_gone.py::test_bad | a cause | 31", 4, "test_gone.py::test_bad is no test; take"),
         ("tests/test_some.py::test_bad", 4, "KNOWN-RED.txt:1: write TEST | CAUSE | ISSUE"),
+        ("review/9/run.sh | a cause | 31", 4, "KNOWN-RED.txt:1: review/9/run.sh is no test; write it as"),
+        ("review/9/run.sh | first | a cause | 31", 4, "KNOWN-RED.txt:1: first is no seed; write a number"),
+        ("review/9/run.sh | 7 |  | 31", 4, "KNOWN-RED.txt:1: write TEST | CAUSE | ISSUE, or COMMAND | SEED"),
+        (f"{COMMAND}\n{COMMAND}", 4, "KNOWN-RED.txt:2: review/9/run.sh, seed 7 is named twice"),
         (f"{BAD}\n{BAD}", 4, "KNOWN-RED.txt:2: tests/test_some.py::test_bad is named twice"),
         (
             "\n".join(f"tests/test_some.py::test_bad[{i}] | a cause | 31" for i in range(4)),
