A client that reads a long answer slowly is not reset while it reads

Cause: the 60 s for a client that reads nothing ended only when the kernel had taken all of what had been written. Change: after 60 s the reset comes only if the client's machine has taken nothing meanwhile, by the buffer and the kernel's queue. Result: the new test forces the check with and without progress; before, the timer had one way to go, the reset.

--- a/burlshift/agent/downstream_response.py
+++ b/burlshift/agent/downstream_response.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import logging
+import struct
+import termios
 from typing import Protocol
 
 import h11
@@ -17,7 +20,7 @@
 
 # A lingering close ends after LINGER_SILENCE_S without input, and after LINGER_LIMIT_S in any case.
 LINGER_SILENCE_S, LINGER_LIMIT_S = 1.0, 30.0
-WRITE_STALL_S = 60.0  # a client that reads nothing of its response for this time is reset
+WRITE_STALL_S = 60.0  # a client that takes nothing of its response for this time is reset
 # Written without h11, which may be in any state after an error.
 FAILURE_RESPONSE = (
     b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\nConnection: close\r\n\r\nfailed\n"
@@ -147,7 +150,29 @@
 
     def _start_write_stall_timer(self) -> None:
         if self._write_stall_timer is None:
-            self._write_stall_timer = self._loop.call_later(WRITE_STALL_S, self._reset)
+            self._write_stall_timer = self._loop.call_later(
+                WRITE_STALL_S, self._check_write_stall, self._untaken_bytes()
+            )
+
+    def _check_write_stall(self, previous_bytes: int) -> None:
+        """Reset the connection if the client has taken nothing since this number of bytes was left to it."""
+        self._write_stall_timer = None
+        if self._untaken_bytes() == previous_bytes:
+            self._reset()
+        else:
+            self._start_write_stall_timer()
+
+    def _untaken_bytes(self) -> int:
+        """The bytes that the client's machine has not taken. They become fewer while a response is read
+        slowly, long before the kernel has room for more."""
+        if self.transport is None or self.transport.is_closing():
+            return 0
+        socket_fd = self.transport.get_extra_info("socket").fileno()
+        try:
+            (in_kernel,) = struct.unpack("i", fcntl.ioctl(socket_fd, termios.TIOCOUTQ, bytes(4)))
+        except OSError:
+            in_kernel = 0
+        return self.transport.get_write_buffer_size() + int(in_kernel)
 
     def resume_writing(self) -> None:
         """The kernel has taken all bytes: continue the streamed response."""
--- a/tests/test_input_backlog.py
+++ b/tests/test_input_backlog.py
@@ -29,6 +29,8 @@
 }
 FLOOD_BYTES = 2_000_000
 SOCKET_BUFFER_BYTES = 4096
+LONG_RESPONSE_BYTES = 32_000_000  # more than the kernels take
+LONG_RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG_RESPONSE_BYTES
 CLIENTS = 3 * TURNS_PER_ITERATION
 
 
@@ -169,6 +171,30 @@
     asyncio.run(run())
 
 
+def test_client_that_reads_slowly_is_not_reset(tmp_path: Path) -> None:
+    # Guards against a reset of a client that reads a long response slower than the kernel's buffer empties.
+    async def run() -> None:
+        async with running_agent(tmp_path) as harness:
+            client = await harness.raw_client()
+            await client.send(post())
+            server_connection = (await harness.request()).connection
+            server_connection.writer.write(LONG_RESPONSE_HEAD + b"x" * LONG_RESPONSE_BYTES)
+            (connection,) = harness.server.connections
+            while connection.written:
+                await asyncio.sleep(0)
+            assert connection.transport is not None
+            left = connection._untaken_bytes()
+            while connection._untaken_bytes() == left:
+                assert await client.receive(SOCKET_BUFFER_BYTES)
+            connection._check_write_stall(left)
+            assert not connection.transport.is_closing()
+            connection._check_write_stall(connection._untaken_bytes())
+            assert connection.transport.is_closing()
+            client.close()
+
+    asyncio.run(run())
+
+
 def test_requests_in_the_backlog_are_answered_in_order(tmp_path: Path) -> None:
     async def run() -> None:
         async with running_agent(tmp_path) as harness:
