A watch that is answered late is heard: the next call is made beside it

Cause: a watch was given up 1 s after its wait, and its answer with it. Change: the overlapping calls of the full list serve watches, too; the module is named after them.

--- a/burlshift/agent/discovery.py
+++ b/burlshift/agent/discovery.py
@@ -17,8 +17,15 @@
 
 from .address_rotation import AddressRotation
 from .discovery_call import PATH, DiscoveryCall
-from .full_list import FIRST_ANSWER_S, Answer, FullListRequest
 from .listing import Address, Listing, ListingParser
+from .overlapping_calls import (
+    FIRST_ANSWER_S,
+    Answer,
+    CallTimes,
+    OverlappingCalls,
+    full_list_times,
+    watch_times,
+)
 
 log = logging.getLogger(__name__)
 
@@ -169,17 +176,27 @@
         if self._identity is not None:
             target += f"&list={quote(self._identity)}"
         limit_s = self._wait_ms / 1000 + LONG_POLL_MARGIN_S
-        return Answer(call, await self._request(call, target, limit_s))
+        if self._has_other_addresses:
+            return Answer(call, await self._request(call, target, limit_s))
+        return await self._overlapping_calls(call, target, watch_times(limit_s))
 
     async def _full_list(self, call: DiscoveryCall) -> Answer:
         """Request the full list. With several addresses each is left after FIRST_ANSWER_S, unless all have
         failed: then discovery may be slow at all of them."""
-        if 1 < len(self._rotation) > self._rotation.failures:
+        if self._has_other_addresses:
             return Answer(call, await self._request(call, PATH, FIRST_ANSWER_S))
-        return await FullListRequest(partial(self._open_call, None), self._request_full_list).run(call)
+        return await self._overlapping_calls(call, PATH, full_list_times())
 
-    async def _request_full_list(self, call: DiscoveryCall, limit_s: float) -> Listing:
-        return await self._request(call, PATH, limit_s)
+    @property
+    def _has_other_addresses(self) -> bool:
+        """Whether there is an address that has not failed since the latest answer."""
+        return 1 < len(self._rotation) > self._rotation.failures
+
+    async def _overlapping_calls(self, call: DiscoveryCall, target: str, times: CallTimes) -> Answer:
+        async def request(either_call: DiscoveryCall, limit_s: float) -> Listing:
+            return await self._request(either_call, target, limit_s)
+
+        return await OverlappingCalls(partial(self._open_call, None), request, times).run(call)
 
     def _accept(self, listing: Listing) -> bool:
         """Whether the listing continues the list as it was delivered; records its revision and identity.
--- a/burlshift/agent/full_list.py
+++ b/burlshift/agent/overlapping_calls.py
@@ -1,4 +1,4 @@
-"""Requests the full list from a discovery that may be slow, or silent on one connection only."""
+"""Calls a discovery that may be slow, or silent on one connection only."""
 
 from __future__ import annotations
 
@@ -20,11 +20,29 @@
     listing: Listing
 
 
-class FullListRequest:
-    """One request for the full list, in up to two overlapping calls; the first answer is used.
+class CallTimes(NamedTuple):
+    """The time limits of two overlapping calls, in seconds."""
 
-    A discovery that takes longer than FIRST_ANSWER_S is heard by the first call. One that does not know that
-    call, for instance because its machine was replaced meanwhile, is heard by the second.
+    second_after_s: float  # from the start of the first call until the second one is made
+    first_limit_s: float
+    second_limit_s: float  # from its own start
+
+
+def full_list_times() -> CallTimes:
+    """The limits of calls for the full list."""
+    return CallTimes(FIRST_ANSWER_S, SLOW_ANSWER_S, SLOW_ANSWER_S - FIRST_ANSWER_S)
+
+
+def watch_times(limit_s: float) -> CallTimes:
+    """The limits of calls that discovery may hold; `limit_s`: of a call if discovery is not slow."""
+    return CallTimes(limit_s, limit_s + SLOW_ANSWER_S, limit_s)
+
+
+class OverlappingCalls:
+    """One request to discovery, in up to two overlapping calls; the first answer is used.
+
+    A discovery that is slow is heard by the first call. One that does not know that call, for instance
+    because its machine was replaced meanwhile, is heard by the second.
 
     open_call: opens another connection to discovery. Raises OSError.
     request: makes the call on a connection within a time limit in seconds, and returns its answer. Raises an
@@ -35,8 +53,9 @@
         self,
         open_call: Callable[[], Awaitable[DiscoveryCall]],
         request: Callable[[DiscoveryCall, float], Awaitable[Listing]],
+        times: CallTimes,
     ) -> None:
-        self._open_call, self._request = open_call, request
+        self._open_call, self._request, self._times = open_call, request, times
         self._calls: dict[asyncio.Task[Listing], DiscoveryCall] = {}
 
     async def run(self, call: DiscoveryCall) -> Answer:
@@ -44,8 +63,8 @@
         failed last. Connections other than that of the answer are closed."""
         winner: DiscoveryCall | None = None
         try:
-            self._start(call, SLOW_ANSWER_S)
-            if not await self._first_ended(FIRST_ANSWER_S):
+            self._start(call, self._times.first_limit_s)
+            if not await self._first_ended(self._times.second_after_s):
                 await self._start_second()
             answer = await self._first_answer()
             winner = answer.call
@@ -59,7 +78,7 @@
 
     async def _start_second(self) -> None:
         try:
-            self._start(await self._open_call(), SLOW_ANSWER_S - FIRST_ANSWER_S)
+            self._start(await self._open_call(), self._times.second_limit_s)
         except OSError:
             return  # the first call may still be answered
 
