A head is searched for its end only if the input could exceed its bounds

Need: the bounds on heads searched each head once more. Change: the search is made only where all that has been received is longer or has more lines than a head may have.

--- a/burlshift/agent/buffered_input.py
+++ b/burlshift/agent/buffered_input.py
@@ -11,6 +11,7 @@
 
 HEADER_LIMIT = 32 * 1024  # bytes of request or status line and headers
 MAX_HEADER_FIELDS = 100  # of a head or a trailer; h11 takes as long for a short field as for a long one
+MAX_HEAD_LINES = MAX_HEADER_FIELDS + 2  # with the request or status line and the empty line
 
 
 class HeadLimitedBuffer(ReceiveBuffer):
@@ -18,14 +19,18 @@
 
     def maybe_extract_lines(self) -> list[bytearray] | None:
         """The lines up to the next empty line, or None if that has not come. Raises RemoteProtocolError."""
+        # What has been received may be more than the head, but most often is not.
+        if len(self._data) > HEADER_LIMIT or self._data.count(b"\n") > MAX_HEAD_LINES:
+            self._check_head()
+        return super().maybe_extract_lines()
+
+    def _check_head(self) -> None:
         end = blank_line_regex.search(self._data)
         length = len(self._data) if end is None else end.end()
         if length > HEADER_LIMIT:
             raise h11.RemoteProtocolError("head too large")
-        # Besides the fields there are the request or status line and the empty line.
-        if self._data.count(b"\n", 0, length) > MAX_HEADER_FIELDS + 2:
+        if self._data.count(b"\n", 0, length) > MAX_HEAD_LINES:
             raise h11.RemoteProtocolError("too many header fields")
-        return super().maybe_extract_lines()
 
 
 def http_connection(role: type[h11.CLIENT] | type[h11.SERVER]) -> h11.Connection:
