--- a/burlshift/agent/downstream_connection.py
+++ b/burlshift/agent/downstream_connection.py
@@ -72,9 +72,8 @@
         self._head_checked = False  # before the body was complete
         self._blank_lines = BlankLines()
         self._upload: Upload | None = None  # a body that is streamed
-        self._input_timer: asyncio.TimerHandle | None = (
-            None  # set while the input behind a request is read first
-        )
+        # Set while the input behind a request is read first.
+        self._input_timer: asyncio.TimerHandle | None = None
         self._sent_time = SentTime(self._loop, server.waiting_since)
         self.has_sent_request = False  # a proper request has been received
 
